Lay down the build, the checks and the seams of the decision logic

The core's public headers fix events and commands for distribution, ingress and gate; their bodies are thin first versions. Proved: INI parsing names the line of each fault (unit.ini_document_test). Not yet: any input or output.

--- /dev/null
+++ b/cmake/warnings.cmake
@@ -0,0 +1,5 @@
+# Warnings of the project's own code; generated code is compiled without them.
+function(dandelionfall_warnings TARGET_NAME)
+  target_compile_options(${TARGET_NAME} PRIVATE -Wall -Wextra -Wpedantic
+    -Wshadow -Wnon-virtual-dtor -Werror)
+endfunction()
--- /dev/null
+++ b/include/dandelionfall/core/control_message.h
@@ -0,0 +1,105 @@
+/// \file
+/// Messages on the control links between nodes.
+#ifndef DANDELIONFALL_CORE_CONTROL_MESSAGE_H
+#define DANDELIONFALL_CORE_CONTROL_MESSAGE_H
+
+#include "dandelionfall/core/configuration_reader.h"
+#include "dandelionfall/core/identity.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dandelionfall::core {
+
+/// What kind of published state a message is about; each has versions of its
+/// own.
+enum class Stream : std::uint8_t {
+  Configuration, ///< Availability zones, profiles, services.
+  Hosts,         ///< The platform's lagging list of live and leaving hosts.
+};
+
+/// First message of either side of a control link.
+struct ControlHello {
+  std::string m_Host;
+  std::string m_Zone;
+  Incarnation m_Incarnation;
+  /// Address at which the sender takes links.
+  std::string m_Address;
+  VersionStamp m_Held;
+  VersionStamp m_Applied;
+  VersionStamp m_HostList;
+  friend bool operator==(const ControlHello &, const ControlHello &) = default;
+};
+
+/// The sender holds a version that the receiver may lack.
+struct Announce {
+  Stream m_Stream = Stream::Configuration;
+  VersionStamp m_Held;
+  friend bool operator==(const Announce &, const Announce &) = default;
+};
+
+/// Asks for what leads from the receiver's own version to the announced one.
+struct Pull {
+  Stream m_Stream = Stream::Configuration;
+  VersionStamp m_Have;
+  friend bool operator==(const Pull &, const Pull &) = default;
+};
+
+/// The change from one version to a later one.
+struct ChangeRecord {
+  VersionStamp m_Base;
+  VersionStamp m_Stamp;
+  /// Parts that are new or changed.
+  std::vector<PartPtr> m_Changed;
+  /// Names of the parts that are gone.
+  std::vector<std::string> m_Removed;
+};
+
+/// Change records in ascending order of version.
+struct ChangeRecords {
+  Stream m_Stream = Stream::Configuration;
+  std::vector<ChangeRecord> m_Records;
+};
+
+/// A piece of a whole version, for receivers that are too far behind for
+/// records.
+struct SnapshotChunk {
+  Stream m_Stream = Stream::Configuration;
+  VersionStamp m_Stamp;
+  std::uint32_t m_Index = 0;
+  std::uint32_t m_Count = 0;
+  std::vector<PartPtr> m_Parts;
+};
+
+/// The sender holds a version, whole and checked.
+struct HeldAck {
+  Stream m_Stream = Stream::Configuration;
+  VersionStamp m_Held;
+  friend bool operator==(const HeldAck &, const HeldAck &) = default;
+};
+
+/// Regular sign of life with the sender's versions.
+struct Heartbeat {
+  std::uint64_t m_Sequence = 0;
+  VersionStamp m_Held;
+  VersionStamp m_Applied;
+  VersionStamp m_HostList;
+  friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
+};
+
+/// The sender leaves; its links should be replaced now.
+struct ControlGoAway {
+  friend bool operator==(const ControlGoAway &,
+                         const ControlGoAway &) = default;
+};
+
+/// Any message of a control link.
+using ControlMessage =
+    std::variant<ControlHello, Announce, Pull, ChangeRecords, SnapshotChunk,
+                 HeldAck, Heartbeat, ControlGoAway>;
+
+} // namespace dandelionfall::core
+
+#endif // DANDELIONFALL_CORE_CONTROL_MESSAGE_H
--- /dev/null
+++ b/include/dandelionfall/core/http_message.h
@@ -0,0 +1,43 @@
+/// \file
+/// HTTP requests and responses as plain values, free of any HTTP library.
+#ifndef DANDELIONFALL_CORE_HTTP_MESSAGE_H
+#define DANDELIONFALL_CORE_HTTP_MESSAGE_H
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dandelionfall::core {
+
+/// A header field.
+struct HttpField {
+  std::string m_Name;
+  std::string m_Value;
+  friend bool operator==(const HttpField &, const HttpField &) = default;
+};
+
+/// A caller's request; hop-by-hop fields are already removed.
+struct HttpRequest {
+  std::string m_Method;
+  std::string m_Path;
+  std::string m_HostName;
+  std::vector<HttpField> m_Fields;
+  std::string m_Body;
+  friend bool operator==(const HttpRequest &, const HttpRequest &) = default;
+};
+
+/// A target's whole response; hop-by-hop fields are already removed.
+struct HttpResponse {
+  std::uint32_t m_Status = 0;
+  std::vector<HttpField> m_Fields;
+  std::string m_Body;
+  friend bool operator==(const HttpResponse &, const HttpResponse &) = default;
+};
+
+using HttpRequestPtr = std::shared_ptr<const HttpRequest>;
+using HttpResponsePtr = std::shared_ptr<const HttpResponse>;
+
+} // namespace dandelionfall::core
+
+#endif // DANDELIONFALL_CORE_HTTP_MESSAGE_H
--- /dev/null
+++ b/proto/wire.thrift
@@ -0,0 +1,68 @@
+// Frames between nodes, in the compact protocol behind a length prefix of four bytes.
+namespace cpp dandelionfall.wire
+
+struct Incarnation { 1: i64 high, 2: i64 low }
+struct RequestId { 1: Incarnation ingress, 2: i64 sequence }
+struct Stamp { 1: i64 version, 2: i64 digest }
+struct Capacity { 1: i32 in_flight, 2: i32 queued, 3: i32 limit, 4: i64 service_time_us }
+struct HttpField { 1: string name, 2: binary value }
+struct HttpRequest { 1: string method, 2: binary path, 3: string host_name, 4: list<HttpField> fields, 5: binary body }
+struct HttpResponse { 1: i32 status, 2: list<HttpField> fields, 3: binary body }
+
+struct TrafficHello { 1: string host, 2: Incarnation ingress, 3: i64 epoch, 4: i64 version }
+struct TrafficWelcome { 1: string host, 2: Incarnation gate, 3: i64 epoch, 4: i64 version, 5: Capacity capacity }
+struct Dispatch {
+  1: RequestId id, 2: i64 epoch, 3: Incarnation gate, 4: i64 remaining_us, 5: i64 version,
+  6: string service_name, 7: string target_name, 8: bool idempotent, 9: HttpRequest request
+}
+struct Answer { 1: RequestId id, 2: HttpResponse response, 3: Capacity capacity }
+struct Refusal { 1: RequestId id, 2: i32 reason, 3: i64 retry_after_us, 4: i64 version, 5: Capacity capacity }
+struct Failure { 1: RequestId id, 2: string detail, 3: Capacity capacity }
+struct Inquiry { 1: list<RequestId> ids }
+struct InquiryReply { 1: RequestId id, 2: i32 state }
+struct Settled { 1: list<RequestId> ids }
+struct Cancel { 1: RequestId id }
+struct TrafficPing { 1: i64 sequence, 2: i64 version }
+struct TrafficPong { 1: i64 sequence, 2: i64 version, 3: Capacity capacity }
+struct TrafficGoAway {}
+
+struct ControlHello {
+  1: string host, 2: string zone, 3: Incarnation incarnation, 4: string address,
+  5: Stamp held, 6: Stamp applied, 7: Stamp host_list
+}
+struct Announce { 1: i32 stream, 2: Stamp held }
+struct Pull { 1: i32 stream, 2: Stamp have }
+struct Part { 1: string name, 2: binary text }
+struct ChangeRecord { 1: Stamp base, 2: Stamp stamp, 3: list<Part> changed, 4: list<string> removed }
+struct ChangeRecords { 1: i32 stream, 2: list<ChangeRecord> records }
+struct SnapshotChunk { 1: i32 stream, 2: Stamp stamp, 3: i32 index, 4: i32 count, 5: list<Part> parts }
+struct HeldAck { 1: i32 stream, 2: Stamp held }
+struct Heartbeat { 1: i64 sequence, 2: Stamp held, 3: Stamp applied, 4: Stamp host_list }
+struct ControlGoAway {}
+
+union Body {
+  1: TrafficHello traffic_hello
+  2: TrafficWelcome traffic_welcome
+  3: Dispatch dispatch
+  4: Answer answer
+  5: Refusal refusal
+  6: Failure failure
+  7: Inquiry inquiry
+  8: InquiryReply inquiry_reply
+  9: Settled settled
+  10: Cancel cancel
+  11: TrafficPing traffic_ping
+  12: TrafficPong traffic_pong
+  13: TrafficGoAway traffic_go_away
+  20: ControlHello control_hello
+  21: Announce announce
+  22: Pull pull
+  23: ChangeRecords change_records
+  24: SnapshotChunk snapshot_chunk
+  25: HeldAck held_ack
+  26: Heartbeat heartbeat
+  27: ControlGoAway control_go_away
+}
+
+// The logical time orders the events of all processes on one time line.
+struct Frame { 1: i64 logical_time, 2: Body body }
--- /dev/null
+++ b/src/core/event.cpp
@@ -0,0 +1,91 @@
+#include "dandelionfall/core/event.h"
+
+#include <algorithm>
+#include <array>
+#include <stdexcept>
+
+namespace dandelionfall::core {
+
+namespace {
+
+constexpr std::array Catalogue = {
+    EventInfo{EventId::ProcessStarted, "process-started", Severity::Info,
+              "The process has bound its addresses."},
+    EventInfo{EventId::ProcessReady, "process-ready", Severity::Info,
+              "The node serves callers."},
+    EventInfo{EventId::DrainStarted, "drain-started", Severity::Info,
+              "A planned stop began; new work is refused."},
+    EventInfo{EventId::DrainFinished, "drain-finished", Severity::Info,
+              "Nothing admitted is left; the process ends."},
+    EventInfo{EventId::ConfigurationHeld, "configuration-held", Severity::Info,
+              "A version is on hand, whole and checked, but not yet applied."},
+    EventInfo{EventId::ConfigurationApplied, "configuration-applied",
+              Severity::Info, "A version is in force on this node."},
+    EventInfo{EventId::ConfigurationRefused, "configuration-refused",
+              Severity::Error,
+              "A published value has a fault; the version in force stays."},
+    EventInfo{EventId::SourceUnavailable, "source-unavailable",
+              Severity::Warning,
+              "The platform's configuration service does not answer."},
+    EventInfo{EventId::SourceAvailable, "source-available", Severity::Info,
+              "The platform's configuration service answers again."},
+    EventInfo{EventId::VersionConflict, "version-conflict", Severity::Error,
+              "A version number was seen with other content; the first stays."},
+    EventInfo{EventId::AppliedWithoutHolders, "applied-without-holders",
+              Severity::Warning,
+              "A version was applied before enough other nodes held it."},
+    EventInfo{EventId::HostListRead, "host-list-read", Severity::Debug,
+              "A newer list of hosts is in use."},
+    EventInfo{EventId::ControlLinkOpened, "control-link-opened",
+              Severity::Debug, "A control link to a neighbour is open."},
+    EventInfo{EventId::ControlLinkClosed, "control-link-closed",
+              Severity::Debug, "A control link is gone."},
+    EventInfo{EventId::NeighbourReplaced, "neighbour-replaced", Severity::Info,
+              "A dead or silent neighbour was replaced."},
+    EventInfo{EventId::TrafficLinkOpened, "traffic-link-opened",
+              Severity::Debug, "A traffic link to a gate is open."},
+    EventInfo{EventId::TrafficLinkClosed, "traffic-link-closed",
+              Severity::Debug, "A traffic link to a gate is gone."},
+    EventInfo{EventId::EpochRaised, "epoch-raised", Severity::Info,
+              "A gate runs nothing more from an ingress's older link."},
+    EventInfo{EventId::OutcomeUnknown, "outcome-unknown", Severity::Warning,
+              "A caller was told that its request may have run."},
+    EventInfo{EventId::RequestDispatched, "request-dispatched", Severity::Debug,
+              "An ingress handed a request to a gate."},
+    EventInfo{EventId::RequestStarted, "request-started", Severity::Debug,
+              "A gate gave a request to its target."},
+    EventInfo{EventId::RequestSettled, "request-settled", Severity::Debug,
+              "A caller has its final answer."},
+    EventInfo{EventId::RequestRefused, "request-refused", Severity::Debug,
+              "A gate refused a request without running it."},
+    EventInfo{EventId::RampRestarted, "ramp-restarted", Severity::Info,
+              "The target is in cold start; its limit begins anew."},
+    EventInfo{EventId::RampFinished, "ramp-finished", Severity::Info,
+              "The target's limit has reached its slots."},
+    EventInfo{EventId::ZoneOut, "zone-out", Severity::Info,
+              "An availability zone takes no new work."},
+    EventInfo{EventId::ZoneIn, "zone-in", Severity::Info,
+              "An availability zone takes new work again."},
+    EventInfo{EventId::CallerRejected, "caller-rejected", Severity::Warning,
+              "A caller's request broke a limit or the protocol."},
+};
+
+static_assert(std::is_sorted(Catalogue.begin(), Catalogue.end(),
+                             [](const EventInfo &Left, const EventInfo &Right) {
+                               return Left.m_Id < Right.m_Id;
+                             }));
+
+} // namespace
+
+std::span<const EventInfo> eventCatalogue() { return Catalogue; }
+
+const EventInfo &describe(EventId Id) {
+  const auto *Found = std::lower_bound(
+      Catalogue.begin(), Catalogue.end(), Id,
+      [](const EventInfo &Info, EventId Wanted) { return Info.m_Id < Wanted; });
+  if (Found == Catalogue.end() || Found->m_Id != Id)
+    throw std::logic_error("event number without a catalogue entry");
+  return *Found;
+}
+
+} // namespace dandelionfall::core
--- /dev/null
+++ b/tests/unit/ini_document_test.cpp
@@ -0,0 +1,56 @@
+#include "dandelionfall/core/ini_document.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace dandelionfall::core;
+
+namespace {
+
+struct FaultCase {
+  const char *m_Text;
+  int m_Line;
+  const char *m_Fault;
+};
+
+} // namespace
+
+TEST_CASE("INI text keeps sections, keys, values and lines") {
+  const IniDocument Document = parseIni(
+      "; comment\n[service slotboard]\nprofile = escort\n\n[route /a.b]\n"
+      "idempotent = never\n",
+      "file", ErrorKind::BadSettings);
+  REQUIRE(Document.m_Sections.size() == 2);
+  CHECK(Document.m_Sections[0].m_Type == "service");
+  CHECK(Document.m_Sections[0].m_Name == "slotboard");
+  CHECK(Document.m_Sections[0].m_Line == 2);
+  REQUIRE(Document.m_Sections[0].find("profile") != nullptr);
+  CHECK(*Document.m_Sections[0].find("profile") ==
+        IniEntry{"profile", "escort", 3});
+  CHECK(Document.m_Sections[1].m_Name == "/a.b");
+  CHECK(Document.m_Sections[1].find("profile") == nullptr);
+}
+
+TEST_CASE("INI faults name their line") {
+  const FaultCase Cases[] = {
+      {"key = 1\n", 1, "outside a section"},
+      {"[a]\nx = 1\n[a]\ny = 2\n", 3, "duplicate section"},
+      {"[a]\n[a]\n", 2, "duplicate section"},
+      {"[a]\nx = 1\nx = 2\n", 3, "duplicate key"},
+      {"[a\nx = 1\n", 1, "unmatched"},
+      {"[a]\nnonsense\n", 2, "'='"},
+  };
+  for (const FaultCase &Case : Cases) {
+    CAPTURE(Case.m_Text);
+    try {
+      parseIni(Case.m_Text, "file", ErrorKind::BadSettings);
+      FAIL("accepted");
+    } catch (const Error &Fault) {
+      CHECK(Fault.kind() == ErrorKind::BadSettings);
+      CHECK(Fault.location() == SourceLocation{"file", Case.m_Line});
+      CHECK(std::string(Fault.what()).find(Case.m_Fault) != std::string::npos);
+      CHECK_FALSE(Fault.remedy().empty());
+    }
+  }
+}
--- /dev/null
+++ b/tools/generate.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Writes gen/ anew from proto/wire.thrift; the result is committed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+thrift --gen cpp:moveable_types,no_skeleton -out gen proto/wire.thrift
+rm -f gen/wire_constants.*
+sed -i '/wire_constants/d' gen/*.cpp gen/*.h
