--- /dev/null
+++ b/tests/standin/platform_service.cpp
@@ -0,0 +1,249 @@
+#include "standin/platform_service.h"
+
+#include <optional>
+#include <sstream>
+#include <utility>
+
+namespace dandelionfall::standin {
+
+namespace {
+
+constexpr std::uint64_t DefaultWaitMs = 20'000;
+constexpr std::string_view PartPrefix = "/part/";
+
+struct ModeName {
+  std::string_view m_Name;
+  PlatformMode m_Mode;
+};
+
+constexpr ModeName ModeNames[] = {
+    {"ok", PlatformMode::Ok},
+    {"down", PlatformMode::Down},
+    {"stale", PlatformMode::Stale},
+    {"crossing", PlatformMode::Crossing},
+    {"crossing_parts", PlatformMode::CrossingParts},
+    {"truncated", PlatformMode::Truncated},
+    {"cut", PlatformMode::Cut},
+};
+
+std::optional<PlatformMode> findMode(std::string_view Name) {
+  for (const ModeName &Each : ModeNames) {
+    if (Each.m_Name == Name)
+      return Each.m_Mode;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+struct PlatformService::Resource {
+  std::string_view m_Path;
+  std::string_view m_Kind;
+  std::string_view m_WatchKind;
+  Value (PlatformService::*m_Read)(std::uint64_t After);
+};
+
+const PlatformService::Resource PlatformService::Resources[] = {
+    {"/manifest", "manifest", "manifest_watch",
+     &PlatformService::readManifestValue},
+    {"/hosts", "hosts", "hosts_watch", &PlatformService::readHostsValue},
+};
+
+PlatformService::PlatformService(boost::asio::io_context &Context)
+    : m_Context(Context) {}
+
+const SnapshotPtr &PlatformService::visible() const {
+  return m_Mode == PlatformMode::Stale ? m_Frozen : m_Store.current();
+}
+
+const HostList &PlatformService::visibleHosts() const {
+  return m_Mode == PlatformMode::Stale ? m_FrozenHosts : m_Store.hosts();
+}
+
+PlatformService::Value PlatformService::readManifestValue(std::uint64_t After) {
+  const SnapshotPtr &Newest = visible();
+  if (m_Mode == PlatformMode::Crossing) {
+    const SnapshotPtr Older = m_Store.find(Newest->m_Version - 1);
+    if (Older != nullptr && Older->m_Version > After) {
+      m_Mode = PlatformMode::Ok;
+      return {Older->m_Version, Older->m_Manifest};
+    }
+  }
+  return {Newest->m_Version, Newest->m_Manifest};
+}
+
+PlatformService::Value PlatformService::readHostsValue(std::uint64_t) {
+  const HostList &Newest = visibleHosts();
+  return {Newest.m_Revision, Newest.m_Text};
+}
+
+void PlatformService::handle(const HttpRequest &Request,
+                             const ExchangePtr &Reply) {
+  const auto Now = std::chrono::steady_clock::now();
+  for (const Resource &Each : Resources) {
+    if (Each.m_Path != Request.m_Path || Request.m_Method != "GET")
+      continue;
+    const bool IsWatch = Request.m_Query.contains("after");
+    m_Counter.count(std::string(IsWatch ? Each.m_WatchKind : Each.m_Kind), Now);
+    handleValue(Each, Request, Reply);
+    return;
+  }
+  if (Request.m_Method == "GET" && Request.m_Path.starts_with(PartPrefix)) {
+    m_Counter.count("part", Now);
+    handlePart(Request.m_Path.substr(PartPrefix.size()), Reply);
+    return;
+  }
+  m_Counter.count("refused", Now);
+  send(Reply, Request.m_Method == "GET"
+                  ? HttpReply{404, "unknown path\n"}
+                  : HttpReply{405, "this service can only be read\n"});
+}
+
+void PlatformService::handleValue(const Resource &Asked,
+                                  const HttpRequest &Request,
+                                  const ExchangePtr &Reply) {
+  if (m_Mode == PlatformMode::Down) {
+    Reply->drop();
+    return;
+  }
+  const bool IsWatch = Request.m_Query.contains("after");
+  const std::uint64_t After = Request.queryNumber("after", 0);
+  Value Newest = (this->*Asked.m_Read)(After);
+  if (!IsWatch || Newest.m_Number > After) {
+    send(Reply, {200, std::move(Newest.m_Text)});
+    return;
+  }
+  addWatch(
+      Asked, After,
+      std::chrono::milliseconds(Request.queryNumber("wait_ms", DefaultWaitMs)),
+      Reply);
+}
+
+void PlatformService::addWatch(const Resource &Asked, std::uint64_t After,
+                               std::chrono::milliseconds Wait,
+                               const ExchangePtr &Reply) {
+  const std::uint64_t Id = ++m_LastWatch;
+  Watch &Added =
+      m_Watches
+          .try_emplace(Id, Watch{Asked.m_Read, After, Reply,
+                                 boost::asio::steady_timer(m_Context, Wait)})
+          .first->second;
+  Reply->onGone([this, Id] { m_Watches.erase(Id); });
+  Added.m_Timer.async_wait([this, Id](const boost::system::error_code &Fault) {
+    const auto Found = m_Watches.find(Id);
+    if (Fault || Found == m_Watches.end())
+      return;
+    const ExchangePtr Expired = Found->second.m_Reply;
+    m_Watches.erase(Found);
+    send(Expired, {204, ""});
+  });
+}
+
+void PlatformService::wakeWatches() {
+  for (auto Next = m_Watches.begin(); Next != m_Watches.end();) {
+    const Watch &Each = Next->second;
+    Value Newest = (this->*Each.m_Read)(Each.m_After);
+    if (Newest.m_Number <= Each.m_After) {
+      ++Next;
+      continue;
+    }
+    const ExchangePtr Reply = Each.m_Reply;
+    Next = m_Watches.erase(Next);
+    send(Reply, {200, std::move(Newest.m_Text)});
+  }
+}
+
+void PlatformService::dropWatches() {
+  for (const auto &[Id, Each] : std::exchange(m_Watches, {})) {
+    Each.m_Reply->onGone(nullptr);
+    Each.m_Reply->drop();
+  }
+}
+
+void PlatformService::handlePart(const std::string &Name,
+                                 const ExchangePtr &Reply) {
+  if (m_Mode == PlatformMode::Down) {
+    Reply->drop();
+    return;
+  }
+  SnapshotPtr Source = visible();
+  if (m_Mode == PlatformMode::CrossingParts) {
+    const SnapshotPtr Older = m_Store.find(Source->m_Version - 1);
+    if (Older != nullptr && Older->m_Version > 0) {
+      Source = Older;
+      m_Mode = PlatformMode::Ok;
+    }
+  }
+  const auto Found = Source->m_Parts.find(Name);
+  if (Found == Source->m_Parts.end())
+    send(Reply, {404, "no such part\n"});
+  else
+    send(Reply, {200, Found->second->m_Text});
+}
+
+void PlatformService::send(const ExchangePtr &Reply, HttpReply Result) {
+  Reply->onGone(nullptr);
+  if (m_Delay.count() == 0) {
+    sendNow(Reply, std::move(Result));
+    return;
+  }
+  auto Timer = std::make_shared<boost::asio::steady_timer>(m_Context, m_Delay);
+  Timer->async_wait([this, Timer, Reply, Result = std::move(Result)](
+                        const boost::system::error_code &Fault) {
+    if (!Fault)
+      sendNow(Reply, Result);
+  });
+}
+
+void PlatformService::sendNow(const ExchangePtr &Reply, HttpReply Result) {
+  if (m_Mode == PlatformMode::Down) {
+    Reply->drop();
+    return;
+  }
+  if (m_Mode == PlatformMode::Cut && Result.m_Status == 200) {
+    Reply->replyHalf(std::move(Result));
+    return;
+  }
+  if (m_Mode == PlatformMode::Truncated && Result.m_Status == 200)
+    Result.m_Body.resize(Result.m_Body.size() / 2);
+  Reply->reply(std::move(Result));
+}
+
+bool PlatformService::setMode(const std::string &Text) {
+  std::istringstream Words(Text);
+  std::string Name;
+  Words >> Name;
+  if (Name == "slow") {
+    std::int64_t Milliseconds = 0;
+    if (!(Words >> Milliseconds) || Milliseconds < 0)
+      return false;
+    m_Delay = std::chrono::milliseconds(Milliseconds);
+    return true;
+  }
+  const std::optional<PlatformMode> Mode = findMode(Name);
+  if (!Mode)
+    return false;
+  if (*Mode == PlatformMode::Stale) {
+    core::Version Wanted = visible()->m_Version;
+    Words >> Wanted;
+    const SnapshotPtr Frozen = m_Store.find(Wanted);
+    if (Frozen == nullptr)
+      return false;
+    m_FrozenHosts = visibleHosts();
+    m_Frozen = Frozen;
+  }
+  m_Mode = *Mode;
+  if (m_Mode == PlatformMode::Ok)
+    m_Delay = {};
+  if (m_Mode == PlatformMode::Down)
+    dropWatches();
+  else
+    wakeWatches();
+  return true;
+}
+
+std::string PlatformService::countersJson() const {
+  return m_Counter.toJson(m_Watches.size());
+}
+
+} // namespace dandelionfall::standin
