--- /dev/null
+++ b/src/net/http_conversion.cpp
@@ -0,0 +1,109 @@
+#include "net/http_conversion.h"
+
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace dandelionfall::net {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned HttpVersion = 11;
+
+constexpr std::array HopByHop = {
+    http::field::connection,
+    http::field::keep_alive,
+    http::field::proxy_connection,
+    http::field::proxy_authenticate,
+    http::field::proxy_authorization,
+    http::field::te,
+    http::field::trailer,
+    http::field::transfer_encoding,
+    http::field::upgrade,
+    http::field::host,
+    http::field::content_length,
+    http::field::expect,
+};
+
+bool isHopByHop(http::field Name) {
+  return std::find(HopByHop.begin(), HopByHop.end(), Name) != HopByHop.end();
+}
+
+std::string toString(boost::beast::string_view Text) {
+  return std::string(Text.data(), Text.size());
+}
+
+bool allowsBody(std::uint32_t Status) {
+  constexpr std::uint32_t NoContent = 204;
+  constexpr std::uint32_t NotModified = 304;
+  return Status != NoContent && Status != NotModified;
+}
+
+} // namespace
+
+std::vector<core::HttpField> endToEndFields(const http::fields &Fields) {
+  http::token_list Named(Fields[http::field::connection]);
+  std::vector<core::HttpField> Result;
+  for (const auto &Field : Fields) {
+    if (isHopByHop(Field.name()))
+      continue;
+    if (Named.exists(Field.name_string()))
+      continue;
+    Result.push_back({toString(Field.name_string()), toString(Field.value())});
+  }
+  return Result;
+}
+
+core::HttpRequestPtr toPlain(BeastRequest Message) {
+  core::HttpRequest Result;
+  Result.m_Method = toString(Message.method_string());
+  Result.m_Path = toString(Message.target());
+  Result.m_HostName = toString(Message[http::field::host]);
+  Result.m_Fields = endToEndFields(Message);
+  Result.m_Body = std::move(Message.body());
+  return std::make_shared<const core::HttpRequest>(std::move(Result));
+}
+
+core::HttpResponsePtr toPlain(BeastResponse Message) {
+  core::HttpResponse Result;
+  Result.m_Status = Message.result_int();
+  Result.m_Fields = endToEndFields(Message);
+  Result.m_Body = std::move(Message.body());
+  return std::make_shared<const core::HttpResponse>(std::move(Result));
+}
+
+BeastRequest toBeast(const core::HttpRequest &Request,
+                     const std::string &DefaultHost) {
+  BeastRequest Message;
+  Message.version(HttpVersion);
+  Message.method_string(Request.m_Method);
+  Message.target(Request.m_Path);
+  for (const core::HttpField &Field : Request.m_Fields)
+    Message.insert(Field.m_Name, Field.m_Value);
+  Message.set(http::field::host,
+              Request.m_HostName.empty() ? DefaultHost : Request.m_HostName);
+  Message.body() = Request.m_Body;
+  Message.prepare_payload();
+  return Message;
+}
+
+BeastResponse toBeast(const core::HttpResponse &Response, bool ToHead,
+                      bool KeepAlive) {
+  BeastResponse Message;
+  Message.version(HttpVersion);
+  Message.result(Response.m_Status);
+  for (const core::HttpField &Field : Response.m_Fields)
+    Message.insert(Field.m_Name, Field.m_Value);
+  if (!ToHead && allowsBody(Response.m_Status)) {
+    Message.body() = Response.m_Body;
+    Message.prepare_payload();
+  }
+  Message.keep_alive(KeepAlive);
+  return Message;
+}
+
+} // namespace dandelionfall::net
--- /dev/null
+++ b/src/net/link.cpp
@@ -0,0 +1,233 @@
+#include "dandelionfall/net/link.h"
+
+#include "dandelionfall/core/error.h"
+#include "dandelionfall/net/address.h"
+#include "dandelionfall/net/codec.h"
+#include "net/link_preamble.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace dandelionfall::net {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t ReadBufferBytes = 4096;
+constexpr std::chrono::seconds ConnectTimeout{1};
+constexpr std::chrono::seconds CloseTimeout{2};
+
+} // namespace
+
+class Link::Impl : public std::enable_shared_from_this<Link::Impl> {
+public:
+  Impl(tcp::socket Socket, LinkHandlers Handlers)
+      : m_Socket(std::move(Socket)), m_Timer(m_Socket.get_executor()),
+        m_Handlers(std::move(Handlers)), m_Input(ReadBufferBytes) {}
+
+  void connect(const std::string &Address, LinkKind Kind) {
+    m_Queued.emplace_back(preambleOf(Kind));
+    m_Pending = m_Queued.back().size();
+    startTimer(ConnectTimeout, "connect timed out");
+    try {
+      m_Socket.async_connect(parseEndpoint(Address),
+                             [Self = shared_from_this()](error_code Code) {
+                               Self->onConnected(Code);
+                             });
+    } catch (const core::Error &Fault) {
+      boost::asio::post(m_Socket.get_executor(),
+                        [Self = shared_from_this(), Text = Fault.fault()] {
+                          Self->fail(Text);
+                        });
+    }
+  }
+
+  void start() {
+    m_Connected = true;
+    error_code Ignored;
+    m_Socket.set_option(tcp::no_delay(true), Ignored);
+    read();
+    write();
+  }
+
+  void send(std::string Frame) {
+    if (m_Closed)
+      return;
+    m_Pending += Frame.size();
+    m_Queued.push_back(std::move(Frame));
+    if (m_Pending > MaxPendingBytes) {
+      boost::asio::post(m_Socket.get_executor(), [Self = shared_from_this()] {
+        Self->fail("peer reads too slowly");
+      });
+      return;
+    }
+    write();
+  }
+
+  void close() {
+    if (m_Closed)
+      return;
+    m_Closed = true;
+    m_Handlers = {};
+    if (!m_Connected || (m_Queued.empty() && m_Writing.empty()))
+      return shutDown();
+    startTimer(CloseTimeout, "");
+  }
+
+private:
+  void onConnected(error_code Code) {
+    if (m_Closed)
+      return shutDown();
+    if (Code)
+      return fail(Code.message());
+    m_Timer.cancel();
+    start();
+    if (m_Handlers.m_Opened)
+      m_Handlers.m_Opened();
+  }
+
+  void startTimer(std::chrono::seconds Delay, const std::string &Reason) {
+    m_Timer.expires_after(Delay);
+    m_Timer.async_wait([Self = shared_from_this(), Reason](error_code Code) {
+      if (!Code)
+        Self->fail(Reason);
+    });
+  }
+
+  void read() {
+    if (m_Input.size() == m_Filled)
+      m_Input.resize(m_Input.size() * 2);
+    m_Socket.async_read_some(
+        boost::asio::buffer(m_Input.data() + m_Filled,
+                            m_Input.size() - m_Filled),
+        [Self = shared_from_this()](error_code Code, std::size_t Count) {
+          Self->onRead(Code, Count);
+        });
+  }
+
+  void onRead(error_code Code, std::size_t Count) {
+    if (m_Closed)
+      return;
+    if (Code)
+      return fail(Code.message());
+    m_Filled += Count;
+    try {
+      deliverFrames();
+    } catch (const core::Error &Fault) {
+      return fail(Fault.what());
+    }
+    if (!m_Closed)
+      read();
+  }
+
+  void deliverFrames() {
+    std::size_t Begin = 0;
+    while (!m_Closed && m_Filled - Begin >= FrameHeaderBytes) {
+      const std::size_t Length =
+          decodeFrameLength({m_Input.data() + Begin, FrameHeaderBytes});
+      if (m_Filled - Begin - FrameHeaderBytes < Length)
+        break;
+      // The owner may close the link from within the handler, which clears it.
+      const auto Handler = m_Handlers.m_Frame;
+      Handler({m_Input.data() + Begin + FrameHeaderBytes, Length});
+      Begin += FrameHeaderBytes + Length;
+    }
+    dropDelivered(Begin);
+  }
+
+  void dropDelivered(std::size_t Begin) {
+    std::copy(m_Input.begin() + static_cast<std::ptrdiff_t>(Begin),
+              m_Input.begin() + static_cast<std::ptrdiff_t>(m_Filled),
+              m_Input.begin());
+    m_Filled -= Begin;
+    // Grows only as bytes arrive, so that a length alone claims no memory.
+    if (m_Filled == 0 && m_Input.size() > ReadBufferBytes) {
+      m_Input.resize(ReadBufferBytes);
+      m_Input.shrink_to_fit();
+    }
+  }
+
+  void write() {
+    if (!m_Connected || !m_Writing.empty() || m_Queued.empty())
+      return;
+    m_Writing.swap(m_Queued);
+    std::vector<boost::asio::const_buffer> Buffers;
+    Buffers.reserve(m_Writing.size());
+    for (const std::string &Frame : m_Writing)
+      Buffers.emplace_back(Frame.data(), Frame.size());
+    boost::asio::async_write(
+        m_Socket, Buffers,
+        [Self = shared_from_this()](error_code Code, std::size_t Count) {
+          Self->onWritten(Code, Count);
+        });
+  }
+
+  void onWritten(error_code Code, std::size_t Count) {
+    m_Writing.clear();
+    m_Pending -= std::min(m_Pending, Count);
+    if (Code)
+      return fail(Code.message());
+    if (m_Closed && m_Queued.empty())
+      return shutDown();
+    write();
+  }
+
+  void fail(const std::string &Reason) {
+    if (m_Closed)
+      return shutDown();
+    m_Closed = true;
+    const auto Handlers = std::exchange(m_Handlers, {});
+    shutDown();
+    if (Handlers.m_Closed)
+      Handlers.m_Closed(Reason);
+  }
+
+  void shutDown() {
+    error_code Ignored;
+    m_Timer.cancel();
+    m_Socket.close(Ignored);
+    m_Queued.clear();
+  }
+
+  tcp::socket m_Socket;
+  boost::asio::steady_timer m_Timer;
+  LinkHandlers m_Handlers;
+  std::vector<char> m_Input;
+  std::size_t m_Filled = 0;
+  std::vector<std::string> m_Queued;
+  std::vector<std::string> m_Writing;
+  std::size_t m_Pending = 0;
+  bool m_Connected = false;
+  bool m_Closed = false;
+};
+
+Link::Link(std::shared_ptr<Impl> Body) : m_Impl(std::move(Body)) {}
+
+Link::~Link() { m_Impl->close(); }
+
+std::shared_ptr<Link> Link::open(boost::asio::io_context &Context,
+                                 const std::string &Address, LinkKind Kind,
+                                 LinkHandlers Handlers) {
+  auto Body = std::make_shared<Impl>(tcp::socket(Context), std::move(Handlers));
+  Body->connect(Address, Kind);
+  return std::shared_ptr<Link>(new Link(std::move(Body)));
+}
+
+std::shared_ptr<Link> Link::adopt(tcp::socket Socket, LinkHandlers Handlers) {
+  auto Body = std::make_shared<Impl>(std::move(Socket), std::move(Handlers));
+  Body->start();
+  return std::shared_ptr<Link>(new Link(std::move(Body)));
+}
+
+void Link::send(std::string Frame) { m_Impl->send(std::move(Frame)); }
+
+void Link::close() { m_Impl->close(); }
+
+} // namespace dandelionfall::net
--- /dev/null
+++ b/src/net/wire_control.cpp
@@ -0,0 +1,204 @@
+#include "net/wire_conversion.h"
+#include "net/wire_values.h"
+
+#include <utility>
+
+namespace dandelionfall::net {
+
+namespace {
+
+std::vector<wire::Part> toWire(const std::vector<core::PartPtr> &Parts) {
+  std::vector<wire::Part> Result(Parts.size());
+  for (std::size_t Index = 0; Index < Parts.size(); ++Index) {
+    Result[Index].name = Parts[Index]->m_Name;
+    Result[Index].text = Parts[Index]->m_Text;
+  }
+  return Result;
+}
+
+std::vector<core::PartPtr> fromWire(std::vector<wire::Part> &Parts) {
+  std::vector<core::PartPtr> Result;
+  Result.reserve(Parts.size());
+  for (wire::Part &Part : Parts)
+    Result.push_back(
+        core::makePart(std::move(Part.name), std::move(Part.text)));
+  return Result;
+}
+
+// One overload a message; the visitor below picks it by the message's type.
+class BodyWriter {
+public:
+  explicit BodyWriter(wire::Body &Body) : m_Body(Body) {}
+
+  void operator()(const core::ControlHello &Message) {
+    wire::ControlHello Value;
+    Value.host = Message.m_Host;
+    Value.zone = Message.m_Zone;
+    Value.incarnation = net::toWire(Message.m_Incarnation);
+    Value.address = Message.m_Address;
+    Value.held = net::toWire(Message.m_Held);
+    Value.applied = net::toWire(Message.m_Applied);
+    Value.host_list = net::toWire(Message.m_HostList);
+    m_Body.__set_control_hello(Value);
+  }
+
+  void operator()(const core::Announce &Message) {
+    wire::Announce Value;
+    Value.stream = static_cast<std::int32_t>(Message.m_Stream);
+    Value.held = net::toWire(Message.m_Held);
+    m_Body.__set_announce(Value);
+  }
+
+  void operator()(const core::Pull &Message) {
+    wire::Pull Value;
+    Value.stream = static_cast<std::int32_t>(Message.m_Stream);
+    Value.have = net::toWire(Message.m_Have);
+    m_Body.__set_pull(Value);
+  }
+
+  void operator()(const core::ChangeRecords &Message) {
+    wire::ChangeRecords &Value = m_Body.change_records;
+    Value.stream = static_cast<std::int32_t>(Message.m_Stream);
+    for (const core::ChangeRecord &Record : Message.m_Records) {
+      wire::ChangeRecord Item;
+      Item.base = net::toWire(Record.m_Base);
+      Item.stamp = net::toWire(Record.m_Stamp);
+      Item.changed = toWire(Record.m_Changed);
+      Item.removed = Record.m_Removed;
+      Value.records.push_back(std::move(Item));
+    }
+    m_Body.__isset.change_records = true;
+  }
+
+  void operator()(const core::SnapshotChunk &Message) {
+    wire::SnapshotChunk &Value = m_Body.snapshot_chunk;
+    Value.stream = static_cast<std::int32_t>(Message.m_Stream);
+    Value.stamp = net::toWire(Message.m_Stamp);
+    Value.index = static_cast<std::int32_t>(Message.m_Index);
+    Value.count = static_cast<std::int32_t>(Message.m_Count);
+    Value.parts = toWire(Message.m_Parts);
+    m_Body.__isset.snapshot_chunk = true;
+  }
+
+  void operator()(const core::HeldAck &Message) {
+    wire::HeldAck Value;
+    Value.stream = static_cast<std::int32_t>(Message.m_Stream);
+    Value.held = net::toWire(Message.m_Held);
+    m_Body.__set_held_ack(Value);
+  }
+
+  void operator()(const core::Heartbeat &Message) {
+    wire::Heartbeat Value;
+    Value.sequence = toSigned(Message.m_Sequence);
+    Value.held = net::toWire(Message.m_Held);
+    Value.applied = net::toWire(Message.m_Applied);
+    Value.host_list = net::toWire(Message.m_HostList);
+    m_Body.__set_heartbeat(Value);
+  }
+
+  void operator()(const core::ControlGoAway & /*Message*/) {
+    m_Body.__set_control_go_away({});
+  }
+
+private:
+  wire::Body &m_Body;
+};
+
+struct ReaderRow {
+  bool (*m_IsSet)(const wire::Body &);
+  core::ControlMessage (*m_Read)(wire::Body &);
+};
+
+core::Stream streamFromWire(std::int32_t Value) {
+  return enumFromWire(Value, core::Stream::Hosts);
+}
+
+core::ControlMessage readHello(wire::Body &Body) {
+  wire::ControlHello &Value = Body.control_hello;
+  return core::ControlHello{std::move(Value.host),
+                            std::move(Value.zone),
+                            net::fromWire(Value.incarnation),
+                            std::move(Value.address),
+                            net::fromWire(Value.held),
+                            net::fromWire(Value.applied),
+                            net::fromWire(Value.host_list)};
+}
+
+core::ControlMessage readAnnounce(wire::Body &Body) {
+  return core::Announce{streamFromWire(Body.announce.stream),
+                        net::fromWire(Body.announce.held)};
+}
+
+core::ControlMessage readPull(wire::Body &Body) {
+  return core::Pull{streamFromWire(Body.pull.stream),
+                    net::fromWire(Body.pull.have)};
+}
+
+core::ControlMessage readRecords(wire::Body &Body) {
+  core::ChangeRecords Result;
+  Result.m_Stream = streamFromWire(Body.change_records.stream);
+  for (wire::ChangeRecord &Record : Body.change_records.records)
+    Result.m_Records.push_back(
+        {net::fromWire(Record.base), net::fromWire(Record.stamp),
+         fromWire(Record.changed), std::move(Record.removed)});
+  return Result;
+}
+
+core::ControlMessage readChunk(wire::Body &Body) {
+  wire::SnapshotChunk &Value = Body.snapshot_chunk;
+  return core::SnapshotChunk{streamFromWire(Value.stream),
+                             net::fromWire(Value.stamp),
+                             countFromWire(Value.index),
+                             countFromWire(Value.count), fromWire(Value.parts)};
+}
+
+core::ControlMessage readHeldAck(wire::Body &Body) {
+  return core::HeldAck{streamFromWire(Body.held_ack.stream),
+                       net::fromWire(Body.held_ack.held)};
+}
+
+core::ControlMessage readHeartbeat(wire::Body &Body) {
+  const wire::Heartbeat &Value = Body.heartbeat;
+  return core::Heartbeat{toUnsigned(Value.sequence), net::fromWire(Value.held),
+                         net::fromWire(Value.applied),
+                         net::fromWire(Value.host_list)};
+}
+
+core::ControlMessage readGoAway(wire::Body & /*Body*/) {
+  return core::ControlGoAway{};
+}
+
+constexpr ReaderRow Readers[] = {
+    {[](const wire::Body &Body) { return Body.__isset.heartbeat; },
+     readHeartbeat},
+    {[](const wire::Body &Body) { return Body.__isset.announce; },
+     readAnnounce},
+    {[](const wire::Body &Body) { return Body.__isset.pull; }, readPull},
+    {[](const wire::Body &Body) { return Body.__isset.change_records; },
+     readRecords},
+    {[](const wire::Body &Body) { return Body.__isset.held_ack; }, readHeldAck},
+    {[](const wire::Body &Body) { return Body.__isset.snapshot_chunk; },
+     readChunk},
+    {[](const wire::Body &Body) { return Body.__isset.control_hello; },
+     readHello},
+    {[](const wire::Body &Body) { return Body.__isset.control_go_away; },
+     readGoAway},
+};
+
+} // namespace
+
+void toWire(const core::ControlMessage &Message, wire::Body &Body) {
+  std::visit(BodyWriter(Body), Message);
+}
+
+bool fromWire(wire::Body &Body, core::ControlMessage &Result) {
+  for (const ReaderRow &Row : Readers) {
+    if (!Row.m_IsSet(Body))
+      continue;
+    Result = Row.m_Read(Body);
+    return true;
+  }
+  return false;
+}
+
+} // namespace dandelionfall::net
--- /dev/null
+++ b/src/net/wire_traffic.cpp
@@ -0,0 +1,328 @@
+#include "net/wire_conversion.h"
+#include "net/wire_values.h"
+
+#include <utility>
+
+namespace dandelionfall::net {
+
+namespace {
+
+using core::Duration;
+
+wire::Capacity toWire(const core::Capacity &Value) {
+  wire::Capacity Result;
+  Result.in_flight = static_cast<std::int32_t>(Value.m_InFlight);
+  Result.queued = static_cast<std::int32_t>(Value.m_Queued);
+  Result.limit = static_cast<std::int32_t>(Value.m_Limit);
+  Result.service_time_us = Value.m_ServiceTime.count();
+  return Result;
+}
+
+core::Capacity fromWire(const wire::Capacity &Value) {
+  return {countFromWire(Value.in_flight), countFromWire(Value.queued),
+          countFromWire(Value.limit), Duration(Value.service_time_us)};
+}
+
+std::vector<wire::HttpField>
+toWire(const std::vector<core::HttpField> &Fields) {
+  std::vector<wire::HttpField> Result(Fields.size());
+  for (std::size_t Index = 0; Index < Fields.size(); ++Index) {
+    Result[Index].name = Fields[Index].m_Name;
+    Result[Index].value = Fields[Index].m_Value;
+  }
+  return Result;
+}
+
+std::vector<core::HttpField> fromWire(std::vector<wire::HttpField> &Fields) {
+  std::vector<core::HttpField> Result;
+  Result.reserve(Fields.size());
+  for (wire::HttpField &Field : Fields)
+    Result.push_back({std::move(Field.name), std::move(Field.value)});
+  return Result;
+}
+
+std::vector<wire::RequestId> toWire(const std::vector<core::RequestId> &Ids) {
+  std::vector<wire::RequestId> Result;
+  Result.reserve(Ids.size());
+  for (const core::RequestId &Id : Ids)
+    Result.push_back(net::toWire(Id));
+  return Result;
+}
+
+std::vector<core::RequestId> fromWire(const std::vector<wire::RequestId> &Ids) {
+  std::vector<core::RequestId> Result;
+  Result.reserve(Ids.size());
+  for (const wire::RequestId &Id : Ids)
+    Result.push_back(net::fromWire(Id));
+  return Result;
+}
+
+wire::HttpRequest toWire(const core::HttpRequest &Value) {
+  wire::HttpRequest Result;
+  Result.method = Value.m_Method;
+  Result.path = Value.m_Path;
+  Result.host_name = Value.m_HostName;
+  Result.fields = toWire(Value.m_Fields);
+  Result.body = Value.m_Body;
+  return Result;
+}
+
+core::HttpRequestPtr fromWire(wire::HttpRequest &Value) {
+  return std::make_shared<const core::HttpRequest>(
+      core::HttpRequest{std::move(Value.method), std::move(Value.path),
+                        std::move(Value.host_name), fromWire(Value.fields),
+                        std::move(Value.body)});
+}
+
+wire::HttpResponse toWire(const core::HttpResponse &Value) {
+  wire::HttpResponse Result;
+  Result.status = static_cast<std::int32_t>(Value.m_Status);
+  Result.fields = toWire(Value.m_Fields);
+  Result.body = Value.m_Body;
+  return Result;
+}
+
+core::HttpResponsePtr fromWire(wire::HttpResponse &Value) {
+  return std::make_shared<const core::HttpResponse>(
+      core::HttpResponse{countFromWire(Value.status), fromWire(Value.fields),
+                         std::move(Value.body)});
+}
+
+// One overload a message; the visitor below picks it by the message's type.
+class BodyWriter {
+public:
+  explicit BodyWriter(wire::Body &Body) : m_Body(Body) {}
+
+  void operator()(const core::TrafficHello &Message) {
+    wire::TrafficHello Value;
+    Value.host = Message.m_Host;
+    Value.ingress = net::toWire(Message.m_Ingress);
+    Value.epoch = toSigned(Message.m_Epoch);
+    Value.version = toSigned(Message.m_Version);
+    m_Body.__set_traffic_hello(Value);
+  }
+
+  void operator()(const core::TrafficWelcome &Message) {
+    wire::TrafficWelcome Value;
+    Value.host = Message.m_Host;
+    Value.gate = net::toWire(Message.m_Gate);
+    Value.epoch = toSigned(Message.m_Epoch);
+    Value.version = toSigned(Message.m_Version);
+    Value.capacity = toWire(Message.m_Capacity);
+    m_Body.__set_traffic_welcome(Value);
+  }
+
+  void operator()(const core::Dispatch &Message) {
+    wire::Dispatch &Value = m_Body.dispatch;
+    Value.id = net::toWire(Message.m_Id);
+    Value.epoch = toSigned(Message.m_Epoch);
+    Value.gate = net::toWire(Message.m_Gate);
+    Value.remaining_us = Message.m_Remaining.count();
+    Value.version = toSigned(Message.m_Version);
+    Value.service_name = Message.m_Service;
+    Value.target_name = Message.m_Target;
+    Value.idempotent = Message.m_Idempotent;
+    if (Message.m_Request != nullptr)
+      Value.request = toWire(*Message.m_Request);
+    m_Body.__isset.dispatch = true;
+  }
+
+  void operator()(const core::Answer &Message) {
+    wire::Answer &Value = m_Body.answer;
+    Value.id = net::toWire(Message.m_Id);
+    if (Message.m_Response != nullptr)
+      Value.response = toWire(*Message.m_Response);
+    Value.capacity = toWire(Message.m_Capacity);
+    m_Body.__isset.answer = true;
+  }
+
+  void operator()(const core::Refusal &Message) {
+    wire::Refusal Value;
+    Value.id = net::toWire(Message.m_Id);
+    Value.reason = static_cast<std::int32_t>(Message.m_Reason);
+    Value.retry_after_us = Message.m_RetryAfter.count();
+    Value.version = toSigned(Message.m_Version);
+    Value.capacity = toWire(Message.m_Capacity);
+    m_Body.__set_refusal(Value);
+  }
+
+  void operator()(const core::Failure &Message) {
+    wire::Failure Value;
+    Value.id = net::toWire(Message.m_Id);
+    Value.detail = Message.m_Detail;
+    Value.capacity = toWire(Message.m_Capacity);
+    m_Body.__set_failure(Value);
+  }
+
+  void operator()(const core::Inquiry &Message) {
+    wire::Inquiry Value;
+    Value.ids = toWire(Message.m_Ids);
+    m_Body.__set_inquiry(Value);
+  }
+
+  void operator()(const core::InquiryReply &Message) {
+    wire::InquiryReply Value;
+    Value.id = net::toWire(Message.m_Id);
+    Value.state = static_cast<std::int32_t>(Message.m_State);
+    m_Body.__set_inquiry_reply(Value);
+  }
+
+  void operator()(const core::Settled &Message) {
+    wire::Settled Value;
+    Value.ids = toWire(Message.m_Ids);
+    m_Body.__set_settled(Value);
+  }
+
+  void operator()(const core::Cancel &Message) {
+    wire::Cancel Value;
+    Value.id = net::toWire(Message.m_Id);
+    m_Body.__set_cancel(Value);
+  }
+
+  void operator()(const core::TrafficPing &Message) {
+    wire::TrafficPing Value;
+    Value.sequence = toSigned(Message.m_Sequence);
+    Value.version = toSigned(Message.m_Version);
+    m_Body.__set_traffic_ping(Value);
+  }
+
+  void operator()(const core::TrafficPong &Message) {
+    wire::TrafficPong Value;
+    Value.sequence = toSigned(Message.m_Sequence);
+    Value.version = toSigned(Message.m_Version);
+    Value.capacity = toWire(Message.m_Capacity);
+    m_Body.__set_traffic_pong(Value);
+  }
+
+  void operator()(const core::TrafficGoAway & /*Message*/) {
+    m_Body.__set_traffic_go_away({});
+  }
+
+private:
+  wire::Body &m_Body;
+};
+
+using Reader = core::TrafficMessage (*)(wire::Body &);
+
+struct ReaderRow {
+  bool (*m_IsSet)(const wire::Body &);
+  Reader m_Read;
+};
+
+core::TrafficMessage readHello(wire::Body &Body) {
+  wire::TrafficHello &Value = Body.traffic_hello;
+  return core::TrafficHello{std::move(Value.host), net::fromWire(Value.ingress),
+                            toUnsigned(Value.epoch), toUnsigned(Value.version)};
+}
+
+core::TrafficMessage readWelcome(wire::Body &Body) {
+  wire::TrafficWelcome &Value = Body.traffic_welcome;
+  return core::TrafficWelcome{
+      std::move(Value.host), net::fromWire(Value.gate), toUnsigned(Value.epoch),
+      toUnsigned(Value.version), fromWire(Value.capacity)};
+}
+
+core::TrafficMessage readDispatch(wire::Body &Body) {
+  wire::Dispatch &Value = Body.dispatch;
+  return core::Dispatch{
+      net::fromWire(Value.id),      toUnsigned(Value.epoch),
+      net::fromWire(Value.gate),    Duration(Value.remaining_us),
+      toUnsigned(Value.version),    std::move(Value.service_name),
+      std::move(Value.target_name), Value.idempotent,
+      fromWire(Value.request)};
+}
+
+core::TrafficMessage readAnswer(wire::Body &Body) {
+  wire::Answer &Value = Body.answer;
+  return core::Answer{net::fromWire(Value.id), fromWire(Value.response),
+                      fromWire(Value.capacity)};
+}
+
+core::TrafficMessage readRefusal(wire::Body &Body) {
+  const wire::Refusal &Value = Body.refusal;
+  return core::Refusal{
+      net::fromWire(Value.id),
+      enumFromWire(Value.reason, core::RefusalReason::Cancelled),
+      Duration(Value.retry_after_us), toUnsigned(Value.version),
+      fromWire(Value.capacity)};
+}
+
+core::TrafficMessage readFailure(wire::Body &Body) {
+  wire::Failure &Value = Body.failure;
+  return core::Failure{net::fromWire(Value.id), std::move(Value.detail),
+                       fromWire(Value.capacity)};
+}
+
+core::TrafficMessage readInquiry(wire::Body &Body) {
+  return core::Inquiry{fromWire(Body.inquiry.ids)};
+}
+
+core::TrafficMessage readInquiryReply(wire::Body &Body) {
+  const wire::InquiryReply &Value = Body.inquiry_reply;
+  return core::InquiryReply{net::fromWire(Value.id),
+                            enumFromWire(Value.state, core::LedgerState::Done)};
+}
+
+core::TrafficMessage readSettled(wire::Body &Body) {
+  return core::Settled{fromWire(Body.settled.ids)};
+}
+
+core::TrafficMessage readCancel(wire::Body &Body) {
+  return core::Cancel{net::fromWire(Body.cancel.id)};
+}
+
+core::TrafficMessage readPing(wire::Body &Body) {
+  return core::TrafficPing{toUnsigned(Body.traffic_ping.sequence),
+                           toUnsigned(Body.traffic_ping.version)};
+}
+
+core::TrafficMessage readPong(wire::Body &Body) {
+  const wire::TrafficPong &Value = Body.traffic_pong;
+  return core::TrafficPong{toUnsigned(Value.sequence),
+                           toUnsigned(Value.version), fromWire(Value.capacity)};
+}
+
+core::TrafficMessage readGoAway(wire::Body & /*Body*/) {
+  return core::TrafficGoAway{};
+}
+
+constexpr ReaderRow Readers[] = {
+    {[](const wire::Body &Body) { return Body.__isset.dispatch; },
+     readDispatch},
+    {[](const wire::Body &Body) { return Body.__isset.answer; }, readAnswer},
+    {[](const wire::Body &Body) { return Body.__isset.refusal; }, readRefusal},
+    {[](const wire::Body &Body) { return Body.__isset.settled; }, readSettled},
+    {[](const wire::Body &Body) { return Body.__isset.traffic_ping; },
+     readPing},
+    {[](const wire::Body &Body) { return Body.__isset.traffic_pong; },
+     readPong},
+    {[](const wire::Body &Body) { return Body.__isset.failure; }, readFailure},
+    {[](const wire::Body &Body) { return Body.__isset.inquiry; }, readInquiry},
+    {[](const wire::Body &Body) { return Body.__isset.inquiry_reply; },
+     readInquiryReply},
+    {[](const wire::Body &Body) { return Body.__isset.cancel; }, readCancel},
+    {[](const wire::Body &Body) { return Body.__isset.traffic_hello; },
+     readHello},
+    {[](const wire::Body &Body) { return Body.__isset.traffic_welcome; },
+     readWelcome},
+    {[](const wire::Body &Body) { return Body.__isset.traffic_go_away; },
+     readGoAway},
+};
+
+} // namespace
+
+void toWire(const core::TrafficMessage &Message, wire::Body &Body) {
+  std::visit(BodyWriter(Body), Message);
+}
+
+bool fromWire(wire::Body &Body, core::TrafficMessage &Result) {
+  for (const ReaderRow &Row : Readers) {
+    if (!Row.m_IsSet(Body))
+      continue;
+    Result = Row.m_Read(Body);
+    return true;
+  }
+  return false;
+}
+
+} // namespace dandelionfall::net
