Refuse every fault of the published configuration, and index its routes

Cause: a manifest cut off at a line end, or with its last digest or the version's last digit missing, was read as a whole one with fewer parts, so that a version could come into force without some services; values of a section written with two blanks in its title were lost silently; targets without a zone, gate or host, gates and routes used twice, and names and paths of any form were accepted; and a call scanned the routes of every service.

A part's digest is computed again from its text when a version is built. All faults are collected by one path: building throws the first, checkConfiguration returns all, each with part, line, fault and remedy. findRoute looks up a sorted index by the path's segment ends, at most 256 bytes of it; host names match without case and port.

Decided: a service may have no targets (a service scaled to none must not hold up every other change; its calls are answered not run). Ruled out: a digest of the manifest inside itself, which needs a canonical form.

The 256-byte bound has no failing test (it limits time, not results).

--- a/include/dandelionfall/core/configuration.h
+++ b/include/dandelionfall/core/configuration.h
@@ -9,6 +9,7 @@
 
 #include "dandelionfall/core/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -70,7 +71,8 @@
 /// Maps callers' requests to a service.
 struct Route {
   std::string m_PathPrefix;
-  /// Host header that the route is for; empty matches all.
+  /// Host header that the route is for, in lower case and without a port; empty
+  /// matches all.
   std::string m_HostName;
   Idempotency m_Idempotency = Idempotency::ByMethod;
   friend bool operator==(const Route &, const Route &) = default;
@@ -99,12 +101,26 @@
   friend bool operator==(const Service &, const Service &) = default;
 };
 
+/// One route of the index by which calls are looked up; the views and pointers
+/// lead into the services of its configuration.
+struct RouteIndexEntry {
+  std::string_view m_HostName;
+  std::string_view m_PathPrefix;
+  const Service *m_Service = nullptr;
+  const Route *m_Route = nullptr;
+};
+
+/// Routes in the order of host name and path prefix.
+using RouteIndex = std::vector<RouteIndexEntry>;
+
 /// One whole, checked version. Unchanged services are shared between versions.
 struct Configuration {
   VersionStamp m_Stamp;
   std::map<std::string, Zone, std::less<>> m_Zones;
   std::map<std::string, Profile, std::less<>> m_Profiles;
   std::map<std::string, std::shared_ptr<const Service>, std::less<>> m_Services;
+  /// Made by makeRouteIndex from the services.
+  RouteIndex m_Routes;
 };
 
 /// Shared ownership of a version that never changes again.
@@ -122,11 +138,21 @@
   const Route *m_Route = nullptr;
 };
 
+/// Longest path prefix that a route may have, in bytes.
+inline constexpr std::size_t MaxPathPrefixBytes = 256;
+
+/// Makes the index of a configuration's routes.
+/// \param Config the configuration; its services outlive the index.
+/// \returns the index, sorted.
+RouteIndex makeRouteIndex(const Configuration &Config);
+
 /// Finds the route with the longest path prefix that fits; a route with a host
-/// name goes before one without. \param Config the version in force; the result
-/// points into it. \param HostName the caller's Host header. \param Path the
-/// path of the request target. \returns the match, with null pointers if there
-/// is none.
+/// name goes before one without.
+/// \param Config the version in force; the result points into it. One without
+/// an index is indexed for this call alone, which is slow.
+/// \param HostName the caller's Host header; its case and port don't matter.
+/// \param Path the path of the request target.
+/// \returns the match, with null pointers if there is none.
 RouteMatch findRoute(const Configuration &Config, std::string_view HostName,
                      std::string_view Path);
 
--- a/include/dandelionfall/core/configuration_reader.h
+++ b/include/dandelionfall/core/configuration_reader.h
@@ -4,12 +4,14 @@
 #define DANDELIONFALL_CORE_CONFIGURATION_READER_H
 
 #include "dandelionfall/core/configuration.h"
+#include "dandelionfall/core/error.h"
 
 #include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace dandelionfall::core {
 
@@ -43,6 +45,11 @@
 /// \returns its XXH3 digest, which platform and nodes compute alike.
 Digest digestOf(std::string_view Text);
 
+/// Writes a digest in the published form.
+/// \param Value the digest.
+/// \returns 16 hexadecimal digits.
+std::string formatDigest(Digest Value);
+
 /// Makes a part from its published text.
 /// \param Name the part's name.
 /// \param Text the value as published.
@@ -57,23 +64,51 @@
 Manifest readManifest(std::string_view Text);
 
 /// Writes a manifest in the published form; `readManifest` gives the same
-/// manifest back. \param Number the version number. \param Parts the parts'
-/// digests. \returns the text, the same for equal input.
+/// manifest back.
+/// \param Number the version number.
+/// \param Parts the parts' digests.
+/// \returns the text, the same for equal input.
 std::string
 writeManifest(Version Number,
               const std::map<std::string, Digest, std::less<>> &Parts);
 
+/// Finds the parts that are still to be read before a version can be built.
+/// \param List the version's manifest.
+/// \param Parts the parts on hand.
+/// \returns the names of the listed parts that are absent or whose digest is
+/// another, in order.
+std::vector<std::string> missingParts(const Manifest &List,
+                                      const PartMap &Parts);
+
 /// Builds a version from all its parts, with every digest and every reference
-/// checked. \param List the version's manifest. \param Parts the parts on hand;
-/// those the manifest does not list are ignored. \param Previous an earlier
-/// version and \p PreviousParts its parts; unchanged services are taken from
-/// it. May be null. \param PreviousParts the parts that \p Previous was built
-/// from. \returns the whole version. \throws Error of kind BadConfiguration if
-/// a part is missing, malformed or refers to something that isn't there.
+/// checked.
+/// \param List the version's manifest.
+/// \param Parts the parts on hand; those the manifest does not list are
+/// ignored.
+/// \param Previous an earlier version; unchanged services are taken from it.
+/// May be null.
+/// \param PreviousParts the parts that \p Previous was built from; null if it
+/// is.
+/// \returns the whole version.
+/// \throws Error of kind BadConfiguration if a part is missing, malformed or
+/// refers to something that isn't there; it is the first of all faults.
 ConfigurationPtr buildConfiguration(const Manifest &List, const PartMap &Parts,
                                     const Configuration *Previous = nullptr,
                                     const PartMap *PreviousParts = nullptr);
 
+/// Finds every fault that would make buildConfiguration refuse a set of parts.
+/// \param Parts the parts, all of them taken as listed.
+/// \returns the faults in the order of the parts, each of kind
+/// BadConfiguration with its part, line and remedy.
+std::vector<Error> checkConfiguration(const PartMap &Parts);
+
+/// Does the same for the parts that a manifest lists.
+/// \param List the version's manifest.
+/// \param Parts the parts on hand.
+/// \returns the faults, absent parts and differing digests among them.
+std::vector<Error> checkConfiguration(const Manifest &List,
+                                      const PartMap &Parts);
+
 } // namespace dandelionfall::core
 
 #endif // DANDELIONFALL_CORE_CONFIGURATION_READER_H
--- a/include/dandelionfall/core/ini_document.h
+++ b/include/dandelionfall/core/ini_document.h
@@ -36,6 +36,11 @@
   friend bool operator==(const IniSection &, const IniSection &) = default;
 };
 
+/// Writes a section's title.
+/// \param Section the section.
+/// \returns its type and, if it has one, its name.
+std::string titleOf(const IniSection &Section);
+
 /// A parsed INI text.
 struct IniDocument {
   std::string m_File;
@@ -48,7 +53,8 @@
 /// \param Kind the kind of error to throw.
 /// \returns the sections in their order.
 /// \throws Error of kind \p Kind for a line that is neither section, key nor
-/// comment, for a key outside a section, and for a duplicate section or key.
+/// comment, for a key outside a section, for a duplicate section or key, for
+/// text after a section's bracket, and for a control character.
 IniDocument parseIni(std::string_view Text, const std::string &File,
                      ErrorKind Kind);
 
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -1,24 +1,75 @@
 #include "dandelionfall/core/configuration.h"
 
-#include <tuple>
+#include <algorithm>
+#include <utility>
 
 namespace dandelionfall::core {
 
 namespace {
 
-bool matchesPath(const Route &Candidate, std::string_view Path) {
-  if (!Path.starts_with(Candidate.m_PathPrefix))
-    return false;
-  const std::size_t Length = Candidate.m_PathPrefix.size();
-  return Path.size() == Length || Candidate.m_PathPrefix.ends_with('/') ||
-         Path[Length] == '/' || Path[Length] == '?';
+using RouteKey = std::pair<std::string_view, std::string_view>;
+
+RouteKey keyOf(const RouteIndexEntry &Entry) {
+  return {Entry.m_HostName, Entry.m_PathPrefix};
+}
+
+const RouteIndexEntry *findExact(const RouteIndex &Index, const RouteKey &Key) {
+  const auto Found = std::lower_bound(
+      Index.begin(), Index.end(), Key,
+      [](const RouteIndexEntry &Entry, const RouteKey &Wanted) {
+        return keyOf(Entry) < Wanted;
+      });
+  return Found != Index.end() && keyOf(*Found) == Key ? &*Found : nullptr;
 }
 
-bool isBetter(const Route &Left, const Route *Right) {
-  if (Right == nullptr)
-    return true;
-  return std::tuple(!Left.m_HostName.empty(), Left.m_PathPrefix.size()) >
-         std::tuple(!Right->m_HostName.empty(), Right->m_PathPrefix.size());
+// A prefix ends where the path ends, before a slash or after it. They are tried
+// from the longest; the limit bounds the work that a caller can ask for.
+const RouteIndexEntry *findLongest(const RouteIndex &Index,
+                                   std::string_view HostName,
+                                   std::string_view Path) {
+  for (std::size_t Length = std::min(Path.size(), MaxPathPrefixBytes);
+       Length > 0; --Length) {
+    const bool EndsSegment =
+        Length == Path.size() || Path[Length] == '/' || Path[Length - 1] == '/';
+    if (!EndsSegment)
+      continue;
+    const RouteIndexEntry *Found =
+        findExact(Index, {HostName, Path.substr(0, Length)});
+    if (Found != nullptr)
+      return Found;
+  }
+  return nullptr;
+}
+
+// Removes the port, which for an IP of version 6 follows a bracket.
+std::string_view withoutPort(std::string_view HostName) {
+  const std::size_t Colon = HostName.rfind(':');
+  const std::size_t Bracket = HostName.rfind(']');
+  if (Colon == std::string_view::npos ||
+      (Bracket != std::string_view::npos && Colon < Bracket))
+    return HostName;
+  return HostName.substr(0, Colon);
+}
+
+std::string normalizeHostName(std::string_view HostName) {
+  std::string Result(withoutPort(HostName));
+  for (char &Letter : Result) {
+    if (Letter >= 'A' && Letter <= 'Z')
+      Letter = static_cast<char>(Letter - 'A' + 'a');
+  }
+  return Result;
+}
+
+RouteMatch findIn(const RouteIndex &Index, std::string_view HostName,
+                  std::string_view Path) {
+  const RouteIndexEntry *Found = nullptr;
+  if (!HostName.empty())
+    Found = findLongest(Index, HostName, Path);
+  if (Found == nullptr)
+    Found = findLongest(Index, "", Path);
+  if (Found == nullptr)
+    return {};
+  return {Found->m_Service, Found->m_Route};
 }
 
 } // namespace
@@ -29,19 +80,28 @@
          Found->second.m_State == ZoneState::In;
 }
 
-RouteMatch findRoute(const Configuration &Config, std::string_view HostName,
-                     std::string_view Path) {
-  RouteMatch Best;
+RouteIndex makeRouteIndex(const Configuration &Config) {
+  RouteIndex Index;
   for (const auto &[Name, ServicePtr] : Config.m_Services) {
-    for (const Route &Candidate : ServicePtr->m_Routes) {
-      if (!Candidate.m_HostName.empty() && Candidate.m_HostName != HostName)
-        continue;
-      if (!matchesPath(Candidate, Path) || !isBetter(Candidate, Best.m_Route))
-        continue;
-      Best = {ServicePtr.get(), &Candidate};
-    }
+    for (const Route &Each : ServicePtr->m_Routes)
+      Index.push_back(
+          {Each.m_HostName, Each.m_PathPrefix, ServicePtr.get(), &Each});
   }
-  return Best;
+  std::stable_sort(
+      Index.begin(), Index.end(),
+      [](const RouteIndexEntry &Left, const RouteIndexEntry &Right) {
+        return keyOf(Left) < keyOf(Right);
+      });
+  return Index;
+}
+
+RouteMatch findRoute(const Configuration &Config, std::string_view HostName,
+                     std::string_view Path) {
+  const std::string Host = normalizeHostName(HostName);
+  const std::string_view PlainPath = Path.substr(0, Path.find('?'));
+  if (Config.m_Routes.empty())
+    return findIn(makeRouteIndex(Config), Host, PlainPath);
+  return findIn(Config.m_Routes, Host, PlainPath);
 }
 
 } // namespace dandelionfall::core
--- /dev/null
+++ b/src/core/configuration_manifest.cpp
@@ -0,0 +1,144 @@
+#include "configuration_parts.h"
+
+#include <xxhash.h>
+
+#include <cstdio>
+
+namespace dandelionfall::core {
+
+namespace {
+
+constexpr std::size_t DigestDigits = 16;
+constexpr int Hexadecimal = 16;
+constexpr std::size_t MaxParts = 100'000;
+
+// What the [manifest] section says.
+struct ManifestHead {
+  Version m_Version = 0;
+  std::size_t m_PartCount = 0;
+};
+
+constexpr KeyHandler<ManifestHead> HeadKeys[] = {
+    {"version",
+     [](ManifestHead &Head, const IniEntry &Entry, const IniSource &Source) {
+       Head.m_Version = parseNumber<Version>(Entry, Source, 1);
+     }},
+    {"parts",
+     [](ManifestHead &Head, const IniEntry &Entry, const IniSource &Source) {
+       Head.m_PartCount = parseNumber<std::size_t>(Entry, Source, 0, MaxParts);
+     }},
+};
+
+constexpr std::string_view HeadRequired[] = {"version", "parts"};
+
+IniSource manifestSource() { return {ErrorKind::BadConfiguration, "manifest"}; }
+
+bool isPartName(std::string_view Name) {
+  if (Name.starts_with(ServicePrefix))
+    return isName(Name.substr(ServicePrefix.size()));
+  return Name == ZonesPart || Name == ProfilesPart;
+}
+
+// A digest that was cut off would else pass as a smaller number.
+Digest parseDigest(const IniEntry &Entry, const IniSource &Source) {
+  if (Entry.m_Value.size() != DigestDigits)
+    throw Source.makeFault("'" + Entry.m_Value + "' is no digest",
+                           "write 16 hexadecimal digits", Entry.m_Line);
+  return parseNumber<Digest>(Entry, Source, 0,
+                             std::numeric_limits<Digest>::max(), Hexadecimal);
+}
+
+void readPartList(const IniSection &Section, const IniSource &Source,
+                  Manifest &List, FaultList &Faults) {
+  for (const IniEntry &Entry : Section.m_Entries) {
+    if (!isPartName(Entry.m_Key))
+      Faults.push_back(Source.makeFault(
+          "unknown part '" + Entry.m_Key + "'",
+          "name parts zones, profiles or service/NAME", Entry.m_Line));
+    try {
+      List.m_Parts.emplace(Entry.m_Key, parseDigest(Entry, Source));
+    } catch (const Error &Fault) {
+      Faults.push_back(Fault);
+    }
+  }
+}
+
+// Together with the length of a digest and the last line end, the count tells a
+// manifest that was cut off anywhere from a whole one.
+void checkWhole(std::string_view Text, const ManifestHead &Head,
+                const Manifest &List, const IniSource &Source,
+                FaultList &Faults) {
+  if (Head.m_Version == 0 && Faults.empty())
+    Faults.push_back(Source.makeFault(
+        "no version",
+        "add a [manifest] section with version = NUMBER and parts = COUNT", 0));
+  if (Faults.empty() && Head.m_PartCount != List.m_Parts.size())
+    Faults.push_back(Source.makeFault(
+        std::to_string(List.m_Parts.size()) + " parts are listed instead of " +
+            std::to_string(Head.m_PartCount),
+        "publish the manifest whole, with parts = COUNT", 0));
+  if (Faults.empty() && !Text.ends_with('\n'))
+    Faults.push_back(Source.makeFault("last line has no end",
+                                      "publish the manifest whole", 0));
+}
+
+} // namespace
+
+std::string formatDigest(Digest Value) {
+  char Buffer[DigestDigits + 1];
+  std::snprintf(Buffer, sizeof(Buffer), "%016llx",
+                static_cast<unsigned long long>(Value));
+  return Buffer;
+}
+
+Digest digestOf(std::string_view Text) {
+  return XXH3_64bits(Text.data(), Text.size());
+}
+
+PartPtr makePart(std::string Name, std::string Text) {
+  const Digest Value = digestOf(Text);
+  return std::make_shared<const Part>(
+      Part{std::move(Name), Value, std::move(Text)});
+}
+
+Manifest readManifest(std::string_view Text) {
+  const IniSource Source = manifestSource();
+  if (Text.size() > MaxValueBytes)
+    throw Source.makeFault("value is larger than 1 MB", "publish fewer parts",
+                           0);
+  const IniDocument Document = parseIni(Text, Source.m_File, Source.m_Kind);
+  Manifest List;
+  ManifestHead Head;
+  FaultList Faults;
+  for (const IniSection &Section : Document.m_Sections) {
+    const std::string Title = titleOf(Section);
+    if (Title == "manifest") {
+      requireKeys(Section, Source, HeadRequired, Faults);
+      readEntries(Head, Section, Source, HeadKeys, Faults);
+    } else if (Title == "parts") {
+      readPartList(Section, Source, List, Faults);
+    } else {
+      Faults.push_back(Source.makeFault("unknown section [" + Title + "]",
+                                        "use [manifest] and [parts]",
+                                        Section.m_Line));
+    }
+  }
+  checkWhole(Text, Head, List, Source, Faults);
+  if (!Faults.empty())
+    throw Faults.front();
+  List.m_Stamp = {Head.m_Version, digestOf(Text)};
+  return List;
+}
+
+std::string
+writeManifest(Version Number,
+              const std::map<std::string, Digest, std::less<>> &Parts) {
+  std::string Text = "[manifest]\nversion = " + std::to_string(Number) +
+                     "\nparts = " + std::to_string(Parts.size()) +
+                     "\n[parts]\n";
+  for (const auto &[Name, Value] : Parts)
+    Text += Name + " = " + formatDigest(Value) + "\n";
+  return Text;
+}
+
+} // namespace dandelionfall::core
--- /dev/null
+++ b/src/core/configuration_parts.cpp
@@ -0,0 +1,251 @@
+#include "configuration_parts.h"
+
+#include <algorithm>
+
+namespace dandelionfall::core {
+
+namespace {
+
+constexpr std::size_t MaxNameBytes = 128;
+constexpr std::uint32_t OneDayMs = 86'400'000;
+constexpr std::uint32_t MaxQueueLimit = 100'000;
+constexpr std::uint32_t MaxBodyBytes = 8U << 20U;
+constexpr std::uint32_t MaxPercent = 100;
+
+constexpr const char *NameRemedy =
+    "use letters, digits, '-', '_' and '.', at most 128";
+
+// A name that refers to something; an empty one is a fault of its own.
+template <typename Value, std::string Value::*Member>
+void setName(Value &Target, const IniEntry &Entry, const IniSource &Source) {
+  if (!isName(Entry.m_Value))
+    throw Source.makeFault("'" + Entry.m_Value + "' is no valid " + Entry.m_Key,
+                           NameRemedy, Entry.m_Line);
+  Target.*Member = Entry.m_Value;
+}
+
+template <typename Value, std::uint32_t Value::*Member, std::uint32_t Least,
+          std::uint32_t Most>
+void setNumber(Value &Target, const IniEntry &Entry, const IniSource &Source) {
+  Target.*Member = parseNumber<std::uint32_t>(Entry, Source, Least, Most);
+}
+
+template <Duration Profile::*Member>
+void setMilliseconds(Profile &Target, const IniEntry &Entry,
+                     const IniSource &Source) {
+  Target.*Member = std::chrono::milliseconds(
+      parseNumber<std::uint32_t>(Entry, Source, 1, OneDayMs));
+}
+
+constexpr NamedValue<ZoneState> ZoneStates[] = {{"in", ZoneState::In},
+                                                {"out", ZoneState::Out}};
+
+constexpr NamedValue<Idempotency> Idempotencies[] = {
+    {"by-method", Idempotency::ByMethod},
+    {"always", Idempotency::Always},
+    {"never", Idempotency::Never},
+};
+
+constexpr KeyHandler<Zone> ZoneKeys[] = {
+    {"region", setName<Zone, &Zone::m_Region>},
+    {"state",
+     [](Zone &Target, const IniEntry &Entry, const IniSource &Source) {
+       Target.m_State = parseName(Entry, Source, ZoneStates);
+     }},
+};
+
+constexpr KeyHandler<Profile> ProfileKeys[] = {
+    {"deadline_ms", setMilliseconds<&Profile::m_Deadline>},
+    {"try_timeout_ms", setMilliseconds<&Profile::m_TryTimeout>},
+    {"queue_limit",
+     setNumber<Profile, &Profile::m_QueueLimit, 0, MaxQueueLimit>},
+    {"retry_percent",
+     setNumber<Profile, &Profile::m_RetryPercent, 0, MaxPercent>},
+    {"max_body_bytes",
+     setNumber<Profile, &Profile::m_MaxBodyBytes, 0, MaxBodyBytes>},
+    {"cold_start_limit",
+     setNumber<Profile, &Profile::m_ColdStartLimit, 1, MaxQueueLimit>},
+};
+
+constexpr KeyHandler<Service> ServiceKeys[] = {
+    {"profile", setName<Service, &Service::m_Profile>},
+};
+
+bool isVisible(char Letter) { return Letter > ' ' && Letter < '\x7f'; }
+
+void setHostName(Route &Target, const IniEntry &Entry,
+                 const IniSource &Source) {
+  const bool IsLower =
+      std::none_of(Entry.m_Value.begin(), Entry.m_Value.end(),
+                   [](char Letter) { return Letter >= 'A' && Letter <= 'Z'; });
+  if (!isName(Entry.m_Value) || !IsLower)
+    throw Source.makeFault("'" + Entry.m_Value + "' is no valid host_name",
+                           "write it in lower case and without a port",
+                           Entry.m_Line);
+  Target.m_HostName = Entry.m_Value;
+}
+
+constexpr KeyHandler<Route> RouteKeys[] = {
+    {"host_name", setHostName},
+    {"idempotent",
+     [](Route &Target, const IniEntry &Entry, const IniSource &Source) {
+       Target.m_Idempotency = parseName(Entry, Source, Idempotencies);
+     }},
+};
+
+constexpr KeyHandler<Target> TargetKeys[] = {
+    {"host", setName<Target, &Target::m_Host>},
+    {"zone", setName<Target, &Target::m_Zone>},
+    {"gate",
+     [](Target &Value, const IniEntry &Entry, const IniSource &Source) {
+       Value.m_GateAddress = parseAddress(Entry, Source);
+     }},
+    {"slots", setNumber<Target, &Target::m_Slots, 1, MaxQueueLimit>},
+    {"connections",
+     setNumber<Target, &Target::m_Connections, 1, MaxQueueLimit>},
+};
+
+constexpr std::string_view ServiceRequired[] = {"profile"};
+constexpr std::string_view TargetRequired[] = {"host", "zone", "gate"};
+
+IniSource sourceOf(const Part &Source) {
+  return {ErrorKind::BadConfiguration, Source.m_Name};
+}
+
+Error makeSectionFault(const IniSection &Section, const IniSource &Source,
+                       const std::string &Known) {
+  return Source.makeFault("unknown section [" + titleOf(Section) + "]",
+                          "use " + Known, Section.m_Line);
+}
+
+void checkSectionName(const IniSection &Section, const IniSource &Source,
+                      FaultList &Faults) {
+  if (!isName(Section.m_Name))
+    Faults.push_back(Source.makeFault("'" + Section.m_Name + "' is no valid " +
+                                          Section.m_Type + " name",
+                                      NameRemedy, Section.m_Line));
+}
+
+void checkPathPrefix(const IniSection &Section, const IniSource &Source,
+                     FaultList &Faults) {
+  const std::string &Path = Section.m_Name;
+  const bool IsPlain = std::all_of(Path.begin(), Path.end(), isVisible) &&
+                       Path.find_first_of("?#") == std::string::npos;
+  if (!Path.starts_with('/') || !IsPlain || Path.size() > MaxPathPrefixBytes)
+    Faults.push_back(Source.makeFault(
+        "'" + Path + "' is no valid path prefix",
+        "start it with '/', without blanks, '?' and '#', at most 256 bytes",
+        Section.m_Line));
+}
+
+// The sections of a text; a text that is no INI is a single fault.
+std::vector<IniSection> parseSections(const Part &Source, FaultList &Faults) {
+  const IniSource Place = sourceOf(Source);
+  if (Source.m_Text.size() > MaxValueBytes) {
+    Faults.push_back(
+        Place.makeFault("value is larger than 1 MB", "make it smaller", 0));
+    return {};
+  }
+  try {
+    return parseIni(Source.m_Text, Place.m_File, Place.m_Kind).m_Sections;
+  } catch (const Error &Fault) {
+    Faults.push_back(Fault);
+    return {};
+  }
+}
+
+// Reads a part whose sections are all of one type.
+template <typename Value, std::size_t Count>
+void readNamed(const Part &Source, const std::string &Type,
+               const KeyHandler<Value> (&Handlers)[Count],
+               std::map<std::string, Value, std::less<>> &Result,
+               FaultList &Faults) {
+  const IniSource Place = sourceOf(Source);
+  for (const IniSection &Section : parseSections(Source, Faults)) {
+    if (Section.m_Type != Type) {
+      Faults.push_back(makeSectionFault(Section, Place, "[" + Type + " NAME]"));
+      continue;
+    }
+    checkSectionName(Section, Place, Faults);
+    Value Entry;
+    Entry.m_Name = Section.m_Name;
+    readEntries(Entry, Section, Place, Handlers, Faults);
+    Result.emplace(Entry.m_Name, std::move(Entry));
+  }
+}
+
+void readRoute(const IniSection &Section, const IniSource &Place,
+               Service &Owner, FaultList &Faults) {
+  checkPathPrefix(Section, Place, Faults);
+  Route Entry;
+  Entry.m_PathPrefix = Section.m_Name;
+  readEntries(Entry, Section, Place, RouteKeys, Faults);
+  Owner.m_Routes.push_back(std::move(Entry));
+}
+
+void readTarget(const IniSection &Section, const IniSource &Place,
+                Service &Owner, FaultList &Faults) {
+  checkSectionName(Section, Place, Faults);
+  requireKeys(Section, Place, TargetRequired, Faults);
+  Target Entry;
+  Entry.m_Name = Section.m_Name;
+  readEntries(Entry, Section, Place, TargetKeys, Faults);
+  Owner.m_Targets.push_back(std::move(Entry));
+}
+
+} // namespace
+
+bool isName(std::string_view Text) {
+  const auto IsNameLetter = [](char Letter) {
+    return (Letter >= 'a' && Letter <= 'z') ||
+           (Letter >= 'A' && Letter <= 'Z') ||
+           (Letter >= '0' && Letter <= '9') || Letter == '-' || Letter == '_' ||
+           Letter == '.';
+  };
+  return !Text.empty() && Text.size() <= MaxNameBytes &&
+         std::all_of(Text.begin(), Text.end(), IsNameLetter);
+}
+
+void readZones(const Part &Source, Configuration &Config, FaultList &Faults) {
+  readNamed(Source, "zone", ZoneKeys, Config.m_Zones, Faults);
+}
+
+void readProfiles(const Part &Source, Configuration &Config,
+                  FaultList &Faults) {
+  readNamed(Source, "profile", ProfileKeys, Config.m_Profiles, Faults);
+}
+
+std::shared_ptr<const Service> readService(const Part &Source,
+                                           FaultList &Faults) {
+  const IniSource Place = sourceOf(Source);
+  auto Value = std::make_shared<Service>();
+  Value->m_Name = Source.m_Name.substr(ServicePrefix.size());
+  bool HasServiceSection = false;
+  const std::size_t FaultsBefore = Faults.size();
+  const std::vector<IniSection> Sections = parseSections(Source, Faults);
+  const bool IsReadable = Faults.size() == FaultsBefore;
+  for (const IniSection &Section : Sections) {
+    if (Section.m_Type == "service" && Section.m_Name == Value->m_Name) {
+      HasServiceSection = true;
+      requireKeys(Section, Place, ServiceRequired, Faults);
+      readEntries(*Value, Section, Place, ServiceKeys, Faults);
+    } else if (Section.m_Type == "route") {
+      readRoute(Section, Place, *Value, Faults);
+    } else if (Section.m_Type == "target") {
+      readTarget(Section, Place, *Value, Faults);
+    } else {
+      Faults.push_back(makeSectionFault(
+          Section, Place,
+          "[service " + Value->m_Name + "], [route /PATH] and [target NAME]"));
+    }
+  }
+  if (IsReadable && !HasServiceSection)
+    Faults.push_back(
+        Place.makeFault("section [service " + Value->m_Name + "] is missing",
+                        "add it with profile = NAME", 0));
+  Value->m_Routes.shrink_to_fit();
+  Value->m_Targets.shrink_to_fit();
+  return Value;
+}
+
+} // namespace dandelionfall::core
--- a/src/core/ini_document.cpp
+++ b/src/core/ini_document.cpp
@@ -4,7 +4,7 @@
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 
-#include <algorithm>
+#include <set>
 #include <sstream>
 
 namespace dandelionfall::core {
@@ -15,7 +15,24 @@
 // beside it.
 struct LineIndex {
   std::vector<IniSection> m_Sections;
-  int m_KeyOutsideSection = 0;
+  // Each section's text between the brackets, as the library knows it.
+  std::vector<std::string> m_Titles;
+};
+
+constexpr const char *LineRemedy =
+    "write [section] lines and key = value lines, each name once";
+
+constexpr unsigned char Delete = 0x7f;
+
+// Where a text came from, for the faults found in it.
+struct IniPlace {
+  const std::string &m_File;
+  ErrorKind m_Kind;
+
+  [[noreturn]] void refuse(const std::string &Fault, const std::string &Remedy,
+                           int Line) const {
+    throw Error(m_Kind, Fault, Remedy, {m_File, Line});
+  }
 };
 
 void splitTypeAndName(const std::string &Title, IniSection &Section) {
@@ -25,27 +42,49 @@
     Section.m_Name = boost::algorithm::trim_copy(Title.substr(Space));
 }
 
-LineIndex indexLines(std::string_view Text) {
+bool hasControlCharacter(const std::string &Line) {
+  for (const char Letter : Line) {
+    const auto Code = static_cast<unsigned char>(Letter);
+    if ((Code < ' ' && Code != '\t') || Code == Delete)
+      return true;
+  }
+  return false;
+}
+
+void addSection(const std::string &Line, int Number, LineIndex &Index,
+                const IniPlace &Place) {
+  const std::size_t End = Line.find(']');
+  if (End != Line.size() - 1)
+    Place.refuse(End == std::string::npos ? "unmatched '['"
+                                          : "text after a section's ']'",
+                 "write [section] on a line of its own", Number);
+  std::string Title = boost::algorithm::trim_copy(Line.substr(1, End - 1));
+  if (Title.empty())
+    Place.refuse("section without a name", "write [section]", Number);
+  IniSection Section;
+  splitTypeAndName(Title, Section);
+  Section.m_Line = Number;
+  Index.m_Sections.push_back(std::move(Section));
+  Index.m_Titles.push_back(std::move(Title));
+}
+
+LineIndex indexLines(std::string_view Text, const IniPlace &Place) {
   LineIndex Index;
   std::istringstream Stream{std::string(Text)};
   std::string Line;
   for (int Number = 1; std::getline(Stream, Line); ++Number) {
     boost::algorithm::trim(Line);
+    if (hasControlCharacter(Line))
+      Place.refuse("control character in the text", "write plain text", Number);
     if (Line.empty() || Line.front() == ';' || Line.front() == '#')
       continue;
     if (Line.front() == '[') {
-      IniSection Section;
-      splitTypeAndName(
-          boost::algorithm::trim_copy(Line.substr(1, Line.find(']') - 1)),
-          Section);
-      Section.m_Line = Number;
-      Index.m_Sections.push_back(std::move(Section));
+      addSection(Line, Number, Index, Place);
       continue;
     }
-    if (Index.m_Sections.empty()) {
-      Index.m_KeyOutsideSection = Number;
-      return Index;
-    }
+    if (Index.m_Sections.empty())
+      Place.refuse("key outside a section", "put a [section] line before it",
+                   Number);
     const std::string Key =
         boost::algorithm::trim_copy(Line.substr(0, Line.find('=')));
     Index.m_Sections.back().m_Entries.push_back({Key, "", Number});
@@ -54,44 +93,52 @@
 }
 
 boost::property_tree::ptree parseTree(std::string_view Text,
-                                      const std::string &File, ErrorKind Kind) {
+                                      const IniPlace &Place) {
   std::istringstream Stream{std::string(Text)};
   boost::property_tree::ptree Tree;
   try {
     boost::property_tree::ini_parser::read_ini(Stream, Tree);
   } catch (const boost::property_tree::ini_parser_error &Fault) {
-    throw Error(Kind, Fault.message(),
-                "write [section] lines and key = value lines, each name once",
-                {File, static_cast<int>(Fault.line())});
+    Place.refuse(Fault.message(), LineRemedy, static_cast<int>(Fault.line()));
   }
   return Tree;
 }
 
-std::string titleOf(const IniSection &Section) {
-  return Section.m_Name.empty() ? Section.m_Type
-                                : Section.m_Type + " " + Section.m_Name;
+void refuseDuplicateSections(const LineIndex &Index, const IniPlace &Place) {
+  std::set<std::string> Titles;
+  for (const IniSection &Section : Index.m_Sections) {
+    const std::string Title = titleOf(Section);
+    if (!Titles.insert(Title).second)
+      Place.refuse("duplicate section [" + Title + "]",
+                   "merge the sections or rename one", Section.m_Line);
+  }
 }
 
-void refuseDuplicateSections(const LineIndex &Index, const std::string &File,
-                             ErrorKind Kind) {
-  std::vector<std::string> Titles;
-  for (const IniSection &Section : Index.m_Sections)
-    Titles.push_back(titleOf(Section));
-  std::sort(Titles.begin(), Titles.end());
-  const auto Twice = std::adjacent_find(Titles.begin(), Titles.end());
-  if (Twice == Titles.end())
+void fillValues(const boost::property_tree::ptree &Tree,
+                const std::string &Title, IniSection &Section,
+                const IniPlace &Place) {
+  const auto Found = Tree.find(Title);
+  // The library leaves empty sections out.
+  if (Found == Tree.not_found() && Section.m_Entries.empty())
     return;
-  int Line = 0;
-  for (const IniSection &Section : Index.m_Sections) {
-    if (titleOf(Section) == *Twice)
-      Line = Section.m_Line;
+  for (IniEntry &Entry : Section.m_Entries) {
+    const auto Value = Found == Tree.not_found()
+                           ? boost::optional<std::string>()
+                           : Found->second.get_optional<std::string>(
+                                 boost::property_tree::path(Entry.m_Key, '\0'));
+    if (!Value)
+      Place.refuse("key without a value", LineRemedy, Entry.m_Line);
+    Entry.m_Value = *Value;
   }
-  throw Error(Kind, "duplicate section [" + *Twice + "]",
-              "merge the sections or rename one", {File, Line});
 }
 
 } // namespace
 
+std::string titleOf(const IniSection &Section) {
+  return Section.m_Name.empty() ? Section.m_Type
+                                : Section.m_Type + " " + Section.m_Name;
+}
+
 const IniEntry *IniSection::find(std::string_view Key) const {
   for (const IniEntry &Entry : m_Entries) {
     if (Entry.m_Key == Key)
@@ -102,20 +149,12 @@
 
 IniDocument parseIni(std::string_view Text, const std::string &File,
                      ErrorKind Kind) {
-  const boost::property_tree::ptree Tree = parseTree(Text, File, Kind);
-  LineIndex Index = indexLines(Text);
-  if (Index.m_KeyOutsideSection > 0)
-    throw Error(Kind, "key outside a section", "put a [section] line before it",
-                {File, Index.m_KeyOutsideSection});
-  refuseDuplicateSections(Index, File, Kind);
-  for (IniSection &Section : Index.m_Sections) {
-    const auto Found = Tree.find(titleOf(Section));
-    if (Found == Tree.not_found())
-      continue;
-    for (IniEntry &Entry : Section.m_Entries)
-      Entry.m_Value = Found->second.get<std::string>(
-          boost::property_tree::path(Entry.m_Key, '\0'), "");
-  }
+  const IniPlace Place{File, Kind};
+  LineIndex Index = indexLines(Text, Place);
+  refuseDuplicateSections(Index, Place);
+  const boost::property_tree::ptree Tree = parseTree(Text, Place);
+  for (std::size_t Number = 0; Number < Index.m_Sections.size(); ++Number)
+    fillValues(Tree, Index.m_Titles[Number], Index.m_Sections[Number], Place);
   return {File, std::move(Index.m_Sections)};
 }
 
--- a/src/core/ini_fields.cpp
+++ b/src/core/ini_fields.cpp
@@ -119,14 +119,11 @@
 
 void requireKeys(const IniSection &Section, const IniSource &Source,
                  std::span<const std::string_view> Keys, FaultList &Faults) {
-  const std::string Title = Section.m_Name.empty()
-                                ? Section.m_Type
-                                : Section.m_Type + " " + Section.m_Name;
   for (const std::string_view Key : Keys) {
     if (Section.find(Key) != nullptr)
       continue;
     Faults.push_back(Source.makeFault(
-        "[" + Title + "] lacks the key " + std::string(Key),
+        "[" + titleOf(Section) + "] lacks the key " + std::string(Key),
         "add " + std::string(Key) + " = VALUE", Section.m_Line));
   }
 }
--- a/tests/unit/ini_document_test.cpp
+++ b/tests/unit/ini_document_test.cpp
@@ -40,6 +40,11 @@
       {"[a]\nx = 1\nx = 2\n", 3, "duplicate key"},
       {"[a\nx = 1\n", 1, "unmatched"},
       {"[a]\nnonsense\n", 2, "'='"},
+      {"[a] b\nx = 1\n", 1, "after a section's"},
+      {"\n[ ]\nx = 1\n", 2, "without a name"},
+      {"[a]\n= 1\n", 2, "key"},
+      {"[a]\nx = 1\x01\n", 2, "control character"},
+      {"[a  b]\nx = 1\n[a b]\n", 3, "duplicate section"},
   };
   for (const FaultCase &Case : Cases) {
     CAPTURE(Case.m_Text);
@@ -54,3 +59,14 @@
     }
   }
 }
+
+TEST_CASE("INI values survive unusual spacing of titles and keys") {
+  const IniDocument Document =
+      parseIni("[a  b ]\r\n  x=1\r\ny  =  a = b\r\nz =\n[c]", "file",
+               ErrorKind::BadSettings);
+  REQUIRE(Document.m_Sections.size() == 2);
+  CHECK(Document.m_Sections[0].m_Name == "b");
+  CHECK(Document.m_Sections[0].m_Entries ==
+        std::vector<IniEntry>{{"x", "1", 2}, {"y", "a = b", 3}, {"z", "", 4}});
+  CHECK(Document.m_Sections[1].m_Entries.empty());
+}
