--- /dev/null
+++ b/include/dandelionfall/app/node.h
@@ -0,0 +1,18 @@
+/// \file
+/// The running node: ingress for callers, gate for its own target, member of the overlay.
+#ifndef DANDELIONFALL_APP_NODE_H
+#define DANDELIONFALL_APP_NODE_H
+
+#include "dandelionfall/app/settings.h"
+
+namespace dandelionfall::app {
+
+/// Runs a node until SIGTERM or SIGINT has been followed by the end of all admitted work.
+/// \param Config the node's settings, already checked.
+/// \returns the exit code, 0 after a planned stop.
+/// \throws Error of kind AddressInUse before anything is started.
+int runNode(const Settings &Config);
+
+} // namespace dandelionfall::app
+
+#endif // DANDELIONFALL_APP_NODE_H
--- a/include/dandelionfall/net/http_server.h
+++ b/include/dandelionfall/net/http_server.h
@@ -62,6 +62,9 @@
   /// Takes no new connections and closes each open one after its answer.
   void startDrain();
 
+  /// \returns the address it listens at, with the port chosen where the wanted one was 0.
+  std::string address() const;
+
   /// \returns requests without an answer, and answers not yet written.
   std::size_t busyConnections() const;
 
--- /dev/null
+++ b/src/app/node/blackboard.h
@@ -0,0 +1,61 @@
+/// \file
+/// State that the control thread and the traffic thread share: published by
+/// one, read by the other.
+#ifndef DANDELIONFALL_SRC_APP_NODE_BLACKBOARD_H
+#define DANDELIONFALL_SRC_APP_NODE_BLACKBOARD_H
+
+#include "dandelionfall/app/event_recorder.h"
+#include "dandelionfall/app/metrics.h"
+#include "dandelionfall/app/settings.h"
+#include "dandelionfall/core/configuration.h"
+#include "dandelionfall/core/identity.h"
+
+#include <tbb/concurrent_queue.h>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace dandelionfall::app {
+
+/// What traffic learned of another node's version.
+struct VersionSighting {
+  core::Version m_Version = 0;
+  std::string m_Address;
+};
+
+/// Load of the node as the traffic thread last saw it.
+struct TrafficLoad {
+  std::atomic<std::uint32_t> m_InFlight{0};
+  std::atomic<std::uint32_t> m_Queued{0};
+  std::atomic<std::uint32_t> m_Limit{0};
+  std::atomic<std::uint64_t> m_OpenCalls{0};
+};
+
+/// Shared state of one node. Every member says which thread writes it; any
+/// thread may read.
+struct Blackboard {
+  Blackboard(const Settings &Config, core::Incarnation Start)
+      : m_Settings(Config), m_Incarnation(Start),
+        m_Events(Config.m_Host, m_Clock, Config.m_TraceRequests) {}
+
+  const Settings m_Settings;
+  const core::Incarnation m_Incarnation;
+  /// Safe for use by several threads.
+  LogicalClock m_Clock;
+  EventRecorder m_Events;
+  Metrics m_Metrics;
+  /// Written by the control thread.
+  std::atomic<core::ConfigurationPtr> m_Configuration;
+  std::atomic<bool> m_Ready{false};
+  std::atomic<bool> m_Draining{false};
+  /// Written by the traffic thread.
+  TrafficLoad m_Load;
+  /// From the traffic thread to the control thread.
+  tbb::concurrent_queue<VersionSighting> m_Sightings;
+};
+
+} // namespace dandelionfall::app
+
+#endif // DANDELIONFALL_SRC_APP_NODE_BLACKBOARD_H
--- /dev/null
+++ b/src/app/node/node.cpp
@@ -0,0 +1,130 @@
+#include "dandelionfall/app/node.h"
+
+#include "app/node/control_driver.h"
+#include "app/node/operator_pages.h"
+#include "app/node/traffic_driver.h"
+#include "dandelionfall/net/http_server.h"
+#include "dandelionfall/net/link.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <optional>
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace dandelionfall::app {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+core::Incarnation drawIncarnation() {
+  std::random_device Device;
+  const auto Draw = [&Device] {
+    const std::uint64_t High = Device();
+    return (High << 32U) | Device();
+  };
+  return {Draw(), Draw()};
+}
+
+/// One node: the control thread is the caller's, the traffic thread its own.
+class Node {
+public:
+  explicit Node(const Settings &Config)
+      : m_Board(Config, drawIncarnation()),
+        m_Signals(m_ControlContext, SIGTERM, SIGINT),
+        m_Control(m_ControlContext, m_Board, [this] { tellTraffic(); }),
+        m_Traffic(m_TrafficContext, m_Board, trafficHandlers()),
+        m_Listener(m_TrafficContext, Config.m_LinkAddress,
+                   [this](net::LinkKind Kind, tcp::socket Socket) {
+                     onInboundLink(Kind, std::move(Socket));
+                   }) {
+    startOperatorServer();
+  }
+
+  void run() {
+    m_Board.m_Events.record({core::EventId::ProcessStarted,
+                             "incarnation=" + toString(m_Board.m_Incarnation)});
+    m_Signals.async_wait([this](boost::system::error_code Code, int) {
+      if (!Code)
+        startDrain();
+    });
+    const auto TrafficWork = boost::asio::make_work_guard(m_TrafficContext);
+    std::thread TrafficThread([this] { m_TrafficContext.run(); });
+    m_Control.start();
+    const auto ControlWork = boost::asio::make_work_guard(m_ControlContext);
+    m_ControlContext.run();
+    m_TrafficContext.stop();
+    TrafficThread.join();
+    m_Board.m_Events.record({core::EventId::DrainFinished, ""});
+  }
+
+private:
+  TrafficDriverHandlers trafficHandlers() {
+    TrafficDriverHandlers Handlers;
+    Handlers.m_VersionSeen = [this] {
+      boost::asio::post(m_ControlContext,
+                        [this] { m_Control.onVersionsSeen(); });
+    };
+    Handlers.m_Drained = [this] { m_ControlContext.stop(); };
+    return Handlers;
+  }
+
+  void startOperatorServer() {
+    net::HttpServerOptions Options;
+    Options.m_Address = m_Board.m_Settings.m_OperatorAddress;
+    net::HttpServerHandlers Handlers;
+    Handlers.m_Request = [this](core::CallId Call,
+                                const core::HttpRequestPtr &Request) {
+      m_Operators->respond(
+          Call, makeOperatorPage(*Request, m_Board, m_Control.status()));
+    };
+    m_Operators.emplace(m_ControlContext, Options, std::move(Handlers));
+  }
+
+  void tellTraffic() {
+    boost::asio::post(m_TrafficContext,
+                      [this] { m_Traffic.onConfiguration(); });
+  }
+
+  void onInboundLink(net::LinkKind Kind, tcp::socket Socket) {
+    if (Kind == net::LinkKind::Traffic)
+      return m_Traffic.onInboundLink(std::move(Socket));
+    // The connection moves to the control thread's context.
+    const auto Protocol = Socket.local_endpoint().protocol();
+    const auto Handle = Socket.release();
+    boost::asio::post(m_ControlContext, [this, Protocol, Handle] {
+      m_Control.onInboundLink(tcp::socket(m_ControlContext, Protocol, Handle));
+    });
+  }
+
+  void startDrain() {
+    m_Board.m_Draining.store(true);
+    m_Board.m_Events.record({core::EventId::DrainStarted, ""});
+    m_Control.startDrain();
+    boost::asio::post(m_TrafficContext, [this] { m_Traffic.startDrain(); });
+  }
+
+  boost::asio::io_context m_ControlContext{1};
+  boost::asio::io_context m_TrafficContext{1};
+  Blackboard m_Board;
+  boost::asio::signal_set m_Signals;
+  ControlDriver m_Control;
+  TrafficDriver m_Traffic;
+  net::LinkListener m_Listener;
+  std::optional<net::HttpServer> m_Operators;
+};
+
+} // namespace
+
+int runNode(const Settings &Config) {
+  Node Running(Config);
+  Running.run();
+  return 0;
+}
+
+} // namespace dandelionfall::app
--- /dev/null
+++ b/src/app/node/operator_pages.h
@@ -0,0 +1,23 @@
+/// \file
+/// The pages at the operators' address: status, time line, metrics.
+#ifndef DANDELIONFALL_SRC_APP_NODE_OPERATOR_PAGES_H
+#define DANDELIONFALL_SRC_APP_NODE_OPERATOR_PAGES_H
+
+#include "app/node/blackboard.h"
+#include "dandelionfall/core/distribution.h"
+#include "dandelionfall/core/http_message.h"
+
+namespace dandelionfall::app {
+
+/// Makes a page.
+/// \param Request the operator's request.
+/// \param Board the node's shared state.
+/// \param Distribution the state of the configuration distribution.
+/// \returns the page, or an answer with status 404 that lists the pages.
+core::HttpResponse
+makeOperatorPage(const core::HttpRequest &Request, Blackboard &Board,
+                 const core::DistributionStatus &Distribution);
+
+} // namespace dandelionfall::app
+
+#endif // DANDELIONFALL_SRC_APP_NODE_OPERATOR_PAGES_H
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -398,6 +398,11 @@
 
 void HttpServer::startDrain() { m_Impl->startDrain(); }
 
+std::string HttpServer::address() const {
+  const tcp::endpoint Local = m_Impl->m_Acceptor.local_endpoint();
+  return Local.address().to_string() + ":" + std::to_string(Local.port());
+}
+
 std::size_t HttpServer::busyConnections() const { return m_Impl->m_Busy; }
 
 } // namespace dandelionfall::net
--- /dev/null
+++ b/tests/unit/codec_test.cpp
@@ -0,0 +1,166 @@
+#include "dandelionfall/core/error.h"
+#include "dandelionfall/net/codec.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace dandelionfall;
+using namespace dandelionfall::core;
+
+namespace {
+
+const RequestId Id{{1, ~std::uint64_t{0}}, 7};
+const Capacity Load{3, 2, 12, std::chrono::milliseconds(5)};
+
+HttpRequestPtr makeRequest() {
+  return std::make_shared<const HttpRequest>(
+      HttpRequest{"POST",
+                  "/escort?x=1",
+                  "mesh",
+                  {{"Booking", "b-1"}},
+                  std::string("body\0with zero", 14)});
+}
+
+HttpResponsePtr makeResponse() {
+  return std::make_shared<const HttpResponse>(
+      HttpResponse{201, {{"A", "1"}, {"A", "2"}}, std::string(100'000, 'x')});
+}
+
+std::vector<TrafficMessage> trafficMessages() {
+  return {
+      TrafficHello{"h", {1, 2}, 3, 4},
+      TrafficWelcome{"g", {5, 6}, 3, 4, Load},
+      Dispatch{Id,
+               3,
+               {5, 6},
+               std::chrono::milliseconds(900),
+               9,
+               "escortdesk",
+               "escortdesk-1",
+               true,
+               makeRequest()},
+      Answer{Id, makeResponse(), Load},
+      Refusal{Id, RefusalReason::Cancelled, std::chrono::seconds(1), 9, Load},
+      Failure{Id, "reset", Load},
+      Inquiry{{Id, Id}},
+      InquiryReply{Id, LedgerState::Done},
+      Settled{{Id}},
+      Cancel{Id},
+      TrafficPing{1, 2},
+      TrafficPong{1, 2, Load},
+      TrafficGoAway{},
+  };
+}
+
+std::string payloadOf(const std::string &Frame) {
+  REQUIRE(net::decodeFrameLength(Frame) ==
+          Frame.size() - net::FrameHeaderBytes);
+  return Frame.substr(net::FrameHeaderBytes);
+}
+
+// Dispatch and answer compare by pointer, so their contents are compared here.
+void checkSame(const TrafficMessage &Left, const TrafficMessage &Right) {
+  REQUIRE(Left.index() == Right.index());
+  if (const auto *Sent = std::get_if<Dispatch>(&Left)) {
+    Dispatch Copy = std::get<Dispatch>(Right);
+    CHECK(*Copy.m_Request == *Sent->m_Request);
+    Copy.m_Request = Sent->m_Request;
+    CHECK(Copy == *Sent);
+  } else if (const auto *Reply = std::get_if<Answer>(&Left)) {
+    Answer Copy = std::get<Answer>(Right);
+    CHECK(*Copy.m_Response == *Reply->m_Response);
+    Copy.m_Response = Reply->m_Response;
+    CHECK(Copy == *Reply);
+  } else {
+    CHECK(Left == Right);
+  }
+}
+
+} // namespace
+
+TEST_CASE("every traffic message survives a round trip") {
+  for (const TrafficMessage &Message : trafficMessages()) {
+    CAPTURE(Message.index());
+    const std::string Frame = net::encodeFrame(Message, 42);
+    const net::DecodedFrame Decoded = net::decodeFrame(payloadOf(Frame));
+    CHECK(Decoded.m_LogicalTime == 42);
+    REQUIRE(std::holds_alternative<TrafficMessage>(Decoded.m_Message));
+    checkSame(Message, std::get<TrafficMessage>(Decoded.m_Message));
+  }
+}
+
+TEST_CASE("control messages survive a round trip") {
+  const std::vector<ControlMessage> Messages = {
+      ControlHello{"h", "z", {1, 2}, "127.0.0.1:1", {3, 4}, {5, 6}, {7, 8}},
+      Announce{Stream::Hosts, {3, ~std::uint64_t{0}}},
+      Pull{Stream::Configuration, {3, 4}},
+      HeldAck{Stream::Configuration, {3, 4}},
+      Heartbeat{9, {1, 2}, {3, 4}, {5, 6}},
+      ControlGoAway{},
+  };
+  for (const ControlMessage &Message : Messages) {
+    const std::string Frame = net::encodeFrame(Message, 1);
+    const net::DecodedFrame Decoded = net::decodeFrame(payloadOf(Frame));
+    const auto &Copy = std::get<ControlMessage>(Decoded.m_Message);
+    REQUIRE(Copy.index() == Message.index());
+    CHECK(net::encodeFrame(Copy, 1) == Frame);
+  }
+}
+
+TEST_CASE("change records and snapshot chunks keep their parts") {
+  const PartPtr Zones = makePart("zones", "[zone a]\n");
+  ChangeRecords Records;
+  Records.m_Records.push_back({{1, 10}, {2, 20}, {Zones}, {"service/gone"}});
+  const auto Copy = std::get<ChangeRecords>(std::get<ControlMessage>(
+      net::decodeFrame(payloadOf(net::encodeFrame(ControlMessage(Records), 1)))
+          .m_Message));
+  REQUIRE(Copy.m_Records.size() == 1);
+  CHECK(Copy.m_Records[0].m_Base == VersionStamp{1, 10});
+  CHECK(Copy.m_Records[0].m_Stamp == VersionStamp{2, 20});
+  CHECK(*Copy.m_Records[0].m_Changed.at(0) == *Zones);
+  CHECK(Copy.m_Records[0].m_Removed ==
+        std::vector<std::string>{"service/gone"});
+
+  const SnapshotChunk Chunk{Stream::Configuration, {2, 20}, 1, 3, {Zones}};
+  const auto Piece = std::get<SnapshotChunk>(std::get<ControlMessage>(
+      net::decodeFrame(payloadOf(net::encodeFrame(ControlMessage(Chunk), 1)))
+          .m_Message));
+  CHECK(Piece.m_Index == 1);
+  CHECK(Piece.m_Count == 3);
+  CHECK(*Piece.m_Parts.at(0) == *Zones);
+}
+
+TEST_CASE("a frame cut short or followed by more is refused") {
+  for (const TrafficMessage &Message : trafficMessages()) {
+    const std::string Whole = payloadOf(net::encodeFrame(Message, 42));
+    CHECK_THROWS_AS(net::decodeFrame(Whole + "x"), Error);
+    const std::size_t Step = std::max<std::size_t>(Whole.size() / 64, 1);
+    for (std::size_t Length = 0; Length < Whole.size(); Length += Step)
+      CHECK_THROWS_AS(net::decodeFrame(Whole.substr(0, Length)), Error);
+  }
+}
+
+TEST_CASE("frame lengths out of range are refused") {
+  const std::string Cases[] = {
+      std::string("\0\0\0\0", 4),
+      std::string("\xff\xff\xff\xff", 4),
+      std::string("\0\0", 2),
+  };
+  for (const std::string &Header : Cases)
+    CHECK_THROWS_AS(net::decodeFrameLength(Header), Error);
+}
+
+TEST_CASE("values out of range are refused") {
+  Refusal Bad;
+  Bad.m_Reason = static_cast<RefusalReason>(200);
+  CHECK_THROWS_AS(
+      net::decodeFrame(payloadOf(net::encodeFrame(TrafficMessage(Bad), 1))),
+      Error);
+  Announce Unknown;
+  Unknown.m_Stream = static_cast<Stream>(9);
+  CHECK_THROWS_AS(
+      net::decodeFrame(payloadOf(net::encodeFrame(ControlMessage(Unknown), 1))),
+      Error);
+}
--- /dev/null
+++ b/tests/unit/http_server_test.cpp
@@ -0,0 +1,227 @@
+#include "dandelionfall/core/error.h"
+#include "dandelionfall/net/address.h"
+#include "dandelionfall/net/http_server.h"
+
+#include <boost/asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace dandelionfall;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::seconds Patience{3};
+
+/// A server that answers 200 with the request's path and body, and a raw
+/// connection to it.
+class Fixture {
+public:
+  explicit Fixture(net::HttpServerOptions Options = {}) : m_Socket(m_Context) {
+    Options.m_Address = "127.0.0.1:0";
+    net::HttpServerHandlers Handlers;
+    Handlers.m_Request = [this](core::CallId Call,
+                                const core::HttpRequestPtr &Request) {
+      m_Requests.push_back(Request);
+      m_LastCall = Call;
+      if (m_Answer)
+        m_Server->respond(Call, {200, {}, Request->m_Path + Request->m_Body});
+    };
+    Handlers.m_Gone = [this](core::CallId Call) { m_Gone = Call; };
+    Handlers.m_Rejected = [this](const std::string &Fault) {
+      m_Faults.push_back(Fault);
+    };
+    m_Server.emplace(m_Context, Options, Handlers);
+    m_Socket.connect(net::parseEndpoint(m_Server->address()));
+  }
+
+  void send(const std::string &Bytes) {
+    boost::asio::write(m_Socket, boost::asio::buffer(Bytes));
+  }
+
+  void runUntil(const std::function<bool()> &Done) {
+    const auto Limit = std::chrono::steady_clock::now() + Patience;
+    while (!Done() && std::chrono::steady_clock::now() < Limit)
+      m_Context.run_for(std::chrono::milliseconds(5));
+  }
+
+  /// \returns what came until the server closed the connection or nothing more
+  /// comes.
+  std::string receive(const std::function<bool(const std::string &)> &Enough) {
+    std::string All;
+    bool Closed = false;
+    m_Socket.non_blocking(true);
+    runUntil([&] {
+      char Buffer[4096];
+      boost::system::error_code Code;
+      const std::size_t Count =
+          m_Socket.read_some(boost::asio::buffer(Buffer), Code);
+      All.append(Buffer, Count);
+      Closed = Code && Code != boost::asio::error::would_block;
+      return Closed || Enough(All);
+    });
+    m_Closed = Closed;
+    return All;
+  }
+
+  boost::asio::io_context m_Context;
+  std::optional<net::HttpServer> m_Server;
+  tcp::socket m_Socket;
+  std::vector<core::HttpRequestPtr> m_Requests;
+  std::vector<std::string> m_Faults;
+  std::optional<core::CallId> m_Gone;
+  core::CallId m_LastCall = 0;
+  bool m_Answer = true;
+  bool m_Closed = false;
+};
+
+bool endsWithBody(const std::string &Text) {
+  return Text.find("\r\n\r\n") != std::string::npos &&
+         Text.find("HTTP/1.1 200") == 0;
+}
+
+struct BadInput {
+  const char *m_Name;
+  std::string m_Bytes;
+  const char *m_Status;
+};
+
+std::vector<BadInput> badInputs() {
+  return {
+      {"no HTTP", "hello there\r\n\r\n", "400"},
+      {"no host", "GET / HTTP/1.1\r\n\r\n", "400"},
+      {"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "400"},
+      {"absolute target", "GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n", "400"},
+      {"connect", "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", "400"},
+      {"two lengths",
+       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+       "Content-Length: 4\r\n\r\nabcd",
+       "400"},
+      {"the same length twice",
+       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+       "Content-Length: 3\r\n\r\nabc",
+       "400"},
+      {"length and chunks",
+       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       "400"},
+      {"chunks and length",
+       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+       "Content-Length: 3\r\n\r\n0\r\n\r\n",
+       "400"},
+      {"unknown coding",
+       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n"
+       "\r\n0\r\n\r\n",
+       "400"},
+      {"two codings",
+       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       "400"},
+      {"bad chunk",
+       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+       "400"},
+      {"space before colon", "GET / HTTP/1.1\r\nHost : a\r\n\r\n", "400"},
+      {"negative length",
+       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", "400"},
+      {"large header",
+       "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(20'000, 'x') +
+           "\r\n\r\n",
+       "431"},
+      {"large body",
+       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n", "413"},
+      {"upgrade",
+       "GET / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+       "400"},
+  };
+}
+
+} // namespace
+
+TEST_CASE("requests on one connection are answered in turn") {
+  Fixture Test;
+  Test.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(endsWithBody(Test.receive(endsWithBody)));
+  Test.send("POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
+            "Connection: drop-me\r\nDrop-Me: 1\r\nKeep: 2\r\n\r\nhi");
+  CHECK(endsWithBody(Test.receive(endsWithBody)));
+  REQUIRE(Test.m_Requests.size() == 2);
+  CHECK(Test.m_Requests[1]->m_Body == "hi");
+  CHECK(Test.m_Requests[1]->m_HostName == "x");
+  CHECK(Test.m_Requests[1]->m_Fields ==
+        std::vector<core::HttpField>{{"Keep", "2"}});
+  CHECK_FALSE(Test.m_Closed);
+}
+
+TEST_CASE("bad input gets a clear answer and ends the connection") {
+  for (const BadInput &Case : badInputs()) {
+    CAPTURE(Case.m_Name);
+    net::HttpServerOptions Options;
+    Options.m_MaxBodyBytes = 1000;
+    Fixture Test(Options);
+    Test.send(Case.m_Bytes);
+    const std::string Reply =
+        Test.receive([](const std::string &) { return false; });
+    CHECK(Reply.find(std::string("HTTP/1.1 ") + Case.m_Status) == 0);
+    CHECK(Test.m_Closed);
+    CHECK(Test.m_Requests.empty());
+    CHECK(Test.m_Faults.size() == 1);
+  }
+}
+
+TEST_CASE("a sender that stops in the middle is told and cut off") {
+  net::HttpServerOptions Options;
+  Options.m_RequestTimeout = std::chrono::seconds(1);
+  Fixture Test(Options);
+  Test.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc");
+  const std::string Reply =
+      Test.receive([](const std::string &) { return false; });
+  CHECK(Reply.find("HTTP/1.1 408") == 0);
+  CHECK(Test.m_Closed);
+  CHECK(Test.m_Requests.empty());
+}
+
+TEST_CASE("a caller that goes away is noticed before its answer") {
+  Fixture Test;
+  Test.m_Answer = false;
+  Test.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  Test.runUntil([&] { return !Test.m_Requests.empty(); });
+  REQUIRE(Test.m_LastCall != 0);
+  Test.m_Socket.close();
+  Test.runUntil([&] { return Test.m_Gone.has_value(); });
+  CHECK(Test.m_Gone == Test.m_LastCall);
+  Test.m_Server->respond(Test.m_LastCall, {200, {}, "late"});
+  CHECK(Test.m_Server->busyConnections() == 0);
+}
+
+TEST_CASE("a drain closes idle connections and those with an answer") {
+  Fixture Test;
+  Test.m_Answer = false;
+  Test.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  Test.runUntil([&] { return !Test.m_Requests.empty(); });
+  Test.m_Server->startDrain();
+  Test.m_Server->respond(Test.m_LastCall, {200, {}, "whole"});
+  const std::string Reply =
+      Test.receive([](const std::string &) { return false; });
+  CHECK(Reply.find("Connection: close") != std::string::npos);
+  CHECK(Reply.ends_with("whole"));
+  CHECK(Test.m_Closed);
+}
+
+TEST_CASE("an address in use is refused with its remedy") {
+  Fixture Test;
+  boost::asio::io_context Context;
+  net::HttpServerOptions Options;
+  Options.m_Address = Test.m_Server->address();
+  try {
+    net::HttpServer Second(Context, Options, {});
+    FAIL("bound twice");
+  } catch (const core::Error &Fault) {
+    CHECK(Fault.kind() == core::ErrorKind::AddressInUse);
+    CHECK_FALSE(Fault.remedy().empty());
+  }
+}
