--- /dev/null
+++ b/tests/system/callers.py
@@ -0,0 +1,129 @@
+"""Callers that send reads and bookings through a fleet's nodes and keep what each was told."""
+import http.client
+import itertools
+import random
+import threading
+import time
+
+from fleet import http_call
+
+OUTCOME = "dandelionfall-outcome"
+
+
+class Call:
+    """One call and what its caller was told."""
+
+    def __init__(self, method, path, booking):
+        self.method = method
+        self.path = path
+        self.booking = booking
+        self.status = None
+        self.outcome = None
+        self.retry_after_ms = None
+        self.whole = False
+        self.seconds = None
+        self.began = None
+
+
+def make_call(address, method, path, booking=None, deadline_ms=None, timeout_s=10):
+    """Makes one call and judges whether the answer is whole and the caller's own."""
+    call = Call(method, path, booking)
+    headers = {}
+    if booking:
+        headers["Booking"] = booking
+    if deadline_ms:
+        headers["Dandelionfall-Deadline-Ms"] = str(deadline_ms)
+    call.began = time.monotonic()
+    try:
+        call.status, fields, body = http_call(address, method, path, body="x" if method == "POST" else None,
+                                              headers=headers, timeout_s=timeout_s)
+    except (OSError, http.client.HTTPException) as fault:
+        call.outcome = f"connection: {fault!r}"
+        call.seconds = time.monotonic() - call.began
+        return call
+    call.seconds = time.monotonic() - call.began
+    call.outcome = fields.get(OUTCOME, "answered")
+    call.retry_after_ms = fields.get("dandelionfall-retry-after-ms")
+    lines = body.decode(errors="replace").splitlines()
+    call.whole = (call.outcome == "answered" and call.status == 200 and f"path={path}" in lines
+                  and f"method={method}" in lines and (not booking or f"booking={booking}" in lines))
+    return call
+
+
+class Callers:
+    """Threads that call at a steady rate until stopped; each call picks a node that is running."""
+
+    def __init__(self, fleet, mix, rate, seed=1, deadline_ms=None, name="b"):
+        self.fleet = fleet
+        self.mix = mix
+        self.rate = rate
+        self.random = random.Random(seed)
+        self.deadline_ms = deadline_ms
+        self.name = name
+        self.calls = []
+        self.lock = threading.Lock()
+        self.stopped = threading.Event()
+        self.numbers = itertools.count(1)
+        self.threads = []
+
+    def __enter__(self):
+        self.pacer = threading.Thread(target=self._pace)
+        self.pacer.start()
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def _pace(self):
+        due = time.monotonic()
+        while not self.stopped.is_set():
+            due += self.random.expovariate(self.rate)
+            time.sleep(max(0.0, due - time.monotonic()))
+            method, path = self.random.choice(self.mix)
+            nodes = self.fleet.callable_nodes()
+            if not nodes:
+                continue
+            node = self.random.choice(nodes)
+            booking = f"{self.name}-{next(self.numbers)}" if method == "POST" else None
+            thread = threading.Thread(target=self._call, args=(node, method, path, booking))
+            thread.start()
+            self.threads.append(thread)
+
+    def _call(self, node, method, path, booking):
+        call = make_call(node.caller, method, path, booking, self.deadline_ms)
+        with self.lock:
+            self.calls.append(call)
+
+    def stop(self):
+        if self.stopped.is_set():
+            return
+        self.stopped.set()
+        self.pacer.join()
+        for thread in self.threads:
+            thread.join()
+
+
+THESSALONIKI_MIX = [("GET", "/slotboard/now"), ("GET", "/lanewatch/ice"), ("GET", "/chartroom/sheet"),
+                    ("POST", "/escortdesk/booking")]
+KERALA_MIX = [("GET", "/limitdesk/bridge"), ("GET", "/loadbook/history"), ("GET", "/inspectra/axle"),
+              ("POST", "/permitworks/application")]
+
+
+def judge(calls, counters):
+    """Compares what callers were told with what the targets ran; returns the breaches as counts."""
+    runs = {}
+    for values in counters.values():
+        for booking, count in values["runs_by_booking"].items():
+            runs[booking] = runs.get(booking, 0) + count
+    bookings = [call for call in calls if call.booking]
+    return {
+        "calls": len(calls),
+        "whole": sum(call.whole for call in calls),
+        "not_run": sum(call.outcome == "not-run" for call in calls),
+        "unknown": sum(call.outcome == "unknown" for call in calls),
+        "other": sum(call.outcome not in ("answered", "not-run", "unknown") for call in calls),
+        "not_whole": sum(call.outcome == "answered" and not call.whole for call in calls),
+        "ran_twice": sum(count > 1 for count in runs.values()),
+        "false_not_run": sum(call.outcome == "not-run" and runs.get(call.booking, 0) > 0 for call in bookings),
+        "answered_not_run": sum(call.whole and runs.get(call.booking, 0) == 0 for call in bookings),
+    }
--- /dev/null
+++ b/tests/system/fleet.py
@@ -0,0 +1,324 @@
+"""Starts a small fleet over loopback: the platform's stand-in, targets and nodes, each a process of its own.
+
+Every process is ended by its own number when the fleet closes; nothing outlives the test.
+"""
+import configparser
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+START_TIMEOUT_S = 15
+LOCAL = "127.0.0.1"
+
+
+class FleetError(Exception):
+    """Something the test needs did not happen in time."""
+
+
+def wait_until(condition, timeout_s, what, pause_s=0.02):
+    """Polls until the condition gives a true value, and returns it."""
+    limit = time.monotonic() + timeout_s
+    while time.monotonic() < limit:
+        value = condition()
+        if value:
+            return value
+        time.sleep(pause_s)
+    raise FleetError(f"not within {timeout_s} s: {what}")
+
+
+def http_call(address, method, path, body=None, headers=None, timeout_s=10):
+    """Makes one HTTP call on a connection of its own; returns status, headers in lower case and body."""
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        response = connection.getresponse()
+        text = response.read()
+        return response.status, {k.lower(): v for k, v in response.getheaders()}, text
+    finally:
+        connection.close()
+
+
+class Process:
+    """A process that the fleet started."""
+
+    def __init__(self, name, arguments, directory):
+        self.name = name
+        self.arguments = [str(a) for a in arguments]
+        self.log = pathlib.Path(directory) / f"{name}.log"
+        self.child = None
+        self.start()
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            self.child = subprocess.Popen(self.arguments, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+
+    @property
+    def pid(self):
+        return self.child.pid
+
+    def alive(self):
+        return self.child.poll() is None
+
+    def send(self, number):
+        if self.alive():
+            self.child.send_signal(number)
+
+    def kill(self):
+        self.send(signal.SIGKILL)
+        self.child.wait()
+
+    def freeze(self):
+        self.send(signal.SIGSTOP)
+
+    def wake(self):
+        self.send(signal.SIGCONT)
+
+    def stop(self, timeout_s=10):
+        """Asks for a planned stop and returns the exit code."""
+        self.wake()
+        self.send(signal.SIGTERM)
+        try:
+            return self.child.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return None
+
+    def tail(self, lines=15):
+        return "\n".join(self.log.read_text(errors="replace").splitlines()[-lines:])
+
+
+class Node:
+    """A node and where to reach it."""
+
+    def __init__(self, number, host, zone, link, target_name, target_address, base):
+        self.number = number
+        self.host = host
+        self.zone = zone
+        self.link = link
+        self.caller = f"{LOCAL}:{base + 1000 + number}"
+        self.operator = f"{LOCAL}:{base + 2000 + number}"
+        self.target_name = target_name
+        self.target_address = target_address
+        self.process = None
+        self.stopping = False
+
+    def status(self):
+        try:
+            return json.loads(http_call(self.operator, "GET", "/status", timeout_s=2)[2])
+        except (OSError, http.client.HTTPException, ValueError):
+            return None
+
+    def timeline(self):
+        return json.loads(http_call(self.operator, "GET", "/timeline", timeout_s=5)[2])
+
+    def metrics(self):
+        values = {}
+        for line in http_call(self.operator, "GET", "/metrics", timeout_s=5)[2].decode().splitlines():
+            if not line.startswith("#"):
+                name, value = line.rsplit(" ", 1)
+                values[name] = float(value)
+        return values
+
+
+class Target:
+    """A target's stand-in."""
+
+    def __init__(self, name, address, admin):
+        self.name = name
+        self.address = address
+        self.admin = admin
+        self.process = None
+
+    def counters(self):
+        return json.loads(http_call(self.admin, "GET", "/admin/counters")[2])
+
+    def mode(self, text):
+        http_call(self.admin, "POST", "/admin/mode", body=text)
+
+
+class Platform:
+    """The platform's stand-in."""
+
+    def __init__(self, directory, work, build, port):
+        self.address = f"{LOCAL}:{port}"
+        self.admin = f"{LOCAL}:{port + 1}"
+        self.process = Process("platform", [build / "platform_standin", f"--address={self.address}",
+                                            f"--admin_address={self.admin}", f"--directory={directory}"], work)
+
+    def mode(self, text):
+        http_call(self.admin, "POST", "/admin/mode", body=text)
+
+    def stage(self, part, text):
+        http_call(self.admin, "POST", f"/admin/part/{part}", body=text)
+
+    def commit(self):
+        http_call(self.admin, "POST", "/admin/commit")
+
+    def counters(self):
+        return json.loads(http_call(self.admin, "GET", "/admin/counters")[2])
+
+    def read(self, part):
+        return http_call(self.address, "GET", f"/part/{part}")[2].decode()
+
+    def set_zone(self, zone, state):
+        """Publishes a version in which an availability zone is in or out."""
+        lines = []
+        inside = False
+        for line in self.read("zones").splitlines():
+            if line.startswith("["):
+                inside = line.strip() == f"[zone {zone}]"
+            lines.append(f"state = {state}" if inside and line.startswith("state") else line)
+        self.stage("zones", "\n".join(lines) + "\n")
+        self.commit()
+
+
+class Fleet:
+    """A deployment of the published data under tests/standin/data, or of a directory like them."""
+
+    def __init__(self, deployment="thessaloniki", services=None, build=None, holders=2, settings=None,
+                 target_options=None):
+        self.build = pathlib.Path(build or os.environ.get("DANDELIONFALL_BUILD", ROOT / "build"))
+        self.tools = self.build / "tests" / "standin"
+        self.data = ROOT / "tests" / "standin" / "data" / deployment
+        self.work = tempfile.TemporaryDirectory(prefix="dandelionfall-")
+        self.holders = holders
+        self.settings = settings or {}
+        self.target_options = target_options or []
+        self.nodes = []
+        self.targets = {}
+        self.platform = None
+        self.base = 0
+        self._read_layout(services)
+
+    def _read_layout(self, services):
+        for path in sorted((self.data / "service").iterdir()):
+            if services and path.name not in services:
+                continue
+            parser = configparser.ConfigParser(strict=False)
+            parser.read(path)
+            for section in parser.sections():
+                if section.startswith("target "):
+                    self._add_host(section.split(" ", 1)[1], parser[section])
+        self.nodes.sort(key=lambda node: node.number)
+
+    def _add_host(self, name, values):
+        link = values["gate"]
+        port = int(link.rsplit(":", 1)[1])
+        base = port // 100 * 100
+        number = port - base
+        self.base = base
+        target = Target(name, f"{LOCAL}:{base - 1000 + number}", f"{LOCAL}:{base - 800 + number}")
+        target.slots = int(values["slots"])
+        target.connections = int(values["connections"])
+        self.targets[name] = target
+        self.nodes.append(Node(number, values["host"], values["zone"], link, name, target.address, base))
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    def start(self):
+        self.platform = Platform(self.data, self.work.name, self.tools, self.base - 2000)
+        for target in self.targets.values():
+            self.start_target(target)
+        wait_until(lambda: self._answers(self.platform.address, "/manifest"), START_TIMEOUT_S, "platform answers")
+        for node in self.nodes:
+            self.start_node(node)
+
+    def start_target(self, target):
+        target.process = Process(f"target-{target.name}", [
+            self.tools / "target_standin", f"--address={target.address}", f"--admin_address={target.admin}",
+            f"--name={target.name}", f"--slots={target.slots}", f"--connections={target.connections}",
+            *self.target_options], self.work.name)
+
+    def write_settings(self, node):
+        seeds = [other.link for other in self.nodes if other is not node][:4]
+        sections = {
+            "node": {"host": node.host, "zone": node.zone, "caller_address": node.caller,
+                     "link_address": node.link, "operator_address": node.operator},
+            "target": {"name": node.target_name, "address": node.target_address},
+            "source": {"address": self.platform.address, "budget_calls_per_s": "2000"},
+            "overlay": {"seeds": ", ".join(seeds), "assumed_hosts": str(len(self.nodes)),
+                        "holders": str(self.holders)},
+            "log": {"level": "info", "trace_requests": "true"},
+        }
+        for section, values in self.settings.items():
+            sections[section].update(values)
+        path = pathlib.Path(self.work.name) / f"{node.host}.ini"
+        with open(path, "w", encoding="utf-8") as file:
+            for section, values in sections.items():
+                file.write(f"[{section}]\n" + "".join(f"{k} = {v}\n" for k, v in values.items()))
+        return path
+
+    def start_node(self, node):
+        path = self.write_settings(node)
+        if node.process is None:
+            node.process = Process(node.host, [self.build / "dandelionfall", "node", "--settings", path],
+                                   self.work.name)
+        else:
+            node.process.start()
+
+    @staticmethod
+    def _answers(address, path):
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            return http_call(address, "GET", path, timeout_s=2)[0] == 200
+        return False
+
+    def running(self):
+        return [node for node in self.nodes if node.process is not None and node.process.alive()]
+
+    def callable_nodes(self):
+        """Nodes that new callers are sent to: running, and not about to be stopped."""
+        return [node for node in self.running() if not node.stopping]
+
+    def wait_ready(self, timeout_s=START_TIMEOUT_S):
+        for node in self.running():
+            wait_until(lambda n=node: (n.status() or {}).get("ready"), timeout_s, f"{node.host} is ready")
+
+    def versions(self):
+        return {node.host: applied_version(node.status()) for node in self.running()}
+
+    def wait_version(self, version, timeout_s, nodes=None):
+        """Waits until the nodes have applied a version or a later one; returns the seconds it took."""
+        begin = time.monotonic()
+        for node in nodes or self.running():
+            wait_until(lambda n=node: applied_version(n.status()) >= version, timeout_s,
+                       f"{node.host} applies version {version}")
+        return time.monotonic() - begin
+
+    def counters(self):
+        return {name: target.counters() for name, target in self.targets.items() if target.process.alive()}
+
+    def close(self):
+        for node in self.nodes:
+            if node.process is not None and node.process.alive():
+                node.process.wake()
+                node.process.kill()
+        for target in self.targets.values():
+            if target.process is not None and target.process.alive():
+                target.process.kill()
+        if self.platform is not None and self.platform.process.alive():
+            self.platform.process.kill()
+        self.work.cleanup()
+
+
+def applied_version(status):
+    """The version that a status page shows as applied, or -1 if there is no page."""
+    if not status:
+        return -1
+    return status["applied"]["version"]
