--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -16,6 +16,12 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 START_TIMEOUT_S = 15
 LOCAL = "127.0.0.1"
+# Where the other ports of a host lie beside its link port; tests/standin/data/LAYOUT.txt shows them.
+CALLER_OFFSET = 1000
+OPERATOR_OFFSET = 2000
+TARGET_OFFSET = -1000
+TARGET_ADMIN_OFFSET = -800
+PLATFORM_OFFSET = -2000
 
 
 class FleetError(Exception):
@@ -98,15 +104,15 @@
 class Node:
     """A node and where to reach it."""
 
-    def __init__(self, number, host, zone, link, target_name, target_address, base):
-        self.number = number
+    def __init__(self, host, zone, link, target_name):
+        port = int(link.rsplit(":", 1)[1])
         self.host = host
         self.zone = zone
         self.link = link
-        self.caller = f"{LOCAL}:{base + 1000 + number}"
-        self.operator = f"{LOCAL}:{base + 2000 + number}"
+        self.caller = f"{LOCAL}:{port + CALLER_OFFSET}"
+        self.operator = f"{LOCAL}:{port + OPERATOR_OFFSET}"
         self.target_name = target_name
-        self.target_address = target_address
+        self.target_address = f"{LOCAL}:{port + TARGET_OFFSET}"
         self.process = None
         self.stopping = False
 
@@ -131,10 +137,13 @@
 class Target:
     """A target's stand-in."""
 
-    def __init__(self, name, address, admin):
-        self.name = name
-        self.address = address
-        self.admin = admin
+    def __init__(self, node, slots, connections):
+        port = int(node.link.rsplit(":", 1)[1])
+        self.name = node.target_name
+        self.address = node.target_address
+        self.admin = f"{LOCAL}:{port + TARGET_ADMIN_OFFSET}"
+        self.slots = slots
+        self.connections = connections
         self.process = None
 
     def counters(self):
@@ -181,45 +190,50 @@
 
 
 class Fleet:
-    """A deployment of the published data under tests/standin/data, or of a directory like them."""
+    """A deployment of the published data under tests/standin/data, or of another directory like them."""
 
-    def __init__(self, deployment="thessaloniki", services=None, build=None, holders=2, settings=None,
-                 target_options=None):
-        self.build = pathlib.Path(build or os.environ.get("DANDELIONFALL_BUILD", ROOT / "build"))
+    def __init__(self, deployment="thessaloniki", services=None, directory=None, targets=True, holders=2,
+                 settings=None, target_options=None, platform_port=None):
+        self.build = pathlib.Path(os.environ.get("DANDELIONFALL_BUILD", ROOT / "build"))
         self.tools = self.build / "tests" / "standin"
-        self.data = ROOT / "tests" / "standin" / "data" / deployment
+        self.data = pathlib.Path(directory or ROOT / "tests" / "standin" / "data" / deployment)
         self.work = tempfile.TemporaryDirectory(prefix="dandelionfall-")
         self.holders = holders
         self.settings = settings or {}
         self.target_options = target_options or []
+        self.with_targets = targets
         self.nodes = []
         self.targets = {}
         self.platform = None
-        self.base = 0
-        self._read_layout(services)
+        self._read_hosts()
+        self._read_targets(services)
+        self.platform_port = platform_port or self._first_port() // 100 * 100 + PLATFORM_OFFSET
+
+    def _first_port(self):
+        return min(int(node.link.rsplit(":", 1)[1]) for node in self.nodes)
 
-    def _read_layout(self, services):
+    def _read_hosts(self):
+        parser = configparser.ConfigParser(strict=False)
+        parser.read(self.data / "hosts")
+        self.hosts = {section.split(" ", 1)[1]: parser[section]["address"]
+                      for section in parser.sections() if section.startswith("host ")}
+
+    def _read_targets(self, services):
         for path in sorted((self.data / "service").iterdir()):
             if services and path.name not in services:
                 continue
             parser = configparser.ConfigParser(strict=False)
             parser.read(path)
             for section in parser.sections():
-                if section.startswith("target "):
-                    self._add_host(section.split(" ", 1)[1], parser[section])
-        self.nodes.sort(key=lambda node: node.number)
+                if section.startswith("target ") and parser[section]["host"] in self.hosts:
+                    self._add_node(section.split(" ", 1)[1], parser[section])
+        self.nodes.sort(key=lambda node: int(node.link.rsplit(":", 1)[1]))
 
-    def _add_host(self, name, values):
-        link = values["gate"]
-        port = int(link.rsplit(":", 1)[1])
-        base = port // 100 * 100
-        number = port - base
-        self.base = base
-        target = Target(name, f"{LOCAL}:{base - 1000 + number}", f"{LOCAL}:{base - 800 + number}")
-        target.slots = int(values["slots"])
-        target.connections = int(values["connections"])
-        self.targets[name] = target
-        self.nodes.append(Node(number, values["host"], values["zone"], link, name, target.address, base))
+    def _add_node(self, name, values):
+        node = Node(values["host"], values["zone"], values["gate"], name)
+        self.nodes.append(node)
+        if self.with_targets:
+            self.targets[name] = Target(node, int(values["slots"]), int(values["connections"]))
 
     def __enter__(self):
         try:
@@ -233,7 +247,7 @@
         self.close()
 
     def start(self):
-        self.platform = Platform(self.data, self.work.name, self.tools, self.base - 2000)
+        self.platform = Platform(self.data, self.work.name, self.tools, self.platform_port)
         for target in self.targets.values():
             self.start_target(target)
         wait_until(lambda: self._answers(self.platform.address, "/manifest"), START_TIMEOUT_S, "platform answers")
