Add settings, event recorder, metrics, logging and the status report

The node needs its settings checked as a whole before anything is bound, and its events, counters and status readable by operators.

Settings are a table of keys, each row with its check, so that a key is described in one place; all faults are collected and sorted by line. Syntax faults come from the INI parser, which stops at its first one. Addresses are IPv4 numbers only: names would need a resolver, and a check must not accept what the node can't bind. The target's address must be on loopback, for the node is the only way to the target.

--- /dev/null
+++ b/include/dandelionfall/app/logging.h
@@ -0,0 +1,31 @@
+/// \file
+/// Structured logs on standard error, one line of `key=value` pairs an event.
+#ifndef DANDELIONFALL_APP_LOGGING_H
+#define DANDELIONFALL_APP_LOGGING_H
+
+#include "dandelionfall/core/event.h"
+
+#include <string>
+
+namespace dandelionfall::app {
+
+/// Starts logging to standard error. Nothing is logged before.
+/// \param Level the least severity that is written: debug, info, warning or
+/// error.
+void setUpLogging(const std::string &Level);
+
+/// Writes an event at its severity. Safe for use by several threads.
+/// \param Host the node's host name.
+/// \param Happened the event.
+void logEvent(const std::string &Host, const core::Event &Happened);
+
+/// Formats an event as it stands in a log line.
+/// \param Host the node's host name.
+/// \param Happened the event; its detail is quoted, and control characters in
+/// it are escaped.
+/// \returns `event=NUMBER name=NAME host=HOST detail="DETAIL"`.
+std::string formatEvent(const std::string &Host, const core::Event &Happened);
+
+} // namespace dandelionfall::app
+
+#endif // DANDELIONFALL_APP_LOGGING_H
--- /dev/null
+++ b/src/app/logging.cpp
@@ -0,0 +1,105 @@
+#include "dandelionfall/app/logging.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <memory>
+#include <utility>
+
+namespace dandelionfall::app {
+
+namespace {
+
+std::atomic<bool> LoggingStarted{false};
+
+// In the order of core::Severity.
+constexpr std::array SeverityLevels = {
+    log4cplus::DEBUG_LOG_LEVEL,
+    log4cplus::INFO_LOG_LEVEL,
+    log4cplus::WARN_LOG_LEVEL,
+    log4cplus::ERROR_LOG_LEVEL,
+};
+
+constexpr std::pair<const char *, log4cplus::LogLevel> LevelNames[] = {
+    {"debug", log4cplus::DEBUG_LOG_LEVEL},
+    {"info", log4cplus::INFO_LOG_LEVEL},
+    {"warning", log4cplus::WARN_LOG_LEVEL},
+    {"error", log4cplus::ERROR_LOG_LEVEL},
+};
+
+log4cplus::LogLevel levelOf(const std::string &Name) {
+  for (const auto &[Known, Level] : LevelNames) {
+    if (Name == Known)
+      return Level;
+  }
+  return log4cplus::INFO_LOG_LEVEL;
+}
+
+log4cplus::Logger &nodeLogger() {
+  static log4cplus::Logger Instance =
+      log4cplus::Logger::getInstance("dandelionfall");
+  return Instance;
+}
+
+std::string quote(const std::string &Text) {
+  std::string Quoted = "\"";
+  for (const char Character : Text) {
+    if (Character == '"' || Character == '\\') {
+      Quoted += '\\';
+      Quoted += Character;
+      continue;
+    }
+    constexpr unsigned char FirstPrintable = 0x20;
+    const auto Byte = static_cast<unsigned char>(Character);
+    if (Byte >= FirstPrintable && Byte != 0x7f) {
+      Quoted += Character;
+      continue;
+    }
+    char Escape[5];
+    std::snprintf(Escape, sizeof(Escape), "\\x%02x", Byte);
+    Quoted += Escape;
+  }
+  return Quoted + "\"";
+}
+
+} // namespace
+
+void setUpLogging(const std::string &Level) {
+  static const log4cplus::Initializer Library;
+  constexpr bool LogToStandardError = true;
+  constexpr bool FlushEachLine = true;
+  const log4cplus::SharedAppenderPtr Appender(
+      new log4cplus::ConsoleAppender(LogToStandardError, FlushEachLine));
+  Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      "time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n"));
+  log4cplus::Logger &Instance = nodeLogger();
+  Instance.removeAllAppenders();
+  Instance.setAdditivity(false);
+  Instance.addAppender(Appender);
+  Instance.setLogLevel(levelOf(Level));
+  LoggingStarted = true;
+}
+
+void logEvent(const std::string &Host, const core::Event &Happened) {
+  if (!LoggingStarted)
+    return;
+  const core::Severity Value = core::describe(Happened.m_Id).m_Severity;
+  const log4cplus::LogLevel Level =
+      SeverityLevels.at(static_cast<std::size_t>(Value));
+  const log4cplus::Logger &Instance = nodeLogger();
+  if (Instance.isEnabledFor(Level))
+    Instance.forcedLog(Level, formatEvent(Host, Happened));
+}
+
+std::string formatEvent(const std::string &Host, const core::Event &Happened) {
+  return "event=" + std::to_string(static_cast<std::uint16_t>(Happened.m_Id)) +
+         " name=" + std::string(core::describe(Happened.m_Id).m_Name) +
+         " host=" + Host + " detail=" + quote(Happened.m_Detail);
+}
+
+} // namespace dandelionfall::app
--- /dev/null
+++ b/src/app/status_report.cpp
@@ -0,0 +1,133 @@
+#include "dandelionfall/app/status_report.h"
+
+#include "dandelionfall/core/error.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <cstdio>
+
+namespace dandelionfall::app {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int Hexadecimal = 16;
+
+std::string formatDigest(core::Digest Value) {
+  char Buffer[17];
+  std::snprintf(Buffer, sizeof(Buffer), "%016llx",
+                static_cast<unsigned long long>(Value));
+  return Buffer;
+}
+
+core::Digest parseDigest(const std::string &Text) {
+  core::Digest Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto [Rest, Code] =
+      std::from_chars(Text.data(), End, Value, Hexadecimal);
+  if (Code != std::errc() || Rest != End)
+    throw core::Error(core::ErrorKind::MalformedMessage,
+                      "'" + Text + "' is no digest",
+                      "name the operator address of a node");
+  return Value;
+}
+
+std::string textOf(const std::string &Value) { return Value; }
+std::string textOf(bool Value) { return Value ? "yes" : "no"; }
+std::string textOf(std::uint32_t Value) { return std::to_string(Value); }
+std::string textOf(std::uint64_t Value) { return std::to_string(Value); }
+std::string textOf(const core::VersionStamp &Value) {
+  return std::to_string(Value.m_Version) + " (digest " +
+         formatDigest(Value.m_Digest) + ")";
+}
+
+template <typename Value> Json jsonOf(const Value &Field) { return Field; }
+Json jsonOf(const core::VersionStamp &Field) {
+  return Json{{"version", Field.m_Version},
+              {"digest", formatDigest(Field.m_Digest)}};
+}
+
+template <typename Value> void readJson(const Json &Source, Value &Field) {
+  Field = Source.get<Value>();
+}
+void readJson(const Json &Source, core::VersionStamp &Field) {
+  Field = {Source.at("version").get<core::Version>(),
+           parseDigest(Source.at("digest").get<std::string>())};
+}
+
+/// One field of the report.
+struct FieldRow {
+  const char *m_Key;
+  const char *m_Label;
+  Json (*m_ToJson)(const StatusReport &);
+  void (*m_FromJson)(const Json &, StatusReport &);
+  std::string (*m_ToText)(const StatusReport &);
+};
+
+template <auto Member>
+constexpr FieldRow makeField(const char *Key, const char *Label) {
+  return {Key, Label,
+          [](const StatusReport &Report) { return jsonOf(Report.*Member); },
+          [](const Json &Source, StatusReport &Report) {
+            readJson(Source, Report.*Member);
+          },
+          [](const StatusReport &Report) { return textOf(Report.*Member); }};
+}
+
+constexpr FieldRow Fields[] = {
+    makeField<&StatusReport::m_Host>("host", "host"),
+    makeField<&StatusReport::m_Zone>("zone", "availability zone"),
+    makeField<&StatusReport::m_Incarnation>("incarnation", "incarnation"),
+    makeField<&StatusReport::m_ProgramVersion>("program_version",
+                                               "program version"),
+    makeField<&StatusReport::m_Ready>("ready", "ready"),
+    makeField<&StatusReport::m_Draining>("draining", "draining"),
+    makeField<&StatusReport::m_Applied>("applied", "applied version"),
+    makeField<&StatusReport::m_Held>("held", "held version"),
+    makeField<&StatusReport::m_HostList>("host_list", "host list"),
+    makeField<&StatusReport::m_Reader>("reader", "reads the source"),
+    makeField<&StatusReport::m_SourceCalls>("source_calls", "source calls"),
+    makeField<&StatusReport::m_ControlLinks>("control_links", "control links"),
+    makeField<&StatusReport::m_ListedHosts>("listed_hosts", "listed hosts"),
+    makeField<&StatusReport::m_Target>("target", "target"),
+    makeField<&StatusReport::m_TargetLimit>("target_limit", "target limit"),
+    makeField<&StatusReport::m_TargetInFlight>("target_in_flight",
+                                               "target in flight"),
+    makeField<&StatusReport::m_TargetQueued>("target_queued", "target queued"),
+    makeField<&StatusReport::m_OpenCalls>("open_calls", "open calls"),
+};
+
+} // namespace
+
+std::string toJson(const StatusReport &Report) {
+  nlohmann::ordered_json Result;
+  for (const FieldRow &Row : Fields)
+    Result[Row.m_Key] = Row.m_ToJson(Report);
+  return Result.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) +
+         "\n";
+}
+
+StatusReport statusFromJson(const std::string &Text) {
+  try {
+    const Json Source = Json::parse(Text);
+    StatusReport Report;
+    for (const FieldRow &Row : Fields)
+      Row.m_FromJson(Source.at(Row.m_Key), Report);
+    return Report;
+  } catch (const Json::exception &Fault) {
+    throw core::Error(core::ErrorKind::MalformedMessage,
+                      "status can't be read: " + std::string(Fault.what()),
+                      "name the operator address of a node");
+  }
+}
+
+std::string toText(const StatusReport &Report) {
+  std::string Text;
+  for (const FieldRow &Row : Fields)
+    Text += std::string(Row.m_Label) + ": " + Row.m_ToText(Report) + "\n";
+  return Text;
+}
+
+} // namespace dandelionfall::app
--- /dev/null
+++ b/tests/unit/settings_test.cpp
@@ -0,0 +1,222 @@
+#include "dandelionfall/app/settings.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <string>
+#include <vector>
+
+using namespace dandelionfall;
+
+namespace {
+
+constexpr const char *GoodSettings = "[node]\n"                          // 1
+                                     "host = host-1\n"                   // 2
+                                     "zone = kalamaria\n"                // 3
+                                     "caller_address = 127.0.0.1:8001\n" // 4
+                                     "link_address = 127.0.0.1:8002\n"   // 5
+                                     "operator_address = 127.0.0.1:8003\n"
+                                     "[target]\n" // 7
+                                     "name = slotboard-1\n"
+                                     "address = 127.0.0.1:8004\n" // 9
+                                     "[source]\n"                 // 10
+                                     "address = 127.0.0.1:8005\n" // 11
+                                     "budget_calls_per_s = 2000\n"
+                                     "[overlay]\n" // 13
+                                     "seeds = 127.0.0.1:9002, 127.0.0.2:9002\n"
+                                     "assumed_hosts = 12\n" // 15
+                                     "holders = 2\n"
+                                     "[log]\n" // 17
+                                     "level = warning\n"
+                                     "trace_requests = true\n"; // 19
+
+struct EditCase {
+  const char *m_Name;
+  const char *m_Old;
+  const char *m_New;
+  int m_Line;
+  const char *m_Fault;
+  const char *m_Remedy;
+};
+
+constexpr EditCase EditCases[] = {
+    {"unknown key", "holders = 2", "holder = 2", 16, "unknown key 'holder'",
+     "seeds, assumed_hosts, holders"},
+    {"unknown section", "[overlay]", "[mesh]", 13, "unknown section [mesh]",
+     "[overlay]"},
+    {"named section", "[log]", "[log file]", 17, "unknown section [log file]",
+     "[log]"},
+    {"missing host", "host = host-1\n", "", 1, "host is missing",
+     "add host = NAME to [node]"},
+    {"missing availability zone", "zone = kalamaria\n", "", 1,
+     "availability zone is missing", "add zone = NAME to [node]"},
+    {"empty availability zone", "zone = kalamaria", "zone =", 3,
+     "'' is no valid name", "letters"},
+    {"missing caller address", "caller_address = 127.0.0.1:8001\n", "", 1,
+     "caller_address is missing", "add caller_address = IP:PORT to [node]"},
+    {"missing link address", "link_address = 127.0.0.1:8002\n", "", 1,
+     "link_address is missing", "IP:PORT"},
+    {"missing operator address", "operator_address = 127.0.0.1:8003\n", "", 1,
+     "operator_address is missing", "IP:PORT"},
+    {"missing source", "[source]\naddress = 127.0.0.1:8005\n", "[source]\n", 10,
+     "address is missing", "add address = IP:PORT to [source]"},
+    {"host name as an address", "127.0.0.1:8001", "localhost:8001", 4,
+     "'localhost:8001' is no valid address", "IPv4 number"},
+    {"address without port", "127.0.0.1:8001", "127.0.0.1", 4,
+     "no valid address", "IP:PORT"},
+    {"port 0", "127.0.0.1:8001", "127.0.0.1:0", 4, "no valid address",
+     "1 to 65535"},
+    {"port out of range", "127.0.0.1:8001", "127.0.0.1:65536", 4,
+     "no valid address", "1 to 65535"},
+    {"text behind the port", "127.0.0.1:8001", "127.0.0.1:8001x", 4,
+     "no valid address", "IP:PORT"},
+    {"short IP number", "127.0.0.1:8001", "127.1:8001", 4, "no valid address",
+     "IP:PORT"},
+    {"target not on loopback", "127.0.0.1:8004", "10.0.0.4:8004", 9,
+     "not on loopback", "127.0.0.0/8"},
+    {"target without a name", "name = slotboard-1\n", "", 7,
+     "target name is missing", "both name and address"},
+    {"target without an address", "address = 127.0.0.1:8004\n", "", 7,
+     "target address is missing", "both name and address"},
+    {"two settings with one address", "127.0.0.1:8003", "127.0.0.1:8001", 6,
+     "operator_address is the same as caller_address", "its own port"},
+    {"target at the node's own address", "127.0.0.1:8004", "127.0.0.1:8002", 9,
+     "target address is the same as link_address", "its own port"},
+    {"bad seed", "127.0.0.2:9002", "seed-2:9002", 14,
+     "'seed-2:9002' is no valid address", "IP:PORT"},
+    {"empty seed", "127.0.0.2:9002", "", 14, "'' is no valid address",
+     "IP:PORT"},
+    {"no hosts assumed", "assumed_hosts = 12", "assumed_hosts = 0", 15,
+     "'0' is out of range", "from 1 to 1000000"},
+    {"too many holders", "holders = 2", "holders = 17", 16,
+     "'17' is out of range", "from 0 to 16"},
+    {"negative number", "holders = 2", "holders = -1", 16,
+     "'-1' is out of range", "from 0 to 16"},
+    {"budget of nothing", "budget_calls_per_s = 2000", "budget_calls_per_s = 0",
+     12, "'0' is out of range", "above 0"},
+    {"budget that is no number", "budget_calls_per_s = 2000",
+     "budget_calls_per_s = nan", 12, "'nan' is out of range", "above 0"},
+    {"unknown log level", "level = warning", "level = loud", 18,
+     "unknown log level 'loud'", "debug, info, warning or error"},
+    {"neither true nor false", "trace_requests = true", "trace_requests = 1",
+     19, "neither true nor false", "true or false"},
+    {"line without a value", "holders = 2", "holders", 16, "'='",
+     "key = value"},
+    {"duplicate key", "holders = 2", "seeds =", 16, "duplicate key",
+     "each name once"},
+    {"duplicate section", "[log]", "[node]", 17, "duplicate section",
+     "each name once"},
+    {"key before all sections", "[node]", "level = info\n[node]", 1,
+     "key outside a section", "[section]"},
+};
+
+std::string edit(const EditCase &Case) {
+  std::string Text = GoodSettings;
+  const std::size_t Position = Text.find(Case.m_Old);
+  REQUIRE(Position != std::string::npos);
+  return Text.replace(Position, std::string(Case.m_Old).size(), Case.m_New);
+}
+
+bool contains(const std::string &Text, const std::string &Wanted) {
+  return Text.find(Wanted) != std::string::npos;
+}
+
+/// A file that is removed at the end of its scope.
+class ScopedFile {
+public:
+  explicit ScopedFile(const std::string &Text) {
+    std::FILE *Stream = std::fopen(m_Name.c_str(), "w");
+    REQUIRE(Stream != nullptr);
+    std::fwrite(Text.data(), 1, Text.size(), Stream);
+    std::fclose(Stream);
+  }
+  ~ScopedFile() { std::remove(m_Name.c_str()); }
+  ScopedFile(const ScopedFile &) = delete;
+  ScopedFile &operator=(const ScopedFile &) = delete;
+  const std::string &name() const { return m_Name; }
+
+private:
+  std::string m_Name = "settings_test.ini";
+};
+
+} // namespace
+
+TEST_CASE("settings are read with every key") {
+  app::Settings Result;
+  CHECK(app::checkSettings(GoodSettings, "node.ini", Result).empty());
+  const app::Settings Wanted{
+      .m_Host = "host-1",
+      .m_Zone = "kalamaria",
+      .m_CallerAddress = "127.0.0.1:8001",
+      .m_LinkAddress = "127.0.0.1:8002",
+      .m_OperatorAddress = "127.0.0.1:8003",
+      .m_TargetName = "slotboard-1",
+      .m_TargetAddress = "127.0.0.1:8004",
+      .m_SourceAddress = "127.0.0.1:8005",
+      .m_SourceBudget = 2000,
+      .m_Seeds = {"127.0.0.1:9002", "127.0.0.2:9002"},
+      .m_AssumedHosts = 12,
+      .m_Holders = 2,
+      .m_LogLevel = "warning",
+      .m_TraceRequests = true,
+  };
+  CHECK(Result == Wanted);
+}
+
+TEST_CASE("each fault of the settings names file, line, fault and remedy") {
+  for (const EditCase &Case : EditCases) {
+    CAPTURE(std::string(Case.m_Name));
+    app::Settings Result;
+    const std::vector<core::Error> Faults =
+        app::checkSettings(edit(Case), "node.ini", Result);
+    REQUIRE(Faults.size() == 1);
+    const core::Error &Fault = Faults.front();
+    CAPTURE(std::string(Fault.what()));
+    CHECK(Fault.kind() == core::ErrorKind::BadSettings);
+    CHECK(core::describe(Fault.kind()).m_ExitCode == 4);
+    CHECK(Fault.location() == core::SourceLocation{"node.ini", Case.m_Line});
+    CHECK(contains(Fault.fault(), Case.m_Fault));
+    CHECK(contains(Fault.remedy(), Case.m_Remedy));
+    CHECK(contains(Fault.what(),
+                   "node.ini:" + std::to_string(Case.m_Line) + ": "));
+    CHECK_FALSE(contains(Fault.what(), "\n"));
+    CHECK(Result == app::Settings{});
+  }
+}
+
+TEST_CASE("all faults of the settings are found in one go") {
+  app::Settings Result;
+  const std::vector<core::Error> Faults =
+      app::checkSettings("[node]\nhost = a b\ncaller_address = here\n"
+                         "[target]\naddress = 10.0.0.1:1\n[extra]\n"
+                         "[log]\nlevel = 5\ncolour = red\n",
+                         "node.ini", Result);
+  std::vector<int> Lines;
+  Lines.reserve(Faults.size());
+  for (const core::Error &Fault : Faults)
+    Lines.push_back(Fault.location().m_Line);
+  // Line 1: zone, link_address, operator_address and the source are missing.
+  CHECK(Lines == std::vector<int>{1, 1, 1, 1, 2, 3, 4, 5, 6, 8, 9});
+}
+
+TEST_CASE("a settings file that can't be read is named with a remedy") {
+  for (const char *Name : {"no-such-directory/node.ini", "."}) {
+    CAPTURE(std::string(Name));
+    try {
+      app::readSettings(Name);
+      FAIL("accepted");
+    } catch (const core::Error &Fault) {
+      CHECK(Fault.kind() == core::ErrorKind::UnreadableFile);
+      CHECK(core::describe(Fault.kind()).m_ExitCode == 3);
+      CHECK(Fault.location().m_File == Name);
+      CHECK_FALSE(Fault.remedy().empty());
+    }
+  }
+}
+
+TEST_CASE("a settings file is read, and its first fault thrown") {
+  const ScopedFile Good(GoodSettings);
+  CHECK(app::readSettings(Good.name()).m_Host == "host-1");
+  const ScopedFile Bad("[node]\nhost = host-1\n");
+  CHECK_THROWS_AS(app::readSettings(Bad.name()), core::Error);
+}
--- /dev/null
+++ b/tests/unit/status_report_test.cpp
@@ -0,0 +1,68 @@
+#include "dandelionfall/app/status_report.h"
+
+#include "dandelionfall/core/error.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace dandelionfall;
+
+namespace {
+
+app::StatusReport sample() {
+  return {.m_Host = "host-1",
+          .m_Zone = "sindos",
+          .m_Incarnation = "00000000000000010000000000000002",
+          .m_ProgramVersion = "0.1.0",
+          .m_Held = {8, 0xfedcba9876543210},
+          .m_Applied = {7, 0x1},
+          .m_HostList = {3, 0x2},
+          .m_Ready = true,
+          .m_Draining = false,
+          .m_Reader = true,
+          .m_ControlLinks = 8,
+          .m_ListedHosts = 12,
+          .m_SourceCalls = 99,
+          .m_Target = "slotboard-1",
+          .m_TargetLimit = 12,
+          .m_TargetInFlight = 4,
+          .m_TargetQueued = 1,
+          .m_OpenCalls = 5};
+}
+
+} // namespace
+
+TEST_CASE("a status report survives the way through JSON") {
+  CHECK(app::statusFromJson(app::toJson(sample())) == sample());
+  CHECK(app::statusFromJson(app::toJson({})) == app::StatusReport{});
+}
+
+TEST_CASE("a status report as text names version, readiness and limits") {
+  const std::string Text = app::toText(sample());
+  for (const char *Line :
+       {"applied version: 7 (digest 0000000000000001)\n", "ready: yes\n",
+        "draining: no\n", "control links: 8\n", "target limit: 12\n",
+        "availability zone: sindos\n"}) {
+    CAPTURE(Line);
+    CHECK(Text.find(Line) != std::string::npos);
+  }
+}
+
+TEST_CASE("a malformed status report is refused with a remedy") {
+  std::string BadDigest = app::toJson(sample());
+  BadDigest.replace(BadDigest.find("fedcba"), 6, "fedcbx");
+  std::string BadType = app::toJson(sample());
+  BadType.replace(BadType.find("true"), 4, "1.50");
+  for (const std::string &Text : {std::string(), std::string("[]"),
+                                  std::string("{}"), BadDigest, BadType}) {
+    CAPTURE(Text);
+    try {
+      app::statusFromJson(Text);
+      FAIL("accepted");
+    } catch (const core::Error &Fault) {
+      CHECK(Fault.kind() == core::ErrorKind::MalformedMessage);
+      CHECK_FALSE(Fault.remedy().empty());
+    }
+  }
+}
