--- /dev/null
+++ b/tests/system/checks.py
@@ -0,0 +1,39 @@
+"""Checks of what must always hold, from the nodes' time lines, the targets' counts and the callers' answers."""
+import re
+
+CONFIGURATION_APPLIED = 201
+
+
+class Observer:
+    """Keeps each node's events across its restarts."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.applied = {}
+
+    def read(self):
+        """Takes the events of every node that answers; call it before a node is killed as well."""
+        for node in self.fleet.running():
+            status = node.status()
+            if status is None:
+                continue
+            versions = [version_of(event) for event in node.timeline()
+                        if event["event"] == CONFIGURATION_APPLIED]
+            self.applied.setdefault((node.host, status["incarnation"]), [])
+            self.applied[(node.host, status["incarnation"])] = versions
+
+    def steps_back(self):
+        """Process starts during which an applied version was not above the one before."""
+        return [key for key, versions in self.applied.items()
+                if any(later <= earlier for earlier, later in zip(versions, versions[1:]))]
+
+
+def version_of(event):
+    match = re.search(r"version=(\d+)", event["detail"])
+    return int(match.group(1)) if match else 0
+
+
+def overloaded(counters):
+    """Targets that were given more than they can bear."""
+    return [name for name, values in counters.items()
+            if values["over_slots"] or values["over_cold_limit"] or values["connections_refused"]]
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -8,11 +8,14 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import tempfile
 import time
 
+from relay import Relays
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 START_TIMEOUT_S = 15
 LOCAL = "127.0.0.1"
@@ -22,6 +25,7 @@
 TARGET_OFFSET = -1000
 TARGET_ADMIN_OFFSET = -800
 PLATFORM_OFFSET = -2000
+RELAY_OFFSET = 400
 
 
 class FleetError(Exception):
@@ -193,7 +197,7 @@
     """A deployment of the published data under tests/standin/data, or of another directory like them."""
 
     def __init__(self, deployment="thessaloniki", services=None, directory=None, targets=True, holders=2,
-                 settings=None, target_options=None, platform_port=None):
+                 settings=None, target_options=None, platform_port=None, relays=False):
         self.build = pathlib.Path(os.environ.get("DANDELIONFALL_BUILD", ROOT / "build"))
         self.tools = self.build / "tests" / "standin"
         self.data = pathlib.Path(directory or ROOT / "tests" / "standin" / "data" / deployment)
@@ -208,6 +212,35 @@
         self._read_hosts()
         self._read_targets(services)
         self.platform_port = platform_port or self._first_port() // 100 * 100 + PLATFORM_OFFSET
+        self.relays = None
+        if relays:
+            self._insert_relays()
+
+    def _insert_relays(self):
+        """Publishes the relays' addresses in place of the nodes' own."""
+        ports = {}
+        for node in self.nodes:
+            port = int(node.link.rsplit(":", 1)[1])
+            ports[port] = port + RELAY_OFFSET
+        published = pathlib.Path(self.work.name) / "published"
+        shutil.copytree(self.data, published)
+        for path in [published / "hosts", *(published / "service").iterdir()]:
+            text = path.read_text(encoding="utf-8")
+            for port, relay in ports.items():
+                text = text.replace(f"{LOCAL}:{port}\n", f"{LOCAL}:{relay}\n")
+            path.chmod(0o644)
+            path.write_text(text, encoding="utf-8")
+        self.data = published
+        self.relays = Relays(ports)
+
+    def relay(self, node):
+        return self.relays.relays[int(node.link.rsplit(":", 1)[1])]
+
+    def published_address(self, node):
+        """Where other nodes reach a node's link address."""
+        if self.relays is None:
+            return node.link
+        return f"{LOCAL}:{self.relay(node).port}"
 
     def _first_port(self):
         return min(int(node.link.rsplit(":", 1)[1]) for node in self.nodes)
@@ -261,7 +294,7 @@
             *self.target_options], self.work.name)
 
     def write_settings(self, node):
-        seeds = [other.link for other in self.nodes if other is not node][:4]
+        seeds = [self.published_address(other) for other in self.nodes if other is not node][:4]
         sections = {
             "node": {"host": node.host, "zone": node.zone, "caller_address": node.caller,
                      "link_address": node.link, "operator_address": node.operator},
@@ -328,6 +361,8 @@
                 target.process.kill()
         if self.platform is not None and self.platform.process.alive():
             self.platform.process.kill()
+        if self.relays is not None:
+            self.relays.close()
         self.work.cleanup()
 
 
--- /dev/null
+++ b/tests/system/relay.py
@@ -0,0 +1,112 @@
+"""A relay before each node's link address, which can lose track of connections or cut them.
+
+In mode `ok` bytes pass. `silence` stops what is open for good, without closing it, while new connections work.
+`cut` closes everything and refuses new connections until `ok` is set again.
+"""
+import asyncio
+import contextlib
+import threading
+
+CHUNK_BYTES = 65536
+
+
+class Relay:
+    """Listens at one port and passes connections on to another."""
+
+    def __init__(self, loop, port, target_port):
+        self.loop = loop
+        self.port = port
+        self.target_port = target_port
+        self.pairs = set()
+        self.refusing = False
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", self.port)
+
+    async def _accept(self, reader, writer):
+        if self.refusing:
+            writer.close()
+            return
+        try:
+            other_reader, other_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
+        except OSError:
+            writer.close()
+            return
+        pair = Pair(writer, other_writer)
+        self.pairs.add(pair)
+        await asyncio.gather(pair.pass_on(reader, other_writer), pair.pass_on(other_reader, writer))
+        self.pairs.discard(pair)
+
+    def silence(self):
+        """Loses track of all open connections for good."""
+        self.loop.call_soon_threadsafe(self._silence)
+
+    def _silence(self):
+        for pair in self.pairs:
+            pair.silent = True
+
+    def cut(self):
+        self.loop.call_soon_threadsafe(self._cut)
+
+    def _cut(self):
+        self.refusing = True
+        for pair in list(self.pairs):
+            pair.close()
+
+    def heal(self):
+        self.refusing = False
+
+    def stop(self):
+        self.server.close()
+        self._cut()
+
+
+class Pair:
+    """One connection and its continuation."""
+
+    def __init__(self, *writers):
+        self.writers = writers
+        self.silent = False
+
+    async def pass_on(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            while True:
+                data = await reader.read(CHUNK_BYTES)
+                if self.silent:
+                    # The bytes vanish and so does the end of the stream: neither side learns of it.
+                    await asyncio.Event().wait()
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+        self.close()
+
+    def close(self):
+        for writer in self.writers:
+            with contextlib.suppress(OSError, RuntimeError):
+                writer.close()
+
+
+class Relays:
+    """All relays of a fleet, on a thread of their own."""
+
+    def __init__(self, ports):
+        self.loop = asyncio.new_event_loop()
+        self.relays = {target: Relay(self.loop, port, target) for target, port in ports.items()}
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        for relay in self.relays.values():
+            asyncio.run_coroutine_threadsafe(relay.start(), self.loop).result(5)
+
+    def close(self):
+        self.loop.call_soon_threadsafe(self._stop)
+        self.thread.join(5)
+        self.loop.close()
+
+    def _stop(self):
+        for relay in self.relays.values():
+            relay.stop()
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.loop.call_later(0.1, self.loop.stop)
