Read the settings through the shared INI key tables

Settings had parsers of their own for addresses, numbers and words, which now stand once in core::ini_fields; each section is a table of keys, and the sections are a table too. Address comparison and the loopback check use net::parseEndpoint, so IPv6 numbers in brackets work as they do when bound.

--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -1,14 +1,16 @@
 #include "dandelionfall/app/settings.h"
 
-#include "app/endpoint.h"
 #include "app/file_reader.h"
 #include "dandelionfall/core/ini_document.h"
+#include "dandelionfall/core/ini_fields.h"
+#include "dandelionfall/net/address.h"
+
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <map>
-#include <optional>
+#include <span>
 
 namespace dandelionfall::app {
 
@@ -16,28 +18,17 @@
 
 using core::Error;
 using core::ErrorKind;
+using core::FaultList;
 using core::IniEntry;
 using core::IniSection;
-
-/// What is wrong with a value and what to write instead.
-struct ValueFault {
-  std::string m_Fault;
-  std::string m_Remedy;
-};
-
-using ValueCheck = std::optional<ValueFault>;
-
-/// One key of the settings file.
-struct KeyRow {
-  std::string_view m_Section;
-  std::string_view m_Key;
-  bool m_Required;
-  ValueCheck (*m_Set)(Settings &, const std::string &);
-};
+using core::IniSource;
+using core::KeyHandler;
+using core::NamedValue;
 
 constexpr std::size_t MaxNameLength = 253;
 constexpr std::uint32_t MaxAssumedHosts = 1'000'000;
 constexpr std::uint32_t MaxHolders = 16;
+constexpr double MinSourceBudget = 0.001;
 constexpr double MaxSourceBudget = 1'000'000;
 constexpr std::size_t MaxSeeds = 64;
 
@@ -50,285 +41,242 @@
 }
 
 template <std::string Settings::*Member>
-ValueCheck setName(Settings &Result, const std::string &Value) {
+void setName(Settings &Result, const IniEntry &Entry, const IniSource &Source) {
+  const std::string &Value = Entry.m_Value;
   if (Value.empty() || Value.size() > MaxNameLength ||
       !std::all_of(Value.begin(), Value.end(), isNameCharacter))
-    return ValueFault{"'" + Value + "' is no valid name",
-                      "write 1 to " + std::to_string(MaxNameLength) +
-                          " letters, digits, '.', '-' or '_'"};
+    throw Source.makeFault("'" + Value + "' is no valid " + Entry.m_Key,
+                           "write 1 to " + std::to_string(MaxNameLength) +
+                               " letters, digits, '.', '-' or '_'",
+                           Entry.m_Line);
   Result.*Member = Value;
-  return std::nullopt;
-}
-
-ValueFault badAddress(const std::string &Value) {
-  return {"'" + Value + "' is no valid address",
-          "write IP:PORT with an IPv4 number and a port from 1 to 65535, such "
-          "as 127.0.0.1:8080"};
 }
 
 template <std::string Settings::*Member>
-ValueCheck setAddress(Settings &Result, const std::string &Value) {
-  if (!parseEndpoint(Value))
-    return badAddress(Value);
-  Result.*Member = Value;
-  return std::nullopt;
+void setAddress(Settings &Result, const IniEntry &Entry,
+                const IniSource &Source) {
+  Result.*Member = core::parseAddress(Entry, Source);
 }
 
-ValueCheck setTargetAddress(Settings &Result, const std::string &Value) {
-  const std::optional<Endpoint> Parsed = parseEndpoint(Value);
-  if (!Parsed)
-    return badAddress(Value);
-  if (!isLoopback(*Parsed))
-    return ValueFault{"target address '" + Value + "' is not on loopback",
-                      "let the target listen on 127.0.0.0/8, so that the node "
-                      "is the only way to it"};
+void setTargetAddress(Settings &Result, const IniEntry &Entry,
+                      const IniSource &Source) {
+  const std::string Value = core::parseAddress(Entry, Source);
+  if (!net::parseEndpoint(Value).address().is_loopback())
+    throw Source.makeFault("target address '" + Value + "' is not on loopback",
+                           "let the target listen on a loopback address, so "
+                           "that the node is the only way to it",
+                           Entry.m_Line);
   Result.m_TargetAddress = Value;
-  return std::nullopt;
 }
 
-ValueCheck setSeeds(Settings &Result, const std::string &Value) {
+void setSeeds(Settings &Result, const IniEntry &Entry,
+              const IniSource &Source) {
+  std::vector<std::string> Texts;
+  if (!Entry.m_Value.empty())
+    boost::algorithm::split(Texts, Entry.m_Value,
+                            [](char Character) { return Character == ','; });
+  if (Texts.size() > MaxSeeds)
+    throw Source.makeFault(std::to_string(Texts.size()) + " seeds are too many",
+                           "name at most " + std::to_string(MaxSeeds) +
+                               "; a few suffice",
+                           Entry.m_Line);
   std::vector<std::string> Seeds;
-  std::size_t Begin = 0;
-  while (Begin <= Value.size() && !Value.empty()) {
-    const std::size_t Comma = std::min(Value.find(',', Begin), Value.size());
-    std::string Seed = Value.substr(Begin, Comma - Begin);
-    Seed.erase(0, Seed.find_first_not_of(" \t"));
-    Seed.erase(Seed.find_last_not_of(" \t") + 1);
-    if (!parseEndpoint(Seed))
-      return badAddress(Seed);
-    Seeds.push_back(std::move(Seed));
-    Begin = Comma + 1;
+  Seeds.reserve(Texts.size());
+  for (const std::string &Text : Texts) {
+    const IniEntry Seed{Entry.m_Key, boost::algorithm::trim_copy(Text),
+                        Entry.m_Line};
+    Seeds.push_back(core::parseAddress(Seed, Source));
   }
-  if (Seeds.size() > MaxSeeds)
-    return ValueFault{std::to_string(Seeds.size()) + " seeds are too many",
-                      "name at most " + std::to_string(MaxSeeds) +
-                          "; a few suffice"};
   Result.m_Seeds = std::move(Seeds);
-  return std::nullopt;
 }
 
-template <typename Number>
-std::optional<Number> parseNumber(const std::string &Value) {
-  Number Parsed{};
-  const char *End = Value.data() + Value.size();
-  const auto [Rest, Code] = std::from_chars(Value.data(), End, Parsed);
-  if (Code != std::errc() || Rest != End)
-    return std::nullopt;
-  return Parsed;
+template <auto Member, auto Least, auto Most>
+void setNumber(Settings &Result, const IniEntry &Entry,
+               const IniSource &Source) {
+  Result.*Member = core::parseNumber(Entry, Source, Least, Most);
 }
 
-template <std::uint32_t Settings::*Member, std::uint32_t Least,
-          std::uint32_t Most>
-ValueCheck setNumber(Settings &Result, const std::string &Value) {
-  const auto Parsed = parseNumber<std::uint32_t>(Value);
-  if (!Parsed || *Parsed < Least || *Parsed > Most)
-    return ValueFault{"'" + Value + "' is out of range",
-                      "write a whole number from " + std::to_string(Least) +
-                          " to " + std::to_string(Most)};
-  Result.*Member = *Parsed;
-  return std::nullopt;
+void setLogLevel(Settings &Result, const IniEntry &Entry,
+                 const IniSource &Source) {
+  constexpr NamedValue<std::string_view> Levels[] = {{"debug", "debug"},
+                                                     {"info", "info"},
+                                                     {"warning", "warning"},
+                                                     {"error", "error"}};
+  Result.m_LogLevel = core::parseName(Entry, Source, Levels);
 }
 
-ValueCheck setBudget(Settings &Result, const std::string &Value) {
-  const auto Parsed = parseNumber<double>(Value);
-  if (!Parsed || !(*Parsed > 0) || *Parsed > MaxSourceBudget)
-    return ValueFault{"'" + Value + "' is out of range",
-                      "write calls a second above 0 and up to 1000000"};
-  Result.m_SourceBudget = *Parsed;
-  return std::nullopt;
+void setTraceRequests(Settings &Result, const IniEntry &Entry,
+                      const IniSource &Source) {
+  constexpr NamedValue<bool> Words[] = {{"true", true}, {"false", false}};
+  Result.m_TraceRequests = core::parseName(Entry, Source, Words);
 }
 
-ValueCheck setLogLevel(Settings &Result, const std::string &Value) {
-  constexpr std::array<std::string_view, 4> Levels = {"debug", "info",
-                                                      "warning", "error"};
-  if (std::find(Levels.begin(), Levels.end(), Value) == Levels.end())
-    return ValueFault{"unknown log level '" + Value + "'",
-                      "write debug, info, warning or error"};
-  Result.m_LogLevel = Value;
-  return std::nullopt;
-}
-
-ValueCheck setTraceRequests(Settings &Result, const std::string &Value) {
-  if (Value != "true" && Value != "false")
-    return ValueFault{"'" + Value + "' is neither true nor false",
-                      "write true or false"};
-  Result.m_TraceRequests = Value == "true";
-  return std::nullopt;
-}
+constexpr KeyHandler<Settings> NodeKeys[] = {
+    {"host", setName<&Settings::m_Host>},
+    {"zone", setName<&Settings::m_Zone>},
+    {"caller_address", setAddress<&Settings::m_CallerAddress>},
+    {"link_address", setAddress<&Settings::m_LinkAddress>},
+    {"operator_address", setAddress<&Settings::m_OperatorAddress>},
+};
+constexpr std::string_view RequiredNodeKeys[] = {
+    "host", "zone", "caller_address", "link_address", "operator_address"};
 
-constexpr KeyRow Keys[] = {
-    {"node", "host", true, setName<&Settings::m_Host>},
-    {"node", "zone", true, setName<&Settings::m_Zone>},
-    {"node", "caller_address", true, setAddress<&Settings::m_CallerAddress>},
-    {"node", "link_address", true, setAddress<&Settings::m_LinkAddress>},
-    {"node", "operator_address", true,
-     setAddress<&Settings::m_OperatorAddress>},
-    {"target", "name", false, setName<&Settings::m_TargetName>},
-    {"target", "address", false, setTargetAddress},
-    {"source", "address", true, setAddress<&Settings::m_SourceAddress>},
-    {"source", "budget_calls_per_s", false, setBudget},
-    {"overlay", "seeds", false, setSeeds},
-    {"overlay", "assumed_hosts", false,
-     setNumber<&Settings::m_AssumedHosts, 1, MaxAssumedHosts>},
-    {"overlay", "holders", false,
-     setNumber<&Settings::m_Holders, 0, MaxHolders>},
-    {"log", "level", false, setLogLevel},
-    {"log", "trace_requests", false, setTraceRequests},
+constexpr KeyHandler<Settings> TargetKeys[] = {
+    {"name", setName<&Settings::m_TargetName>},
+    {"address", setTargetAddress},
 };
+constexpr std::string_view RequiredTargetKeys[] = {"name", "address"};
 
-/// Collects the faults of one settings text.
-class SettingsChecker {
-public:
-  explicit SettingsChecker(const std::string &File) : m_File(File) {}
-
-  void check(std::string_view Text) {
-    core::IniDocument Document;
-    try {
-      Document = core::parseIni(Text, m_File, ErrorKind::BadSettings);
-    } catch (const Error &Fault) {
-      m_Faults.push_back(Fault);
-      return;
-    }
-    for (const IniSection &Section : Document.m_Sections)
-      checkSection(Section);
-    refuseMissingKeys();
-    refuseHalfTarget();
-    refuseSharedAddresses();
-    std::stable_sort(m_Faults.begin(), m_Faults.end(),
-                     [](const Error &Left, const Error &Right) {
-                       return Left.location().m_Line < Right.location().m_Line;
-                     });
-  }
+constexpr KeyHandler<Settings> SourceKeys[] = {
+    {"address", setAddress<&Settings::m_SourceAddress>},
+    {"budget_calls_per_s",
+     setNumber<&Settings::m_SourceBudget, MinSourceBudget, MaxSourceBudget>},
+};
+constexpr std::string_view RequiredSourceKeys[] = {"address"};
 
-  const Settings &result() const { return m_Result; }
-  std::vector<Error> takeFaults() { return std::move(m_Faults); }
+constexpr KeyHandler<Settings> OverlayKeys[] = {
+    {"seeds", setSeeds},
+    {"assumed_hosts",
+     setNumber<&Settings::m_AssumedHosts, std::uint32_t{1}, MaxAssumedHosts>},
+    {"holders", setNumber<&Settings::m_Holders, std::uint32_t{0}, MaxHolders>},
+};
 
-private:
-  void refuse(const std::string &Fault, const std::string &Remedy, int Line) {
-    m_Faults.emplace_back(ErrorKind::BadSettings, Fault, Remedy,
-                          core::SourceLocation{m_File, Line});
-  }
+constexpr KeyHandler<Settings> LogKeys[] = {
+    {"level", setLogLevel},
+    {"trace_requests", setTraceRequests},
+};
 
-  void checkSection(const IniSection &Section) {
-    std::string Known;
-    for (const KeyRow &Row : Keys) {
-      if (Row.m_Section == Section.m_Type)
-        Known += (Known.empty() ? "" : ", ") + std::string(Row.m_Key);
-    }
-    if (Known.empty() || !Section.m_Name.empty()) {
-      const std::string Title = Section.m_Name.empty()
-                                    ? Section.m_Type
-                                    : Section.m_Type + " " + Section.m_Name;
-      refuse("unknown section [" + Title + "]",
-             "use [node], [target], [source], [overlay] or [log]",
-             Section.m_Line);
-      return;
-    }
-    m_SectionLines[Section.m_Type] = Section.m_Line;
-    for (const IniEntry &Entry : Section.m_Entries)
-      checkEntry(Section, Entry, Known);
-  }
+/// A section of the settings.
+struct SectionRow {
+  std::string_view m_Name;
+  /// Whether the file must have it.
+  bool m_Required;
+  std::span<const std::string_view> m_RequiredKeys;
+  void (*m_Read)(Settings &, const IniSection &, const IniSource &,
+                 FaultList &);
+};
 
-  void checkEntry(const IniSection &Section, const IniEntry &Entry,
-                  const std::string &Known) {
-    for (const KeyRow &Row : Keys) {
-      if (Row.m_Section != Section.m_Type || Row.m_Key != Entry.m_Key)
-        continue;
-      m_KeyLines[&Row] = Entry.m_Line;
-      const ValueCheck Fault = Row.m_Set(m_Result, Entry.m_Value);
-      if (Fault)
-        refuse(Entry.m_Key + ": " + Fault->m_Fault, Fault->m_Remedy,
-               Entry.m_Line);
-      return;
-    }
-    refuse("unknown key '" + Entry.m_Key + "' in [" + Section.m_Type + "]",
-           "use one of: " + Known, Entry.m_Line);
-  }
+template <const auto &Handlers>
+void readSection(Settings &Result, const IniSection &Section,
+                 const IniSource &Source, FaultList &Faults) {
+  core::readEntries(Result, Section, Source, Handlers, Faults);
+}
 
-  int sectionLine(std::string_view Section) const {
-    const auto Found = m_SectionLines.find(Section);
-    return Found == m_SectionLines.end() ? 1 : Found->second;
-  }
+constexpr SectionRow Sections[] = {
+    {"node", true, RequiredNodeKeys, readSection<NodeKeys>},
+    {"target", false, RequiredTargetKeys, readSection<TargetKeys>},
+    {"source", true, RequiredSourceKeys, readSection<SourceKeys>},
+    {"overlay", false, {}, readSection<OverlayKeys>},
+    {"log", false, {}, readSection<LogKeys>},
+};
 
-  void refuseMissingKeys() {
-    for (const KeyRow &Row : Keys) {
-      if (!Row.m_Required || m_KeyLines.contains(&Row))
-        continue;
-      const std::string Key(Row.m_Key);
-      const std::string Section(Row.m_Section);
-      const std::string What =
-          Key == "zone" ? "availability zone is missing" : Key + " is missing";
-      std::string Remedy = "add " + Key + " = ";
-      Remedy += Key.ends_with("address") ? "IP:PORT" : "NAME";
-      Remedy += " to [" + Section + "]";
-      refuse(What, Remedy, sectionLine(Section));
-    }
+const SectionRow *findRow(const IniSection &Section) {
+  for (const SectionRow &Row : Sections) {
+    if (Row.m_Name == Section.m_Type && Section.m_Name.empty())
+      return &Row;
   }
+  return nullptr;
+}
 
-  int keyLine(std::string_view Section, std::string_view Key) const {
-    for (const auto &[Row, Line] : m_KeyLines) {
-      if (Row->m_Section == Section && Row->m_Key == Key)
-        return Line;
-    }
-    return 0;
+const IniSection *findSection(const core::IniDocument &Document,
+                              std::string_view Name) {
+  for (const IniSection &Section : Document.m_Sections) {
+    if (Section.m_Type == Name && Section.m_Name.empty())
+      return &Section;
   }
+  return nullptr;
+}
 
-  void refuseHalfTarget() {
-    const int NameLine = keyLine("target", "name");
-    const int AddressLine = keyLine("target", "address");
-    if ((NameLine == 0) == (AddressLine == 0))
-      return;
-    const std::string Missing = NameLine == 0 ? "name" : "address";
-    refuse("target " + Missing + " is missing",
-           "give the target both name and address, or leave [target] out",
-           sectionLine("target"));
-  }
+Error makeUnknownSectionFault(const IniSection &Section,
+                              const IniSource &Source) {
+  const std::string Title = Section.m_Name.empty()
+                                ? Section.m_Type
+                                : Section.m_Type + " " + Section.m_Name;
+  std::string Known;
+  for (const SectionRow &Row : Sections)
+    Known.append(Known.empty() ? "" : ", ").append(Row.m_Name);
+  return Source.makeFault("unknown section [" + Title + "]",
+                          "use one of: " + Known, Section.m_Line);
+}
 
-  void refuseSharedAddresses() {
-    const std::pair<const char *, const std::string *> Addresses[] = {
-        {"caller_address", &m_Result.m_CallerAddress},
-        {"link_address", &m_Result.m_LinkAddress},
-        {"operator_address", &m_Result.m_OperatorAddress},
-        {"target address", &m_Result.m_TargetAddress},
-        {"source address", &m_Result.m_SourceAddress},
-    };
-    std::map<Endpoint, std::string> Seen;
-    for (const auto &[Name, Address] : Addresses) {
-      const std::optional<Endpoint> Parsed = parseEndpoint(*Address);
-      if (!Parsed)
-        continue;
-      const auto [Other, Fresh] = Seen.emplace(*Parsed, Name);
-      if (Fresh)
-        continue;
-      refuse(std::string(Name) + " is the same as " + Other->second + ", " +
-                 *Address,
-             "give each its own port", addressLine(Name));
-    }
+// A section that is absent altogether is reported at the first line.
+void checkRequiredKeys(const core::IniDocument &Document,
+                       const IniSource &Source, FaultList &Faults) {
+  for (const SectionRow &Row : Sections) {
+    const IniSection Absent{std::string(Row.m_Name), "", 1, {}};
+    const IniSection *Section = findSection(Document, Row.m_Name);
+    if (Section == nullptr && !Row.m_Required)
+      continue;
+    core::requireKeys(Section == nullptr ? Absent : *Section, Source,
+                      Row.m_RequiredKeys, Faults);
   }
+}
 
-  int addressLine(const std::string &Name) const {
-    const std::size_t Space = Name.find(' ');
-    if (Space == std::string::npos)
-      return keyLine("node", Name);
-    return keyLine(Name.substr(0, Space), Name.substr(Space + 1));
-  }
+/// A setting that holds the address of a listener of its own.
+struct AddressRow {
+  std::string_view m_Section;
+  std::string_view m_Key;
+  std::string Settings::*m_Member;
+};
 
-  std::string m_File;
-  Settings m_Result;
-  std::vector<Error> m_Faults;
-  std::map<std::string, int, std::less<>> m_SectionLines;
-  std::map<const KeyRow *, int> m_KeyLines;
+constexpr AddressRow Addresses[] = {
+    {"node", "caller_address", &Settings::m_CallerAddress},
+    {"node", "link_address", &Settings::m_LinkAddress},
+    {"node", "operator_address", &Settings::m_OperatorAddress},
+    {"target", "address", &Settings::m_TargetAddress},
+    {"source", "address", &Settings::m_SourceAddress},
 };
 
+void checkSharedAddresses(const core::IniDocument &Document,
+                          const Settings &Result, const IniSource &Source,
+                          FaultList &Faults) {
+  std::map<boost::asio::ip::tcp::endpoint, const AddressRow *> Seen;
+  for (const AddressRow &Row : Addresses) {
+    const std::string &Address = Result.*Row.m_Member;
+    if (Address.empty())
+      continue;
+    const auto [Other, Fresh] = Seen.emplace(net::parseEndpoint(Address), &Row);
+    if (Fresh)
+      continue;
+    const IniSection *Section = findSection(Document, Row.m_Section);
+    std::string Fault = "[" + std::string(Row.m_Section) + "] ";
+    Fault.append(Row.m_Key).append(" is the same as [");
+    Fault.append(Other->second->m_Section).append("] ");
+    Fault.append(Other->second->m_Key).append(", ").append(Address);
+    Faults.push_back(Source.makeFault(Fault, "give each a port of its own",
+                                      Section->find(Row.m_Key)->m_Line));
+  }
+}
+
 } // namespace
 
 std::vector<Error> checkSettings(std::string_view Text, const std::string &File,
                                  Settings &Result) {
-  SettingsChecker Checker(File);
-  Checker.check(Text);
-  std::vector<Error> Faults = Checker.takeFaults();
+  const IniSource Source{ErrorKind::BadSettings, File};
+  FaultList Faults;
+  core::IniDocument Document;
+  try {
+    Document = core::parseIni(Text, File, Source.m_Kind);
+  } catch (const Error &Fault) {
+    return {Fault};
+  }
+  Settings Read;
+  for (const IniSection &Section : Document.m_Sections) {
+    const SectionRow *Row = findRow(Section);
+    if (Row == nullptr) {
+      Faults.push_back(makeUnknownSectionFault(Section, Source));
+      continue;
+    }
+    Row->m_Read(Read, Section, Source, Faults);
+  }
+  checkRequiredKeys(Document, Source, Faults);
+  checkSharedAddresses(Document, Read, Source, Faults);
+  std::stable_sort(Faults.begin(), Faults.end(),
+                   [](const Error &Left, const Error &Right) {
+                     return Left.location().m_Line < Right.location().m_Line;
+                   });
   if (Faults.empty())
-    Result = Checker.result();
+    Result = Read;
   return Faults;
 }
 
