--- a/include/dandelionfall/core/ingress.h
+++ b/include/dandelionfall/core/ingress.h
@@ -67,12 +67,15 @@
   Incarnation m_Incarnation;
   /// Seed of the choices that are random.
   std::uint64_t m_Seed = 0;
+  /// Strategy that chooses targets: `least-loaded-of-two` or `round-robin`.
+  std::string m_Strategy = "least-loaded-of-two";
 };
 
 /// Decision logic of an ingress. Not safe for use by several threads at once.
 class Ingress {
 public:
   /// \param Options the node's own identity.
+  /// \throws Error if the strategy's name is unknown.
   explicit Ingress(IngressOptions Options);
   ~Ingress();
   Ingress(const Ingress &) = delete;
--- /dev/null
+++ b/src/core/ingress/call_table.cpp
@@ -0,0 +1,507 @@
+#include "core/ingress/call_table.h"
+
+#include "core/ingress/attempt_field.h"
+#include "core/ingress/idempotency.h"
+#include "core/ingress/limits.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionfall::core::ingress {
+
+namespace {
+
+std::string_view outcomeName(CallOutcome Outcome) {
+  constexpr std::string_view Names[] = {"answered", "not-run", "unknown",
+                                        "no-route"};
+  return Names[static_cast<std::size_t>(Outcome)];
+}
+
+std::vector<TryNumber> copyOf(const std::set<TryNumber> &Numbers) {
+  return {Numbers.begin(), Numbers.end()};
+}
+
+} // namespace
+
+// Life of a call.
+
+void CallTable::open(CallId Id, HttpRequestPtr Request,
+                     std::optional<Duration> CallerDeadline, TimePoint Now) {
+  const Configuration *Config = m_Services.configuration();
+  if (Config == nullptr)
+    return reject(Id, CallOutcome::NotRun, "no configuration is in force yet");
+  const RouteMatch Match =
+      findRoute(*Config, Request->m_HostName, Request->m_Path);
+  if (Match.m_Service == nullptr)
+    return reject(Id, CallOutcome::NoRoute, "no route fits the request");
+  if (m_Calls.size() >= MaxOpenCalls)
+    return reject(Id, CallOutcome::NotRun, "too many open calls");
+  const ServiceView &View = m_Services.use(Match.m_Service->m_Name, Now);
+  Call Entry;
+  Entry.m_Id = Id;
+  Entry.m_Service = Match.m_Service->m_Name;
+  Entry.m_Deadline =
+      Now +
+      std::min(MaxDeadline, CallerDeadline.value_or(View.m_Profile.m_Deadline));
+  Entry.m_Idempotent =
+      isIdempotent(Match.m_Route->m_Idempotency, Request->m_Method);
+  Entry.m_MayRetry = Entry.m_Idempotent && !isRepeat(*Request);
+  Entry.m_Request = std::move(Request);
+  m_Deadlines.set(Id, Entry.m_Deadline);
+  Call &Added = m_Calls.emplace(Id, std::move(Entry)).first->second;
+  afterNotRun(Added, Now);
+}
+
+void CallTable::reject(CallId Id, CallOutcome Outcome,
+                       const std::string &Detail) {
+  const Duration RetryAfter =
+      Outcome == CallOutcome::NotRun ? DefaultRetryAfter : Duration{0};
+  m_Out.answer({Id, Outcome, nullptr, RetryAfter, Detail});
+}
+
+void CallTable::abandon(CallId Id, TimePoint Now) {
+  const auto Found = m_Calls.find(Id);
+  if (Found == m_Calls.end())
+    return;
+  const Call Gone = std::move(Found->second);
+  m_Calls.erase(Found);
+  m_Deadlines.erase(Id);
+  for (const TryNumber Number : Gone.m_Live)
+    letGo(m_Tries.at(Number), Gone.m_Deadline, Now);
+  m_Out.report(EventId::RequestSettled,
+               "call=" + std::to_string(Id) + " outcome=caller-gone");
+}
+
+void CallTable::startTry(Call &Entry, const Candidate &Chosen, TimePoint Now) {
+  GatePeer &Peer = *Chosen.m_Peer;
+  Try Current;
+  Current.m_Id = {m_Options.m_Incarnation, ++m_LastTry};
+  Current.m_Call = Entry.m_Id;
+  Current.m_Peer = &Peer;
+  Current.m_Target = Chosen.m_Target->m_Name;
+  Current.m_Repeat = Entry.m_Repeats;
+  Entry.m_Live.push_back(m_LastTry);
+  Entry.m_Tried.push_back(Peer.m_Address);
+  Try &Added = m_Tries.emplace(m_LastTry, std::move(Current)).first->second;
+  Peer.m_LastUsed = Now;
+  if (Peer.m_State == LinkState::Ready)
+    return send(Added, Now);
+  Peer.m_Waiting.insert(Added.m_Id.m_Sequence);
+  if (!m_Links.ensureOpen(Peer, Now))
+    notRun(Added.m_Id.m_Sequence, "no link to a gate can be opened", Now);
+}
+
+void CallTable::send(Try &Current, TimePoint Now) {
+  const Call &Entry = m_Calls.at(Current.m_Call);
+  GatePeer &Peer = *Current.m_Peer;
+  // The answer has to be back by the deadline.
+  const Duration Remaining = Entry.m_Deadline - Now - Peer.m_Load.roundTrip();
+  if (Remaining <= Duration{0})
+    return notRun(Current.m_Id.m_Sequence, "no time left to reach a gate", Now);
+  Current.m_Sent = true;
+  Current.m_Gate = *Peer.m_Gate;
+  Current.m_Link = Peer.m_Link;
+  Current.m_SentAt = Now;
+  Peer.m_Waiting.erase(Current.m_Id.m_Sequence);
+  Peer.m_Sent.insert(Current.m_Id.m_Sequence);
+  Peer.m_Load.noteSent();
+  Peer.m_LastUsed = Now;
+  m_Links.flushSettled(Peer);
+  Dispatch Message;
+  Message.m_Id = Current.m_Id;
+  Message.m_Epoch = Peer.m_Link;
+  Message.m_Gate = Current.m_Gate;
+  Message.m_Remaining = Remaining;
+  Message.m_Version = version();
+  Message.m_Service = Entry.m_Service;
+  Message.m_Target = Current.m_Target;
+  Message.m_Idempotent = Entry.m_Idempotent;
+  Message.m_Request = Current.m_Repeat == 0
+                          ? Entry.m_Request
+                          : markRepeat(*Entry.m_Request, Current.m_Repeat);
+  m_Out.send(Peer.m_Link, std::move(Message));
+  m_Links.checkBeforeUse(Peer, Now);
+  m_Links.touch(Peer, Now);
+  if (Entry.m_MayRetry) {
+    const Profile &Policy = m_Services.use(Entry.m_Service, Now).m_Profile;
+    m_TryTimeouts.set(Current.m_Id.m_Sequence, Now + Policy.m_TryTimeout);
+  }
+  m_Out.report(EventId::RequestDispatched,
+               "request=" + toString(Current.m_Id) + " call=" +
+                   std::to_string(Entry.m_Id) + " gate=" + Peer.m_Address +
+                   " repeat=" + std::to_string(Current.m_Repeat));
+}
+
+void CallTable::afterNotRun(Call &Entry, TimePoint Now) {
+  if (hasUndisturbed(Entry))
+    return;
+  const bool InTime = Now < Entry.m_Deadline;
+  if (InTime && Entry.m_Tried.size() < MaxTries) {
+    const ServiceView &View = m_Services.use(Entry.m_Service, Now);
+    const Candidate *Chosen = m_Router.choose(View, Entry, version(), Now);
+    if (Chosen != nullptr)
+      return startTry(Entry, *Chosen, Now);
+  }
+  conclude(Entry, Now);
+}
+
+void CallTable::afterLost(Call &Entry, TimePoint Now) {
+  Entry.m_MayHaveRun = true;
+  if (hasUndisturbed(Entry) || retry(Entry, Now))
+    return;
+  conclude(Entry, Now);
+}
+
+bool CallTable::retry(Call &Entry, TimePoint Now) {
+  if (!Entry.m_MayRetry || Entry.m_Repeats >= MaxRetries ||
+      Entry.m_Tried.size() >= MaxTries || Now >= Entry.m_Deadline)
+    return false;
+  ServiceView &View = m_Services.use(Entry.m_Service, Now);
+  const Candidate *Chosen = m_Router.choose(View, Entry, version(), Now);
+  if (Chosen == nullptr || !View.m_Budget.take(Now))
+    return false;
+  ++Entry.m_Repeats;
+  startTry(Entry, *Chosen, Now);
+  return true;
+}
+
+void CallTable::conclude(Call &Entry, TimePoint Now) {
+  if (!Entry.m_Live.empty())
+    return;
+  const CallOutcome Outcome =
+      mayHaveRun(Entry) ? CallOutcome::Unknown : CallOutcome::NotRun;
+  const std::string Fault = Entry.m_LastFault.empty()
+                                ? "no target takes work now"
+                                : Entry.m_LastFault;
+  finish(Entry.m_Id, Outcome, nullptr, Fault, Now);
+}
+
+void CallTable::finish(CallId Id, CallOutcome Outcome, HttpResponsePtr Response,
+                       const std::string &Detail, TimePoint Now) {
+  const auto Found = m_Calls.find(Id);
+  const Call Ended = std::move(Found->second);
+  m_Calls.erase(Found);
+  m_Deadlines.erase(Id);
+  Duration RetryAfter{0};
+  if (Outcome == CallOutcome::NotRun) {
+    RetryAfter = Ended.m_RetryAfter;
+    if (RetryAfter == Duration{0})
+      RetryAfter =
+          Router::timeToNextTry(m_Services.use(Ended.m_Service, Now), Now);
+    if (RetryAfter == Duration{0})
+      RetryAfter = DefaultRetryAfter;
+  }
+  m_Out.answer({Id, Outcome, std::move(Response), RetryAfter, Detail});
+  const TryNumber Last =
+      Ended.m_Live.empty() ? Ended.m_LastTry : Ended.m_Live.back();
+  const std::string Fields =
+      "call=" + std::to_string(Id) +
+      " request=" + toString(RequestId{m_Options.m_Incarnation, Last}) +
+      " outcome=" + std::string(outcomeName(Outcome));
+  m_Out.report(EventId::RequestSettled, Fields);
+  if (Outcome == CallOutcome::Unknown)
+    m_Out.report(EventId::OutcomeUnknown, Fields + " fault=" + Detail);
+  for (const TryNumber Number : Ended.m_Live)
+    letGo(m_Tries.at(Number), Ended.m_Deadline, Now);
+}
+
+// Ends of tries.
+
+void CallTable::onAnswer(GatePeer &Peer, LinkId Link, const Answer &Message,
+                         TimePoint Now) {
+  Try *Ended = findSent(Message.m_Id, Peer);
+  if (Ended == nullptr)
+    return;
+  if (Message.m_Response == nullptr)
+    return onFailure(
+        Peer, Link,
+        {Message.m_Id, "the gate sent no response", Message.m_Capacity}, Now);
+  noteEnd(*Ended, Link, Message.m_Capacity, Now);
+  Peer.m_Load.noteResult(true);
+  const CallId Id = Ended->m_Call;
+  endTry(Message.m_Id.m_Sequence);
+  const Call *Entry = findCall(Id);
+  if (Entry == nullptr)
+    return;
+  ServiceView &View = m_Services.use(Entry->m_Service, Now);
+  View.m_Budget.noteSuccess(View.m_Profile.m_RetryPercent);
+  finish(Id, CallOutcome::Answered, Message.m_Response, "", Now);
+}
+
+void CallTable::onRefusal(GatePeer &Peer, LinkId Link, const Refusal &Message,
+                          TimePoint Now) {
+  const Try *Ended = findSent(Message.m_Id, Peer);
+  if (Ended == nullptr)
+    return;
+  noteEnd(*Ended, Link, Message.m_Capacity, Now);
+  noteRefusal(Peer, Message, Now);
+  Call *Entry = findCall(Ended->m_Call);
+  if (Entry != nullptr && Message.m_RetryAfter > Duration{0} &&
+      (Entry->m_RetryAfter == Duration{0} ||
+       Message.m_RetryAfter < Entry->m_RetryAfter))
+    Entry->m_RetryAfter = Message.m_RetryAfter;
+  notRun(Message.m_Id.m_Sequence, "refused by the gate", Now);
+}
+
+void CallTable::noteRefusal(GatePeer &Peer, const Refusal &Message,
+                            TimePoint Now) {
+  switch (Message.m_Reason) {
+  case RefusalReason::Draining:
+    Peer.m_Leaving = true;
+    break;
+  case RefusalReason::ZoneOut:
+    Peer.m_OutInVersion = Message.m_Version;
+    break;
+  case RefusalReason::TargetDown:
+  case RefusalReason::UnknownTarget:
+    m_Links.pause(Peer, Now);
+    break;
+  default:
+    break;
+  }
+}
+
+void CallTable::onFailure(GatePeer &Peer, LinkId Link, const Failure &Message,
+                          TimePoint Now) {
+  const Try *Ended = findSent(Message.m_Id, Peer);
+  if (Ended == nullptr)
+    return;
+  noteEnd(*Ended, Link, Message.m_Capacity, Now);
+  if (!Ended->m_Cancelled && Ended->m_Call != 0)
+    Peer.m_Load.noteResult(false);
+  lose(Message.m_Id.m_Sequence, Message.m_Detail, Now);
+}
+
+void CallTable::onInquiryReply(GatePeer &Peer, LinkId Link,
+                               const InquiryReply &Message, TimePoint Now) {
+  Try *Asked = findSent(Message.m_Id, Peer);
+  // Only a link newer than the try's own fences it off.
+  if (Asked == nullptr || Asked->m_Link >= Link)
+    return;
+  if (Message.m_State != LedgerState::NeverRuns) {
+    Asked->m_Hedged = false;
+    return;
+  }
+  m_Links.settle(Peer, Message.m_Id, Now);
+  m_Links.touch(Peer, Now);
+  notRun(Message.m_Id.m_Sequence, "the request was lost on the way", Now);
+}
+
+void CallTable::noteEnd(const Try &Ended, LinkId Link, const Capacity &Load,
+                        TimePoint Now) {
+  GatePeer &Peer = *Ended.m_Peer;
+  Peer.m_Load.noteReport(Load, Now);
+  if (Ended.m_Link == Link)
+    m_Links.noteProof(Peer, Link, Ended.m_SentAt);
+  m_Links.settle(Peer, Ended.m_Id, Now);
+  m_Links.touch(Peer, Now);
+}
+
+void CallTable::notRun(TryNumber Number, const std::string &Fault,
+                       TimePoint Now) {
+  const CallId Id = m_Tries.at(Number).m_Call;
+  endTry(Number);
+  Call *Entry = findCall(Id);
+  if (Entry == nullptr)
+    return;
+  Entry->m_LastFault = Fault;
+  afterNotRun(*Entry, Now);
+}
+
+void CallTable::lose(TryNumber Number, const std::string &Fault,
+                     TimePoint Now) {
+  const CallId Id = m_Tries.at(Number).m_Call;
+  endTry(Number);
+  Call *Entry = findCall(Id);
+  if (Entry == nullptr)
+    return;
+  Entry->m_LastFault = Fault;
+  afterLost(*Entry, Now);
+}
+
+void CallTable::endTry(TryNumber Number) {
+  const auto Found = m_Tries.find(Number);
+  const Try &Ended = Found->second;
+  GatePeer &Peer = *Ended.m_Peer;
+  Peer.m_Waiting.erase(Number);
+  Peer.m_Sent.erase(Number);
+  m_OrphanCount -= Peer.m_Orphans.erase(Number);
+  if (Ended.m_Sent)
+    Peer.m_Load.noteEnded();
+  if (Call *Entry = findCall(Ended.m_Call)) {
+    std::erase(Entry->m_Live, Number);
+    Entry->m_LastTry = Number;
+  }
+  m_TryTimeouts.erase(Number);
+  m_OrphanTimeouts.erase(Number);
+  m_Tries.erase(Found);
+}
+
+void CallTable::letGo(Try &Current, TimePoint Deadline, TimePoint Now) {
+  const TryNumber Number = Current.m_Id.m_Sequence;
+  GatePeer &Peer = *Current.m_Peer;
+  Current.m_Call = 0;
+  if (!Current.m_Sent)
+    return endTry(Number);
+  if (!Current.m_Cancelled)
+    cancel(Current);
+  if (m_OrphanCount >= MaxOrphans) {
+    m_Links.settle(Peer, Current.m_Id, Now);
+    m_Links.touch(Peer, Now);
+    return endTry(Number);
+  }
+  m_TryTimeouts.erase(Number);
+  Peer.m_Sent.erase(Number);
+  Peer.m_Orphans.insert(Number);
+  ++m_OrphanCount;
+  m_OrphanTimeouts.set(Number, std::max(Deadline, Now) + OrphanGrace);
+}
+
+void CallTable::cancel(const Try &Current) {
+  const GatePeer &Peer = *Current.m_Peer;
+  if (Peer.m_State == LinkState::Ready)
+    m_Out.send(Peer.m_Link, Cancel{Current.m_Id});
+}
+
+void CallTable::endOrphans(GatePeer &Peer) {
+  for (const TryNumber Number : copyOf(Peer.m_Orphans))
+    endTry(Number);
+}
+
+// Changes of gates and versions.
+
+void CallTable::onGateRestarted(GatePeer &Peer, TimePoint Now) {
+  endOrphans(Peer);
+  for (const TryNumber Number : copyOf(Peer.m_Sent))
+    lose(Number, "the gate restarted", Now);
+  Peer.m_Load.noteRestart();
+}
+
+void CallTable::onGateReady(GatePeer &Peer, TimePoint Now) {
+  Inquiry Question;
+  for (const TryNumber Number : Peer.m_Sent) {
+    Question.m_Ids.push_back(m_Tries.at(Number).m_Id);
+    if (Question.m_Ids.size() == MaxIdsPerMessage)
+      m_Out.send(Peer.m_Link, std::exchange(Question, {}));
+  }
+  if (!Question.m_Ids.empty())
+    m_Out.send(Peer.m_Link, std::move(Question));
+  for (const TryNumber Number : copyOf(Peer.m_Waiting))
+    send(m_Tries.at(Number), Now);
+}
+
+void CallTable::onGateUnreachable(GatePeer &Peer, TimePoint Now) {
+  for (const TryNumber Number : copyOf(Peer.m_Waiting))
+    notRun(Number, "no link to a gate can be opened", Now);
+  for (const TryNumber Number : copyOf(Peer.m_Sent)) {
+    const auto Found = m_Tries.find(Number);
+    if (Found == m_Tries.end() || Found->second.m_Hedged)
+      continue;
+    Found->second.m_Hedged = true;
+    Call &Entry = m_Calls.at(Found->second.m_Call);
+    if (!hasUndisturbed(Entry))
+      retry(Entry, Now);
+  }
+}
+
+void CallTable::onGateDead(GatePeer &Peer, TimePoint Now) {
+  endOrphans(Peer);
+  for (const TryNumber Number : copyOf(Peer.m_Sent))
+    lose(Number, "the gate takes no connection", Now);
+}
+
+void CallTable::onConfiguration(TimePoint Now) {
+  std::vector<TryNumber> Moved;
+  for (const auto &[Id, Entry] : m_Calls) {
+    for (const TryNumber Number : Entry.m_Live) {
+      const Try &Current = m_Tries.at(Number);
+      if (!Current.m_Sent &&
+          !m_Services.isCandidate(Entry.m_Service, *Current.m_Peer))
+        Moved.push_back(Number);
+    }
+  }
+  for (const TryNumber Number : Moved)
+    notRun(Number, "the gate was taken out", Now);
+}
+
+// Time.
+
+void CallTable::expire(TimePoint Now) {
+  while (const std::optional<CallId> Id = m_Deadlines.takeDue(Now)) {
+    const CallOutcome Outcome = mayHaveRun(m_Calls.at(*Id))
+                                    ? CallOutcome::Unknown
+                                    : CallOutcome::NotRun;
+    finish(*Id, Outcome, nullptr, "the deadline passed", Now);
+  }
+}
+
+void CallTable::onTick(TimePoint Now) {
+  while (const std::optional<TryNumber> Number = m_TryTimeouts.takeDue(Now))
+    timeOut(*Number, Now);
+  while (const std::optional<TryNumber> Number =
+             m_OrphanTimeouts.takeDue(Now)) {
+    const Try &Forgotten = m_Tries.at(*Number);
+    m_Links.settle(*Forgotten.m_Peer, Forgotten.m_Id, Now);
+    m_Links.touch(*Forgotten.m_Peer, Now);
+    endTry(*Number);
+  }
+}
+
+void CallTable::timeOut(TryNumber Number, TimePoint Now) {
+  Call &Entry = m_Calls.at(m_Tries.at(Number).m_Call);
+  // Without another try under way this one may still bring the answer.
+  if (!retry(Entry, Now))
+    return;
+  Try &Slow = m_Tries.at(Number);
+  Slow.m_Cancelled = true;
+  cancel(Slow);
+}
+
+std::optional<TimePoint> CallTable::nextWakeUp() const {
+  std::optional<TimePoint> Next;
+  for (const std::optional<TimePoint> &Other :
+       {m_Deadlines.next(), m_TryTimeouts.next(), m_OrphanTimeouts.next()}) {
+    if (Other && (!Next || *Other < *Next))
+      Next = Other;
+  }
+  return Next;
+}
+
+// Look-ups.
+
+Version CallTable::version() const {
+  const Configuration *Config = m_Services.configuration();
+  return Config == nullptr ? 0 : Config->m_Stamp.m_Version;
+}
+
+Try *CallTable::findSent(const RequestId &Id, const GatePeer &Peer) {
+  if (Id.m_Ingress != m_Options.m_Incarnation)
+    return nullptr;
+  const auto Found = m_Tries.find(Id.m_Sequence);
+  if (Found == m_Tries.end() || !Found->second.m_Sent ||
+      Found->second.m_Peer != &Peer)
+    return nullptr;
+  return &Found->second;
+}
+
+Call *CallTable::findCall(CallId Id) {
+  const auto Found = m_Calls.find(Id);
+  return Found == m_Calls.end() ? nullptr : &Found->second;
+}
+
+bool CallTable::hasUndisturbed(const Call &Entry) const {
+  return std::any_of(Entry.m_Live.begin(), Entry.m_Live.end(),
+                     [this](TryNumber Number) {
+                       const Try &Next = m_Tries.at(Number);
+                       return !Next.m_Cancelled && !Next.m_Hedged;
+                     });
+}
+
+bool CallTable::mayHaveRun(const Call &Entry) const {
+  return Entry.m_MayHaveRun ||
+         std::any_of(
+             Entry.m_Live.begin(), Entry.m_Live.end(),
+             [this](TryNumber Number) { return m_Tries.at(Number).m_Sent; });
+}
+
+} // namespace dandelionfall::core::ingress
--- /dev/null
+++ b/src/core/ingress/call_table.h
@@ -0,0 +1,108 @@
+/// \file
+/// The life of each call, from the caller's request to its final answer.
+#ifndef DANDELIONFALL_CORE_INGRESS_CALL_TABLE_H
+#define DANDELIONFALL_CORE_INGRESS_CALL_TABLE_H
+
+#include "core/ingress/call_records.h"
+#include "core/ingress/gate_links.h"
+#include "core/ingress/outbox.h"
+#include "core/ingress/router.h"
+#include "core/ingress/service_table.h"
+#include "core/ingress/timer_queue.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace dandelionfall::core::ingress {
+
+/// Open calls and their tries. A call that may have run and is not idempotent
+/// is never sent again; `NotRun` is told only if every try is known never to
+/// run.
+class CallTable : public GateLinksListener {
+public:
+  /// All arguments must outlive this object.
+  CallTable(const IngressOptions &Options, GateLinks &Links,
+            ServiceTable &Services, Outbox &Out)
+      : m_Options(Options), m_Links(Links), m_Services(Services), m_Out(Out),
+        m_Router(Options) {}
+
+  /// Takes a caller's request.
+  void open(CallId Id, HttpRequestPtr Request,
+            std::optional<Duration> CallerDeadline, TimePoint Now);
+  /// Gives up a call whose caller is gone.
+  void abandon(CallId Id, TimePoint Now);
+  /// Moves requests that wait for a gate which the new version takes out.
+  void onConfiguration(TimePoint Now);
+
+  /// Gate's messages on any of its links.
+  void onAnswer(GatePeer &Peer, LinkId Link, const Answer &Message,
+                TimePoint Now);
+  void onRefusal(GatePeer &Peer, LinkId Link, const Refusal &Message,
+                 TimePoint Now);
+  void onFailure(GatePeer &Peer, LinkId Link, const Failure &Message,
+                 TimePoint Now);
+  void onInquiryReply(GatePeer &Peer, LinkId Link, const InquiryReply &Message,
+                      TimePoint Now);
+
+  /// Ends the calls whose deadline has passed. Comes before all else after a
+  /// wait, since the process may not have run for long.
+  void expire(TimePoint Now);
+  /// Does what else is due.
+  void onTick(TimePoint Now);
+  std::optional<TimePoint> nextWakeUp() const;
+  /// \returns the calls without a final answer.
+  std::size_t size() const { return m_Calls.size(); }
+
+  void onGateRestarted(GatePeer &Peer, TimePoint Now) override;
+  void onGateReady(GatePeer &Peer, TimePoint Now) override;
+  void onGateUnreachable(GatePeer &Peer, TimePoint Now) override;
+  void onGateDead(GatePeer &Peer, TimePoint Now) override;
+
+private:
+  void reject(CallId Id, CallOutcome Outcome, const std::string &Detail);
+  Version version() const;
+
+  // A call may be finished, and its record gone, after any of these.
+  void startTry(Call &Entry, const Candidate &Chosen, TimePoint Now);
+  void send(Try &Current, TimePoint Now);
+  void afterNotRun(Call &Entry, TimePoint Now);
+  void afterLost(Call &Entry, TimePoint Now);
+  bool retry(Call &Entry, TimePoint Now);
+  void conclude(Call &Entry, TimePoint Now);
+  void notRun(TryNumber Number, const std::string &Fault, TimePoint Now);
+  void lose(TryNumber Number, const std::string &Fault, TimePoint Now);
+  void timeOut(TryNumber Number, TimePoint Now);
+  void finish(CallId Id, CallOutcome Outcome, HttpResponsePtr Response,
+              const std::string &Detail, TimePoint Now);
+
+  Try *findSent(const RequestId &Id, const GatePeer &Peer);
+  Call *findCall(CallId Id);
+  void noteEnd(const Try &Ended, LinkId Link, const Capacity &Load,
+               TimePoint Now);
+  void endTry(TryNumber Number);
+  void endOrphans(GatePeer &Peer);
+  void letGo(Try &Current, TimePoint Deadline, TimePoint Now);
+  void cancel(const Try &Current);
+  bool hasUndisturbed(const Call &Entry) const;
+  bool mayHaveRun(const Call &Entry) const;
+  void noteRefusal(GatePeer &Peer, const Refusal &Message, TimePoint Now);
+
+  const IngressOptions &m_Options;
+  GateLinks &m_Links;
+  ServiceTable &m_Services;
+  Outbox &m_Out;
+  Router m_Router;
+  TryNumber m_LastTry = 0;
+  std::map<CallId, Call> m_Calls;
+  std::unordered_map<TryNumber, Try> m_Tries;
+  std::size_t m_OrphanCount = 0;
+  TimerQueue<CallId> m_Deadlines;
+  TimerQueue<TryNumber> m_TryTimeouts;
+  TimerQueue<TryNumber> m_OrphanTimeouts;
+};
+
+} // namespace dandelionfall::core::ingress
+
+#endif // DANDELIONFALL_CORE_INGRESS_CALL_TABLE_H
--- /dev/null
+++ b/src/core/ingress/gate_links.cpp
@@ -0,0 +1,316 @@
+#include "core/ingress/gate_links.h"
+
+#include "core/ingress/limits.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace dandelionfall::core::ingress {
+
+namespace {
+
+std::string linkDetail(const GatePeer &Peer, LinkId Link) {
+  return "gate=" + Peer.m_Address + " link=" + std::to_string(Link);
+}
+
+} // namespace
+
+GatePeer &GateLinks::peer(const std::string &Address) {
+  std::unique_ptr<GatePeer> &Slot = m_Peers[Address];
+  if (Slot == nullptr) {
+    Slot = std::make_unique<GatePeer>();
+    Slot->m_Address = Address;
+  }
+  return *Slot;
+}
+
+GatePeer *GateLinks::findByLink(LinkId Link) {
+  const auto Found = m_Links.find(Link);
+  return Found == m_Links.end() ? nullptr : Found->second;
+}
+
+bool GateLinks::ensureOpen(GatePeer &Peer, TimePoint Now) {
+  if (Peer.m_State != LinkState::Idle)
+    return true;
+  if (Now < Peer.m_PauseUntil || m_Links.size() >= MaxLinks)
+    return false;
+  open(Peer, Now);
+  return true;
+}
+
+void GateLinks::open(GatePeer &Peer, TimePoint Now) {
+  Peer.m_Link = ++m_LastLink;
+  Peer.m_State = LinkState::Opening;
+  Peer.m_OpenBy = Now + OpenTimeout;
+  m_Links.emplace(Peer.m_Link, &Peer);
+  m_Out.open(Peer.m_Link, Peer.m_Address);
+  touch(Peer, Now);
+}
+
+void GateLinks::onLinkOpened(LinkId Link, TimePoint Now) {
+  GatePeer *Peer = findByLink(Link);
+  if (Peer == nullptr || Peer->m_Link != Link ||
+      Peer->m_State != LinkState::Opening)
+    return;
+  Peer->m_State = LinkState::Greeting;
+  Peer->m_OpenBy = Now + OpenTimeout;
+  m_Out.send(Link, TrafficHello{m_Options.m_Host, m_Options.m_Incarnation, Link,
+                                m_Version});
+  touch(*Peer, Now);
+}
+
+void GateLinks::onWelcome(LinkId Link, const TrafficWelcome &Message,
+                          TimePoint Now) {
+  GatePeer *Peer = findByLink(Link);
+  if (Peer == nullptr || Peer->m_Link != Link ||
+      Peer->m_State != LinkState::Greeting || Message.m_Epoch != Link)
+    return;
+  const bool Restarted = Peer->m_Gate && *Peer->m_Gate != Message.m_Gate;
+  Peer->m_State = LinkState::Ready;
+  Peer->m_Gate = Message.m_Gate;
+  Peer->m_FailedOpens = 0;
+  Peer->m_RefusedOpens = 0;
+  Peer->m_Pause = Duration{0};
+  Peer->m_PauseUntil = Now;
+  Peer->m_ProvenAt = Now;
+  Peer->m_PongBy.reset();
+  Peer->m_LastUsed = Now;
+  closeAbandoned(*Peer);
+  m_Out.report(EventId::TrafficLinkOpened,
+               linkDetail(*Peer, Link) +
+                   " incarnation=" + toString(Message.m_Gate));
+  if (Restarted) {
+    Peer->m_Leaving = false;
+    Peer->m_OutInVersion = 0;
+    Peer->m_Settled.clear();
+    Peer->m_SettleBy.reset();
+    m_Listener->onGateRestarted(*Peer, Now);
+  }
+  Peer->m_Load.noteReport(Message.m_Capacity, Now);
+  m_Listener->onGateReady(*Peer, Now);
+  touch(*Peer, Now);
+}
+
+void GateLinks::onLinkClosed(LinkId Link, TimePoint Now) {
+  GatePeer *Peer = findByLink(Link);
+  if (Peer == nullptr)
+    return;
+  m_Links.erase(Link);
+  m_Out.report(EventId::TrafficLinkClosed,
+               linkDetail(*Peer, Link) + " reason=broken");
+  if (Peer->m_Link != Link) {
+    std::erase(Peer->m_Abandoned, Link);
+    return;
+  }
+  const bool WasReady = Peer->m_State == LinkState::Ready;
+  Peer->m_State = LinkState::Idle;
+  Peer->m_Link = 0;
+  Peer->m_PongBy.reset();
+  if (!WasReady)
+    return openFailed(*Peer, true, Now);
+  if (!Peer->m_Sent.empty())
+    open(*Peer, Now);
+  else
+    Peer->m_PauseUntil = Now + MinPause;
+  touch(*Peer, Now);
+}
+
+void GateLinks::openFailed(GatePeer &Peer, bool Refused, TimePoint Now) {
+  ++Peer.m_FailedOpens;
+  Peer.m_RefusedOpens = Refused ? Peer.m_RefusedOpens + 1 : 0;
+  pause(Peer, Now);
+  m_Listener->onGateUnreachable(Peer, Now);
+  if (Peer.m_RefusedOpens >= RefusedOpensOfDeadGate) {
+    closeAbandoned(Peer);
+    m_Listener->onGateDead(Peer, Now);
+  }
+  // Callers wait for news of what was sent: the first pause is enough.
+  if (!Peer.m_Sent.empty())
+    Peer.m_PauseUntil = std::min(Peer.m_PauseUntil, Now + MinPause);
+  touch(Peer, Now);
+}
+
+void GateLinks::pause(GatePeer &Peer, TimePoint Now) {
+  Peer.m_Pause = std::clamp(Peer.m_Pause * 2, MinPause, MaxPause);
+  Peer.m_PauseUntil = Now + Peer.m_Pause;
+}
+
+void GateLinks::replaceSilent(GatePeer &Peer, TimePoint Now) {
+  const LinkId Old = Peer.m_Link;
+  Peer.m_Abandoned.push_back(Old);
+  Peer.m_PongBy.reset();
+  open(Peer, Now);
+  m_Out.report(EventId::EpochRaised,
+               linkDetail(Peer, Old) + " epoch=" + std::to_string(Peer.m_Link));
+}
+
+void GateLinks::closeLink(LinkId Link, const GatePeer &Peer,
+                          const char *Reason) {
+  m_Links.erase(Link);
+  m_Out.close(Link);
+  m_Out.report(EventId::TrafficLinkClosed,
+               linkDetail(Peer, Link) + " reason=" + Reason);
+}
+
+void GateLinks::closeAbandoned(GatePeer &Peer) {
+  for (const LinkId Link : std::exchange(Peer.m_Abandoned, {}))
+    closeLink(Link, Peer, "replaced");
+}
+
+void GateLinks::sendPing(GatePeer &Peer, TimePoint Now) {
+  Peer.m_PingSentAt = Now;
+  Peer.m_PongBy = Now + PongTimeout;
+  m_Out.send(Peer.m_Link, TrafficPing{++Peer.m_PingSequence, m_Version});
+}
+
+void GateLinks::checkBeforeUse(GatePeer &Peer, TimePoint Now) {
+  const bool Fresh = Now - Peer.m_ProvenAt < PingInterval;
+  if (Peer.m_State != LinkState::Ready || Peer.m_PongBy || Fresh)
+    return;
+  sendPing(Peer, Now);
+}
+
+void GateLinks::onPong(LinkId Link, const TrafficPong &Message, TimePoint Now) {
+  GatePeer *Peer = findByLink(Link);
+  if (Peer == nullptr || Peer->m_Link != Link ||
+      Message.m_Sequence != Peer->m_PingSequence)
+    return;
+  Peer->m_PongBy.reset();
+  Peer->m_Load.noteReport(Message.m_Capacity, Now);
+  Peer->m_Load.noteRoundTrip(Now - Peer->m_PingSentAt);
+  noteProof(*Peer, Link, Peer->m_PingSentAt);
+  touch(*Peer, Now);
+}
+
+void GateLinks::noteProof(GatePeer &Peer, LinkId Link, TimePoint SentAt) {
+  if (Peer.m_Link == Link)
+    Peer.m_ProvenAt = std::max(Peer.m_ProvenAt, SentAt);
+}
+
+void GateLinks::settle(GatePeer &Peer, const RequestId &Id, TimePoint Now) {
+  Peer.m_Settled.push_back(Id);
+  if (Peer.m_Settled.size() >= MaxIdsPerMessage)
+    flushSettled(Peer);
+  if (!Peer.m_Settled.empty() && !Peer.m_SettleBy)
+    Peer.m_SettleBy = Now + SettleDelay;
+}
+
+void GateLinks::flushSettled(GatePeer &Peer) {
+  Peer.m_SettleBy.reset();
+  if (Peer.m_Settled.empty())
+    return;
+  std::vector<RequestId> Ids = std::exchange(Peer.m_Settled, {});
+  // Without a link the gate forgets by itself, after the deadlines.
+  if (Peer.m_State != LinkState::Ready)
+    return;
+  m_Out.send(Peer.m_Link, Settled{std::move(Ids)});
+}
+
+void GateLinks::clearWarm() {
+  for (const auto &[Address, Peer] : m_Peers)
+    Peer->m_Warm = false;
+}
+
+void GateLinks::forgetUnused(TimePoint Now) {
+  for (auto Next = m_Peers.begin(); Next != m_Peers.end();) {
+    const auto Current = Next++;
+    const GatePeer &Peer = *Current->second;
+    if (isWanted(Peer) || Peer.m_State != LinkState::Idle ||
+        !Peer.m_Abandoned.empty() || !Peer.m_Orphans.empty() ||
+        Now < Peer.m_PauseUntil)
+      continue;
+    m_Timers.erase(Current->first);
+    m_Peers.erase(Current);
+  }
+}
+
+bool GateLinks::isWanted(const GatePeer &Peer) const {
+  return Peer.m_Warm || !Peer.m_Waiting.empty() || !Peer.m_Sent.empty();
+}
+
+std::optional<TimePoint> GateLinks::pingDue(const GatePeer &Peer) const {
+  if (Peer.m_PongBy)
+    return std::nullopt;
+  if (!Peer.m_Sent.empty())
+    return Peer.m_ProvenAt + PingInterval;
+  if (!Peer.m_Warm)
+    return std::nullopt;
+  return std::max(Peer.m_ProvenAt, Peer.m_PingSentAt) + IdlePingInterval;
+}
+
+std::optional<TimePoint> GateLinks::idleDue(const GatePeer &Peer) const {
+  if (isWanted(Peer) || !Peer.m_Orphans.empty())
+    return std::nullopt;
+  return Peer.m_LastUsed + IdleTimeout;
+}
+
+std::optional<TimePoint> GateLinks::nextDue(const GatePeer &Peer) const {
+  if (Peer.m_State == LinkState::Idle)
+    return isWanted(Peer) ? std::optional(Peer.m_PauseUntil) : std::nullopt;
+  if (Peer.m_State != LinkState::Ready)
+    return Peer.m_OpenBy;
+  std::optional<TimePoint> Due;
+  for (const std::optional<TimePoint> &Other :
+       {Peer.m_PongBy, Peer.m_SettleBy, pingDue(Peer), idleDue(Peer)}) {
+    if (Other && (!Due || *Other < *Due))
+      Due = Other;
+  }
+  return Due;
+}
+
+void GateLinks::touch(GatePeer &Peer, TimePoint Now) {
+  const std::optional<TimePoint> Due = nextDue(Peer);
+  if (!Due)
+    return m_Timers.erase(Peer.m_Address);
+  // A timer that rings early costs less than moving it with each message.
+  m_Timers.setNoLater(Peer.m_Address, std::max(*Due, Now + MinTimerStep));
+}
+
+void GateLinks::onTick(TimePoint Now) {
+  while (const std::optional<std::string> Address = m_Timers.takeDue(Now)) {
+    const auto Found = m_Peers.find(*Address);
+    if (Found == m_Peers.end())
+      continue;
+    check(*Found->second, Now);
+  }
+}
+
+void GateLinks::check(GatePeer &Peer, TimePoint Now) {
+  if (Peer.m_State == LinkState::Ready) {
+    checkReady(Peer, Now);
+  } else if (Peer.m_State == LinkState::Idle) {
+    if (isWanted(Peer) && Now >= Peer.m_PauseUntil &&
+        !ensureOpen(Peer, Now)) // The bound on links is met.
+      pause(Peer, Now);
+  } else if (Now >= Peer.m_OpenBy) {
+    closeLink(Peer.m_Link, Peer, "timeout");
+    Peer.m_State = LinkState::Idle;
+    Peer.m_Link = 0;
+    openFailed(Peer, false, Now);
+  }
+  touch(Peer, Now);
+}
+
+void GateLinks::checkReady(GatePeer &Peer, TimePoint Now) {
+  if (Peer.m_SettleBy && Now >= *Peer.m_SettleBy)
+    flushSettled(Peer);
+  if (Peer.m_PongBy && Now >= *Peer.m_PongBy) {
+    // If this process did not run, the pong may be there but not read yet.
+    if (Now >= *Peer.m_PongBy + LateTimer)
+      Peer.m_PongBy = Now + PongTimeout;
+    else
+      return replaceSilent(Peer, Now);
+  }
+  const std::optional<TimePoint> Ping = pingDue(Peer);
+  if (Ping && Now >= *Ping)
+    sendPing(Peer, Now);
+  const std::optional<TimePoint> Idle = idleDue(Peer);
+  if (!Idle || Now < *Idle)
+    return;
+  closeLink(Peer.m_Link, Peer, "idle");
+  Peer.m_State = LinkState::Idle;
+  Peer.m_Link = 0;
+}
+
+} // namespace dandelionfall::core::ingress
--- /dev/null
+++ b/src/core/ingress/gate_links.h
@@ -0,0 +1,105 @@
+/// \file
+/// Opens, checks and replaces the links to gates.
+#ifndef DANDELIONFALL_CORE_INGRESS_GATE_LINKS_H
+#define DANDELIONFALL_CORE_INGRESS_GATE_LINKS_H
+
+#include "core/ingress/gate_peer.h"
+#include "core/ingress/outbox.h"
+#include "core/ingress/timer_queue.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace dandelionfall::core::ingress {
+
+/// Is told what becomes of a gate's links.
+class GateLinksListener {
+public:
+  virtual ~GateLinksListener() = default;
+  /// A link was welcomed by another start of the gate than before.
+  virtual void onGateRestarted(GatePeer &Peer, TimePoint Now) = 0;
+  /// A link was welcomed.
+  virtual void onGateReady(GatePeer &Peer, TimePoint Now) = 0;
+  /// A link could not be opened.
+  virtual void onGateUnreachable(GatePeer &Peer, TimePoint Now) = 0;
+  /// Several openings in a row were refused.
+  virtual void onGateDead(GatePeer &Peer, TimePoint Now) = 0;
+};
+
+/// All links of an ingress. Epochs are the numbers of the links, which only
+/// rise.
+class GateLinks {
+public:
+  /// \param Options the node's own identity; must outlive this object.
+  /// \param Out takes commands; must outlive this object.
+  GateLinks(const IngressOptions &Options, Outbox &Out)
+      : m_Options(Options), m_Out(Out) {}
+
+  /// Sets who is told of changes; needed before any other call.
+  void setListener(GateLinksListener &Listener) { m_Listener = &Listener; }
+  /// Sets the version that is told to gates.
+  void setVersion(Version InForce) { m_Version = InForce; }
+
+  /// \returns the record of a gate address, made if need be; it stays valid
+  /// until `forgetUnused`.
+  GatePeer &peer(const std::string &Address);
+  /// \returns the gate at the other end of a link in use, or null.
+  GatePeer *findByLink(LinkId Link);
+  /// Opens a link unless there is one, its gate is pausing, or the bound on
+  /// links is met. \returns whether a link is there or on its way.
+  bool ensureOpen(GatePeer &Peer, TimePoint Now);
+  /// Pings a link before it carries a request, if its last proof of life is
+  /// old.
+  void checkBeforeUse(GatePeer &Peer, TimePoint Now);
+  /// Notes that the gate replied on its newest link to what was sent at a time.
+  void noteProof(GatePeer &Peer, LinkId Link, TimePoint SentAt);
+  /// Gives a gate no new work for a time, which doubles each time in a row.
+  void pause(GatePeer &Peer, TimePoint Now);
+  /// Queues a request for a `Settled` message.
+  void settle(GatePeer &Peer, const RequestId &Id, TimePoint Now);
+  /// Sends the queued `Settled` message, if there is one and a link for it.
+  void flushSettled(GatePeer &Peer);
+  /// Reconsiders when a gate's links next need attention.
+  void touch(GatePeer &Peer, TimePoint Now);
+  /// No gate is kept warm any more, until marked again.
+  void clearWarm();
+  /// Drops the records of gates without links or requests.
+  void forgetUnused(TimePoint Now);
+
+  /// Driver's reports.
+  void onLinkOpened(LinkId Link, TimePoint Now);
+  void onLinkClosed(LinkId Link, TimePoint Now);
+  void onWelcome(LinkId Link, const TrafficWelcome &Message, TimePoint Now);
+  void onPong(LinkId Link, const TrafficPong &Message, TimePoint Now);
+  void onTick(TimePoint Now);
+  std::optional<TimePoint> nextWakeUp() const { return m_Timers.next(); }
+
+private:
+  void open(GatePeer &Peer, TimePoint Now);
+  void openFailed(GatePeer &Peer, bool Refused, TimePoint Now);
+  void replaceSilent(GatePeer &Peer, TimePoint Now);
+  void closeLink(LinkId Link, const GatePeer &Peer, const char *Reason);
+  void closeAbandoned(GatePeer &Peer);
+  void sendPing(GatePeer &Peer, TimePoint Now);
+  void check(GatePeer &Peer, TimePoint Now);
+  void checkReady(GatePeer &Peer, TimePoint Now);
+  bool isWanted(const GatePeer &Peer) const;
+  std::optional<TimePoint> pingDue(const GatePeer &Peer) const;
+  std::optional<TimePoint> idleDue(const GatePeer &Peer) const;
+  std::optional<TimePoint> nextDue(const GatePeer &Peer) const;
+
+  const IngressOptions &m_Options;
+  Outbox &m_Out;
+  GateLinksListener *m_Listener = nullptr;
+  Version m_Version = 0;
+  LinkId m_LastLink = 0;
+  std::map<std::string, std::unique_ptr<GatePeer>> m_Peers;
+  std::map<LinkId, GatePeer *> m_Links;
+  TimerQueue<std::string> m_Timers;
+};
+
+} // namespace dandelionfall::core::ingress
+
+#endif // DANDELIONFALL_CORE_INGRESS_GATE_LINKS_H
--- /dev/null
+++ b/src/core/ingress/load_view.cpp
@@ -0,0 +1,73 @@
+#include "core/ingress/load_view.h"
+
+#include "core/ingress/limits.h"
+
+#include <algorithm>
+
+namespace dandelionfall::core::ingress {
+
+namespace {
+
+// Keeps targets without a measured latency comparable with fast ones.
+constexpr Duration MinLatency = std::chrono::milliseconds(1);
+
+} // namespace
+
+void LoadView::noteSent() {
+  ++m_Outstanding;
+  ++m_SentSinceReport;
+}
+
+void LoadView::noteEnded() {
+  if (m_Outstanding > 0)
+    --m_Outstanding;
+}
+
+void LoadView::noteRestart() { *this = LoadView(); }
+
+void LoadView::noteReport(const Capacity &Report, TimePoint Now) {
+  m_Report = Report;
+  m_Reported = true;
+  m_ReportedAt = Now;
+  m_SentSinceReport = 0;
+}
+
+void LoadView::noteRoundTrip(Duration Sample) {
+  if (m_RoundTrip == Duration{0}) {
+    m_RoundTrip = Sample;
+    return;
+  }
+  const double Smoothed =
+      static_cast<double>(m_RoundTrip.count()) * (1 - SmoothingWeight) +
+      static_cast<double>(Sample.count()) * SmoothingWeight;
+  m_RoundTrip = Duration(static_cast<Duration::rep>(Smoothed));
+}
+
+void LoadView::noteResult(bool Whole) {
+  const double Sample = Whole ? 0.0 : 1.0;
+  m_FailureShare =
+      m_FailureShare * (1 - SmoothingWeight) + Sample * SmoothingWeight;
+}
+
+std::uint32_t LoadView::load(TimePoint Now) const {
+  if (!m_Reported || Now - m_ReportedAt > ReportLifetime)
+    return m_Outstanding;
+  // A report may have crossed requests of this ingress on the way.
+  return std::max(m_Outstanding,
+                  m_Report.m_InFlight + m_Report.m_Queued + m_SentSinceReport);
+}
+
+std::uint32_t LoadView::limit(std::uint32_t Assumed) const {
+  return std::max(1U, m_Reported ? m_Report.m_Limit : Assumed);
+}
+
+double LoadView::cost(std::uint32_t Assumed, TimePoint Now) const {
+  const Duration Latency =
+      std::max(MinLatency, m_Report.m_ServiceTime + m_RoundTrip);
+  const double Occupancy =
+      static_cast<double>(load(Now) + 1) / static_cast<double>(limit(Assumed));
+  return Occupancy * static_cast<double>(Latency.count()) *
+         (1 + FailurePenalty * m_FailureShare);
+}
+
+} // namespace dandelionfall::core::ingress
--- /dev/null
+++ b/src/core/ingress/router.cpp
@@ -0,0 +1,68 @@
+#include "core/ingress/router.h"
+
+#include "core/ingress/limits.h"
+
+#include <algorithm>
+#include <array>
+
+namespace dandelionfall::core::ingress {
+
+namespace {
+
+/// How surely a gate can be given a request now; lower is surer.
+enum Readiness : std::uint8_t { Linked, NotLinked, Suspect, ReadinessCount };
+
+Readiness readiness(const GatePeer &Peer, TimePoint Now) {
+  if (Peer.m_FailedOpens > 0 || Now < Peer.m_PauseUntil)
+    return Suspect;
+  return Peer.m_State == LinkState::Ready ? Linked : NotLinked;
+}
+
+bool takesWork(const GatePeer &Peer, Version InForce, TimePoint Now) {
+  if (Peer.m_Leaving || Peer.m_OutInVersion > InForce)
+    return false;
+  if (Peer.m_Waiting.size() >= MaxWaitingPerGate)
+    return false;
+  return Peer.m_State != LinkState::Idle || Now >= Peer.m_PauseUntil;
+}
+
+bool wasTried(const Call &Entry, const GatePeer &Peer) {
+  return std::find(Entry.m_Tried.begin(), Entry.m_Tried.end(),
+                   Peer.m_Address) != Entry.m_Tried.end();
+}
+
+} // namespace
+
+Router::Router(const IngressOptions &Options)
+    : m_Random(Options.m_Seed), m_Choice(findTargetChoice(Options.m_Strategy)) {
+}
+
+const Candidate *Router::choose(const ServiceView &View, const Call &Entry,
+                                Version InForce, TimePoint Now) {
+  std::array<Candidates, ReadinessCount> Groups;
+  for (const Candidate &Next : View.m_Candidates) {
+    const GatePeer &Peer = *Next.m_Peer;
+    if (!takesWork(Peer, InForce, Now) || wasTried(Entry, Peer))
+      continue;
+    Groups[readiness(Peer, Now)].push_back(&Next);
+  }
+  const ChoiceContext Context{View.m_Profile.m_ColdStartLimit, Now, m_Random,
+                              m_Turn++};
+  for (const Candidates &Group : Groups) {
+    if (!Group.empty())
+      return m_Choice.choose(Group, Context);
+  }
+  return nullptr;
+}
+
+Duration Router::timeToNextTry(const ServiceView &View, TimePoint Now) {
+  Duration Least{0};
+  for (const Candidate &Next : View.m_Candidates) {
+    const Duration Pause = Next.m_Peer->m_PauseUntil - Now;
+    if (Pause > Duration{0} && (Least == Duration{0} || Pause < Least))
+      Least = Pause;
+  }
+  return Least;
+}
+
+} // namespace dandelionfall::core::ingress
--- /dev/null
+++ b/src/core/ingress/service_table.cpp
@@ -0,0 +1,84 @@
+#include "core/ingress/service_table.h"
+
+#include "core/ingress/limits.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionfall::core::ingress {
+
+void ServiceTable::setConfiguration(ConfigurationPtr Config, TimePoint Now) {
+  m_Config = std::move(Config);
+  std::erase_if(m_Views, [Now](const auto &Entry) {
+    return Now - Entry.second.m_LastUsed > IdleTimeout;
+  });
+  m_Links.clearWarm();
+  for (auto &[Name, View] : m_Views)
+    rebuild(Name, View, Now);
+  m_Links.forgetUnused(Now);
+}
+
+ServiceView &ServiceTable::use(const std::string &Name, TimePoint Now) {
+  const auto [Found, Added] = m_Views.try_emplace(Name);
+  if (Added)
+    rebuild(Name, Found->second, Now);
+  Found->second.m_LastUsed = Now;
+  return Found->second;
+}
+
+bool ServiceTable::isCandidate(const std::string &Name,
+                               const GatePeer &Peer) const {
+  const auto Found = m_Views.find(Name);
+  if (Found == m_Views.end())
+    return false;
+  const std::vector<Candidate> &All = Found->second.m_Candidates;
+  return std::any_of(All.begin(), All.end(), [&Peer](const Candidate &Next) {
+    return Next.m_Peer == &Peer;
+  });
+}
+
+void ServiceTable::rebuild(const std::string &Name, ServiceView &View,
+                           TimePoint Now) {
+  View.m_Service.reset();
+  View.m_Candidates.clear();
+  const auto Found = m_Config->m_Services.find(Name);
+  if (Found == m_Config->m_Services.end())
+    return;
+  View.m_Service = Found->second;
+  View.m_Profile = m_Config->m_Profiles.at(View.m_Service->m_Profile);
+  for (const Target &Next : View.m_Service->m_Targets) {
+    if (!isZoneIn(*m_Config, Next.m_Zone))
+      continue;
+    View.m_Candidates.push_back(
+        {&Next, &m_Links.peer(Next.m_GateAddress), distanceTo(Next.m_Zone)});
+  }
+  warmUp(View, Now);
+}
+
+Distance ServiceTable::distanceTo(const std::string &ZoneName) const {
+  if (ZoneName == m_Options.m_Zone)
+    return Distance::SameZone;
+  const auto Own = m_Config->m_Zones.find(m_Options.m_Zone);
+  const auto Other = m_Config->m_Zones.find(ZoneName);
+  const bool SameRegion = Own != m_Config->m_Zones.end() &&
+                          Own->second.m_Region == Other->second.m_Region;
+  return SameRegion ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+void ServiceTable::warmUp(ServiceView &View, TimePoint Now) {
+  std::vector<const Candidate *> Nearest;
+  for (const Candidate &Next : View.m_Candidates)
+    Nearest.push_back(&Next);
+  std::stable_sort(Nearest.begin(), Nearest.end(),
+                   [](const Candidate *Left, const Candidate *Right) {
+                     return Left->m_Distance < Right->m_Distance;
+                   });
+  Nearest.resize(std::min(Nearest.size(), WarmLinksPerService));
+  for (const Candidate *Next : Nearest) {
+    Next->m_Peer->m_Warm = true;
+    m_Links.ensureOpen(*Next->m_Peer, Now);
+    m_Links.touch(*Next->m_Peer, Now);
+  }
+}
+
+} // namespace dandelionfall::core::ingress
--- /dev/null
+++ b/src/core/ingress/target_choice.cpp
@@ -0,0 +1,100 @@
+#include "core/ingress/target_choice.h"
+
+#include "core/ingress/limits.h"
+#include "dandelionfall/core/error.h"
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+namespace dandelionfall::core::ingress {
+
+namespace {
+
+/// Takes the less loaded of two random targets, from the nearest availability
+/// zones that have room.
+class LeastLoadedOfTwo : public TargetChoice {
+public:
+  std::string_view name() const override { return "least-loaded-of-two"; }
+
+  const Candidate *choose(const Candidates &Eligible,
+                          const ChoiceContext &Context) const override {
+    for (const Distance Reach :
+         {Distance::SameZone, Distance::SameRegion, Distance::OtherRegion}) {
+      const Candidates Roomy = withRoom(Eligible, Reach, SpillShare, Context);
+      if (!Roomy.empty())
+        return chooseOfTwo(Roomy, Context);
+    }
+    const Candidates Roomy =
+        withRoom(Eligible, Distance::OtherRegion, 1.0, Context);
+    return chooseOfTwo(Roomy.empty() ? Eligible : Roomy, Context);
+  }
+
+private:
+  static Candidates withRoom(const Candidates &Eligible, Distance Reach,
+                             double Share, const ChoiceContext &Context) {
+    Candidates Roomy;
+    for (const Candidate *Next : Eligible) {
+      if (Next->m_Distance > Reach)
+        continue;
+      const LoadView &View = Next->m_Peer->m_Load;
+      // A limit of one still takes one request.
+      const double Room =
+          std::max(1.0, Share * View.limit(Context.m_AssumedLimit));
+      if (View.load(Context.m_Now) + 1 <= Room)
+        Roomy.push_back(Next);
+    }
+    return Roomy;
+  }
+
+  static const Candidate *chooseOfTwo(const Candidates &From,
+                                      const ChoiceContext &Context) {
+    const std::size_t First = Context.m_Random() % From.size();
+    if (From.size() == 1)
+      return From[First];
+    const std::size_t Step = 1 + Context.m_Random() % (From.size() - 1);
+    const std::size_t Second = (First + Step) % From.size();
+    return cost(*From[Second], Context) < cost(*From[First], Context)
+               ? From[Second]
+               : From[First];
+  }
+
+  static double cost(const Candidate &Of, const ChoiceContext &Context) {
+    return Of.m_Peer->m_Load.cost(Context.m_AssumedLimit, Context.m_Now);
+  }
+};
+
+/// Takes the targets in turn, whatever their load and availability zone.
+class RoundRobin : public TargetChoice {
+public:
+  std::string_view name() const override { return "round-robin"; }
+
+  const Candidate *choose(const Candidates &Eligible,
+                          const ChoiceContext &Context) const override {
+    return Eligible[Context.m_Turn % Eligible.size()];
+  }
+};
+
+} // namespace
+
+std::span<const TargetChoice *const> targetChoices() {
+  static const LeastLoadedOfTwo OfTwo;
+  static const RoundRobin InTurn;
+  static const std::array<const TargetChoice *, 2> All = {&OfTwo, &InTurn};
+  return All;
+}
+
+const TargetChoice &findTargetChoice(std::string_view Name) {
+  std::string Known;
+  for (const TargetChoice *Choice : targetChoices()) {
+    if (Choice->name() == Name)
+      return *Choice;
+    Known += Known.empty() ? "" : ", ";
+    Known += Choice->name();
+  }
+  throw Error(ErrorKind::BadSettings,
+              "unknown routing strategy '" + std::string(Name) + "'",
+              "use one of: " + Known);
+}
+
+} // namespace dandelionfall::core::ingress
