--- a/tests/system/callers.py
+++ b/tests/system/callers.py
@@ -23,6 +23,7 @@
         self.whole = False
         self.seconds = None
         self.began = None
+        self.host = None
 
 
 def make_call(address, method, path, booking=None, deadline_ms=None, timeout_s=10):
@@ -91,6 +92,7 @@
 
     def _call(self, node, method, path, booking):
         call = make_call(node.caller, method, path, booking, self.deadline_ms)
+        call.host = node.host
         with self.lock:
             self.calls.append(call)
 
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -35,6 +35,7 @@
     """Stops some processes in the middle of their work and wakes them late."""
     chosen = some_nodes(context, 3)
     for node in chosen:
+        context.frozen.add(node.host)
         node.process.freeze()
     yield 3.0
     for node in chosen:
--- a/tests/system/relay.py
+++ b/tests/system/relay.py
@@ -35,7 +35,8 @@
             return
         pair = Pair(writer, other_writer)
         self.pairs.add(pair)
-        await asyncio.gather(pair.pass_on(reader, other_writer), pair.pass_on(other_reader, writer))
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(pair.pass_on(reader, other_writer), pair.pass_on(other_reader, writer))
         self.pairs.discard(pair)
 
     def silence(self):
