--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -40,10 +40,12 @@
   RequestStarted = 405,
   RequestSettled = 406,
   RequestRefused = 407,
+  RequestFinished = 420,
   RampRestarted = 500,
   RampFinished = 501,
   ZoneOut = 502,
   ZoneIn = 503,
+  TargetHeldOff = 520,
   CallerRejected = 600,
 };
 
--- a/include/dandelionfall/core/gate.h
+++ b/include/dandelionfall/core/gate.h
@@ -49,9 +49,20 @@
   friend bool operator==(const GateDrained &, const GateDrained &) = default;
 };
 
+/// An ingress has a newer version in force than the gate; the node should fetch
+/// it.
+struct PeerVersionSeen {
+  Version m_Version = 0;
+  /// Link that the version was seen on.
+  LinkId m_Link = 0;
+  friend bool operator==(const PeerVersionSeen &,
+                         const PeerVersionSeen &) = default;
+};
+
 /// What a gate asks its driver to do, in order.
-using GateCommand = std::variant<SendTraffic, CloseTrafficLink, StartTarget,
-                                 CancelTarget, GateDrained, Event>;
+using GateCommand =
+    std::variant<SendTraffic, CloseTrafficLink, StartTarget, CancelTarget,
+                 GateDrained, Event, PeerVersionSeen>;
 
 /// How a request at the target came to nothing.
 enum class TargetFailure : std::uint8_t {
@@ -68,12 +79,16 @@
   /// Name of the target beside the node; empty for a node without a target.
   std::string m_Target;
   Incarnation m_Incarnation;
+  /// Name of the admission strategy: `deadline`, `fcfs` or `bounded`.
+  std::string m_Admission = "deadline";
 };
 
 /// Decision logic of a gate. Not safe for use by several threads at once.
 class Gate {
 public:
   /// \param Options the node's own identity.
+  /// \throws std::invalid_argument if there is no admission strategy of the
+  /// name.
   explicit Gate(GateOptions Options);
   ~Gate();
   Gate(const Gate &) = delete;
@@ -82,6 +97,7 @@
   /// Takes a new version into force.
   void onConfiguration(ConfigurationPtr Config, TimePoint Now);
   /// Takes any message of an ingress; the first one of a link must be a hello.
+  /// The time must be read after the message, for the process may have slept.
   void onMessage(LinkId Link, const TrafficMessage &Message, TimePoint Now);
   /// Notes that a link is gone; what runs goes on, for the ingress may inquire.
   void onLinkClosed(LinkId Link, TimePoint Now);
--- a/include/dandelionfall/core/traffic_message.h
+++ b/include/dandelionfall/core/traffic_message.h
@@ -8,6 +8,7 @@
 #include "dandelionfall/core/identity.h"
 #include "dandelionfall/core/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -90,7 +91,8 @@
   Cancelled,        ///< The ingress withdrew it before it started.
 };
 
-/// A refusal: the request did not run here and never will.
+/// A refusal: the request did not run here and never will; a later try at the
+/// same gate needs a new id.
 struct Refusal {
   RequestId m_Id;
   RefusalReason m_Reason = RefusalReason::Overload;
@@ -110,7 +112,14 @@
   friend bool operator==(const Failure &, const Failure &) = default;
 };
 
-/// Asks what became of requests that were sent on an older link.
+/// Most ids in one inquiry or acknowledgement; a gate closes a link that brings
+/// more.
+inline constexpr std::size_t MaxIdsPerMessage = 4096;
+
+/// Asks what became of requests that were sent on an older link. Sent only
+/// after the welcome of the same gate incarnation that they were dispatched to:
+/// another one knows nothing of them, and its `NeverRuns` would be about
+/// itself.
 struct Inquiry {
   std::vector<RequestId> m_Ids;
   friend bool operator==(const Inquiry &, const Inquiry &) = default;
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -58,6 +58,8 @@
               "A caller has its final answer."},
     EventInfo{EventId::RequestRefused, "request-refused", Severity::Debug,
               "A gate refused a request without running it."},
+    EventInfo{EventId::RequestFinished, "request-finished", Severity::Debug,
+              "A gate has the target's whole answer, or none will come."},
     EventInfo{EventId::RampRestarted, "ramp-restarted", Severity::Info,
               "The target is in cold start; its limit begins anew."},
     EventInfo{EventId::RampFinished, "ramp-finished", Severity::Info,
@@ -66,6 +68,9 @@
               "An availability zone takes no new work."},
     EventInfo{EventId::ZoneIn, "zone-in", Severity::Info,
               "An availability zone takes new work again."},
+    EventInfo{
+        EventId::TargetHeldOff, "target-held-off", Severity::Warning,
+        "The target takes no connection; it is given nothing for a while."},
     EventInfo{EventId::CallerRejected, "caller-rejected", Severity::Warning,
               "A caller's request broke a limit or the protocol."},
 };
--- /dev/null
+++ b/src/core/gate/deadline_admission.h
@@ -0,0 +1,27 @@
+/// \file
+/// Admission by deadline: a request is taken only if it and all that were taken
+/// before are expected to finish in time.
+#ifndef DANDELIONFALL_CORE_GATE_DEADLINE_ADMISSION_H
+#define DANDELIONFALL_CORE_GATE_DEADLINE_ADMISSION_H
+
+#include "core/gate/admission.h"
+
+namespace dandelionfall::core::gate {
+
+/// The admission test and the feedback of Islam, Balaji, Sadayappan and Panda,
+/// "Towards Provision of Quality of Service Guarantees in Job Scheduling", for
+/// requests of one slot each: the waiting requests are scheduled anew with the
+/// arriving one among them, and a refusal states the earliest feasible time.
+class DeadlineAdmission final : public AdmissionStrategy {
+public:
+  std::string_view name() const override { return "deadline"; }
+  QueueOrder order() const override { return QueueOrder::ByDeadline; }
+  AdmissionVerdict decide(const AdmissionView &View,
+                          TimePoint Deadline) const override;
+  bool isWorthStarting(Duration Remaining,
+                       const ServiceTimeEstimate &Expected) const override;
+};
+
+} // namespace dandelionfall::core::gate
+
+#endif // DANDELIONFALL_CORE_GATE_DEADLINE_ADMISSION_H
--- /dev/null
+++ b/src/core/gate/engine.cpp
@@ -0,0 +1,198 @@
+#include "core/gate/engine.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace dandelionfall::core::gate {
+
+namespace {
+
+const AdmissionStrategy *requireAdmission(const std::string &Name) {
+  const AdmissionStrategy *Strategy = findAdmission(Name);
+  if (Strategy == nullptr)
+    throw std::invalid_argument("no admission strategy '" + Name +
+                                "'; use deadline, fcfs or bounded");
+  return Strategy;
+}
+
+template <typename Time>
+void takeEarlier(std::optional<Time> &Earliest,
+                 const std::optional<Time> &Other) {
+  if (Other && (!Earliest || *Other < *Earliest))
+    Earliest = Other;
+}
+
+} // namespace
+
+std::string_view nameOf(RefusalReason Reason) {
+  switch (Reason) {
+  case RefusalReason::Overload:
+    return "overload";
+  case RefusalReason::QueueFull:
+    return "queue-full";
+  case RefusalReason::DeadlinePassed:
+    return "deadline-passed";
+  case RefusalReason::ZoneOut:
+    return "zone-out";
+  case RefusalReason::Draining:
+    return "draining";
+  case RefusalReason::WrongIncarnation:
+    return "wrong-incarnation";
+  case RefusalReason::OldEpoch:
+    return "old-epoch";
+  case RefusalReason::UnknownTarget:
+    return "unknown-target";
+  case RefusalReason::TargetDown:
+    return "target-down";
+  case RefusalReason::Cancelled:
+    return "cancelled";
+  }
+  return "unknown";
+}
+
+Engine::Engine(GateOptions Options)
+    : m_Options(std::move(Options)),
+      m_Admission(requireAdmission(m_Options.m_Admission)),
+      m_Queue(m_Admission->order()) {}
+
+void Engine::onConfiguration(ConfigurationPtr Config, TimePoint Now) {
+  const bool WasIn = m_Config == nullptr || !isZoneOut();
+  const bool HadTarget = m_Target != nullptr;
+  m_Config = std::move(Config);
+  findTarget();
+  if (m_Target != nullptr)
+    m_Ramp.configure(m_Profile->m_ColdStartLimit,
+                     std::min(m_Target->m_Slots, m_Target->m_Connections));
+  if (m_Target != nullptr && !HadTarget)
+    restartRamp("target-listed", Now);
+  takeZone(WasIn, Now);
+  expire(Now);
+  advance(Now);
+}
+
+void Engine::findTarget() {
+  m_Service = nullptr;
+  m_Target = nullptr;
+  m_Profile = nullptr;
+  for (const auto &[Name, Candidate] : m_Config->m_Services) {
+    for (const Target &Each : Candidate->m_Targets) {
+      if (Each.m_Name != m_Options.m_Target || m_Options.m_Target.empty())
+        continue;
+      const auto Profile = m_Config->m_Profiles.find(Candidate->m_Profile);
+      if (Profile == m_Config->m_Profiles.end())
+        continue;
+      m_Service = Candidate.get();
+      m_Target = &Each;
+      m_Profile = &Profile->second;
+      return;
+    }
+  }
+}
+
+void Engine::takeZone(bool WasIn, TimePoint Now) {
+  const bool IsIn = !isZoneOut();
+  if (IsIn == WasIn)
+    return;
+  const std::string Detail =
+      "zone=" + m_Options.m_Zone + " version=" + std::to_string(version());
+  report(IsIn ? EventId::ZoneIn : EventId::ZoneOut, Detail);
+  if (!IsIn) {
+    m_ZoneOutSince = Now;
+    return;
+  }
+  m_ZoneOutSince.reset();
+  restartRamp("zone-return", Now);
+}
+
+void Engine::onLinkClosed(LinkId Link) { m_Links.close(Link); }
+
+void Engine::startDrain(TimePoint Now) {
+  if (m_DrainUntil)
+    return;
+  m_DrainUntil = Now + DrainLinger;
+  for (const LinkId Link : m_Links.currentLinks())
+    send(Link, TrafficGoAway{});
+  expire(Now);
+  advance(Now);
+}
+
+void Engine::onTick(TimePoint Now) {
+  expire(Now);
+  sweep(Now);
+  advance(Now);
+}
+
+std::optional<TimePoint> Engine::nextWakeUp() const {
+  std::optional<TimePoint> Next = m_Slots.nextChange();
+  takeEarlier(Next, m_Queue.earliestDeadline());
+  if (!m_Ledger.empty())
+    takeEarlier(Next, std::optional(m_NextSweep));
+  if (m_ZoneOutSince && !m_Queue.empty())
+    takeEarlier(Next, std::optional(*m_ZoneOutSince + ZoneOutGrace));
+  if (!m_Drained)
+    takeEarlier(Next, m_DrainUntil);
+  return Next;
+}
+
+Capacity Engine::capacity() const {
+  Capacity Value;
+  Value.m_InFlight = m_Slots.size();
+  Value.m_Queued = m_Queue.size();
+  Value.m_Limit = m_Ramp.limit();
+  Value.m_ServiceTime =
+      m_ServiceTime.estimate(TimePoint{}, std::nullopt).m_Mean;
+  return Value;
+}
+
+std::vector<GateCommand> Engine::takeCommands() {
+  return std::exchange(m_Commands, {});
+}
+
+bool Engine::isZoneOut() const {
+  return m_Config != nullptr && !isZoneIn(*m_Config, m_Options.m_Zone);
+}
+
+Version Engine::version() const {
+  return m_Config == nullptr ? 0 : m_Config->m_Stamp.m_Version;
+}
+
+void Engine::send(LinkId Link, TrafficMessage Message) {
+  m_Commands.emplace_back(SendTraffic{Link, std::move(Message)});
+}
+
+void Engine::sendToIngress(const RequestId &Id, TrafficMessage Message) {
+  if (const auto Link = m_Links.currentLink(Id.m_Ingress))
+    send(*Link, std::move(Message));
+}
+
+void Engine::sendResult(const RequestId &Id) {
+  const LedgerEntry *Entry = m_Ledger.find(Id);
+  if (Entry == nullptr || Entry->m_State != Knowledge::Done)
+    return;
+  if (Entry->m_Response != nullptr)
+    return sendToIngress(Id, Answer{Id, Entry->m_Response, capacity()});
+  sendToIngress(Id, Failure{Id, Entry->m_FailureDetail, capacity()});
+}
+
+void Engine::sendRefusal(LinkId Link, const RequestId &Id,
+                         const RefusalCause &Cause) {
+  send(Link,
+       Refusal{Id, Cause.m_Reason, Cause.m_RetryAfter, version(), capacity()});
+  report(EventId::RequestRefused,
+         "request=" + toString(Id) +
+             " reason=" + std::string(nameOf(Cause.m_Reason)) +
+             " retry_after_us=" + std::to_string(Cause.m_RetryAfter.count()));
+}
+
+void Engine::refuse(const RequestId &Id, const RefusalCause &Cause) {
+  m_Ledger.refuse(Id, Cause.m_Reason);
+  if (const auto Link = m_Links.currentLink(Id.m_Ingress))
+    sendRefusal(*Link, Id, Cause);
+}
+
+void Engine::report(EventId Id, std::string Detail) {
+  m_Commands.emplace_back(Event{Id, std::move(Detail)});
+}
+
+} // namespace dandelionfall::core::gate
--- /dev/null
+++ b/src/core/gate/engine.h
@@ -0,0 +1,135 @@
+/// \file
+/// Joins the parts of the gate: messages and results of the target go in,
+/// commands come out.
+#ifndef DANDELIONFALL_CORE_GATE_ENGINE_H
+#define DANDELIONFALL_CORE_GATE_ENGINE_H
+
+#include "core/gate/admission.h"
+#include "core/gate/hold_off.h"
+#include "core/gate/ledger.h"
+#include "core/gate/link_table.h"
+#include "core/gate/ramp.h"
+#include "core/gate/request_queue.h"
+#include "core/gate/service_time.h"
+#include "core/gate/target_slots.h"
+#include "dandelionfall/core/gate.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dandelionfall::core::gate {
+
+/// Why a request is refused, with the feedback for the ingress.
+struct RefusalCause {
+  RefusalReason m_Reason = RefusalReason::Overload;
+  Duration m_RetryAfter{0};
+  friend bool operator==(const RefusalCause &, const RefusalCause &) = default;
+};
+
+/// Implementation of `Gate`; its public functions are described there.
+class Engine {
+public:
+  explicit Engine(GateOptions Options);
+
+  void onConfiguration(ConfigurationPtr Config, TimePoint Now);
+  void onMessage(LinkId Link, const TrafficMessage &Message, TimePoint Now);
+  void onLinkClosed(LinkId Link);
+  void onTargetAnswer(const RequestId &Id, HttpResponsePtr Response,
+                      TimePoint Now);
+  void onTargetFailure(const RequestId &Id, TargetFailure Kind,
+                       const std::string &Detail, TimePoint Now);
+  void startDrain(TimePoint Now);
+  void onTick(TimePoint Now);
+  std::optional<TimePoint> nextWakeUp() const;
+  Capacity capacity() const;
+  std::vector<GateCommand> takeCommands();
+
+private:
+  // Messages of ingresses, in engine_messages.cpp.
+  void takeHello(LinkId Link, const TrafficHello &Message, TimePoint Now);
+  void take(LinkId Link, const Dispatch &Message, TimePoint Now);
+  void take(LinkId Link, const Inquiry &Message, TimePoint Now);
+  void take(LinkId Link, const Settled &Message, TimePoint Now);
+  void take(LinkId Link, const Cancel &Message, TimePoint Now);
+  void take(LinkId Link, const TrafficPing &Message, TimePoint Now);
+  template <typename Unexpected>
+  void take(LinkId Link, const Unexpected &Message, TimePoint Now);
+  void repeatDispatch(LinkId Link, const RequestId &Id, Knowledge Known);
+  void enter(const Dispatch &Message, TimePoint Deadline);
+  void inquire(LinkId Link, const RequestId &Id);
+  std::optional<RefusalCause> fenceCause(LinkId Link,
+                                         const Dispatch &Message) const;
+  std::optional<RefusalCause> stateCause(const Dispatch &Message,
+                                         TimePoint Now) const;
+  std::optional<RefusalCause> loadCause(TimePoint Deadline,
+                                        TimePoint Now) const;
+  AdmissionView admissionView(TimePoint Now) const;
+  void noteVersion(LinkId Link, Version Seen);
+  void closeLink(LinkId Link);
+
+  // The target and the passage of time, in engine_target.cpp.
+  void start(const QueuedRequest &Next, TimePoint Now);
+  void startWaiting(TimePoint Now);
+  void failRunning(const RequestId &Id, const std::string &Detail);
+  void abandon(const RequestId &Id, const std::string &Detail, TimePoint Now);
+  void onNotSent(const OccupiedSlot &Slot, const std::string &Detail,
+                 TimePoint Now);
+  void onBroken(const OccupiedSlot &Slot, TargetFailure Kind,
+                const std::string &Detail, TimePoint Now);
+  void noteServiceTime(Duration Sample, bool Whole, std::uint32_t Occupied,
+                       TimePoint Now);
+  void restartRamp(std::string_view Cause, TimePoint Now);
+  void refuseWaiting(const RefusalCause &Cause);
+  void expire(TimePoint Now);
+  void advance(TimePoint Now);
+  void noteIdle(TimePoint Now);
+  void checkDrained(TimePoint Now);
+  void sweep(TimePoint Now);
+  Duration abandonedHold(const OccupiedSlot &Slot, TimePoint Now) const;
+  ServiceTimeEstimate estimate(TimePoint Now) const;
+
+  // Shared, in engine.cpp.
+  void findTarget();
+  void takeZone(bool WasIn, TimePoint Now);
+  bool isZoneOut() const;
+  Version version() const;
+  void send(LinkId Link, TrafficMessage Message);
+  void sendToIngress(const RequestId &Id, TrafficMessage Message);
+  void sendResult(const RequestId &Id);
+  void sendRefusal(LinkId Link, const RequestId &Id, const RefusalCause &Cause);
+  void refuse(const RequestId &Id, const RefusalCause &Cause);
+  void report(EventId Id, std::string Detail);
+
+  GateOptions m_Options;
+  const AdmissionStrategy *m_Admission;
+  ConfigurationPtr m_Config;
+  /// Service, target and profile in the version in force; null if it lacks the
+  /// target.
+  const Service *m_Service = nullptr;
+  const Target *m_Target = nullptr;
+  const Profile *m_Profile = nullptr;
+  Version m_NewestSeen = 0;
+  LinkTable m_Links;
+  Ledger m_Ledger;
+  RequestQueue m_Queue;
+  TargetSlots m_Slots;
+  ServiceTime m_ServiceTime;
+  Ramp m_Ramp;
+  HoldOff m_HoldOff;
+  std::uint64_t m_Arrivals = 0;
+  std::optional<TimePoint> m_IdleSince;
+  std::optional<TimePoint> m_ZoneOutSince;
+  std::optional<TimePoint> m_DrainUntil;
+  bool m_Drained = false;
+  TimePoint m_NextSweep;
+  std::vector<GateCommand> m_Commands;
+};
+
+/// \returns the name of a reason in event details.
+std::string_view nameOf(RefusalReason Reason);
+
+} // namespace dandelionfall::core::gate
+
+#endif // DANDELIONFALL_CORE_GATE_ENGINE_H
--- /dev/null
+++ b/src/core/gate/engine_messages.cpp
@@ -0,0 +1,236 @@
+#include "core/gate/engine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionfall::core::gate {
+
+void Engine::onMessage(LinkId Link, const TrafficMessage &Message,
+                       TimePoint Now) {
+  expire(Now);
+  if (const auto *Hello = std::get_if<TrafficHello>(&Message))
+    return takeHello(Link, *Hello, Now);
+  const LinkRecord *Record = m_Links.find(Link);
+  if (Record == nullptr)
+    return closeLink(Link);
+  m_Links.extend(Record->m_Ingress, Now);
+  std::visit([&](const auto &Each) { take(Link, Each, Now); }, Message);
+  advance(Now);
+}
+
+template <typename Unexpected>
+void Engine::take(LinkId Link, const Unexpected & /*Message*/,
+                  TimePoint /*Now*/) {
+  closeLink(Link);
+}
+
+void Engine::takeHello(LinkId Link, const TrafficHello &Message,
+                       TimePoint Now) {
+  const HelloResult Result = m_Links.hello(Link, Message, Now);
+  if (!Result.m_Accepted)
+    return closeLink(Link);
+  if (Result.m_Replaced)
+    m_Commands.emplace_back(CloseTrafficLink{*Result.m_Replaced});
+  if (Result.m_Raised)
+    report(EventId::EpochRaised, "ingress=" + toString(Message.m_Ingress) +
+                                     " host=" + Message.m_Host + " epoch=" +
+                                     std::to_string(Message.m_Epoch));
+  if (Result.m_Gone) {
+    for (const RequestId &Id : m_Ledger.queuedOf(*Result.m_Gone)) {
+      m_Queue.remove(
+          {Id, m_Ledger.find(Id)->m_Deadline, m_Ledger.find(Id)->m_Arrival});
+      refuse(Id, {RefusalReason::Cancelled, Duration{0}});
+    }
+    m_Ledger.forget(*Result.m_Gone);
+  }
+  if (Result.m_Dropped)
+    m_Ledger.erase(*Result.m_Dropped);
+  send(Link, TrafficWelcome{m_Options.m_Host, m_Options.m_Incarnation,
+                            Message.m_Epoch, version(), capacity()});
+  if (m_DrainUntil)
+    send(Link, TrafficGoAway{});
+  noteVersion(Link, Message.m_Version);
+  advance(Now);
+}
+
+void Engine::take(LinkId Link, const Dispatch &Message, TimePoint Now) {
+  const RequestId &Id = Message.m_Id;
+  if (Id.m_Ingress != m_Links.find(Link)->m_Ingress)
+    return closeLink(Link);
+  noteVersion(Link, Message.m_Version);
+  const Knowledge Known = m_Ledger.lookUp(Id);
+  if (Known != Knowledge::Unknown)
+    return repeatDispatch(Link, Id, Known);
+  const TimePoint Deadline = Now + std::min(Message.m_Remaining, MaxRemaining);
+  std::optional<RefusalCause> Cause = fenceCause(Link, Message);
+  if (!Cause)
+    Cause = stateCause(Message, Now);
+  if (!Cause)
+    Cause = loadCause(Deadline, Now);
+  if (!Cause)
+    return enter(Message, Deadline);
+  m_Ledger.refuse(Id, Cause->m_Reason);
+  sendRefusal(Link, Id, *Cause);
+}
+
+void Engine::repeatDispatch(LinkId Link, const RequestId &Id, Knowledge Known) {
+  if (Known == Knowledge::NeverRuns)
+    return sendRefusal(Link, Id, {m_Ledger.refusalReason(Id), Duration{0}});
+  // The current link gets the result anyway, or has settled it.
+  if (!m_Links.isCurrent(Link))
+    return;
+  if (Known == Knowledge::Done)
+    return sendResult(Id);
+  if (Known == Knowledge::Forgotten)
+    send(Link, Failure{Id, "the gate no longer knows it", capacity()});
+}
+
+std::optional<RefusalCause> Engine::fenceCause(LinkId Link,
+                                               const Dispatch &Message) const {
+  if (!m_Links.isCurrent(Link) ||
+      Message.m_Epoch != m_Links.find(Link)->m_Epoch)
+    return RefusalCause{RefusalReason::OldEpoch, Duration{0}};
+  if (Message.m_Gate != m_Options.m_Incarnation)
+    return RefusalCause{RefusalReason::WrongIncarnation, Duration{0}};
+  return std::nullopt;
+}
+
+std::optional<RefusalCause> Engine::stateCause(const Dispatch &Message,
+                                               TimePoint Now) const {
+  if (m_Target == nullptr || Message.m_Target != m_Target->m_Name ||
+      Message.m_Service != m_Service->m_Name)
+    return RefusalCause{RefusalReason::UnknownTarget, Duration{0}};
+  if (m_DrainUntil)
+    return RefusalCause{RefusalReason::Draining, Duration{0}};
+  if (isZoneOut())
+    return RefusalCause{RefusalReason::ZoneOut, Duration{0}};
+  if (Message.m_Remaining <= Duration{0})
+    return RefusalCause{RefusalReason::DeadlinePassed, Duration{0}};
+  const Duration Pause = m_HoldOff.remaining(Now);
+  if (Pause > Duration{0})
+    return RefusalCause{RefusalReason::TargetDown, Pause};
+  if (m_Ledger.entriesOf(Message.m_Id.m_Ingress) >= MaxEntriesPerIngress)
+    return RefusalCause{RefusalReason::QueueFull, Duration{0}};
+  return std::nullopt;
+}
+
+std::optional<RefusalCause> Engine::loadCause(TimePoint Deadline,
+                                              TimePoint Now) const {
+  const AdmissionVerdict Verdict =
+      m_Admission->decide(admissionView(Now), Deadline);
+  if (Verdict.m_Admitted)
+    return std::nullopt;
+  return RefusalCause{Verdict.m_Reason, Verdict.m_RetryAfter};
+}
+
+AdmissionView Engine::admissionView(TimePoint Now) const {
+  AdmissionView View;
+  View.m_Now = Now;
+  View.m_ServiceTime = estimate(Now);
+  View.m_QueueLimit = m_Profile->m_QueueLimit;
+  View.m_Waiting = m_Queue.deadlines();
+  const Duration Overdue =
+      std::max(View.m_ServiceTime.m_Deviation, Duration{1});
+  for (const OccupiedSlot &Slot : m_Slots.slots()) {
+    const TimePoint Expected =
+        Slot.m_FreeAt.value_or(Slot.m_Start + View.m_ServiceTime.m_Mean);
+    View.m_PlacesFreeAt.push_back(std::max(Expected, Now + Overdue));
+  }
+  // Above the limit the first to finish leave no place behind.
+  std::sort(View.m_PlacesFreeAt.rbegin(), View.m_PlacesFreeAt.rend());
+  View.m_PlacesFreeAt.resize(m_Ramp.limit(), Now);
+  return View;
+}
+
+void Engine::enter(const Dispatch &Message, TimePoint Deadline) {
+  LedgerEntry Entry;
+  Entry.m_Deadline = Deadline;
+  Entry.m_Idempotent = Message.m_Idempotent;
+  Entry.m_Arrival = ++m_Arrivals;
+  Entry.m_Request = Message.m_Request;
+  m_Queue.push({Message.m_Id, Deadline, Entry.m_Arrival});
+  m_Ledger.admit(Message.m_Id, std::move(Entry));
+  m_Links.extend(Message.m_Id.m_Ingress, Deadline);
+}
+
+void Engine::take(LinkId Link, const Inquiry &Message, TimePoint /*Now*/) {
+  // An inquiry that arrives late on an older link must not fence anything.
+  if (!m_Links.isCurrent(Link))
+    return;
+  if (Message.m_Ids.size() > MaxIdsPerMessage)
+    return closeLink(Link);
+  for (const RequestId &Id : Message.m_Ids) {
+    if (Id.m_Ingress != m_Links.find(Link)->m_Ingress)
+      return closeLink(Link);
+    inquire(Link, Id);
+  }
+}
+
+void Engine::inquire(LinkId Link, const RequestId &Id) {
+  switch (m_Ledger.lookUp(Id)) {
+  case Knowledge::Unknown:
+    m_Ledger.fence(Id);
+    [[fallthrough]];
+  case Knowledge::NeverRuns:
+    return send(Link, InquiryReply{Id, LedgerState::NeverRuns});
+  case Knowledge::Queued:
+  case Knowledge::Running:
+    return send(Link, InquiryReply{Id, LedgerState::Running});
+  case Knowledge::Done:
+    send(Link, InquiryReply{Id, LedgerState::Done});
+    return sendResult(Id);
+  case Knowledge::Settled:
+  case Knowledge::Forgotten:
+    send(Link, InquiryReply{Id, LedgerState::Done});
+    send(Link, Failure{Id, "the gate no longer knows it", capacity()});
+  }
+}
+
+void Engine::take(LinkId Link, const Settled &Message, TimePoint /*Now*/) {
+  if (Message.m_Ids.size() > MaxIdsPerMessage)
+    return closeLink(Link);
+  for (const RequestId &Id : Message.m_Ids) {
+    if (Id.m_Ingress == m_Links.find(Link)->m_Ingress)
+      m_Ledger.settle(Id);
+  }
+}
+
+void Engine::take(LinkId Link, const Cancel &Message, TimePoint Now) {
+  const RequestId &Id = Message.m_Id;
+  if (Id.m_Ingress != m_Links.find(Link)->m_Ingress)
+    return closeLink(Link);
+  switch (m_Ledger.lookUp(Id)) {
+  case Knowledge::Unknown:
+    return refuse(Id, {RefusalReason::Cancelled, Duration{0}});
+  case Knowledge::Queued:
+    m_Queue.remove(
+        {Id, m_Ledger.find(Id)->m_Deadline, m_Ledger.find(Id)->m_Arrival});
+    return refuse(Id, {RefusalReason::Cancelled, Duration{0}});
+  case Knowledge::Running:
+    return abandon(Id, "cancelled by the caller", Now);
+  case Knowledge::Done:
+  case Knowledge::NeverRuns:
+  case Knowledge::Settled:
+  case Knowledge::Forgotten:
+    return;
+  }
+}
+
+void Engine::take(LinkId Link, const TrafficPing &Message, TimePoint /*Now*/) {
+  noteVersion(Link, Message.m_Version);
+  send(Link, TrafficPong{Message.m_Sequence, version(), capacity()});
+}
+
+void Engine::noteVersion(LinkId Link, Version Seen) {
+  if (Seen <= std::max(version(), m_NewestSeen))
+    return;
+  m_NewestSeen = Seen;
+  m_Commands.emplace_back(PeerVersionSeen{Seen, Link});
+}
+
+void Engine::closeLink(LinkId Link) {
+  m_Links.close(Link);
+  m_Commands.emplace_back(CloseTrafficLink{Link});
+}
+
+} // namespace dandelionfall::core::gate
--- /dev/null
+++ b/src/core/gate/engine_target.cpp
@@ -0,0 +1,220 @@
+#include "core/gate/engine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionfall::core::gate {
+
+namespace {
+
+/// Deviations above the mean at which an abandoned request should have ended.
+constexpr int AbandonedSpread = 2;
+
+} // namespace
+
+void Engine::onTargetAnswer(const RequestId &Id, HttpResponsePtr Response,
+                            TimePoint Now) {
+  const std::uint32_t Occupied = m_Slots.size();
+  if (const auto Slot = m_Slots.release(Id)) {
+    m_HoldOff.onConnected();
+    noteIdle(Now);
+    noteServiceTime(Now - Slot->m_Start, true, Occupied, Now);
+  }
+  if (m_Ledger.lookUp(Id) == Knowledge::Running) {
+    report(EventId::RequestFinished,
+           "request=" + toString(Id) + " result=answer");
+    m_Ledger.finish(Id, std::move(Response));
+    sendResult(Id);
+  }
+  expire(Now);
+  advance(Now);
+}
+
+void Engine::onTargetFailure(const RequestId &Id, TargetFailure Kind,
+                             const std::string &Detail, TimePoint Now) {
+  const OccupiedSlot *Found = m_Slots.find(Id);
+  if (Found != nullptr) {
+    const OccupiedSlot Slot = *Found;
+    if (Kind == TargetFailure::NotSent)
+      onNotSent(Slot, Detail, Now);
+    else if (!Slot.m_FreeAt)
+      onBroken(Slot, Kind, Detail, Now);
+  }
+  expire(Now);
+  advance(Now);
+}
+
+void Engine::onNotSent(const OccupiedSlot &Slot, const std::string &Detail,
+                       TimePoint Now) {
+  m_Slots.release(Slot.m_Id);
+  noteIdle(Now);
+  // The gate withdrew it before it was sent; that says nothing of the target.
+  if (Slot.m_FreeAt)
+    return;
+  if (m_HoldOff.onRefused(Slot.m_Start, Now)) {
+    report(EventId::TargetHeldOff,
+           "pause_us=" + std::to_string(m_HoldOff.remaining(Now).count()) +
+               " detail=" + Detail);
+    restartRamp("refused-connection", Now);
+  }
+  const RefusalCause Cause{RefusalReason::TargetDown, m_HoldOff.remaining(Now)};
+  refuse(Slot.m_Id, Cause);
+  refuseWaiting(Cause);
+}
+
+void Engine::onBroken(const OccupiedSlot &Slot, TargetFailure Kind,
+                      const std::string &Detail, TimePoint Now) {
+  m_HoldOff.onConnected();
+  m_Slots.abandon(Slot.m_Id, Now + abandonedHold(Slot, Now));
+  if (Kind == TargetFailure::Reset)
+    restartRamp("reset", Now);
+  else
+    noteServiceTime(Now - Slot.m_Start, false, m_Slots.size(), Now);
+  failRunning(Slot.m_Id, Detail);
+}
+
+void Engine::abandon(const RequestId &Id, const std::string &Detail,
+                     TimePoint Now) {
+  m_Commands.emplace_back(CancelTarget{Id});
+  const OccupiedSlot *Slot = m_Slots.find(Id);
+  if (Slot != nullptr) {
+    const Duration Elapsed = Now - Slot->m_Start;
+    m_Slots.abandon(Id, Now + abandonedHold(*Slot, Now));
+    noteServiceTime(Elapsed, false, m_Slots.size(), Now);
+  }
+  failRunning(Id, Detail);
+}
+
+void Engine::failRunning(const RequestId &Id, const std::string &Detail) {
+  report(EventId::RequestFinished,
+         "request=" + toString(Id) + " result=failure detail=" + Detail);
+  m_Ledger.fail(Id, Detail);
+  sendResult(Id);
+}
+
+Duration Engine::abandonedHold(const OccupiedSlot &Slot, TimePoint Now) const {
+  const ServiceTimeEstimate Expected = estimate(Now);
+  const TimePoint End =
+      Slot.m_Start + Expected.m_Mean + AbandonedSpread * Expected.m_Deviation;
+  // One that runs longer than expected may take as long again.
+  const Duration Left = std::max(End - Now, Expected.m_Mean);
+  return std::clamp(Left, MinAbandonedHold, MaxAbandonedHold);
+}
+
+void Engine::noteServiceTime(Duration Sample, bool Whole,
+                             std::uint32_t Occupied, TimePoint Now) {
+  if (Whole)
+    m_ServiceTime.addSample(Sample, Now);
+  else
+    m_ServiceTime.addLowerBound(Sample, Now);
+  const bool InUse = 2 * Occupied > m_Ramp.limit();
+  switch (m_Ramp.onCompletion(Sample, Whole, InUse, Now)) {
+  case RampChange::None:
+  case RampChange::Raised:
+    return;
+  case RampChange::Finished:
+    return report(EventId::RampFinished,
+                  "limit=" + std::to_string(m_Ramp.limit()));
+  case RampChange::Restarted:
+    return report(EventId::RampRestarted,
+                  "cause=service-time limit=" + std::to_string(m_Ramp.limit()));
+  }
+}
+
+void Engine::restartRamp(std::string_view Cause, TimePoint Now) {
+  m_Ramp.restart(Now);
+  report(EventId::RampRestarted, "cause=" + std::string(Cause) + " limit=" +
+                                     std::to_string(m_Ramp.limit()));
+}
+
+void Engine::startWaiting(TimePoint Now) {
+  if (m_HoldOff.remaining(Now) > Duration{0})
+    return;
+  const std::uint32_t Allowed = m_HoldOff.isProbing() ? 1 : m_Ramp.limit();
+  while (!m_Queue.empty() && m_Slots.size() < Allowed) {
+    const QueuedRequest Next = m_Queue.pop();
+    const Duration Remaining = Next.m_Deadline - Now;
+    if (Remaining <= Duration{0}) {
+      refuse(Next.m_Id, {RefusalReason::DeadlinePassed, Duration{0}});
+      continue;
+    }
+    if (!m_Admission->isWorthStarting(Remaining, estimate(Now))) {
+      refuse(Next.m_Id, {RefusalReason::Overload, Duration{0}});
+      continue;
+    }
+    start(Next, Now);
+  }
+}
+
+void Engine::start(const QueuedRequest &Next, TimePoint Now) {
+  const bool Idempotent = m_Ledger.find(Next.m_Id)->m_Idempotent;
+  HttpRequestPtr Request = m_Ledger.start(Next.m_Id);
+  m_Slots.occupy(Next.m_Id, Now, Next.m_Deadline);
+  m_IdleSince.reset();
+  m_Commands.emplace_back(
+      StartTarget{Next.m_Id, Next.m_Deadline, Idempotent, std::move(Request)});
+  report(EventId::RequestStarted,
+         "request=" + toString(Next.m_Id) + " target=" + m_Options.m_Target +
+             " in_flight=" + std::to_string(m_Slots.size()) +
+             " limit=" + std::to_string(m_Ramp.limit()));
+}
+
+void Engine::refuseWaiting(const RefusalCause &Cause) {
+  for (const QueuedRequest &Request : m_Queue.takeAll())
+    refuse(Request.m_Id, Cause);
+}
+
+void Engine::expire(TimePoint Now) {
+  m_Slots.expire(Now);
+  noteIdle(Now);
+  const std::vector<OccupiedSlot> Occupied = m_Slots.slots();
+  for (const OccupiedSlot &Slot : Occupied) {
+    if (!Slot.m_FreeAt && Slot.m_Deadline <= Now)
+      abandon(Slot.m_Id, "the deadline passed while it ran", Now);
+  }
+  for (const QueuedRequest &Request : m_Queue.takeExpired(Now))
+    refuse(Request.m_Id, {RefusalReason::DeadlinePassed, Duration{0}});
+  if (m_ZoneOutSince && Now >= *m_ZoneOutSince + ZoneOutGrace)
+    refuseWaiting({RefusalReason::ZoneOut, Duration{0}});
+}
+
+void Engine::advance(TimePoint Now) {
+  startWaiting(Now);
+  checkDrained(Now);
+}
+
+void Engine::noteIdle(TimePoint Now) {
+  if (m_Slots.size() == 0 && !m_IdleSince)
+    m_IdleSince = Now;
+}
+
+void Engine::checkDrained(TimePoint Now) {
+  if (!m_DrainUntil || m_Drained)
+    return;
+  if (m_Ledger.count(Knowledge::Queued) + m_Ledger.count(Knowledge::Running) >
+      0) {
+    m_DrainUntil = Now + DrainLinger;
+    return;
+  }
+  if (!m_Ledger.empty() && Now < *m_DrainUntil)
+    return;
+  m_Drained = true;
+  m_Commands.emplace_back(GateDrained{});
+}
+
+void Engine::sweep(TimePoint Now) {
+  if (Now < m_NextSweep)
+    return;
+  m_NextSweep = Now + SweepInterval;
+  for (const Incarnation &Ingress : m_Ledger.ingresses()) {
+    const auto Present = m_Links.presentUntil(Ingress);
+    if (!Present || *Present + ForgetMargin < Now)
+      m_Ledger.forget(Ingress);
+  }
+}
+
+ServiceTimeEstimate Engine::estimate(TimePoint Now) const {
+  return m_ServiceTime.estimate(Now, m_IdleSince);
+}
+
+} // namespace dandelionfall::core::gate
--- /dev/null
+++ b/src/core/gate/link_table.cpp
@@ -0,0 +1,117 @@
+#include "core/gate/link_table.h"
+
+#include "core/gate/limits.h"
+
+#include <algorithm>
+
+namespace dandelionfall::core::gate {
+
+HelloResult LinkTable::hello(LinkId Link, const TrafficHello &Message,
+                             TimePoint Now) {
+  HelloResult Result;
+  if (m_Links.size() >= MaxLinks || m_Links.count(Link) > 0)
+    return Result;
+  const auto [Place, IsNew] = m_Ingresses.try_emplace(Message.m_Ingress);
+  IngressRecord &Ingress = Place->second;
+  if (!IsNew && Message.m_Epoch <= Ingress.m_Epoch)
+    return Result;
+  Result.m_Accepted = true;
+  Result.m_Raised = !IsNew;
+  Result.m_Replaced = Ingress.m_Link;
+  Ingress.m_Host = Message.m_Host;
+  Ingress.m_Epoch = Message.m_Epoch;
+  Ingress.m_Link = Link;
+  Ingress.m_PresentUntil = std::max(Ingress.m_PresentUntil, Now);
+  m_Links[Link] = {Message.m_Ingress, Message.m_Epoch};
+  Result.m_Gone = replaceHost(Message);
+  if (m_Ingresses.size() > MaxKnownIngresses)
+    Result.m_Dropped = dropOldest(Message.m_Ingress);
+  return Result;
+}
+
+void LinkTable::close(LinkId Link) {
+  const auto Found = m_Links.find(Link);
+  if (Found == m_Links.end())
+    return;
+  const auto Ingress = m_Ingresses.find(Found->second.m_Ingress);
+  if (Ingress != m_Ingresses.end() && Ingress->second.m_Link == Link)
+    Ingress->second.m_Link.reset();
+  m_Links.erase(Found);
+}
+
+const LinkRecord *LinkTable::find(LinkId Link) const {
+  const auto Found = m_Links.find(Link);
+  return Found == m_Links.end() ? nullptr : &Found->second;
+}
+
+bool LinkTable::isCurrent(LinkId Link) const {
+  const LinkRecord *Record = find(Link);
+  return Record != nullptr && currentLink(Record->m_Ingress) == Link;
+}
+
+std::optional<LinkId> LinkTable::currentLink(const Incarnation &Ingress) const {
+  const auto Found = m_Ingresses.find(Ingress);
+  if (Found == m_Ingresses.end())
+    return std::nullopt;
+  return Found->second.m_Link;
+}
+
+std::vector<LinkId> LinkTable::currentLinks() const {
+  std::vector<LinkId> Result;
+  for (const auto &[Incarnation, Ingress] : m_Ingresses) {
+    if (Ingress.m_Link)
+      Result.push_back(*Ingress.m_Link);
+  }
+  std::sort(Result.begin(), Result.end());
+  return Result;
+}
+
+void LinkTable::extend(const Incarnation &Ingress, TimePoint Until) {
+  const auto Found = m_Ingresses.find(Ingress);
+  if (Found == m_Ingresses.end())
+    return;
+  TimePoint &Present = Found->second.m_PresentUntil;
+  Present = std::max(Present, Until);
+}
+
+std::optional<TimePoint>
+LinkTable::presentUntil(const Incarnation &Ingress) const {
+  const auto Found = m_Ingresses.find(Ingress);
+  if (Found == m_Ingresses.end())
+    return std::nullopt;
+  return Found->second.m_PresentUntil;
+}
+
+std::optional<Incarnation> LinkTable::replaceHost(const TrafficHello &Message) {
+  const auto [Place, IsNew] =
+      m_Hosts.try_emplace(Message.m_Host, Message.m_Ingress);
+  if (IsNew || Place->second == Message.m_Ingress)
+    return std::nullopt;
+  const Incarnation Gone = Place->second;
+  Place->second = Message.m_Ingress;
+  // An ingress that still has its link is not gone, whatever name it uses.
+  if (currentLink(Gone))
+    return std::nullopt;
+  return Gone;
+}
+
+std::optional<Incarnation> LinkTable::dropOldest(const Incarnation &Keep) {
+  auto Oldest = m_Ingresses.end();
+  for (auto Each = m_Ingresses.begin(); Each != m_Ingresses.end(); ++Each) {
+    if (Each->second.m_Link || Each->first == Keep)
+      continue;
+    if (Oldest == m_Ingresses.end() ||
+        Each->second.m_PresentUntil < Oldest->second.m_PresentUntil)
+      Oldest = Each;
+  }
+  if (Oldest == m_Ingresses.end())
+    return std::nullopt;
+  const Incarnation Dropped = Oldest->first;
+  const auto Host = m_Hosts.find(Oldest->second.m_Host);
+  if (Host != m_Hosts.end() && Host->second == Dropped)
+    m_Hosts.erase(Host);
+  m_Ingresses.erase(Oldest);
+  return Dropped;
+}
+
+} // namespace dandelionfall::core::gate
--- /dev/null
+++ b/src/core/gate/request_queue.h
@@ -0,0 +1,74 @@
+/// \file
+/// Admitted requests that wait for a slot, in the order in which they start.
+#ifndef DANDELIONFALL_CORE_GATE_REQUEST_QUEUE_H
+#define DANDELIONFALL_CORE_GATE_REQUEST_QUEUE_H
+
+#include "dandelionfall/core/identity.h"
+#include "dandelionfall/core/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace dandelionfall::core::gate {
+
+/// Order in which waiting requests start.
+enum class QueueOrder : std::uint8_t {
+  ByDeadline, ///< Earliest deadline first; equal ones by arrival.
+  ByArrival,  ///< First come, first served.
+};
+
+/// A request that waits.
+struct QueuedRequest {
+  RequestId m_Id;
+  TimePoint m_Deadline;
+  /// Ascending number of the admission.
+  std::uint64_t m_Arrival = 0;
+  friend bool operator==(const QueuedRequest &,
+                         const QueuedRequest &) = default;
+};
+
+/// Waiting requests in order.
+class RequestQueue {
+public:
+  explicit RequestQueue(QueueOrder Order) : m_Requests(Before{Order}) {}
+
+  /// Adds a request.
+  void push(const QueuedRequest &Request) { m_Requests.insert(Request); }
+  /// Removes a request, if it waits.
+  void remove(const QueuedRequest &Request) { m_Requests.erase(Request); }
+  /// Takes the next request out; the queue must not be empty.
+  QueuedRequest pop();
+  /// Takes all requests out whose deadline has passed.
+  std::vector<QueuedRequest> takeExpired(TimePoint Now);
+  /// Takes all requests out.
+  std::vector<QueuedRequest> takeAll();
+  /// \returns the deadlines in the order of the queue.
+  std::vector<TimePoint> deadlines() const;
+  /// \returns the earliest deadline.
+  std::optional<TimePoint> earliestDeadline() const;
+  bool empty() const { return m_Requests.empty(); }
+  std::uint32_t size() const {
+    return static_cast<std::uint32_t>(m_Requests.size());
+  }
+
+private:
+  struct Before {
+    QueueOrder m_Order;
+    bool operator()(const QueuedRequest &Left,
+                    const QueuedRequest &Right) const {
+      if (m_Order == QueueOrder::ByDeadline &&
+          Left.m_Deadline != Right.m_Deadline)
+        return Left.m_Deadline < Right.m_Deadline;
+      return Left.m_Arrival < Right.m_Arrival;
+    }
+  };
+
+  std::set<QueuedRequest, Before> m_Requests;
+};
+
+} // namespace dandelionfall::core::gate
+
+#endif // DANDELIONFALL_CORE_GATE_REQUEST_QUEUE_H
--- /dev/null
+++ b/src/core/gate/service_time.h
@@ -0,0 +1,47 @@
+/// \file
+/// Smoothed service time of the target.
+#ifndef DANDELIONFALL_CORE_GATE_SERVICE_TIME_H
+#define DANDELIONFALL_CORE_GATE_SERVICE_TIME_H
+
+#include "dandelionfall/core/time.h"
+
+#include <optional>
+
+namespace dandelionfall::core::gate {
+
+/// Expected service time; zero while there is no evidence.
+struct ServiceTimeEstimate {
+  Duration m_Mean{0};
+  /// Smoothed distance of the samples from the mean.
+  Duration m_Deviation{0};
+  friend bool operator==(const ServiceTimeEstimate &,
+                         const ServiceTimeEstimate &) = default;
+};
+
+/// Smooths service times by the method of RFC 6298 for round-trip times.
+class ServiceTime {
+public:
+  /// Takes the service time of a whole answer.
+  void addSample(Duration Sample, TimePoint Now);
+  /// Takes the time after which a request was given up; it says only that the
+  /// service time is no shorter.
+  void addLowerBound(Duration Elapsed, TimePoint Now);
+  /// Estimates the service time of the next request. While the target is idle
+  /// the estimate halves at every `HalfLife` without evidence, so that one that
+  /// is too high cannot refuse all work for good.
+  /// \param IdleSince since when nothing ran, if nothing runs.
+  ServiceTimeEstimate estimate(TimePoint Now,
+                               std::optional<TimePoint> IdleSince) const;
+
+  /// Time without evidence after which the estimate of an idle target halves.
+  static constexpr Duration HalfLife = std::chrono::seconds(1);
+
+private:
+  bool m_HasSample = false;
+  TimePoint m_LastSample;
+  ServiceTimeEstimate m_Smoothed;
+};
+
+} // namespace dandelionfall::core::gate
+
+#endif // DANDELIONFALL_CORE_GATE_SERVICE_TIME_H
--- /dev/null
+++ b/tests/unit/gate_harness.h
@@ -0,0 +1,211 @@
+/// \file
+/// Drives a gate by hand in virtual time and sorts the commands it gives.
+#ifndef DANDELIONFALL_TESTS_UNIT_GATE_HARNESS_H
+#define DANDELIONFALL_TESTS_UNIT_GATE_HARNESS_H
+
+#include "dandelionfall/core/gate.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace dandelionfall::core::testing {
+
+inline Duration ms(std::int64_t Count) {
+  return std::chrono::milliseconds(Count);
+}
+
+inline constexpr Incarnation GateStart{7, 7};
+
+struct GateSettings {
+  Version m_Version = 1;
+  ZoneState m_Zone = ZoneState::In;
+  std::uint32_t m_Slots = 4;
+  std::uint32_t m_ColdLimit = 4;
+  std::uint32_t m_QueueLimit = 8;
+  bool m_Listed = true;
+};
+
+inline ConfigurationPtr makeGateConfiguration(const GateSettings &Settings) {
+  auto Config = std::make_shared<Configuration>();
+  Config->m_Stamp = {Settings.m_Version, Settings.m_Version};
+  Config->m_Zones["sindos"] = {"sindos", "gr-north", Settings.m_Zone};
+  Profile Policy;
+  Policy.m_Name = "booking";
+  Policy.m_QueueLimit = Settings.m_QueueLimit;
+  Policy.m_ColdStartLimit = Settings.m_ColdLimit;
+  Config->m_Profiles["booking"] = Policy;
+  auto Desk = std::make_shared<Service>();
+  Desk->m_Name = "escortdesk";
+  Desk->m_Profile = "booking";
+  if (Settings.m_Listed)
+    Desk->m_Targets.push_back({"escortdesk-1", "host-1", "sindos",
+                               "127.0.0.1:9001", Settings.m_Slots, 120});
+  Config->m_Services["escortdesk"] = Desk;
+  return Config;
+}
+
+/// A gate with a clock; ingress N has the incarnation {N, N}.
+class GateHarness {
+public:
+  explicit GateHarness(const GateSettings &Settings = {},
+                       const std::string &Admission = "deadline")
+      : m_Gate({"host-1", "sindos", "escortdesk-1", GateStart, Admission}) {
+    configure(Settings);
+  }
+
+  void configure(const GateSettings &Settings) {
+    m_Gate.onConfiguration(makeGateConfiguration(Settings), m_Now);
+    collect();
+  }
+
+  static RequestId id(std::uint64_t Sequence, std::uint64_t Ingress = 1) {
+    return {{Ingress, Ingress}, Sequence};
+  }
+
+  void hello(LinkId Link, Epoch Epoch, std::uint64_t Ingress = 1) {
+    message(Link, TrafficHello{"ingress-" + std::to_string(Ingress),
+                               {Ingress, Ingress},
+                               Epoch,
+                               1});
+  }
+
+  static Dispatch makeDispatch(std::uint64_t Sequence, Epoch Epoch = 1,
+                               Duration Remaining = ms(1000),
+                               std::uint64_t Ingress = 1) {
+    Dispatch Message;
+    Message.m_Id = id(Sequence, Ingress);
+    Message.m_Epoch = Epoch;
+    Message.m_Gate = GateStart;
+    Message.m_Remaining = Remaining;
+    Message.m_Version = 1;
+    Message.m_Service = "escortdesk";
+    Message.m_Target = "escortdesk-1";
+    Message.m_Request = std::make_shared<const HttpRequest>();
+    return Message;
+  }
+
+  void dispatch(LinkId Link, std::uint64_t Sequence, Epoch Epoch = 1,
+                Duration Remaining = ms(1000), std::uint64_t Ingress = 1) {
+    message(Link, makeDispatch(Sequence, Epoch, Remaining, Ingress));
+  }
+
+  void message(LinkId Link, const TrafficMessage &Message) {
+    m_Gate.onMessage(Link, Message, m_Now);
+    collect();
+  }
+
+  void closeLink(LinkId Link) {
+    m_Gate.onLinkClosed(Link, m_Now);
+    collect();
+  }
+
+  void answer(std::uint64_t Sequence, std::uint64_t Ingress = 1,
+              const std::string &Body = "whole") {
+    auto Response = std::make_shared<HttpResponse>();
+    Response->m_Status = 200;
+    Response->m_Body = Body;
+    m_Gate.onTargetAnswer(id(Sequence, Ingress), Response, m_Now);
+    collect();
+  }
+
+  void failure(std::uint64_t Sequence, TargetFailure Kind,
+               std::uint64_t Ingress = 1) {
+    m_Gate.onTargetFailure(id(Sequence, Ingress), Kind, "detail", m_Now);
+    collect();
+  }
+
+  void drain() {
+    m_Gate.startDrain(m_Now);
+    collect();
+  }
+
+  /// Lets time pass with a tick whenever the gate asks for one.
+  void pass(Duration Time) {
+    const TimePoint End = m_Now + Time;
+    for (auto Next = m_Gate.nextWakeUp(); Next && *Next <= End;
+         Next = m_Gate.nextWakeUp()) {
+      m_Now = std::max(m_Now + Duration{1}, *Next);
+      m_Gate.onTick(m_Now);
+      collect();
+    }
+    m_Now = std::max(m_Now, End);
+  }
+
+  /// Lets time pass without a tick, as when the process sleeps.
+  void sleep(Duration Time) { m_Now += Time; }
+
+  void tick() {
+    m_Gate.onTick(m_Now);
+    collect();
+  }
+
+  /// Serves one request after the other, so that service times are known.
+  void warmUp(LinkId Link, std::uint64_t FirstSequence, int Count,
+              Duration ServiceTime) {
+    for (int Index = 0; Index < Count; ++Index) {
+      const std::uint64_t Sequence =
+          FirstSequence + static_cast<std::uint64_t>(Index);
+      dispatch(Link, Sequence);
+      pass(ServiceTime);
+      answer(Sequence);
+      message(Link, Settled{{id(Sequence)}});
+    }
+    takeAll();
+  }
+
+  template <typename Command> std::vector<Command> commands() const {
+    std::vector<Command> Found;
+    for (const GateCommand &Each : m_Commands) {
+      if (const auto *Match = std::get_if<Command>(&Each))
+        Found.push_back(*Match);
+    }
+    return Found;
+  }
+
+  /// Messages of one type with the links that they were sent on.
+  template <typename Message>
+  std::vector<std::pair<LinkId, Message>> sent() const {
+    std::vector<std::pair<LinkId, Message>> Found;
+    for (const SendTraffic &Each : commands<SendTraffic>()) {
+      if (const auto *Match = std::get_if<Message>(&Each.m_Message))
+        Found.emplace_back(Each.m_Link, *Match);
+    }
+    return Found;
+  }
+
+  std::size_t starts(std::uint64_t Sequence, std::uint64_t Ingress = 1) const {
+    std::size_t Count = 0;
+    for (const StartTarget &Each : commands<StartTarget>())
+      Count += Each.m_Id == id(Sequence, Ingress) ? 1 : 0;
+    return Count;
+  }
+
+  std::size_t events(EventId Id) const {
+    std::size_t Count = 0;
+    for (const Event &Each : commands<Event>())
+      Count += Each.m_Id == Id ? 1 : 0;
+    return Count;
+  }
+
+  std::vector<GateCommand> takeAll() { return std::exchange(m_Commands, {}); }
+
+  Gate &gate() { return m_Gate; }
+  TimePoint now() const { return m_Now; }
+
+private:
+  void collect() {
+    for (GateCommand &Each : m_Gate.takeCommands())
+      m_Commands.push_back(std::move(Each));
+  }
+
+  TimePoint m_Now = TimePoint(std::chrono::hours(1));
+  Gate m_Gate;
+  std::vector<GateCommand> m_Commands;
+};
+
+} // namespace dandelionfall::core::testing
+
+#endif // DANDELIONFALL_TESTS_UNIT_GATE_HARNESS_H
--- /dev/null
+++ b/tests/unit/gate_load_test.cpp
@@ -0,0 +1,254 @@
+// Deadlines, admission, availability zone, drain and limits of the gate.
+
+#include "gate_harness.h"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionfall::core;
+using namespace dandelionfall::core::testing;
+
+namespace {
+
+std::vector<std::uint64_t> startedSequences(const GateHarness &Harness) {
+  std::vector<std::uint64_t> Sequences;
+  for (const StartTarget &Each : Harness.commands<StartTarget>())
+    Sequences.push_back(Each.m_Id.m_Sequence);
+  return Sequences;
+}
+
+RefusalReason onlyRefusal(const GateHarness &Harness) {
+  const auto Refusals = Harness.sent<Refusal>();
+  REQUIRE(Refusals.size() == 1);
+  return Refusals[0].second.m_Reason;
+}
+
+} // namespace
+
+TEST_CASE("a waiting request whose deadline passed is refused, not started") {
+  GateHarness Harness({.m_Slots = 1, .m_ColdLimit = 1});
+  Harness.hello(1, 1);
+  Harness.dispatch(1, 1, 1, ms(1000));
+  Harness.dispatch(1, 2, 1, ms(100));
+  SUBCASE("by the tick") { Harness.pass(ms(200)); }
+  SUBCASE("by the slot that became free during a sleep") {
+    Harness.sleep(ms(200));
+    Harness.answer(1);
+  }
+  CHECK(onlyRefusal(Harness) == RefusalReason::DeadlinePassed);
+  CHECK(Harness.starts(2) == 0);
+}
+
+TEST_CASE("a request past its deadline is cancelled and may have run") {
+  GateHarness Harness;
+  Harness.hello(1, 1);
+  Harness.dispatch(1, 1, 1, ms(100));
+  Harness.pass(ms(100));
+  CHECK(Harness.commands<CancelTarget>().size() == 1);
+  CHECK(Harness.sent<Failure>().size() == 1);
+  Harness.failure(1, TargetFailure::Abandoned);
+  CHECK(Harness.sent<Failure>().size() == 1);
+}
+
+TEST_CASE("a cancelled request that waits never runs") {
+  GateHarness Harness({.m_Slots = 1, .m_ColdLimit = 1});
+  Harness.hello(1, 1);
+  Harness.dispatch(1, 1);
+  Harness.dispatch(1, 2);
+  Harness.message(1, Cancel{GateHarness::id(2)});
+  CHECK(onlyRefusal(Harness) == RefusalReason::Cancelled);
+  Harness.answer(1);
+  CHECK(Harness.starts(2) == 0);
+}
+
+TEST_CASE("waiting requests start by deadline") {
+  GateHarness Harness({.m_Slots = 1, .m_ColdLimit = 1});
+  Harness.hello(1, 1);
+  Harness.dispatch(1, 1);
+  Harness.dispatch(1, 2, 1, ms(900));
+  Harness.dispatch(1, 3, 1, ms(300));
+  Harness.dispatch(1, 4, 1, ms(600));
+  for (const std::uint64_t Sequence : {1U, 3U, 4U, 2U})
+    Harness.answer(Sequence);
+  CHECK(startedSequences(Harness) == std::vector<std::uint64_t>{1, 3, 4, 2});
+}
+
+TEST_CASE("admission by deadline") {
+  struct Case {
+    const char *m_Name;
+    std::vector<int> m_Waiting;
+    int m_Arriving;
+    bool m_Admitted;
+    RefusalReason m_Reason;
+  };
+  // One slot, taken for 10 ms; a request takes 10 ms.
+  const std::vector<Case> Cases = {
+      {"fits behind the running one", {}, 25, true, {}},
+      {"too late behind the running one",
+       {},
+       15,
+       false,
+       RefusalReason::Overload},
+      {"fits before one with time to spare", {100}, 25, true, {}},
+      {"would make an admitted one late",
+       {33, 34},
+       25,
+       false,
+       RefusalReason::Overload},
+      {"longer deadline goes behind", {25, 35}, 50, true, {}},
+      {"queue full",
+       {900, 900, 900, 900},
+       950,
+       false,
+       RefusalReason::QueueFull},
+  };
+  for (const Case &Each : Cases) {
+    CAPTURE(Each.m_Name);
+    GateHarness Harness({.m_Slots = 1, .m_ColdLimit = 1, .m_QueueLimit = 4});
+    Harness.hello(1, 1);
+    Harness.warmUp(1, 100, 60, ms(10));
+    Harness.dispatch(1, 1);
+    std::uint64_t Sequence = 2;
+    for (const int Deadline : Each.m_Waiting)
+      Harness.dispatch(1, Sequence++, 1, ms(Deadline));
+    REQUIRE(Harness.sent<Refusal>().empty());
+    Harness.dispatch(1, 50, 1, ms(Each.m_Arriving));
+    CHECK(Harness.sent<Refusal>().empty() == Each.m_Admitted);
+    if (!Each.m_Admitted)
+      CHECK(onlyRefusal(Harness) == Each.m_Reason);
+  }
+}
+
+TEST_CASE("a refused request is admitted at the time that it was told") {
+  GateHarness Harness({.m_Slots = 1, .m_ColdLimit = 1, .m_QueueLimit = 20});
+  Harness.hello(1, 1);
+  Harness.warmUp(1, 100, 60, ms(10));
+  for (std::uint64_t Sequence = 1; Sequence <= 10; ++Sequence)
+    Harness.dispatch(1, Sequence, 1, ms(104));
+  Harness.dispatch(1, 50, 1, ms(40));
+  REQUIRE(onlyRefusal(Harness) == RefusalReason::Overload);
+  Duration Wait = Harness.sent<Refusal>()[0].second.m_RetryAfter;
+  CHECK(Wait >= ms(70));
+  CHECK(Wait <= ms(90));
+  std::uint64_t Running = 1;
+  for (; Wait > ms(10); Wait -= ms(10)) {
+    Harness.pass(ms(10));
+    Harness.answer(Running++);
+  }
+  Harness.pass(Wait + ms(1));
+  Harness.takeAll();
+  Harness.dispatch(1, 51, 1, ms(40));
+  CHECK(Harness.sent<Refusal>().empty());
+}
+
+TEST_CASE("without evidence requests are admitted") {
+  GateHarness Harness({.m_Slots = 4, .m_ColdLimit = 2, .m_QueueLimit = 4});
+  Harness.hello(1, 1);
+  for (std::uint64_t Sequence = 1; Sequence <= 6; ++Sequence)
+    Harness.dispatch(1, Sequence, 1, ms(5));
+  CHECK(Harness.sent<Refusal>().empty());
+  CHECK(Harness.commands<StartTarget>().size() == 2);
+  Harness.dispatch(1, 7, 1, ms(5));
+  CHECK(onlyRefusal(Harness) == RefusalReason::QueueFull);
+}
+
+TEST_CASE("after a spike of the service time requests are admitted again") {
+  GateHarness Harness({.m_Slots = 2, .m_ColdLimit = 2});
+  Harness.hello(1, 1);
+  Harness.warmUp(1, 100, 20, ms(900));
+  Harness.dispatch(1, 1, 1, ms(50));
+  CHECK(onlyRefusal(Harness) == RefusalReason::Overload);
+  bool Admitted = false;
+  for (std::uint64_t Sequence = 2; Sequence < 12 && !Admitted; ++Sequence) {
+    Harness.pass(ms(1000));
+    Harness.dispatch(1, Sequence, 1, ms(50));
+    Admitted = Harness.starts(Sequence) == 1;
+  }
+  CHECK(Admitted);
+}
+
+TEST_CASE("an availability zone that is out gets no new work") {
+  GateHarness Harness({.m_Slots = 1, .m_ColdLimit = 1});
+  Harness.hello(1, 1);
+  Harness.dispatch(1, 1, 1, ms(5000));
+  Harness.dispatch(1, 2, 1, ms(5000));
+  Harness.dispatch(1, 3, 1, ms(5000));
+  Harness.configure({.m_Version = 2, .m_Zone = ZoneState::Out, .m_Slots = 1});
+  CHECK(Harness.events(EventId::ZoneOut) == 1);
+  Harness.dispatch(1, 4);
+  CHECK(onlyRefusal(Harness) == RefusalReason::ZoneOut);
+  CHECK(Harness.sent<Refusal>()[0].second.m_Version == 2);
+  Harness.pass(ms(500));
+  Harness.answer(1);
+  CHECK(Harness.starts(2) == 1);
+  Harness.takeAll();
+  Harness.pass(ms(600));
+  CHECK(onlyRefusal(Harness) == RefusalReason::ZoneOut);
+  Harness.answer(2);
+  CHECK(Harness.sent<Answer>().size() == 1);
+  CHECK(Harness.starts(3) == 0);
+  Harness.configure({.m_Version = 3, .m_Slots = 1});
+  CHECK(Harness.events(EventId::ZoneIn) == 1);
+  CHECK(Harness.events(EventId::RampRestarted) == 1);
+  Harness.dispatch(1, 5);
+  CHECK(Harness.starts(5) == 1);
+}
+
+TEST_CASE("a newer version of an ingress is reported once") {
+  GateHarness Harness;
+  Harness.hello(1, 1);
+  Dispatch Message = GateHarness::makeDispatch(1);
+  Message.m_Version = 9;
+  Harness.message(1, Message);
+  Message.m_Id = GateHarness::id(2);
+  Harness.message(1, Message);
+  REQUIRE(Harness.commands<PeerVersionSeen>().size() == 1);
+  CHECK(Harness.commands<PeerVersionSeen>()[0].m_Version == 9);
+  CHECK(Harness.starts(1) == 1);
+}
+
+TEST_CASE("a drained gate finishes what it admitted and ends once") {
+  GateHarness Harness({.m_Slots = 1, .m_ColdLimit = 1});
+  Harness.hello(1, 1);
+  Harness.dispatch(1, 1);
+  Harness.dispatch(1, 2);
+  Harness.drain();
+  CHECK(Harness.sent<TrafficGoAway>().size() == 1);
+  Harness.dispatch(1, 3);
+  CHECK(onlyRefusal(Harness) == RefusalReason::Draining);
+  Harness.answer(1);
+  Harness.answer(2);
+  CHECK(Harness.sent<Answer>().size() == 2);
+  CHECK(Harness.commands<GateDrained>().empty());
+  SUBCASE("when its answers are settled") {
+    Harness.message(1, Settled{{GateHarness::id(1), GateHarness::id(2)}});
+    CHECK(Harness.commands<GateDrained>().size() == 1);
+  }
+  SUBCASE("after a while if they are not") {
+    Harness.pass(ms(1900));
+    CHECK(Harness.commands<GateDrained>().empty());
+    Harness.pass(ms(200));
+  }
+  Harness.pass(ms(5000));
+  Harness.drain();
+  CHECK(Harness.commands<GateDrained>().size() == 1);
+}
+
+TEST_CASE("a drained gate without work ends at once") {
+  GateHarness Harness;
+  Harness.drain();
+  CHECK(Harness.commands<GateDrained>().size() == 1);
+}
+
+TEST_CASE("a target that is not listed is refused") {
+  GateHarness Harness({.m_Listed = false});
+  Harness.hello(1, 1);
+  Harness.dispatch(1, 1);
+  CHECK(onlyRefusal(Harness) == RefusalReason::UnknownTarget);
+}
+
+TEST_CASE("an unknown admission strategy is refused with its remedy") {
+  CHECK_THROWS_WITH_AS(GateHarness({}, "lottery"),
+                       "no admission strategy 'lottery'; use deadline, fcfs or "
+                       "bounded",
+                       std::invalid_argument);
+}
