--- a/include/dandelionfall/core/control_message.h
+++ b/include/dandelionfall/core/control_message.h
@@ -5,6 +5,7 @@
 
 #include "dandelionfall/core/configuration_reader.h"
 #include "dandelionfall/core/identity.h"
+#include "dandelionfall/core/time.h"
 
 #include <cstdint>
 #include <string>
@@ -13,6 +14,9 @@
 
 namespace dandelionfall::core {
 
+/// Name under which a manifest travels among the parts of a `SnapshotChunk`.
+inline constexpr const char *SharedManifestName = "manifest";
+
 /// What kind of published state a message is about; each has versions of its
 /// own.
 enum class Stream : std::uint8_t {
@@ -65,6 +69,10 @@
 
 /// A piece of a whole version, for receivers that are too far behind for
 /// records.
+///
+/// With a count of 0 it holds some parts that the sender has collected of a
+/// version that nobody may hold whole yet; the part named
+/// `SharedManifestName` is that version's manifest.
 struct SnapshotChunk {
   Stream m_Stream = Stream::Configuration;
   VersionStamp m_Stamp;
@@ -80,12 +88,20 @@
   friend bool operator==(const HeldAck &, const HeldAck &) = default;
 };
 
+/// Stands for "no call is known" in a heartbeat.
+inline constexpr Duration NeverCalled = Duration::max();
+
 /// Regular sign of life with the sender's versions.
 struct Heartbeat {
   std::uint64_t m_Sequence = 0;
   VersionStamp m_Held;
   VersionStamp m_Applied;
   VersionStamp m_HostList;
+  /// Time since any reader that the sender has heard of, directly or through
+  /// others, last called the source; `NeverCalled` if none is known.
+  Duration m_SourceTriedAgo = NeverCalled;
+  /// The same for calls that the source answered.
+  Duration m_SourceReachedAgo = NeverCalled;
   friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
 };
 
--- a/src/core/distribution.cpp
+++ b/src/core/distribution.cpp
@@ -1,86 +1,89 @@
 #include "dandelionfall/core/distribution.h"
 
-#include "dandelionfall/core/error.h"
-
+#include "core/distribution/adoption.h"
+#include "core/distribution/blackboard.h"
+#include "core/distribution/collection.h"
+#include "core/distribution/overlay.h"
+#include "core/distribution/replication.h"
+#include "core/distribution/source_reader.h"
+
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace dandelionfall::core {
 
-// Thin first version: every node watches the source.
 class Distribution::Impl {
 public:
-  explicit Impl(DistributionOptions Options) : m_Options(std::move(Options)) {}
+  explicit Impl(DistributionOptions Options) : m_Board(std::move(Options)) {}
+
+  void setTime(TimePoint Now) { m_Board.m_Now = std::max(Now, m_Board.m_Now); }
 
-  void call(SourceRequestKind Kind, Version After, std::string PartName) {
-    ++m_Status.m_SourceCalls;
-    m_Commands.emplace_back(
-        CallSource{++m_LastCall, Kind, After, std::move(PartName)});
+  /// Runs the controllers; what an earlier one writes, a later one reads.
+  void run() {
+    for (Controller *Each : m_Controllers)
+      Each->run(m_Board);
   }
 
-  void watch() {
-    call(SourceRequestKind::WatchManifest, m_Status.m_Applied.m_Version, "");
+  TimePoint wakeUp() const {
+    TimePoint Next = TimePoint::max();
+    for (const Controller *Each : m_Controllers)
+      Next = std::min(Next, Each->wakeUp(m_Board));
+    return Next;
   }
 
-  void reply(const SourceReply &Reply, TimePoint Now) {
-    constexpr auto RetryPause = std::chrono::milliseconds(200);
-    if (!Reply.m_Ok) {
-      m_Retry = Now + RetryPause;
+  void receive(LinkId Id, const ControlMessage &Message) {
+    const auto Found = m_Board.m_Links.find(Id);
+    if (Found == m_Board.m_Links.end())
       return;
-    }
-    try {
-      accept(Reply);
-    } catch (const Error &Fault) {
-      m_Commands.emplace_back(
-          Event{EventId::ConfigurationRefused, Fault.what()});
-      m_Wanted.reset();
-      m_Retry = Now + RetryPause;
-    }
+    ControlLink &Link = Found->second;
+    Link.m_LastHeard = m_Board.m_Now;
+    // Nothing counts before the peer has introduced itself.
+    const bool IsHello = std::holds_alternative<ControlHello>(Message);
+    if (Link.m_State != LinkState::Up && !IsHello)
+      return;
+    std::visit([&](const auto &Value) { handle(Link, Value); }, Message);
   }
 
-  void accept(const SourceReply &Reply) {
-    if (m_Wanted.has_value()) {
-      m_Parts[m_Missing] = makePart(m_Missing, Reply.m_Text);
-      return fetchMissing();
-    }
-    if (!Reply.m_Changed)
-      return watch();
-    Manifest List = readManifest(Reply.m_Text);
-    if (List.m_Stamp.m_Version <= m_Status.m_Applied.m_Version)
-      return watch();
-    m_Wanted = std::move(List);
-    fetchMissing();
+  Blackboard m_Board;
+  Overlay m_Overlay;
+  Replication m_Replication;
+  Collection m_Collection;
+  SourceReader m_SourceReader;
+  Adoption m_Adoption;
+  Readiness m_Readiness;
+
+private:
+  void handle(ControlLink &Link, const ControlHello &Value) {
+    m_Overlay.onHello(m_Board, Link, Value);
   }
-
-  void fetchMissing() {
-    for (const auto &[Name, Wanted] : m_Wanted->m_Parts) {
-      const auto Found = m_Parts.find(Name);
-      if (Found != m_Parts.end() && Found->second->m_Digest == Wanted)
-        continue;
-      m_Missing = Name;
-      return call(SourceRequestKind::ReadPart, 0, Name);
-    }
-    m_Current = buildConfiguration(*m_Wanted, m_Parts);
-    m_Wanted.reset();
-    m_Status.m_Applied = m_Current->m_Stamp;
-    m_Status.m_Held = m_Current->m_Stamp;
-    m_Commands.emplace_back(ApplyConfiguration{m_Current});
-    m_Commands.emplace_back(
-        Event{EventId::ConfigurationApplied,
-              "version=" + std::to_string(m_Current->m_Stamp.m_Version)});
-    if (!std::exchange(m_Status.m_Ready, true))
-      m_Commands.emplace_back(BecomeReady{});
-    watch();
+  void handle(ControlLink &Link, const Announce &Value) {
+    m_Replication.onHeld(m_Board, Link, Value.m_Stream, Value.m_Held);
+  }
+  void handle(ControlLink &Link, const HeldAck &Value) {
+    m_Replication.onHeld(m_Board, Link, Value.m_Stream, Value.m_Held);
+  }
+  void handle(ControlLink &Link, const Pull &Value) {
+    m_Replication.onPull(m_Board, Link, Value);
+  }
+  void handle(ControlLink &Link, const ChangeRecords &Value) {
+    m_Replication.onRecords(m_Board, Link, Value);
+  }
+  void handle(ControlLink &Link, const SnapshotChunk &Value) {
+    if (Value.m_Count == 0)
+      return m_Collection.onShare(m_Board, Link.m_Id, Value);
+    m_Replication.onChunk(m_Board, Link, Value);
+  }
+  void handle(ControlLink &Link, const Heartbeat &Value) {
+    m_Overlay.onHeartbeat(m_Board, Link, Value);
+  }
+  void handle(ControlLink &Link, const ControlGoAway & /*Value*/) {
+    m_Overlay.onGoAway(m_Board, Link);
   }
 
-  DistributionOptions m_Options;
-  DistributionStatus m_Status;
-  std::uint64_t m_LastCall = 0;
-  std::optional<Manifest> m_Wanted;
-  std::string m_Missing;
-  PartMap m_Parts;
-  ConfigurationPtr m_Current;
-  std::optional<TimePoint> m_Retry;
-  std::vector<DistributionCommand> m_Commands;
+  std::array<Controller *, 6> m_Controllers = {&m_Overlay,      &m_Collection,
+                                               &m_SourceReader, &m_Replication,
+                                               &m_Adoption,     &m_Readiness};
 };
 
 Distribution::Distribution(DistributionOptions Options)
@@ -88,44 +91,82 @@
 
 Distribution::~Distribution() = default;
 
-void Distribution::start(TimePoint /*Now*/) {
-  m_Impl->call(SourceRequestKind::ReadManifest, 0, "");
+void Distribution::start(TimePoint Now) {
+  m_Impl->setTime(Now);
+  m_Impl->m_Board.m_Started = Now;
+  m_Impl->run();
 }
 
-void Distribution::onLinkOpened(LinkId /*Link*/, bool /*Inbound*/,
-                                TimePoint /*Now*/) {}
+void Distribution::onLinkOpened(LinkId Link, bool Inbound, TimePoint Now) {
+  m_Impl->setTime(Now);
+  m_Impl->m_Overlay.onOpened(m_Impl->m_Board, Link, Inbound);
+  m_Impl->run();
+}
 
-void Distribution::onLinkClosed(LinkId /*Link*/, TimePoint /*Now*/) {}
+void Distribution::onLinkClosed(LinkId Link, TimePoint Now) {
+  m_Impl->setTime(Now);
+  m_Impl->m_Overlay.onClosed(m_Impl->m_Board, Link);
+  m_Impl->run();
+}
 
-void Distribution::onMessage(LinkId /*Link*/,
-                             const ControlMessage & /*Message*/,
-                             TimePoint /*Now*/) {}
+void Distribution::onMessage(LinkId Link, const ControlMessage &Message,
+                             TimePoint Now) {
+  m_Impl->setTime(Now);
+  m_Impl->receive(Link, Message);
+  m_Impl->run();
+}
 
 void Distribution::onSourceReply(const SourceReply &Reply, TimePoint Now) {
-  m_Impl->reply(Reply, Now);
+  m_Impl->setTime(Now);
+  m_Impl->m_SourceReader.onReply(m_Impl->m_Board, Reply);
+  m_Impl->run();
 }
 
-void Distribution::onNewerVersionSeen(Version /*Seen*/,
-                                      const std::string & /*Address*/,
-                                      TimePoint /*Now*/) {}
+void Distribution::onNewerVersionSeen(Version Seen, const std::string &Address,
+                                      TimePoint Now) {
+  m_Impl->setTime(Now);
+  m_Impl->m_Replication.askAbout(m_Impl->m_Board, Seen, Address);
+  m_Impl->m_Overlay.requestAdjustment();
+  m_Impl->run();
+}
 
-void Distribution::startDrain(TimePoint /*Now*/) {}
+void Distribution::startDrain(TimePoint Now) {
+  m_Impl->setTime(Now);
+  m_Impl->m_Board.m_Draining = true;
+  for (auto &[Id, Link] : m_Impl->m_Board.m_Links)
+    m_Impl->m_Board.send(Link, ControlGoAway());
+  m_Impl->run();
+}
 
 void Distribution::onTick(TimePoint Now) {
-  if (!m_Impl->m_Retry.has_value() || *m_Impl->m_Retry > Now)
-    return;
-  m_Impl->m_Retry.reset();
-  m_Impl->call(SourceRequestKind::ReadManifest, 0, "");
+  m_Impl->setTime(Now);
+  m_Impl->run();
 }
 
 std::optional<TimePoint> Distribution::nextWakeUp() const {
-  return m_Impl->m_Retry;
+  const TimePoint Next = m_Impl->wakeUp();
+  if (Next == TimePoint::max())
+    return std::nullopt;
+  return Next;
 }
 
-DistributionStatus Distribution::status() const { return m_Impl->m_Status; }
+DistributionStatus Distribution::status() const {
+  const Blackboard &Board = m_Impl->m_Board;
+  DistributionStatus Status;
+  Status.m_Held = Board.held(Stream::Configuration).m_Stamp;
+  Status.m_Applied = Board.appliedStamp();
+  Status.m_HostList = Board.held(Stream::Hosts).m_Stamp;
+  Status.m_Ready = Board.m_Ready;
+  Status.m_Reader = Board.m_Reader;
+  Status.m_Links = static_cast<std::uint32_t>(Board.upLinks());
+  Status.m_ListedHosts =
+      static_cast<std::uint32_t>(Board.m_Hosts->m_Hosts.size());
+  Status.m_SourceCalls = Board.m_SourceCalls;
+  return Status;
+}
 
 std::vector<DistributionCommand> Distribution::takeCommands() {
-  return std::exchange(m_Impl->m_Commands, {});
+  return std::exchange(m_Impl->m_Board.m_Commands, {});
 }
 
 } // namespace dandelionfall::core
--- /dev/null
+++ b/src/core/distribution/collection.cpp
@@ -0,0 +1,189 @@
+#include "core/distribution/collection.h"
+
+#include "core/distribution/snapshot_sender.h"
+#include "core/distribution/version_store.h"
+#include "dandelionfall/core/error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionfall::core {
+
+namespace {
+
+void sendShare(Blackboard &Board, ControlLink &Link,
+               const std::vector<PartPtr> &Parts) {
+  if (Parts.empty())
+    return;
+  for (std::vector<PartPtr> &Group :
+       cutIntoChunks(Parts, SnapshotSender::ChunkBytes)) {
+    SnapshotChunk Chunk;
+    Chunk.m_Stream = Stream::Configuration;
+    Chunk.m_Stamp = Board.m_Assembly->m_List.m_Stamp;
+    Chunk.m_Parts = std::move(Group);
+    Board.send(Link, std::move(Chunk));
+  }
+}
+
+// What a peer that holds the same version as this node lacks of the assembly.
+std::vector<PartPtr> collectedParts(const Blackboard &Board) {
+  const PartMap &Held = Board.held(Stream::Configuration).m_Parts;
+  std::vector<PartPtr> Parts;
+  Parts.push_back(
+      makePart(SharedManifestName, Board.m_Assembly->m_ManifestText));
+  for (const auto &[Name, Value] : Board.m_Assembly->m_Parts) {
+    const auto Known = Held.find(Name);
+    if (Known == Held.end() || Known->second->m_Digest != Value->m_Digest)
+      Parts.push_back(Value);
+  }
+  return Parts;
+}
+
+void addMatching(Assembly &Target, const PartMap &Parts) {
+  for (const auto &[Name, Value] : Parts) {
+    const auto Wanted = Target.m_List.m_Parts.find(Name);
+    if (Wanted != Target.m_List.m_Parts.end() &&
+        Wanted->second == Value->m_Digest) {
+      Target.m_Parts[Name] = Value;
+      Target.m_Missing.erase(Name);
+    }
+  }
+}
+
+void forgetSent(Blackboard &Board, LinkId From) {
+  for (auto &[Id, Link] : Board.m_Links)
+    Link.m_AssemblySent = Id == From;
+}
+
+} // namespace
+
+void shareAssembly(Blackboard &Board) {
+  if (std::exchange(Board.m_Assembly->m_Shared, true))
+    return;
+  forgetSent(Board, 0);
+}
+
+bool takeManifest(Blackboard &Board, const std::string &Text, LinkId From) {
+  Manifest List = readManifest(Text);
+  List.m_Stamp = canonicalStamp(List);
+  if (checkStamp(Board, Stream::Configuration, List.m_Stamp) !=
+      HoldResult::Held)
+    return false;
+  auto &Current = Board.m_Assembly;
+  if (Current.has_value() &&
+      (Current->m_List.m_Stamp == List.m_Stamp ||
+       Current->m_List.m_Stamp.m_Version > List.m_Stamp.m_Version))
+    return true;
+  Assembly Next;
+  Next.m_List = std::move(List);
+  Next.m_ManifestText = Text;
+  for (const auto &[Name, Wanted] : Next.m_List.m_Parts)
+    Next.m_Missing.insert(Name);
+  addMatching(Next, Board.held(Stream::Configuration).m_Parts);
+  if (Current.has_value())
+    addMatching(Next, Current->m_Parts);
+  const bool WasShared = Current.has_value() && Current->m_Shared;
+  Next.m_Shared = From != 0 || WasShared;
+  if (Next.m_Shared && !WasShared)
+    forgetSent(Board, From);
+  if (Next.m_Shared)
+    Next.m_Unsent.emplace_back(makePart(SharedManifestName, Text), From);
+  Current = std::move(Next);
+  return true;
+}
+
+bool takePart(Blackboard &Board, const PartPtr &Value, LinkId From) {
+  auto &Current = Board.m_Assembly;
+  if (!Current.has_value())
+    return true;
+  const auto Wanted = Current->m_List.m_Parts.find(Value->m_Name);
+  const bool Matches = Wanted != Current->m_List.m_Parts.end() &&
+                       Wanted->second == Value->m_Digest;
+  if (Matches && !Current->m_Missing.contains(Value->m_Name))
+    return true;
+  // A part of a newer version is kept for that version's manifest.
+  if (Matches || From == 0)
+    Current->m_Parts[Value->m_Name] = Value;
+  if (Matches)
+    Current->m_Missing.erase(Value->m_Name);
+  if (Matches && Current->m_Shared)
+    Current->m_Unsent.emplace_back(Value, From);
+  return Matches;
+}
+
+void Collection::onShare(Blackboard &Board, LinkId From,
+                         const SnapshotChunk &Chunk) {
+  if (Chunk.m_Stream != Stream::Configuration)
+    return;
+  for (const PartPtr &Value : Chunk.m_Parts) {
+    if (Value->m_Name != SharedManifestName) {
+      takePart(Board, Value, From);
+      continue;
+    }
+    try {
+      takeManifest(Board, Value->m_Text, From);
+    } catch (const Error &Fault) {
+      Board.report(EventId::ConfigurationRefused, Fault.what());
+    }
+  }
+}
+
+void Collection::passOn(Blackboard &Board) {
+  Assembly &Current = *Board.m_Assembly;
+  for (auto &[Id, Link] : Board.m_Links) {
+    if (Link.m_State != LinkState::Up)
+      continue;
+    if (!std::exchange(Link.m_AssemblySent, true)) {
+      sendShare(Board, Link, collectedParts(Board));
+      continue;
+    }
+    std::vector<PartPtr> Parts;
+    for (const auto &[Value, From] : Current.m_Unsent) {
+      if (From != Id)
+        Parts.push_back(Value);
+    }
+    sendShare(Board, Link, Parts);
+  }
+  Current.m_Unsent.clear();
+  m_NextPassOn = Board.m_Now + PassOnInterval;
+}
+
+void Collection::complete(Blackboard &Board) {
+  Assembly Done = std::move(*Board.m_Assembly);
+  Board.m_Assembly.reset();
+  PartMap Parts;
+  for (const auto &[Name, Wanted] : Done.m_List.m_Parts)
+    Parts.emplace_hint(Parts.end(), Name, Done.m_Parts.at(Name));
+  hold(Board, Stream::Configuration,
+       joinParts(Done.m_List.m_Stamp, std::move(Parts)));
+}
+
+void Collection::run(Blackboard &Board) {
+  if (!Board.m_Assembly.has_value())
+    return;
+  const Version Held = Board.held(Stream::Configuration).m_Stamp.m_Version;
+  if (Board.m_Assembly->m_List.m_Stamp.m_Version <= Held) {
+    Board.m_Assembly.reset();
+    return;
+  }
+  const bool IsComplete = Board.m_Assembly->m_Missing.empty();
+  const bool IsDue = Board.m_Now >= m_NextPassOn || IsComplete;
+  if (Board.m_Assembly->m_Shared && IsDue)
+    passOn(Board);
+  if (IsComplete)
+    complete(Board);
+}
+
+TimePoint Collection::wakeUp(const Blackboard &Board) const {
+  if (!Board.m_Assembly.has_value() || !Board.m_Assembly->m_Shared)
+    return TimePoint::max();
+  const bool HasNewPeer = std::any_of(
+      Board.m_Links.begin(), Board.m_Links.end(), [](const auto &Entry) {
+        return Entry.second.m_State == LinkState::Up &&
+               !Entry.second.m_AssemblySent;
+      });
+  const bool HasUnsent = HasNewPeer || !Board.m_Assembly->m_Unsent.empty();
+  return HasUnsent ? m_NextPassOn : TimePoint::max();
+}
+
+} // namespace dandelionfall::core
--- /dev/null
+++ b/src/core/distribution/part_set.cpp
@@ -0,0 +1,46 @@
+#include "core/distribution/part_set.h"
+
+#include "dandelionfall/core/error.h"
+
+#include <utility>
+
+namespace dandelionfall::core {
+
+VersionStamp canonicalStamp(const Manifest &List) {
+  const Version Number = List.m_Stamp.m_Version;
+  return {Number, digestOf(writeManifest(Number, List.m_Parts))};
+}
+
+VersionStamp stampOf(Version Number, const PartMap &Parts) {
+  Manifest List;
+  List.m_Stamp.m_Version = Number;
+  for (const auto &[Name, Value] : Parts)
+    List.m_Parts.emplace_hint(List.m_Parts.end(), Name, Value->m_Digest);
+  return canonicalStamp(List);
+}
+
+PartSetPtr joinParts(const VersionStamp &Stamp, PartMap Parts) {
+  if (stampOf(Stamp.m_Version, Parts) != Stamp)
+    throw Error(ErrorKind::BadConfiguration,
+                "the parts received of version " +
+                    std::to_string(Stamp.m_Version) + " do not give its digest",
+                "none is needed, the version is asked for again");
+  return std::make_shared<const PartSet>(PartSet{Stamp, std::move(Parts)});
+}
+
+PartSetPtr applyRecord(const PartSet &Base, const ChangeRecord &Record) {
+  if (Record.m_Base != Base.m_Stamp)
+    throw Error(ErrorKind::BadConfiguration,
+                "change record starts from version " +
+                    std::to_string(Record.m_Base.m_Version) + ", not from " +
+                    std::to_string(Base.m_Stamp.m_Version),
+                "none is needed, the version is asked for again");
+  PartMap Parts = Base.m_Parts;
+  for (const std::string &Name : Record.m_Removed)
+    Parts.erase(Name);
+  for (const PartPtr &Changed : Record.m_Changed)
+    Parts[Changed->m_Name] = Changed;
+  return joinParts(Record.m_Stamp, std::move(Parts));
+}
+
+} // namespace dandelionfall::core
--- /dev/null
+++ b/tests/contract/distribution_fleet.cpp
@@ -0,0 +1,503 @@
+#include "contract/distribution_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionfall::test {
+
+using namespace core;
+
+namespace {
+
+constexpr Duration LinkDelay = std::chrono::milliseconds(1);
+constexpr Duration SourceDelay = std::chrono::milliseconds(3);
+constexpr Duration WatchTime = std::chrono::seconds(10);
+
+std::string zoneName(std::size_t Number) {
+  return "zone" + std::to_string(Number);
+}
+
+std::size_t bytesOf(const ControlMessage &Message) {
+  std::size_t Bytes = 64;
+  const auto Add = [&Bytes](const std::vector<PartPtr> &Parts) {
+    for (const PartPtr &Value : Parts)
+      Bytes += Value->m_Name.size() + Value->m_Text.size() + 16;
+  };
+  if (const auto *Records = std::get_if<ChangeRecords>(&Message)) {
+    for (const ChangeRecord &Record : Records->m_Records)
+      Add(Record.m_Changed);
+  }
+  if (const auto *Chunk = std::get_if<SnapshotChunk>(&Message))
+    Add(Chunk->m_Parts);
+  return Bytes;
+}
+
+} // namespace
+
+FakeSource::FakeSource(std::size_t Services) {
+  std::string &Zones = m_Newest.m_Parts["zones"];
+  for (std::size_t Number = 0; Number < 9; ++Number)
+    Zones += "[zone " + zoneName(Number) + "]\nregion = r\n";
+  m_Newest.m_Parts["profiles"] = "[profile p]\n";
+  for (std::size_t Number = 0; Number < Services; ++Number)
+    m_Newest.m_Parts["service/s" + std::to_string(Number)] =
+        "[service s" + std::to_string(Number) + "]\nprofile = p\n";
+}
+
+void FakeSource::store() {
+  m_Newest.m_Version = ++m_Version;
+  std::map<std::string, Digest, std::less<>> Digests;
+  for (const auto &[Name, Text] : m_Newest.m_Parts)
+    Digests[Name] = digestOf(Text);
+  m_Digests[m_Version] = digestOf(writeManifest(m_Version, Digests));
+}
+
+void FakeSource::publish() {
+  m_Newest.m_Parts["profiles"] = "[profile p]\n";
+  m_Newest.m_Parts["service/s0"] = "[service s0]\nprofile = p\n[route /" +
+                                   std::to_string(m_Version + 1) + "]\n";
+  store();
+}
+
+void FakeSource::publishFaulty() {
+  m_Newest.m_Parts["profiles"] = "[profile other]\n";
+  store();
+}
+
+void FakeSource::publishConflict() {
+  --m_Version;
+  m_Newest.m_Parts["service/s0"] = "[service s0]\nprofile = p\n[route /x]\n";
+  const Digest Known = m_Digests[m_Version + 1];
+  store();
+  m_Digests[m_Version] = Known;
+}
+
+void FakeSource::setMode(Mode Value) {
+  if (Value == Mode::Stale && m_Mode != Mode::Stale)
+    m_Stale = m_Newest;
+  m_Mode = Value;
+}
+
+void FakeSource::setHosts(const HostList &List) {
+  m_Hosts = writeHostList(List);
+}
+
+Version FakeSource::shown() const {
+  return m_Mode == Mode::Stale ? m_Stale.m_Version : m_Newest.m_Version;
+}
+
+std::optional<std::string> FakeSource::read(const CallSource &Call) const {
+  if (m_Mode == Mode::Down)
+    return std::nullopt;
+  const Content &Shown = m_Mode == Mode::Stale ? m_Stale : m_Newest;
+  if (Call.m_Kind == SourceRequestKind::ReadHosts)
+    return m_Hosts.empty() ? std::nullopt : std::optional(m_Hosts);
+  if (Shown.m_Version == 0)
+    return std::nullopt;
+  if (Call.m_Kind == SourceRequestKind::ReadPart) {
+    const auto Found = Shown.m_Parts.find(Call.m_PartName);
+    return Found == Shown.m_Parts.end() ? std::nullopt
+                                        : std::optional(Found->second);
+  }
+  std::map<std::string, Digest, std::less<>> Digests;
+  for (const auto &[Name, Text] : Shown.m_Parts)
+    Digests[Name] = digestOf(Text);
+  return writeManifest(Shown.m_Version, Digests);
+}
+
+Fleet::Fleet(const FleetOptions &Options)
+    : m_Source(Options.m_Services), m_Options(Options),
+      m_Nodes(Options.m_Nodes), m_Now(std::chrono::hours(1)),
+      m_Random(Options.m_Seed) {
+  HostList List;
+  List.m_Revision = 1;
+  for (std::size_t Index = 0; Index < Options.m_Nodes + Options.m_GoneHosts;
+       ++Index)
+    List.m_Hosts.push_back({"host" + std::to_string(Index),
+                            zoneName(Index % Options.m_Zones), address(Index),
+                            HostState::Live});
+  m_Source.setHosts(List);
+  m_Source.publish();
+}
+
+std::string Fleet::address(std::size_t Index) const {
+  return "127.0.0.1:" + std::to_string(10000 + Index);
+}
+
+void Fleet::at(TimePoint Time, std::function<void()> Run) {
+  m_Queue.push({Time, ++m_Order, std::move(Run)});
+}
+
+void Fleet::startNode(std::size_t Index) {
+  Node &Started = m_Nodes.at(Index);
+  DistributionOptions Options;
+  Options.m_Host = "host" + std::to_string(Index);
+  Options.m_Zone = zoneName(Index % m_Options.m_Zones);
+  Options.m_LinkAddress = address(Index);
+  Options.m_Incarnation = {Index + 1, ++Started.m_Starts};
+  Options.m_Seed = m_Options.m_Seed * 1000 + Index * 10 + Started.m_Starts;
+  Options.m_SourceBudget = m_Options.m_Budget;
+  Options.m_AssumedHosts = m_Options.m_AssumedHosts;
+  Options.m_Holders = m_Options.m_Holders;
+  for (std::size_t Seed = 0; Seed < m_Options.m_Seeds; ++Seed)
+    Options.m_Seeds.push_back(address(Seed));
+  Started.m_Distribution = std::make_unique<Distribution>(Options);
+  Started.m_Frozen = false;
+  Started.m_Ready = false;
+  Started.m_Applied = 0;
+  Started.m_LeastReady = heldByMost(Index);
+  Started.m_TickAt = TimePoint::max();
+  Started.m_Backlog.clear();
+  Started.m_Distribution->start(m_Now);
+  settle(Index);
+}
+
+void Fleet::startAll() {
+  for (std::size_t Index = 0; Index < m_Nodes.size(); ++Index)
+    startNode(Index);
+}
+
+bool Fleet::isAlive(std::size_t Index) const {
+  return m_Nodes.at(Index).m_Distribution != nullptr;
+}
+
+DistributionStatus Fleet::status(std::size_t Index) const {
+  return m_Nodes.at(Index).m_Distribution->status();
+}
+
+// The highest version that all other running nodes, frozen ones and those of
+// other groups aside, hold: a node that starts now must not be ready below it.
+Version Fleet::heldByMost(std::size_t Except) const {
+  Version Least = 0;
+  bool IsFirst = true;
+  for (std::size_t Index = 0; Index < m_Nodes.size(); ++Index) {
+    if (Index == Except || !isAlive(Index) || m_Nodes[Index].m_Frozen ||
+        !reachable(Index, Except))
+      continue;
+    const Version Held = status(Index).m_Held.m_Version;
+    Least = IsFirst ? Held : std::min(Least, Held);
+    IsFirst = false;
+  }
+  return Least;
+}
+
+void Fleet::dropLinks(std::size_t Index, bool Noticed) {
+  std::vector<core::LinkId> Links;
+  for (const auto &[Key, Peer] : m_Peers) {
+    if (Key.first == Index)
+      Links.push_back(Key.second);
+  }
+  for (const core::LinkId Link : Links) {
+    if (Noticed)
+      closeLink(Index, Link);
+    else
+      m_Peers.erase({Index, Link});
+  }
+}
+
+void Fleet::kill(std::size_t Index) {
+  m_Nodes.at(Index).m_Distribution.reset();
+  dropLinks(Index, true);
+}
+
+void Fleet::vanish(std::size_t Index) {
+  m_Nodes.at(Index).m_Distribution.reset();
+  dropLinks(Index, false);
+}
+
+void Fleet::freeze(std::size_t Index) { m_Nodes.at(Index).m_Frozen = true; }
+
+void Fleet::wake(std::size_t Index) {
+  Node &Woken = m_Nodes.at(Index);
+  Woken.m_Frozen = false;
+  auto Backlog = std::exchange(Woken.m_Backlog, {});
+  // The late timer fires before the network is read.
+  if (isAlive(Index)) {
+    Woken.m_Distribution->onTick(m_Now);
+    settle(Index);
+  }
+  for (auto &Each : Backlog)
+    Each();
+}
+
+void Fleet::drain(std::size_t Index) {
+  m_Nodes.at(Index).m_Distribution->startDrain(m_Now);
+  settle(Index);
+}
+
+void Fleet::partition(std::map<std::size_t, int> Groups) {
+  m_Groups = std::move(Groups);
+}
+
+void Fleet::heal() { m_Groups.clear(); }
+
+bool Fleet::reachable(std::size_t From, std::size_t To) const {
+  const auto Group = [this](std::size_t Index) {
+    const auto Found = m_Groups.find(Index);
+    return Found == m_Groups.end() ? 0 : Found->second;
+  };
+  return Group(From) == Group(To);
+}
+
+void Fleet::deliver(std::size_t Index, std::uint64_t Start,
+                    std::function<void(Distribution &)> Run) {
+  Node &To = m_Nodes.at(Index);
+  if (To.m_Distribution == nullptr || To.m_Starts != Start)
+    return;
+  if (To.m_Frozen) {
+    To.m_Backlog.emplace_back(
+        [this, Index, Start, Run] { deliver(Index, Start, Run); });
+    return;
+  }
+  Run(*To.m_Distribution);
+  settle(Index);
+}
+
+void Fleet::scheduleTick(std::size_t Index) {
+  Node &To = m_Nodes.at(Index);
+  const auto Next = To.m_Distribution->nextWakeUp();
+  if (!Next.has_value())
+    return;
+  const TimePoint Time = std::max(*Next, m_Now + Duration(1));
+  if (To.m_TickAt <= Time && To.m_TickAt > m_Now)
+    return;
+  To.m_TickAt = Time;
+  const std::uint64_t Start = To.m_Starts;
+  at(Time, [this, Index, Start, Time] {
+    Node &Ticked = m_Nodes.at(Index);
+    if (Ticked.m_Starts != Start || Ticked.m_TickAt != Time)
+      return;
+    Ticked.m_TickAt = TimePoint::max();
+    if (Ticked.m_Frozen)
+      return;
+    deliver(Index, Start, [this](Distribution &Value) { Value.onTick(m_Now); });
+  });
+}
+
+void Fleet::settle(std::size_t Index) {
+  for (DistributionCommand &Command :
+       m_Nodes.at(Index).m_Distribution->takeCommands())
+    perform(Index, Command);
+  scheduleTick(Index);
+}
+
+void Fleet::openLink(std::size_t Index, const OpenControlLink &Command) {
+  const std::uint64_t Start = m_Nodes[Index].m_Starts;
+  const core::LinkId Link = Command.m_Link;
+  std::size_t To = m_Nodes.size();
+  for (std::size_t Other = 0; Other < m_Nodes.size(); ++Other) {
+    if (address(Other) == Command.m_Address)
+      To = Other;
+  }
+  at(m_Now + 2 * LinkDelay, [this, Index, Start, Link, To] {
+    const bool Exists = To < m_Nodes.size() && isAlive(To);
+    if (To < m_Nodes.size() && !reachable(Index, To))
+      return;
+    if (!Exists)
+      return deliver(Index, Start, [this, Link](Distribution &Value) {
+        Value.onLinkClosed(Link, m_Now);
+      });
+    if (m_Nodes[Index].m_Starts != Start || !isAlive(Index))
+      return;
+    const core::LinkId Inbound = ++m_LastInbound;
+    const std::uint64_t ToStart = m_Nodes[To].m_Starts;
+    m_Peers[{Index, Link}] = {To, ToStart, Inbound};
+    m_Peers[{To, Inbound}] = {Index, Start, Link};
+    deliver(To, ToStart, [this, Inbound](Distribution &Value) {
+      Value.onLinkOpened(Inbound, true, m_Now);
+    });
+    deliver(Index, Start, [this, Link](Distribution &Value) {
+      Value.onLinkOpened(Link, false, m_Now);
+    });
+  });
+}
+
+void Fleet::closeLink(std::size_t Index, core::LinkId Link) {
+  const auto Found = m_Peers.find({Index, Link});
+  if (Found == m_Peers.end())
+    return;
+  const End Peer = Found->second;
+  m_Peers.erase(Found);
+  if (!reachable(Index, Peer.m_Node))
+    return;
+  at(m_Now + LinkDelay, [this, Peer] {
+    m_Peers.erase({Peer.m_Node, Peer.m_Link});
+    deliver(Peer.m_Node, Peer.m_Start, [this, Peer](Distribution &Value) {
+      Value.onLinkClosed(Peer.m_Link, m_Now);
+    });
+  });
+}
+
+void Fleet::answer(std::size_t Index, std::uint64_t Start,
+                   const CallSource &Call, TimePoint Deadline,
+                   std::size_t Watch) {
+  const bool IsWatch = Call.m_Kind == SourceRequestKind::WatchManifest;
+  const auto Text = m_Source.read(Call);
+  const bool IsAlive = isAlive(Index) && m_Nodes.at(Index).m_Starts == Start;
+  const bool MustWait = IsWatch && IsAlive && Text.has_value() &&
+                        m_Source.shown() <= Call.m_After && m_Now < Deadline;
+  if (MustWait) {
+    constexpr Duration Look = std::chrono::milliseconds(5);
+    at(m_Now + Look, [this, Index, Start, Call, Deadline, Watch] {
+      answer(Index, Start, Call, Deadline, Watch);
+    });
+    return;
+  }
+  if (IsWatch)
+    m_Watches.at(Watch).second = m_Now;
+  SourceReply Reply;
+  Reply.m_Id = Call.m_Id;
+  Reply.m_Ok = Text.has_value();
+  Reply.m_Changed = !IsWatch || m_Source.shown() > Call.m_After;
+  Reply.m_Text = Text.value_or("");
+  deliver(Index, Start, [this, Reply](Distribution &Value) {
+    Value.onSourceReply(Reply, m_Now);
+  });
+  if (Call.m_Kind == SourceRequestKind::ReadPart && m_Source.m_CrossAfter > 0 &&
+      --m_Source.m_CrossAfter == 0)
+    m_Source.publish();
+}
+
+void Fleet::callSource(std::size_t Index, const CallSource &Call) {
+  m_CallTimes.push_back(m_Now);
+  if (Call.m_Kind == SourceRequestKind::WatchManifest)
+    m_Watches.emplace_back(m_Now, TimePoint::max());
+  const std::size_t Watch = m_Watches.empty() ? 0 : m_Watches.size() - 1;
+  const std::uint64_t Start = m_Nodes[Index].m_Starts;
+  const TimePoint Deadline = m_Now + WatchTime;
+  at(m_Now + SourceDelay, [this, Index, Start, Call, Deadline, Watch] {
+    answer(Index, Start, Call, Deadline, Watch);
+  });
+}
+
+void Fleet::apply(std::size_t Index, const Configuration &Config) {
+  Node &At = m_Nodes.at(Index);
+  const VersionStamp Stamp = Config.m_Stamp;
+  const std::string Name = "host" + std::to_string(Index);
+  if (Stamp.m_Version <= At.m_Applied)
+    m_Faults.push_back(Name + " went from version " +
+                       std::to_string(At.m_Applied) + " to " +
+                       std::to_string(Stamp.m_Version));
+  const auto Known = m_Source.digests().find(Stamp.m_Version);
+  if (Known == m_Source.digests().end() || Known->second != Stamp.m_Digest)
+    m_Faults.push_back(Name + " applied what was never published as version " +
+                       std::to_string(Stamp.m_Version));
+  const auto Changed = Config.m_Services.find("s0");
+  if (Changed == Config.m_Services.end() ||
+      Config.m_Services.size() != m_Options.m_Services ||
+      Changed->second->m_Routes.empty() ||
+      Changed->second->m_Routes.front().m_PathPrefix !=
+          "/" + std::to_string(Stamp.m_Version))
+    m_Faults.push_back(Name + " applied version " +
+                       std::to_string(Stamp.m_Version) + " in part");
+  At.m_Applied = Stamp.m_Version;
+}
+
+void Fleet::perform(std::size_t Index, DistributionCommand &Command) {
+  Node &At = m_Nodes.at(Index);
+  if (const auto *Open = std::get_if<OpenControlLink>(&Command))
+    return openLink(Index, *Open);
+  if (const auto *Close = std::get_if<CloseControlLink>(&Command))
+    return closeLink(Index, Close->m_Link);
+  if (const auto *Call = std::get_if<CallSource>(&Command))
+    return callSource(Index, *Call);
+  if (const auto *Applied = std::get_if<ApplyConfiguration>(&Command))
+    return apply(Index, *Applied->m_Configuration);
+  if (const auto *Happened = std::get_if<Event>(&Command)) {
+    ++m_Events[Happened->m_Id];
+    return;
+  }
+  if (std::holds_alternative<BecomeReady>(Command)) {
+    At.m_Ready = true;
+    if (At.m_Applied < At.m_LeastReady)
+      m_Faults.push_back("host" + std::to_string(Index) +
+                         " became ready with version " +
+                         std::to_string(At.m_Applied) + " below " +
+                         std::to_string(At.m_LeastReady));
+    return;
+  }
+  const auto &Sent = std::get<SendControl>(Command);
+  m_ControlBytes += bytesOf(Sent.m_Message);
+  const auto Found = m_Peers.find({Index, Sent.m_Link});
+  if (Found == m_Peers.end() || !reachable(Index, Found->second.m_Node))
+    return;
+  m_Random = m_Random * 6364136223846793005U + 1442695040888963407U;
+  if ((m_Random >> 33U) % 100 < m_LossPercent)
+    return;
+  const End Peer = Found->second;
+  at(m_Now + LinkDelay, [this, Peer, Message = Sent.m_Message] {
+    deliver(Peer.m_Node, Peer.m_Start, [this, Peer, Message](Distribution &To) {
+      To.onMessage(Peer.m_Link, Message, m_Now);
+    });
+  });
+}
+
+void Fleet::runFor(Duration Time) {
+  runUntil([] { return false; }, Time);
+}
+
+std::optional<Duration> Fleet::runUntil(const std::function<bool()> &Condition,
+                                        Duration Limit) {
+  const TimePoint Begin = m_Now;
+  const TimePoint Limited = m_Now + Limit;
+  constexpr Duration Step = std::chrono::milliseconds(10);
+  while (m_Now < Limited) {
+    if (Condition())
+      return m_Now - Begin;
+    const TimePoint Until = std::min(Limited, m_Now + Step);
+    while (!m_Queue.empty() && m_Queue.top().m_Time <= Until) {
+      const Item Next = m_Queue.top();
+      m_Queue.pop();
+      m_Now = std::max(m_Now, Next.m_Time);
+      Next.m_Run();
+    }
+    m_Now = Until;
+  }
+  return Condition() ? std::optional(m_Now - Begin) : std::nullopt;
+}
+
+bool Fleet::allReady() const {
+  return std::all_of(m_Nodes.begin(), m_Nodes.end(), [](const Node &Each) {
+    return Each.m_Distribution == nullptr || Each.m_Frozen || Each.m_Ready;
+  });
+}
+
+bool Fleet::allAt(Version Wanted) const {
+  return allReady() &&
+         std::all_of(m_Nodes.begin(), m_Nodes.end(), [&](const Node &Each) {
+           return Each.m_Distribution == nullptr || Each.m_Frozen ||
+                  Each.m_Applied == Wanted;
+         });
+}
+
+std::size_t Fleet::countEvents(EventId Id) const {
+  const auto Found = m_Events.find(Id);
+  return Found == m_Events.end() ? 0 : Found->second;
+}
+
+std::size_t Fleet::mostCallsInASecond() const {
+  std::vector<std::pair<TimePoint, int>> Steps;
+  constexpr Duration Second = std::chrono::seconds(1);
+  for (const TimePoint Call : m_CallTimes) {
+    Steps.emplace_back(Call, 1);
+    Steps.emplace_back(Call + Second, -1);
+  }
+  // A watch counts in each second that it waits in, so beyond its first.
+  for (const auto &[Begin, Finish] : m_Watches) {
+    const TimePoint Last = Finish == TimePoint::max() ? m_Now : Finish;
+    if (Last <= Begin + Second)
+      continue;
+    Steps.emplace_back(Begin + Second, 1);
+    Steps.emplace_back(Last + Second, -1);
+  }
+  std::sort(Steps.begin(), Steps.end());
+  int Now = 0;
+  int Most = 0;
+  for (const auto &[Time, Change] : Steps) {
+    Now += Change;
+    Most = std::max(Most, Now);
+  }
+  return static_cast<std::size_t>(Most);
+}
+
+} // namespace dandelionfall::test
