--- /dev/null
+++ b/src/app/settings.cpp
@@ -0,0 +1,292 @@
+#include "dandelionfall/app/settings.h"
+
+#include "app/file_reader.h"
+#include "dandelionfall/core/ini_document.h"
+#include "dandelionfall/core/ini_fields.h"
+#include "dandelionfall/net/address.h"
+
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+
+#include <algorithm>
+#include <map>
+#include <span>
+
+namespace dandelionfall::app {
+
+namespace {
+
+using core::Error;
+using core::ErrorKind;
+using core::FaultList;
+using core::IniEntry;
+using core::IniSection;
+using core::IniSource;
+using core::KeyHandler;
+using core::NamedValue;
+
+constexpr std::size_t MaxNameLength = 253;
+constexpr std::uint32_t MaxAssumedHosts = 1'000'000;
+constexpr std::uint32_t MaxHolders = 16;
+constexpr double MinSourceBudget = 0.001;
+constexpr double MaxSourceBudget = 1'000'000;
+constexpr std::size_t MaxSeeds = 64;
+
+bool isNameCharacter(char Character) {
+  const bool Letter = (Character >= 'a' && Character <= 'z') ||
+                      (Character >= 'A' && Character <= 'Z');
+  const bool Digit = Character >= '0' && Character <= '9';
+  return Letter || Digit || Character == '-' || Character == '_' ||
+         Character == '.';
+}
+
+template <std::string Settings::*Member>
+void setName(Settings &Result, const IniEntry &Entry, const IniSource &Source) {
+  const std::string &Value = Entry.m_Value;
+  if (Value.empty() || Value.size() > MaxNameLength ||
+      !std::all_of(Value.begin(), Value.end(), isNameCharacter))
+    throw Source.makeFault("'" + Value + "' is no valid " + Entry.m_Key,
+                           "write 1 to " + std::to_string(MaxNameLength) +
+                               " letters, digits, '.', '-' or '_'",
+                           Entry.m_Line);
+  Result.*Member = Value;
+}
+
+template <std::string Settings::*Member>
+void setAddress(Settings &Result, const IniEntry &Entry,
+                const IniSource &Source) {
+  Result.*Member = core::parseAddress(Entry, Source);
+}
+
+void setTargetAddress(Settings &Result, const IniEntry &Entry,
+                      const IniSource &Source) {
+  const std::string Value = core::parseAddress(Entry, Source);
+  if (!net::parseEndpoint(Value).address().is_loopback())
+    throw Source.makeFault("target address '" + Value + "' is not on loopback",
+                           "let the target listen on a loopback address, so "
+                           "that the node is the only way to it",
+                           Entry.m_Line);
+  Result.m_TargetAddress = Value;
+}
+
+void setSeeds(Settings &Result, const IniEntry &Entry,
+              const IniSource &Source) {
+  std::vector<std::string> Texts;
+  if (!Entry.m_Value.empty())
+    boost::algorithm::split(Texts, Entry.m_Value,
+                            [](char Character) { return Character == ','; });
+  if (Texts.size() > MaxSeeds)
+    throw Source.makeFault(std::to_string(Texts.size()) + " seeds are too many",
+                           "name at most " + std::to_string(MaxSeeds) +
+                               "; a few suffice",
+                           Entry.m_Line);
+  std::vector<std::string> Seeds;
+  Seeds.reserve(Texts.size());
+  for (const std::string &Text : Texts) {
+    const IniEntry Seed{Entry.m_Key, boost::algorithm::trim_copy(Text),
+                        Entry.m_Line};
+    Seeds.push_back(core::parseAddress(Seed, Source));
+  }
+  Result.m_Seeds = std::move(Seeds);
+}
+
+template <auto Member, auto Least, auto Most>
+void setNumber(Settings &Result, const IniEntry &Entry,
+               const IniSource &Source) {
+  Result.*Member = core::parseNumber(Entry, Source, Least, Most);
+}
+
+void setLogLevel(Settings &Result, const IniEntry &Entry,
+                 const IniSource &Source) {
+  constexpr NamedValue<std::string_view> Levels[] = {{"debug", "debug"},
+                                                     {"info", "info"},
+                                                     {"warning", "warning"},
+                                                     {"error", "error"}};
+  Result.m_LogLevel = core::parseName(Entry, Source, Levels);
+}
+
+void setTraceRequests(Settings &Result, const IniEntry &Entry,
+                      const IniSource &Source) {
+  constexpr NamedValue<bool> Words[] = {{"true", true}, {"false", false}};
+  Result.m_TraceRequests = core::parseName(Entry, Source, Words);
+}
+
+constexpr KeyHandler<Settings> NodeKeys[] = {
+    {"host", setName<&Settings::m_Host>},
+    {"zone", setName<&Settings::m_Zone>},
+    {"caller_address", setAddress<&Settings::m_CallerAddress>},
+    {"link_address", setAddress<&Settings::m_LinkAddress>},
+    {"operator_address", setAddress<&Settings::m_OperatorAddress>},
+};
+constexpr std::string_view RequiredNodeKeys[] = {
+    "host", "zone", "caller_address", "link_address", "operator_address"};
+
+constexpr KeyHandler<Settings> TargetKeys[] = {
+    {"name", setName<&Settings::m_TargetName>},
+    {"address", setTargetAddress},
+};
+constexpr std::string_view RequiredTargetKeys[] = {"name", "address"};
+
+constexpr KeyHandler<Settings> SourceKeys[] = {
+    {"address", setAddress<&Settings::m_SourceAddress>},
+    {"budget_calls_per_s",
+     setNumber<&Settings::m_SourceBudget, MinSourceBudget, MaxSourceBudget>},
+};
+constexpr std::string_view RequiredSourceKeys[] = {"address"};
+
+constexpr KeyHandler<Settings> OverlayKeys[] = {
+    {"seeds", setSeeds},
+    {"assumed_hosts",
+     setNumber<&Settings::m_AssumedHosts, std::uint32_t{1}, MaxAssumedHosts>},
+    {"holders", setNumber<&Settings::m_Holders, std::uint32_t{0}, MaxHolders>},
+};
+
+constexpr KeyHandler<Settings> LogKeys[] = {
+    {"level", setLogLevel},
+    {"trace_requests", setTraceRequests},
+};
+
+/// A section of the settings.
+struct SectionRow {
+  std::string_view m_Name;
+  /// Whether the file must have it.
+  bool m_Required;
+  std::span<const std::string_view> m_RequiredKeys;
+  void (*m_Read)(Settings &, const IniSection &, const IniSource &,
+                 FaultList &);
+};
+
+template <const auto &Handlers>
+void readSection(Settings &Result, const IniSection &Section,
+                 const IniSource &Source, FaultList &Faults) {
+  core::readEntries(Result, Section, Source, Handlers, Faults);
+}
+
+constexpr SectionRow Sections[] = {
+    {"node", true, RequiredNodeKeys, readSection<NodeKeys>},
+    {"target", false, RequiredTargetKeys, readSection<TargetKeys>},
+    {"source", true, RequiredSourceKeys, readSection<SourceKeys>},
+    {"overlay", false, {}, readSection<OverlayKeys>},
+    {"log", false, {}, readSection<LogKeys>},
+};
+
+const SectionRow *findRow(const IniSection &Section) {
+  for (const SectionRow &Row : Sections) {
+    if (Row.m_Name == Section.m_Type && Section.m_Name.empty())
+      return &Row;
+  }
+  return nullptr;
+}
+
+const IniSection *findSection(const core::IniDocument &Document,
+                              std::string_view Name) {
+  for (const IniSection &Section : Document.m_Sections) {
+    if (Section.m_Type == Name && Section.m_Name.empty())
+      return &Section;
+  }
+  return nullptr;
+}
+
+Error makeUnknownSectionFault(const IniSection &Section,
+                              const IniSource &Source) {
+  const std::string Title = Section.m_Name.empty()
+                                ? Section.m_Type
+                                : Section.m_Type + " " + Section.m_Name;
+  std::string Known;
+  for (const SectionRow &Row : Sections)
+    Known.append(Known.empty() ? "" : ", ").append(Row.m_Name);
+  return Source.makeFault("unknown section [" + Title + "]",
+                          "use one of: " + Known, Section.m_Line);
+}
+
+// A section that is absent altogether is reported at the first line.
+void checkRequiredKeys(const core::IniDocument &Document,
+                       const IniSource &Source, FaultList &Faults) {
+  for (const SectionRow &Row : Sections) {
+    const IniSection Absent{std::string(Row.m_Name), "", 1, {}};
+    const IniSection *Section = findSection(Document, Row.m_Name);
+    if (Section == nullptr && !Row.m_Required)
+      continue;
+    core::requireKeys(Section == nullptr ? Absent : *Section, Source,
+                      Row.m_RequiredKeys, Faults);
+  }
+}
+
+/// A setting that holds the address of a listener of its own.
+struct AddressRow {
+  std::string_view m_Section;
+  std::string_view m_Key;
+  std::string Settings::*m_Member;
+};
+
+constexpr AddressRow Addresses[] = {
+    {"node", "caller_address", &Settings::m_CallerAddress},
+    {"node", "link_address", &Settings::m_LinkAddress},
+    {"node", "operator_address", &Settings::m_OperatorAddress},
+    {"target", "address", &Settings::m_TargetAddress},
+    {"source", "address", &Settings::m_SourceAddress},
+};
+
+void checkSharedAddresses(const core::IniDocument &Document,
+                          const Settings &Result, const IniSource &Source,
+                          FaultList &Faults) {
+  std::map<boost::asio::ip::tcp::endpoint, const AddressRow *> Seen;
+  for (const AddressRow &Row : Addresses) {
+    const std::string &Address = Result.*Row.m_Member;
+    if (Address.empty())
+      continue;
+    const auto [Other, Fresh] = Seen.emplace(net::parseEndpoint(Address), &Row);
+    if (Fresh)
+      continue;
+    const IniSection *Section = findSection(Document, Row.m_Section);
+    std::string Fault = "[" + std::string(Row.m_Section) + "] ";
+    Fault.append(Row.m_Key).append(" is the same as [");
+    Fault.append(Other->second->m_Section).append("] ");
+    Fault.append(Other->second->m_Key).append(", ").append(Address);
+    Faults.push_back(Source.makeFault(Fault, "give each a port of its own",
+                                      Section->find(Row.m_Key)->m_Line));
+  }
+}
+
+} // namespace
+
+std::vector<Error> checkSettings(std::string_view Text, const std::string &File,
+                                 Settings &Result) {
+  const IniSource Source{ErrorKind::BadSettings, File};
+  FaultList Faults;
+  core::IniDocument Document;
+  try {
+    Document = core::parseIni(Text, File, Source.m_Kind);
+  } catch (const Error &Fault) {
+    return {Fault};
+  }
+  Settings Read;
+  for (const IniSection &Section : Document.m_Sections) {
+    const SectionRow *Row = findRow(Section);
+    if (Row == nullptr) {
+      Faults.push_back(makeUnknownSectionFault(Section, Source));
+      continue;
+    }
+    Row->m_Read(Read, Section, Source, Faults);
+  }
+  checkRequiredKeys(Document, Source, Faults);
+  checkSharedAddresses(Document, Read, Source, Faults);
+  std::stable_sort(Faults.begin(), Faults.end(),
+                   [](const Error &Left, const Error &Right) {
+                     return Left.location().m_Line < Right.location().m_Line;
+                   });
+  if (Faults.empty())
+    Result = Read;
+  return Faults;
+}
+
+Settings readSettings(const std::string &File) {
+  const std::string Text = readFile(File);
+  Settings Result;
+  const std::vector<Error> Faults = checkSettings(Text, File, Result);
+  if (!Faults.empty())
+    throw Faults.front();
+  return Result;
+}
+
+} // namespace dandelionfall::app
