--- a/src/core/ini_document.cpp
+++ b/src/core/ini_document.cpp
@@ -110,7 +110,8 @@
     const std::string Title = titleOf(Section);
     if (!Titles.insert(Title).second)
       Place.refuse("duplicate section [" + Title + "]",
-                   "merge the sections or rename one", Section.m_Line);
+                   "write each name once: merge the sections or rename one",
+                   Section.m_Line);
   }
 }
 
