--- a/src/core/configuration_check.cpp
+++ b/src/core/configuration_check.cpp
@@ -2,7 +2,7 @@
 
 #include "configuration_parts.h"
 
-#include <unordered_map>
+#include <absl/container/flat_hash_map.h>
 
 namespace dandelionfall::core {
 
@@ -115,8 +115,8 @@
   FaultList &m_Faults;
   bool m_SkipZones = false;
   bool m_SkipProfiles = false;
-  std::unordered_map<std::string_view, const Service *> m_TargetOwners;
-  std::unordered_map<std::string_view, const Target *> m_GateOwners;
+  absl::flat_hash_map<std::string_view, const Service *> m_TargetOwners;
+  absl::flat_hash_map<std::string_view, const Target *> m_GateOwners;
 };
 
 } // namespace
