--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -118,6 +118,7 @@
 }
 
 void Engine::onTick(TimePoint Now) {
+  noteEvent(Now);
   expire(Now);
   sweep(Now);
   advance(Now);
@@ -126,6 +127,7 @@
 std::optional<TimePoint> Engine::nextWakeUp() const {
   std::optional<TimePoint> Next = m_Slots.nextChange();
   takeEarlier(Next, m_Queue.earliestDeadline());
+  takeEarlier(Next, m_SleepGuard.nextWakeUp());
   if (!m_Ledger.empty())
     takeEarlier(Next, std::optional(m_NextSweep));
   if (m_ZoneOutSince && !m_Queue.empty())
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -11,6 +11,7 @@
 #include "core/gate/ramp.h"
 #include "core/gate/request_queue.h"
 #include "core/gate/service_time.h"
+#include "core/gate/sleep_guard.h"
 #include "core/gate/target_slots.h"
 #include "dandelionfall/core/gate.h"
 
@@ -61,8 +62,8 @@
   void inquire(LinkId Link, const RequestId &Id);
   std::optional<RefusalCause> fenceCause(LinkId Link,
                                          const Dispatch &Message) const;
-  std::optional<RefusalCause> stateCause(const Dispatch &Message,
-                                         TimePoint Now) const;
+  std::optional<RefusalCause>
+  stateCause(const Dispatch &Message, Duration Remaining, TimePoint Now) const;
   std::optional<RefusalCause> loadCause(TimePoint Deadline,
                                         TimePoint Now) const;
   AdmissionView admissionView(TimePoint Now) const;
@@ -78,12 +79,13 @@
                  TimePoint Now);
   void onBroken(const OccupiedSlot &Slot, TargetFailure Kind,
                 const std::string &Detail, TimePoint Now);
-  void noteServiceTime(Duration Sample, bool Whole, std::uint32_t Occupied,
+  void noteServiceTime(TimePoint Start, bool Whole, std::uint32_t Occupied,
                        TimePoint Now);
   void restartRamp(std::string_view Cause, TimePoint Now);
   void refuseWaiting(const RefusalCause &Cause);
   void expire(TimePoint Now);
   void advance(TimePoint Now);
+  void noteEvent(TimePoint Now);
   void noteIdle(TimePoint Now);
   void checkDrained(TimePoint Now);
   void sweep(TimePoint Now);
@@ -118,6 +120,7 @@
   ServiceTime m_ServiceTime;
   Ramp m_Ramp;
   HoldOff m_HoldOff;
+  SleepGuard m_SleepGuard;
   std::uint64_t m_Arrivals = 0;
   std::optional<TimePoint> m_IdleSince;
   std::optional<TimePoint> m_ZoneOutSince;
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -7,6 +7,7 @@
 
 void Engine::onMessage(LinkId Link, const TrafficMessage &Message,
                        TimePoint Now) {
+  noteEvent(Now);
   expire(Now);
   if (const auto *Hello = std::get_if<TrafficHello>(&Message))
     return takeHello(Link, *Hello, Now);
@@ -61,14 +62,15 @@
   const Knowledge Known = m_Ledger.lookUp(Id);
   if (Known != Knowledge::Unknown)
     return repeatDispatch(Link, Id, Known);
-  const TimePoint Deadline = Now + std::min(Message.m_Remaining, MaxRemaining);
+  const Duration Remaining = std::min(Message.m_Remaining, MaxRemaining) -
+                             m_SleepGuard.possibleWait(Now);
   std::optional<RefusalCause> Cause = fenceCause(Link, Message);
   if (!Cause)
-    Cause = stateCause(Message, Now);
+    Cause = stateCause(Message, Remaining, Now);
   if (!Cause)
-    Cause = loadCause(Deadline, Now);
+    Cause = loadCause(Now + Remaining, Now);
   if (!Cause)
-    return enter(Message, Deadline);
+    return enter(Message, Now + Remaining);
   m_Ledger.refuse(Id, Cause->m_Reason);
   sendRefusal(Link, Id, *Cause);
 }
@@ -96,6 +98,7 @@
 }
 
 std::optional<RefusalCause> Engine::stateCause(const Dispatch &Message,
+                                               Duration Remaining,
                                                TimePoint Now) const {
   if (m_Target == nullptr || Message.m_Target != m_Target->m_Name ||
       Message.m_Service != m_Service->m_Name)
@@ -104,7 +107,7 @@
     return RefusalCause{RefusalReason::Draining, Duration{0}};
   if (isZoneOut())
     return RefusalCause{RefusalReason::ZoneOut, Duration{0}};
-  if (Message.m_Remaining <= Duration{0})
+  if (Remaining <= Duration{0})
     return RefusalCause{RefusalReason::DeadlinePassed, Duration{0}};
   const Duration Pause = m_HoldOff.remaining(Now);
   if (Pause > Duration{0})
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -14,11 +14,12 @@
 
 void Engine::onTargetAnswer(const RequestId &Id, HttpResponsePtr Response,
                             TimePoint Now) {
+  noteEvent(Now);
   const std::uint32_t Occupied = m_Slots.size();
   if (const auto Slot = m_Slots.release(Id)) {
     m_HoldOff.onConnected();
     noteIdle(Now);
-    noteServiceTime(Now - Slot->m_Start, true, Occupied, Now);
+    noteServiceTime(Slot->m_Start, true, Occupied, Now);
   }
   if (m_Ledger.lookUp(Id) == Knowledge::Running) {
     report(EventId::RequestFinished,
@@ -32,6 +33,7 @@
 
 void Engine::onTargetFailure(const RequestId &Id, TargetFailure Kind,
                              const std::string &Detail, TimePoint Now) {
+  noteEvent(Now);
   const OccupiedSlot *Found = m_Slots.find(Id);
   if (Found != nullptr) {
     const OccupiedSlot Slot = *Found;
@@ -69,7 +71,7 @@
   if (Kind == TargetFailure::Reset)
     restartRamp("reset", Now);
   else
-    noteServiceTime(Now - Slot.m_Start, false, m_Slots.size(), Now);
+    noteServiceTime(Slot.m_Start, false, m_Slots.size(), Now);
   failRunning(Slot.m_Id, Detail);
 }
 
@@ -78,9 +80,9 @@
   m_Commands.emplace_back(CancelTarget{Id});
   const OccupiedSlot *Slot = m_Slots.find(Id);
   if (Slot != nullptr) {
-    const Duration Elapsed = Now - Slot->m_Start;
+    const TimePoint Start = Slot->m_Start;
     m_Slots.abandon(Id, Now + abandonedHold(*Slot, Now));
-    noteServiceTime(Elapsed, false, m_Slots.size(), Now);
+    noteServiceTime(Start, false, m_Slots.size(), Now);
   }
   failRunning(Id, Detail);
 }
@@ -101,8 +103,12 @@
   return std::clamp(Left, MinAbandonedHold, MaxAbandonedHold);
 }
 
-void Engine::noteServiceTime(Duration Sample, bool Whole,
+void Engine::noteServiceTime(TimePoint Start, bool Whole,
                              std::uint32_t Occupied, TimePoint Now) {
+  // A sleep of this process is no service time of the target.
+  if (m_SleepGuard.sleptSince(Start))
+    return;
+  const Duration Sample = Now - Start;
   if (Whole)
     m_ServiceTime.addSample(Sample, Now);
   else
@@ -178,6 +184,12 @@
     refuseWaiting({RefusalReason::ZoneOut, Duration{0}});
 }
 
+void Engine::noteEvent(TimePoint Now) {
+  m_SleepGuard.onEvent(Now);
+  if (!m_Links.hasLinks())
+    m_SleepGuard.rest();
+}
+
 void Engine::advance(TimePoint Now) {
   startWaiting(Now);
   checkDrained(Now);
--- a/src/core/gate/link_table.h
+++ b/src/core/gate/link_table.h
@@ -51,6 +51,8 @@
   bool isCurrent(LinkId Link) const;
   /// \returns the current link of an ingress, if it has one.
   std::optional<LinkId> currentLink(const Incarnation &Ingress) const;
+  /// \returns whether there is any link.
+  bool hasLinks() const { return !m_Links.empty(); }
   /// \returns all current links in ascending order.
   std::vector<LinkId> currentLinks() const;
   /// Notes that an ingress gave a sign of life, or that it may wait for an
--- a/tests/unit/gate_load_test.cpp
+++ b/tests/unit/gate_load_test.cpp
@@ -38,6 +38,24 @@
   CHECK(Harness.starts(2) == 0);
 }
 
+TEST_CASE("a request that waited unread while the process slept is refused") {
+  GateHarness Harness;
+  Harness.hello(1, 1);
+  Harness.pass(ms(1000));
+  Harness.dispatch(1, 1, 1, ms(800));
+  CHECK(Harness.starts(1) == 1);
+  Harness.sleep(ms(900));
+  Harness.dispatch(1, 2, 1, ms(800));
+  CHECK(onlyRefusal(Harness) == RefusalReason::DeadlinePassed);
+  Harness.dispatch(1, 3, 1, ms(1500));
+  REQUIRE(Harness.starts(3) == 1);
+  CHECK(Harness.commands<StartTarget>().back().m_Deadline ==
+        Harness.now() + ms(600));
+  Harness.pass(ms(300));
+  Harness.dispatch(1, 4, 1, ms(800));
+  CHECK(Harness.starts(4) == 1);
+}
+
 TEST_CASE("a request past its deadline is cancelled and may have run") {
   GateHarness Harness;
   Harness.hello(1, 1);
