Prove the ingress's rules at the seam with tables of fates

Fourteen fates of a request (answered, refused, failed, gate killed, restarted, cut off, link silent, nothing heard, slow) by method; deadlines before and after a sleep; epochs, inquiry, pings and pauses of links; spill-over, cold start, zones out; retry budget and the chain of 15 levels.

--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -381,7 +381,7 @@
   Inquiry Question;
   for (const TryNumber Number : Peer.m_Sent) {
     Question.m_Ids.push_back(m_Tries.at(Number).m_Id);
-    if (Question.m_Ids.size() == MaxIdsPerMessage)
+    if (Question.m_Ids.size() == MaxIdsSentAtOnce)
       m_Out.send(Peer.m_Link, std::exchange(Question, {}));
   }
   if (!Question.m_Ids.empty())
--- a/src/core/ingress/gate_links.cpp
+++ b/src/core/ingress/gate_links.cpp
@@ -190,7 +190,7 @@
 
 void GateLinks::settle(GatePeer &Peer, const RequestId &Id, TimePoint Now) {
   Peer.m_Settled.push_back(Id);
-  if (Peer.m_Settled.size() >= MaxIdsPerMessage)
+  if (Peer.m_Settled.size() >= MaxIdsSentAtOnce)
     flushSettled(Peer);
   if (!Peer.m_Settled.empty() && !Peer.m_SettleBy)
     Peer.m_SettleBy = Now + SettleDelay;
--- a/src/core/ingress/limits.h
+++ b/src/core/ingress/limits.h
@@ -50,7 +50,7 @@
 /// Longest time that a settled request is kept from its gate.
 constexpr Duration SettleDelay = std::chrono::milliseconds(50);
 /// Most requests settled or inquired about by one message.
-constexpr std::size_t MaxIdsPerMessage = 256;
+constexpr std::size_t MaxIdsSentAtOnce = 256;
 /// Time after its deadline at which an orphan is forgotten.
 constexpr Duration OrphanGrace = std::chrono::seconds(5);
 /// Least time between two reports of the same newer version.
--- /dev/null
+++ b/tests/unit/ingress_calls_test.cpp
@@ -0,0 +1,251 @@
+#include "unit/ingress_fixture.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+
+using namespace dandelionfall::core;
+
+namespace {
+
+/// What happens to a request after its first dispatch.
+struct FateCase {
+  const char *m_Name;
+  const char *m_Method;
+  std::function<void(IngressFixture &)> m_Fate;
+  CallOutcome m_Outcome;
+  /// Dispatches in all.
+  std::size_t m_Dispatches;
+  /// Longest time until the final answer.
+  Duration m_Within;
+};
+
+const ReceivedDispatch &first(const IngressFixture &Test) {
+  return Test.m_Dispatches.front();
+}
+
+/// Answers every dispatch but the first.
+void answerOthers(IngressFixture &Test) {
+  for (std::size_t Next = 1; Next < Test.m_Dispatches.size(); ++Next)
+    Test.answer(ReceivedDispatch(Test.m_Dispatches[Next]));
+}
+
+void killGate(IngressFixture &Test) {
+  Test.m_Refusing.insert(first(Test).m_Gate);
+  Test.breakLinks(first(Test).m_Gate);
+}
+
+void restartGate(IngressFixture &Test) {
+  Test.m_Incarnations[first(Test).m_Gate] = {9, 9};
+  Test.breakLinks(first(Test).m_Gate);
+}
+
+void loseLink(IngressFixture &Test) {
+  Test.m_Silent.insert(first(Test).m_Link);
+}
+
+void cutOff(IngressFixture &Test) {
+  loseLink(Test);
+  Test.m_Unreachable.insert(first(Test).m_Gate);
+}
+
+void loseRunning(IngressFixture &Test) {
+  Test.m_Ledger = LedgerState::Running;
+  loseLink(Test);
+  Test.advance(700ms);
+  const ReceivedDispatch Old = first(Test);
+  const LinkId Newest = Test.m_Opens.back().first;
+  Test.answer({Old.m_Gate, Newest, Old.m_Message});
+}
+
+const FateCase FateCases[] = {
+    {"answered", "POST", [](auto &Test) { Test.answer(first(Test)); },
+     CallOutcome::Answered, 1, 0ms},
+    {"refused once", "POST", [](auto &Test) { Test.refuse(first(Test)); },
+     CallOutcome::Answered, 2, 0ms},
+    {"failed", "POST", [](auto &Test) { Test.fail(first(Test)); },
+     CallOutcome::Unknown, 1, 0ms},
+    {"failed", "GET", [](auto &Test) { Test.fail(first(Test)); },
+     CallOutcome::Answered, 2, 0ms},
+    {"gate killed", "POST", killGate, CallOutcome::Unknown, 1, 100ms},
+    {"gate killed", "GET", killGate, CallOutcome::Answered, 2, 100ms},
+    {"gate restarted", "POST", restartGate, CallOutcome::Unknown, 1, 0ms},
+    {"gate restarted", "GET", restartGate, CallOutcome::Answered, 2, 0ms},
+    {"request lost in a silent link", "POST", loseLink, CallOutcome::Answered,
+     2, 600ms},
+    {"link silent while it runs", "POST", loseRunning, CallOutcome::Answered, 1,
+     700ms},
+    {"gate cut off", "POST", cutOff, CallOutcome::Unknown, 1, 2s},
+    {"gate cut off", "GET", cutOff, CallOutcome::Answered, 2, 1s},
+    {"no answer", "POST", [](auto &) {}, CallOutcome::Unknown, 1, 2s},
+    {"slow once", "GET", [](auto &) {}, CallOutcome::Answered, 2, 1s},
+};
+
+} // namespace
+
+TEST_CASE("a call ends as the fate of its request allows") {
+  for (const FateCase &Case : FateCases) {
+    CAPTURE(Case.m_Name);
+    CAPTURE(Case.m_Method);
+    IngressFixture Test;
+    Test.configure({});
+    Test.call(1, Case.m_Method);
+    REQUIRE(Test.m_Dispatches.size() == 1);
+    const TimePoint Start = Test.m_Now;
+    Case.m_Fate(Test);
+    answerOthers(Test);
+    while (!Test.outcome(1) && Test.m_Now < Start + 3s) {
+      Test.advance(1ms);
+      answerOthers(Test);
+    }
+    REQUIRE(Test.outcome(1));
+    CHECK(*Test.outcome(1) == Case.m_Outcome);
+    CHECK(Test.m_Dispatches.size() == Case.m_Dispatches);
+    CHECK(Test.m_Now - Start <= Case.m_Within);
+    Test.advance(10s);
+    CHECK(Test.m_AnswerCount == 1);
+    CHECK(Test.m_Ingress.openCalls() == 0);
+  }
+}
+
+TEST_CASE("a call without a gate is not run, with a time to come back") {
+  IngressFixture Test;
+  Test.call(1, "POST");
+  CHECK(Test.outcome(1) == CallOutcome::NotRun);
+  ConfigurationBuilder AllOut;
+  AllOut.m_ZonesOut = {"a", "b", "c"};
+  Test.configure(AllOut);
+  Test.call(2, "POST");
+  CHECK(Test.outcome(2) == CallOutcome::NotRun);
+  CHECK(Test.m_Answers[2].m_RetryAfter > 0ms);
+  Test.m_Ingress.onCall(
+      3,
+      std::make_shared<HttpRequest>(HttpRequest{"GET", "/other", "", {}, ""}),
+      std::nullopt, Test.m_Now);
+  Test.settle();
+  CHECK(Test.outcome(3) == CallOutcome::NoRoute);
+}
+
+TEST_CASE("refusals by all gates end in the least time to come back") {
+  IngressFixture Test;
+  Test.configure({});
+  Test.call(1, "POST");
+  for (const Duration RetryAfter : {300ms, 100ms, 200ms})
+    Test.refuse(ReceivedDispatch(Test.m_Dispatches.back()), RetryAfter);
+  CHECK(Test.m_Dispatches.size() == 3);
+  CHECK(Test.outcome(1) == CallOutcome::NotRun);
+  CHECK(Test.m_Answers[1].m_RetryAfter == 100ms);
+}
+
+TEST_CASE("the deadline is the caller's or the profile's, with a cap") {
+  struct {
+    std::optional<Duration> m_Asked;
+    Duration m_Expected;
+  } const Cases[] = {{std::nullopt, 2s}, {500ms, 500ms}, {3600s, 60s}};
+  for (const auto &Case : Cases) {
+    IngressFixture Test;
+    Test.configure({});
+    Test.call(1, "POST", Case.m_Asked);
+    CHECK(first(Test).m_Message.m_Remaining == Case.m_Expected);
+    Test.advance(Case.m_Expected - 1ms);
+    CHECK_FALSE(Test.outcome(1));
+    Test.advance(1ms);
+    CHECK(Test.outcome(1) == CallOutcome::Unknown);
+    CHECK(Test.sent<Cancel>().size() == 1);
+  }
+}
+
+TEST_CASE("after a sleep past the deadline only a whole answer or a refusal at "
+          "hand goes before it") {
+  struct {
+    std::function<void(IngressFixture &, const ReceivedDispatch &)> m_Wake;
+    CallOutcome m_Outcome;
+  } const Cases[] = {
+      {[](auto &Test, auto &To) { Test.answer(To); }, CallOutcome::Answered},
+      {[](auto &Test, auto &To) { Test.refuse(To); }, CallOutcome::NotRun},
+      {[](auto &Test, auto &To) { Test.fail(To); }, CallOutcome::Unknown},
+      {[](auto &Test, auto &To) {
+         Test.reply(To,
+                    InquiryReply{To.m_Message.m_Id, LedgerState::NeverRuns});
+       },
+       CallOutcome::Unknown},
+      {[](auto &Test, auto &) { Test.advance(0ms); }, CallOutcome::Unknown},
+      {[](auto &Test, auto &) { Test.call(2, "GET"); }, CallOutcome::Unknown},
+  };
+  for (const auto &Case : Cases) {
+    IngressFixture Test;
+    Test.configure({});
+    Test.call(1, "POST");
+    Test.sleep(5s);
+    Case.m_Wake(Test, ReceivedDispatch(first(Test)));
+    CHECK(Test.outcome(1) == Case.m_Outcome);
+  }
+}
+
+TEST_CASE("a request that waited past its deadline is not dispatched") {
+  IngressFixture Test;
+  Test.m_Unreachable = {"gate1", "gate2", "gate3"};
+  Test.configure({});
+  Test.call(1, "POST", 200ms);
+  Test.sleep(250ms);
+  const LinkId Link = Test.m_Opens.front().first;
+  Test.m_Links[Link] = "gate1";
+  Test.m_Ingress.onLinkOpened(Link, Test.m_Now);
+  Test.settle();
+  CHECK(Test.m_Dispatches.empty());
+  CHECK(Test.outcome(1) == CallOutcome::NotRun);
+}
+
+TEST_CASE("a try's answer counts only from its own gate and ingress") {
+  IngressFixture Test;
+  Test.configure({});
+  Test.call(1, "POST");
+  const RequestId Id = first(Test).m_Message.m_Id;
+  for (const auto &[Link, Gate] : std::map(Test.m_Links)) {
+    if (Gate != first(Test).m_Gate)
+      Test.reply({Gate, Link, {}}, Answer{Id, makeResponse("x"), {}});
+  }
+  Test.reply(first(Test),
+             Answer{{{1, 1}, Id.m_Sequence}, makeResponse("x"), {}});
+  CHECK_FALSE(Test.outcome(1));
+  Test.answer(ReceivedDispatch(first(Test)));
+  CHECK(Test.m_Answers[1].m_Response->m_Body == "done");
+}
+
+TEST_CASE("a caller that is gone withdraws its request and gets no answer") {
+  IngressFixture Test;
+  Test.configure({});
+  Test.call(1, "POST");
+  Test.m_Ingress.onCallerGone(1, Test.m_Now);
+  Test.settle();
+  CHECK(Test.sent<Cancel>().size() == 1);
+  CHECK(Test.m_Ingress.openCalls() == 0);
+  Test.answer(ReceivedDispatch(first(Test)));
+  CHECK(Test.m_AnswerCount == 0);
+}
+
+TEST_CASE("finished requests are settled in batches, soon or with the next "
+          "dispatch") {
+  IngressFixture Test;
+  Test.configure({});
+  for (CallId Id = 1; Id <= 3; ++Id)
+    Test.call(Id, "POST");
+  for (const ReceivedDispatch &Next : std::vector(Test.m_Dispatches))
+    Test.answer(Next);
+  CHECK(Test.sent<Settled>().empty());
+  Test.advance(50ms);
+  std::size_t Count = 0;
+  for (const Settled &Message : Test.sent<Settled>())
+    Count += Message.m_Ids.size();
+  CHECK(Count == 3);
+}
+
+TEST_CASE("open calls are bounded") {
+  constexpr std::size_t Bound = 16384;
+  IngressFixture Test;
+  Test.configure({});
+  for (CallId Id = 1; Id <= Bound + 1; ++Id)
+    Test.call(Id, "POST");
+  CHECK(Test.m_Ingress.openCalls() == Bound);
+  CHECK(Test.outcome(Bound + 1) == CallOutcome::NotRun);
+}
--- /dev/null
+++ b/tests/unit/ingress_retries_test.cpp
@@ -0,0 +1,139 @@
+#include "core/ingress/attempt_field.h"
+#include "core/ingress/idempotency.h"
+#include "core/ingress/retry_budget.h"
+#include "unit/ingress_fixture.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+
+using namespace dandelionfall::core;
+
+TEST_CASE("methods are idempotent as RFC 9110 says, unless the route says "
+          "otherwise") {
+  struct {
+    const char *m_Method;
+    bool m_Idempotent;
+  } const Cases[] = {
+      {"GET", true},      {"HEAD", true},   {"OPTIONS", true}, {"TRACE", true},
+      {"PUT", true},      {"DELETE", true}, {"POST", false},   {"PATCH", false},
+      {"CONNECT", false}, {"get", false},   {"BREW", false},
+  };
+  for (const auto &Case : Cases) {
+    CAPTURE(Case.m_Method);
+    CHECK(ingress::isIdempotent(Idempotency::ByMethod, Case.m_Method) ==
+          Case.m_Idempotent);
+    CHECK(ingress::isIdempotent(Idempotency::Always, Case.m_Method));
+    CHECK_FALSE(ingress::isIdempotent(Idempotency::Never, Case.m_Method));
+  }
+}
+
+TEST_CASE("the route's rule reaches the dispatch") {
+  for (const Idempotency Rule : {Idempotency::Always, Idempotency::Never}) {
+    IngressFixture Test;
+    ConfigurationBuilder Builder;
+    Builder.m_Idempotency = Rule;
+    Test.configure(Builder);
+    Test.call(1, Rule == Idempotency::Never ? "GET" : "POST");
+    Test.fail(ReceivedDispatch(Test.m_Dispatches[0]));
+    CHECK(Test.m_Dispatches[0].m_Message.m_Idempotent ==
+          (Rule == Idempotency::Always));
+    CHECK(Test.m_Dispatches.size() == (Rule == Idempotency::Always ? 2 : 1));
+  }
+}
+
+TEST_CASE("the retry budget is a share of the successes over a small floor") {
+  ingress::RetryBudget Budget;
+  TimePoint Now{1s};
+  int Taken = 0;
+  while (Budget.take(Now))
+    ++Taken;
+  CHECK(Taken == 3);
+  for (int Success = 0; Success < 100; ++Success)
+    Budget.noteSuccess(10);
+  while (Budget.take(Now))
+    ++Taken;
+  CHECK(Taken >= 12);
+  CHECK(Taken <= 13);
+  Now += 2s;
+  CHECK(Budget.take(Now));
+  CHECK(Budget.take(Now));
+  CHECK_FALSE(Budget.take(Now));
+}
+
+TEST_CASE("with all targets failing, retries stay inside the budget") {
+  IngressFixture Test;
+  Test.configure({});
+  for (CallId Id = 1; Id <= 100; ++Id) {
+    Test.call(Id, "GET");
+    while (!Test.outcome(Id))
+      Test.fail(ReceivedDispatch(Test.m_Dispatches.back()));
+    CHECK(Test.outcome(Id) == CallOutcome::Unknown);
+  }
+  CHECK(Test.m_Dispatches.size() == 103);
+}
+
+TEST_CASE("a repeat is marked, and a marked request is not repeated") {
+  IngressFixture Test;
+  Test.configure({});
+  Test.call(1, "GET");
+  CHECK_FALSE(ingress::isRepeat(*Test.m_Dispatches[0].m_Message.m_Request));
+  Test.fail(ReceivedDispatch(Test.m_Dispatches[0]));
+  const HttpRequestPtr Repeat = Test.m_Dispatches[1].m_Message.m_Request;
+  REQUIRE(ingress::isRepeat(*Repeat));
+  auto LowerCase = std::make_shared<HttpRequest>(*Repeat);
+  LowerCase->m_Fields[0].m_Name = "dandelionfall-attempt";
+  Test.m_Ingress.onCall(2, LowerCase, std::nullopt, Test.m_Now);
+  Test.settle();
+  Test.fail(ReceivedDispatch(Test.m_Dispatches[2]));
+  CHECK(Test.outcome(2) == CallOutcome::Unknown);
+  CHECK(Test.m_Dispatches.size() == 3);
+}
+
+namespace {
+
+constexpr int Levels = 15;
+
+/// A chain of services, each behind an ingress of its own; the last one always
+/// fails.
+class FailingChain {
+public:
+  FailingChain() {
+    for (int Level = 0; Level < Levels; ++Level) {
+      m_Chain.push_back(std::make_unique<IngressFixture>());
+      m_Chain.back()->configure({});
+    }
+  }
+
+  /// Calls the service of a level.
+  void call(int Level, const HttpRequestPtr &Request) {
+    if (Level == Levels) {
+      ++m_LeafRuns;
+      return;
+    }
+    IngressFixture &Own = *m_Chain[static_cast<std::size_t>(Level)];
+    const CallId Id = ++m_LastCall;
+    Own.m_Ingress.onCall(Id, Request, 60s, Own.m_Now);
+    Own.settle();
+    while (!Own.outcome(Id)) {
+      const ReceivedDispatch Run = Own.m_Dispatches.back();
+      call(Level + 1, Run.m_Message.m_Request);
+      Own.fail(Run);
+    }
+  }
+
+  int m_LeafRuns = 0;
+
+private:
+  std::vector<std::unique_ptr<IngressFixture>> m_Chain;
+  CallId m_LastCall = 0;
+};
+
+} // namespace
+
+TEST_CASE("retries do not multiply through 15 levels") {
+  FailingChain Chain;
+  Chain.call(0, makeRequest("GET"));
+  // Each level repeats on its own account, and repeats are not repeated.
+  CHECK(Chain.m_LeafRuns <= 1 + 2 * Levels);
+}
--- /dev/null
+++ b/tests/unit/ingress_routing_test.cpp
@@ -0,0 +1,139 @@
+#include "core/ingress/load_view.h"
+#include "core/ingress/target_choice.h"
+#include "dandelionfall/core/error.h"
+#include "unit/ingress_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionfall::core;
+
+namespace {
+
+std::map<std::string, int> countByGate(const IngressFixture &Test) {
+  std::map<std::string, int> Counts;
+  for (const ReceivedDispatch &Next : Test.m_Dispatches)
+    ++Counts[Next.m_Gate];
+  return Counts;
+}
+
+} // namespace
+
+TEST_CASE(
+    "the own availability zone goes first, and spills before it is full") {
+  IngressFixture Test;
+  ConfigurationBuilder Builder;
+  Builder.m_FarZones = {"c"};
+  Test.configure(Builder);
+  for (CallId Id = 1; Id <= 3; ++Id)
+    Test.call(Id, "POST");
+  CHECK(countByGate(Test) == std::map<std::string, int>{{"gate1", 3}});
+  for (CallId Id = 4; Id <= 6; ++Id)
+    Test.call(Id, "POST");
+  CHECK(countByGate(Test) ==
+        std::map<std::string, int>{{"gate1", 3}, {"gate2", 3}});
+  Test.call(7, "POST");
+  CHECK(countByGate(Test)["gate3"] == 1);
+}
+
+TEST_CASE(
+    "a target in cold start gets no more than its limit while others have "
+    "room") {
+  IngressFixture Test;
+  Test.m_Load["gate1"].m_Limit = 1;
+  Test.configure({});
+  for (CallId Id = 1; Id <= 7; ++Id)
+    Test.call(Id, "POST");
+  CHECK(countByGate(Test)["gate1"] == 1);
+}
+
+TEST_CASE("load that others put on a target counts") {
+  IngressFixture Test;
+  Test.m_Load["gate1"].m_InFlight = 4;
+  Test.configure({});
+  // The first call opens the links, which bring the reports.
+  Test.call(1, "POST");
+  Test.call(2, "POST");
+  REQUIRE(Test.m_Dispatches.size() == 2);
+  CHECK(Test.m_Dispatches[1].m_Gate != "gate1");
+}
+
+TEST_CASE("an availability zone that is out gets nothing new, and what waits "
+          "for it moves") {
+  IngressFixture Test;
+  Test.m_Unreachable = {"gate1"};
+  ConfigurationBuilder Builder;
+  Builder.m_TargetZones = {"a"};
+  Test.configure(Builder);
+  Test.call(1, "POST");
+  CHECK(Test.m_Dispatches.empty());
+  ConfigurationBuilder Next;
+  Next.m_Version = 2;
+  Next.m_ZonesOut = {"a"};
+  Test.configure(Next);
+  REQUIRE(Test.m_Dispatches.size() == 1);
+  CHECK(Test.m_Dispatches[0].m_Gate != "gate1");
+  for (CallId Id = 2; Id < 50; ++Id)
+    Test.call(Id, "POST");
+  CHECK(countByGate(Test)["gate1"] == 0);
+}
+
+TEST_CASE("a gate that knows its availability zone is out is left alone until "
+          "the version is here") {
+  IngressFixture Test;
+  Test.m_GateVersion = 2;
+  Test.configure({});
+  Test.call(1, "POST");
+  REQUIRE(Test.m_Dispatches[0].m_Gate == "gate1");
+  Test.refuse(ReceivedDispatch(Test.m_Dispatches[0]), 0ms,
+              RefusalReason::ZoneOut);
+  REQUIRE(Test.m_Dispatches.size() == 2);
+  Test.call(2, "POST");
+  CHECK(countByGate(Test)["gate1"] == 1);
+}
+
+TEST_CASE("a target that takes no connection is left alone for a while") {
+  IngressFixture Test;
+  Test.configure({});
+  Test.call(1, "POST");
+  Test.refuse(ReceivedDispatch(Test.m_Dispatches[0]), 0ms,
+              RefusalReason::TargetDown);
+  Test.call(2, "POST");
+  CHECK(countByGate(Test)["gate1"] == 1);
+  Test.advance(100ms);
+  Test.call(3, "POST");
+  CHECK(countByGate(Test)["gate1"] == 2);
+}
+
+TEST_CASE("of two targets the one with less load, latency and failures is "
+          "chosen") {
+  ingress::LoadView Base;
+  const TimePoint Now{1s};
+  Base.noteReport({1, 0, 4, 10ms}, Now);
+  ingress::LoadView Busy = Base;
+  Busy.noteSent();
+  ingress::LoadView Slow = Base;
+  Slow.noteReport({1, 0, 4, 20ms}, Now);
+  ingress::LoadView Far = Base;
+  Far.noteRoundTrip(5ms);
+  ingress::LoadView Failing = Base;
+  Failing.noteResult(false);
+  for (const ingress::LoadView &Worse : {Busy, Slow, Far, Failing})
+    CHECK(Worse.cost(1, Now) > Base.cost(1, Now));
+  CHECK(Base.load(Now) == 1);
+  CHECK(Base.load(Now + 1s) == 0);
+}
+
+TEST_CASE("strategies are found by name") {
+  for (const ingress::TargetChoice *Choice : ingress::targetChoices())
+    CHECK(&ingress::findTargetChoice(Choice->name()) == Choice);
+  CHECK_THROWS_AS(ingress::findTargetChoice("best"), Error);
+}
+
+TEST_CASE("round robin takes all targets in turn") {
+  IngressFixture Test({"h0", "a", {7, 7}, 1, "round-robin"});
+  Test.configure({});
+  for (CallId Id = 1; Id <= 9; ++Id)
+    Test.call(Id, "POST");
+  for (const auto &[Gate, Count] : countByGate(Test))
+    CHECK(Count == 3);
+}
