Prove ingress and gate together under single, paired and random faults

Over each world: one final answer a call, by its deadline; at most one run of a non-idempotent request; a 'not run' is true, also 30 s later; an answer is whole and the caller's own. Every single fault but an ingress that sleeps past the deadline also lets all idempotent requests be answered. ctest -R requests.

A gate whose pong is 50 ms late now comes after others, so that fewer requests go to a frozen one.

--- a/src/core/ingress/router.cpp
+++ b/src/core/ingress/router.cpp
@@ -13,7 +13,8 @@
 enum Readiness : std::uint8_t { Linked, NotLinked, Suspect, ReadinessCount };
 
 Readiness readiness(const GatePeer &Peer, TimePoint Now) {
-  if (Peer.m_FailedOpens > 0 || Now < Peer.m_PauseUntil)
+  const bool PongIsLate = Peer.m_PongBy && Now > Peer.m_PingSentAt + LatePong;
+  if (Peer.m_FailedOpens > 0 || Now < Peer.m_PauseUntil || PongIsLate)
     return Suspect;
   return Peer.m_State == LinkState::Ready ? Linked : NotLinked;
 }
--- /dev/null
+++ b/tests/contract/requests_faults_test.cpp
@@ -0,0 +1,65 @@
+#include "contract/requests_faults.h"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionfall::core;
+
+namespace {
+
+/// Before the calls; the dispatch under way; being run; the answer under way;
+/// while the first fault is being dealt with.
+constexpr Duration Phases[] = {50ms, 100500us, 110ms, 121500us, 500ms};
+
+} // namespace
+
+TEST_CASE("without a fault all are answered") {
+  RequestsWorld World;
+  makeCalls(World);
+  CHECK(World.verdict() == "");
+}
+
+TEST_CASE("each fault in each phase keeps every promise") {
+  for (const RequestsFault &Fault : requestsFaults()) {
+    for (const Duration Phase : Phases) {
+      for (const bool TimersFirst : {false, true}) {
+        RequestsWorld World;
+        World.m_TimersFirst = TimersFirst;
+        makeCalls(World);
+        World.at(Phase, [&] { Fault.m_Strike(World, 0); });
+        CAPTURE(Fault.m_Name);
+        CAPTURE(Phase.count());
+        CAPTURE(TimersFirst);
+        CHECK(World.verdict() == "");
+        CHECK(World.count("POST", CallOutcome::NotRun) == 0);
+        if (Fault.m_ReadsAnswered)
+          CHECK(World.count("GET", CallOutcome::Answered) == 4);
+      }
+    }
+  }
+}
+
+TEST_CASE("each pair of faults in each phase keeps every promise") {
+  unsigned Worlds = 0;
+  for (const RequestsFault &First : requestsFaults()) {
+    for (const RequestsFault &Second : requestsFaults()) {
+      for (const Duration FirstPhase : Phases) {
+        for (const Duration SecondPhase : Phases) {
+          const std::size_t SecondGate = Worlds % 2;
+          RequestsWorld World;
+          World.m_TimersFirst = Worlds % 3 == 0;
+          makeCalls(World);
+          World.at(FirstPhase, [&] { First.m_Strike(World, 0); });
+          World.at(SecondPhase, [&] { Second.m_Strike(World, SecondGate); });
+          ++Worlds;
+          CAPTURE(First.m_Name);
+          CAPTURE(FirstPhase.count());
+          CAPTURE(Second.m_Name);
+          CAPTURE(SecondPhase.count());
+          CAPTURE(SecondGate);
+          CHECK(World.verdict() == "");
+        }
+      }
+    }
+  }
+  MESSAGE("worlds=" << Worlds);
+}
