--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -4271,6 +4271,14 @@
 void Heartbeat::__set_host_list(const Stamp& val) {
   this->host_list = val;
 }
+
+void Heartbeat::__set_source_tried_ago_us(const int64_t val) {
+  this->source_tried_ago_us = val;
+}
+
+void Heartbeat::__set_source_reached_ago_us(const int64_t val) {
+  this->source_reached_ago_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -4331,6 +4339,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->source_tried_ago_us);
+          this->__isset.source_tried_ago_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->source_reached_ago_us);
+          this->__isset.source_reached_ago_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4364,6 +4388,14 @@
   xfer += this->host_list.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("source_tried_ago_us", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->source_tried_ago_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("source_reached_ago_us", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->source_reached_ago_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4375,6 +4407,8 @@
   swap(a.held, b.held);
   swap(a.applied, b.applied);
   swap(a.host_list, b.host_list);
+  swap(a.source_tried_ago_us, b.source_tried_ago_us);
+  swap(a.source_reached_ago_us, b.source_reached_ago_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -4383,6 +4417,8 @@
   held = other160.held;
   applied = other160.applied;
   host_list = other160.host_list;
+  source_tried_ago_us = other160.source_tried_ago_us;
+  source_reached_ago_us = other160.source_reached_ago_us;
   __isset = other160.__isset;
 }
 Heartbeat::Heartbeat(Heartbeat&& other161) noexcept {
@@ -4390,6 +4426,8 @@
   held = std::move(other161.held);
   applied = std::move(other161.applied);
   host_list = std::move(other161.host_list);
+  source_tried_ago_us = other161.source_tried_ago_us;
+  source_reached_ago_us = other161.source_reached_ago_us;
   __isset = other161.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other162) noexcept {
@@ -4397,6 +4435,8 @@
   held = other162.held;
   applied = other162.applied;
   host_list = other162.host_list;
+  source_tried_ago_us = other162.source_tried_ago_us;
+  source_reached_ago_us = other162.source_reached_ago_us;
   __isset = other162.__isset;
   return *this;
 }
@@ -4405,6 +4445,8 @@
   held = std::move(other163.held);
   applied = std::move(other163.applied);
   host_list = std::move(other163.host_list);
+  source_tried_ago_us = other163.source_tried_ago_us;
+  source_reached_ago_us = other163.source_reached_ago_us;
   __isset = other163.__isset;
   return *this;
 }
@@ -4415,6 +4457,8 @@
   out << ", " << "held=" << to_string(held);
   out << ", " << "applied=" << to_string(applied);
   out << ", " << "host_list=" << to_string(host_list);
+  out << ", " << "source_tried_ago_us=" << to_string(source_tried_ago_us);
+  out << ", " << "source_reached_ago_us=" << to_string(source_reached_ago_us);
   out << ")";
 }
 
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -1705,11 +1705,13 @@
 std::ostream& operator<<(std::ostream& out, const HeldAck& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : sequence(false), held(false), applied(false), host_list(false) {}
+  _Heartbeat__isset() : sequence(false), held(false), applied(false), host_list(false), source_tried_ago_us(true), source_reached_ago_us(true) {}
   bool sequence :1;
   bool held :1;
   bool applied :1;
   bool host_list :1;
+  bool source_tried_ago_us :1;
+  bool source_reached_ago_us :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -1720,7 +1722,9 @@
   Heartbeat& operator=(const Heartbeat&) noexcept;
   Heartbeat& operator=(Heartbeat&&) noexcept;
   Heartbeat() noexcept
-            : sequence(0) {
+            : sequence(0),
+              source_tried_ago_us(-1LL),
+              source_reached_ago_us(-1LL) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -1728,6 +1732,8 @@
   Stamp held;
   Stamp applied;
   Stamp host_list;
+  int64_t source_tried_ago_us;
+  int64_t source_reached_ago_us;
 
   _Heartbeat__isset __isset;
 
@@ -1739,6 +1745,10 @@
 
   void __set_host_list(const Stamp& val);
 
+  void __set_source_tried_ago_us(const int64_t val);
+
+  void __set_source_reached_ago_us(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -1749,6 +1759,10 @@
       return false;
     if (!(host_list == rhs.host_list))
       return false;
+    if (!(source_tried_ago_us == rhs.source_tried_ago_us))
+      return false;
+    if (!(source_reached_ago_us == rhs.source_reached_ago_us))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -37,7 +37,11 @@
 struct ChangeRecords { 1: i32 stream, 2: list<ChangeRecord> records }
 struct SnapshotChunk { 1: i32 stream, 2: Stamp stamp, 3: i32 index, 4: i32 count, 5: list<Part> parts }
 struct HeldAck { 1: i32 stream, 2: Stamp held }
-struct Heartbeat { 1: i64 sequence, 2: Stamp held, 3: Stamp applied, 4: Stamp host_list }
+// The last two are -1 where no call is known.
+struct Heartbeat {
+  1: i64 sequence, 2: Stamp held, 3: Stamp applied, 4: Stamp host_list,
+  5: i64 source_tried_ago_us = -1, 6: i64 source_reached_ago_us = -1
+}
 struct ControlGoAway {}
 
 union Body {
--- a/src/core/distribution/blackboard.cpp
+++ b/src/core/distribution/blackboard.cpp
@@ -25,7 +25,7 @@
     const VersionStamp &Theirs = Entry.second.m_Streams[indexOf(Value)].m_Held;
     return Entry.second.m_State == LinkState::Up &&
            Theirs.m_Version > Own.m_Parts->m_Stamp.m_Version &&
-           !Own.m_Refused.contains(Theirs);
+           !Own.isRefused(Theirs);
   });
 }
 
--- a/src/core/distribution/blackboard.h
+++ b/src/core/distribution/blackboard.h
@@ -16,6 +16,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dandelionfall::core {
@@ -76,8 +77,13 @@
 struct HeldStream {
   PartSetPtr m_Parts = std::make_shared<const PartSet>();
   ChangeLog m_Log;
-  /// Versions that were refused, so that each is reported once.
-  std::set<VersionStamp> m_Refused;
+  /// Numbers and digests of versions that were refused, so that each is
+  /// reported once.
+  std::set<std::pair<Version, Digest>> m_Refused;
+
+  bool isRefused(const VersionStamp &Stamp) const {
+    return m_Refused.contains({Stamp.m_Version, Stamp.m_Digest});
+  }
 };
 
 /// Parts of a version that is read from the source or collected from peers.
--- a/src/core/distribution/neighbour_rings.cpp
+++ b/src/core/distribution/neighbour_rings.cpp
@@ -15,8 +15,8 @@
 
 } // namespace
 
-NeighbourRings::NeighbourRings(HostListPtr List, std::string Host,
-                               std::string Zone)
+NeighbourRings::NeighbourRings(HostListPtr List, const std::string &Host,
+                               const std::string &Zone)
     : m_List(std::move(List)) {
   for (std::size_t Number = 0; Number < InsideRings; ++Number)
     m_Inside[Number].m_Own = place(Host, Number);
--- a/src/core/distribution/neighbour_rings.h
+++ b/src/core/distribution/neighbour_rings.h
@@ -27,7 +27,8 @@
   /// \param List the hosts; kept by the rings.
   /// \param Host the node's own host, which the list need not have.
   /// \param Zone its availability zone.
-  NeighbourRings(HostListPtr List, std::string Host, std::string Zone);
+  NeighbourRings(HostListPtr List, const std::string &Host,
+                 const std::string &Zone);
 
   /// Chooses neighbours: two on each ring within the availability zone, two on
   /// a ring of the hosts of all others.
--- a/src/core/distribution/replication.cpp
+++ b/src/core/distribution/replication.cpp
@@ -150,8 +150,7 @@
     const PeerStream &Theirs = Link.m_Streams[indexOf(Which)];
     if (Link.m_State != LinkState::Up || Board.m_Now < Theirs.m_AskAfter ||
         Theirs.m_Held.m_Version <= Own.m_Parts->m_Stamp.m_Version ||
-        Own.m_Refused.contains(Theirs.m_Held) ||
-        isCollecting(Board, Which, Theirs))
+        Own.isRefused(Theirs.m_Held) || isCollecting(Board, Which, Theirs))
       continue;
     if (Best == nullptr) {
       Best = &Link;
--- a/src/core/distribution/source_reader.cpp
+++ b/src/core/distribution/source_reader.cpp
@@ -38,7 +38,7 @@
 bool hasRefusedNewer(const Blackboard &Board) {
   const HeldStream &Own = Board.m_Streams[indexOf(Stream::Configuration)];
   return !Own.m_Refused.empty() &&
-         Own.m_Refused.rbegin()->m_Version > Own.m_Parts->m_Stamp.m_Version;
+         Own.m_Refused.rbegin()->first > Own.m_Parts->m_Stamp.m_Version;
 }
 
 Duration since(const Blackboard &Board, const std::optional<TimePoint> &Then) {
--- a/src/core/distribution/version_store.cpp
+++ b/src/core/distribution/version_store.cpp
@@ -12,10 +12,10 @@
 // Bounds what a source that publishes faulty versions can make a node keep.
 constexpr std::size_t MostRefused = 64;
 
-void remember(std::set<VersionStamp> &Refused, const VersionStamp &Stamp) {
-  if (Refused.size() >= MostRefused)
-    Refused.erase(Refused.begin());
-  Refused.insert(Stamp);
+void remember(HeldStream &Own, const VersionStamp &Stamp) {
+  if (Own.m_Refused.size() >= MostRefused)
+    Own.m_Refused.erase(Own.m_Refused.begin());
+  Own.m_Refused.emplace(Stamp.m_Version, Stamp.m_Digest);
 }
 
 std::string versionText(const VersionStamp &Stamp) {
@@ -92,13 +92,12 @@
   if (Offered.m_Version < Held.m_Version || Offered == Held)
     return HoldResult::NotNewer;
   if (Offered.m_Version == Held.m_Version) {
-    if (!Own.m_Refused.contains(Offered))
+    if (!Own.isRefused(Offered))
       Board.report(EventId::VersionConflict, versionText(Offered));
-    remember(Own.m_Refused, Offered);
+    remember(Own, Offered);
     return HoldResult::Conflict;
   }
-  return Own.m_Refused.contains(Offered) ? HoldResult::Refused
-                                         : HoldResult::Held;
+  return Own.isRefused(Offered) ? HoldResult::Refused : HoldResult::Held;
 }
 
 HoldResult hold(Blackboard &Board, Stream Which, PartSetPtr Offered) {
@@ -109,7 +108,7 @@
   try {
     BuildFunctions[indexOf(Which)](Board, *Offered);
   } catch (const Error &Fault) {
-    remember(Own.m_Refused, Offered->m_Stamp);
+    remember(Own, Offered->m_Stamp);
     Board.report(EventId::ConfigurationRefused,
                  versionText(Offered->m_Stamp) + " " + Fault.what());
     return HoldResult::Refused;
--- a/src/net/wire_control.cpp
+++ b/src/net/wire_control.cpp
@@ -25,6 +25,16 @@
   return Result;
 }
 
+constexpr std::int64_t NeverOnWire = -1;
+
+std::int64_t agoToWire(core::Duration Value) {
+  return Value == core::NeverCalled ? NeverOnWire : Value.count();
+}
+
+core::Duration agoFromWire(std::int64_t Value) {
+  return Value < 0 ? core::NeverCalled : core::Duration(Value);
+}
+
 // One overload a message; the visitor below picks it by the message's type.
 class BodyWriter {
 public:
@@ -93,6 +103,8 @@
     Value.held = net::toWire(Message.m_Held);
     Value.applied = net::toWire(Message.m_Applied);
     Value.host_list = net::toWire(Message.m_HostList);
+    Value.source_tried_ago_us = agoToWire(Message.m_SourceTriedAgo);
+    Value.source_reached_ago_us = agoToWire(Message.m_SourceReachedAgo);
     m_Body.__set_heartbeat(Value);
   }
 
@@ -159,9 +171,12 @@
 
 core::ControlMessage readHeartbeat(wire::Body &Body) {
   const wire::Heartbeat &Value = Body.heartbeat;
-  return core::Heartbeat{toUnsigned(Value.sequence), net::fromWire(Value.held),
+  return core::Heartbeat{toUnsigned(Value.sequence),
+                         net::fromWire(Value.held),
                          net::fromWire(Value.applied),
-                         net::fromWire(Value.host_list)};
+                         net::fromWire(Value.host_list),
+                         agoFromWire(Value.source_tried_ago_us),
+                         agoFromWire(Value.source_reached_ago_us)};
 }
 
 core::ControlMessage readGoAway(wire::Body & /*Body*/) {
--- a/tests/contract/distribution_fleet.cpp
+++ b/tests/contract/distribution_fleet.cpp
@@ -240,7 +240,7 @@
 }
 
 void Fleet::deliver(std::size_t Index, std::uint64_t Start,
-                    std::function<void(Distribution &)> Run) {
+                    const std::function<void(Distribution &)> &Run) {
   Node &To = m_Nodes.at(Index);
   if (To.m_Distribution == nullptr || To.m_Starts != Start)
     return;
--- a/tests/contract/distribution_fleet.h
+++ b/tests/contract/distribution_fleet.h
@@ -157,7 +157,7 @@
   void at(TimePoint Time, std::function<void()> Run);
   /// Runs on a node, later if it is frozen, never if it has ended.
   void deliver(std::size_t Index, std::uint64_t Start,
-               std::function<void(core::Distribution &)> Run);
+               const std::function<void(core::Distribution &)> &Run);
   void settle(std::size_t Index);
   void scheduleTick(std::size_t Index);
   void perform(std::size_t Index, core::DistributionCommand &Command);
