Test the distribution under faults, alone, twice and in pairs

Table of eleven faults in virtual time over 12 nodes, checked after every event: no older version, none in part, source calls within the budget, no host ready below what it ever applied or what all nodes it could ask held.

--- /dev/null
+++ b/tests/contract/distribution_faults_test.cpp
@@ -0,0 +1,285 @@
+// What must always hold, under each fault alone, twice, and with each other.
+#include "contract/distribution_fleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionfall;
+using namespace dandelionfall::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t NodeCount = 12;
+
+struct FaultCase {
+  std::string m_Name;
+  void (*m_Begin)(Fleet &);
+  void (*m_End)(Fleet &);
+};
+
+template <void (Fleet::*Action)(std::size_t)> void eachThird(Fleet &Nodes) {
+  for (std::size_t Index = 1; Index < Nodes.size(); Index += 3) {
+    if (Nodes.isAlive(Index))
+      (Nodes.*Action)(Index);
+  }
+}
+
+// Nodes 2, 5, 8 and 11 are all of one availability zone.
+void loseZone(Fleet &Nodes) {
+  for (std::size_t Index = 2; Index < Nodes.size(); Index += 3) {
+    if (Nodes.isAlive(Index))
+      Nodes.vanish(Index);
+  }
+}
+
+void startMissing(Fleet &Nodes) {
+  for (std::size_t Index = 0; Index < Nodes.size(); ++Index) {
+    if (!Nodes.isAlive(Index))
+      Nodes.startNode(Index);
+  }
+}
+
+void killAll(Fleet &Nodes) {
+  for (std::size_t Index = 0; Index < Nodes.size(); ++Index) {
+    if (Nodes.isAlive(Index))
+      Nodes.kill(Index);
+  }
+  startMissing(Nodes);
+}
+
+void cutInTwo(Fleet &Nodes) {
+  std::map<std::size_t, int> Groups;
+  for (std::size_t Index = 0; Index < Nodes.size(); ++Index)
+    Groups[Index] = static_cast<int>(Index % 2);
+  Nodes.partition(Groups);
+}
+
+void cutEachOff(Fleet &Nodes) {
+  std::map<std::size_t, int> Groups;
+  for (std::size_t Index = 0; Index < Nodes.size(); ++Index)
+    Groups[Index] = static_cast<int>(Index);
+  Nodes.partition(Groups);
+}
+
+void wakeAll(Fleet &Nodes) {
+  for (std::size_t Index = 0; Index < Nodes.size(); ++Index)
+    Nodes.wake(Index);
+}
+
+void sourceDown(Fleet &Nodes) {
+  Nodes.m_Source.setMode(FakeSource::Mode::Down);
+}
+
+void sourceStale(Fleet &Nodes) {
+  Nodes.m_Source.setMode(FakeSource::Mode::Stale);
+}
+
+void sourceBack(Fleet &Nodes) {
+  Nodes.m_Source.setMode(FakeSource::Mode::Working);
+}
+
+const FaultCase Cases[] = {
+    {"kill a third", eachThird<&Fleet::kill>, startMissing},
+    {"a third vanishes", eachThird<&Fleet::vanish>, startMissing},
+    {"freeze a third", eachThird<&Fleet::freeze>, wakeAll},
+    {"zone lost", loseZone, startMissing},
+    {"herd restart", killAll, startMissing},
+    {"cut in two", cutInTwo, [](Fleet &Nodes) { Nodes.heal(); }},
+    {"each cut off", cutEachOff, [](Fleet &Nodes) { Nodes.heal(); }},
+    {"a tenth of messages lost", [](Fleet &Nodes) { Nodes.m_LossPercent = 10; },
+     [](Fleet &Nodes) { Nodes.m_LossPercent = 0; }},
+    {"source down", sourceDown, sourceBack},
+    {"source stale", sourceStale, sourceBack},
+    {"update crosses the reading",
+     [](Fleet &Nodes) { Nodes.m_Source.m_CrossAfter = 1; }, [](Fleet &) {}},
+};
+
+// Nodes that all lose their memory beside a stale source can't know better.
+bool isOutside(const FaultCase &First, const FaultCase &Second) {
+  const auto Is = [&](const std::string &Name) {
+    return First.m_Name == Name || Second.m_Name == Name;
+  };
+  return Is("source stale") && Is("herd restart");
+}
+
+void requireConvergence(Fleet &Nodes, Duration Limit) {
+  Nodes.m_Source.publish();
+  const auto Time = Nodes.runUntil(
+      [&] { return Nodes.allAt(Nodes.m_Source.newest()); }, Limit);
+  for (std::size_t Index = 0; !Time.has_value() && Index < Nodes.size();
+       ++Index) {
+    const auto Status = Nodes.status(Index);
+    MESSAGE("host" << Index << " held " << Status.m_Held.m_Version
+                   << " applied " << Status.m_Applied.m_Version << " ready "
+                   << Status.m_Ready << " links " << Status.m_Links);
+  }
+  CHECK(Time.has_value());
+}
+
+void requireSafety(const Fleet &Nodes) {
+  for (const std::string &Fault : Nodes.m_Faults)
+    MESSAGE(Fault);
+  CHECK(Nodes.m_Faults.empty());
+  CHECK(Nodes.mostCallsInASecond() <= 2000);
+}
+
+Fleet startFleet() {
+  FleetOptions Options;
+  Options.m_Nodes = NodeCount;
+  return Fleet(Options);
+}
+
+void runCase(const FaultCase &First, const FaultCase &Second, bool Together) {
+  CAPTURE(First.m_Name);
+  CAPTURE(Second.m_Name);
+  Fleet Nodes = startFleet();
+  Nodes.startAll();
+  requireConvergence(Nodes, 5s);
+  requireConvergence(Nodes, 2s);
+  First.m_Begin(Nodes);
+  Nodes.runFor(300ms);
+  Nodes.m_Source.publish();
+  Nodes.runFor(4s);
+  if (!Together) {
+    First.m_End(Nodes);
+    Nodes.runFor(500ms);
+  }
+  Second.m_Begin(Nodes);
+  Nodes.m_Source.publish();
+  Nodes.runFor(4s);
+  Second.m_End(Nodes);
+  if (Together)
+    First.m_End(Nodes);
+  requireConvergence(Nodes, 12s);
+  requireConvergence(Nodes, 2s);
+  requireSafety(Nodes);
+}
+
+} // namespace
+
+TEST_CASE("each fault alone and twice") {
+  for (const FaultCase &Each : Cases)
+    runCase(Each, Each, false);
+}
+
+TEST_CASE("two faults together and one after the other") {
+  for (const FaultCase &First : Cases) {
+    for (const FaultCase &Second : Cases) {
+      if (&First == &Second || isOutside(First, Second))
+        continue;
+      runCase(First, Second, true);
+      runCase(First, Second, false);
+    }
+  }
+}
+
+TEST_CASE("every node serves as long as the source is down") {
+  Fleet Nodes = startFleet();
+  Nodes.startAll();
+  requireConvergence(Nodes, 5s);
+  sourceDown(Nodes);
+  const std::size_t Before = Nodes.sourceCalls();
+  Nodes.runFor(120s);
+  CHECK(Nodes.allAt(Nodes.m_Source.newest()));
+  // One try in three seconds of each reader is enough to see it come back.
+  CHECK(Nodes.sourceCalls() - Before < 120 * NodeCount);
+  eachThird<&Fleet::kill>(Nodes);
+  startMissing(Nodes);
+  CHECK(Nodes.runUntil([&] { return Nodes.allAt(Nodes.m_Source.newest()); }, 5s)
+            .has_value());
+  sourceBack(Nodes);
+  requireConvergence(Nodes, 8s);
+  requireSafety(Nodes);
+}
+
+TEST_CASE("faulty and conflicting versions are refused whole") {
+  Fleet Nodes = startFleet();
+  Nodes.startAll();
+  requireConvergence(Nodes, 5s);
+  const Version Good = Nodes.m_Source.newest();
+  Nodes.m_Source.publishFaulty();
+  Nodes.runFor(5s);
+  CHECK(Nodes.allAt(Good));
+  CHECK(Nodes.countEvents(core::EventId::ConfigurationRefused) > 0);
+  CHECK(Nodes.countEvents(core::EventId::ConfigurationRefused) <= NodeCount);
+  requireConvergence(Nodes, 4s);
+  Nodes.m_Source.publishConflict();
+  eachThird<&Fleet::kill>(Nodes);
+  startMissing(Nodes);
+  Nodes.runFor(5s);
+  CHECK(Nodes.allAt(Nodes.m_Source.newest()));
+  requireConvergence(Nodes, 4s);
+  requireSafety(Nodes);
+}
+
+TEST_CASE("the first to apply a version restarts beside a stale source") {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    CAPTURE(Seed);
+    FleetOptions Options;
+    Options.m_Nodes = NodeCount;
+    Options.m_Seed = Seed;
+    Fleet Nodes(Options);
+    Nodes.startAll();
+    requireConvergence(Nodes, 5s);
+    const Version Next = Nodes.m_Source.newest() + 1;
+    std::optional<std::size_t> First;
+    Nodes.m_OnApply = [&](std::size_t Index, Version Applied) {
+      if (Applied != Next || First.has_value())
+        return;
+      First = Index;
+      Nodes.later([&Nodes, Index] {
+        sourceStale(Nodes);
+        Nodes.kill(Index);
+        Nodes.startNode(Index);
+      });
+    };
+    Nodes.m_Source.publish();
+    Nodes.runFor(10s);
+    REQUIRE(First.has_value());
+    CHECK(Nodes.status(*First).m_Applied.m_Version == Next);
+    CHECK(Nodes.allAt(Next));
+    sourceBack(Nodes);
+    requireConvergence(Nodes, 8s);
+    requireSafety(Nodes);
+  }
+}
+
+TEST_CASE("a restarted node is not pulled back by a stale source") {
+  struct Row {
+    std::string m_Name;
+    std::size_t m_Seeds;
+  };
+  const Row Rows[] = {{"seeds alive", 3}, {"no seed", 0}};
+  for (const Row &Each : Rows) {
+    for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+      CAPTURE(Each.m_Name);
+      CAPTURE(Seed);
+      FleetOptions Options;
+      Options.m_Nodes = NodeCount;
+      Options.m_Seeds = Each.m_Seeds;
+      Options.m_Seed = Seed;
+      Fleet Nodes(Options);
+      Nodes.startAll();
+      requireConvergence(Nodes, 5s);
+      requireConvergence(Nodes, 2s);
+      sourceStale(Nodes);
+      eachThird<&Fleet::kill>(Nodes);
+      startMissing(Nodes);
+      const Version Newest = Nodes.m_Source.newest();
+      CHECK(
+          Nodes.runUntil([&] { return Nodes.allAt(Newest); }, 6s).has_value());
+      requireSafety(Nodes);
+    }
+  }
+}
+
+TEST_CASE("a planned stop hands its neighbours on") {
+  Fleet Nodes = startFleet();
+  Nodes.startAll();
+  requireConvergence(Nodes, 5s);
+  Nodes.drain(0);
+  Nodes.runFor(1s);
+  Nodes.kill(0);
+  requireConvergence(Nodes, 1s);
+  requireSafety(Nodes);
+}
--- a/tests/contract/distribution_fleet.cpp
+++ b/tests/contract/distribution_fleet.cpp
@@ -53,6 +53,7 @@
 }
 
 void FakeSource::publish() {
+  m_Before = m_Newest;
   m_Newest.m_Parts["profiles"] = "[profile p]\n";
   m_Newest.m_Parts["service/s0"] = "[service s0]\nprofile = p\n[route /" +
                                    std::to_string(m_Version + 1) + "]\n";
@@ -74,7 +75,7 @@
 
 void FakeSource::setMode(Mode Value) {
   if (Value == Mode::Stale && m_Mode != Mode::Stale)
-    m_Stale = m_Newest;
+    m_Stale = m_Before.m_Version > 0 ? m_Before : m_Newest;
   m_Mode = Value;
 }
 
@@ -145,7 +146,7 @@
   Started.m_Frozen = false;
   Started.m_Ready = false;
   Started.m_Applied = 0;
-  Started.m_LeastReady = heldByMost(Index);
+  Started.m_LeastReady = std::max(heldByMost(Index), Started.m_EverApplied);
   Started.m_TickAt = TimePoint::max();
   Started.m_Backlog.clear();
   Started.m_Distribution->start(m_Now);
@@ -391,6 +392,9 @@
     m_Faults.push_back(Name + " applied version " +
                        std::to_string(Stamp.m_Version) + " in part");
   At.m_Applied = Stamp.m_Version;
+  At.m_EverApplied = std::max(At.m_EverApplied, Stamp.m_Version);
+  if (m_OnApply)
+    m_OnApply(Index, Stamp.m_Version);
 }
 
 void Fleet::perform(std::size_t Index, DistributionCommand &Command) {
--- a/tests/contract/distribution_fleet.h
+++ b/tests/contract/distribution_fleet.h
@@ -36,7 +36,8 @@
   void publishFaulty();
   /// Publishes other content under the newest number.
   void publishConflict();
-  /// Freezes what a stale service shows from now on.
+  /// Sets how calls are answered; a stale service shows the version before the
+  /// newest one of now.
   void setMode(Mode Value);
   void setHosts(const core::HostList &List);
 
@@ -61,6 +62,7 @@
   Mode m_Mode = Mode::Working;
   Version m_Version = 0;
   Content m_Newest;
+  Content m_Before;
   Content m_Stale;
   std::string m_Hosts;
   std::map<Version, core::Digest> m_Digests;
@@ -122,8 +124,13 @@
   std::size_t size() const { return m_Nodes.size(); }
   TimePoint now() const { return m_Now; }
 
+  /// Runs an action after all that is due now.
+  void later(std::function<void()> Run) { at(m_Now, std::move(Run)); }
+
   FakeSource m_Source;
   std::vector<std::string> m_Faults;
+  /// Called when a node applies a version.
+  std::function<void(std::size_t, Version)> m_OnApply;
   /// Share of messages that are lost, in percent.
   unsigned m_LossPercent = 0;
 
@@ -134,7 +141,10 @@
     bool m_Frozen = false;
     bool m_Ready = false;
     Version m_Applied = 0;
+    /// What the node must have applied to be ready: the most that its host ever
+    /// applied, and what all nodes that it could ask held when it started.
     Version m_LeastReady = 0;
+    Version m_EverApplied = 0;
     TimePoint m_TickAt = TimePoint::max();
     std::deque<std::function<void()>> m_Backlog;
   };
