--- a/src/core/configuration_parts.cpp
+++ b/src/core/configuration_parts.cpp
@@ -65,6 +65,8 @@
      setNumber<Profile, &Profile::m_MaxBodyBytes, 0, MaxBodyBytes>},
     {"cold_start_limit",
      setNumber<Profile, &Profile::m_ColdStartLimit, 1, MaxQueueLimit>},
+    {"cold_start_requests",
+     setNumber<Profile, &Profile::m_ColdStartRequests, 0, MaxQueueLimit>},
 };
 
 constexpr KeyHandler<Service> ServiceKeys[] = {
--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -63,7 +63,8 @@
   findTarget();
   if (m_Target != nullptr)
     m_Ramp.configure(m_Profile->m_ColdStartLimit,
-                     std::min(m_Target->m_Slots, m_Target->m_Connections));
+                     std::min(m_Target->m_Slots, m_Target->m_Connections),
+                     m_Profile->m_ColdStartRequests);
   if (m_Target != nullptr && !HadTarget)
     restartRamp("target-listed", Now);
   takeZone(WasIn, Now);
@@ -118,6 +119,7 @@
 }
 
 void Engine::onTick(TimePoint Now) {
+  noteEvent(Now);
   expire(Now);
   sweep(Now);
   advance(Now);
@@ -126,6 +128,7 @@
 std::optional<TimePoint> Engine::nextWakeUp() const {
   std::optional<TimePoint> Next = m_Slots.nextChange();
   takeEarlier(Next, m_Queue.earliestDeadline());
+  takeEarlier(Next, m_SleepGuard.nextWakeUp());
   if (!m_Ledger.empty())
     takeEarlier(Next, std::optional(m_NextSweep));
   if (m_ZoneOutSince && !m_Queue.empty())
--- a/src/core/ingress/limits.h
+++ b/src/core/ingress/limits.h
@@ -34,6 +34,8 @@
 constexpr Duration IdlePingInterval = std::chrono::seconds(5);
 /// Time without a pong after which a link counts as silent.
 constexpr Duration PongTimeout = std::chrono::milliseconds(300);
+/// Time without a pong after which other gates go first.
+constexpr Duration LatePong = std::chrono::milliseconds(50);
 /// Shortest time that a timer is set ahead.
 constexpr Duration MinTimerStep = std::chrono::milliseconds(1);
 /// Lateness of a timer that shows that the process itself did not run.
@@ -50,7 +52,7 @@
 /// Longest time that a settled request is kept from its gate.
 constexpr Duration SettleDelay = std::chrono::milliseconds(50);
 /// Most requests settled or inquired about by one message.
-constexpr std::size_t MaxIdsPerMessage = 256;
+constexpr std::size_t MaxIdsSentAtOnce = 256;
 /// Time after its deadline at which an orphan is forgotten.
 constexpr Duration OrphanGrace = std::chrono::seconds(5);
 /// Least time between two reports of the same newer version.
