Fuzz the configuration, manifest, host list, settings and frame decoder

Each target checks a property besides not crashing: a configuration is refused or has no reference that leads nowhere, and check and build agree; manifest and host list are read back equal after they were written; the check of settings never throws; a frame that decodes is encoded to one that encodes to itself.

src/app/settings.cpp: the budget's bounds move from template arguments into a function, since clang 14, which fuzzing and clang-tidy use, takes no floating-point template arguments; the bounds are the same.

--- /dev/null
+++ b/fuzz/fuzz_frame.cpp
@@ -0,0 +1,42 @@
+// A frame is refused as malformed, or its message is encoded to a frame that
+// decodes and encodes to itself.
+#include "dandelionfall/core/error.h"
+#include "dandelionfall/net/codec.h"
+#include "require.h"
+
+#include <cstdint>
+
+using namespace dandelionfall::core;
+using namespace dandelionfall::net;
+using dandelionfall::fuzz::require;
+
+namespace {
+
+std::string encode(const DecodedFrame &Frame) {
+  return std::visit(
+      [&Frame](const auto &Message) {
+        return encodeFrame(Message, Frame.m_LogicalTime);
+      },
+      Frame.m_Message);
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  const std::string_view Bytes(reinterpret_cast<const char *>(Data), Size);
+  try {
+    const std::string Once = encode(decodeFrame(Bytes));
+    const std::string_view Header =
+        std::string_view(Once).substr(0, FrameHeaderBytes);
+    const std::string_view Rest =
+        std::string_view(Once).substr(FrameHeaderBytes);
+    require(decodeFrameLength(Header) == Rest.size(),
+            "a frame's length is that of its bytes");
+    require(encode(decodeFrame(Rest)) == Once,
+            "an encoded frame is decoded and encoded alike");
+  } catch (const Error &Fault) {
+    require(Fault.kind() == ErrorKind::MalformedMessage, "the kind of fault");
+  }
+  return 0;
+}
--- /dev/null
+++ b/fuzz/fuzz_hosts.cpp
@@ -0,0 +1,22 @@
+// A host list is refused, or is read back equal after it was written.
+#include "dandelionfall/core/error.h"
+#include "dandelionfall/core/host_list.h"
+#include "require.h"
+
+#include <cstdint>
+
+using namespace dandelionfall::core;
+using dandelionfall::fuzz::require;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  const std::string_view Text(reinterpret_cast<const char *>(Data), Size);
+  try {
+    const HostList List = readHostList(Text);
+    require(readHostList(writeHostList(List)) == List,
+            "a written host list is read back equal");
+  } catch (const Error &Fault) {
+    require(Fault.kind() == ErrorKind::BadConfiguration, "the kind of fault");
+  }
+  return 0;
+}
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -96,6 +96,12 @@
   Result.*Member = core::parseNumber(Entry, Source, Least, Most);
 }
 
+void setSourceBudget(Settings &Result, const IniEntry &Entry,
+                     const IniSource &Source) {
+  Result.m_SourceBudget =
+      core::parseNumber(Entry, Source, MinSourceBudget, MaxSourceBudget);
+}
+
 void setLogLevel(Settings &Result, const IniEntry &Entry,
                  const IniSource &Source) {
   constexpr NamedValue<std::string_view> Levels[] = {{"debug", "debug"},
@@ -129,8 +135,7 @@
 
 constexpr KeyHandler<Settings> SourceKeys[] = {
     {"address", setAddress<&Settings::m_SourceAddress>},
-    {"budget_calls_per_s",
-     setNumber<&Settings::m_SourceBudget, MinSourceBudget, MaxSourceBudget>},
+    {"budget_calls_per_s", setSourceBudget},
 };
 constexpr std::string_view RequiredSourceKeys[] = {"address"};
 
