--- /dev/null
+++ b/src/app/load_generator.h
@@ -0,0 +1,46 @@
+/// \file
+/// Sends calls on a schedule that does not wait for answers.
+#ifndef DANDELIONFALL_SRC_APP_LOAD_GENERATOR_H
+#define DANDELIONFALL_SRC_APP_LOAD_GENERATOR_H
+
+#include "dandelionfall/app/load_plan.h"
+#include "dandelionfall/app/load_report.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace dandelionfall::app {
+
+/// What a load run is made of.
+struct LoadOptions {
+  /// Addresses that take calls, `IP:PORT`; each call picks one at random.
+  std::vector<std::string> m_Addresses;
+  const LoadPreset *m_Preset = nullptr;
+  Arrivals m_Arrivals = Arrivals::Exponential;
+  double m_CallsPerSecond = 0;
+  core::Duration m_Length{0};
+  core::Duration m_Deadline{0};
+  /// Connections over all addresses.
+  std::size_t m_Connections = 1;
+  std::uint64_t m_Seed = 0;
+};
+
+/// Called once a second while the run goes on, with the seconds gone, the calls
+/// sent, and the report so far.
+using LoadProgress =
+    std::function<void(std::uint64_t, std::uint64_t, const LoadReport &)>;
+
+/// Runs a load until its length has passed and every call has ended, or until
+/// SIGINT or SIGTERM stops the arrivals.
+/// \param Options what to send.
+/// \param Progress called while the run goes on.
+/// \returns the results.
+/// \throws Error of kind Usage if an address is malformed.
+LoadReport runLoad(const LoadOptions &Options, const LoadProgress &Progress);
+
+} // namespace dandelionfall::app
+
+#endif // DANDELIONFALL_SRC_APP_LOAD_GENERATOR_H
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -90,12 +90,19 @@
   Result.m_Seeds = std::move(Seeds);
 }
 
-template <auto Member, auto Least, auto Most>
+template <std::uint32_t Settings::*Member, std::uint32_t Least,
+          std::uint32_t Most>
 void setNumber(Settings &Result, const IniEntry &Entry,
                const IniSource &Source) {
   Result.*Member = core::parseNumber(Entry, Source, Least, Most);
 }
 
+void setBudget(Settings &Result, const IniEntry &Entry,
+               const IniSource &Source) {
+  Result.m_SourceBudget =
+      core::parseNumber(Entry, Source, MinSourceBudget, MaxSourceBudget);
+}
+
 void setLogLevel(Settings &Result, const IniEntry &Entry,
                  const IniSource &Source) {
   constexpr NamedValue<std::string_view> Levels[] = {{"debug", "debug"},
@@ -129,16 +136,14 @@
 
 constexpr KeyHandler<Settings> SourceKeys[] = {
     {"address", setAddress<&Settings::m_SourceAddress>},
-    {"budget_calls_per_s",
-     setNumber<&Settings::m_SourceBudget, MinSourceBudget, MaxSourceBudget>},
+    {"budget_calls_per_s", setBudget},
 };
 constexpr std::string_view RequiredSourceKeys[] = {"address"};
 
 constexpr KeyHandler<Settings> OverlayKeys[] = {
     {"seeds", setSeeds},
-    {"assumed_hosts",
-     setNumber<&Settings::m_AssumedHosts, std::uint32_t{1}, MaxAssumedHosts>},
-    {"holders", setNumber<&Settings::m_Holders, std::uint32_t{0}, MaxHolders>},
+    {"assumed_hosts", setNumber<&Settings::m_AssumedHosts, 1, MaxAssumedHosts>},
+    {"holders", setNumber<&Settings::m_Holders, 0, MaxHolders>},
 };
 
 constexpr KeyHandler<Settings> LogKeys[] = {
--- /dev/null
+++ b/tests/unit/command_line_test.cpp
@@ -0,0 +1,149 @@
+#include "dandelionfall/app/command_line.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+using namespace dandelionfall;
+
+namespace {
+
+/// What a run of the program wrote and its exit code.
+struct RunResult {
+  int m_ExitCode;
+  std::string m_Output;
+  std::string m_Errors;
+};
+
+RunResult run(std::vector<std::string> Arguments) {
+  Arguments.insert(Arguments.begin(), "dandelionfall");
+  std::vector<char *> Pointers;
+  Pointers.reserve(Arguments.size());
+  for (std::string &Argument : Arguments)
+    Pointers.push_back(Argument.data());
+  const std::ostringstream Output;
+  const std::ostringstream Errors;
+  std::streambuf *const OldOutput = std::cout.rdbuf(Output.rdbuf());
+  std::streambuf *const OldErrors = std::cerr.rdbuf(Errors.rdbuf());
+  const int ExitCode =
+      app::runCommandLine(static_cast<int>(Pointers.size()), Pointers.data());
+  std::cout.rdbuf(OldOutput);
+  std::cerr.rdbuf(OldErrors);
+  return {ExitCode, Output.str(), Errors.str()};
+}
+
+bool contains(const std::string &Text, const std::string &Wanted) {
+  return Text.find(Wanted) != std::string::npos;
+}
+
+struct RefusalCase {
+  std::vector<std::string> m_Arguments;
+  int m_ExitCode;
+  std::string m_Message;
+};
+
+} // namespace
+
+TEST_CASE("every refusal is one line with a remedy and its exit code") {
+  const RefusalCase Cases[] = {
+      {{}, 2, "no command; see dandelionfall --help"},
+      {{"frob"}, 2, "unknown command frob; see dandelionfall --help"},
+      {{"--frob"}, 2, "unknown flag --frob; see dandelionfall --help"},
+      {{"node"}, 2, "--settings is missing; write dandelionfall node"},
+      {{"node", "--settings"}, 2, "lacks its value; see dandelionfall node"},
+      {{"node", "--frob", "1"}, 2, "unknown flag --frob; see dandelionfall"},
+      {{"node", "--rate=1"}, 2, "unknown flag --rate; see dandelionfall node"},
+      {{"node", "-s", "x"}, 2, "unknown flag -s; see dandelionfall node"},
+      {{"node", "extra"}, 2, "operand 'extra' is one too many; see"},
+      {{"node", "--settings=no-such-file"}, 3, "no-such-file: can't be read"},
+      {{"check"}, 2, "operand FILE... is missing; see dandelionfall check"},
+      {{"status"}, 2, "operand ADDRESS... is missing; see"},
+      {{"status", "host-1:80"}, 2, "'host-1:80' is no address; write an IP"},
+      {{"status", "--format=xml", "127.0.0.1:1"}, 2, "unknown format 'xml'"},
+      {{"status", "127.0.0.1:1"}, 7, "127.0.0.1:1: connect: "},
+      {{"timeline"}, 2, "operand ADDRESS... is missing; see"},
+      {{"timeline", "--format=png", "127.0.0.1:1"}, 2, "use one of: text"},
+      {{"timeline", "--min_severity=x", "127.0.0.1:1"}, 2, "unknown severity"},
+      {{"timeline", "127.0.0.1:1"}, 7, "name the operator address"},
+      {{"load"}, 2, "operand ADDRESS... is missing; see"},
+      {{"load", "--rate=fast", "127.0.0.1:1"}, 2, "'fast' is no value for"},
+      {{"load", "--rate=0", "127.0.0.1:1"}, 2, "--rate is out of range"},
+      {{"load", "--rate=nan", "127.0.0.1:1"}, 2, "--rate is out of range"},
+      {{"load", "--duration_s=-1", "127.0.0.1:1"}, 2, "--duration_s is out of"},
+      {{"load", "--connections=0", "127.0.0.1:1"}, 2, "--connections is out"},
+      {{"load", "--deadline_ms=0", "127.0.0.1:1"}, 2, "--deadline_ms is out"},
+      {{"load", "--rate=1000000", "--duration_s=1000", "127.0.0.1:1"},
+       2,
+       "choose a shorter duration"},
+      {{"load", "--preset=oslo", "127.0.0.1:1"}, 2, "thessaloniki, kerala"},
+      {{"load", "--arrivals=odd", "127.0.0.1:1"}, 2, "even, exponential"},
+      {{"load", "here"}, 2, "'here' is no address"},
+  };
+  for (const RefusalCase &Case : Cases) {
+    CAPTURE(Case.m_Message);
+    const RunResult Result = run(Case.m_Arguments);
+    CAPTURE(Result.m_Errors);
+    CHECK(Result.m_ExitCode == Case.m_ExitCode);
+    CHECK(Result.m_Errors.starts_with("dandelionfall: "));
+    CHECK(contains(Result.m_Errors, Case.m_Message));
+    CHECK(contains(Result.m_Errors, "; "));
+    CHECK(std::count(Result.m_Errors.begin(), Result.m_Errors.end(), '\n') ==
+          1);
+    CHECK(Result.m_Output.empty());
+  }
+}
+
+TEST_CASE("every command has help and version") {
+  const RunResult General = run({"--help"});
+  CHECK(General.m_ExitCode == 0);
+  for (const std::string Command :
+       {"node", "check", "status", "timeline", "load"}) {
+    CAPTURE(Command);
+    CHECK(contains(General.m_Output, "  " + Command + " "));
+    const RunResult Help = run({Command, "--help"});
+    CHECK(Help.m_ExitCode == 0);
+    CHECK(Help.m_Errors.empty());
+    CHECK(Help.m_Output.starts_with("usage: dandelionfall " + Command));
+    const RunResult Version = run({Command, "--version"});
+    CHECK(Version.m_ExitCode == 0);
+    CHECK(Version.m_Output.starts_with("dandelionfall "));
+  }
+  CHECK(contains(General.m_Output, "  7   connection failed\n"));
+  CHECK(run({"--version"}).m_Output == run({"load", "--version"}).m_Output);
+}
+
+TEST_CASE("a flag of one run does not reach the next one") {
+  CHECK(contains(run({"node", "--settings=gone"}).m_Errors, "gone"));
+  CHECK(contains(run({"node"}).m_Errors, "--settings is missing"));
+}
+
+TEST_CASE("arguments behind -- are operands") {
+  CHECK(contains(run({"status", "--", "--format"}).m_Errors,
+                 "'--format' is no address"));
+}
+
+TEST_CASE("check reports every fault of every file") {
+  const std::string Name = "command_line_test.ini";
+  std::FILE *Stream = std::fopen(Name.c_str(), "w");
+  REQUIRE(Stream != nullptr);
+  std::fputs("[node]\nhost = host-1\nzone = kalamaria\n"
+             "caller_address = 127.0.0.1:8001\nlink_address = nowhere\n"
+             "operator_address = 127.0.0.1:8003\ncolour = red\n"
+             "[source]\naddress = 127.0.0.1:8005\n",
+             Stream);
+  std::fclose(Stream);
+  const RunResult Result = run({"check", Name, "no-such-file"});
+  const RunResult Node = run({"node", "--settings", Name});
+  std::remove(Name.c_str());
+  CHECK(Result.m_ExitCode == 4);
+  CHECK(contains(Result.m_Errors, Name + ":5: 'nowhere' is no valid"));
+  CHECK(contains(Result.m_Errors, Name + ":7: unknown key 'colour'"));
+  CHECK(contains(Result.m_Errors, "no-such-file: can't be read"));
+  CHECK(Node.m_ExitCode == 4);
+  CHECK(contains(Node.m_Errors, Name + ":5: 'nowhere' is no valid"));
+}
--- /dev/null
+++ b/tests/unit/timeline_test.cpp
@@ -0,0 +1,144 @@
+#include "dandelionfall/app/timeline.h"
+
+#include "dandelionfall/core/error.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace dandelionfall;
+using app::RecordedEvent;
+using core::EventId;
+
+namespace {
+
+// A takes version 7 and tells B, whose wall clock is an hour behind; B tells
+// C, whose wall clock is an hour ahead, and C's refusal reaches A.
+const RecordedEvent ATakes{
+    10, 5'000'000, 1, "a", {EventId::ConfigurationApplied, "7"}};
+const RecordedEvent AHears{
+    40, 5'000'900, 2, "a", {EventId::SourceUnavailable, ""}};
+const RecordedEvent BTakes{
+    20, 1'400'000, 1, "b", {EventId::ConfigurationApplied, "7"}};
+const RecordedEvent CTakes{
+    30, 8'600'000, 8, "c", {EventId::ConfigurationApplied, "7"}};
+const RecordedEvent CRefuses{
+    30, 8'600'000, 9, "c", {EventId::ConfigurationRefused, "8"}};
+
+std::vector<RecordedEvent> crossedClocks() {
+  return app::mergeEvents({{CTakes, CRefuses}, {BTakes}, {ATakes, AHears}});
+}
+
+bool contains(const std::string &Text, const std::string &Wanted) {
+  return Text.find(Wanted) != std::string::npos;
+}
+
+std::string render(const char *Format,
+                   const std::vector<RecordedEvent> &Events) {
+  return app::findTimelineRenderer(Format).render(Events);
+}
+
+} // namespace
+
+TEST_CASE("causes come before effects although the wall clocks cross") {
+  CHECK(crossedClocks() ==
+        std::vector<RecordedEvent>{ATakes, BTakes, CTakes, CRefuses, AHears});
+}
+
+TEST_CASE("the order does not depend on the order of the processes") {
+  std::vector<std::vector<RecordedEvent>> Processes = {
+      {ATakes, AHears}, {BTakes}, {CTakes, CRefuses}};
+  std::sort(Processes.begin(), Processes.end(),
+            [](const auto &Left, const auto &Right) {
+              return Left.front().m_Host < Right.front().m_Host;
+            });
+  const std::vector<RecordedEvent> Wanted = crossedClocks();
+  do {
+    CHECK(app::mergeEvents(Processes) == Wanted);
+  } while (std::next_permutation(Processes.begin(), Processes.end(),
+                                 [](const auto &Left, const auto &Right) {
+                                   return Left.front().m_Host <
+                                          Right.front().m_Host;
+                                 }));
+}
+
+TEST_CASE("events at one logical time are ordered by host and sequence") {
+  const RecordedEvent First{5, 9, 3, "a", {EventId::ZoneOut, "x"}};
+  const RecordedEvent Second{5, 1, 1, "b", {EventId::ZoneOut, "x"}};
+  const RecordedEvent Third{5, 0, 2, "b", {EventId::ZoneIn, "x"}};
+  CHECK(app::mergeEvents({{Second, Third}, {First}}) ==
+        std::vector<RecordedEvent>{First, Second, Third});
+}
+
+TEST_CASE("a process that is named twice shows its events once") {
+  CHECK(app::mergeEvents({{ATakes, AHears}, {ATakes, AHears}}) ==
+        std::vector<RecordedEvent>{ATakes, AHears});
+  CHECK(app::mergeEvents({}).empty());
+}
+
+TEST_CASE("as text each event is one line without control characters") {
+  const std::string Text = render(
+      "text", {{3, 0, 1, "host-1", {EventId::CallerRejected, "a\x1b[2Jb\nc"}}});
+  CHECK(contains(Text, "host-1 warning 600 caller-rejected"));
+  CHECK(contains(Text, "a?[2Jb?c\n"));
+  CHECK(std::count(Text.begin(), Text.end(), '\n') == 1);
+}
+
+TEST_CASE("as JSON the time line can be read back") {
+  CHECK(app::eventsFromJson(render("json", crossedClocks())) ==
+        crossedClocks());
+}
+
+TEST_CASE("as trace events each host is a process with ascending instants") {
+  const auto Document = nlohmann::json::parse(render("trace", crossedClocks()));
+  std::vector<std::string> Hosts;
+  std::vector<std::uint64_t> Instants;
+  for (const auto &Row : Document.at("traceEvents")) {
+    if (Row.at("ph") == "M") {
+      CHECK(Row.at("name") == "process_name");
+      Hosts.push_back(Row.at("args").at("name"));
+      continue;
+    }
+    CHECK(Row.at("ph") == "i");
+    CHECK(Row.at("pid").get<std::size_t>() <= Hosts.size());
+    Instants.push_back(Row.at("ts"));
+  }
+  CHECK(Hosts == std::vector<std::string>{"a", "b", "c"});
+  CHECK(Instants == std::vector<std::uint64_t>{10, 20, 30, 30, 40});
+}
+
+TEST_CASE("as SVG each event is a dot on its host's line") {
+  const std::string Picture = render(
+      "svg",
+      {ATakes, BTakes, {50, 0, 2, "b", {EventId::CallerRejected, "<&\">"}}});
+  CHECK(Picture.starts_with("<svg "));
+  CHECK(contains(Picture, ">a</text>"));
+  CHECK(contains(Picture, ">b</text>"));
+  CHECK(contains(Picture, "&lt;&amp;&quot;&gt;</title>"));
+  std::size_t Dots = 0;
+  for (std::size_t At = Picture.find("<circle"); At != std::string::npos;
+       At = Picture.find("<circle", At + 1))
+    ++Dots;
+  CHECK(Dots == 3);
+}
+
+TEST_CASE("every renderer takes an empty time line") {
+  for (const app::TimelineRenderer *Each : app::timelineRenderers()) {
+    CAPTURE(std::string(Each->name()));
+    CHECK(&app::findTimelineRenderer(Each->name()) == Each);
+    CHECK_NOTHROW(Each->render({}));
+  }
+}
+
+TEST_CASE("an unknown format is refused with the known ones") {
+  try {
+    app::findTimelineRenderer("png");
+    FAIL("accepted");
+  } catch (const core::Error &Fault) {
+    CHECK(Fault.kind() == core::ErrorKind::Usage);
+    CHECK(contains(Fault.remedy(), "text, json, trace, svg"));
+  }
+}
