Prove the load run against a server that answers and one that does not

The schedule and the report were tested apart; nothing showed that a run sorts answers by outcome, that arrivals go on without answers, and that two runs of one seed share no booking.

--- /dev/null
+++ b/tests/unit/load_run_test.cpp
@@ -0,0 +1,164 @@
+#include "app/load_generator.h"
+#include "dandelionfall/net/http_server.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+
+using namespace dandelionfall;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A server on a thread of its own that answers each service in its own way.
+class FakeNode {
+public:
+  explicit FakeNode(bool Answers) : m_Answers(Answers) {
+    net::HttpServerOptions Options;
+    Options.m_Address = "127.0.0.1:0";
+    net::HttpServerHandlers Handlers;
+    Handlers.m_Request = [this](core::CallId Call,
+                                const core::HttpRequestPtr &Request) {
+      onRequest(Call, *Request);
+    };
+    m_Server.emplace(m_Context, Options, Handlers);
+    m_Address = m_Server->address();
+    m_Thread = std::thread([this] { m_Context.run(); });
+  }
+
+  ~FakeNode() {
+    stop();
+    m_Server.reset();
+  }
+
+  FakeNode(const FakeNode &) = delete;
+  FakeNode &operator=(const FakeNode &) = delete;
+
+  /// Ends the thread, after which what it saw may be read.
+  void stop() {
+    m_Work.reset();
+    m_Context.stop();
+    if (m_Thread.joinable())
+      m_Thread.join();
+  }
+
+  const std::string &address() const { return m_Address; }
+
+  std::map<std::string, std::uint64_t> m_Calls;
+  std::set<std::string> m_Bookings;
+  std::set<std::string> m_Deadlines;
+
+private:
+  void onRequest(core::CallId Call, const core::HttpRequest &Request) {
+    const std::string Service =
+        Request.m_Path.substr(1, Request.m_Path.find('/', 1) - 1);
+    ++m_Calls[Service];
+    for (const core::HttpField &Field : Request.m_Fields) {
+      if (Field.m_Name == "Booking")
+        m_Bookings.insert(Field.m_Value);
+      if (Field.m_Name == "Dandelionfall-Deadline-Ms")
+        m_Deadlines.insert(Field.m_Value);
+    }
+    if (m_Answers)
+      m_Server->respond(Call, responseOf(Service));
+  }
+
+  static core::HttpResponse responseOf(const std::string &Service) {
+    if (Service == "lanewatch")
+      return {503, {{"Dandelionfall-Outcome", "not-run"}}, "busy"};
+    if (Service == "chartroom")
+      return {500, {}, "broken"};
+    return {200, {}, "whole"};
+  }
+
+  bool m_Answers;
+  boost::asio::io_context m_Context{1};
+  std::optional<
+      boost::asio::executor_work_guard<boost::asio::io_context::executor_type>>
+      m_Work{m_Context.get_executor()};
+  std::optional<net::HttpServer> m_Server;
+  std::string m_Address;
+  std::thread m_Thread;
+};
+
+app::LoadOptions optionsFor(const FakeNode &Node) {
+  app::LoadOptions Options;
+  Options.m_Addresses = {Node.address()};
+  Options.m_Preset = &app::findLoadPreset("thessaloniki");
+  Options.m_CallsPerSecond = 400;
+  Options.m_Length = milliseconds(500);
+  Options.m_Deadline = milliseconds(80);
+  Options.m_Connections = 400;
+  Options.m_Seed = 5;
+  return Options;
+}
+
+std::uint64_t scheduledCalls(const app::LoadOptions &Options) {
+  app::ArrivalSchedule Schedule(Options.m_Arrivals, Options.m_CallsPerSecond,
+                                Options.m_Seed);
+  std::uint64_t Calls = 0;
+  while (Schedule.next() <= Options.m_Length)
+    ++Calls;
+  return Calls;
+}
+
+void ignoreProgress(std::uint64_t /*Seconds*/, std::uint64_t /*Sent*/,
+                    const app::LoadReport & /*Report*/) {}
+
+} // namespace
+
+TEST_CASE("a load run sends its schedule and sorts the answers by outcome") {
+  FakeNode Node(true);
+  const app::LoadOptions Options = optionsFor(Node);
+  app::LoadReport Report = app::runLoad(Options, ignoreProgress);
+  Node.stop();
+  CHECK(Report.total() == scheduledCalls(Options));
+  CHECK(Report.count(app::LoadOutcome::Answered) ==
+        Node.m_Calls["slotboard"] + Node.m_Calls["escortdesk"]);
+  CHECK(Report.count(app::LoadOutcome::NotRun) == Node.m_Calls["lanewatch"]);
+  CHECK(Report.count(app::LoadOutcome::HttpError) == Node.m_Calls["chartroom"]);
+  CHECK(Report.count(app::LoadOutcome::Failed) == 0);
+  CHECK(Node.m_Bookings.size() == Node.m_Calls["escortdesk"]);
+  CHECK(Node.m_Deadlines == std::set<std::string>{"80"});
+}
+
+TEST_CASE("arrivals go on although no answer comes") {
+  FakeNode Node(false);
+  const app::LoadOptions Options = optionsFor(Node);
+  app::LoadReport Report = app::runLoad(Options, ignoreProgress);
+  Node.stop();
+  std::uint64_t Seen = 0;
+  for (const auto &[Service, Calls] : Node.m_Calls)
+    Seen += Calls;
+  CHECK(Seen == scheduledCalls(Options));
+  CHECK(Report.count(app::LoadOutcome::Failed) == scheduledCalls(Options));
+  CHECK(Report.deadlineMisses() == scheduledCalls(Options));
+}
+
+TEST_CASE("a load on an address where nobody listens fails every call") {
+  std::string Address;
+  {
+    const FakeNode Gone(true);
+    Address = Gone.address();
+  }
+  FakeNode Other(true);
+  app::LoadOptions Options = optionsFor(Other);
+  Options.m_Addresses = {Address};
+  const app::LoadReport Report = app::runLoad(Options, ignoreProgress);
+  CHECK(Report.count(app::LoadOutcome::Failed) == scheduledCalls(Options));
+}
+
+TEST_CASE("two runs of one seed never share a booking") {
+  FakeNode Node(true);
+  const app::LoadOptions Options = optionsFor(Node);
+  app::runLoad(Options, ignoreProgress);
+  app::runLoad(Options, ignoreProgress);
+  Node.stop();
+  CHECK(Node.m_Bookings.size() == Node.m_Calls["escortdesk"]);
+}
