--- a/src/core/gate/deadline_admission.cpp
+++ b/src/core/gate/deadline_admission.cpp
@@ -9,7 +9,7 @@
 
 /// Deviations by which a request may exceed the mean service time and still be
 /// in time.
-constexpr int SpreadFactor = 2;
+constexpr int SpreadFactor = 1;
 
 /// Shortest time that a refused ingress is told to wait.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(1);
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -89,7 +89,7 @@
   void noteIdle(TimePoint Now);
   void checkDrained(TimePoint Now);
   void sweep(TimePoint Now);
-  Duration abandonedHold(const OccupiedSlot &Slot, TimePoint Now) const;
+  Duration abandonedHold(TimePoint Now) const;
   ServiceTimeEstimate estimate(TimePoint Now) const;
 
   // Shared, in engine.cpp.
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// Deviations above the mean at which an abandoned request should have ended.
-constexpr int AbandonedSpread = 2;
+/// Deviations above the mean service time that an abandoned request may need
+/// to end.
+constexpr int AbandonedSpread = 4;
 
 } // namespace
 
@@ -67,7 +68,7 @@
 void Engine::onBroken(const OccupiedSlot &Slot, TargetFailure Kind,
                       const std::string &Detail, TimePoint Now) {
   m_HoldOff.onConnected();
-  m_Slots.abandon(Slot.m_Id, Now + abandonedHold(Slot, Now));
+  m_Slots.abandon(Slot.m_Id, Now + abandonedHold(Now));
   if (Kind == TargetFailure::Reset)
     restartRamp("reset", Now);
   else
@@ -81,7 +82,7 @@
   const OccupiedSlot *Slot = m_Slots.find(Id);
   if (Slot != nullptr) {
     const TimePoint Start = Slot->m_Start;
-    m_Slots.abandon(Id, Now + abandonedHold(*Slot, Now));
+    m_Slots.abandon(Id, Now + abandonedHold(Now));
     noteServiceTime(Start, false, m_Slots.size(), Now);
   }
   failRunning(Id, Detail);
@@ -94,12 +95,11 @@
   sendResult(Id);
 }
 
-Duration Engine::abandonedHold(const OccupiedSlot &Slot, TimePoint Now) const {
+Duration Engine::abandonedHold(TimePoint Now) const {
+  // How long it ran says little of how much longer it takes.
   const ServiceTimeEstimate Expected = estimate(Now);
-  const TimePoint End =
-      Slot.m_Start + Expected.m_Mean + AbandonedSpread * Expected.m_Deviation;
-  // One that runs longer than expected may take as long again.
-  const Duration Left = std::max(End - Now, Expected.m_Mean);
+  const Duration Left =
+      Expected.m_Mean + AbandonedSpread * Expected.m_Deviation;
   return std::clamp(Left, MinAbandonedHold, MaxAbandonedHold);
 }
 
--- a/src/core/gate/service_time.cpp
+++ b/src/core/gate/service_time.cpp
@@ -6,24 +6,24 @@
 
 namespace {
 
-constexpr int MeanShare = 8;
-constexpr int DeviationShare = 4;
+constexpr int MeanShare = 32;
+constexpr int DeviationShare = 16;
 constexpr int MostHalvings = 30;
 
 } // namespace
 
 void ServiceTime::addSample(Duration Sample, TimePoint Now) {
   m_LastSample = Now;
-  if (!m_HasSample) {
-    m_HasSample = true;
+  m_Samples = std::min(m_Samples + 1, MeanShare);
+  if (m_Samples == 1) {
     m_Smoothed = {Sample, Sample / 2};
     return;
   }
   const Duration Error = Sample - m_Smoothed.m_Mean;
   const Duration Distance = std::chrono::abs(Error);
-  m_Smoothed.m_Mean += Error / MeanShare;
+  m_Smoothed.m_Mean += Error / m_Samples;
   m_Smoothed.m_Deviation +=
-      (Distance - m_Smoothed.m_Deviation) / DeviationShare;
+      (Distance - m_Smoothed.m_Deviation) / std::min(m_Samples, DeviationShare);
 }
 
 void ServiceTime::addLowerBound(Duration Elapsed, TimePoint Now) {
@@ -33,7 +33,7 @@
 
 ServiceTimeEstimate
 ServiceTime::estimate(TimePoint Now, std::optional<TimePoint> IdleSince) const {
-  if (!m_HasSample || !IdleSince)
+  if (m_Samples == 0 || !IdleSince)
     return m_Smoothed;
   const TimePoint Since = std::max(m_LastSample, *IdleSince);
   const auto Halvings =
--- a/src/core/gate/service_time.h
+++ b/src/core/gate/service_time.h
@@ -18,7 +18,8 @@
                          const ServiceTimeEstimate &) = default;
 };
 
-/// Smooths service times by the method of RFC 6298 for round-trip times.
+/// Smooths service times by the method of RFC 6298 for round-trip times, with
+/// less weight on the newest sample, since requests differ more.
 class ServiceTime {
 public:
   /// Takes the service time of a whole answer.
@@ -37,7 +38,8 @@
   static constexpr Duration HalfLife = std::chrono::seconds(1);
 
 private:
-  bool m_HasSample = false;
+  /// Samples taken, counted up to the largest share.
+  int m_Samples = 0;
   TimePoint m_LastSample;
   ServiceTimeEstimate m_Smoothed;
 };
