--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -36,7 +36,8 @@
   /// Moves requests that wait for a gate which the new version takes out.
   void onConfiguration(TimePoint Now);
 
-  /// Gate's messages on any of its links.
+  // Gates' messages on any of their links, and what becomes of these; in
+  // call_table_gates.cpp.
   void onAnswer(GatePeer &Peer, LinkId Link, const Answer &Message,
                 TimePoint Now);
   void onRefusal(GatePeer &Peer, LinkId Link, const Refusal &Message,
