--- a/tests/contract/distribution_fleet.h
+++ b/tests/contract/distribution_fleet.h
@@ -51,6 +51,8 @@
 
   /// Part reads after which the next version is published, to cross a reading.
   std::size_t m_CrossAfter = 0;
+  /// Whether watches are answered at once with whatever version is shown.
+  bool m_IgnoresAfter = false;
 
 private:
   struct Content {
@@ -79,6 +81,7 @@
   /// Hosts that the list names besides the nodes.
   std::size_t m_GoneHosts = 0;
   std::uint32_t m_Holders = 2;
+  Duration m_LinkDelay = std::chrono::milliseconds(1);
   std::uint64_t m_Seed = 1;
 };
 
@@ -133,6 +136,8 @@
   std::function<void(std::size_t, Version)> m_OnApply;
   /// Share of messages that are lost, in percent.
   unsigned m_LossPercent = 0;
+  /// Whether a changed part of each change record arrives altered.
+  bool m_AltersRecords = false;
 
 private:
   struct Node {
