--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -90,14 +90,15 @@
   Result.m_Seeds = std::move(Seeds);
 }
 
-template <auto Member, auto Least, auto Most>
+template <std::uint32_t Settings::*Member, std::uint32_t Least,
+          std::uint32_t Most>
 void setNumber(Settings &Result, const IniEntry &Entry,
                const IniSource &Source) {
   Result.*Member = core::parseNumber(Entry, Source, Least, Most);
 }
 
-void setSourceBudget(Settings &Result, const IniEntry &Entry,
-                     const IniSource &Source) {
+void setBudget(Settings &Result, const IniEntry &Entry,
+               const IniSource &Source) {
   Result.m_SourceBudget =
       core::parseNumber(Entry, Source, MinSourceBudget, MaxSourceBudget);
 }
@@ -135,15 +136,14 @@
 
 constexpr KeyHandler<Settings> SourceKeys[] = {
     {"address", setAddress<&Settings::m_SourceAddress>},
-    {"budget_calls_per_s", setSourceBudget},
+    {"budget_calls_per_s", setBudget},
 };
 constexpr std::string_view RequiredSourceKeys[] = {"address"};
 
 constexpr KeyHandler<Settings> OverlayKeys[] = {
     {"seeds", setSeeds},
-    {"assumed_hosts",
-     setNumber<&Settings::m_AssumedHosts, std::uint32_t{1}, MaxAssumedHosts>},
-    {"holders", setNumber<&Settings::m_Holders, std::uint32_t{0}, MaxHolders>},
+    {"assumed_hosts", setNumber<&Settings::m_AssumedHosts, 1, MaxAssumedHosts>},
+    {"holders", setNumber<&Settings::m_Holders, 0, MaxHolders>},
 };
 
 constexpr KeyHandler<Settings> LogKeys[] = {
