Check published configurations from the command line

`check` knew settings only, so a fault of a published value showed after it had been published. It now takes published values, each as a file or all as a directory, and reports every fault with file, line and remedy; what a file is follows from its sections. Values named one by one are checked together, because references go from one to the other. A flag that names the kind was ruled out: the sections already tell it.

--- a/src/app/check_command.cpp
+++ b/src/app/check_command.cpp
@@ -1,8 +1,10 @@
 #include "app/command.h"
 #include "app/file_reader.h"
+#include "app/published_files.h"
 #include "dandelionfall/app/settings.h"
 #include "dandelionfall/core/error.h"
 
+#include <filesystem>
 #include <iostream>
 #include <limits>
 
@@ -10,27 +12,68 @@
 
 namespace {
 
-std::vector<core::Error> checkFile(const std::string &File) {
-  Settings Result;
-  try {
-    return checkSettings(readFile(File), File, Result);
-  } catch (const core::Error &Fault) {
-    return {Fault};
+/// Collects the faults of all operands.
+class Checker {
+public:
+  void check(const std::string &Operand) {
+    std::error_code Ignored;
+    try {
+      if (std::filesystem::is_directory(Operand, Ignored))
+        checkDirectory(Operand);
+      else
+        checkFile(Operand);
+    } catch (const core::Error &Fault) {
+      report({Fault}, Operand);
+    }
   }
-}
 
-int run(const Operands &Given) {
-  int ExitCode = 0;
-  for (const std::string &File : Given) {
-    const std::vector<core::Error> Faults = checkFile(File);
+  // Published values that are named one by one belong together.
+  void finish() {
+    if (!m_Loose.empty())
+      report(m_Loose.check(), "published configuration");
+  }
+
+  int exitCode() const { return m_ExitCode; }
+
+private:
+  void checkDirectory(const std::string &Directory) {
+    PublishedFiles Files;
+    Files.addDirectory(Directory);
+    if (Files.empty())
+      throw core::Error(core::ErrorKind::UnreadableFile, "is empty",
+                        "name the directory of a published configuration",
+                        {Directory, 0});
+    report(Files.check(), Directory);
+  }
+
+  void checkFile(const std::string &File) {
+    std::string Text = readFile(File);
+    const std::optional<std::string> Name = publishedNameOf(Text, File);
+    if (Name)
+      return m_Loose.add(*Name, std::move(Text), File);
+    Settings Ignored;
+    report(checkSettings(Text, File, Ignored), File);
+  }
+
+  void report(const std::vector<core::Error> &Faults, const std::string &What) {
     for (const core::Error &Fault : Faults)
       std::cerr << Fault.what() << "\n";
     if (Faults.empty())
-      std::cout << File << ": no faults\n";
-    else if (ExitCode == 0)
-      ExitCode = core::describe(Faults.front().kind()).m_ExitCode;
+      std::cout << What << ": no faults\n";
+    else if (m_ExitCode == 0)
+      m_ExitCode = core::describe(Faults.front().kind()).m_ExitCode;
   }
-  return ExitCode;
+
+  PublishedFiles m_Loose;
+  int m_ExitCode = 0;
+};
+
+int run(const Operands &Given) {
+  Checker Files;
+  for (const std::string &Operand : Given)
+    Files.check(Operand);
+  Files.finish();
+  return Files.exitCode();
 }
 
 } // namespace
@@ -38,7 +81,7 @@
 const Command CheckCommand = {
     "check",
     "FILE...",
-    "reports every fault of settings and published configuration",
+    "reports every fault of settings files and of published configurations",
     {},
     1,
     std::numeric_limits<std::size_t>::max(),
--- a/src/app/status_report.cpp
+++ b/src/app/status_report.cpp
@@ -1,11 +1,11 @@
 #include "dandelionfall/app/status_report.h"
 
+#include "dandelionfall/core/configuration_reader.h"
 #include "dandelionfall/core/error.h"
 
 #include <nlohmann/json.hpp>
 
 #include <charconv>
-#include <cstdio>
 
 namespace dandelionfall::app {
 
@@ -15,13 +15,6 @@
 
 constexpr int Hexadecimal = 16;
 
-std::string formatDigest(core::Digest Value) {
-  char Buffer[17];
-  std::snprintf(Buffer, sizeof(Buffer), "%016llx",
-                static_cast<unsigned long long>(Value));
-  return Buffer;
-}
-
 core::Digest parseDigest(const std::string &Text) {
   core::Digest Value = 0;
   const char *End = Text.data() + Text.size();
@@ -40,13 +33,13 @@
 std::string textOf(std::uint64_t Value) { return std::to_string(Value); }
 std::string textOf(const core::VersionStamp &Value) {
   return std::to_string(Value.m_Version) + " (digest " +
-         formatDigest(Value.m_Digest) + ")";
+         core::formatDigest(Value.m_Digest) + ")";
 }
 
 template <typename Value> Json jsonOf(const Value &Field) { return Field; }
 Json jsonOf(const core::VersionStamp &Field) {
   return Json{{"version", Field.m_Version},
-              {"digest", formatDigest(Field.m_Digest)}};
+              {"digest", core::formatDigest(Field.m_Digest)}};
 }
 
 template <typename Value> void readJson(const Json &Source, Value &Field) {
--- a/tests/unit/command_line_test.cpp
+++ b/tests/unit/command_line_test.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <sstream>
 #include <string>
@@ -41,6 +43,51 @@
   return Text.find(Wanted) != std::string::npos;
 }
 
+/// A directory of files that is removed at the end of its scope.
+class ScopedDirectory {
+public:
+  ScopedDirectory() { std::filesystem::create_directories(m_Name / "service"); }
+  ~ScopedDirectory() { std::filesystem::remove_all(m_Name); }
+  ScopedDirectory(const ScopedDirectory &) = delete;
+  ScopedDirectory &operator=(const ScopedDirectory &) = delete;
+
+  void write(const std::string &File, const std::string &Text) const {
+    std::ofstream(m_Name / File) << Text;
+  }
+  std::string path(const std::string &File = "") const {
+    return File.empty() ? m_Name.string() : (m_Name / File).string();
+  }
+
+private:
+  std::filesystem::path m_Name = "command_line_test.directory";
+};
+
+constexpr const char *GoodSettings =
+    "[node]\nhost = host-1\nzone = kalamaria\n"
+    "caller_address = 127.0.0.1:8001\nlink_address = 127.0.0.1:8002\n"
+    "operator_address = 127.0.0.1:8003\n"
+    "[source]\naddress = 127.0.0.1:8005\n";
+
+constexpr const char *GoodService =
+    "[service slotboard]\nprofile = board\n[route /slotboard]\n"
+    "[target slotboard-1]\nhost = host-1\nzone = kalamaria\n"
+    "gate = 127.0.0.1:7101\nslots = 12\nconnections = 120\n";
+
+void writeGoodConfiguration(const ScopedDirectory &Files) {
+  Files.write("zones", "[zone kalamaria]\nregion = gr-north\nstate = in\n");
+  Files.write("profiles", "[profile board]\ndeadline_ms = 500\n");
+  Files.write("service/slotboard", GoodService);
+  Files.write("hosts", "[hosts]\nrevision = 1\n[host host-1]\n"
+                       "zone = kalamaria\naddress = 127.0.0.1:7101\n"
+                       "state = live\n");
+}
+
+struct PublishedFault {
+  std::string m_File;
+  std::string m_Text;
+  std::string m_Message;
+};
+
 struct RefusalCase {
   std::vector<std::string> m_Arguments;
   int m_ExitCode;
@@ -127,23 +174,82 @@
                  "'--format' is no address"));
 }
 
-TEST_CASE("check reports every fault of every file") {
-  const std::string Name = "command_line_test.ini";
-  std::FILE *Stream = std::fopen(Name.c_str(), "w");
-  REQUIRE(Stream != nullptr);
-  std::fputs("[node]\nhost = host-1\nzone = kalamaria\n"
-             "caller_address = 127.0.0.1:8001\nlink_address = nowhere\n"
-             "operator_address = 127.0.0.1:8003\ncolour = red\n"
-             "[source]\naddress = 127.0.0.1:8005\n",
-             Stream);
-  std::fclose(Stream);
-  const RunResult Result = run({"check", Name, "no-such-file"});
-  const RunResult Node = run({"node", "--settings", Name});
-  std::remove(Name.c_str());
+TEST_CASE("check reports every fault of every settings file") {
+  const ScopedDirectory Files;
+  Files.write("good.ini", GoodSettings);
+  std::string Bad = GoodSettings;
+  Bad.replace(Bad.find("127.0.0.1:8002"), 14, "nowhere");
+  Files.write("bad.ini", Bad + "colour = red\n");
+  const std::string Name = Files.path("bad.ini");
+  const RunResult Result =
+      run({"check", Files.path("good.ini"), Name, "no-such-file"});
   CHECK(Result.m_ExitCode == 4);
+  CHECK(Result.m_Output == Files.path("good.ini") + ": no faults\n");
   CHECK(contains(Result.m_Errors, Name + ":5: 'nowhere' is no valid"));
-  CHECK(contains(Result.m_Errors, Name + ":7: unknown key 'colour'"));
+  CHECK(contains(Result.m_Errors, Name + ":9: unknown key 'colour'"));
   CHECK(contains(Result.m_Errors, "no-such-file: can't be read"));
+  CHECK(std::count(Result.m_Errors.begin(), Result.m_Errors.end(), '\n') == 3);
+  const RunResult Node = run({"node", "--settings", Name});
   CHECK(Node.m_ExitCode == 4);
   CHECK(contains(Node.m_Errors, Name + ":5: 'nowhere' is no valid"));
 }
+
+TEST_CASE("check accepts a published configuration as directory and as files") {
+  const ScopedDirectory Files;
+  writeGoodConfiguration(Files);
+  const RunResult Whole = run({"check", Files.path()});
+  CHECK(Whole.m_Errors.empty());
+  CHECK(Whole.m_ExitCode == 0);
+  const RunResult Named =
+      run({"check", Files.path("zones"), Files.path("profiles"),
+           Files.path("hosts"), Files.path("service/slotboard")});
+  CHECK(Named.m_Errors.empty());
+  CHECK(Named.m_ExitCode == 0);
+}
+
+TEST_CASE("check reports published faults with file, line and remedy") {
+  const PublishedFault Cases[] = {
+      {"zones", "[zone kalamaria]\nregion = gr-north\nstate = on\n",
+       "zones:3: unknown state 'on'; use one of: in, out"},
+      {"profiles", "[profile other]\ndeadline_ms = 500\n",
+       "service/slotboard:2: profile 'board' is not defined; name"},
+      {"hosts", "[hosts]\nrevision = 1\n[host host-1]\nzonk = x\n",
+       "hosts:4: unknown key 'zonk'; use one of:"},
+      {"service/slotboard", std::string(GoodService) + "colour = red\n",
+       "service/slotboard:10: unknown key 'colour'; use one of:"},
+      {"manifest", "[manifest]\nversion = none\nparts = 0\n[parts]\n",
+       "manifest:2: 'none' is no valid version; write a number"},
+      {"notes", "remember\n", "notes: unknown part; name parts"},
+  };
+  for (const PublishedFault &Case : Cases) {
+    CAPTURE(Case.m_Message);
+    const ScopedDirectory Files;
+    writeGoodConfiguration(Files);
+    Files.write(Case.m_File, Case.m_Text);
+    const RunResult Result = run({"check", Files.path()});
+    CAPTURE(Result.m_Errors);
+    CHECK(Result.m_ExitCode == 5);
+    CHECK(contains(Result.m_Errors, Files.path() + "/" + Case.m_Message));
+  }
+}
+
+TEST_CASE("check reports the faults of all values in one go") {
+  const ScopedDirectory Files;
+  writeGoodConfiguration(Files);
+  Files.write("zones", "[zone kalamaria]\nstate = on\n");
+  Files.write("hosts", "[host host-1]\nzonk = x\n");
+  Files.write("settings.ini", "");
+  const RunResult Result = run({"check", Files.path("settings.ini"),
+                                Files.path("zones"), Files.path("hosts")});
+  CHECK(Result.m_ExitCode == 4);
+  CHECK(contains(Result.m_Errors, "zones:2: unknown state"));
+  CHECK(contains(Result.m_Errors, "hosts:"));
+  CHECK(contains(Result.m_Errors, "settings.ini:1: [node] lacks the key host"));
+}
+
+TEST_CASE("check refuses a directory without values") {
+  const ScopedDirectory Files;
+  const RunResult Result = run({"check", Files.path()});
+  CHECK(Result.m_ExitCode == 3);
+  CHECK(contains(Result.m_Errors, "is empty; name the directory"));
+}
