--- a/benchmark/added_latency.py
+++ b/benchmark/added_latency.py
@@ -10,16 +10,12 @@
 sys.path.insert(0, str(ROOT / "tests" / "system"))
 
 from fleet import Fleet  # noqa: E402
+from process_cost import cpu_seconds  # noqa: E402
 
 RATE = os.environ.get("RATE", "371")
 SECONDS = os.environ.get("SECONDS_RUN", "10")
 
 
-def cpu_seconds(pid):
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def main():
     # One target, so that its node and the callers' node are always the two in the path.
     with Fleet("thessaloniki", settings={"log": {"trace_requests": "false"}},
--- /dev/null
+++ b/benchmark/convergence.py
@@ -0,0 +1,167 @@
+#!/usr/bin/env python3
+"""Measures how fast a change is in force on N nodes, and what distribution costs. The last line is key=value pairs.
+
+Usage: convergence.py N [--changes C] [--interval S] [--services S --targets T] [--kill] [--full]
+
+Each node is a process of its own without a target. A change edits one service. The nodes' own time lines say when
+each one held and applied it; all processes read the same machine's clock.
+"""
+import argparse
+import pathlib
+import re
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+sys.path.insert(0, str(ROOT / "tests" / "system"))
+
+from checks import CONFIGURATION_APPLIED, version_of  # noqa: E402
+from fleet import Fleet, applied_version, wait_until  # noqa: E402
+from process_cost import cpu_seconds, memory_mb  # noqa: E402
+
+CONFIGURATION_HELD = 200
+FIRST_LINK_PORT = 20000
+PLATFORM_PORT = 18000
+READY_TIMEOUT_S = 90
+
+
+def generate(directory, nodes, services, targets):
+    generator = ROOT / "build" / "tests" / "standin" / "configuration_generator"
+    subprocess.run([generator, f"--services={services}", f"--targets={targets}", f"--nodes={nodes}",
+                    f"--first_link_port={FIRST_LINK_PORT}", f"--directory={directory}"], check=True,
+                   stdout=subprocess.DEVNULL)
+
+
+def control_bytes(fleet):
+    total = 0.0
+    for node in fleet.running():
+        values = node.metrics()
+        total += sum(value for name, value in values.items() if re.search(r"control_(sent|received)_bytes", name))
+    return total
+
+
+class Changes:
+    """Publishes changes at a steady interval and keeps the time of each."""
+
+    def __init__(self, fleet, part, interval_s):
+        self.fleet = fleet
+        self.part = part
+        self.text = fleet.platform.read(part)
+        self.interval_s = interval_s
+        self.published = {}
+
+    def publish(self, version):
+        self.fleet.platform.stage(self.part, f"{self.text}\n; change {version}\n")
+        self.published[version] = time.time()
+        self.fleet.platform.commit()
+
+    def run(self, first, count, between=lambda index: None):
+        begin = time.monotonic()
+        for index in range(count):
+            time.sleep(max(0.0, begin + index * self.interval_s - time.monotonic()))
+            self.publish(first + index)
+            between(index)
+        return first + count - 1
+
+
+def collect(fleet, published, survivors):
+    """Seconds from publication to each node's application, and from holding to applying."""
+    applied = []
+    added_ms = []
+    missing = 0
+    for node in survivors:
+        held = {}
+        seen = {}
+        for event in node.timeline():
+            if event["event"] == CONFIGURATION_HELD:
+                held[version_of(event)] = event["wall_ms"]
+            elif event["event"] == CONFIGURATION_APPLIED:
+                seen[version_of(event)] = event["wall_ms"]
+        for version, when in published.items():
+            later = [wall for number, wall in seen.items() if number >= version]
+            if not later:
+                missing += 1
+                continue
+            applied.append(min(later) / 1000 - when)
+        added_ms += [seen[version] - held[version] for version in seen if version in held and version in published]
+    return applied, added_ms, missing
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("nodes", type=int)
+    parser.add_argument("--changes", type=int, default=8)
+    parser.add_argument("--interval", type=float, default=2.4)
+    parser.add_argument("--services", type=int, default=60)
+    parser.add_argument("--targets", type=int, default=0, help="0 means as many as nodes")
+    parser.add_argument("--full", action="store_true", help="the aim's size: 1,300 services, 14,000 targets")
+    parser.add_argument("--kill", action="store_true", help="kill a tenth of the nodes in the middle")
+    arguments = parser.parse_args()
+    services = 1300 if arguments.full else arguments.services
+    targets = 14000 if arguments.full else max(arguments.targets or arguments.nodes, arguments.nodes)
+    with tempfile.TemporaryDirectory(prefix="dandelionfall-data-") as directory:
+        generate(directory, arguments.nodes, services, targets)
+        measure(arguments, directory, services, targets)
+
+
+def measure(arguments, directory, services, targets):
+    began = time.monotonic()
+    with Fleet(directory=directory, targets=False, platform_port=PLATFORM_PORT,
+               settings={"log": {"trace_requests": "false"}}) as fleet:
+        fleet.wait_ready(READY_TIMEOUT_S)
+        ready_s = time.monotonic() - began
+        version = max(fleet.versions().values())
+        time.sleep(3)
+        part = "service/" + sorted(path.name for path in (pathlib.Path(directory) / "service").iterdir())[0]
+        changes = Changes(fleet, part, arguments.interval)
+        survivors = list(fleet.nodes)
+
+        def between(index):
+            if arguments.kill and index == arguments.changes // 2:
+                for node in fleet.nodes[::10]:
+                    node.process.kill()
+                    survivors.remove(node)
+
+        calls = fleet.platform.counters()
+        bytes_before = control_bytes(fleet)
+        cpu_before = {node.host: cpu_seconds(node.process.pid) for node in fleet.running()}
+        clock = time.monotonic()
+        last = changes.run(version + 1, arguments.changes, between)
+        time.sleep(max(3.0, arguments.interval))
+        elapsed = time.monotonic() - clock
+        cpu = [cpu_seconds(node.process.pid) - cpu_before[node.host] for node in survivors]
+        bytes_spent = control_bytes(fleet) - (0 if arguments.kill else bytes_before)
+        spent_calls = fleet.platform.counters()["calls"] - calls["calls"]
+        wait_until(lambda: all(applied_version(node.status()) >= last for node in survivors), 30, "last change", 0.2)
+        applied, added_ms, missing = collect(fleet, changes.published, survivors)
+        report(arguments, services, targets, {
+            "ready_s": ready_s, "applied": applied, "added_ms": added_ms, "missing": missing,
+            "bytes_s": bytes_spent / len(survivors) / elapsed, "calls_s": spent_calls / elapsed,
+            "rss_mb": max(memory_mb(node.process.pid) for node in survivors),
+            "cpu_pct": 100 * statistics.mean(cpu) / elapsed, "cpu_max_pct": 100 * max(cpu) / elapsed,
+            "peak_calls": fleet.platform.counters().get("peak_calls_per_s", 0)})
+
+
+def quantile(values, share):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else float("nan")
+
+
+def report(arguments, services, targets, seen):
+    print(f"nodes={arguments.nodes} services={services} targets={targets} killed={int(arguments.kill)} "
+          f"changes={arguments.changes} ready_s={seen['ready_s']:.1f} "
+          f"hold_added_ms={quantile(seen['added_ms'], 0.99):.0f} "
+          f"convergence_p50_ms={1000 * quantile(seen['applied'], 0.5):.0f} "
+          f"convergence_p99_ms={1000 * quantile(seen['applied'], 0.99):.0f} "
+          f"convergence_max_ms={1000 * max(seen['applied']):.0f} missing={seen['missing']} "
+          f"control_bytes_per_node_s={seen['bytes_s']:.0f} source_calls_s={seen['calls_s']:.2f} "
+          f"source_peak_calls_s={seen['peak_calls']} "
+          f"rss_mb_max={seen['rss_mb']:.1f} control_cpu_pct={seen['cpu_pct']:.2f} "
+          f"control_cpu_max_pct={seen['cpu_max_pct']:.2f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -339,7 +339,9 @@
         return [node for node in self.running() if not node.stopping]
 
     def wait_ready(self, timeout_s=START_TIMEOUT_S):
-        for node in self.running():
+        for node in self.nodes:
+            if not node.process.alive():
+                raise FleetError(f"{node.host} ended: {node.process.tail()}")
             wait_until(lambda n=node: (n.status() or {}).get("ready"), timeout_s, f"{node.host} is ready")
 
     def versions(self):
