--- a/benchmark/convergence.py
+++ b/benchmark/convergence.py
@@ -35,12 +35,8 @@
                    stdout=subprocess.DEVNULL)
 
 
-def control_bytes(fleet):
-    total = 0.0
-    for node in fleet.running():
-        values = node.metrics()
-        total += sum(value for name, value in values.items() if re.search(r"control_(sent|received)_bytes", name))
-    return total
+def control_bytes(node):
+    return sum(value for name, value in node.metrics().items() if re.search(r"control_(sent|received)_bytes", name))
 
 
 class Changes:
@@ -98,6 +94,8 @@
     parser.add_argument("--services", type=int, default=60)
     parser.add_argument("--targets", type=int, default=0, help="0 means as many as nodes")
     parser.add_argument("--full", action="store_true", help="the aim's size: 1,300 services, 14,000 targets")
+    parser.add_argument("--budget", type=float, default=2000,
+                        help="calls a second that the platform bears; 2000 * N / 14000 gives each node its share at the aim")
     parser.add_argument("--kill", action="store_true", help="kill a tenth of the nodes in the middle")
     arguments = parser.parse_args()
     services = 1300 if arguments.full else arguments.services
@@ -110,7 +108,8 @@
 def measure(arguments, directory, services, targets):
     began = time.monotonic()
     with Fleet(directory=directory, targets=False, platform_port=PLATFORM_PORT,
-               settings={"log": {"trace_requests": "false"}}) as fleet:
+               settings={"log": {"trace_requests": "false"},
+                         "source": {"budget_calls_per_s": str(arguments.budget)}}) as fleet:
         fleet.wait_ready(READY_TIMEOUT_S)
         ready_s = time.monotonic() - began
         version = max(fleet.versions().values())
@@ -126,14 +125,14 @@
                     survivors.remove(node)
 
         calls = fleet.platform.counters()
-        bytes_before = control_bytes(fleet)
+        bytes_before = {node.host: control_bytes(node) for node in fleet.running()}
         cpu_before = {node.host: cpu_seconds(node.process.pid) for node in fleet.running()}
         clock = time.monotonic()
         last = changes.run(version + 1, arguments.changes, between)
         time.sleep(max(3.0, arguments.interval))
         elapsed = time.monotonic() - clock
         cpu = [cpu_seconds(node.process.pid) - cpu_before[node.host] for node in survivors]
-        bytes_spent = control_bytes(fleet) - (0 if arguments.kill else bytes_before)
+        bytes_spent = sum(control_bytes(node) - bytes_before[node.host] for node in survivors)
         spent_calls = fleet.platform.counters()["calls"] - calls["calls"]
         wait_until(lambda: all(applied_version(node.status()) >= last for node in survivors), 30, "last change", 0.2)
         applied, added_ms, missing = collect(fleet, changes.published, survivors)
@@ -152,7 +151,7 @@
 
 def report(arguments, services, targets, seen):
     print(f"nodes={arguments.nodes} services={services} targets={targets} killed={int(arguments.kill)} "
-          f"changes={arguments.changes} ready_s={seen['ready_s']:.1f} "
+          f"changes={arguments.changes} budget={arguments.budget:.0f} ready_s={seen['ready_s']:.1f} "
           f"hold_added_ms={quantile(seen['added_ms'], 0.99):.0f} "
           f"convergence_p50_ms={1000 * quantile(seen['applied'], 0.5):.0f} "
           f"convergence_p99_ms={1000 * quantile(seen['applied'], 0.99):.0f} "
