--- a/src/core/gate/link_table.cpp
+++ b/src/core/gate/link_table.cpp
@@ -3,13 +3,14 @@
 #include "core/gate/limits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionfall::core::gate {
 
 HelloResult LinkTable::hello(LinkId Link, const TrafficHello &Message,
                              TimePoint Now) {
   HelloResult Result;
-  if (m_Links.size() >= MaxLinks || m_Links.count(Link) > 0)
+  if (m_Current >= MaxLinks || m_Links.count(Link) > 0)
     return Result;
   const auto [Place, IsNew] = m_Ingresses.try_emplace(Message.m_Ingress);
   IngressRecord &Ingress = Place->second;
@@ -20,7 +21,7 @@
   Result.m_Replaced = Ingress.m_Link;
   Ingress.m_Host = Message.m_Host;
   Ingress.m_Epoch = Message.m_Epoch;
-  Ingress.m_Link = Link;
+  makeCurrent(Ingress, Link);
   Ingress.m_PresentUntil = std::max(Ingress.m_PresentUntil, Now);
   m_Links[Link] = {Message.m_Ingress, Message.m_Epoch};
   Result.m_Gone = replaceHost(Message);
@@ -29,13 +30,26 @@
   return Result;
 }
 
+void LinkTable::makeCurrent(IngressRecord &Ingress, LinkId Link) {
+  m_Current += Ingress.m_Link ? 0 : 1;
+  if (!Ingress.m_Link) {
+    Ingress.m_Link = Link;
+    return;
+  }
+  if (Ingress.m_Older)
+    m_Links.erase(*Ingress.m_Older);
+  Ingress.m_Older = std::exchange(Ingress.m_Link, Link);
+}
+
 void LinkTable::close(LinkId Link) {
   const auto Found = m_Links.find(Link);
   if (Found == m_Links.end())
     return;
   const auto Ingress = m_Ingresses.find(Found->second.m_Ingress);
-  if (Ingress != m_Ingresses.end() && Ingress->second.m_Link == Link)
+  if (Ingress != m_Ingresses.end() && Ingress->second.m_Link == Link) {
     Ingress->second.m_Link.reset();
+    --m_Current;
+  }
   m_Links.erase(Found);
 }
 
@@ -110,6 +124,8 @@
   const auto Host = m_Hosts.find(Oldest->second.m_Host);
   if (Host != m_Hosts.end() && Host->second == Dropped)
     m_Hosts.erase(Host);
+  if (Oldest->second.m_Older)
+    m_Links.erase(*Oldest->second.m_Older);
   m_Ingresses.erase(Oldest);
   return Dropped;
 }
--- a/src/core/gate/link_table.h
+++ b/src/core/gate/link_table.h
@@ -66,13 +66,19 @@
     std::string m_Host;
     Epoch m_Epoch = 0;
     std::optional<LinkId> m_Link;
+    /// Link replaced last; its late messages are still recognized, though
+    /// nobody may report its end.
+    std::optional<LinkId> m_Older;
     TimePoint m_PresentUntil;
   };
 
+  void makeCurrent(IngressRecord &Ingress, LinkId Link);
   std::optional<Incarnation> dropOldest(const Incarnation &Keep);
   std::optional<Incarnation> replaceHost(const TrafficHello &Message);
 
   std::unordered_map<LinkId, LinkRecord> m_Links;
+  /// How many of them are current.
+  std::size_t m_Current = 0;
   std::unordered_map<Incarnation, IngressRecord> m_Ingresses;
   std::unordered_map<std::string, Incarnation> m_Hosts;
 };
