Spread links over large services; make the random faults cover their range

Links opened ahead went to the same first eight targets of a service from every ingress, and targets behind links not yet open were never chosen while any link was open. The order is now a hash of the ingress's seed and the gate, stable over versions, and targets without a link are taken once those with one are full (unit.ingress_routing_test, new case).

The random test passed also with guards removed: rapidcheck's ranges grow with the size, which was fixed at 6, so only the first two faults were drawn.

--- a/benchmark/routing/fleet.cpp
+++ b/benchmark/routing/fleet.cpp
@@ -227,13 +227,13 @@
     ++m_Result.m_OverLimit;
     return Done(true);
   }
-  at(m_Now + Work, [this, &On, Generation = On.m_Target.generation(),
-                    Done = std::move(Done)] {
-    const bool Reset = On.m_Target.generation() != Generation;
-    if (!Reset)
-      On.m_Target.finish();
-    Done(Reset);
-  });
+  at(m_Now + Work,
+     [&On, Generation = On.m_Target.generation(), Done = std::move(Done)] {
+       const bool Reset = On.m_Target.generation() != Generation;
+       if (!Reset)
+         On.m_Target.finish();
+       Done(Reset);
+     });
 }
 
 void Fleet::startTarget(Node &On, const core::StartTarget &Start) {
--- a/benchmark/routing/fleet.h
+++ b/benchmark/routing/fleet.h
@@ -90,10 +90,10 @@
                   const std::string &Body);
 
   const Deployment &m_Of;
-  const Mode m_How;
-  const Work m_Work;
+  Mode m_How;
+  Work m_Work;
   std::mt19937_64 m_Random;
-  const TimePoint m_Start{1000s};
+  TimePoint m_Start{1000s};
   TimePoint m_Now = m_Start;
   std::priority_queue<Timer> m_Timers;
   std::uint64_t m_TimerCount = 0;
--- a/src/core/ingress/router.cpp
+++ b/src/core/ingress/router.cpp
@@ -32,6 +32,13 @@
                    Peer.m_Address) != Entry.m_Tried.end();
 }
 
+bool anyHasRoom(const Candidates &Group, const ChoiceContext &Context) {
+  return std::any_of(Group.begin(), Group.end(), [&](const Candidate *Next) {
+    const LoadView &View = Next->m_Peer->m_Load;
+    return View.load(Context.m_Now) < View.limit(Context.m_AssumedLimit);
+  });
+}
+
 } // namespace
 
 Router::Router(const IngressOptions &Options)
@@ -49,6 +56,12 @@
   }
   const ChoiceContext Context{View.m_Profile.m_ColdStartLimit, Now, m_Random,
                               m_Turn++};
+  // Links that are open go first only while a target behind them has room.
+  if (!anyHasRoom(Groups[Linked], Context)) {
+    Groups[NotLinked].insert(Groups[NotLinked].end(), Groups[Linked].begin(),
+                             Groups[Linked].end());
+    Groups[Linked].clear();
+  }
   for (const Candidates &Group : Groups) {
     if (!Group.empty())
       return m_Choice.choose(Group, Context);
--- a/src/core/ingress/service_table.cpp
+++ b/src/core/ingress/service_table.cpp
@@ -3,6 +3,7 @@
 #include "core/ingress/limits.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace dandelionfall::core::ingress {
@@ -65,13 +66,23 @@
   return SameRegion ? Distance::SameRegion : Distance::OtherRegion;
 }
 
+std::uint64_t ServiceTable::rank(const Candidate &Of) const {
+  // A different order for each ingress spreads their links over all targets;
+  // it does not change with the version, so links stay.
+  constexpr std::uint64_t Multiplier = 0x9e3779b97f4a7c15U;
+  const std::uint64_t Name = std::hash<std::string>()(Of.m_Peer->m_Address);
+  const std::uint64_t Mixed = (Name ^ m_Options.m_Seed) * Multiplier;
+  return Mixed ^ (Mixed >> 32U);
+}
+
 void ServiceTable::warmUp(ServiceView &View, TimePoint Now) {
   std::vector<const Candidate *> Nearest;
   for (const Candidate &Next : View.m_Candidates)
     Nearest.push_back(&Next);
   std::stable_sort(Nearest.begin(), Nearest.end(),
-                   [](const Candidate *Left, const Candidate *Right) {
-                     return Left->m_Distance < Right->m_Distance;
+                   [this](const Candidate *Left, const Candidate *Right) {
+                     return std::pair(Left->m_Distance, rank(*Left)) <
+                            std::pair(Right->m_Distance, rank(*Right));
                    });
   Nearest.resize(std::min(Nearest.size(), WarmLinksPerService));
   for (const Candidate *Next : Nearest) {
--- a/src/core/ingress/service_table.h
+++ b/src/core/ingress/service_table.h
@@ -48,6 +48,7 @@
 private:
   void rebuild(const std::string &Name, ServiceView &View, TimePoint Now);
   Distance distanceTo(const std::string &ZoneName) const;
+  std::uint64_t rank(const Candidate &Of) const;
   void warmUp(ServiceView &View, TimePoint Now);
 
   const IngressOptions &m_Options;
--- a/tests/contract/requests_random_test.cpp
+++ b/tests/contract/requests_random_test.cpp
@@ -4,21 +4,28 @@
 #include <rapidcheck.h>
 
 #include <tuple>
+#include <utility>
 #include <vector>
 
 using namespace dandelionfall::core;
 
 TEST_CASE("random interleavings of faults keep every promise") {
   const bool Held = rc::check("every promise is kept", [] {
+    // Ranges grow with the size; the full ones are wanted from the first case.
+    const auto Full = [](auto Generator) {
+      return rc::gen::resize(rc::kNominalSize, std::move(Generator));
+    };
     const std::size_t FaultCount = requestsFaults().size();
-    const auto Seed = *rc::gen::inRange<std::uint64_t>(0, 1000);
+    const auto Seed = *Full(rc::gen::inRange<std::uint64_t>(0, 1000));
     const auto TimersFirst = *rc::gen::arbitrary<bool>();
-    const auto Strikes = *rc::gen::resize(
-        6, rc::gen::container<
-               std::vector<std::tuple<std::size_t, int, std::size_t>>>(
-               rc::gen::tuple(rc::gen::inRange<std::size_t>(0, FaultCount),
-                              rc::gen::inRange(0, 1000000),
-                              rc::gen::inRange<std::size_t>(0, 3))));
+    const auto StrikeCount = *Full(rc::gen::inRange<std::size_t>(1, 6));
+    const auto Strikes = *rc::gen::container<
+        std::vector<std::tuple<std::size_t, int, std::size_t>>>(
+        StrikeCount,
+        Full(rc::gen::tuple(rc::gen::inRange<std::size_t>(0, FaultCount),
+                            rc::gen::oneOf(rc::gen::inRange(99000, 145000),
+                                           rc::gen::inRange(0, 1000000)),
+                            rc::gen::inRange<std::size_t>(0, 2))));
     RequestsWorld World(3, Seed);
     World.m_TimersFirst = TimersFirst;
     makeCalls(World);
--- a/tests/unit/ingress_routing_test.cpp
+++ b/tests/unit/ingress_routing_test.cpp
@@ -104,6 +104,25 @@
   CHECK(countByGate(Test)["gate1"] == 2);
 }
 
+TEST_CASE("ingresses open links ahead to different targets of a large service, "
+          "and to others once these are full") {
+  ConfigurationBuilder Builder;
+  Builder.m_TargetZones.assign(40, "a");
+  std::set<std::string> Opened;
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    IngressFixture Test({"h0", "a", {7, Seed}, Seed, "least-loaded-of-two"});
+    Test.configure(Builder);
+    Test.call(1, "POST");
+    CHECK(Test.m_Opens.size() <= 9);
+    for (const auto &[Link, Gate] : Test.m_Opens)
+      Opened.insert(Gate);
+    for (CallId Id = 2; Id <= 100; ++Id)
+      Test.call(Id, "POST");
+    CHECK(Test.m_Opens.size() > 9);
+  }
+  CHECK(Opened.size() > 30);
+}
+
 TEST_CASE("of two targets the one with less load, latency and failures is "
           "chosen") {
   ingress::LoadView Base;
