--- a/tests/contract/distribution_faults_test.cpp
+++ b/tests/contract/distribution_faults_test.cpp
@@ -108,6 +108,8 @@
       [&] { return Nodes.allAt(Nodes.m_Source.newest()); }, Limit);
   for (std::size_t Index = 0; !Time.has_value() && Index < Nodes.size();
        ++Index) {
+    if (!Nodes.isAlive(Index))
+      continue;
     const auto Status = Nodes.status(Index);
     MESSAGE("host" << Index << " held " << Status.m_Held.m_Version
                    << " applied " << Status.m_Applied.m_Version << " ready "
