--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -7,18 +7,20 @@
 
 namespace {
 
-/// Deviations above the mean at which an abandoned request should have ended.
-constexpr int AbandonedSpread = 2;
+/// Deviations above the mean service time that an abandoned request may need
+/// to end.
+constexpr int AbandonedSpread = 4;
 
 } // namespace
 
 void Engine::onTargetAnswer(const RequestId &Id, HttpResponsePtr Response,
                             TimePoint Now) {
+  noteEvent(Now);
   const std::uint32_t Occupied = m_Slots.size();
   if (const auto Slot = m_Slots.release(Id)) {
     m_HoldOff.onConnected();
     noteIdle(Now);
-    noteServiceTime(Now - Slot->m_Start, true, Occupied, Now);
+    noteServiceTime(Slot->m_Start, true, Occupied, Now);
   }
   if (m_Ledger.lookUp(Id) == Knowledge::Running) {
     report(EventId::RequestFinished,
@@ -32,6 +34,7 @@
 
 void Engine::onTargetFailure(const RequestId &Id, TargetFailure Kind,
                              const std::string &Detail, TimePoint Now) {
+  noteEvent(Now);
   const OccupiedSlot *Found = m_Slots.find(Id);
   if (Found != nullptr) {
     const OccupiedSlot Slot = *Found;
@@ -65,11 +68,11 @@
 void Engine::onBroken(const OccupiedSlot &Slot, TargetFailure Kind,
                       const std::string &Detail, TimePoint Now) {
   m_HoldOff.onConnected();
-  m_Slots.abandon(Slot.m_Id, Now + abandonedHold(Slot, Now));
+  m_Slots.abandon(Slot.m_Id, Now + abandonedHold(Now));
   if (Kind == TargetFailure::Reset)
     restartRamp("reset", Now);
   else
-    noteServiceTime(Now - Slot.m_Start, false, m_Slots.size(), Now);
+    noteServiceTime(Slot.m_Start, false, m_Slots.size(), Now);
   failRunning(Slot.m_Id, Detail);
 }
 
@@ -78,9 +81,9 @@
   m_Commands.emplace_back(CancelTarget{Id});
   const OccupiedSlot *Slot = m_Slots.find(Id);
   if (Slot != nullptr) {
-    const Duration Elapsed = Now - Slot->m_Start;
-    m_Slots.abandon(Id, Now + abandonedHold(*Slot, Now));
-    noteServiceTime(Elapsed, false, m_Slots.size(), Now);
+    const TimePoint Start = Slot->m_Start;
+    m_Slots.abandon(Id, Now + abandonedHold(Now));
+    noteServiceTime(Start, false, m_Slots.size(), Now);
   }
   failRunning(Id, Detail);
 }
@@ -92,17 +95,20 @@
   sendResult(Id);
 }
 
-Duration Engine::abandonedHold(const OccupiedSlot &Slot, TimePoint Now) const {
+Duration Engine::abandonedHold(TimePoint Now) const {
+  // How long it ran says little of how much longer it takes.
   const ServiceTimeEstimate Expected = estimate(Now);
-  const TimePoint End =
-      Slot.m_Start + Expected.m_Mean + AbandonedSpread * Expected.m_Deviation;
-  // One that runs longer than expected may take as long again.
-  const Duration Left = std::max(End - Now, Expected.m_Mean);
+  const Duration Left =
+      Expected.m_Mean + AbandonedSpread * Expected.m_Deviation;
   return std::clamp(Left, MinAbandonedHold, MaxAbandonedHold);
 }
 
-void Engine::noteServiceTime(Duration Sample, bool Whole,
+void Engine::noteServiceTime(TimePoint Start, bool Whole,
                              std::uint32_t Occupied, TimePoint Now) {
+  // A sleep of this process is no service time of the target.
+  if (m_SleepGuard.sleptSince(Start))
+    return;
+  const Duration Sample = Now - Start;
   if (Whole)
     m_ServiceTime.addSample(Sample, Now);
   else
@@ -178,6 +184,12 @@
     refuseWaiting({RefusalReason::ZoneOut, Duration{0}});
 }
 
+void Engine::noteEvent(TimePoint Now) {
+  m_SleepGuard.onEvent(Now);
+  if (!m_Links.hasLinks())
+    m_SleepGuard.rest();
+}
+
 void Engine::advance(TimePoint Now) {
   startWaiting(Now);
   checkDrained(Now);
