--- a/include/dandelionfall/app/event_recorder.h
+++ b/include/dandelionfall/app/event_recorder.h
@@ -42,7 +42,8 @@
   /// \returns the new time.
   std::uint64_t tick();
   /// Advances the clock past the time of a received message.
-  /// \param Received the sender's time.
+  /// \param Received the sender's time; one above 2^62, which no clock reaches
+  /// by counting, is ignored.
   void merge(std::uint64_t Received);
 
 private:
--- a/src/app/event_recorder.cpp
+++ b/src/app/event_recorder.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t KeptEvents = 4096;
 constexpr std::size_t KeptDebugEvents = 65536;
+constexpr std::uint64_t MaxReceivedTime = std::uint64_t{1} << 62U;
 
 std::int64_t wallMilliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -37,6 +38,9 @@
 std::uint64_t LogicalClock::tick() { return ++m_Impl->m_Time; }
 
 void LogicalClock::merge(std::uint64_t Received) {
+  // A malformed time must not make the clock overflow and begin anew.
+  if (Received > MaxReceivedTime)
+    return;
   std::uint64_t Known = m_Impl->m_Time.load();
   while (Known < Received &&
          !m_Impl->m_Time.compare_exchange_weak(Known, Received)) {
--- a/tests/unit/event_recorder_test.cpp
+++ b/tests/unit/event_recorder_test.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdint>
+#include <limits>
 #include <string>
 #include <thread>
 #include <vector>
@@ -24,6 +26,16 @@
   CHECK(Clock.tick() == 43);
 }
 
+TEST_CASE("a received time that no clock can reach is ignored") {
+  constexpr std::uint64_t Largest = std::numeric_limits<std::uint64_t>::max();
+  LogicalClock Clock;
+  Clock.merge(Largest);
+  Clock.merge(static_cast<std::uint64_t>(std::int64_t{-1}));
+  CHECK(Clock.tick() == 1);
+  Clock.merge(std::uint64_t{1} << 62U);
+  CHECK(Clock.tick() == (std::uint64_t{1} << 62U) + 1);
+}
+
 TEST_CASE("the recorder keeps events in order, debug ones only when asked") {
   for (const bool Trace : {false, true}) {
     CAPTURE(Trace);
