Read the pages of many nodes a bounded number at once

`status` and `timeline` opened a connection to every named node at the same moment and kept it, which runs out of descriptors on a large fleet. At most 64 pages are now read at once, and each connection ends with its page. A published value that can't be parsed is told by its file's name, so that its fault has the exit code of published configuration.

--- a/include/dandelionfall/app/status_report.h
+++ b/include/dandelionfall/app/status_report.h
@@ -54,6 +54,12 @@
 /// \returns the text, ending with a line break.
 std::string toText(const StatusReport &Report);
 
+/// Writes a report as one line of `key=value` pairs, so that many nodes can be
+/// compared.
+/// \param Report the report.
+/// \returns the text, ending with a line break.
+std::string toLine(const StatusReport &Report);
+
 } // namespace dandelionfall::app
 
 #endif // DANDELIONFALL_APP_STATUS_REPORT_H
--- a/src/app/format_flag.cpp
+++ b/src/app/format_flag.cpp
@@ -1,4 +1,5 @@
 #include "app/format_flag.h"
 
 ABSL_FLAG(std::string, format, "text",
-          "form of the result: text, json; for timeline also trace, svg");
+          "form of the result: text, json; of status also line, of "
+          "timeline also trace, svg");
--- a/src/app/operator_client.cpp
+++ b/src/app/operator_client.cpp
@@ -3,8 +3,12 @@
 #include "dandelionfall/net/address.h"
 #include "dandelionfall/net/http_client.h"
 
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
 #include <chrono>
 #include <memory>
+#include <utility>
 
 namespace dandelionfall::app {
 
@@ -12,6 +16,7 @@
 
 constexpr std::chrono::seconds PageTimeout{10};
 constexpr std::uint64_t MaxPageBytes = 64U << 20U;
+constexpr std::size_t MaxReadsAtOnce = 64;
 constexpr std::uint32_t StatusOk = 200;
 
 core::Error makeFault(const std::string &Address, const std::string &Fault) {
@@ -33,41 +38,66 @@
   Page.m_Text = Result.m_Response->m_Body;
 }
 
-} // namespace
+/// Reads one page of many nodes, a bounded number at once.
+class PageReader {
+public:
+  PageReader(const std::vector<std::string> &Addresses, std::string Path)
+      : m_Path(std::move(Path)) {
+    m_Pages.reserve(Addresses.size());
+    for (const std::string &Address : Addresses) {
+      net::parseEndpoint(Address);
+      m_Pages.push_back({Address, "", std::nullopt});
+    }
+  }
 
-std::vector<OperatorPage>
-readOperatorPages(const std::vector<std::string> &Addresses,
-                  const std::string &Path) {
-  boost::asio::io_context Context;
-  std::vector<OperatorPage> Pages;
-  Pages.reserve(Addresses.size());
-  for (const std::string &Address : Addresses) {
-    net::parseEndpoint(Address);
-    Pages.push_back({Address, "", std::nullopt});
+  std::vector<OperatorPage> read() {
+    const std::size_t First = std::min(m_Pages.size(), MaxReadsAtOnce);
+    for (std::size_t Index = 0; Index < First; ++Index)
+      startNext();
+    while (m_Open > 0)
+      m_Context.run_one();
+    return std::move(m_Pages);
   }
-  std::vector<std::unique_ptr<net::HttpClient>> Clients;
-  Clients.reserve(Addresses.size());
-  std::size_t Open = Pages.size();
-  for (OperatorPage &Page : Pages) {
+
+private:
+  void startNext() {
+    OperatorPage &Page = m_Pages[m_Next++];
     net::HttpClientOptions Options;
     Options.m_Address = Page.m_Address;
     Options.m_MaxBodyBytes = MaxPageBytes;
-    Clients.push_back(std::make_unique<net::HttpClient>(Context, Options));
+    auto Client = std::make_shared<net::HttpClient>(m_Context, Options);
     core::HttpRequest Request;
     Request.m_Method = "GET";
-    Request.m_Path = Path;
-    Clients.back()->send(
-        Request, PageTimeout, true,
-        [&Page, &Open, &Context](const net::HttpResult &Result) {
-          keepResult(Page, Result);
-          // The clients' own timers never end.
-          if (--Open == 0)
-            Context.stop();
-        });
+    Request.m_Path = m_Path;
+    ++m_Open;
+    Client->send(Request, PageTimeout, true,
+                 [this, &Page, Client](const net::HttpResult &Result) {
+                   keepResult(Page, Result);
+                   // The client must not end within its own callback.
+                   boost::asio::post(m_Context, [this, Client] { onEnd(); });
+                 });
+  }
+
+  void onEnd() {
+    --m_Open;
+    if (m_Next < m_Pages.size())
+      startNext();
   }
-  if (Open > 0)
-    Context.run();
-  return Pages;
+
+  std::string m_Path;
+  std::vector<OperatorPage> m_Pages;
+  std::size_t m_Next = 0;
+  std::size_t m_Open = 0;
+  // Last, so that it ends first, with the clients that its handlers own.
+  boost::asio::io_context m_Context{1};
+};
+
+} // namespace
+
+std::vector<OperatorPage>
+readOperatorPages(const std::vector<std::string> &Addresses,
+                  const std::string &Path) {
+  return PageReader(Addresses, Path).read();
 }
 
 } // namespace dandelionfall::app
--- a/src/app/published_files.cpp
+++ b/src/app/published_files.cpp
@@ -60,6 +60,19 @@
   return {Files.begin(), Files.end()};
 }
 
+// Tells by the file's own name what a text is that can't be parsed.
+std::optional<std::string> nameByFile(const std::string &File) {
+  const std::filesystem::path Path(File);
+  const std::string Name = Path.filename().string();
+  if (Path.parent_path().filename() == ServiceDirectory)
+    return serviceName(Name);
+  for (const SectionOwner &Owner : SectionOwners) {
+    if (Owner.m_ValueName == Name)
+      return Name;
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 std::optional<std::string> publishedNameOf(std::string_view Text,
@@ -68,7 +81,7 @@
   try {
     Document = core::parseIni(Text, File, ErrorKind::BadConfiguration);
   } catch (const Error &) {
-    return std::nullopt;
+    return nameByFile(File);
   }
   bool IsService = false;
   for (const core::IniSection &Section : Document.m_Sections) {
--- a/src/app/status_command.cpp
+++ b/src/app/status_command.cpp
@@ -22,6 +22,7 @@
 constexpr StatusFormat Formats[] = {
     {"text", toText},
     {"json", toJson},
+    {"line", toLine},
 };
 
 const StatusFormat &findFormat(const std::string &Name) {
@@ -30,7 +31,7 @@
       return Row;
   }
   throw core::Error(core::ErrorKind::Usage, "unknown format '" + Name + "'",
-                    "use one of: text, json");
+                    "use one of: text, json, line");
 }
 
 int run(const Operands &Given) {
--- a/src/app/status_report.cpp
+++ b/src/app/status_report.cpp
@@ -32,8 +32,8 @@
 std::string textOf(std::uint32_t Value) { return std::to_string(Value); }
 std::string textOf(std::uint64_t Value) { return std::to_string(Value); }
 std::string textOf(const core::VersionStamp &Value) {
-  return std::to_string(Value.m_Version) + " (digest " +
-         core::formatDigest(Value.m_Digest) + ")";
+  return std::to_string(Value.m_Version) + "/" +
+         core::formatDigest(Value.m_Digest);
 }
 
 template <typename Value> Json jsonOf(const Value &Field) { return Field; }
@@ -123,4 +123,14 @@
   return Text;
 }
 
+std::string toLine(const StatusReport &Report) {
+  std::string Text;
+  for (const FieldRow &Row : Fields)
+    Text.append(Text.empty() ? "" : " ")
+        .append(Row.m_Key)
+        .append("=")
+        .append(Row.m_ToText(Report));
+  return Text + "\n";
+}
+
 } // namespace dandelionfall::app
--- a/tests/unit/command_line_test.cpp
+++ b/tests/unit/command_line_test.cpp
@@ -1,4 +1,4 @@
-#include "dandelionfall/app/command_line.h"
+#include "unit/command_run.h"
 
 #include <doctest/doctest.h>
 
@@ -6,39 +6,15 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
-#include <iostream>
-#include <sstream>
 #include <string>
 #include <vector>
 
 using namespace dandelionfall;
+using tests::run;
+using tests::RunResult;
 
 namespace {
 
-/// What a run of the program wrote and its exit code.
-struct RunResult {
-  int m_ExitCode;
-  std::string m_Output;
-  std::string m_Errors;
-};
-
-RunResult run(std::vector<std::string> Arguments) {
-  Arguments.insert(Arguments.begin(), "dandelionfall");
-  std::vector<char *> Pointers;
-  Pointers.reserve(Arguments.size());
-  for (std::string &Argument : Arguments)
-    Pointers.push_back(Argument.data());
-  const std::ostringstream Output;
-  const std::ostringstream Errors;
-  std::streambuf *const OldOutput = std::cout.rdbuf(Output.rdbuf());
-  std::streambuf *const OldErrors = std::cerr.rdbuf(Errors.rdbuf());
-  const int ExitCode =
-      app::runCommandLine(static_cast<int>(Pointers.size()), Pointers.data());
-  std::cout.rdbuf(OldOutput);
-  std::cerr.rdbuf(OldErrors);
-  return {ExitCode, Output.str(), Errors.str()};
-}
-
 bool contains(const std::string &Text, const std::string &Wanted) {
   return Text.find(Wanted) != std::string::npos;
 }
@@ -113,6 +89,7 @@
       {{"status", "host-1:80"}, 2, "'host-1:80' is no address; write an IP"},
       {{"status", "--format=xml", "127.0.0.1:1"}, 2, "unknown format 'xml'"},
       {{"status", "127.0.0.1:1"}, 7, "127.0.0.1:1: connect: "},
+      {{"status", "--format=trace", "127.0.0.1:1"}, 2, "text, json, line"},
       {{"timeline"}, 2, "operand ADDRESS... is missing; see"},
       {{"timeline", "--format=png", "127.0.0.1:1"}, 2, "use one of: text"},
       {{"timeline", "--min_severity=x", "127.0.0.1:1"}, 2, "unknown severity"},
@@ -220,6 +197,7 @@
       {"manifest", "[manifest]\nversion = none\nparts = 0\n[parts]\n",
        "manifest:2: 'none' is no valid version; write a number"},
       {"notes", "remember\n", "notes: unknown part; name parts"},
+      {"zones", "[zone kalamaria\n", "zones:1: unmatched '['"},
   };
   for (const PublishedFault &Case : Cases) {
     CAPTURE(Case.m_Message);
@@ -247,6 +225,17 @@
   CHECK(contains(Result.m_Errors, "settings.ini:1: [node] lacks the key host"));
 }
 
+TEST_CASE("a value that can't be parsed is told by the name of its file") {
+  const ScopedDirectory Files;
+  for (const std::string Name : {"zones", "hosts", "service/slotboard"}) {
+    CAPTURE(Name);
+    Files.write(Name, "[zone kalamaria\n");
+    CHECK(run({"check", Files.path(Name)}).m_ExitCode == 5);
+  }
+  Files.write("host-1.ini", "[node\n");
+  CHECK(run({"check", Files.path("host-1.ini")}).m_ExitCode == 4);
+}
+
 TEST_CASE("check refuses a directory without values") {
   const ScopedDirectory Files;
   const RunResult Result = run({"check", Files.path()});
--- a/tests/unit/load_run_test.cpp
+++ b/tests/unit/load_run_test.cpp
@@ -1,61 +1,35 @@
 #include "app/load_generator.h"
-#include "dandelionfall/net/http_server.h"
+#include "unit/server_thread.h"
 
 #include <doctest/doctest.h>
 
-#include <boost/asio/executor_work_guard.hpp>
-
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <thread>
 
 using namespace dandelionfall;
 using std::chrono::milliseconds;
 
 namespace {
 
-/// A server on a thread of its own that answers each service in its own way.
+/// A node that answers each service in its own way and keeps what it saw.
 class FakeNode {
 public:
-  explicit FakeNode(bool Answers) : m_Answers(Answers) {
-    net::HttpServerOptions Options;
-    Options.m_Address = "127.0.0.1:0";
-    net::HttpServerHandlers Handlers;
-    Handlers.m_Request = [this](core::CallId Call,
-                                const core::HttpRequestPtr &Request) {
-      onRequest(Call, *Request);
-    };
-    m_Server.emplace(m_Context, Options, Handlers);
-    m_Address = m_Server->address();
-    m_Thread = std::thread([this] { m_Context.run(); });
-  }
+  explicit FakeNode(bool Answers)
+      : m_Answers(Answers), m_Server([this](const core::HttpRequest &Request) {
+          return answer(Request);
+        }) {}
 
-  ~FakeNode() {
-    stop();
-    m_Server.reset();
-  }
-
-  FakeNode(const FakeNode &) = delete;
-  FakeNode &operator=(const FakeNode &) = delete;
-
-  /// Ends the thread, after which what it saw may be read.
-  void stop() {
-    m_Work.reset();
-    m_Context.stop();
-    if (m_Thread.joinable())
-      m_Thread.join();
-  }
-
-  const std::string &address() const { return m_Address; }
+  void stop() { m_Server.stop(); }
+  const std::string &address() const { return m_Server.address(); }
 
   std::map<std::string, std::uint64_t> m_Calls;
   std::set<std::string> m_Bookings;
   std::set<std::string> m_Deadlines;
 
 private:
-  void onRequest(core::CallId Call, const core::HttpRequest &Request) {
+  std::optional<core::HttpResponse> answer(const core::HttpRequest &Request) {
     const std::string Service =
         Request.m_Path.substr(1, Request.m_Path.find('/', 1) - 1);
     ++m_Calls[Service];
@@ -65,26 +39,18 @@
       if (Field.m_Name == "Dandelionfall-Deadline-Ms")
         m_Deadlines.insert(Field.m_Value);
     }
-    if (m_Answers)
-      m_Server->respond(Call, responseOf(Service));
-  }
-
-  static core::HttpResponse responseOf(const std::string &Service) {
+    if (!m_Answers)
+      return std::nullopt;
     if (Service == "lanewatch")
-      return {503, {{"Dandelionfall-Outcome", "not-run"}}, "busy"};
+      return core::HttpResponse{
+          503, {{"Dandelionfall-Outcome", "not-run"}}, "busy"};
     if (Service == "chartroom")
-      return {500, {}, "broken"};
-    return {200, {}, "whole"};
+      return core::HttpResponse{500, {}, "broken"};
+    return core::HttpResponse{200, {}, "whole"};
   }
 
   bool m_Answers;
-  boost::asio::io_context m_Context{1};
-  std::optional<
-      boost::asio::executor_work_guard<boost::asio::io_context::executor_type>>
-      m_Work{m_Context.get_executor()};
-  std::optional<net::HttpServer> m_Server;
-  std::string m_Address;
-  std::thread m_Thread;
+  tests::ServerThread m_Server;
 };
 
 app::LoadOptions optionsFor(const FakeNode &Node) {
--- a/tests/unit/status_report_test.cpp
+++ b/tests/unit/status_report_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 
 using namespace dandelionfall;
@@ -41,7 +42,7 @@
 TEST_CASE("a status report as text names version, readiness and limits") {
   const std::string Text = app::toText(sample());
   for (const char *Line :
-       {"applied version: 7 (digest 0000000000000001)\n", "ready: yes\n",
+       {"applied version: 7/0000000000000001\n", "ready: yes\n",
         "draining: no\n", "control links: 8\n", "target limit: 12\n",
         "availability zone: sindos\n"}) {
     CAPTURE(Line);
@@ -49,6 +50,17 @@
   }
 }
 
+TEST_CASE(
+    "a status report as a line has a pair without spaces for each field") {
+  const std::string Line = app::toLine(sample());
+  CHECK(Line.starts_with("host=host-1 zone=sindos "));
+  CHECK(Line.find(" held=8/fedcba9876543210 ") != std::string::npos);
+  CHECK(Line.find(" open_calls=5\n") != std::string::npos);
+  constexpr int Fields = 18;
+  CHECK(std::count(Line.begin(), Line.end(), '=') == Fields);
+  CHECK(std::count(Line.begin(), Line.end(), ' ') == Fields - 1);
+}
+
 TEST_CASE("a malformed status report is refused with a remedy") {
   std::string BadDigest = app::toJson(sample());
   BadDigest.replace(BadDigest.find("fedcba"), 6, "fedcbx");
