--- a/src/app/status_report.cpp
+++ b/src/app/status_report.cpp
@@ -1,11 +1,11 @@
 #include "dandelionfall/app/status_report.h"
 
+#include "dandelionfall/core/configuration_reader.h"
 #include "dandelionfall/core/error.h"
 
 #include <nlohmann/json.hpp>
 
 #include <charconv>
-#include <cstdio>
 
 namespace dandelionfall::app {
 
@@ -15,13 +15,6 @@
 
 constexpr int Hexadecimal = 16;
 
-std::string formatDigest(core::Digest Value) {
-  char Buffer[17];
-  std::snprintf(Buffer, sizeof(Buffer), "%016llx",
-                static_cast<unsigned long long>(Value));
-  return Buffer;
-}
-
 core::Digest parseDigest(const std::string &Text) {
   core::Digest Value = 0;
   const char *End = Text.data() + Text.size();
@@ -39,14 +32,14 @@
 std::string textOf(std::uint32_t Value) { return std::to_string(Value); }
 std::string textOf(std::uint64_t Value) { return std::to_string(Value); }
 std::string textOf(const core::VersionStamp &Value) {
-  return std::to_string(Value.m_Version) + " (digest " +
-         formatDigest(Value.m_Digest) + ")";
+  return std::to_string(Value.m_Version) + "/" +
+         core::formatDigest(Value.m_Digest);
 }
 
 template <typename Value> Json jsonOf(const Value &Field) { return Field; }
 Json jsonOf(const core::VersionStamp &Field) {
   return Json{{"version", Field.m_Version},
-              {"digest", formatDigest(Field.m_Digest)}};
+              {"digest", core::formatDigest(Field.m_Digest)}};
 }
 
 template <typename Value> void readJson(const Json &Source, Value &Field) {
@@ -130,4 +123,14 @@
   return Text;
 }
 
+std::string toLine(const StatusReport &Report) {
+  std::string Text;
+  for (const FieldRow &Row : Fields)
+    Text.append(Text.empty() ? "" : " ")
+        .append(Row.m_Key)
+        .append("=")
+        .append(Row.m_ToText(Report));
+  return Text + "\n";
+}
+
 } // namespace dandelionfall::app
