--- /dev/null
+++ b/benchmark/zone_exit_return.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Service while an availability zone leaves and returns, for both deployments.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tools/build.sh >/dev/null
+for deployment in thessaloniki kerala; do
+  python3 benchmark/zone_exit_return.py --deployment "$deployment" "$@" | tail -1
+done
--- a/include/dandelionfall/app/node.h
+++ b/include/dandelionfall/app/node.h
@@ -1,5 +1,6 @@
 /// \file
-/// The running node: ingress for callers, gate for its own target, member of the overlay.
+/// The running node: ingress for callers, gate for its own target, member of
+/// the overlay.
 #ifndef DANDELIONFALL_APP_NODE_H
 #define DANDELIONFALL_APP_NODE_H
 
@@ -7,10 +8,10 @@
 
 namespace dandelionfall::app {
 
-/// Runs a node until SIGTERM or SIGINT has been followed by the end of all admitted work.
-/// \param Config the node's settings, already checked.
-/// \returns the exit code, 0 after a planned stop.
-/// \throws Error of kind AddressInUse before anything is started.
+/// Runs a node until SIGTERM or SIGINT has been followed by the end of all
+/// admitted work. \param Config the node's settings, already checked. \returns
+/// the exit code, 0 after a planned stop. \throws Error of kind AddressInUse
+/// before anything is started.
 int runNode(const Settings &Config);
 
 } // namespace dandelionfall::app
--- a/include/dandelionfall/net/http_server.h
+++ b/include/dandelionfall/net/http_server.h
@@ -62,7 +62,8 @@
   /// Takes no new connections and closes each open one after its answer.
   void startDrain();
 
-  /// \returns the address it listens at, with the port chosen where the wanted one was 0.
+  /// \returns the address it listens at, with the port chosen where the wanted
+  /// one was 0.
   std::string address() const;
 
   /// \returns requests without an answer, and answers not yet written.
