Keep the gate's links bounded when nobody reports their end

Cause: a replaced link stayed in the table until the driver reported its end, and the driver's local links never do: after 20,000 of them the gate would have refused every new link. Ruled out: forgetting a replaced link at once (a late dispatch on it deserves its refusal). Conclusion: one older link for each ingress is kept, only current links count, and ingresses without a link are held in the order in which they lost it. unit.gate_ledger_test covers both bounds.

--- a/src/core/gate/limits.h
+++ b/src/core/gate/limits.h
@@ -10,7 +10,7 @@
 
 namespace dandelionfall::core::gate {
 
-/// Links open at once; one for each ingress of the largest fleet and some to
+/// Current links at once; one for each ingress of the largest fleet and some to
 /// spare for those being replaced.
 inline constexpr std::size_t MaxLinks = 20'000;
 /// Ingress incarnations whose highest epoch is remembered.
--- a/src/core/gate/link_table.cpp
+++ b/src/core/gate/link_table.cpp
@@ -3,13 +3,14 @@
 #include "core/gate/limits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionfall::core::gate {
 
 HelloResult LinkTable::hello(LinkId Link, const TrafficHello &Message,
                              TimePoint Now) {
   HelloResult Result;
-  if (m_Links.size() >= MaxLinks || m_Links.count(Link) > 0)
+  if (m_Current >= MaxLinks || m_Links.count(Link) > 0)
     return Result;
   const auto [Place, IsNew] = m_Ingresses.try_emplace(Message.m_Ingress);
   IngressRecord &Ingress = Place->second;
@@ -20,22 +21,39 @@
   Result.m_Replaced = Ingress.m_Link;
   Ingress.m_Host = Message.m_Host;
   Ingress.m_Epoch = Message.m_Epoch;
-  Ingress.m_Link = Link;
+  makeCurrent(Ingress, Link);
   Ingress.m_PresentUntil = std::max(Ingress.m_PresentUntil, Now);
   m_Links[Link] = {Message.m_Ingress, Message.m_Epoch};
   Result.m_Gone = replaceHost(Message);
   if (m_Ingresses.size() > MaxKnownIngresses)
-    Result.m_Dropped = dropOldest(Message.m_Ingress);
+    Result.m_Dropped = dropOldest();
   return Result;
 }
 
+void LinkTable::makeCurrent(IngressRecord &Ingress, LinkId Link) {
+  m_Current += Ingress.m_Link ? 0 : 1;
+  if (!Ingress.m_Link) {
+    Ingress.m_Link = Link;
+    if (Ingress.m_Absent)
+      m_Absent.erase(*Ingress.m_Absent);
+    Ingress.m_Absent.reset();
+    return;
+  }
+  if (Ingress.m_Older)
+    m_Links.erase(*Ingress.m_Older);
+  Ingress.m_Older = std::exchange(Ingress.m_Link, Link);
+}
+
 void LinkTable::close(LinkId Link) {
   const auto Found = m_Links.find(Link);
   if (Found == m_Links.end())
     return;
   const auto Ingress = m_Ingresses.find(Found->second.m_Ingress);
-  if (Ingress != m_Ingresses.end() && Ingress->second.m_Link == Link)
+  if (Ingress != m_Ingresses.end() && Ingress->second.m_Link == Link) {
     Ingress->second.m_Link.reset();
+    --m_Current;
+    Ingress->second.m_Absent = m_Absent.insert(m_Absent.end(), Ingress->first);
+  }
   m_Links.erase(Found);
 }
 
@@ -95,22 +113,18 @@
   return Gone;
 }
 
-std::optional<Incarnation> LinkTable::dropOldest(const Incarnation &Keep) {
-  auto Oldest = m_Ingresses.end();
-  for (auto Each = m_Ingresses.begin(); Each != m_Ingresses.end(); ++Each) {
-    if (Each->second.m_Link || Each->first == Keep)
-      continue;
-    if (Oldest == m_Ingresses.end() ||
-        Each->second.m_PresentUntil < Oldest->second.m_PresentUntil)
-      Oldest = Each;
-  }
-  if (Oldest == m_Ingresses.end())
+std::optional<Incarnation> LinkTable::dropOldest() {
+  if (m_Absent.empty())
     return std::nullopt;
-  const Incarnation Dropped = Oldest->first;
-  const auto Host = m_Hosts.find(Oldest->second.m_Host);
+  const Incarnation Dropped = m_Absent.front();
+  m_Absent.pop_front();
+  const auto Record = m_Ingresses.find(Dropped);
+  const auto Host = m_Hosts.find(Record->second.m_Host);
   if (Host != m_Hosts.end() && Host->second == Dropped)
     m_Hosts.erase(Host);
-  m_Ingresses.erase(Oldest);
+  if (Record->second.m_Older)
+    m_Links.erase(*Record->second.m_Older);
+  m_Ingresses.erase(Record);
   return Dropped;
 }
 
--- a/src/core/gate/link_table.h
+++ b/src/core/gate/link_table.h
@@ -9,6 +9,7 @@
 #include "dandelionfall/core/traffic_message.h"
 
 #include <cstddef>
+#include <list>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -66,15 +67,25 @@
     std::string m_Host;
     Epoch m_Epoch = 0;
     std::optional<LinkId> m_Link;
+    /// Link replaced last; its late messages are still recognized, though
+    /// nobody may report its end.
+    std::optional<LinkId> m_Older;
     TimePoint m_PresentUntil;
+    /// Place among the ingresses without a current link.
+    std::optional<std::list<Incarnation>::iterator> m_Absent;
   };
 
-  std::optional<Incarnation> dropOldest(const Incarnation &Keep);
+  void makeCurrent(IngressRecord &Ingress, LinkId Link);
+  std::optional<Incarnation> dropOldest();
   std::optional<Incarnation> replaceHost(const TrafficHello &Message);
 
   std::unordered_map<LinkId, LinkRecord> m_Links;
+  /// How many of them are current.
+  std::size_t m_Current = 0;
   std::unordered_map<Incarnation, IngressRecord> m_Ingresses;
   std::unordered_map<std::string, Incarnation> m_Hosts;
+  /// Ingresses without a current link; the first one lost its link first.
+  std::list<Incarnation> m_Absent;
 };
 
 } // namespace dandelionfall::core::gate
--- a/tests/unit/gate_ledger_test.cpp
+++ b/tests/unit/gate_ledger_test.cpp
@@ -391,6 +391,31 @@
   CHECK(Harness.sent<Refusal>()[0].second.m_Reason == RefusalReason::QueueFull);
 }
 
+TEST_CASE("replaced links whose end nobody reports don't use up the links") {
+  constexpr std::size_t Count = gate::MaxLinks + 2;
+  GateHarness Harness;
+  for (std::uint64_t Number = 1; Number <= Count; ++Number)
+    Harness.hello(Number, Number);
+  CHECK(Harness.sent<TrafficWelcome>().size() == Count);
+  Harness.dispatch(Count, 1, Count);
+  CHECK(Harness.starts(1) == 1);
+}
+
+TEST_CASE("links and known ingresses are bounded") {
+  GateHarness Harness;
+  constexpr std::size_t Rounds = gate::MaxKnownIngresses + 5;
+  for (std::uint64_t Number = 1; Number <= Rounds; ++Number) {
+    Harness.hello(Number, 1, Number);
+    if (Number > 10)
+      Harness.closeLink(Number);
+  }
+  CHECK(Harness.sent<TrafficWelcome>().size() == Rounds);
+  Harness.takeAll();
+  for (std::uint64_t Number = 1; Number <= gate::MaxLinks; ++Number)
+    Harness.hello(Rounds + Number, 2, Rounds + Number);
+  CHECK(Harness.sent<TrafficWelcome>().size() == gate::MaxLinks - 10);
+}
+
 TEST_CASE("a ping is answered at once") {
   GateHarness Harness;
   Harness.hello(1, 1);
