--- a/src/core/gate/link_table.cpp
+++ b/src/core/gate/link_table.cpp
@@ -26,7 +26,7 @@
   m_Links[Link] = {Message.m_Ingress, Message.m_Epoch};
   Result.m_Gone = replaceHost(Message);
   if (m_Ingresses.size() > MaxKnownIngresses)
-    Result.m_Dropped = dropOldest(Message.m_Ingress);
+    Result.m_Dropped = dropOldest();
   return Result;
 }
 
@@ -34,6 +34,9 @@
   m_Current += Ingress.m_Link ? 0 : 1;
   if (!Ingress.m_Link) {
     Ingress.m_Link = Link;
+    if (Ingress.m_Absent)
+      m_Absent.erase(*Ingress.m_Absent);
+    Ingress.m_Absent.reset();
     return;
   }
   if (Ingress.m_Older)
@@ -49,6 +52,7 @@
   if (Ingress != m_Ingresses.end() && Ingress->second.m_Link == Link) {
     Ingress->second.m_Link.reset();
     --m_Current;
+    Ingress->second.m_Absent = m_Absent.insert(m_Absent.end(), Ingress->first);
   }
   m_Links.erase(Found);
 }
@@ -109,24 +113,18 @@
   return Gone;
 }
 
-std::optional<Incarnation> LinkTable::dropOldest(const Incarnation &Keep) {
-  auto Oldest = m_Ingresses.end();
-  for (auto Each = m_Ingresses.begin(); Each != m_Ingresses.end(); ++Each) {
-    if (Each->second.m_Link || Each->first == Keep)
-      continue;
-    if (Oldest == m_Ingresses.end() ||
-        Each->second.m_PresentUntil < Oldest->second.m_PresentUntil)
-      Oldest = Each;
-  }
-  if (Oldest == m_Ingresses.end())
+std::optional<Incarnation> LinkTable::dropOldest() {
+  if (m_Absent.empty())
     return std::nullopt;
-  const Incarnation Dropped = Oldest->first;
-  const auto Host = m_Hosts.find(Oldest->second.m_Host);
+  const Incarnation Dropped = m_Absent.front();
+  m_Absent.pop_front();
+  const auto Record = m_Ingresses.find(Dropped);
+  const auto Host = m_Hosts.find(Record->second.m_Host);
   if (Host != m_Hosts.end() && Host->second == Dropped)
     m_Hosts.erase(Host);
-  if (Oldest->second.m_Older)
-    m_Links.erase(*Oldest->second.m_Older);
-  m_Ingresses.erase(Oldest);
+  if (Record->second.m_Older)
+    m_Links.erase(*Record->second.m_Older);
+  m_Ingresses.erase(Record);
   return Dropped;
 }
 
