--- a/tests/unit/ingress_calls_test.cpp
+++ b/tests/unit/ingress_calls_test.cpp
@@ -196,6 +196,38 @@
   CHECK(Test.outcome(1) == CallOutcome::NotRun);
 }
 
+TEST_CASE("a request whose answer can't be back in time is not dispatched") {
+  IngressFixture Test;
+  ConfigurationBuilder OneTarget;
+  OneTarget.m_TargetZones = {"a"};
+  Test.configure(OneTarget);
+  Test.call(1, "POST");
+  const LinkId Link = Test.m_Opens.front().first;
+  Test.m_Silent = {Link};
+  Test.advance(200ms);
+  REQUIRE(Test.sent<TrafficPing>().size() == 1);
+  Test.advance(100ms);
+  Test.m_Silent.clear();
+  Test.reply({"gate1", Link, {}},
+             TrafficPong{Test.sent<TrafficPing>()[0].m_Sequence, 0, {}});
+  Test.call(2, "POST", 90ms);
+  CHECK(Test.m_Dispatches.size() == 1);
+  CHECK(Test.outcome(2) == CallOutcome::NotRun);
+  Test.call(3, "POST", 110ms);
+  REQUIRE(Test.m_Dispatches.size() == 2);
+  CHECK(Test.m_Dispatches[1].m_Message.m_Remaining == 10ms);
+}
+
+TEST_CASE("only a link newer than a try's own says that it never runs") {
+  IngressFixture Test;
+  Test.configure({});
+  Test.call(1, "POST");
+  Test.reply(first(Test),
+             InquiryReply{first(Test).m_Message.m_Id, LedgerState::NeverRuns});
+  CHECK(Test.m_Dispatches.size() == 1);
+  CHECK_FALSE(Test.outcome(1));
+}
+
 TEST_CASE("a try's answer counts only from its own gate and ingress") {
   IngressFixture Test;
   Test.configure({});
