--- a/include/dandelionfall/core/ingress.h
+++ b/include/dandelionfall/core/ingress.h
@@ -96,7 +96,9 @@
   void onLinkOpened(LinkId Link, TimePoint Now);
   /// Notes that a link broke or could not be opened.
   void onLinkClosed(LinkId Link, TimePoint Now);
-  /// Takes a gate's message.
+  /// Takes a gate's message. A whole answer or a refusal counts even if the
+  /// deadline has passed in the meantime, as long as the call is open. The time
+  /// must be read after the message, for the process may have slept.
   void onMessage(LinkId Link, const TrafficMessage &Message, TimePoint Now);
   /// Does what is due.
   void onTick(TimePoint Now);
--- a/src/core/ingress/limits.h
+++ b/src/core/ingress/limits.h
@@ -34,7 +34,8 @@
 constexpr Duration IdlePingInterval = std::chrono::seconds(5);
 /// Time without a pong after which a link counts as silent.
 constexpr Duration PongTimeout = std::chrono::milliseconds(300);
-/// Time without a pong after which other gates go first.
+/// Time without a pong, beyond two round trips, after which other gates go
+/// first.
 constexpr Duration LatePong = std::chrono::milliseconds(50);
 /// Shortest time that a timer is set ahead.
 constexpr Duration MinTimerStep = std::chrono::milliseconds(1);
--- a/src/core/ingress/router.cpp
+++ b/src/core/ingress/router.cpp
@@ -13,7 +13,8 @@
 enum Readiness : std::uint8_t { Linked, NotLinked, Suspect, ReadinessCount };
 
 Readiness readiness(const GatePeer &Peer, TimePoint Now) {
-  const bool PongIsLate = Peer.m_PongBy && Now > Peer.m_PingSentAt + LatePong;
+  const Duration PongTime = LatePong + 2 * Peer.m_Load.roundTrip();
+  const bool PongIsLate = Peer.m_PongBy && Now > Peer.m_PingSentAt + PongTime;
   if (Peer.m_FailedOpens > 0 || Now < Peer.m_PauseUntil || PongIsLate)
     return Suspect;
   return Peer.m_State == LinkState::Ready ? Linked : NotLinked;
--- a/tests/unit/ingress_routing_test.cpp
+++ b/tests/unit/ingress_routing_test.cpp
@@ -123,6 +123,21 @@
   CHECK(Opened.size() > 30);
 }
 
+TEST_CASE("a gate whose pong is late comes after the others") {
+  IngressFixture Test;
+  Test.configure({});
+  Test.call(1, "POST", 10s);
+  REQUIRE(Test.m_Dispatches[0].m_Gate == "gate1");
+  const LinkId Link = Test.m_Dispatches[0].m_Link;
+  Test.m_Silent = {Link};
+  Test.advance(245ms);
+  Test.call(2, "POST");
+  CHECK(Test.sent<Dispatch>(Link).size() == 2);
+  Test.advance(10ms);
+  Test.call(3, "POST");
+  CHECK(Test.sent<Dispatch>(Link).size() == 2);
+}
+
 TEST_CASE("of two targets the one with less load, latency and failures is "
           "chosen") {
   ingress::LoadView Base;
