--- /dev/null
+++ b/tests/unit/distribution_parts_test.cpp
@@ -0,0 +1,153 @@
+// Host list, change records and the bounded history.
+#include "core/distribution/change_log.h"
+#include "core/distribution/part_set.h"
+#include "core/distribution/snapshot_sender.h"
+#include "dandelionfall/core/error.h"
+#include "dandelionfall/core/host_list.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+using namespace dandelionfall::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+PartSetPtr makeSet(Version Number, const std::vector<int> &Values) {
+  PartMap Parts;
+  for (std::size_t Index = 0; Index < Values.size(); ++Index) {
+    if (Values[Index] == 0)
+      continue;
+    const std::string Name = "service/p" + std::to_string(Index);
+    Parts[Name] = makePart(Name, std::to_string(Values[Index]));
+  }
+  const VersionStamp Stamp = stampOf(Number, Parts);
+  return joinParts(Stamp, std::move(Parts));
+}
+
+} // namespace
+
+TEST_CASE("a change record leads from any known version to the newest") {
+  CHECK(rc::check([] {
+    const auto Steps = *rc::gen::container<std::vector<std::vector<int>>>(
+        rc::gen::container<std::vector<int>>(6, rc::gen::inRange(0, 4)));
+    std::vector<PartSetPtr> Sets = {makeSet(1, {})};
+    ChangeLog Log;
+    for (const std::vector<int> &Values : Steps) {
+      Sets.push_back(makeSet(Sets.size() + 1, Values));
+      Log.append(*Sets[Sets.size() - 2], *Sets.back());
+    }
+    for (std::size_t From = 0; From + 1 < Sets.size(); ++From) {
+      const auto Record = Log.changeSince(Sets[From]->m_Stamp, *Sets.back());
+      RC_ASSERT(Record.has_value());
+      const PartSetPtr Result = applyRecord(*Sets[From], *Record);
+      RC_ASSERT(Result->m_Stamp == Sets.back()->m_Stamp);
+      RC_ASSERT(Result->m_Parts.size() == Sets.back()->m_Parts.size());
+    }
+  }));
+}
+
+TEST_CASE("the history stays within its bytes") {
+  ChangeLog Log;
+  PartSetPtr Last = makeSet(1, {1});
+  for (Version Number = 2; Number < 10000; ++Number) {
+    const PartSetPtr Next =
+        makeSet(Number, {static_cast<int>(Number), 7, 7, 7});
+    Log.append(*Last, *Next);
+    Last = Next;
+  }
+  CHECK(Log.bytes() <= ChangeLog::MaxBytes);
+  CHECK_FALSE(Log.changeSince(makeSet(1, {1})->m_Stamp, *Last).has_value());
+}
+
+TEST_CASE("records that do not fit are refused") {
+  const PartSetPtr One = makeSet(1, {1, 1});
+  const PartSetPtr Two = makeSet(2, {1, 2});
+  ChangeLog Log;
+  Log.append(*One, *Two);
+  const ChangeRecord Good = *Log.changeSince(One->m_Stamp, *Two);
+  CHECK(applyRecord(*One, Good)->m_Stamp == Two->m_Stamp);
+  CHECK_THROWS_AS((void)applyRecord(*Two, Good), Error);
+  ChangeRecord Altered = Good;
+  Altered.m_Changed = {makePart("service/p1", "altered")};
+  CHECK_THROWS_AS((void)applyRecord(*One, Altered), Error);
+  ChangeRecord Short = Good;
+  Short.m_Changed.clear();
+  CHECK_THROWS_AS((void)applyRecord(*One, Short), Error);
+}
+
+TEST_CASE("a manifest that is laid out otherwise gets the same stamp") {
+  const PartSetPtr Set = makeSet(7, {1, 2});
+  std::string Text = "; a comment\n[parts]\n";
+  for (const auto &[Name, Value] : Set->m_Parts) {
+    const std::string Canonical = writeManifest(1, {{Name, Value->m_Digest}});
+    Text += Canonical.substr(Canonical.find(Name));
+  }
+  Text += "[manifest]\nparts = 2\nversion=7\n";
+  CHECK(readManifest(Text).m_Stamp != Set->m_Stamp);
+  CHECK(canonicalStamp(readManifest(Text)) == Set->m_Stamp);
+}
+
+TEST_CASE("host lists are read whole or not at all") {
+  struct Row {
+    std::string m_Text;
+    std::string m_Fault;
+  };
+  const std::string Host = "[host a]\nzone = z\naddress = 127.0.0.1:1\n";
+  const Row Rows[] = {
+      {"", "no revision"},
+      {"[hosts]\nrevision = 0\n", "no valid revision"},
+      {"[hosts]\nrevision = x\n", "no valid revision"},
+      {"[hosts]\nrevision = 1\nother = 2\n", "no other"},
+      {"[hosts]\nrevision = 1\n" + Host + Host, "duplicate section"},
+      {"[hosts]\nrevision = 1\n[host a]\nzone = z\n", "lacks"},
+      {"[hosts]\nrevision = 1\n" + Host + "state = gone\n", "unknown state"},
+      {"[hosts]\nrevision = 1\n" + Host + "port = 1\n", "unknown key"},
+      {"[hosts]\nrevision = 1\n[target a]\nzone = z\n", "unknown section"},
+  };
+  for (const Row &Each : Rows) {
+    CAPTURE(Each.m_Text);
+    std::string Message = "accepted";
+    try {
+      (void)readHostList(Each.m_Text);
+    } catch (const Error &Fault) {
+      Message = Fault.what();
+    }
+    CHECK(Message.find(Each.m_Fault) != std::string::npos);
+  }
+}
+
+TEST_CASE("a host list survives text and parts") {
+  HostList List;
+  List.m_Revision = 3;
+  List.m_Hosts = {{"a", "z1", "127.0.0.1:1", HostState::Live},
+                  {"b", "z2", "127.0.0.1:2", HostState::Leaving}};
+  CHECK(readHostList(writeHostList(List)) == List);
+  const PartMap Parts = toParts(List, {});
+  CHECK(fromParts(3, Parts, {}, {}) == List);
+  HostList Next = List;
+  Next.m_Revision = 4;
+  Next.m_Hosts[0].m_State = HostState::Leaving;
+  const PartMap Changed = toParts(Next, Parts);
+  CHECK(Changed.at("host/b") == Parts.at("host/b"));
+  CHECK(fromParts(4, Changed, List, Parts) == Next);
+  const PartMap Wrong = {{"host/c", Parts.at("host/a")}};
+  CHECK_THROWS_AS((void)fromParts(4, Wrong, {}, {}), Error);
+}
+
+TEST_CASE("the bulk allowance bounds the long run") {
+  constexpr std::size_t Piece = 1U << 20U;
+  BulkAllowance Allowance;
+  TimePoint Now{std::chrono::hours(1)};
+  const TimePoint End = Now + std::chrono::hours(2);
+  std::size_t Sent = 0;
+  for (; Now < End; Now += 1s)
+    Sent += Allowance.take(Piece, Now) ? Piece : 0U;
+  const double Seconds = 2 * 3600;
+  CHECK(static_cast<double>(Sent) <=
+        BulkAllowance::BurstBytes + Seconds * BulkAllowance::BytesPerSecond);
+  CHECK(Sent >= 5 * Piece);
+}
