Begin the cold start anew after a silent restart of the target

Cause: a target that restarts between two requests resets none, and the gate gave it its last limit; an abandoned request of unknown length held its slot for 10 ms only, so that a gate that woke from a freeze ran a third one beside two. Ruled out: health endpoints (they lag), and probing an idle target (a probe costs 6 ms of it). Conclusion: the cold start begins anew after 10 s without a request at the target, and when the driver reports a closed idle connection (Gate::onTargetConnectionClosed); without a known service time an abandoned request holds its slot for 1 s. unit.gate_ramp_test has a case for each.

--- a/include/dandelionfall/core/gate.h
+++ b/include/dandelionfall/core/gate.h
@@ -107,6 +107,9 @@
   /// Takes the end of a request without an answer.
   void onTargetFailure(const RequestId &Id, TargetFailure Kind,
                        const std::string &Detail, TimePoint Now);
+  /// Notes that the target closed a connection that carried no request, as when
+  /// it restarts between two requests; its cold start begins anew.
+  void onTargetConnectionClosed(TimePoint Now);
   /// Stops admitting; `GateDrained` follows once nothing admitted is left.
   void startDrain(TimePoint Now);
   /// Does what is due.
--- a/src/core/gate.cpp
+++ b/src/core/gate.cpp
@@ -39,6 +39,10 @@
   m_Impl->onTargetFailure(Id, Kind, Detail, Now);
 }
 
+void Gate::onTargetConnectionClosed(TimePoint Now) {
+  m_Impl->onTargetConnectionClosed(Now);
+}
+
 void Gate::startDrain(TimePoint Now) { m_Impl->startDrain(Now); }
 
 void Gate::onTick(TimePoint Now) { m_Impl->onTick(Now); }
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -41,6 +41,7 @@
                       TimePoint Now);
   void onTargetFailure(const RequestId &Id, TargetFailure Kind,
                        const std::string &Detail, TimePoint Now);
+  void onTargetConnectionClosed(TimePoint Now);
   void startDrain(TimePoint Now);
   void onTick(TimePoint Now);
   std::optional<TimePoint> nextWakeUp() const;
@@ -82,6 +83,7 @@
   void noteServiceTime(TimePoint Start, bool Whole, std::uint32_t Occupied,
                        TimePoint Now);
   void restartRamp(std::string_view Cause, TimePoint Now);
+  void restartRampIfRaised(std::string_view Cause, TimePoint Now);
   void refuseWaiting(const RefusalCause &Cause);
   void expire(TimePoint Now);
   void advance(TimePoint Now);
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -98,6 +98,8 @@
 Duration Engine::abandonedHold(TimePoint Now) const {
   // How long it ran says little of how much longer it takes.
   const ServiceTimeEstimate Expected = estimate(Now);
+  if (Expected.m_Mean == Duration{0})
+    return UnknownAbandonedHold;
   const Duration Left =
       Expected.m_Mean + AbandonedSpread * Expected.m_Deviation;
   return std::clamp(Left, MinAbandonedHold, MaxAbandonedHold);
@@ -133,7 +135,23 @@
                                      std::to_string(m_Ramp.limit()));
 }
 
+void Engine::restartRampIfRaised(std::string_view Cause, TimePoint Now) {
+  const std::uint32_t Before = m_Ramp.limit();
+  if (m_Ramp.restart(Now))
+    report(EventId::RampRestarted, "cause=" + std::string(Cause) + " limit=" +
+                                       std::to_string(m_Ramp.limit()) +
+                                       " before=" + std::to_string(Before));
+}
+
+void Engine::onTargetConnectionClosed(TimePoint Now) {
+  noteEvent(Now);
+  restartRampIfRaised("connection-closed", Now);
+}
+
 void Engine::startWaiting(TimePoint Now) {
+  // A target that nobody heard of for long may have restarted.
+  if (m_IdleSince && Now - *m_IdleSince >= MaxIdle && !m_Queue.empty())
+    restartRampIfRaised("idle", Now);
   if (m_HoldOff.remaining(Now) > Duration{0})
     return;
   const std::uint32_t Allowed = m_HoldOff.isProbing() ? 1 : m_Ramp.limit();
--- a/src/core/gate/limits.h
+++ b/src/core/gate/limits.h
@@ -37,6 +37,11 @@
 inline constexpr Duration ZoneOutGrace = std::chrono::seconds(1);
 /// Longest time that an abandoned request occupies its slot.
 inline constexpr Duration MaxAbandonedHold = std::chrono::seconds(5);
+/// Time that an abandoned request occupies its slot while no service time is
+/// known.
+inline constexpr Duration UnknownAbandonedHold = std::chrono::seconds(1);
+/// Time without a request at the target after which its cold start begins anew.
+inline constexpr Duration MaxIdle = std::chrono::seconds(10);
 /// Shortest time that an abandoned request occupies its slot.
 inline constexpr Duration MinAbandonedHold = std::chrono::milliseconds(10);
 
--- a/tests/unit/gate_ramp_test.cpp
+++ b/tests/unit/gate_ramp_test.cpp
@@ -117,6 +117,16 @@
          Settings.m_Zone = ZoneState::In;
          H.configure(Settings);
        }},
+      {"target closes an idle connection",
+       [](GateHarness &H, BusyTarget &) {
+         H.gate().onTargetConnectionClosed(H.now());
+         H.tick();
+       }},
+      {"target was idle for long",
+       [](GateHarness &H, BusyTarget &T) {
+         H.pass(std::chrono::seconds(11));
+         H.dispatch(1, T.next());
+       }},
       {"target is listed again",
        [](GateHarness &H, BusyTarget &) {
          GateSettings Settings = ColdTarget;
@@ -171,6 +181,19 @@
   }
 }
 
+TEST_CASE("an abandoned request of unknown length occupies its slot for long") {
+  GateHarness Harness({.m_Slots = 1, .m_ColdLimit = 1});
+  Harness.hello(1, 1);
+  Harness.dispatch(1, 1, 1, ms(5000));
+  Harness.message(1, Cancel{GateHarness::id(1)});
+  Harness.failure(1, TargetFailure::Abandoned);
+  Harness.dispatch(1, 2, 1, ms(5000));
+  Harness.pass(ms(900));
+  CHECK(Harness.starts(2) == 0);
+  Harness.pass(ms(200));
+  CHECK(Harness.starts(2) == 1);
+}
+
 TEST_CASE("refused connections hold work off with growing pauses") {
   GateHarness Harness(ColdTarget);
   Harness.hello(1, 1);
