--- a/tests/unit/gate_load_test.cpp
+++ b/tests/unit/gate_load_test.cpp
@@ -67,6 +67,19 @@
   CHECK(Harness.sent<Failure>().size() == 1);
 }
 
+TEST_CASE("a request that cannot finish any more is refused, not begun") {
+  GateHarness Harness({.m_Slots = 1, .m_ColdLimit = 1});
+  Harness.hello(1, 1);
+  Harness.warmUp(1, 100, 200, ms(100));
+  Harness.dispatch(1, 1, 1, ms(900));
+  Harness.dispatch(1, 2, 1, ms(250));
+  REQUIRE(Harness.sent<Refusal>().empty());
+  Harness.pass(ms(190));
+  Harness.answer(1);
+  CHECK(onlyRefusal(Harness) == RefusalReason::Overload);
+  CHECK(Harness.starts(2) == 0);
+}
+
 TEST_CASE("a cancelled request that waits never runs") {
   GateHarness Harness({.m_Slots = 1, .m_ColdLimit = 1});
   Harness.hello(1, 1);
