--- a/src/core/distribution/replication.cpp
+++ b/src/core/distribution/replication.cpp
@@ -94,12 +94,17 @@
     Pending->m_Stamp = Chunk.m_Stamp;
     Pending->m_NextChunk = 0;
     Pending->m_Parts.clear();
+    Pending->m_Bytes = 0;
   }
   if (Chunk.m_Stamp != Pending->m_Stamp ||
       Chunk.m_Index != Pending->m_NextChunk)
     return;
-  for (const PartPtr &Value : Chunk.m_Parts)
+  for (const PartPtr &Value : Chunk.m_Parts) {
     Pending->m_Parts[Value->m_Name] = Value;
+    Pending->m_Bytes += core::sizeOnLink(*Value);
+  }
+  if (Pending->m_Bytes > MaxVersionBytes)
+    return giveUp(Board, Chunk.m_Stream);
   ++Pending->m_NextChunk;
   Pending->m_Deadline = Board.m_Now + ChunkTimeout;
   if (Pending->m_NextChunk < Chunk.m_Count)
--- a/src/core/distribution/replication.h
+++ b/src/core/distribution/replication.h
@@ -19,6 +19,8 @@
   static constexpr Duration ReplyTimeout = std::chrono::milliseconds(400);
   /// Time between two chunks of a snapshot.
   static constexpr Duration ChunkTimeout = std::chrono::seconds(1);
+  /// Largest version that is taken from a peer, in bytes.
+  static constexpr std::size_t MaxVersionBytes = 32U << 20U;
   /// Time before the same peer is asked again after it did not deliver.
   static constexpr Duration AskAgainAfter = std::chrono::seconds(1);
 
@@ -42,6 +44,7 @@
     VersionStamp m_Stamp;
     std::uint32_t m_NextChunk = 0;
     PartMap m_Parts;
+    std::size_t m_Bytes = 0;
   };
 
   void announce(Blackboard &Board);
