--- a/src/core/ingress/router.cpp
+++ b/src/core/ingress/router.cpp
@@ -13,7 +13,8 @@
 enum Readiness : std::uint8_t { Linked, NotLinked, Suspect, ReadinessCount };
 
 Readiness readiness(const GatePeer &Peer, TimePoint Now) {
-  const bool PongIsLate = Peer.m_PongBy && Now > Peer.m_PingSentAt + LatePong;
+  const Duration PongTime = LatePong + 2 * Peer.m_Load.roundTrip();
+  const bool PongIsLate = Peer.m_PongBy && Now > Peer.m_PingSentAt + PongTime;
   if (Peer.m_FailedOpens > 0 || Now < Peer.m_PauseUntil || PongIsLate)
     return Suspect;
   return Peer.m_State == LinkState::Ready ? Linked : NotLinked;
@@ -32,6 +33,13 @@
                    Peer.m_Address) != Entry.m_Tried.end();
 }
 
+bool anyHasRoom(const Candidates &Group, const ChoiceContext &Context) {
+  return std::any_of(Group.begin(), Group.end(), [&](const Candidate *Next) {
+    const LoadView &View = Next->m_Peer->m_Load;
+    return View.load(Context.m_Now) < View.limit(Context.m_AssumedLimit);
+  });
+}
+
 } // namespace
 
 Router::Router(const IngressOptions &Options)
@@ -49,6 +57,12 @@
   }
   const ChoiceContext Context{View.m_Profile.m_ColdStartLimit, Now, m_Random,
                               m_Turn++};
+  // Links that are open go first only while a target behind them has room.
+  if (!anyHasRoom(Groups[Linked], Context)) {
+    Groups[NotLinked].insert(Groups[NotLinked].end(), Groups[Linked].begin(),
+                             Groups[Linked].end());
+    Groups[Linked].clear();
+  }
   for (const Candidates &Group : Groups) {
     if (!Group.empty())
       return m_Choice.choose(Group, Context);
--- a/tests/unit/ingress_routing_test.cpp
+++ b/tests/unit/ingress_routing_test.cpp
@@ -104,6 +104,40 @@
   CHECK(countByGate(Test)["gate1"] == 2);
 }
 
+TEST_CASE("ingresses open links ahead to different targets of a large service, "
+          "and to others once these are full") {
+  ConfigurationBuilder Builder;
+  Builder.m_TargetZones.assign(40, "a");
+  std::set<std::string> Opened;
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    IngressFixture Test({"h0", "a", {7, Seed}, Seed, "least-loaded-of-two"});
+    Test.configure(Builder);
+    Test.call(1, "POST");
+    CHECK(Test.m_Opens.size() <= 9);
+    for (const auto &[Link, Gate] : Test.m_Opens)
+      Opened.insert(Gate);
+    for (CallId Id = 2; Id <= 100; ++Id)
+      Test.call(Id, "POST");
+    CHECK(Test.m_Opens.size() > 9);
+  }
+  CHECK(Opened.size() > 30);
+}
+
+TEST_CASE("a gate whose pong is late comes after the others") {
+  IngressFixture Test;
+  Test.configure({});
+  Test.call(1, "POST", 10s);
+  REQUIRE(Test.m_Dispatches[0].m_Gate == "gate1");
+  const LinkId Link = Test.m_Dispatches[0].m_Link;
+  Test.m_Silent = {Link};
+  Test.advance(245ms);
+  Test.call(2, "POST");
+  CHECK(Test.sent<Dispatch>(Link).size() == 2);
+  Test.advance(10ms);
+  Test.call(3, "POST");
+  CHECK(Test.sent<Dispatch>(Link).size() == 2);
+}
+
 TEST_CASE("of two targets the one with less load, latency and failures is "
           "chosen") {
   ingress::LoadView Base;
