Refuse a host list that was cut off

The list now says its count, every host its state, addresses are checked, and the last line must end.

--- a/include/dandelionfall/core/host_list.h
+++ b/include/dandelionfall/core/host_list.h
@@ -37,11 +37,10 @@
 using HostListPtr = std::shared_ptr<const HostList>;
 
 /// Reads a host list.
-/// \param Text the list as published: `[hosts]` with `revision`, then a
-/// section `[host NAME]` with `zone`, `address` and `state` for each host.
-/// \returns the list.
-/// \throws Error of kind BadConfiguration for any fault; nothing of the list
-/// is used then.
+/// \param Text the list as published: `[hosts]` with `revision` and
+/// `count`, then a section `[host NAME]` with `zone`, `address` and `state` for
+/// each host. \returns the list. \throws Error of kind BadConfiguration for any
+/// fault; nothing of the list is used then.
 HostList readHostList(std::string_view Text);
 
 /// Writes a host list in the published form.
--- a/src/core/host_list.cpp
+++ b/src/core/host_list.cpp
@@ -1,9 +1,10 @@
 #include "dandelionfall/core/host_list.h"
 
 #include "dandelionfall/core/ini_document.h"
+#include "dandelionfall/core/ini_fields.h"
 
 #include <algorithm>
-#include <charconv>
+#include <utility>
 
 namespace dandelionfall::core {
 
@@ -12,32 +13,65 @@
 const std::string ListName = "hosts";
 constexpr std::string_view PartPrefix = "host/";
 
+const IniSource Source = {ErrorKind::BadConfiguration, ListName};
+
+// What the [hosts] section says.
+struct ListHead {
+  Version m_Revision = 0;
+  std::size_t m_Count = 0;
+};
+
+constexpr std::size_t MaxHosts = 100'000;
+
+constexpr KeyHandler<ListHead> HeadKeys[] = {
+    {"revision",
+     [](ListHead &Head, const IniEntry &Entry, const IniSource &From) {
+       Head.m_Revision = parseNumber<Version>(Entry, From, 1);
+     }},
+    {"count",
+     [](ListHead &Head, const IniEntry &Entry, const IniSource &From) {
+       Head.m_Count = parseNumber<std::size_t>(Entry, From, 0, MaxHosts);
+     }},
+};
+
+constexpr std::string_view HeadRequired[] = {"revision", "count"};
+
+constexpr NamedValue<HostState> States[] = {{"live", HostState::Live},
+                                            {"leaving", HostState::Leaving}};
+
+constexpr KeyHandler<HostEntry> HostKeys[] = {
+    {"zone",
+     [](HostEntry &Host, const IniEntry &Entry, const IniSource &From) {
+       Host.m_Zone = parseText(Entry, From);
+     }},
+    {"address",
+     [](HostEntry &Host, const IniEntry &Entry, const IniSource &From) {
+       Host.m_Address = parseAddress(Entry, From);
+     }},
+    {"state",
+     [](HostEntry &Host, const IniEntry &Entry, const IniSource &From) {
+       Host.m_State = parseName(Entry, From, States);
+     }},
+};
+
+// All are required: a list that was cut off must not pass as a shorter one.
+constexpr std::string_view HostRequired[] = {"zone", "address", "state"};
+
 [[noreturn]] void refuse(const std::string &Fault, const std::string &Remedy,
                          int Line) {
-  throw Error(ErrorKind::BadConfiguration, Fault, Remedy, {ListName, Line});
-}
-
-Version readRevision(const IniSection &Section) {
-  const IniEntry *Entry = Section.find("revision");
-  if (Entry == nullptr || Section.m_Entries.size() != 1)
-    refuse("[hosts] needs the key revision and no other",
-           "write revision = NUMBER", Section.m_Line);
-  Version Value = 0;
-  const char *End = Entry->m_Value.data() + Entry->m_Value.size();
-  const auto [Rest, Code] = std::from_chars(Entry->m_Value.data(), End, Value);
-  if (Code != std::errc() || Rest != End || Value == 0)
-    refuse("'" + Entry->m_Value + "' is no valid revision",
-           "write a whole number from 1", Entry->m_Line);
-  return Value;
+  throw Source.makeFault(Fault, Remedy, Line);
 }
 
-HostState readState(const IniEntry &Entry) {
-  if (Entry.m_Value == "live")
-    return HostState::Live;
-  if (Entry.m_Value == "leaving")
-    return HostState::Leaving;
-  refuse("unknown state '" + Entry.m_Value + "'", "write live or leaving",
-         Entry.m_Line);
+template <typename Value, std::size_t KeyCount, std::size_t RequiredCount>
+Value readWhole(Value Target, const IniSection &Section,
+                const KeyHandler<Value> (&Keys)[KeyCount],
+                const std::string_view (&Required)[RequiredCount]) {
+  FaultList Faults;
+  readEntries(Target, Section, Source, Keys, Faults);
+  requireKeys(Section, Source, Required, Faults);
+  if (!Faults.empty())
+    throw Faults.front();
+  return Target;
 }
 
 HostEntry readHost(const IniSection &Section) {
@@ -46,21 +80,7 @@
            "write [hosts] once and [host NAME] for each host", Section.m_Line);
   HostEntry Host;
   Host.m_Name = Section.m_Name;
-  for (const IniEntry &Entry : Section.m_Entries) {
-    if (Entry.m_Key == "zone")
-      Host.m_Zone = Entry.m_Value;
-    else if (Entry.m_Key == "address")
-      Host.m_Address = Entry.m_Value;
-    else if (Entry.m_Key == "state")
-      Host.m_State = readState(Entry);
-    else
-      refuse("unknown key '" + Entry.m_Key + "'",
-             "use one of: zone, address, state", Entry.m_Line);
-  }
-  if (Host.m_Zone.empty() || Host.m_Address.empty())
-    refuse("host " + Host.m_Name + " lacks its zone or address",
-           "write zone = NAME and address = IP:PORT", Section.m_Line);
-  return Host;
+  return readWhole(std::move(Host), Section, HostKeys, HostRequired);
 }
 
 std::string writeHost(const HostEntry &Host) {
@@ -91,25 +111,33 @@
 } // namespace
 
 HostList readHostList(std::string_view Text) {
+  if (!Text.empty() && Text.back() != '\n')
+    refuse("the list is cut off: its last line has no end",
+           "publish the whole list, with a line break at its end", 0);
   const IniDocument Document =
       parseIni(Text, ListName, ErrorKind::BadConfiguration);
+  ListHead Head;
   HostList List;
   for (const IniSection &Section : Document.m_Sections) {
-    if (Section.m_Type == "hosts") {
-      List.m_Revision = readRevision(Section);
-      continue;
-    }
-    List.m_Hosts.push_back(readHost(Section));
+    if (Section.m_Type == "hosts")
+      Head = readWhole(Head, Section, HeadKeys, HeadRequired);
+    else
+      List.m_Hosts.push_back(readHost(Section));
   }
-  if (List.m_Revision == 0)
+  if (Head.m_Revision == 0)
     refuse("no revision", "add a [hosts] section with revision = NUMBER", 0);
+  if (List.m_Hosts.size() != Head.m_Count)
+    refuse("the list has " + std::to_string(List.m_Hosts.size()) +
+               " hosts, but its count says " + std::to_string(Head.m_Count),
+           "publish the whole list, or mend count", 0);
+  List.m_Revision = Head.m_Revision;
   sortByName(List.m_Hosts);
   return List;
 }
 
 std::string writeHostList(const HostList &List) {
-  std::string Text =
-      "[hosts]\nrevision = " + std::to_string(List.m_Revision) + "\n";
+  std::string Text = "[hosts]\nrevision = " + std::to_string(List.m_Revision) +
+                     "\ncount = " + std::to_string(List.m_Hosts.size()) + "\n";
   for (const HostEntry &Host : List.m_Hosts)
     Text += writeHost(Host);
   return Text;
--- a/tests/standin/configuration_generator.cpp
+++ b/tests/standin/configuration_generator.cpp
@@ -116,7 +116,7 @@
 
 std::string formatHosts(const Sizes &Size, std::uint32_t Listed) {
   std::ostringstream Text;
-  Text << "[hosts]\nrevision = 1\n";
+  Text << "[hosts]\nrevision = 1\ncount = " << Listed << "\n";
   for (std::uint32_t Index = 0; Index < Listed; ++Index)
     Text << "[" << numbered("host host", Index + 1)
          << "]\nzone = " << zoneOf(Size, Index)
--- a/tests/standin/platform_service_test.cpp
+++ b/tests/standin/platform_service_test.cpp
@@ -157,7 +157,7 @@
   CHECK(Hosts->m_End == FakeEnd::None);
   Platform.admin("POST", "/admin/hosts", "[host h]\nzone = v4\n");
   CHECK(Hosts->m_Reply.m_Body ==
-        "[hosts]\nrevision = 2\n[host h]\nzone = v4\n");
+        "[hosts]\nrevision = 2\ncount = 1\n[host h]\nzone = v4\n");
   CHECK(Platform.counters()["waiting_watches"] == 0);
 }
 
--- a/tests/standin/published_store.cpp
+++ b/tests/standin/published_store.cpp
@@ -32,11 +32,20 @@
              : std::strtoull(Text.c_str() + Equals + 1, nullptr, 10);
 }
 
+std::size_t countHosts(const std::string &Text) {
+  constexpr std::string_view Title = "[host ";
+  std::size_t Count = 0;
+  for (std::size_t At = Text.find(Title); At != std::string::npos;
+       At = Text.find(Title, At + Title.size()))
+    ++Count;
+  return Count;
+}
+
 } // namespace
 
 PublishedStore::PublishedStore() {
   m_Versions.push_back(std::make_shared<const Snapshot>());
-  m_Hosts = {1, "[hosts]\nrevision = 1\n"};
+  m_Hosts = {1, "[hosts]\nrevision = 1\ncount = 0\n"};
 }
 
 void PublishedStore::load(const std::string &Directory) {
@@ -95,7 +104,7 @@
 void PublishedStore::setHosts(std::string Text) {
   if (Text.find("[hosts]") == std::string::npos)
     Text = "[hosts]\nrevision = " + std::to_string(m_Hosts.m_Revision + 1) +
-           "\n" + Text;
+           "\ncount = " + std::to_string(countHosts(Text)) + "\n" + Text;
   const std::uint64_t Revision = findRevision(Text);
   m_Hosts = {Revision, std::move(Text)};
 }
--- a/tests/unit/command_line_test.cpp
+++ b/tests/unit/command_line_test.cpp
@@ -53,7 +53,7 @@
   Files.write("zones", "[zone kalamaria]\nregion = gr-north\nstate = in\n");
   Files.write("profiles", "[profile board]\ndeadline_ms = 500\n");
   Files.write("service/slotboard", GoodService);
-  Files.write("hosts", "[hosts]\nrevision = 1\n[host host-1]\n"
+  Files.write("hosts", "[hosts]\nrevision = 1\ncount = 1\n[host host-1]\n"
                        "zone = kalamaria\naddress = 127.0.0.1:7101\n"
                        "state = live\n");
 }
@@ -190,8 +190,8 @@
        "zones:3: unknown state 'on'; use one of: in, out"},
       {"profiles", "[profile other]\ndeadline_ms = 500\n",
        "service/slotboard:2: profile 'board' is not defined; name"},
-      {"hosts", "[hosts]\nrevision = 1\n[host host-1]\nzonk = x\n",
-       "hosts:4: unknown key 'zonk'; use one of:"},
+      {"hosts", "[hosts]\nrevision = 1\ncount = 1\n[host host-1]\nzonk = x\n",
+       "hosts:5: unknown key 'zonk'; use one of:"},
       {"service/slotboard", std::string(GoodService) + "colour = red\n",
        "service/slotboard:10: unknown key 'colour'; use one of:"},
       {"manifest", "[manifest]\nversion = none\nparts = 0\n[parts]\n",
--- a/tests/unit/distribution_parts_test.cpp
+++ b/tests/unit/distribution_parts_test.cpp
@@ -96,17 +96,30 @@
     std::string m_Text;
     std::string m_Fault;
   };
-  const std::string Host = "[host a]\nzone = z\naddress = 127.0.0.1:1\n";
+  const std::string Head = "[hosts]\nrevision = 1\ncount = 1\n";
+  const std::string Host =
+      "[host a]\nzone = z\naddress = 127.0.0.1:1\nstate = live\n";
+  const std::string Bare = "[host a]\nzone = z\naddress = 127.0.0.1:1\n";
   const Row Rows[] = {
       {"", "no revision"},
-      {"[hosts]\nrevision = 0\n", "no valid revision"},
-      {"[hosts]\nrevision = x\n", "no valid revision"},
-      {"[hosts]\nrevision = 1\nother = 2\n", "no other"},
-      {"[hosts]\nrevision = 1\n" + Host + Host, "duplicate section"},
-      {"[hosts]\nrevision = 1\n[host a]\nzone = z\n", "lacks"},
-      {"[hosts]\nrevision = 1\n" + Host + "state = gone\n", "unknown state"},
-      {"[hosts]\nrevision = 1\n" + Host + "port = 1\n", "unknown key"},
-      {"[hosts]\nrevision = 1\n[target a]\nzone = z\n", "unknown section"},
+      {"[hosts]\nrevision = 0\ncount = 0\n", "no valid revision"},
+      {"[hosts]\nrevision = x\ncount = 0\n", "no valid revision"},
+      {"[hosts]\nrevision = 1\n", "lacks the key count"},
+      {"[hosts]\nrevision = 1\ncount = 2\n" + Host, "count"},
+      {Head + Host +
+           "[host b]\nzone = z\naddress = 127.0.0.1:2\n"
+           "state = live\n",
+       "count"},
+      {"[hosts]\nrevision = 1\ncount = 0\nother = 2\n", "unknown key"},
+      {Head + Host + Host, "duplicate section"},
+      {Head + "[host a]\nzone = z\n", "lacks"},
+      {Head + Bare, "lacks the key state"},
+      {Head + Bare + "state = gone\n", "unknown state"},
+      {Head + Host + "port = 1\n", "unknown key"},
+      {Head + "[host a]\nzone = z\naddress = here\nstate = live\n",
+       "no valid address"},
+      {Head + "[target a]\nzone = z\n", "unknown section"},
+      {Head + Host.substr(0, Host.size() - 1), "cut off"},
   };
   for (const Row &Each : Rows) {
     CAPTURE(Each.m_Text);
@@ -120,6 +133,19 @@
   }
 }
 
+TEST_CASE("a host list that was cut off at any length is refused") {
+  HostList List;
+  List.m_Revision = 12;
+  List.m_Hosts = {{"a", "z", "127.0.0.1:1001", HostState::Live},
+                  {"b", "z", "127.0.0.1:1002", HostState::Leaving}};
+  const std::string Whole = writeHostList(List);
+  REQUIRE(readHostList(Whole) == List);
+  for (std::size_t Length = 0; Length < Whole.size(); ++Length) {
+    CAPTURE(Length);
+    CHECK_THROWS_AS((void)readHostList(Whole.substr(0, Length)), Error);
+  }
+}
+
 TEST_CASE("a host list survives text and parts") {
   HostList List;
   List.m_Revision = 3;
