Name the ends of a try by what they mean

notRun, lose and letGo of the call table become endNotRun, endLost and detach; no change of behaviour (unit ingress_* 39 cases and contract requests 4 cases pass).

--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -63,7 +63,7 @@
   m_Calls.erase(Found);
   m_Deadlines.erase(Id);
   for (const TryNumber Number : Gone.m_Live)
-    letGo(m_Tries.at(Number), Gone.m_Deadline, Now);
+    detach(m_Tries.at(Number), Gone.m_Deadline, Now);
   m_Out.report(EventId::RequestSettled,
                "call=" + std::to_string(Id) + " outcome=caller-gone");
 }
@@ -84,7 +84,7 @@
     return send(Added, Now);
   Peer.m_Waiting.insert(Added.m_Id.m_Sequence);
   if (!m_Links.ensureOpen(Peer, Now))
-    notRun(Added.m_Id.m_Sequence, "no link to a gate can be opened", Now);
+    endNotRun(Added.m_Id.m_Sequence, "no link to a gate can be opened", Now);
 }
 
 void CallTable::send(Try &Current, TimePoint Now) {
@@ -93,7 +93,8 @@
   // The answer has to be back by the deadline.
   const Duration Remaining = Entry.m_Deadline - Now - Peer.m_Load.roundTrip();
   if (Remaining <= Duration{0})
-    return notRun(Current.m_Id.m_Sequence, "no time left to reach a gate", Now);
+    return endNotRun(Current.m_Id.m_Sequence, "no time left to reach a gate",
+                     Now);
   Current.m_Sent = true;
   Current.m_Gate = *Peer.m_Gate;
   Current.m_Link = Peer.m_Link;
@@ -198,13 +199,13 @@
   if (Outcome == CallOutcome::Unknown)
     m_Out.report(EventId::OutcomeUnknown, Fields + " fault=" + Detail);
   for (const TryNumber Number : Ended.m_Live)
-    letGo(m_Tries.at(Number), Ended.m_Deadline, Now);
+    detach(m_Tries.at(Number), Ended.m_Deadline, Now);
 }
 
 // Ends of tries.
 
-void CallTable::notRun(TryNumber Number, const std::string &Fault,
-                       TimePoint Now) {
+void CallTable::endNotRun(TryNumber Number, const std::string &Fault,
+                          TimePoint Now) {
   const CallId Id = m_Tries.at(Number).m_Call;
   endTry(Number);
   Call *Entry = findCall(Id);
@@ -214,8 +215,8 @@
   afterNotRun(*Entry, Now);
 }
 
-void CallTable::lose(TryNumber Number, const std::string &Fault,
-                     TimePoint Now) {
+void CallTable::endLost(TryNumber Number, const std::string &Fault,
+                        TimePoint Now) {
   const CallId Id = m_Tries.at(Number).m_Call;
   endTry(Number);
   Call *Entry = findCall(Id);
@@ -243,7 +244,7 @@
   m_Tries.erase(Found);
 }
 
-void CallTable::letGo(Try &Current, TimePoint Deadline, TimePoint Now) {
+void CallTable::detach(Try &Current, TimePoint Deadline, TimePoint Now) {
   const TryNumber Number = Current.m_Id.m_Sequence;
   GatePeer &Peer = *Current.m_Peer;
   Current.m_Call = 0;
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -72,8 +72,8 @@
   void afterLost(Call &Entry, TimePoint Now);
   bool retry(Call &Entry, TimePoint Now);
   void conclude(Call &Entry, TimePoint Now);
-  void notRun(TryNumber Number, const std::string &Fault, TimePoint Now);
-  void lose(TryNumber Number, const std::string &Fault, TimePoint Now);
+  void endNotRun(TryNumber Number, const std::string &Fault, TimePoint Now);
+  void endLost(TryNumber Number, const std::string &Fault, TimePoint Now);
   void timeOut(TryNumber Number, TimePoint Now);
   void finish(CallId Id, CallOutcome Outcome, HttpResponsePtr Response,
               const std::string &Detail, TimePoint Now);
@@ -84,7 +84,7 @@
                TimePoint Now);
   void endTry(TryNumber Number);
   void endOrphans(GatePeer &Peer);
-  void letGo(Try &Current, TimePoint Deadline, TimePoint Now);
+  void detach(Try &Current, TimePoint Deadline, TimePoint Now);
   void cancel(const Try &Current);
   bool hasUndisturbed(const Call &Entry) const;
   bool mayHaveRun(const Call &Entry) const;
--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -49,7 +49,7 @@
       (Entry->m_RetryAfter == Duration{0} ||
        Message.m_RetryAfter < Entry->m_RetryAfter))
     Entry->m_RetryAfter = Message.m_RetryAfter;
-  notRun(Message.m_Id.m_Sequence, "refused by the gate", Now);
+  endNotRun(Message.m_Id.m_Sequence, "refused by the gate", Now);
 }
 
 void CallTable::noteRefusal(GatePeer &Peer, const Refusal &Message,
@@ -78,7 +78,7 @@
   noteEnd(*Ended, Link, Message.m_Capacity, Now);
   if (!Ended->m_Cancelled && Ended->m_Call != 0)
     Peer.m_Load.noteResult(false);
-  lose(Message.m_Id.m_Sequence, Message.m_Detail, Now);
+  endLost(Message.m_Id.m_Sequence, Message.m_Detail, Now);
 }
 
 void CallTable::onInquiryReply(GatePeer &Peer, LinkId Link,
@@ -93,7 +93,7 @@
   }
   m_Links.settle(Peer, Message.m_Id, Now);
   m_Links.touch(Peer, Now);
-  notRun(Message.m_Id.m_Sequence, "the request was lost on the way", Now);
+  endNotRun(Message.m_Id.m_Sequence, "the request was lost on the way", Now);
 }
 
 void CallTable::noteEnd(const Try &Ended, LinkId Link, const Capacity &Load,
@@ -116,7 +116,7 @@
 void CallTable::onGateRestarted(GatePeer &Peer, TimePoint Now) {
   endOrphans(Peer);
   for (const TryNumber Number : copyOf(Peer.m_Sent))
-    lose(Number, "the gate restarted", Now);
+    endLost(Number, "the gate restarted", Now);
   Peer.m_Load.noteRestart();
 }
 
@@ -135,7 +135,7 @@
 
 void CallTable::onGateUnreachable(GatePeer &Peer, TimePoint Now) {
   for (const TryNumber Number : copyOf(Peer.m_Waiting))
-    notRun(Number, "no link to a gate can be opened", Now);
+    endNotRun(Number, "no link to a gate can be opened", Now);
   for (const TryNumber Number : copyOf(Peer.m_Sent)) {
     const auto Found = m_Tries.find(Number);
     if (Found == m_Tries.end() || Found->second.m_Hedged)
@@ -150,7 +150,7 @@
 void CallTable::onGateDead(GatePeer &Peer, TimePoint Now) {
   endOrphans(Peer);
   for (const TryNumber Number : copyOf(Peer.m_Sent))
-    lose(Number, "the gate takes no connection", Now);
+    endLost(Number, "the gate takes no connection", Now);
 }
 
 void CallTable::onConfiguration(TimePoint Now) {
@@ -164,7 +164,7 @@
     }
   }
   for (const TryNumber Number : Moved)
-    notRun(Number, "the gate was taken out", Now);
+    endNotRun(Number, "the gate was taken out", Now);
 }
 
 } // namespace dandelionfall::core::ingress
