Give targets of leaving hosts no new work

Cause: the platform's state 'leaving' chose neighbours but never reached traffic, so a leaving target got work until its own node was stopped.

--- a/include/dandelionfall/core/distribution.h
+++ b/include/dandelionfall/core/distribution.h
@@ -5,6 +5,7 @@
 
 #include "dandelionfall/core/control_message.h"
 #include "dandelionfall/core/event.h"
+#include "dandelionfall/core/host_list.h"
 #include "dandelionfall/core/time.h"
 
 #include <cstdint>
@@ -74,6 +75,11 @@
   ConfigurationPtr m_Configuration;
 };
 
+/// Puts a newer list of hosts in use.
+struct ApplyHostList {
+  HostListPtr m_List;
+};
+
 /// The node has the highest version that its peers hold and may serve.
 struct BecomeReady {
   friend bool operator==(const BecomeReady &, const BecomeReady &) = default;
@@ -82,7 +88,7 @@
 /// What the distribution asks its driver to do, in order.
 using DistributionCommand =
     std::variant<CallSource, OpenControlLink, CloseControlLink, SendControl,
-                 ApplyConfiguration, BecomeReady, Event>;
+                 ApplyConfiguration, ApplyHostList, BecomeReady, Event>;
 
 /// What the distribution is told about its node.
 struct DistributionOptions {
--- a/include/dandelionfall/core/gate.h
+++ b/include/dandelionfall/core/gate.h
@@ -96,6 +96,9 @@
 
   /// Takes a new version into force.
   void onConfiguration(ConfigurationPtr Config, TimePoint Now);
+  /// Notes whether the platform is about to take the gate's host away; new work
+  /// is refused then.
+  void onHostLeaving(bool Leaving, TimePoint Now);
   /// Takes any message of an ingress; the first one of a link must be a hello.
   /// The time must be read after the message, for the process may have slept.
   void onMessage(LinkId Link, const TrafficMessage &Message, TimePoint Now);
--- a/include/dandelionfall/core/host_list.h
+++ b/include/dandelionfall/core/host_list.h
@@ -6,7 +6,9 @@
 #include "dandelionfall/core/configuration_reader.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +35,9 @@
   friend bool operator==(const HostList &, const HostList &) = default;
 };
 
+/// Names of hosts.
+using HostNames = std::set<std::string, std::less<>>;
+
 /// Shared ownership of a list that never changes again.
 using HostListPtr = std::shared_ptr<const HostList>;
 
@@ -43,6 +48,11 @@
 /// fault; nothing of the list is used then.
 HostList readHostList(std::string_view Text);
 
+/// Finds the hosts that the platform is about to take away.
+/// \param List the list.
+/// \returns the names of the hosts in state Leaving.
+HostNames leavingHosts(const HostList &List);
+
 /// Writes a host list in the published form.
 /// \param List the list.
 /// \returns the text, the same for equal input.
--- a/include/dandelionfall/core/ingress.h
+++ b/include/dandelionfall/core/ingress.h
@@ -6,6 +6,7 @@
 
 #include "dandelionfall/core/event.h"
 #include "dandelionfall/core/gate.h"
+#include "dandelionfall/core/host_list.h"
 #include "dandelionfall/core/traffic_message.h"
 
 #include <cstdint>
@@ -83,6 +84,9 @@
 
   /// Takes a new version into force.
   void onConfiguration(ConfigurationPtr Config, TimePoint Now);
+  /// Takes the hosts that the platform is about to take away; their targets
+  /// get no new work.
+  void onLeavingHosts(HostNames Hosts, TimePoint Now);
   /// Takes a caller's request.
   /// \param Call the call's number.
   /// \param Request the request.
--- a/src/app/node/blackboard.h
+++ b/src/app/node/blackboard.h
@@ -8,6 +8,7 @@
 #include "dandelionfall/app/metrics.h"
 #include "dandelionfall/app/settings.h"
 #include "dandelionfall/core/configuration.h"
+#include "dandelionfall/core/host_list.h"
 #include "dandelionfall/core/identity.h"
 
 #include <tbb/concurrent_queue.h>
@@ -48,6 +49,7 @@
   Metrics m_Metrics;
   /// Written by the control thread.
   std::atomic<core::ConfigurationPtr> m_Configuration;
+  std::atomic<core::HostListPtr> m_Hosts;
   std::atomic<bool> m_Ready{false};
   std::atomic<bool> m_Draining{false};
   /// Written by the traffic thread.
--- a/src/app/node/control_driver.cpp
+++ b/src/app/node/control_driver.cpp
@@ -176,6 +176,11 @@
     m_Applied();
   }
 
+  void perform(const core::ApplyHostList &Command) {
+    m_Board.m_Hosts.store(Command.m_List);
+    m_Applied();
+  }
+
   void perform(const core::BecomeReady & /*Command*/) {
     m_Board.m_Ready.store(true);
     m_Board.m_Events.record({core::EventId::ProcessReady, ""});
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -133,6 +133,8 @@
   std::unordered_map<LinkId, LinkId> m_LocalToIngress;
   std::unordered_map<core::RequestId, net::ExchangeId> m_Exchanges;
   std::unordered_map<core::CallId, TimePoint> m_CallStarts;
+  /// Version that ingress and gate have taken.
+  core::ConfigurationPtr m_Applied;
   LinkId m_LastInbound = 0;
   bool m_Pumping = false;
   bool m_Draining = false;
@@ -174,10 +176,19 @@
 }
 
 void TrafficDriver::Impl::onConfiguration() {
-  const core::ConfigurationPtr Config = m_Board.m_Configuration.load();
   const TimePoint Now = monotonicNow();
-  m_Ingress.onConfiguration(Config, Now);
-  m_Gate.onConfiguration(Config, Now);
+  const core::ConfigurationPtr Config = m_Board.m_Configuration.load();
+  if (Config != nullptr && Config != m_Applied) {
+    m_Applied = Config;
+    m_Ingress.onConfiguration(Config, Now);
+    m_Gate.onConfiguration(Config, Now);
+  }
+  const core::HostListPtr Hosts = m_Board.m_Hosts.load();
+  if (Hosts != nullptr) {
+    core::HostNames Leaving = core::leavingHosts(*Hosts);
+    m_Gate.onHostLeaving(Leaving.contains(m_Board.m_Settings.m_Host), Now);
+    m_Ingress.onLeavingHosts(std::move(Leaving), Now);
+  }
   pump();
 }
 
--- a/src/app/node/traffic_driver.h
+++ b/src/app/node/traffic_driver.h
@@ -37,7 +37,7 @@
   TrafficDriver(const TrafficDriver &) = delete;
   TrafficDriver &operator=(const TrafficDriver &) = delete;
 
-  /// Takes the version on the blackboard into force.
+  /// Takes the version and the host list on the blackboard into force.
   void onConfiguration();
   /// Takes over a traffic link that another node opened.
   void onInboundLink(boost::asio::ip::tcp::socket Socket);
--- a/src/core/distribution/version_store.cpp
+++ b/src/core/distribution/version_store.cpp
@@ -77,6 +77,7 @@
                "revision=" + std::to_string(Offered.m_Stamp.m_Version) +
                    " hosts=" + std::to_string(Board.m_Hosts->m_Hosts.size()));
   setCandidates(Board, Board.m_Hosts);
+  Board.m_Commands.emplace_back(ApplyHostList{Board.m_Hosts});
 }
 
 using BuildFunction = void (*)(Blackboard &, const PartSet &);
--- a/src/core/gate.cpp
+++ b/src/core/gate.cpp
@@ -20,6 +20,10 @@
   m_Impl->onConfiguration(std::move(Config), Now);
 }
 
+void Gate::onHostLeaving(bool Leaving, TimePoint /*Now*/) {
+  m_Impl->onHostLeaving(Leaving);
+}
+
 void Gate::onMessage(LinkId Link, const TrafficMessage &Message,
                      TimePoint Now) {
   m_Impl->onMessage(Link, Message, Now);
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -35,6 +35,7 @@
   explicit Engine(GateOptions Options);
 
   void onConfiguration(ConfigurationPtr Config, TimePoint Now);
+  void onHostLeaving(bool Leaving) { m_HostLeaving = Leaving; }
   void onMessage(LinkId Link, const TrafficMessage &Message, TimePoint Now);
   void onLinkClosed(LinkId Link);
   void onTargetAnswer(const RequestId &Id, HttpResponsePtr Response,
@@ -127,6 +128,7 @@
   std::optional<TimePoint> m_IdleSince;
   std::optional<TimePoint> m_ZoneOutSince;
   std::optional<TimePoint> m_DrainUntil;
+  bool m_HostLeaving = false;
   bool m_Drained = false;
   TimePoint m_NextSweep;
   std::vector<GateCommand> m_Commands;
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -103,7 +103,7 @@
   if (m_Target == nullptr || Message.m_Target != m_Target->m_Name ||
       Message.m_Service != m_Service->m_Name)
     return RefusalCause{RefusalReason::UnknownTarget, Duration{0}};
-  if (m_DrainUntil)
+  if (m_DrainUntil || m_HostLeaving)
     return RefusalCause{RefusalReason::Draining, Duration{0}};
   if (isZoneOut())
     return RefusalCause{RefusalReason::ZoneOut, Duration{0}};
--- a/src/core/host_list.cpp
+++ b/src/core/host_list.cpp
@@ -135,6 +135,15 @@
   return List;
 }
 
+HostNames leavingHosts(const HostList &List) {
+  HostNames Names;
+  for (const HostEntry &Host : List.m_Hosts) {
+    if (Host.m_State == HostState::Leaving)
+      Names.insert(Host.m_Name);
+  }
+  return Names;
+}
+
 std::string writeHostList(const HostList &List) {
   std::string Text = "[hosts]\nrevision = " + std::to_string(List.m_Revision) +
                      "\ncount = " + std::to_string(List.m_Hosts.size()) + "\n";
--- a/src/core/ingress.cpp
+++ b/src/core/ingress.cpp
@@ -88,6 +88,12 @@
   m_Impl->m_Calls.onConfiguration(Now);
 }
 
+void Ingress::onLeavingHosts(HostNames Hosts, TimePoint Now) {
+  m_Impl->m_Calls.expire(Now);
+  if (m_Impl->m_Services.setLeaving(std::move(Hosts), Now))
+    m_Impl->m_Calls.onConfiguration(Now);
+}
+
 void Ingress::onCall(CallId Call, HttpRequestPtr Request,
                      std::optional<Duration> CallerDeadline, TimePoint Now) {
   m_Impl->m_Calls.expire(Now);
--- a/src/core/ingress/service_table.cpp
+++ b/src/core/ingress/service_table.cpp
@@ -19,6 +19,16 @@
   m_Links.forgetUnused(Now);
 }
 
+bool ServiceTable::setLeaving(HostNames Hosts, TimePoint Now) {
+  if (Hosts == m_Leaving)
+    return false;
+  m_Leaving = std::move(Hosts);
+  if (m_Config == nullptr)
+    return false;
+  setConfiguration(m_Config, Now);
+  return true;
+}
+
 ServiceView &ServiceTable::use(const std::string &Name, TimePoint Now) {
   const auto [Found, Added] = m_Views.try_emplace(Name);
   if (Added)
@@ -48,7 +58,7 @@
   View.m_Service = Found->second;
   View.m_Profile = m_Config->m_Profiles.at(View.m_Service->m_Profile);
   for (const Target &Next : View.m_Service->m_Targets) {
-    if (!isZoneIn(*m_Config, Next.m_Zone))
+    if (!isZoneIn(*m_Config, Next.m_Zone) || m_Leaving.contains(Next.m_Host))
       continue;
     View.m_Candidates.push_back(
         {&Next, &m_Links.peer(Next.m_GateAddress), distanceTo(Next.m_Zone)});
--- a/src/core/ingress/service_table.h
+++ b/src/core/ingress/service_table.h
@@ -36,6 +36,9 @@
   /// Takes a new version: services unused for long are forgotten, the others
   /// get its targets and profiles.
   void setConfiguration(ConfigurationPtr Config, TimePoint Now);
+  /// Takes the hosts whose targets get no new work.
+  /// \returns whether that changed the candidates of a service.
+  bool setLeaving(HostNames Hosts, TimePoint Now);
   /// \returns the version in force, or null.
   const Configuration *configuration() const { return m_Config.get(); }
   /// \returns the service of that name; it has no candidates if it is not
@@ -54,6 +57,7 @@
   const IngressOptions &m_Options;
   GateLinks &m_Links;
   ConfigurationPtr m_Config;
+  HostNames m_Leaving;
   std::map<std::string, ServiceView> m_Views;
 };
 
--- a/tests/system/failures.py
+++ b/tests/system/failures.py
@@ -26,7 +26,7 @@
 COLD_TARGETS = ["--cold_requests=40", "--cold_limit=2", "--collapse_factor=20"]
 
 SHORT = [("kill_third",), ("freeze",), ("silence",), ("source_stale",), ("bad_version",), ("zone_out",),
-         ("target_reset",), ("planned_stop",), ("zone_race", "kill_third"), ("cut", "source_down"),
+         ("target_reset",), ("leaving_host",), ("planned_stop",), ("zone_race", "kill_third"), ("cut", "source_down"),
          ("silence", "target_reset")]
 
 
@@ -60,7 +60,7 @@
     breaches += [f"{key} applied a version that was not higher" for key in context.observer.steps_back()]
     breaches += [f"{name} was given more than it can bear: {text}" for name, text in overloaded(counters)]
     if context.late_runs:
-        breaches.append(f"{context.late_runs} runs in an availability zone that was out for 3 s")
+        breaches.append(f"{context.late_runs} runs where nothing new may run after 3 s")
     late = late_answers(calls, context.frozen)
     if late:
         breaches.append(f"{len(late)} callers were answered late")
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -151,6 +151,19 @@
     yield 0.5
 
 
+def leaving_host(context):
+    """The platform lists a host as leaving; its target may get nothing new after three seconds."""
+    fleet = context.fleet
+    node = some_nodes(context, 1)[0]
+    fleet.platform.set_leaving(node.host, True)
+    yield 3.0
+    before = fleet.targets[node.target_name].counters()["runs"]
+    yield 1.5
+    context.late_runs += fleet.targets[node.target_name].counters()["runs"] - before
+    fleet.platform.set_leaving(node.host, False)
+    yield 0.5
+
+
 def planned_stop(context):
     """A node is asked to stop and is started again; no call may be cut."""
     node = some_nodes(context, 1)[0]
@@ -166,7 +179,7 @@
 
 FAULTS = {fault.__name__: fault for fault in (
     kill_third, kill_all, freeze, silence, cut, source_down, source_stale, crossing, bad_version, zone_race,
-    zone_out, target_reset, target_cold, target_silent, planned_stop)}
+    zone_out, target_reset, target_cold, target_silent, leaving_host, planned_stop)}
 
 
 def run_together(context, names):
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import fcntl
 import http.client
+import io
 import json
 import os
 import pathlib
@@ -184,6 +185,16 @@
     def read(self, part):
         return http_call(self.address, "GET", f"/part/{part}")[2].decode()
 
+    def set_leaving(self, host, leaving):
+        """Publishes a revision of the host list in which a host is leaving or live."""
+        parser = configparser.ConfigParser(strict=False)
+        parser.read_string(http_call(self.address, "GET", "/hosts")[2].decode())
+        parser["hosts"]["revision"] = str(int(parser["hosts"]["revision"]) + 1)
+        parser[f"host {host}"]["state"] = "leaving" if leaving else "live"
+        text = io.StringIO()
+        parser.write(text)
+        http_call(self.admin, "POST", "/admin/hosts", body=text.getvalue())
+
     def set_zone(self, zone, state):
         """Publishes a version in which an availability zone is in or out."""
         lines = []
--- a/tests/unit/gate_harness.h
+++ b/tests/unit/gate_harness.h
@@ -99,6 +99,11 @@
     collect();
   }
 
+  void setHostLeaving(bool Leaving) {
+    m_Gate.onHostLeaving(Leaving, m_Now);
+    collect();
+  }
+
   void closeLink(LinkId Link) {
     m_Gate.onLinkClosed(Link, m_Now);
     collect();
--- a/tests/unit/gate_load_test.cpp
+++ b/tests/unit/gate_load_test.cpp
@@ -224,6 +224,21 @@
   CHECK(Harness.starts(5) == 1);
 }
 
+TEST_CASE("a gate whose host leaves refuses new work and finishes the rest") {
+  GateHarness Harness;
+  Harness.hello(1, 1);
+  Harness.dispatch(1, 1);
+  Harness.setHostLeaving(true);
+  Harness.dispatch(1, 2);
+  CHECK(onlyRefusal(Harness) == RefusalReason::Draining);
+  CHECK(Harness.starts(2) == 0);
+  Harness.answer(1);
+  CHECK(Harness.sent<Answer>().size() == 1);
+  Harness.setHostLeaving(false);
+  Harness.dispatch(1, 3);
+  CHECK(Harness.starts(3) == 1);
+}
+
 TEST_CASE("a newer version of an ingress is reported once") {
   GateHarness Harness;
   Harness.hello(1, 1);
--- a/tests/unit/ingress_routing_test.cpp
+++ b/tests/unit/ingress_routing_test.cpp
@@ -77,6 +77,20 @@
   CHECK(countByGate(Test)["gate1"] == 0);
 }
 
+TEST_CASE("targets of leaving hosts get nothing new") {
+  IngressFixture Test;
+  Test.configure({});
+  Test.m_Ingress.onLeavingHosts({"h1"}, Test.m_Now);
+  for (CallId Id = 1; Id < 50; ++Id)
+    Test.call(Id, "POST");
+  CHECK(countByGate(Test)["gate1"] == 0);
+  CHECK(Test.m_Dispatches.size() == 49);
+  Test.m_Ingress.onLeavingHosts({}, Test.m_Now);
+  for (CallId Id = 50; Id < 100; ++Id)
+    Test.call(Id, "POST");
+  CHECK(countByGate(Test)["gate1"] > 0);
+}
+
 TEST_CASE("a gate that knows its availability zone is out is left alone until "
           "the version is here") {
   IngressFixture Test;
