End waiting exchanges in time and take no stray bytes for an answer

Cause, each found by a case of tests/unit/http_client_test.cpp that failed first: an exchange in the client's queue was looked at only when a connection became free, so it ended late and as TimedOut, and its request was even sent after its time; bytes after an answer stayed in the connection's buffer and were handed to the next request as its answer; a stated length above the limit was accepted, since the library holds only chunked bodies to it; 101 was read as informational.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -29,17 +29,38 @@
 
 constexpr std::chrono::seconds SweepInterval{1};
 
+using Parser = http::response_parser<http::string_body>;
+
 bool isInformational(unsigned Status) {
   constexpr unsigned FirstFinal = 200;
   return Status < FirstFinal;
 }
 
+// Looks at a response's header before any of its body is read.
+std::optional<std::string> findFault(const Parser &Response, bool ToHead,
+                                     std::uint64_t MaxBodyBytes) {
+  if (Response.get().result() == http::status::switching_protocols)
+    return "the response switches protocols";
+  if (isInformational(Response.get().result_int()) || ToHead)
+    return std::nullopt;
+  // Without a length the end of the stream may be a cut-off answer.
+  if (Response.need_eof())
+    return "the response has no stated length";
+  // The library does not hold a stated length to the limit.
+  const auto Length = Response.content_length();
+  if (Length.has_value() && *Length > MaxBodyBytes)
+    return "the response is larger than " + std::to_string(MaxBodyBytes) +
+           " bytes";
+  return std::nullopt;
+}
+
 } // namespace
 
 class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
 public:
   Impl(boost::asio::io_context &Context, HttpClientOptions Options)
-      : m_Context(Context), m_Sweep(Context), m_Options(std::move(Options)),
+      : m_Context(Context), m_Sweep(Context), m_QueueTimer(Context),
+        m_Options(std::move(Options)),
         m_Endpoint(parseEndpoint(m_Options.m_Address)) {}
 
   class Connection;
@@ -63,10 +84,15 @@
   void release(const ConnectionPtr &Free);
   void forget(const ConnectionPtr &Gone);
   void startQueued();
-  void finish(Exchange &Ended, HttpResult Result);
+  ConnectionPtr takeOrOpen(bool Idempotent);
+  void armQueueTimer();
+  void endWaiting();
+  void postNotSent(Exchange Ended, const std::string &Detail);
+  void finish(Exchange &Ended, const HttpResult &Result);
 
   boost::asio::io_context &m_Context;
   boost::asio::steady_timer m_Sweep;
+  boost::asio::steady_timer m_QueueTimer;
   HttpClientOptions m_Options;
   tcp::endpoint m_Endpoint;
   std::vector<ConnectionPtr> m_Open;
@@ -134,6 +160,8 @@
       return;
     if (Code)
       return abort(HttpExchange::NotSent, "connect: " + Code.message());
+    if (Clock::now() >= m_Exchange->m_Deadline)
+      return abort(HttpExchange::NotSent, "timed out");
     m_Connected = true;
     m_Socket.set_option(tcp::no_delay(true), Code);
     startTimer(m_Exchange->m_Deadline, HttpExchange::TimedOut);
@@ -175,27 +203,44 @@
     m_Parser->body_limit(m_Owner->m_Options.m_MaxBodyBytes);
     if (m_Exchange->m_ToHead)
       m_Parser->skip(true);
-    http::async_read(m_Socket, m_Buffer, *m_Parser,
-                     [Self = shared_from_this()](error_code Code, std::size_t) {
-                       Self->onRead(Code);
-                     });
+    http::async_read_header(
+        m_Socket, m_Buffer, *m_Parser,
+        [Self = shared_from_this()](error_code Code, std::size_t) {
+          Self->onHeader(Code);
+        });
   }
 
-  void onRead(error_code Code) {
+  void onHeader(error_code Code) {
     if (!m_Exchange.has_value())
       return;
     if (Code)
-      return finish({readEnd(Code), nullptr, "read: " + Code.message()}, false);
+      return failRead(Code);
+    if (auto Fault = findFault(*m_Parser, m_Exchange->m_ToHead,
+                               m_Owner->m_Options.m_MaxBodyBytes))
+      return finish({HttpExchange::Malformed, nullptr, std::move(*Fault)},
+                    false);
     if (isInformational(m_Parser->get().result_int()))
       return read();
-    // Without a length the end of the stream may be a cut-off answer.
-    if (m_Parser->need_eof() && !m_Exchange->m_ToHead)
-      return finish({HttpExchange::Malformed, nullptr,
-                     "the response has no stated length"},
-                    false);
-    const bool KeepAlive = m_Parser->get().keep_alive();
+    http::async_read(
+        m_Socket, m_Buffer, *m_Parser,
+        [Self = shared_from_this()](error_code BodyCode, std::size_t) {
+          Self->onRead(BodyCode);
+        });
+  }
+
+  void onRead(error_code Code) {
+    if (!m_Exchange.has_value())
+      return;
+    if (Code)
+      return failRead(Code);
+    // Bytes after the answer would be taken for the next request's answer.
+    const bool Reusable = m_Parser->get().keep_alive() && m_Buffer.size() == 0;
     finish({HttpExchange::Answered, toPlain(m_Parser->release()), ""},
-           KeepAlive);
+           Reusable);
+  }
+
+  void failRead(error_code Code) {
+    finish({readEnd(Code), nullptr, "read: " + Code.message()}, false);
   }
 
   static HttpExchange readEnd(error_code Code) {
@@ -207,7 +252,7 @@
     return Protocol ? HttpExchange::Malformed : HttpExchange::Reset;
   }
 
-  void finish(HttpResult Result, bool Reusable) {
+  void finish(const HttpResult &Result, bool Reusable) {
     if (!m_Exchange.has_value())
       return;
     const auto Self = shared_from_this();
@@ -222,7 +267,7 @@
       close();
       m_Owner->forget(Self);
     }
-    m_Owner->finish(Ended, std::move(Result));
+    m_Owner->finish(Ended, Result);
     m_Owner->startQueued();
   }
 
@@ -230,7 +275,7 @@
   tcp::socket m_Socket;
   boost::asio::steady_timer m_Timer;
   boost::beast::flat_buffer m_Buffer;
-  std::optional<http::response_parser<http::string_body>> m_Parser;
+  std::optional<Parser> m_Parser;
   std::optional<Exchange> m_Exchange;
   Clock::time_point m_LastResponse;
   std::uint64_t m_TimerNumber = 0;
@@ -255,30 +300,80 @@
 
 void HttpClient::Impl::startQueued() {
   while (!m_Queue.empty() && !m_Stopped) {
-    ConnectionPtr Chosen = takeIdle(m_Queue.front().m_Idempotent);
-    if (Chosen == nullptr) {
-      if (m_Open.size() >= m_Options.m_MaxConnections && m_Idle.empty())
-        return;
-      // An idle connection that may not carry the request makes room.
-      if (m_Open.size() >= m_Options.m_MaxConnections) {
-        const ConnectionPtr Old = m_Idle.front();
-        m_Idle.erase(m_Idle.begin());
-        Old->close();
-        forget(Old);
-      }
-      Chosen = std::make_shared<Connection>(shared_from_this());
-      m_Open.push_back(Chosen);
+    ConnectionPtr Chosen;
+    const bool HasTime = Clock::now() < m_Queue.front().m_Deadline;
+    if (HasTime) {
+      Chosen = takeOrOpen(m_Queue.front().m_Idempotent);
+      if (Chosen == nullptr)
+        break;
     }
     Exchange Next = std::move(m_Queue.front());
     m_Queue.pop_front();
+    if (!HasTime) {
+      postNotSent(std::move(Next), "timed out before it was sent");
+      continue;
+    }
     m_Running.emplace(Next.m_Id, Chosen);
     Chosen->run(std::move(Next));
   }
+  armQueueTimer();
+}
+
+// Null means that every connection is busy.
+HttpClient::Impl::ConnectionPtr HttpClient::Impl::takeOrOpen(bool Idempotent) {
+  if (ConnectionPtr Kept = takeIdle(Idempotent))
+    return Kept;
+  if (m_Open.size() >= m_Options.m_MaxConnections) {
+    if (m_Idle.empty())
+      return nullptr;
+    // An idle connection that may not carry the request makes room.
+    const ConnectionPtr Old = m_Idle.front();
+    m_Idle.erase(m_Idle.begin());
+    Old->close();
+    forget(Old);
+  }
+  m_Open.push_back(std::make_shared<Connection>(shared_from_this()));
+  return m_Open.back();
+}
+
+void HttpClient::Impl::armQueueTimer() {
+  if (m_Queue.empty() || m_Stopped) {
+    m_QueueTimer.cancel();
+    return;
+  }
+  const auto First =
+      std::min_element(m_Queue.begin(), m_Queue.end(),
+                       [](const Exchange &Left, const Exchange &Right) {
+                         return Left.m_Deadline < Right.m_Deadline;
+                       });
+  m_QueueTimer.expires_at(First->m_Deadline);
+  m_QueueTimer.async_wait([Self = shared_from_this()](error_code Code) {
+    if (!Code)
+      Self->endWaiting();
+  });
+}
+
+void HttpClient::Impl::endWaiting() {
+  const auto Now = Clock::now();
+  const auto Late = std::stable_partition(
+      m_Queue.begin(), m_Queue.end(),
+      [Now](const Exchange &Each) { return Now < Each.m_Deadline; });
+  for (auto Each = Late; Each != m_Queue.end(); ++Each)
+    postNotSent(std::move(*Each), "timed out before a connection was free");
+  m_Queue.erase(Late, m_Queue.end());
+  armQueueTimer();
+}
+
+void HttpClient::Impl::postNotSent(Exchange Ended, const std::string &Detail) {
+  auto Kept = std::make_shared<Exchange>(std::move(Ended));
+  boost::asio::post(m_Context, [Self = shared_from_this(), Kept, Detail] {
+    Self->finish(*Kept, {HttpExchange::NotSent, nullptr, Detail});
+  });
 }
 
 HttpClient::Impl::ConnectionPtr HttpClient::Impl::takeIdle(bool Idempotent) {
   while (!m_Idle.empty()) {
-    const ConnectionPtr Youngest = m_Idle.back();
+    ConnectionPtr Youngest = m_Idle.back();
     if (!Idempotent && !Youngest->isYounger(m_Options.m_TrustedIdle))
       return nullptr;
     m_Idle.pop_back();
@@ -298,7 +393,7 @@
   m_Open.erase(std::remove(m_Open.begin(), m_Open.end(), Gone), m_Open.end());
 }
 
-void HttpClient::Impl::finish(Exchange &Ended, HttpResult Result) {
+void HttpClient::Impl::finish(Exchange &Ended, const HttpResult &Result) {
   if (m_Stopped)
     return;
   Ended.m_Done(Result);
@@ -319,11 +414,9 @@
                    [Id](const Exchange &Each) { return Each.m_Id == Id; });
   if (Waiting == m_Queue.end())
     return;
-  auto Ended = std::make_shared<Exchange>(std::move(*Waiting));
+  postNotSent(std::move(*Waiting), "cancelled");
   m_Queue.erase(Waiting);
-  boost::asio::post(m_Context, [Self = shared_from_this(), Ended] {
-    Self->finish(*Ended, {HttpExchange::NotSent, nullptr, "cancelled"});
-  });
+  armQueueTimer();
 }
 
 void HttpClient::Impl::sweep() {
@@ -346,6 +439,7 @@
 void HttpClient::Impl::stop() {
   m_Stopped = true;
   m_Sweep.cancel();
+  m_QueueTimer.cancel();
   m_Queue.clear();
   m_Idle.clear();
   for (const ConnectionPtr &Each : std::exchange(m_Open, {}))
--- /dev/null
+++ b/tests/unit/http_client_test.cpp
@@ -0,0 +1,341 @@
+#include "dandelionfall/net/address.h"
+#include "dandelionfall/net/http_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <list>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <vector>
+
+using namespace dandelionfall;
+using boost::asio::ip::tcp;
+using net::HttpExchange;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::chrono::seconds Patience{3};
+constexpr milliseconds Quick{150};
+
+std::string textOf(const tcp::endpoint &Endpoint) {
+  std::ostringstream Text;
+  Text << Endpoint;
+  return Text.str();
+}
+
+enum class Then : std::uint8_t { Keep, Close, Break };
+
+/// A target that counts whole request headers and answers by a script, and a
+/// client of it.
+class Fixture {
+public:
+  explicit Fixture(net::HttpClientOptions Options = {})
+      : m_Acceptor(m_Context, net::parseEndpoint("127.0.0.1:0")) {
+    Options.m_Address = textOf(m_Acceptor.local_endpoint());
+    m_Client.emplace(m_Context, Options);
+    accept();
+  }
+
+  net::ExchangeId send(bool Idempotent = false, milliseconds Timeout = Patience,
+                       const std::string &Method = "GET") {
+    core::HttpRequest Request;
+    Request.m_Method = Method;
+    Request.m_Path = "/";
+    const std::size_t Place = m_Results.size();
+    m_Results.emplace_back();
+    return m_Client->send(Request, Timeout, Idempotent,
+                          [this, Place](const net::HttpResult &Result) {
+                            CHECK_FALSE(m_Results[Place].has_value());
+                            m_Results[Place] = Result;
+                          });
+  }
+
+  void runUntil(const std::function<bool()> &Done) {
+    const auto Limit = std::chrono::steady_clock::now() + Patience;
+    while (!Done() && std::chrono::steady_clock::now() < Limit)
+      m_Context.run_for(milliseconds(5));
+  }
+
+  void runFor(milliseconds Time) { m_Context.run_for(Time); }
+
+  /// \returns the result of the exchange that was sent last.
+  net::HttpResult last() {
+    runUntil([this] { return m_Results.back().has_value(); });
+    REQUIRE(m_Results.back().has_value());
+    return *m_Results.back();
+  }
+
+  void end(tcp::socket &Peer, Then Next) {
+    boost::system::error_code Ignored;
+    if (Next == Then::Keep)
+      return;
+    if (Next == Then::Break)
+      Peer.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+    Peer.close(Ignored);
+  }
+
+  boost::asio::io_context m_Context;
+  tcp::acceptor m_Acceptor;
+  std::optional<net::HttpClient> m_Client;
+  std::vector<std::optional<net::HttpResult>> m_Results;
+  std::list<tcp::socket> m_Peers;
+  std::string m_Answer;
+  Then m_Then = Then::Keep;
+  std::size_t m_Requests = 0;
+
+private:
+  void accept() {
+    m_Acceptor.async_accept(
+        [this](boost::system::error_code Code, tcp::socket Peer) {
+          if (Code)
+            return;
+          m_Peers.push_back(std::move(Peer));
+          serve(m_Peers.back());
+          accept();
+        });
+  }
+
+  void serve(tcp::socket &Peer) {
+    const auto Input = std::make_shared<std::string>();
+    boost::asio::async_read_until(
+        Peer, boost::asio::dynamic_buffer(*Input), "\r\n\r\n",
+        [this, &Peer, Input](boost::system::error_code Code, std::size_t) {
+          if (Code)
+            return;
+          ++m_Requests;
+          boost::asio::write(Peer, boost::asio::buffer(m_Answer));
+          end(Peer, m_Then);
+          if (m_Then == Then::Keep)
+            serve(Peer);
+        });
+  }
+};
+
+const std::string Whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+const std::string Half = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi";
+const std::string Chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n";
+
+struct AnswerCase {
+  std::string m_Name;
+  std::string m_Answer;
+  Then m_Then;
+  HttpExchange m_End;
+  std::uint32_t m_Status;
+  const char *m_Method;
+};
+
+std::vector<AnswerCase> answerCases() {
+  using enum Then;
+  using enum HttpExchange;
+  const std::string Big(2000, 'x');
+  return {
+      {"whole", Whole, Keep, Answered, 200, "GET"},
+      {"whole, then closed", Whole, Close, Answered, 200, "GET"},
+      {"half, then closed", Half, Close, Reset, 0, "GET"},
+      {"half, then reset", Half, Then::Break, Reset, 0, "GET"},
+      {"half, then silent", Half, Keep, TimedOut, 0, "GET"},
+      {"half a header, then closed", "HTTP/1.1 200 OK\r\nCont", Close, Reset, 0,
+       "GET"},
+      {"nothing, then closed", "", Close, Reset, 0, "GET"},
+      {"nothing, then reset", "", Then::Break, Reset, 0, "GET"},
+      {"silent", "", Keep, TimedOut, 0, "GET"},
+      {"no length", "HTTP/1.1 200 OK\r\n\r\nhi", Close, Malformed, 0, "GET"},
+      {"chunked", Chunked + "0\r\n\r\n", Keep, Answered, 200, "GET"},
+      {"chunked, cut", Chunked, Close, Reset, 0, "GET"},
+      {"chunked, bad size", Chunked + "zz\r\n", Keep, Malformed, 0, "GET"},
+      {"large", "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + Big, Keep,
+       Malformed, 0, "GET"},
+      {"large, chunked",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + Big +
+           "\r\n0\r\n\r\n",
+       Keep, Malformed, 0, "GET"},
+      {"length and chunks",
+       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n"
+       "\r\n0\r\n\r\n",
+       Keep, Malformed, 0, "GET"},
+      {"garbage", "what is this\r\n\r\n", Keep, Malformed, 0, "GET"},
+      {"continue, then whole", "HTTP/1.1 100 Continue\r\n\r\n" + Whole, Keep,
+       Answered, 200, "GET"},
+      {"continue, then closed", "HTTP/1.1 100 Continue\r\n\r\n", Close, Reset,
+       0, "GET"},
+      {"other protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + Whole,
+       Keep, Malformed, 0, "GET"},
+      {"head with a length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
+       Keep, Answered, 200, "HEAD"},
+      {"head without a length", "HTTP/1.1 200 OK\r\n\r\n", Keep, Answered, 200,
+       "HEAD"},
+      {"no content", "HTTP/1.1 204 No Content\r\n\r\n", Keep, Answered, 204,
+       "GET"},
+      {"not modified", "HTTP/1.1 304 Not Modified\r\n\r\n", Keep, Answered, 304,
+       "GET"},
+  };
+}
+
+} // namespace
+
+TEST_CASE("only a whole answer is an answer") {
+  for (const AnswerCase &Case : answerCases()) {
+    CAPTURE(Case.m_Name);
+    net::HttpClientOptions Options;
+    Options.m_MaxBodyBytes = 1000;
+    Fixture Test(Options);
+    Test.m_Answer = Case.m_Answer;
+    Test.m_Then = Case.m_Then;
+    const bool Times = Case.m_End == HttpExchange::TimedOut;
+    Test.send(false, Times ? Quick : milliseconds(Patience), Case.m_Method);
+    const net::HttpResult Result = Test.last();
+    CHECK(Result.m_End == Case.m_End);
+    CHECK(Test.m_Requests == 1);
+    CHECK((Result.m_Response != nullptr) == (Case.m_Status != 0));
+    if (Result.m_Response != nullptr)
+      CHECK(Result.m_Response->m_Status == Case.m_Status);
+    if (Result.m_End != HttpExchange::Answered)
+      CHECK(Test.m_Client->connections() == 0);
+  }
+}
+
+TEST_CASE("bytes after an answer are no answer to the next request") {
+  Fixture Test;
+  Test.m_Answer = Whole + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale";
+  Test.send();
+  CHECK(Test.last().m_Response->m_Body == "hi");
+  Test.m_Answer = Whole;
+  Test.send();
+  CHECK(Test.last().m_Response->m_Body == "hi");
+  CHECK(Test.m_Peers.size() == 2);
+}
+
+TEST_CASE("a kept connection is used again unless the server closed it") {
+  for (const bool Closed : {false, true}) {
+    CAPTURE(Closed);
+    Fixture Test;
+    Test.m_Answer = Whole;
+    Test.send();
+    CHECK(Test.last().m_End == HttpExchange::Answered);
+    if (Closed)
+      Test.end(Test.m_Peers.back(), Then::Close);
+    Test.send();
+    CHECK(Test.last().m_End == HttpExchange::Answered);
+    CHECK(Test.m_Peers.size() == (Closed ? 2U : 1U));
+    CHECK(Test.m_Requests == 2);
+  }
+}
+
+TEST_CASE("an old idle connection carries only what may be repeated") {
+  for (const bool Idempotent : {false, true}) {
+    CAPTURE(Idempotent);
+    net::HttpClientOptions Options;
+    Options.m_TrustedIdle = milliseconds(30);
+    Fixture Test(Options);
+    Test.m_Answer = Whole;
+    Test.send();
+    Test.last();
+    Test.runFor(milliseconds(60));
+    Test.send(Idempotent);
+    CHECK(Test.last().m_End == HttpExchange::Answered);
+    CHECK(Test.m_Peers.size() == (Idempotent ? 1U : 2U));
+  }
+}
+
+TEST_CASE("an old idle connection makes room at the bound") {
+  net::HttpClientOptions Options;
+  Options.m_TrustedIdle = milliseconds(30);
+  Options.m_MaxConnections = 1;
+  Fixture Test(Options);
+  Test.m_Answer = Whole;
+  Test.send();
+  Test.last();
+  Test.runFor(milliseconds(60));
+  Test.send();
+  CHECK(Test.last().m_End == HttpExchange::Answered);
+  CHECK(Test.m_Client->connections() == 1);
+  CHECK(Test.m_Peers.size() == 2);
+}
+
+TEST_CASE("a refused connection sent nothing") {
+  Fixture Test;
+  Test.m_Acceptor.close();
+  Test.send();
+  CHECK(Test.last().m_End == HttpExchange::NotSent);
+  CHECK(Test.m_Client->connections() == 0);
+}
+
+TEST_CASE("a connection that does not open sent nothing") {
+  Fixture Test;
+  // With its queue of connections full, a listener drops further ones.
+  boost::asio::io_context Other;
+  tcp::acceptor Full(Other);
+  Full.open(tcp::v4());
+  Full.bind(net::parseEndpoint("127.0.0.1:0"));
+  Full.listen(0);
+  tcp::socket Filler(Other);
+  Filler.connect(Full.local_endpoint());
+  net::HttpClientOptions Options;
+  Options.m_Address = textOf(Full.local_endpoint());
+  Options.m_ConnectTimeout = Quick;
+  Test.m_Client.emplace(Test.m_Context, Options);
+  Test.send();
+  Test.runFor(Quick / 3);
+  CHECK_FALSE(Test.m_Results.back().has_value());
+  CHECK(Test.last().m_End == HttpExchange::NotSent);
+}
+
+TEST_CASE("a cancelled exchange says whether bytes were sent") {
+  Fixture Test;
+  const net::ExchangeId Early = Test.send();
+  Test.m_Client->cancel(Early);
+  CHECK_FALSE(Test.m_Results.back().has_value());
+  CHECK(Test.last().m_End == HttpExchange::NotSent);
+  const net::ExchangeId Late = Test.send();
+  Test.runUntil([&] { return Test.m_Requests == 1; });
+  Test.m_Client->cancel(Late);
+  CHECK_FALSE(Test.m_Results.back().has_value());
+  CHECK(Test.last().m_End == HttpExchange::Cancelled);
+  Test.m_Client->cancel(Late);
+  Test.runFor(milliseconds(20));
+  CHECK(Test.m_Requests == 1);
+}
+
+TEST_CASE("an exchange that waits ends in time and sends nothing") {
+  net::HttpClientOptions Options;
+  Options.m_MaxConnections = 1;
+  Fixture Test(Options);
+  Test.send();
+  Test.runUntil([&] { return Test.m_Requests == 1; });
+  Test.send(true, Quick);
+  CHECK(Test.last().m_End == HttpExchange::NotSent);
+  const net::ExchangeId Waiting = Test.send();
+  Test.m_Client->cancel(Waiting);
+  CHECK(Test.last().m_End == HttpExchange::NotSent);
+  CHECK_FALSE(Test.m_Results.front().has_value());
+  CHECK(Test.m_Requests == 1);
+}
+
+TEST_CASE("a request without time left is not sent on a kept connection") {
+  Fixture Test;
+  Test.m_Answer = Whole;
+  Test.send();
+  Test.last();
+  Test.send(true, milliseconds(0));
+  CHECK_FALSE(Test.m_Results.back().has_value());
+  CHECK(Test.last().m_End == HttpExchange::NotSent);
+  Test.runFor(milliseconds(20));
+  CHECK(Test.m_Requests == 1);
+}
+
+TEST_CASE("a client that goes away calls nothing back") {
+  Fixture Test;
+  Test.send();
+  Test.runUntil([&] { return Test.m_Requests == 1; });
+  Test.m_Client.reset();
+  Test.runFor(milliseconds(20));
+  CHECK_FALSE(Test.m_Results.back().has_value());
+}
