Hold bodies to the profile's bound and keep refusals a node's own

Cause: a profile's max_body_bytes was read but applied nowhere; a target that sent Dandelionfall-Outcome or -Retry-After-Ms looked like a refusal of a node. Now a larger body gets 413 with outcome not-run before it is routed, and those two fields are dropped from a target's answer.

Guard's proof: with the dropping taken out as a trial, 'a target's answer can't look like a refusal' fails; without max_body_bytes nothing of it existed before. No test goes through the driver yet.

--- a/src/app/node/caller_response.cpp
+++ b/src/app/node/caller_response.cpp
@@ -33,6 +33,11 @@
   return Outcomes.back();
 }
 
+bool isNodesOwn(const core::HttpField &Field) {
+  return boost::algorithm::iequals(Field.m_Name, OutcomeField) ||
+         boost::algorithm::iequals(Field.m_Name, RetryAfterMsField);
+}
+
 void addRetryAfter(core::HttpResponse &Response, core::Duration Delay) {
   const auto Ms = std::chrono::ceil<milliseconds>(Delay);
   const auto Seconds = std::chrono::ceil<std::chrono::seconds>(Delay);
@@ -41,11 +46,16 @@
       {std::string(RetryAfterMsField), std::to_string(Ms.count())});
 }
 
+core::HttpResponse withoutNodesOwn(core::HttpResponse Response) {
+  std::erase_if(Response.m_Fields, isNodesOwn);
+  return Response;
+}
+
 } // namespace
 
 core::HttpResponse makeCallerResponse(const core::AnswerCaller &Result) {
   if (Result.m_Outcome == core::CallOutcome::Answered)
-    return *Result.m_Response;
+    return withoutNodesOwn(*Result.m_Response);
   const OutcomeRow &Row = rowOf(Result.m_Outcome);
   core::HttpResponse Response;
   Response.m_Status = Row.m_Status;
@@ -58,6 +68,28 @@
   return Response;
 }
 
+std::optional<core::HttpResponse>
+refuseLargeBody(const core::Configuration &Config,
+                const core::HttpRequest &Request) {
+  constexpr std::uint32_t ContentTooLarge = 413;
+  if (Request.m_Body.empty())
+    return std::nullopt;
+  const core::RouteMatch Match =
+      core::findRoute(Config, Request.m_HostName, Request.m_Path);
+  if (Match.m_Service == nullptr)
+    return std::nullopt;
+  const auto Profile = Config.m_Profiles.find(Match.m_Service->m_Profile);
+  if (Profile == Config.m_Profiles.end() ||
+      Request.m_Body.size() <= Profile->second.m_MaxBodyBytes)
+    return std::nullopt;
+  const std::string NotRun(rowOf(core::CallOutcome::NotRun).m_Name);
+  return core::HttpResponse{
+      ContentTooLarge,
+      {{"Content-Type", "text/plain"}, {std::string(OutcomeField), NotRun}},
+      NotRun + ": the body is larger than the service's profile allows, " +
+          std::to_string(Profile->second.m_MaxBodyBytes) + " bytes\n"};
+}
+
 std::optional<core::Duration> callerDeadline(const core::HttpRequest &Request) {
   constexpr std::uint32_t OneDayMs = 86'400'000;
   for (const core::HttpField &Field : Request.m_Fields) {
--- a/src/app/node/caller_response.h
+++ b/src/app/node/caller_response.h
@@ -4,6 +4,7 @@
 #ifndef DANDELIONFALL_SRC_APP_NODE_CALLER_RESPONSE_H
 #define DANDELIONFALL_SRC_APP_NODE_CALLER_RESPONSE_H
 
+#include "dandelionfall/core/configuration.h"
 #include "dandelionfall/core/ingress.h"
 
 #include <optional>
@@ -24,9 +25,19 @@
 /// get it too.
 inline constexpr std::string_view DeadlineField = "Dandelionfall-Deadline-Ms";
 
-/// Makes the response for a call's final answer.
+/// Makes the response for a call's final answer. Of a target's answer, fields
+/// that only a node may set are left out.
 core::HttpResponse makeCallerResponse(const core::AnswerCaller &Result);
 
+/// Holds a request to the largest body that its service's profile allows.
+/// \param Config the version in force.
+/// \param Request the caller's request.
+/// \returns nothing, or status 413 with outcome `not-run` for a request that
+/// must not be routed.
+std::optional<core::HttpResponse>
+refuseLargeBody(const core::Configuration &Config,
+                const core::HttpRequest &Request);
+
 /// Reads the time that a caller allows.
 /// \param Request the caller's request.
 /// \returns the time, or nothing if the header is missing or no number from 1
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -87,6 +87,8 @@
 
   void startServer();
   void onCall(core::CallId Call, core::HttpRequestPtr Request);
+  bool refuseIfLarge(core::CallId Call, const core::HttpRequest &Request);
+  void reportCallerError(const std::string &Fault);
   void onCallerGone(core::CallId Call);
   void onFrame(LinkId Link, bool Inbound, std::string_view Bytes);
   void onLinkClosed(LinkId Link, bool Inbound, const std::string &Reason);
@@ -120,6 +122,7 @@
   boost::asio::io_context &m_Context;
   Blackboard &m_Board;
   TrafficDriverHandlers m_Handlers;
+  core::ConfigurationPtr m_Configuration;
   core::Ingress m_Ingress;
   core::Gate m_Gate;
   std::optional<net::HttpServer> m_Server;
@@ -166,18 +169,16 @@
   };
   ServerHandlers.m_Gone = [this](core::CallId Call) { onCallerGone(Call); };
   ServerHandlers.m_Rejected = [this](const std::string &Fault) {
-    m_Board.m_Metrics.add(Counter::CallerErrors);
-    m_Board.m_Events.record(
-        {core::EventId::CallerRejected, "fault=\"" + Fault + "\""});
+    reportCallerError(Fault);
   };
   m_Server.emplace(m_Context, Options, std::move(ServerHandlers));
 }
 
 void TrafficDriver::Impl::onConfiguration() {
-  const core::ConfigurationPtr Config = m_Board.m_Configuration.load();
+  m_Configuration = m_Board.m_Configuration.load();
   const TimePoint Now = monotonicNow();
-  m_Ingress.onConfiguration(Config, Now);
-  m_Gate.onConfiguration(Config, Now);
+  m_Ingress.onConfiguration(m_Configuration, Now);
+  m_Gate.onConfiguration(m_Configuration, Now);
   pump();
 }
 
@@ -191,11 +192,32 @@
         m_Draining ? "the node is stopping" : "the node is not ready"});
     return;
   }
+  if (refuseIfLarge(Call, *Request))
+    return;
   const auto Deadline = callerDeadline(*Request);
   m_Ingress.onCall(Call, std::move(Request), Deadline, Now);
   pump();
 }
 
+bool TrafficDriver::Impl::refuseIfLarge(core::CallId Call,
+                                        const core::HttpRequest &Request) {
+  if (m_Configuration == nullptr)
+    return false;
+  const auto Refused = refuseLargeBody(*m_Configuration, Request);
+  if (!Refused.has_value())
+    return false;
+  m_CallStarts.erase(Call);
+  reportCallerError("a body larger than the profile allows");
+  m_Server->respond(Call, *Refused);
+  return true;
+}
+
+void TrafficDriver::Impl::reportCallerError(const std::string &Fault) {
+  m_Board.m_Metrics.add(Counter::CallerErrors);
+  m_Board.m_Events.record(
+      {core::EventId::CallerRejected, "fault=\"" + Fault + "\""});
+}
+
 void TrafficDriver::Impl::onCallerGone(core::CallId Call) {
   m_CallStarts.erase(Call);
   m_Ingress.onCallerGone(Call, monotonicNow());
--- /dev/null
+++ b/tests/unit/caller_response_test.cpp
@@ -0,0 +1,152 @@
+#include "app/node/caller_response.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace dandelionfall;
+using core::CallOutcome;
+using std::chrono::milliseconds;
+
+namespace {
+
+std::vector<std::string> valuesOf(const std::vector<core::HttpField> &Fields,
+                                  std::string_view Name) {
+  std::vector<std::string> Result;
+  for (const core::HttpField &Field : Fields) {
+    if (Field.m_Name == Name)
+      Result.push_back(Field.m_Value);
+  }
+  return Result;
+}
+
+using Values = std::vector<std::string>;
+
+struct OutcomeCase {
+  CallOutcome m_Outcome;
+  std::uint32_t m_Status;
+  std::string m_Name;
+};
+
+struct DeadlineCase {
+  std::string m_Name;
+  std::string m_Value;
+  std::optional<core::Duration> m_Wanted;
+};
+
+} // namespace
+
+TEST_CASE("an outcome that is not the target's is named to the caller") {
+  const std::vector<OutcomeCase> Cases = {
+      {CallOutcome::NotRun, 503, "not-run"},
+      {CallOutcome::Unknown, 504, "unknown"},
+      {CallOutcome::NoRoute, 404, "no-route"},
+  };
+  for (const OutcomeCase &Case : Cases) {
+    CAPTURE(Case.m_Name);
+    const auto Response = app::makeCallerResponse(
+        {1, Case.m_Outcome, nullptr, milliseconds(1200), "why"});
+    CHECK(Response.m_Status == Case.m_Status);
+    CHECK(valuesOf(Response.m_Fields, "Dandelionfall-Outcome") ==
+          Values{Case.m_Name});
+    CHECK(valuesOf(Response.m_Fields, "Retry-After") == Values{"2"});
+    CHECK(valuesOf(Response.m_Fields, "Dandelionfall-Retry-After-Ms") ==
+          Values{"1200"});
+    CHECK(Response.m_Body == Case.m_Name + ": why\n");
+  }
+}
+
+TEST_CASE("no time to come back is given where none is known") {
+  const auto Response =
+      app::makeCallerResponse({1, CallOutcome::Unknown, nullptr, {}, "why"});
+  CHECK(valuesOf(Response.m_Fields, "Retry-After").empty());
+  CHECK(valuesOf(Response.m_Fields, "Dandelionfall-Retry-After-Ms").empty());
+}
+
+TEST_CASE("a target's answer can't look like a refusal") {
+  const core::HttpResponse Answer{503,
+                                  {{"Dandelionfall-Outcome", "not-run"},
+                                   {"X", "1"},
+                                   {"dandelionfall-outcome", "unknown"},
+                                   {"DANDELIONFALL-RETRY-AFTER-MS", "5"},
+                                   {"Dandelionfall-Other", "kept"},
+                                   {"Retry-After", "3"}},
+                                  "body"};
+  const auto Response = app::makeCallerResponse(
+      {1,
+       CallOutcome::Answered,
+       std::make_shared<const core::HttpResponse>(Answer),
+       {},
+       ""});
+  const std::vector<core::HttpField> Wanted = {
+      {"X", "1"}, {"Dandelionfall-Other", "kept"}, {"Retry-After", "3"}};
+  CHECK(Response.m_Fields == Wanted);
+  CHECK(Response.m_Status == 503);
+  CHECK(Response.m_Body == "body");
+}
+
+TEST_CASE("a body is held to its service's profile") {
+  core::Configuration Config;
+  Config.m_Profiles["small"].m_MaxBodyBytes = 3;
+  core::Service Service;
+  Service.m_Name = "s";
+  Service.m_Profile = "small";
+  Service.m_Routes.emplace_back().m_PathPrefix = "/s";
+  Config.m_Services["s"] = std::make_shared<const core::Service>(Service);
+  core::HttpRequest Request;
+  Request.m_Path = "/s/1";
+  Request.m_Body = "123";
+  CHECK_FALSE(app::refuseLargeBody(Config, Request).has_value());
+  Request.m_Body = "1234";
+  const auto Response = app::refuseLargeBody(Config, Request);
+  REQUIRE(Response.has_value());
+  CHECK(Response->m_Status == 413);
+  CHECK(valuesOf(Response->m_Fields, "Dandelionfall-Outcome") ==
+        Values{"not-run"});
+  CHECK(Response->m_Body.find("3 bytes") != std::string::npos);
+  Request.m_Path = "/other";
+  CHECK_FALSE(app::refuseLargeBody(Config, Request).has_value());
+}
+
+TEST_CASE("a caller's deadline is read or left aside") {
+  const std::vector<DeadlineCase> Cases = {
+      {"Dandelionfall-Deadline-Ms", "500", milliseconds(500)},
+      {"dandelionfall-deadline-ms", "1", milliseconds(1)},
+      {"Dandelionfall-Deadline-Ms", "86400000", milliseconds(86'400'000)},
+      {"Dandelionfall-Deadline-Ms", "86400001", std::nullopt},
+      {"Dandelionfall-Deadline-Ms", "0", std::nullopt},
+      {"Dandelionfall-Deadline-Ms", "-5", std::nullopt},
+      {"Dandelionfall-Deadline-Ms", "5x", std::nullopt},
+      {"Dandelionfall-Deadline-Ms", " 5", std::nullopt},
+      {"Dandelionfall-Deadline-Ms", "99999999999999", std::nullopt},
+      {"Dandelionfall-Deadline-Ms", "", std::nullopt},
+      {"Deadline-Ms", "500", std::nullopt},
+  };
+  for (const DeadlineCase &Case : Cases) {
+    CAPTURE(Case.m_Name);
+    CAPTURE(Case.m_Value);
+    core::HttpRequest Request;
+    Request.m_Fields = {{"X", "1"}, {Case.m_Name, Case.m_Value}};
+    CHECK(app::callerDeadline(Request) == Case.m_Wanted);
+  }
+}
+
+TEST_CASE("a target reads the time left and nothing else is changed") {
+  core::HttpRequest Request;
+  Request.m_Method = "POST";
+  Request.m_Path = "/a";
+  Request.m_Body = "b";
+  Request.m_Fields = {{"dandelionfall-deadline-MS", "9000"},
+                      {"X", "1"},
+                      {"Dandelionfall-Deadline-Ms", "8000"}};
+  core::HttpRequest Wanted = Request;
+  Wanted.m_Fields = {{"X", "1"}, {"Dandelionfall-Deadline-Ms", "250"}};
+  CHECK(app::makeTargetRequest(Request, std::chrono::microseconds(250'900)) ==
+        Wanted);
+  Wanted.m_Fields.back().m_Value = "1";
+  CHECK(app::makeTargetRequest(Request, core::Duration::zero()) == Wanted);
+  CHECK(app::makeTargetRequest(Request, milliseconds(-5)) == Wanted);
+}
