--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -29,6 +29,7 @@
   VersionConflict = 205,
   AppliedWithoutHolders = 206,
   HostListRead = 207,
+  VersionGivenUp = 208,
   ControlLinkOpened = 300,
   ControlLinkClosed = 301,
   NeighbourReplaced = 302,
--- a/src/core/distribution/adoption.cpp
+++ b/src/core/distribution/adoption.cpp
@@ -133,9 +133,8 @@
     m_LostSince = Board.m_Now;
   if (Board.m_Now < *m_LostSince + LostTimeout)
     return;
-  Board.report(EventId::AppliedWithoutHolders,
-               "no reachable peer holds version=" +
-                   std::to_string(Board.m_LeastReadyVersion) + " any more");
+  Board.report(EventId::VersionGivenUp,
+               "version=" + std::to_string(Board.m_LeastReadyVersion));
   Board.m_LeastReadyVersion = 0;
   m_LostSince.reset();
 }
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -36,6 +36,9 @@
               "A version was applied before enough other nodes held it."},
     EventInfo{EventId::HostListRead, "host-list-read", Severity::Debug,
               "A newer list of hosts is in use."},
+    EventInfo{EventId::VersionGivenUp, "version-given-up", Severity::Warning,
+              "No reachable peer holds a version that was announced; the node "
+              "waits for it no longer."},
     EventInfo{EventId::ControlLinkOpened, "control-link-opened",
               Severity::Debug, "A control link to a neighbour is open."},
     EventInfo{EventId::ControlLinkClosed, "control-link-closed",
