Bound inbound traffic links in number and in silence

Cause: the gate bounds links that have introduced themselves, but a connection that named its kind and then sent nothing stayed for good, as did the link of a host that was lost without a word. Control links are bounded in the core already (24; 2 s without a hello, 3 s of silence). A frame before the hello already closes a traffic link in the gate.

Ruled out: the same in the core's link table, since links without a hello are none of its own.

--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -1,6 +1,7 @@
 #include "app/node/traffic_driver.h"
 
 #include "app/node/caller_response.h"
+#include "app/node/link_watch.h"
 #include "app/node/wake_up_timer.h"
 #include "dandelionfall/core/error.h"
 #include "dandelionfall/core/gate.h"
@@ -29,6 +30,8 @@
 // Interval at which a planned stop looks whether the callers' answers are
 // written.
 constexpr std::chrono::milliseconds DrainPollInterval{20};
+// Interval at which silent links of other nodes are looked for.
+constexpr std::chrono::seconds LinkSweepInterval{1};
 
 core::IngressOptions ingressOptions(const Blackboard &Board) {
   return {Board.m_Settings.m_Host, Board.m_Settings.m_Zone, Board.m_Incarnation,
@@ -95,6 +98,7 @@
   void onTimer();
   void finishDrainIfDone();
   void waitForLastWrites();
+  void sweepLinks();
 
   void pump();
   void publishLoad();
@@ -129,6 +133,8 @@
   std::optional<net::HttpClient> m_Target;
   WakeUpTimer m_Timer;
   boost::asio::steady_timer m_DrainTimer;
+  boost::asio::steady_timer m_SweepTimer;
+  LinkWatch m_Watch;
   std::unordered_map<LinkId, LinkPtr> m_Outbound;
   std::unordered_map<LinkId, LinkPtr> m_Inbound;
   /// Links from this node's ingress to its own gate, which need no connection.
@@ -147,8 +153,10 @@
                           TrafficDriverHandlers Handlers)
     : m_Context(Context), m_Board(Board), m_Handlers(std::move(Handlers)),
       m_Ingress(ingressOptions(Board)), m_Gate(gateOptions(Board)),
-      m_Timer(Context, [this] { onTimer(); }), m_DrainTimer(Context) {
+      m_Timer(Context, [this] { onTimer(); }), m_DrainTimer(Context),
+      m_SweepTimer(Context) {
   startServer();
+  sweepLinks();
   if (Board.m_Settings.m_TargetAddress.empty())
     return;
   net::HttpClientOptions Options;
@@ -226,6 +234,8 @@
 
 void TrafficDriver::Impl::onInboundLink(boost::asio::ip::tcp::socket Socket) {
   const LinkId Link = ++m_LastInbound;
+  if (!m_Watch.admit(Link, monotonicNow()))
+    return;
   net::LinkHandlers Handlers;
   Handlers.m_Frame = [this, Link](std::string_view Bytes) {
     onFrame(Link, true, Bytes);
@@ -251,10 +261,12 @@
                       "control message on a traffic link",
                       "check that both nodes run compatible versions");
   const TimePoint Now = monotonicNow();
-  if (Inbound)
+  if (Inbound) {
+    m_Watch.onFrame(Link, Now);
     m_Gate.onMessage(Link, *Message, Now);
-  else
+  } else {
     m_Ingress.onMessage(Link, *Message, Now);
+  }
   pump();
 }
 
@@ -262,6 +274,7 @@
                                        const std::string & /*Reason*/) {
   const TimePoint Now = monotonicNow();
   if (Inbound) {
+    m_Watch.onClosed(Link);
     m_Inbound.erase(Link);
     m_Gate.onLinkClosed(Link, Now);
   } else {
@@ -305,6 +318,16 @@
   });
 }
 
+void TrafficDriver::Impl::sweepLinks() {
+  for (const LinkId Link : m_Watch.findSilent(monotonicNow()))
+    onLinkClosed(Link, true, "silent");
+  m_SweepTimer.expires_after(LinkSweepInterval);
+  m_SweepTimer.async_wait([this](boost::system::error_code Code) {
+    if (!Code)
+      sweepLinks();
+  });
+}
+
 void TrafficDriver::Impl::pump() {
   if (m_Pumping)
     return;
@@ -444,6 +467,7 @@
   if (Found == m_Inbound.end())
     return;
   Found->second->close();
+  m_Watch.onClosed(Link);
   m_Inbound.erase(Found);
 }
 
