--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -1,6 +1,7 @@
 #include "app/node/traffic_driver.h"
 
 #include "app/node/caller_response.h"
+#include "app/node/link_watch.h"
 #include "app/node/wake_up_timer.h"
 #include "dandelionfall/core/error.h"
 #include "dandelionfall/core/gate.h"
@@ -29,6 +30,8 @@
 // Interval at which a planned stop looks whether the callers' answers are
 // written.
 constexpr std::chrono::milliseconds DrainPollInterval{20};
+// Interval at which silent links of other nodes are looked for.
+constexpr std::chrono::seconds LinkSweepInterval{1};
 
 core::IngressOptions ingressOptions(const Blackboard &Board) {
   return {Board.m_Settings.m_Host, Board.m_Settings.m_Zone, Board.m_Incarnation,
@@ -87,12 +90,15 @@
 
   void startServer();
   void onCall(core::CallId Call, core::HttpRequestPtr Request);
+  bool refuseIfLarge(core::CallId Call, const core::HttpRequest &Request);
+  void reportCallerError(const std::string &Fault);
   void onCallerGone(core::CallId Call);
   void onFrame(LinkId Link, bool Inbound, std::string_view Bytes);
   void onLinkClosed(LinkId Link, bool Inbound, const std::string &Reason);
   void onTimer();
   void finishDrainIfDone();
   void waitForLastWrites();
+  void sweepLinks();
 
   void pump();
   void publishLoad();
@@ -120,12 +126,15 @@
   boost::asio::io_context &m_Context;
   Blackboard &m_Board;
   TrafficDriverHandlers m_Handlers;
+  core::ConfigurationPtr m_Configuration;
   core::Ingress m_Ingress;
   core::Gate m_Gate;
   std::optional<net::HttpServer> m_Server;
   std::optional<net::HttpClient> m_Target;
   WakeUpTimer m_Timer;
   boost::asio::steady_timer m_DrainTimer;
+  boost::asio::steady_timer m_SweepTimer;
+  LinkWatch m_Watch;
   std::unordered_map<LinkId, LinkPtr> m_Outbound;
   std::unordered_map<LinkId, LinkPtr> m_Inbound;
   /// Links from this node's ingress to its own gate, which need no connection.
@@ -133,8 +142,6 @@
   std::unordered_map<LinkId, LinkId> m_LocalToIngress;
   std::unordered_map<core::RequestId, net::ExchangeId> m_Exchanges;
   std::unordered_map<core::CallId, TimePoint> m_CallStarts;
-  /// Version that ingress and gate have taken.
-  core::ConfigurationPtr m_Applied;
   LinkId m_LastInbound = 0;
   bool m_Pumping = false;
   bool m_Draining = false;
@@ -146,8 +153,10 @@
                           TrafficDriverHandlers Handlers)
     : m_Context(Context), m_Board(Board), m_Handlers(std::move(Handlers)),
       m_Ingress(ingressOptions(Board)), m_Gate(gateOptions(Board)),
-      m_Timer(Context, [this] { onTimer(); }), m_DrainTimer(Context) {
+      m_Timer(Context, [this] { onTimer(); }), m_DrainTimer(Context),
+      m_SweepTimer(Context) {
   startServer();
+  sweepLinks();
   if (Board.m_Settings.m_TargetAddress.empty())
     return;
   net::HttpClientOptions Options;
@@ -168,20 +177,18 @@
   };
   ServerHandlers.m_Gone = [this](core::CallId Call) { onCallerGone(Call); };
   ServerHandlers.m_Rejected = [this](const std::string &Fault) {
-    m_Board.m_Metrics.add(Counter::CallerErrors);
-    m_Board.m_Events.record(
-        {core::EventId::CallerRejected, "fault=\"" + Fault + "\""});
+    reportCallerError(Fault);
   };
   m_Server.emplace(m_Context, Options, std::move(ServerHandlers));
 }
 
 void TrafficDriver::Impl::onConfiguration() {
   const TimePoint Now = monotonicNow();
-  const core::ConfigurationPtr Config = m_Board.m_Configuration.load();
-  if (Config != nullptr && Config != m_Applied) {
-    m_Applied = Config;
-    m_Ingress.onConfiguration(Config, Now);
-    m_Gate.onConfiguration(Config, Now);
+  core::ConfigurationPtr Config = m_Board.m_Configuration.load();
+  if (Config != nullptr && Config != m_Configuration) {
+    m_Configuration = std::move(Config);
+    m_Ingress.onConfiguration(m_Configuration, Now);
+    m_Gate.onConfiguration(m_Configuration, Now);
   }
   const core::HostListPtr Hosts = m_Board.m_Hosts.load();
   if (Hosts != nullptr) {
@@ -202,11 +209,32 @@
         m_Draining ? "the node is stopping" : "the node is not ready"});
     return;
   }
+  if (refuseIfLarge(Call, *Request))
+    return;
   const auto Deadline = callerDeadline(*Request);
   m_Ingress.onCall(Call, std::move(Request), Deadline, Now);
   pump();
 }
 
+bool TrafficDriver::Impl::refuseIfLarge(core::CallId Call,
+                                        const core::HttpRequest &Request) {
+  if (m_Configuration == nullptr)
+    return false;
+  const auto Refused = refuseLargeBody(*m_Configuration, Request);
+  if (!Refused.has_value())
+    return false;
+  m_CallStarts.erase(Call);
+  reportCallerError("a body larger than the profile allows");
+  m_Server->respond(Call, *Refused);
+  return true;
+}
+
+void TrafficDriver::Impl::reportCallerError(const std::string &Fault) {
+  m_Board.m_Metrics.add(Counter::CallerErrors);
+  m_Board.m_Events.record(
+      {core::EventId::CallerRejected, "fault=\"" + Fault + "\""});
+}
+
 void TrafficDriver::Impl::onCallerGone(core::CallId Call) {
   m_CallStarts.erase(Call);
   m_Ingress.onCallerGone(Call, monotonicNow());
@@ -215,6 +243,8 @@
 
 void TrafficDriver::Impl::onInboundLink(boost::asio::ip::tcp::socket Socket) {
   const LinkId Link = ++m_LastInbound;
+  if (!m_Watch.admit(Link, monotonicNow()))
+    return;
   net::LinkHandlers Handlers;
   Handlers.m_Frame = [this, Link](std::string_view Bytes) {
     onFrame(Link, true, Bytes);
@@ -240,10 +270,12 @@
                       "control message on a traffic link",
                       "check that both nodes run compatible versions");
   const TimePoint Now = monotonicNow();
-  if (Inbound)
+  if (Inbound) {
+    m_Watch.onFrame(Link, Now);
     m_Gate.onMessage(Link, *Message, Now);
-  else
+  } else {
     m_Ingress.onMessage(Link, *Message, Now);
+  }
   pump();
 }
 
@@ -251,6 +283,7 @@
                                        const std::string & /*Reason*/) {
   const TimePoint Now = monotonicNow();
   if (Inbound) {
+    m_Watch.onClosed(Link);
     m_Inbound.erase(Link);
     m_Gate.onLinkClosed(Link, Now);
   } else {
@@ -294,6 +327,16 @@
   });
 }
 
+void TrafficDriver::Impl::sweepLinks() {
+  for (const LinkId Link : m_Watch.findSilent(monotonicNow()))
+    onLinkClosed(Link, true, "silent");
+  m_SweepTimer.expires_after(LinkSweepInterval);
+  m_SweepTimer.async_wait([this](boost::system::error_code Code) {
+    if (!Code)
+      sweepLinks();
+  });
+}
+
 void TrafficDriver::Impl::pump() {
   if (m_Pumping)
     return;
@@ -433,6 +476,7 @@
   if (Found == m_Inbound.end())
     return;
   Found->second->close();
+  m_Watch.onClosed(Link);
   m_Inbound.erase(Found);
 }
 
