--- a/src/core/gate/ramp.cpp
+++ b/src/core/gate/ramp.cpp
@@ -8,9 +8,9 @@
 
 /// Part of the limit that one raise adds.
 constexpr std::uint32_t RaiseShare = 4;
-/// Weight of the reference against a sample that is below or above it.
-constexpr int FallShare = 8;
-constexpr int RiseShare = 64;
+/// Weight of the reference against a sample; the same in both directions, so
+/// that it follows the mean.
+constexpr int ReferenceShare = 16;
 
 } // namespace
 
@@ -71,7 +71,7 @@
     return;
   }
   const Duration Error = Sample - m_Reference;
-  m_Reference += Error / (Error < Duration{0} ? FallShare : RiseShare);
+  m_Reference += Error / ReferenceShare;
 }
 
 } // namespace dandelionfall::core::gate
