End a planned stop at once on a second signal

Cause: a second SIGTERM or SIGINT during a planned stop was swallowed, so a stop that hung could be ended by SIGKILL only.

--- a/include/dandelionfall/app/node.h
+++ b/include/dandelionfall/app/node.h
@@ -9,9 +9,10 @@
 namespace dandelionfall::app {
 
 /// Runs a node until SIGTERM or SIGINT has been followed by the end of all
-/// admitted work. \param Config the node's settings, already checked. \returns
-/// the exit code, 0 after a planned stop. \throws Error of kind AddressInUse
-/// before anything is started.
+/// admitted work, or by a second signal.
+/// \param Config the node's settings, already checked.
+/// \returns the exit code: 0 after a planned stop, 10 after a second signal.
+/// \throws Error of kind AddressInUse before anything is started.
 int runNode(const Settings &Config);
 
 } // namespace dandelionfall::app
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -22,6 +22,9 @@
 
 using boost::asio::ip::tcp;
 
+// Exit code after a second signal during a planned stop.
+constexpr int StoppedAtOnce = 10;
+
 core::Incarnation drawIncarnation() {
   std::random_device Device;
   const auto Draw = [&Device] {
@@ -46,13 +49,11 @@
     startOperatorServer();
   }
 
-  void run() {
+  /// \returns the exit code.
+  int run() {
     m_Board.m_Events.record({core::EventId::ProcessStarted,
                              "incarnation=" + toString(m_Board.m_Incarnation)});
-    m_Signals.async_wait([this](boost::system::error_code Code, int) {
-      if (!Code)
-        startDrain();
-    });
+    waitForSignal();
     const auto TrafficWork = boost::asio::make_work_guard(m_TrafficContext);
     std::thread TrafficThread([this] { m_TrafficContext.run(); });
     m_Control.start();
@@ -60,7 +61,10 @@
     m_ControlContext.run();
     m_TrafficContext.stop();
     TrafficThread.join();
+    if (m_Cut)
+      return StoppedAtOnce;
     m_Board.m_Events.record({core::EventId::DrainFinished, ""});
+    return 0;
   }
 
 private:
@@ -102,6 +106,24 @@
     });
   }
 
+  void waitForSignal() {
+    m_Signals.async_wait([this](boost::system::error_code Code, int) {
+      if (Code)
+        return;
+      if (m_Board.m_Draining.load())
+        return stopAtOnce();
+      startDrain();
+      waitForSignal();
+    });
+  }
+
+  // What is admitted is dropped, as in a crash; its callers read a broken
+  // connection.
+  void stopAtOnce() {
+    m_Cut = true;
+    m_ControlContext.stop();
+  }
+
   void startDrain() {
     m_Board.m_Draining.store(true);
     m_Board.m_Events.record({core::EventId::DrainStarted, ""});
@@ -117,14 +139,14 @@
   TrafficDriver m_Traffic;
   net::LinkListener m_Listener;
   std::optional<net::HttpServer> m_Operators;
+  bool m_Cut = false;
 };
 
 } // namespace
 
 int runNode(const Settings &Config) {
   Node Running(Config);
-  Running.run();
-  return 0;
+  return Running.run();
 }
 
 } // namespace dandelionfall::app
