--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -183,10 +183,19 @@
 }
 
 void TrafficDriver::Impl::onConfiguration() {
-  m_Configuration = m_Board.m_Configuration.load();
   const TimePoint Now = monotonicNow();
-  m_Ingress.onConfiguration(m_Configuration, Now);
-  m_Gate.onConfiguration(m_Configuration, Now);
+  core::ConfigurationPtr Config = m_Board.m_Configuration.load();
+  if (Config != nullptr && Config != m_Configuration) {
+    m_Configuration = std::move(Config);
+    m_Ingress.onConfiguration(m_Configuration, Now);
+    m_Gate.onConfiguration(m_Configuration, Now);
+  }
+  const core::HostListPtr Hosts = m_Board.m_Hosts.load();
+  if (Hosts != nullptr) {
+    core::HostNames Leaving = core::leavingHosts(*Hosts);
+    m_Gate.onHostLeaving(Leaving.contains(m_Board.m_Settings.m_Host), Now);
+    m_Ingress.onLeavingHosts(std::move(Leaving), Now);
+  }
   pump();
 }
 
--- a/src/core/gate.cpp
+++ b/src/core/gate.cpp
@@ -20,6 +20,10 @@
   m_Impl->onConfiguration(std::move(Config), Now);
 }
 
+void Gate::onHostLeaving(bool Leaving, TimePoint /*Now*/) {
+  m_Impl->onHostLeaving(Leaving);
+}
+
 void Gate::onMessage(LinkId Link, const TrafficMessage &Message,
                      TimePoint Now) {
   m_Impl->onMessage(Link, Message, Now);
@@ -39,6 +43,10 @@
   m_Impl->onTargetFailure(Id, Kind, Detail, Now);
 }
 
+void Gate::onTargetConnectionClosed(TimePoint Now) {
+  m_Impl->onTargetConnectionClosed(Now);
+}
+
 void Gate::startDrain(TimePoint Now) { m_Impl->startDrain(Now); }
 
 void Gate::onTick(TimePoint Now) { m_Impl->onTick(Now); }
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -35,12 +35,14 @@
   explicit Engine(GateOptions Options);
 
   void onConfiguration(ConfigurationPtr Config, TimePoint Now);
+  void onHostLeaving(bool Leaving) { m_HostLeaving = Leaving; }
   void onMessage(LinkId Link, const TrafficMessage &Message, TimePoint Now);
   void onLinkClosed(LinkId Link);
   void onTargetAnswer(const RequestId &Id, HttpResponsePtr Response,
                       TimePoint Now);
   void onTargetFailure(const RequestId &Id, TargetFailure Kind,
                        const std::string &Detail, TimePoint Now);
+  void onTargetConnectionClosed(TimePoint Now);
   void startDrain(TimePoint Now);
   void onTick(TimePoint Now);
   std::optional<TimePoint> nextWakeUp() const;
@@ -82,6 +84,7 @@
   void noteServiceTime(TimePoint Start, bool Whole, std::uint32_t Occupied,
                        TimePoint Now);
   void restartRamp(std::string_view Cause, TimePoint Now);
+  void restartRampIfRaised(std::string_view Cause, TimePoint Now);
   void refuseWaiting(const RefusalCause &Cause);
   void expire(TimePoint Now);
   void advance(TimePoint Now);
@@ -125,6 +128,7 @@
   std::optional<TimePoint> m_IdleSince;
   std::optional<TimePoint> m_ZoneOutSince;
   std::optional<TimePoint> m_DrainUntil;
+  bool m_HostLeaving = false;
   bool m_Drained = false;
   TimePoint m_NextSweep;
   std::vector<GateCommand> m_Commands;
--- a/tests/unit/gate_load_test.cpp
+++ b/tests/unit/gate_load_test.cpp
@@ -67,6 +67,19 @@
   CHECK(Harness.sent<Failure>().size() == 1);
 }
 
+TEST_CASE("a request that cannot finish any more is refused, not begun") {
+  GateHarness Harness({.m_Slots = 1, .m_ColdLimit = 1});
+  Harness.hello(1, 1);
+  Harness.warmUp(1, 100, 200, ms(100));
+  Harness.dispatch(1, 1, 1, ms(900));
+  Harness.dispatch(1, 2, 1, ms(250));
+  REQUIRE(Harness.sent<Refusal>().empty());
+  Harness.pass(ms(190));
+  Harness.answer(1);
+  CHECK(onlyRefusal(Harness) == RefusalReason::Overload);
+  CHECK(Harness.starts(2) == 0);
+}
+
 TEST_CASE("a cancelled request that waits never runs") {
   GateHarness Harness({.m_Slots = 1, .m_ColdLimit = 1});
   Harness.hello(1, 1);
@@ -211,6 +224,21 @@
   CHECK(Harness.starts(5) == 1);
 }
 
+TEST_CASE("a gate whose host leaves refuses new work and finishes the rest") {
+  GateHarness Harness;
+  Harness.hello(1, 1);
+  Harness.dispatch(1, 1);
+  Harness.setHostLeaving(true);
+  Harness.dispatch(1, 2);
+  CHECK(onlyRefusal(Harness) == RefusalReason::Draining);
+  CHECK(Harness.starts(2) == 0);
+  Harness.answer(1);
+  CHECK(Harness.sent<Answer>().size() == 1);
+  Harness.setHostLeaving(false);
+  Harness.dispatch(1, 3);
+  CHECK(Harness.starts(3) == 1);
+}
+
 TEST_CASE("a newer version of an ingress is reported once") {
   GateHarness Harness;
   Harness.hello(1, 1);
