--- /dev/null
+++ b/src/net/http_client_connection.cpp
@@ -0,0 +1,205 @@
+#include "net/http_client_connection.h"
+
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionfall::net {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using Parser = http::response_parser<http::string_body>;
+
+bool isInformational(unsigned Status) {
+  constexpr unsigned FirstFinal = 200;
+  return Status < FirstFinal;
+}
+
+// Looks at a response's header before any of its body is read.
+std::optional<std::string> findFault(const Parser &Response, bool ToHead,
+                                     std::uint64_t MaxBodyBytes) {
+  if (Response.get().result() == http::status::switching_protocols)
+    return "the response switches protocols";
+  if (isInformational(Response.get().result_int()) || ToHead)
+    return std::nullopt;
+  // Without a length the end of the stream may be a cut-off answer.
+  if (Response.need_eof())
+    return "the response has no stated length";
+  // The library does not hold a stated length to the limit.
+  const auto Length = Response.content_length();
+  if (Length.has_value() && *Length > MaxBodyBytes)
+    return "the response is larger than " + std::to_string(MaxBodyBytes) +
+           " bytes";
+  return std::nullopt;
+}
+
+} // namespace
+
+void HttpClient::Impl::Connection::run(Exchange Next) {
+  m_Exchange.emplace(std::move(Next));
+  m_Sent = false;
+  if (m_Connected) {
+    startTimer(m_Exchange->m_Deadline, HttpExchange::TimedOut);
+    return write();
+  }
+  const auto ConnectDeadline =
+      Clock::now() + m_Owner->m_Options.m_ConnectTimeout;
+  startTimer(std::min(ConnectDeadline, m_Exchange->m_Deadline),
+             HttpExchange::NotSent);
+  m_Socket.async_connect(m_Owner->m_Endpoint,
+                         [Self = shared_from_this()](error_code Code) {
+                           Self->onConnected(Code);
+                         });
+}
+
+void HttpClient::Impl::Connection::abort(HttpExchange End,
+                                         const std::string &Detail) {
+  finish({m_Sent ? End : HttpExchange::NotSent, nullptr, Detail}, false);
+}
+
+// A connection that the server closed is readable: it holds the end of the
+// stream.
+bool HttpClient::Impl::Connection::looksAlive() {
+  char Byte = 0;
+  error_code Code;
+  m_Socket.non_blocking(true, Code);
+  if (!Code)
+    m_Socket.receive(boost::asio::buffer(&Byte, 1), tcp::socket::message_peek,
+                     Code);
+  return Code == boost::asio::error::would_block;
+}
+
+bool HttpClient::Impl::Connection::isYounger(
+    std::chrono::milliseconds Age) const {
+  return Clock::now() - m_LastResponse < Age;
+}
+
+void HttpClient::Impl::Connection::close() {
+  error_code Ignored;
+  m_Timer.cancel();
+  m_Socket.close(Ignored);
+}
+
+void HttpClient::Impl::Connection::onConnected(error_code Code) {
+  if (!m_Exchange.has_value())
+    return;
+  if (Code)
+    return abort(HttpExchange::NotSent, "connect: " + Code.message());
+  if (Clock::now() >= m_Exchange->m_Deadline)
+    return abort(HttpExchange::NotSent, "timed out");
+  m_Connected = true;
+  m_Socket.set_option(tcp::no_delay(true), Code);
+  startTimer(m_Exchange->m_Deadline, HttpExchange::TimedOut);
+  write();
+}
+
+void HttpClient::Impl::Connection::startTimer(Clock::time_point Deadline,
+                                              HttpExchange End) {
+  m_Timer.expires_at(Deadline);
+  m_Timer.async_wait([Self = shared_from_this(), End,
+                      Number = ++m_TimerNumber](error_code Code) {
+    if (!Code && Self->m_Exchange.has_value() && Number == Self->m_TimerNumber)
+      Self->abort(End, "timed out");
+  });
+}
+
+void HttpClient::Impl::Connection::write() {
+  // From here on bytes may reach the server, whatever is reported later.
+  m_Sent = true;
+  http::async_write(
+      m_Socket, m_Exchange->m_Request,
+      [Self = shared_from_this()](error_code Code, std::size_t Count) {
+        Self->onWritten(Code, Count);
+      });
+}
+
+void HttpClient::Impl::Connection::onWritten(error_code Code,
+                                             std::size_t Count) {
+  if (!m_Exchange.has_value())
+    return;
+  if (Code) {
+    m_Sent = Count > 0;
+    return abort(HttpExchange::Reset, "write: " + Code.message());
+  }
+  read();
+}
+
+void HttpClient::Impl::Connection::read() {
+  m_Parser.emplace();
+  m_Parser->body_limit(m_Owner->m_Options.m_MaxBodyBytes);
+  if (m_Exchange->m_ToHead)
+    m_Parser->skip(true);
+  http::async_read_header(
+      m_Socket, m_Buffer, *m_Parser,
+      [Self = shared_from_this()](error_code Code, std::size_t) {
+        Self->onHeader(Code);
+      });
+}
+
+void HttpClient::Impl::Connection::onHeader(error_code Code) {
+  if (!m_Exchange.has_value())
+    return;
+  if (Code)
+    return failRead(Code);
+  if (auto Fault = findFault(*m_Parser, m_Exchange->m_ToHead,
+                             m_Owner->m_Options.m_MaxBodyBytes))
+    return finish({HttpExchange::Malformed, nullptr, std::move(*Fault)}, false);
+  if (isInformational(m_Parser->get().result_int()))
+    return read();
+  http::async_read(
+      m_Socket, m_Buffer, *m_Parser,
+      [Self = shared_from_this()](error_code BodyCode, std::size_t) {
+        Self->onRead(BodyCode);
+      });
+}
+
+void HttpClient::Impl::Connection::onRead(error_code Code) {
+  if (!m_Exchange.has_value())
+    return;
+  if (Code)
+    return failRead(Code);
+  // Bytes after the answer would be taken for the next request's answer.
+  const bool Reusable = m_Parser->get().keep_alive() && m_Buffer.size() == 0;
+  finish({HttpExchange::Answered, toPlain(m_Parser->release()), ""}, Reusable);
+}
+
+void HttpClient::Impl::Connection::failRead(error_code Code) {
+  finish({readEnd(Code), nullptr, "read: " + Code.message()}, false);
+}
+
+HttpExchange HttpClient::Impl::Connection::readEnd(error_code Code) {
+  const bool Protocol =
+      Code.category() ==
+          http::make_error_code(http::error::bad_method).category() &&
+      Code != http::error::end_of_stream &&
+      Code != http::error::partial_message;
+  return Protocol ? HttpExchange::Malformed : HttpExchange::Reset;
+}
+
+void HttpClient::Impl::Connection::finish(const HttpResult &Result,
+                                          bool Reusable) {
+  if (!m_Exchange.has_value())
+    return;
+  const auto Self = shared_from_this();
+  Exchange Ended = std::move(*m_Exchange);
+  m_Exchange.reset();
+  m_Timer.cancel();
+  m_LastResponse = Clock::now();
+  m_Owner->m_Running.erase(Ended.m_Id);
+  if (Reusable) {
+    m_Owner->release(Self);
+  } else {
+    close();
+    m_Owner->forget(Self);
+  }
+  m_Owner->finish(Ended, Result);
+  m_Owner->startQueued();
+}
+
+} // namespace dandelionfall::net
