Let a gate that meets a newer version fetch it; mend the fleet fake's commands

A gate's sighting of a newer version goes to the distribution with the address of the node that sent it.

--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -59,6 +59,18 @@
   return core::TargetFailure::Reset;
 }
 
+// Scans all targets, which happens at most once for each newer version seen.
+std::string nodeAddressOf(const core::Configuration &Config,
+                          const std::string &Host) {
+  for (const auto &[Name, ServicePtr] : Config.m_Services) {
+    for (const core::Target &Each : ServicePtr->m_Targets) {
+      if (Each.m_Host == Host)
+        return Each.m_GateAddress;
+    }
+  }
+  return {};
+}
+
 Counter counterOf(core::CallOutcome Outcome) {
   switch (Outcome) {
   case core::CallOutcome::Answered:
@@ -108,6 +120,7 @@
   void perform(const core::OpenTrafficLink &Command);
   void perform(const core::AnswerCaller &Command);
   void perform(const core::NewerVersionSeen &Command);
+  void perform(const core::PeerVersionSeen &Command);
   void perform(const core::StartTarget &Command);
   void perform(const core::CancelTarget &Command);
   void perform(const core::GateDrained &Command);
@@ -137,6 +150,8 @@
   LinkWatch m_Watch;
   std::unordered_map<LinkId, LinkPtr> m_Outbound;
   std::unordered_map<LinkId, LinkPtr> m_Inbound;
+  /// Hosts that the inbound links greeted from.
+  std::unordered_map<LinkId, std::string> m_InboundHosts;
   /// Links from this node's ingress to its own gate, which need no connection.
   std::unordered_map<LinkId, LinkId> m_LocalToGate;
   std::unordered_map<LinkId, LinkId> m_LocalToIngress;
@@ -271,6 +286,8 @@
                       "check that both nodes run compatible versions");
   const TimePoint Now = monotonicNow();
   if (Inbound) {
+    if (const auto *Hello = std::get_if<core::TrafficHello>(Message))
+      m_InboundHosts[Link] = Hello->m_Host;
     m_Watch.onFrame(Link, Now);
     m_Gate.onMessage(Link, *Message, Now);
   } else {
@@ -285,6 +302,7 @@
   if (Inbound) {
     m_Watch.onClosed(Link);
     m_Inbound.erase(Link);
+    m_InboundHosts.erase(Link);
     m_Gate.onLinkClosed(Link, Now);
   } else {
     m_Outbound.erase(Link);
@@ -478,6 +496,7 @@
   Found->second->close();
   m_Watch.onClosed(Link);
   m_Inbound.erase(Found);
+  m_InboundHosts.erase(Link);
 }
 
 void TrafficDriver::Impl::perform(const core::AnswerCaller &Command) {
@@ -496,6 +515,15 @@
   m_Handlers.m_VersionSeen();
 }
 
+void TrafficDriver::Impl::perform(const core::PeerVersionSeen &Command) {
+  const auto Host = m_InboundHosts.find(Command.m_Link);
+  if (Host == m_InboundHosts.end() || m_Configuration == nullptr)
+    return;
+  const std::string Address = nodeAddressOf(*m_Configuration, Host->second);
+  if (!Address.empty())
+    perform(core::NewerVersionSeen{Command.m_Version, Address});
+}
+
 void TrafficDriver::Impl::perform(const core::StartTarget &Command) {
   const TimePoint Now = monotonicNow();
   m_Board.m_Metrics.add(Counter::TargetStarts);
--- a/src/core/host_list.cpp
+++ b/src/core/host_list.cpp
@@ -172,9 +172,9 @@
   HostList List;
   List.m_Revision = Revision;
   List.m_Hosts.reserve(Parts.size());
-  for (const auto &[Name, Source] : Parts) {
+  for (const auto &[Name, Text] : Parts) {
     const auto Old = PreviousParts.find(Name);
-    if (Old != PreviousParts.end() && Old->second == Source) {
+    if (Old != PreviousParts.end() && Old->second == Text) {
       const HostEntry *Known =
           findHost(Previous, std::string_view(Name).substr(PartPrefix.size()));
       if (Known != nullptr) {
@@ -183,7 +183,7 @@
       }
     }
     const IniDocument Document =
-        parseIni(Source->m_Text, Name, ErrorKind::BadConfiguration);
+        parseIni(Text->m_Text, Name, ErrorKind::BadConfiguration);
     if (Document.m_Sections.size() != 1 ||
         Name != std::string(PartPrefix) + Document.m_Sections.front().m_Name)
       refuse("part " + Name + " does not hold its one host",
--- a/tests/contract/distribution_fleet.cpp
+++ b/tests/contract/distribution_fleet.cpp
@@ -440,6 +440,8 @@
                          std::to_string(At.m_LeastReady));
     return;
   }
+  if (std::holds_alternative<ApplyHostList>(Command))
+    return;
   const auto &Sent = std::get<SendControl>(Command);
   m_ControlBytes += bytesOf(Sent.m_Message);
   const auto Found = m_Peers.find({Index, Sent.m_Link});
