Begin a cold start anew when the target ends a fresh kept connection

Cause: a target that restarted between two requests was met with its old limit, for the pool replaced the dead connection in silence.

--- a/benchmark/latency_probe.cpp
+++ b/benchmark/latency_probe.cpp
@@ -32,7 +32,14 @@
 /// One way to the target with the latencies seen on it.
 struct Way {
   Way(boost::asio::io_context &Context, const std::string &Address)
-      : m_Client(Context, {Address}) {}
+      : m_Client(Context, optionsOf(Address)) {}
+
+  static net::HttpClientOptions optionsOf(const std::string &Address) {
+    net::HttpClientOptions Options;
+    Options.m_Address = Address;
+    return Options;
+  }
+
   net::HttpClient m_Client;
   std::vector<double> m_Ms;
   std::size_t m_Failed = 0;
--- a/include/dandelionfall/net/http_client.h
+++ b/include/dandelionfall/net/http_client.h
@@ -46,6 +46,9 @@
   std::chrono::milliseconds m_TrustedIdle{2000};
   /// Age since its last response at which an idle connection is closed.
   std::chrono::milliseconds m_MaxIdle{30'000};
+  /// Called when the server is found to have closed a kept connection before
+  /// m_TrustedIdle was over, as when it restarted; may be empty.
+  std::function<void()> m_KeptClosed;
 };
 
 /// Number of an exchange; unique within one client.
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -179,6 +179,10 @@
   // The gate keeps to the target's published connections; this bound only
   // catches faults.
   Options.m_MaxConnections = 1024;
+  Options.m_KeptClosed = [this] {
+    m_Gate.onTargetConnectionClosed(monotonicNow());
+    pump();
+  };
   m_Target.emplace(Context, Options);
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -112,6 +112,10 @@
     m_Idle.pop_back();
     if (Youngest->looksAlive())
       return Youngest;
+    // Servers close connections that are idle for long, so only an early end
+    // says that the server itself went away.
+    if (Youngest->isYounger(m_Options.m_TrustedIdle) && m_Options.m_KeptClosed)
+      boost::asio::post(m_Context, m_Options.m_KeptClosed);
     Youngest->close();
     forget(Youngest);
   }
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -229,6 +229,27 @@
   }
 }
 
+TEST_CASE("only an early end of a kept connection is told") {
+  for (const bool Early : {true, false}) {
+    CAPTURE(Early);
+    int Told = 0;
+    net::HttpClientOptions Options;
+    Options.m_TrustedIdle = milliseconds(Early ? 2000 : 20);
+    Options.m_KeptClosed = [&Told] { ++Told; };
+    Fixture Test(Options);
+    Test.m_Answer = Whole;
+    Test.send(true);
+    CHECK(Test.last().m_End == HttpExchange::Answered);
+    Test.runFor(milliseconds(40));
+    Test.end(Test.m_Peers.back(), Then::Close);
+    Test.runFor(milliseconds(5));
+    CHECK(Told == 0);
+    Test.send(true);
+    CHECK(Test.last().m_End == HttpExchange::Answered);
+    CHECK(Told == (Early ? 1 : 0));
+  }
+}
+
 TEST_CASE("an old idle connection carries only what may be repeated") {
   for (const bool Idempotent : {false, true}) {
     CAPTURE(Idempotent);
