--- /dev/null
+++ b/src/app/node/traffic_commands.cpp
@@ -0,0 +1,245 @@
+#include "app/node/caller_response.h"
+#include "app/node/traffic_driver_impl.h"
+#include "dandelionfall/net/codec.h"
+
+#include <type_traits>
+#include <utility>
+
+namespace dandelionfall::app {
+
+namespace {
+
+using core::LinkId;
+using core::TimePoint;
+
+core::TargetFailure failureOf(net::HttpExchange End) {
+  switch (End) {
+  case net::HttpExchange::NotSent:
+    return core::TargetFailure::NotSent;
+  case net::HttpExchange::TimedOut:
+    return core::TargetFailure::TimedOut;
+  case net::HttpExchange::Cancelled:
+    return core::TargetFailure::Abandoned;
+  case net::HttpExchange::Answered:
+  case net::HttpExchange::Reset:
+  case net::HttpExchange::Malformed:
+    break;
+  }
+  return core::TargetFailure::Reset;
+}
+
+// Scans all targets, which happens at most once for each newer version seen.
+std::string nodeAddressOf(const core::Configuration &Config,
+                          const std::string &Host) {
+  for (const auto &[Name, ServicePtr] : Config.m_Services) {
+    for (const core::Target &Each : ServicePtr->m_Targets) {
+      if (Each.m_Host == Host)
+        return Each.m_GateAddress;
+    }
+  }
+  return {};
+}
+
+Counter counterOf(core::CallOutcome Outcome) {
+  switch (Outcome) {
+  case core::CallOutcome::Answered:
+    return Counter::CallsAnswered;
+  case core::CallOutcome::NotRun:
+    return Counter::CallsNotRun;
+  case core::CallOutcome::Unknown:
+    return Counter::CallsUnknown;
+  case core::CallOutcome::NoRoute:
+    break;
+  }
+  return Counter::CallsNoRoute;
+}
+
+} // namespace
+
+// Sending and closing depend on the side; each other command must have its
+// overload.
+template <typename Command>
+void TrafficDriver::Impl::performOther(const Command &Any) {
+  std::visit(
+      [&](const auto &Each) {
+        using Type = std::decay_t<decltype(Each)>;
+        if constexpr (!std::is_same_v<Type, core::SendTraffic> &&
+                      !std::is_same_v<Type, core::CloseTrafficLink>)
+          perform(Each);
+      },
+      Any);
+}
+
+void TrafficDriver::Impl::performIngress(const core::IngressCommand &Command) {
+  if (const auto *Send = std::get_if<core::SendTraffic>(&Command))
+    return sendAsIngress(*Send);
+  if (const auto *Close = std::get_if<core::CloseTrafficLink>(&Command))
+    return closeAsIngress(Close->m_Link);
+  performOther(Command);
+}
+
+void TrafficDriver::Impl::performGate(const core::GateCommand &Command) {
+  if (const auto *Send = std::get_if<core::SendTraffic>(&Command))
+    return sendAsGate(*Send);
+  if (const auto *Close = std::get_if<core::CloseTrafficLink>(&Command))
+    return closeAsGate(Close->m_Link);
+  performOther(Command);
+}
+
+void TrafficDriver::Impl::perform(const core::OpenTrafficLink &Command) {
+  const LinkId Link = Command.m_Link;
+  if (Command.m_GateAddress == m_Board.m_Settings.m_LinkAddress)
+    return openLocalLink(Link);
+  net::LinkHandlers Handlers;
+  Handlers.m_Opened = [this, Link] {
+    m_Ingress.onLinkOpened(Link, monotonicNow());
+    pump();
+  };
+  Handlers.m_Frame = [this, Link](std::string_view Bytes) {
+    onFrame(Link, false, Bytes);
+  };
+  Handlers.m_Closed = [this, Link](const std::string &Reason) {
+    onLinkClosed(Link, false, Reason);
+  };
+  m_Outbound.emplace(Link, net::Link::open(m_Context, Command.m_GateAddress,
+                                           net::LinkKind::Traffic,
+                                           std::move(Handlers)));
+}
+
+void TrafficDriver::Impl::openLocalLink(LinkId Link) {
+  const LinkId GateSide = ++m_LastInbound;
+  m_LocalToGate.emplace(Link, GateSide);
+  m_LocalToIngress.emplace(GateSide, Link);
+  m_Ingress.onLinkOpened(Link, monotonicNow());
+}
+
+void TrafficDriver::Impl::sendAsIngress(const core::SendTraffic &Command) {
+  if (std::holds_alternative<core::Dispatch>(Command.m_Message))
+    m_Board.m_Metrics.add(Counter::DispatchesSent);
+  const auto Local = m_LocalToGate.find(Command.m_Link);
+  if (Local != m_LocalToGate.end())
+    return m_Gate.onMessage(Local->second, Command.m_Message, monotonicNow());
+  const auto Found = m_Outbound.find(Command.m_Link);
+  if (Found != m_Outbound.end())
+    Found->second->send(encode(Command.m_Message));
+}
+
+void TrafficDriver::Impl::sendAsGate(const core::SendTraffic &Command) {
+  if (std::holds_alternative<core::Refusal>(Command.m_Message))
+    m_Board.m_Metrics.add(Counter::Refusals);
+  const auto Local = m_LocalToIngress.find(Command.m_Link);
+  if (Local != m_LocalToIngress.end())
+    return m_Ingress.onMessage(Local->second, Command.m_Message,
+                               monotonicNow());
+  const auto Found = m_Inbound.find(Command.m_Link);
+  if (Found != m_Inbound.end())
+    Found->second->send(encode(Command.m_Message));
+}
+
+std::string TrafficDriver::Impl::encode(const core::TrafficMessage &Message) {
+  std::string Frame = net::encodeFrame(Message, m_Board.m_Clock.tick());
+  m_Board.m_Metrics.add(Counter::TrafficBytesSent, Frame.size());
+  return Frame;
+}
+
+void TrafficDriver::Impl::closeAsIngress(LinkId Link) {
+  const auto Local = m_LocalToGate.find(Link);
+  if (Local != m_LocalToGate.end()) {
+    const LinkId GateSide = Local->second;
+    m_LocalToIngress.erase(GateSide);
+    m_LocalToGate.erase(Local);
+    return m_Gate.onLinkClosed(GateSide, monotonicNow());
+  }
+  const auto Found = m_Outbound.find(Link);
+  if (Found == m_Outbound.end())
+    return;
+  Found->second->close();
+  m_Outbound.erase(Found);
+}
+
+void TrafficDriver::Impl::closeAsGate(LinkId Link) {
+  const auto Local = m_LocalToIngress.find(Link);
+  if (Local != m_LocalToIngress.end()) {
+    const LinkId IngressSide = Local->second;
+    m_LocalToGate.erase(IngressSide);
+    m_LocalToIngress.erase(Local);
+    return m_Ingress.onLinkClosed(IngressSide, monotonicNow());
+  }
+  const auto Found = m_Inbound.find(Link);
+  if (Found == m_Inbound.end())
+    return;
+  Found->second->close();
+  m_Watch.onClosed(Link);
+  m_Inbound.erase(Found);
+  m_InboundHosts.erase(Link);
+}
+
+void TrafficDriver::Impl::perform(const core::AnswerCaller &Command) {
+  const auto Start = m_CallStarts.find(Command.m_Call);
+  if (Start != m_CallStarts.end()) {
+    m_Board.m_Metrics.observe(Timing::CallTotal,
+                              monotonicNow() - Start->second);
+    m_CallStarts.erase(Start);
+  }
+  m_Board.m_Metrics.add(counterOf(Command.m_Outcome));
+  m_Server->respond(Command.m_Call, makeCallerResponse(Command));
+}
+
+void TrafficDriver::Impl::perform(const core::NewerVersionSeen &Command) {
+  m_Board.m_Sightings.push({Command.m_Version, Command.m_GateAddress});
+  m_Handlers.m_VersionSeen();
+}
+
+void TrafficDriver::Impl::perform(const core::PeerVersionSeen &Command) {
+  const auto Host = m_InboundHosts.find(Command.m_Link);
+  if (Host == m_InboundHosts.end() || m_Configuration == nullptr)
+    return;
+  const std::string Address = nodeAddressOf(*m_Configuration, Host->second);
+  if (!Address.empty())
+    perform(core::NewerVersionSeen{Command.m_Version, Address});
+}
+
+void TrafficDriver::Impl::perform(const core::StartTarget &Command) {
+  const TimePoint Now = monotonicNow();
+  m_Board.m_Metrics.add(Counter::TargetStarts);
+  if (!m_Target.has_value())
+    return m_Gate.onTargetFailure(Command.m_Id, core::TargetFailure::NotSent,
+                                  "the node has no target", Now);
+  const core::Duration Remaining = Command.m_Deadline - Now;
+  m_Exchanges[Command.m_Id] = m_Target->send(
+      makeTargetRequest(*Command.m_Request, Remaining), Remaining,
+      Command.m_Idempotent,
+      [this, Id = Command.m_Id, Now](const net::HttpResult &Result) {
+        onTargetResult(Id, Now, Result);
+      });
+}
+
+void TrafficDriver::Impl::onTargetResult(const core::RequestId &Id,
+                                         TimePoint Started,
+                                         const net::HttpResult &Result) {
+  m_Exchanges.erase(Id);
+  const TimePoint Now = monotonicNow();
+  if (Result.m_End == net::HttpExchange::Answered) {
+    m_Board.m_Metrics.observe(Timing::TargetService, Now - Started);
+    m_Gate.onTargetAnswer(Id, Result.m_Response, Now);
+  } else {
+    m_Gate.onTargetFailure(Id, failureOf(Result.m_End), Result.m_Detail, Now);
+  }
+  pump();
+}
+
+void TrafficDriver::Impl::perform(const core::CancelTarget &Command) {
+  const auto Found = m_Exchanges.find(Command.m_Id);
+  if (Found != m_Exchanges.end())
+    m_Target->cancel(Found->second);
+}
+
+void TrafficDriver::Impl::perform(const core::GateDrained & /*Command*/) {
+  m_GateDrained = true;
+}
+
+void TrafficDriver::Impl::perform(const core::Event &Command) {
+  m_Board.m_Events.record(Command);
+}
+
+} // namespace dandelionfall::app
--- /dev/null
+++ b/src/app/node/traffic_driver_impl.h
@@ -0,0 +1,108 @@
+/// \file
+/// State of the traffic driver. Events come in through traffic_driver.cpp; what
+/// ingress and gate decide is carried out in traffic_commands.cpp.
+#ifndef DANDELIONFALL_SRC_APP_NODE_TRAFFIC_DRIVER_IMPL_H
+#define DANDELIONFALL_SRC_APP_NODE_TRAFFIC_DRIVER_IMPL_H
+
+#include "app/node/link_watch.h"
+#include "app/node/traffic_driver.h"
+#include "app/node/wake_up_timer.h"
+#include "dandelionfall/core/gate.h"
+#include "dandelionfall/core/ingress.h"
+#include "dandelionfall/net/http_client.h"
+#include "dandelionfall/net/http_server.h"
+#include "dandelionfall/net/link.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace dandelionfall::app {
+
+class TrafficDriver::Impl
+    : public std::enable_shared_from_this<TrafficDriver::Impl> {
+public:
+  Impl(boost::asio::io_context &Context, Blackboard &Board,
+       TrafficDriverHandlers Handlers);
+
+  void onConfiguration();
+  void onInboundLink(boost::asio::ip::tcp::socket Socket);
+  void startDrain();
+
+private:
+  using LinkId = core::LinkId;
+  using TimePoint = core::TimePoint;
+  using LinkPtr = std::shared_ptr<net::Link>;
+
+  void startServer();
+  void onCall(core::CallId Call, core::HttpRequestPtr Request);
+  bool refuseIfLarge(core::CallId Call, const core::HttpRequest &Request);
+  void reportCallerError(const std::string &Fault);
+  void onCallerGone(core::CallId Call);
+  void onFrame(LinkId Link, bool Inbound, std::string_view Bytes);
+  void onLinkClosed(LinkId Link, bool Inbound, const std::string &Reason);
+  void onTimer();
+  void finishDrainIfDone();
+  void waitForLastWrites();
+  void sweepLinks();
+
+  void pump();
+  void publishLoad();
+
+  // One overload a command; ingress and gate share some command types but not
+  // their links.
+  void perform(const core::OpenTrafficLink &Command);
+  void perform(const core::AnswerCaller &Command);
+  void perform(const core::NewerVersionSeen &Command);
+  void perform(const core::PeerVersionSeen &Command);
+  void perform(const core::StartTarget &Command);
+  void perform(const core::CancelTarget &Command);
+  void perform(const core::GateDrained &Command);
+  void perform(const core::Event &Command);
+  void performIngress(const core::IngressCommand &Command);
+  void performGate(const core::GateCommand &Command);
+  template <typename Command> void performOther(const Command &Any);
+  void sendAsIngress(const core::SendTraffic &Command);
+  void sendAsGate(const core::SendTraffic &Command);
+  void closeAsIngress(LinkId Link);
+  void closeAsGate(LinkId Link);
+  void openLocalLink(LinkId Link);
+  void onTargetResult(const core::RequestId &Id, TimePoint Started,
+                      const net::HttpResult &Result);
+  std::string encode(const core::TrafficMessage &Message);
+
+  boost::asio::io_context &m_Context;
+  Blackboard &m_Board;
+  TrafficDriverHandlers m_Handlers;
+  core::ConfigurationPtr m_Configuration;
+  core::Ingress m_Ingress;
+  core::Gate m_Gate;
+  std::optional<net::HttpServer> m_Server;
+  std::optional<net::HttpClient> m_Target;
+  WakeUpTimer m_Timer;
+  boost::asio::steady_timer m_DrainTimer;
+  boost::asio::steady_timer m_SweepTimer;
+  LinkWatch m_Watch;
+  std::unordered_map<LinkId, LinkPtr> m_Outbound;
+  std::unordered_map<LinkId, LinkPtr> m_Inbound;
+  /// Hosts that the inbound links greeted from.
+  std::unordered_map<LinkId, std::string> m_InboundHosts;
+  /// Links from this node's ingress to its own gate, which need no connection.
+  std::unordered_map<LinkId, LinkId> m_LocalToGate;
+  std::unordered_map<LinkId, LinkId> m_LocalToIngress;
+  std::unordered_map<core::RequestId, net::ExchangeId> m_Exchanges;
+  std::unordered_map<core::CallId, TimePoint> m_CallStarts;
+  LinkId m_LastInbound = 0;
+  bool m_Pumping = false;
+  bool m_Draining = false;
+  bool m_GateDrained = false;
+  bool m_DrainReported = false;
+};
+
+} // namespace dandelionfall::app
+
+#endif // DANDELIONFALL_SRC_APP_NODE_TRAFFIC_DRIVER_IMPL_H
