--- a/include/dandelionfall/core/configuration.h
+++ b/include/dandelionfall/core/configuration.h
@@ -59,7 +59,7 @@
   /// Requests in flight that a target in cold start gets first.
   std::uint32_t m_ColdStartLimit = 2;
   /// Whole answers of a target in cold start before its limit may rise.
-  std::uint32_t m_ColdStartRequests = 20;
+  std::uint32_t m_ColdStartRequests = 40;
   friend bool operator==(const Profile &, const Profile &) = default;
 };
 
