--- a/src/net/wire_control.cpp
+++ b/src/net/wire_control.cpp
@@ -1,4 +1,5 @@
 #include "net/wire_conversion.h"
+#include "net/wire_readers.h"
 #include "net/wire_values.h"
 
 #include <utility>
@@ -116,11 +117,6 @@
   wire::Body &m_Body;
 };
 
-struct ReaderRow {
-  bool (*m_IsSet)(const wire::Body &);
-  core::ControlMessage (*m_Read)(wire::Body &);
-};
-
 core::Stream streamFromWire(std::int32_t Value) {
   return enumFromWire(Value, core::Stream::Hosts);
 }
@@ -183,7 +179,7 @@
   return core::ControlGoAway{};
 }
 
-constexpr ReaderRow Readers[] = {
+constexpr ReaderRow<core::ControlMessage> Readers[] = {
     {[](const wire::Body &Body) { return Body.__isset.heartbeat; },
      readHeartbeat},
     {[](const wire::Body &Body) { return Body.__isset.announce; },
@@ -207,13 +203,7 @@
 }
 
 bool fromWire(wire::Body &Body, core::ControlMessage &Result) {
-  for (const ReaderRow &Row : Readers) {
-    if (!Row.m_IsSet(Body))
-      continue;
-    Result = Row.m_Read(Body);
-    return true;
-  }
-  return false;
+  return readByRows(Readers, Body, Result);
 }
 
 } // namespace dandelionfall::net
--- a/src/net/wire_traffic.cpp
+++ b/src/net/wire_traffic.cpp
@@ -1,4 +1,5 @@
 #include "net/wire_conversion.h"
+#include "net/wire_readers.h"
 #include "net/wire_values.h"
 
 #include <utility>
@@ -202,13 +203,6 @@
   wire::Body &m_Body;
 };
 
-using Reader = core::TrafficMessage (*)(wire::Body &);
-
-struct ReaderRow {
-  bool (*m_IsSet)(const wire::Body &);
-  Reader m_Read;
-};
-
 core::TrafficMessage readHello(wire::Body &Body) {
   wire::TrafficHello &Value = Body.traffic_hello;
   return core::TrafficHello{std::move(Value.host), net::fromWire(Value.ingress),
@@ -286,7 +280,7 @@
   return core::TrafficGoAway{};
 }
 
-constexpr ReaderRow Readers[] = {
+constexpr ReaderRow<core::TrafficMessage> Readers[] = {
     {[](const wire::Body &Body) { return Body.__isset.dispatch; },
      readDispatch},
     {[](const wire::Body &Body) { return Body.__isset.answer; }, readAnswer},
@@ -316,13 +310,7 @@
 }
 
 bool fromWire(wire::Body &Body, core::TrafficMessage &Result) {
-  for (const ReaderRow &Row : Readers) {
-    if (!Row.m_IsSet(Body))
-      continue;
-    Result = Row.m_Read(Body);
-    return true;
-  }
-  return false;
+  return readByRows(Readers, Body, Result);
 }
 
 } // namespace dandelionfall::net
