--- a/tests/contract/distribution_fleet.cpp
+++ b/tests/contract/distribution_fleet.cpp
@@ -12,10 +12,6 @@
 constexpr Duration SourceDelay = std::chrono::milliseconds(3);
 constexpr Duration WatchTime = std::chrono::seconds(10);
 
-std::string zoneName(std::size_t Number) {
-  return "zone" + std::to_string(Number);
-}
-
 std::size_t bytesOf(const ControlMessage &Message) {
   std::size_t Bytes = 64;
   const auto Add = [&Bytes](const std::vector<PartPtr> &Parts) {
@@ -44,78 +40,6 @@
 
 } // namespace
 
-FakeSource::FakeSource(std::size_t Services) {
-  std::string &Zones = m_Newest.m_Parts["zones"];
-  for (std::size_t Number = 0; Number < 9; ++Number)
-    Zones += "[zone " + zoneName(Number) + "]\nregion = r\n";
-  m_Newest.m_Parts["profiles"] = "[profile p]\n";
-  for (std::size_t Number = 0; Number < Services; ++Number)
-    m_Newest.m_Parts["service/s" + std::to_string(Number)] =
-        "[service s" + std::to_string(Number) + "]\nprofile = p\n";
-}
-
-void FakeSource::store() {
-  m_Newest.m_Version = ++m_Version;
-  std::map<std::string, Digest, std::less<>> Digests;
-  for (const auto &[Name, Text] : m_Newest.m_Parts)
-    Digests[Name] = digestOf(Text);
-  m_Digests[m_Version] = digestOf(writeManifest(m_Version, Digests));
-}
-
-void FakeSource::publish() {
-  m_Before = m_Newest;
-  m_Newest.m_Parts["profiles"] = "[profile p]\n";
-  m_Newest.m_Parts["service/s0"] = "[service s0]\nprofile = p\n[route /" +
-                                   std::to_string(m_Version + 1) + "]\n";
-  store();
-}
-
-void FakeSource::publishFaulty() {
-  m_Newest.m_Parts["profiles"] = "[profile other]\n";
-  store();
-}
-
-void FakeSource::publishConflict() {
-  --m_Version;
-  m_Newest.m_Parts["service/s0"] = "[service s0]\nprofile = p\n[route /x]\n";
-  const Digest Known = m_Digests[m_Version + 1];
-  store();
-  m_Digests[m_Version] = Known;
-}
-
-void FakeSource::setMode(Mode Value) {
-  if (Value == Mode::Stale && m_Mode != Mode::Stale)
-    m_Stale = m_Before.m_Version > 0 ? m_Before : m_Newest;
-  m_Mode = Value;
-}
-
-void FakeSource::setHosts(const HostList &List) {
-  m_Hosts = writeHostList(List);
-}
-
-Version FakeSource::shown() const {
-  return m_Mode == Mode::Stale ? m_Stale.m_Version : m_Newest.m_Version;
-}
-
-std::optional<std::string> FakeSource::read(const CallSource &Call) const {
-  if (m_Mode == Mode::Down)
-    return std::nullopt;
-  const Content &Shown = m_Mode == Mode::Stale ? m_Stale : m_Newest;
-  if (Call.m_Kind == SourceRequestKind::ReadHosts)
-    return m_Hosts.empty() ? std::nullopt : std::optional(m_Hosts);
-  if (Shown.m_Version == 0)
-    return std::nullopt;
-  if (Call.m_Kind == SourceRequestKind::ReadPart) {
-    const auto Found = Shown.m_Parts.find(Call.m_PartName);
-    return Found == Shown.m_Parts.end() ? std::nullopt
-                                        : std::optional(Found->second);
-  }
-  std::map<std::string, Digest, std::less<>> Digests;
-  for (const auto &[Name, Text] : Shown.m_Parts)
-    Digests[Name] = digestOf(Text);
-  return writeManifest(Shown.m_Version, Digests);
-}
-
 Fleet::Fleet(const FleetOptions &Options)
     : m_Source(Options.m_Services), m_Options(Options),
       m_Nodes(Options.m_Nodes), m_Now(std::chrono::hours(1)),
--- a/tests/contract/distribution_fleet.h
+++ b/tests/contract/distribution_fleet.h
@@ -23,6 +23,9 @@
 using core::TimePoint;
 using core::Version;
 
+/// \returns the name of an availability zone of the fake fleet.
+std::string zoneName(std::size_t Number);
+
 /// The platform's configuration service.
 class FakeSource {
 public:
--- a/tests/standin/fake_exchange.h
+++ b/tests/standin/fake_exchange.h
@@ -49,6 +49,21 @@
 
 using FakeExchangePtr = std::shared_ptr<FakeExchange>;
 
+/// Makes a call of an admin address and hands it to what answers it.
+/// \param Answer called with the request and the exchange.
+/// \returns the exchange.
+template <typename Handler>
+FakeExchangePtr callAdmin(const std::string &Method, const std::string &Path,
+                          const std::string &Body, Handler Answer) {
+  HttpRequest Request;
+  Request.m_Method = Method;
+  Request.m_Path = Path;
+  Request.m_Body = Body;
+  auto Result = std::make_shared<FakeExchange>();
+  Answer(Request, Result);
+  return Result;
+}
+
 } // namespace dandelionfall::standin
 
 #endif // DANDELIONFALL_STANDIN_FAKE_EXCHANGE_H
--- a/tests/standin/platform_service_test.cpp
+++ b/tests/standin/platform_service_test.cpp
@@ -38,13 +38,11 @@
 
   FakeExchangePtr admin(const std::string &Method, const std::string &Path,
                         const std::string &Body = "") {
-    HttpRequest Request;
-    Request.m_Method = Method;
-    Request.m_Path = Path;
-    Request.m_Body = Body;
-    auto Result = std::make_shared<FakeExchange>();
-    handlePlatformAdmin(m_Service, Request, Result);
-    return Result;
+    return callAdmin(
+        Method, Path, Body,
+        [this](const HttpRequest &Request, const FakeExchangePtr &Result) {
+          handlePlatformAdmin(m_Service, Request, Result);
+        });
   }
 
   nlohmann::json counters() {
--- a/tests/standin/target_service_test.cpp
+++ b/tests/standin/target_service_test.cpp
@@ -40,13 +40,11 @@
 
   FakeExchangePtr admin(const std::string &Method, const std::string &Path,
                         const std::string &Body = "") {
-    HttpRequest Request;
-    Request.m_Method = Method;
-    Request.m_Path = Path;
-    Request.m_Body = Body;
-    auto Result = std::make_shared<FakeExchange>();
-    m_Service.handleAdmin(Request, Result, m_Server);
-    return Result;
+    return callAdmin(
+        Method, Path, Body,
+        [this](const HttpRequest &Request, const FakeExchangePtr &Result) {
+          m_Service.handleAdmin(Request, Result, m_Server);
+        });
   }
 
   nlohmann::json counters() {
