Bound each node's retries by its share of the allowance; refuse late callers of a planned stop

(3) After the last event of a planned stop the process did not end and was killed 2 to 3 s later; its callers had no node meanwhile.

Change: settings name the allowance; every node spends half of the ratio and a quarter of the fixed number, divided by the targets it knows. Retries that only hedge leave a reserve for failures.

Ruled out for (3): callers' open connections; the last event is written after both threads have ended.

--- a/include/dandelionfall/app/settings.h
+++ b/include/dandelionfall/app/settings.h
@@ -5,6 +5,7 @@
 #define DANDELIONFALL_APP_SETTINGS_H
 
 #include "dandelionfall/core/error.h"
+#include "dandelionfall/core/registry.h"
 
 #include <cstdint>
 #include <functional>
@@ -56,6 +57,9 @@
   std::uint32_t m_Holders = 2;
   /// [zones] NAME = REGION: availability zones of the deployment.
   std::map<std::string, std::string, std::less<>> m_Zones{};
+  /// [retries] percent, slack, window_s: what all nodes together may add to a
+  /// service's requests, where the source is a store.
+  core::RetryAllowance m_Retries{};
   /// [stop] linger_ms: time that a planned stop goes on serving callers.
   std::uint32_t m_LingerMs = 0;
   /// [log] level: debug, info, warning or error.
--- a/include/dandelionfall/core/configuration.h
+++ b/include/dandelionfall/core/configuration.h
@@ -55,6 +55,12 @@
   std::uint32_t m_QueueLimit = 32;
   /// Retries allowed for each 100 successful requests.
   std::uint32_t m_RetryPercent = 10;
+  /// Retries that one node may always make, earned or not.
+  double m_RetryFloor = 3.0;
+  /// Rate at which they grow back, per second.
+  double m_RetryFloorPerSecond = 1.0;
+  /// Most retries that one node saves up.
+  double m_RetryCeiling = 100.0;
   /// Largest request body in bytes.
   std::uint32_t m_MaxBodyBytes = 1U << 20U;
   /// Requests in flight that a target in cold start gets first.
--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -16,12 +16,24 @@
 
 namespace dandelionfall::core {
 
+/// Bound on the retries of all nodes together: in any window, for each service,
+/// a share of its requests and a fixed number.
+struct RetryAllowance {
+  double m_Ratio = 0.1;
+  double m_Slack = 0;
+  Duration m_Window = std::chrono::seconds(10);
+  friend bool operator==(const RetryAllowance &,
+                         const RetryAllowance &) = default;
+};
+
 /// What a registry is told about the deployment.
 struct RegistryOptions {
   /// Regions by availability zone.
   std::map<std::string, std::string, std::less<>> m_Zones;
   /// Port at which the node beside each target takes links.
   std::uint16_t m_LinkPort = 0;
+  /// What all nodes together may add to a service's requests by retries.
+  RetryAllowance m_Retries;
 };
 
 /// Records of a store as of one revision, and what follows from them. Revisions
@@ -88,6 +100,7 @@
   std::optional<TimePoint> lapseEnd(TimePoint Now) const;
   std::vector<const Believed *> usableTargets() const;
   Target makeTarget(const Believed &Known) const;
+  Profile makeProfile(std::size_t Nodes) const;
   void report(EventId Id, std::string Detail);
 
   const RecordDecoder &m_Decoder;
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <memory>
 #include <optional>
 #include <random>
@@ -189,7 +190,10 @@
 
 int runNode(const Settings &Config, const std::string &SettingsFile) {
   Node Running(Config, SettingsFile);
-  return Running.run();
+  const int Code = Running.run();
+  // All admitted work is done. Destructors would only free memory, and the log
+  // library's wait for its threads may outlast the time that a stop is given.
+  std::_Exit(Code);
 }
 
 } // namespace dandelionfall::app
--- a/src/app/node/registry_driver.cpp
+++ b/src/app/node/registry_driver.cpp
@@ -38,6 +38,7 @@
 core::RegistryOptions registryOptions(const Settings &Config) {
   core::RegistryOptions Options;
   Options.m_Zones = Config.m_Zones;
+  Options.m_Retries = Config.m_Retries;
   Options.m_LinkPort = net::parseEndpoint(Config.m_LinkAddress).port();
   return Options;
 }
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -257,9 +257,12 @@
   pump();
 }
 
+// Goes on listening: a caller who comes late is told that its request did not
+// run, which a closed port does not.
 void TrafficDriver::Impl::closeToCallers() {
   m_Closed = true;
-  m_Server->startDrain();
+  if (m_Board.m_Settings.m_LingerMs == 0)
+    m_Server->startDrain();
   pump();
 }
 
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -163,6 +163,35 @@
     {"holders", setNumber<&Settings::m_Holders, 0, MaxHolders>},
 };
 
+constexpr double MaxRetrySlack = 1'000'000;
+constexpr double MaxRetryWindowS = 3600;
+
+void setRetryRatio(Settings &Result, const IniEntry &Entry,
+                   const IniSource &Source) {
+  Result.m_Retries.m_Ratio = core::parseNumber(Entry, Source, 0.0, 1.0);
+}
+
+void setRetrySlack(Settings &Result, const IniEntry &Entry,
+                   const IniSource &Source) {
+  Result.m_Retries.m_Slack =
+      core::parseNumber(Entry, Source, 0.0, MaxRetrySlack);
+}
+
+void setRetryWindow(Settings &Result, const IniEntry &Entry,
+                    const IniSource &Source) {
+  constexpr double MinRetryWindowS = 0.001;
+  const std::chrono::duration<double> Seconds(
+      core::parseNumber(Entry, Source, MinRetryWindowS, MaxRetryWindowS));
+  Result.m_Retries.m_Window =
+      std::chrono::duration_cast<core::Duration>(Seconds);
+}
+
+constexpr KeyHandler<Settings> RetryKeys[] = {
+    {"ratio", setRetryRatio},
+    {"slack", setRetrySlack},
+    {"window_s", setRetryWindow},
+};
+
 constexpr std::uint32_t MaxLingerMs = 600'000;
 
 constexpr KeyHandler<Settings> StopKeys[] = {
@@ -213,6 +242,7 @@
     {"source", true, RequiredSourceKeys, readSection<SourceKeys>},
     {"overlay", false, {}, readSection<OverlayKeys>},
     {"zones", false, {}, readZones},
+    {"retries", false, {}, readSection<RetryKeys>},
     {"stop", false, {}, readSection<StopKeys>},
     {"log", false, {}, readSection<LogKeys>},
 };
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -154,7 +154,8 @@
     ServiceView &View = m_Services.use(Entry.m_Service, Now);
     const Candidate *Chosen = m_Router.choose(View, Entry, version(), Now);
     // Once a target has seen the request, the next one is a retry.
-    if (Chosen != nullptr && (Entry.m_Attempts == 0 || View.m_Budget.take(Now)))
+    if (Chosen != nullptr &&
+        (Entry.m_Attempts == 0 || View.m_Budget.take(View.m_Profile, Now)))
       return startTry(Entry, *Chosen, Now);
   }
   conclude(Entry, Now);
@@ -167,13 +168,16 @@
   conclude(Entry, Now);
 }
 
-bool CallTable::retry(Call &Entry, TimePoint Now) {
+bool CallTable::retry(Call &Entry, TimePoint Now, bool Failed) {
   if (!Entry.m_MayRetry || Entry.m_Attempts >= Entry.m_MaxAttempts ||
       Entry.m_Tried.size() >= MaxTries || Now >= Entry.m_Deadline)
     return false;
   ServiceView &View = m_Services.use(Entry.m_Service, Now);
   const Candidate *Chosen = m_Router.choose(View, Entry, version(), Now);
-  if (Chosen == nullptr || !View.m_Budget.take(Now))
+  const double Reserve =
+      Failed ? 0 : FailureReserve * View.m_Profile.m_RetryCeiling;
+  if (Chosen == nullptr ||
+      !View.m_Budget.take(View.m_Profile, Now, std::min(Reserve, MostReserved)))
     return false;
   ++Entry.m_Repeats;
   startTry(Entry, *Chosen, Now);
@@ -323,7 +327,7 @@
 void CallTable::timeOut(TryNumber Number, TimePoint Now) {
   Call &Entry = m_Calls.at(m_Tries.at(Number).m_Call);
   // Without another try under way this one may still bring the answer.
-  if (!retry(Entry, Now))
+  if (!retry(Entry, Now, /*Failed=*/false))
     return;
   Try &Slow = m_Tries.at(Number);
   Slow.m_Cancelled = true;
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -71,7 +71,8 @@
   void send(Try &Current, TimePoint Now);
   void afterNotRun(Call &Entry, TimePoint Now);
   void afterLost(Call &Entry, TimePoint Now);
-  bool retry(Call &Entry, TimePoint Now);
+  /// \param Failed whether a try has failed, rather than taking long.
+  bool retry(Call &Entry, TimePoint Now, bool Failed = true);
   bool tryForBetter(Call &Entry, const HttpResponsePtr &Response,
                     TimePoint Now);
   void conclude(Call &Entry, TimePoint Now);
--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -39,7 +39,7 @@
   if (Failed && tryForBetter(*Entry, Message.m_Response, Now))
     return;
   ServiceView &View = m_Services.use(Entry->m_Service, Now);
-  View.m_Budget.noteSuccess(View.m_Profile.m_RetryPercent);
+  View.m_Budget.noteSuccess(View.m_Profile);
   finish(Id, CallOutcome::Answered, Message.m_Response, "", Now);
 }
 
--- a/src/core/ingress/limits.h
+++ b/src/core/ingress/limits.h
@@ -72,12 +72,11 @@
 /// Factor by which a target that always fails looks more loaded, plus one.
 constexpr double FailurePenalty = 10.0;
 
-/// Retries a service may always make, earned or not.
-constexpr double RetryFloor = 3.0;
-/// Rate at which spent tokens grow back to the floor, per second.
-constexpr double RetryFloorPerSecond = 1.0;
-/// Most retries saved up.
-constexpr double RetryCeiling = 100.0;
+/// Share of the saved-up retries that is kept for requests that have failed;
+/// the rest may also go to those that merely take long.
+constexpr double FailureReserve = 0.5;
+/// Most retries that are kept so.
+constexpr double MostReserved = 3.0;
 
 } // namespace dandelionfall::core::ingress
 
--- a/src/core/ingress/retry_budget.h
+++ b/src/core/ingress/retry_budget.h
@@ -3,24 +3,24 @@
 #ifndef DANDELIONFALL_CORE_INGRESS_RETRY_BUDGET_H
 #define DANDELIONFALL_CORE_INGRESS_RETRY_BUDGET_H
 
+#include "dandelionfall/core/configuration.h"
 #include "dandelionfall/core/time.h"
 
-#include <cstdint>
-
 namespace dandelionfall::core::ingress {
 
-/// Token bucket of one service: successes fill it, retries empty it.
+/// Token bucket of one service: successes fill it, retries empty it. Its bounds
+/// are those of the service's profile at each call.
 class RetryBudget {
 public:
   /// Notes a whole answer.
-  /// \param RetryPercent retries allowed for each 100 successful requests.
-  void noteSuccess(std::uint32_t RetryPercent);
+  void noteSuccess(const Profile &Policy);
   /// Takes a token if there is one.
+  /// \param Reserve tokens that must be left, for retries that matter more.
   /// \returns whether a retry is allowed.
-  bool take(TimePoint Now);
+  bool take(const Profile &Policy, TimePoint Now, double Reserve = 0);
 
 private:
-  void refill(TimePoint Now);
+  void refill(const Profile &Policy, TimePoint Now);
 
   double m_Tokens = 0;
   TimePoint m_RefilledAt;
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -13,22 +13,13 @@
 
 namespace {
 
-/// Profile under which the registry's services run: the routes bound a call's
-/// time, and the targets' own announcements their cold starts.
-const Profile &publishedProfile() {
-  static const Profile Value = [] {
-    Profile Result;
-    Result.m_Name = "published";
-    Result.m_Deadline = std::chrono::seconds(60);
-    Result.m_TryTimeout = std::chrono::seconds(60);
-    Result.m_QueueLimit = 1000;
-    Result.m_RetryPercent = 15;
-    Result.m_ColdStartLimit = 100'000;
-    Result.m_ColdStartRequests = 0;
-    return Result;
-  }();
-  return Value;
-}
+/// Name of the profile under which the registry's services run.
+constexpr char ProfileName[] = "published";
+/// Share of the allowed retries that nodes spend; the rest is for the calls
+/// that a repeated request makes anew at other services.
+constexpr double SpentShare = 0.5;
+/// Share of the fixed number of retries that may be spent at once.
+constexpr double BurstShare = 0.25;
 
 std::string hostOf(const std::string &Address) {
   return Address.substr(0, Address.rfind(':'));
@@ -269,6 +260,30 @@
   return Result;
 }
 
+// The routes bound a call's time, and the targets' own announcements their cold
+// starts. Every node spends from its own share of the allowed retries, so that
+// the sum holds without a word between them.
+Profile Registry::makeProfile(std::size_t Nodes) const {
+  const RetryAllowance &Allowed = m_Options.m_Retries;
+  const double Share =
+      BurstShare * Allowed.m_Slack / std::max<double>(Nodes, 1);
+  const std::chrono::duration<double> Window = Allowed.m_Window;
+  constexpr double Percent = 100;
+  Profile Result;
+  Result.m_Name = ProfileName;
+  Result.m_Deadline = std::chrono::seconds(60);
+  Result.m_TryTimeout = std::chrono::seconds(60);
+  Result.m_QueueLimit = 1000;
+  Result.m_RetryPercent =
+      static_cast<std::uint32_t>(Percent * SpentShare * Allowed.m_Ratio);
+  Result.m_RetryFloor = Share;
+  Result.m_RetryFloorPerSecond = Share / std::max(Window.count(), 1.0);
+  Result.m_RetryCeiling = std::max(2 * Share, 1.0);
+  Result.m_ColdStartLimit = 100'000;
+  Result.m_ColdStartRequests = 0;
+  return Result;
+}
+
 Target Registry::makeTarget(const Believed &Known) const {
   Target Result;
   Result.m_Name = Known.m_Entry.m_Instance;
@@ -290,19 +305,20 @@
   Result->m_Stamp.m_Version = m_Revision;
   for (const auto &[Name, Region] : m_Options.m_Zones)
     Result->m_Zones.emplace(Name, Zone{Name, Region, ZoneState::In});
-  Result->m_Profiles.emplace(publishedProfile().m_Name, publishedProfile());
+  const std::vector<const Believed *> Usable = usableTargets();
+  Result->m_Profiles.emplace(ProfileName, makeProfile(Usable.size()));
   std::map<std::string_view, std::shared_ptr<Service>> Services;
   std::map<std::string_view, std::uint32_t> Connections;
   for (const PublishedService &Each : m_Published->m_Services) {
     auto Made = std::make_shared<Service>();
     Made->m_Name = Each.m_Name;
-    Made->m_Profile = publishedProfile().m_Name;
+    Made->m_Profile = ProfileName;
     Made->m_ColdStart = Each.m_ColdStart;
     Made->m_ColdPerSecond = Each.m_ColdPerSecond;
     Services.emplace(Each.m_Name, std::move(Made));
     Connections.emplace(Each.m_Name, Each.m_MaxConnections);
   }
-  for (const Believed *Known : usableTargets()) {
+  for (const Believed *Known : Usable) {
     const auto Found = Services.find(Known->m_Entry.m_Service);
     if (Found == Services.end())
       continue;
--- a/tests/unit/ingress_retries_test.cpp
+++ b/tests/unit/ingress_retries_test.cpp
@@ -44,21 +44,48 @@
 
 TEST_CASE("the retry budget is a share of the successes over a small floor") {
   ingress::RetryBudget Budget;
+  const Profile Policy;
   TimePoint Now{1s};
   int Taken = 0;
-  while (Budget.take(Now))
+  while (Budget.take(Policy, Now))
     ++Taken;
   CHECK(Taken == 3);
   for (int Success = 0; Success < 100; ++Success)
-    Budget.noteSuccess(10);
-  while (Budget.take(Now))
+    Budget.noteSuccess(Policy);
+  while (Budget.take(Policy, Now))
     ++Taken;
   CHECK(Taken >= 12);
   CHECK(Taken <= 13);
   Now += 2s;
-  CHECK(Budget.take(Now));
-  CHECK(Budget.take(Now));
-  CHECK_FALSE(Budget.take(Now));
+  CHECK(Budget.take(Policy, Now));
+  CHECK(Budget.take(Policy, Now));
+  CHECK_FALSE(Budget.take(Policy, Now));
+}
+
+TEST_CASE("retries of requests that only take long leave some for failures") {
+  ingress::RetryBudget Budget;
+  const Profile Policy;
+  const TimePoint Now{1s};
+  int Taken = 0;
+  while (Budget.take(Policy, Now, 2.0))
+    ++Taken;
+  CHECK(Taken == 1);
+  CHECK(Budget.take(Policy, Now));
+}
+
+TEST_CASE("all nodes together save up no more than their share of a window") {
+  Profile Policy;
+  Policy.m_RetryFloor = 1.25;
+  Policy.m_RetryFloorPerSecond = 0.125;
+  Policy.m_RetryCeiling = 2.5;
+  ingress::RetryBudget Budget;
+  TimePoint Now{1s};
+  for (int Success = 0; Success < 1000; ++Success)
+    Budget.noteSuccess(Policy);
+  int Taken = 0;
+  for (int Step = 0; Step < 100; ++Step, Now += 100ms)
+    Taken += Budget.take(Policy, Now) ? 1 : 0;
+  CHECK(Taken <= 4);
 }
 
 TEST_CASE("with all targets failing, retries stay inside the budget") {
--- a/tests/unit/registry_test.cpp
+++ b/tests/unit/registry_test.cpp
@@ -58,7 +58,7 @@
   }
 
   platform::PlatformRecordDecoder m_Decoder;
-  core::Registry m_Registry{m_Decoder, {{{"kalamaria", "gr-north"}}, 7620}};
+  core::Registry m_Registry{m_Decoder, {{{"kalamaria", "gr-north"}}, 7620, {}}};
   core::TimePoint m_Now{std::chrono::seconds(100)};
 };
 
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -43,9 +43,9 @@
     {"unknown key", "holders = 2", "holder = 2", 16, "unknown key 'holder'",
      "seeds, assumed_hosts, holders"},
     {"unknown section", "[overlay]", "[mesh]", 13, "unknown section [mesh]",
-     "node, target, source, overlay, zones, stop, log"},
+     "node, target, source, overlay, zones, retries, stop, log"},
     {"named section", "[log]", "[log file]", 17, "unknown section [log file]",
-     "node, target, source, overlay, zones, stop, log"},
+     "node, target, source, overlay, zones, retries, stop, log"},
     {"missing host", "host = host-1\n", "", 1, "[node] lacks the key host",
      "add host = VALUE"},
     {"missing availability zone", "zone = kalamaria\n", "", 1,
@@ -176,6 +176,7 @@
                            "[source]\nprotocol = store\n"
                            "address = 10.200.1.7:8309\n"
                            "[zones]\nkalamaria = gr-north\n"
+                           "[retries]\nratio = 0.2\nslack = 60\nwindow_s = 10\n"
                            "[stop]\nlinger_ms = 4000\n",
                            "node.ini", Result)
             .empty());
@@ -184,6 +185,8 @@
   CHECK(Result.m_TargetService == "slotboard");
   CHECK(Result.m_Zones.at("kalamaria") == "gr-north");
   CHECK(Result.m_LingerMs == 4000);
+  CHECK(Result.m_Retries ==
+        core::RetryAllowance{0.2, 60, std::chrono::seconds(10)});
 }
 
 TEST_CASE("each fault of the settings names file, line, fault and remedy") {
