--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -175,9 +175,8 @@
   ServiceView &View = m_Services.use(Entry.m_Service, Now);
   const Candidate *Chosen = m_Router.choose(View, Entry, version(), Now);
   const double Reserve =
-      Failed ? 0 : FailureReserve * View.m_Profile.m_RetryCeiling;
-  if (Chosen == nullptr ||
-      !View.m_Budget.take(View.m_Profile, Now, std::min(Reserve, MostReserved)))
+      Failed ? 0 : FailureReserve * View.m_Profile.m_RetryFloor;
+  if (Chosen == nullptr || !View.m_Budget.take(View.m_Profile, Now, Reserve))
     return false;
   ++Entry.m_Repeats;
   startTry(Entry, *Chosen, Now);
--- a/src/core/ingress/limits.h
+++ b/src/core/ingress/limits.h
@@ -72,11 +72,9 @@
 /// Factor by which a target that always fails looks more loaded, plus one.
 constexpr double FailurePenalty = 10.0;
 
-/// Share of the saved-up retries that is kept for requests that have failed;
-/// the rest may also go to those that merely take long.
+/// Share of the retries that may always be made which is kept for requests that
+/// have failed; the rest may also go to those that merely take long.
 constexpr double FailureReserve = 0.5;
-/// Most retries that are kept so.
-constexpr double MostReserved = 3.0;
 
 } // namespace dandelionfall::core::ingress
 
