Answer in time first: order and admit by when an answer is wanted

Cause: gates took what could finish before the route's time-out, first deadline first.

Change: a request is admitted in time, late (on what is left over, waiting a quarter of its time at most), or refused at once with the earliest time. Late ones that can no longer make their deadline are refused when that is known. Published services get 100 ms beyond the deadline for the target's own answer.

--- a/include/dandelionfall/core/configuration.h
+++ b/include/dandelionfall/core/configuration.h
@@ -51,6 +51,9 @@
   Duration m_Deadline = std::chrono::seconds(2);
   /// Time one try may take before an idempotent request is tried elsewhere.
   Duration m_TryTimeout = std::chrono::seconds(1);
+  /// Time beyond the deadline in which a target that keeps to it may still tell
+  /// so itself, before the request is broken off.
+  Duration m_AnswerGrace{0};
   /// Requests that may wait at a gate.
   std::uint32_t m_QueueLimit = 32;
   /// Retries allowed for each 100 successful requests.
--- a/include/dandelionfall/core/traffic_message.h
+++ b/include/dandelionfall/core/traffic_message.h
@@ -69,8 +69,9 @@
   std::string m_Kind{};
   /// Rank of the route; 0 is the highest.
   std::uint32_t m_Priority = 0;
-  /// Time left until the answer is later than wanted; not above 0 if it is.
-  Duration m_WantedIn{0};
+  /// Time left until the answer is later than wanted; not above 0 if it is, and
+  /// the longest one if no time is named.
+  Duration m_WantedIn = Duration::max();
   friend bool operator==(const Dispatch &, const Dispatch &) = default;
 };
 
--- a/src/app/node/traffic_commands.cpp
+++ b/src/app/node/traffic_commands.cpp
@@ -12,6 +12,10 @@
 using core::LinkId;
 using core::TimePoint;
 
+// Time beyond the deadline after which an exchange with a target ends by
+// itself; the gate gives it up sooner.
+constexpr core::Duration ExchangeGrace = std::chrono::seconds(1);
+
 core::TargetFailure failureOf(net::HttpExchange End) {
   switch (End) {
   case net::HttpExchange::NotSent:
@@ -230,7 +234,7 @@
   m_Exchanges[Command.m_Id] =
       m_Target->send(makeTargetRequest(m_Board.m_Dialect, *Command.m_Request,
                                        Remaining, Command.m_Target),
-                     Remaining, Command.m_Idempotent,
+                     Remaining + ExchangeGrace, Command.m_Idempotent,
                      [this, Started = withoutRequest(Command),
                       Now](const net::HttpResult &Result) {
                        onTargetResult(Started, Now, Result);
--- a/src/core/gate/admission.cpp
+++ b/src/core/gate/admission.cpp
@@ -15,7 +15,7 @@
   std::string_view name() const override { return "fcfs"; }
   QueueOrder order() const override { return QueueOrder::ByArrival; }
   AdmissionVerdict decide(const AdmissionView & /*View*/,
-                          TimePoint /*Deadline*/) const override {
+                          const ArrivingRequest & /*Arriving*/) const override {
     return {};
   }
   bool
@@ -31,13 +31,13 @@
   std::string_view name() const override { return "bounded"; }
   QueueOrder order() const override { return QueueOrder::ByArrival; }
   AdmissionVerdict decide(const AdmissionView &View,
-                          TimePoint /*Deadline*/) const override {
+                          const ArrivingRequest & /*Arriving*/) const override {
     const bool HasPlace =
         std::any_of(View.m_PlacesFreeAt.begin(), View.m_PlacesFreeAt.end(),
                     [&](TimePoint Free) { return Free <= View.m_Now; });
     if (HasPlace || View.m_Waiting.size() < View.m_QueueLimit)
       return {};
-    return {false, RefusalReason::QueueFull, View.m_ServiceTime.m_Mean};
+    return {false, false, RefusalReason::QueueFull, View.m_ServiceTime.m_Mean};
   }
   bool
   isWorthStarting(Duration /*Remaining*/,
--- a/src/core/gate/admission.h
+++ b/src/core/gate/admission.h
@@ -17,6 +17,18 @@
 struct WaitingRequest {
   TimePoint m_Deadline;
   Duration m_Expected{0};
+  /// When the answer is wanted; no later than the deadline.
+  TimePoint m_Due;
+  /// Whether the answer will come later than wanted.
+  bool m_Late = false;
+};
+
+/// A request that arrives.
+struct ArrivingRequest {
+  /// Later than now.
+  TimePoint m_Deadline;
+  /// When the answer is wanted; no later than the deadline.
+  TimePoint m_Due;
 };
 
 /// What a strategy knows when a request arrives.
@@ -35,6 +47,8 @@
 /// A strategy's decision.
 struct AdmissionVerdict {
   bool m_Admitted = true;
+  /// For an admitted one: whether the answer will come later than wanted.
+  bool m_Late = false;
   /// For a refusal: why.
   RefusalReason m_Reason = RefusalReason::Overload;
   /// For a refusal: earliest time from now at which the request could be
@@ -58,9 +72,9 @@
   virtual QueueOrder order() const = 0;
   /// Decides on an arriving request.
   /// \param View the state of the gate.
-  /// \param Deadline the request's deadline, later than now.
+  /// \param Arriving the request.
   virtual AdmissionVerdict decide(const AdmissionView &View,
-                                  TimePoint Deadline) const = 0;
+                                  const ArrivingRequest &Arriving) const = 0;
   /// Tells whether an admitted request should still start.
   /// \param Remaining time until its deadline, above 0.
   /// \param Expected the service time.
--- a/src/core/gate/deadline_admission.cpp
+++ b/src/core/gate/deadline_admission.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <optional>
+#include <utility>
 
 namespace dandelionfall::core::gate {
 
@@ -15,6 +16,9 @@
 /// Shortest time that a refused ingress is told to wait.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(1);
 
+/// Part of its remaining time that a late request may wait for a place.
+constexpr int LateWaitDivisor = 4;
+
 /// Hands out places in the order in which they become free.
 class PlaceSchedule {
 public:
@@ -62,15 +66,20 @@
   bool m_DelaysNobody = true;
 };
 
+/// Time by which a waiting request is to finish.
+TimePoint limitOf(const WaitingRequest &Request) {
+  return Request.m_Late ? Request.m_Deadline : Request.m_Due;
+}
+
 Place tryPlace(const AdmissionView &View,
                const std::vector<TimePoint> &Finishes, std::size_t Position,
                Duration Spread) {
   const std::vector<TimePoint> With = schedule(View, Position);
   Place Result{With[Position], true};
   for (std::size_t Index = Position; Index < View.m_Waiting.size(); ++Index) {
-    const TimePoint Deadline = View.m_Waiting[Index].m_Deadline;
-    const bool WasInTime = Finishes[Index] + Spread <= Deadline;
-    const bool IsInTime = With[Index + 1] + Spread <= Deadline;
+    const TimePoint Limit = limitOf(View.m_Waiting[Index]);
+    const bool WasInTime = Finishes[Index] + Spread <= Limit;
+    const bool IsInTime = With[Index + 1] + Spread <= Limit;
     if (WasInTime && !IsInTime)
       Result.m_DelaysNobody = false;
   }
@@ -90,30 +99,55 @@
   return std::max(Found.m_Finish + Spread - Deadline, MinRetryAfter);
 }
 
+/// Place of a request in the order of the queue.
+std::size_t positionOf(const AdmissionView &View, bool Late, TimePoint Due) {
+  const auto Behind = std::upper_bound(
+      View.m_Waiting.begin(), View.m_Waiting.end(), std::pair(Late, Due),
+      [](const std::pair<bool, TimePoint> &Wanted,
+         const WaitingRequest &Other) {
+        return Wanted < std::pair(Other.m_Late, Other.m_Due);
+      });
+  return static_cast<std::size_t>(Behind - View.m_Waiting.begin());
+}
+
+/// Tells whether a late request may wait for what is left over: only for a part
+/// of its time, since more of those that can be in time will come.
+bool isLateWorthWhile(const AdmissionView &View, const Place &Found,
+                      Duration Spread, TimePoint Deadline) {
+  const TimePoint Start = Found.m_Finish - View.m_ServiceTime.m_Mean;
+  return Found.m_DelaysNobody && Found.m_Finish + Spread <= Deadline &&
+         Start - View.m_Now <= (Deadline - View.m_Now) / LateWaitDivisor;
+}
+
 } // namespace
 
-AdmissionVerdict DeadlineAdmission::decide(const AdmissionView &View,
-                                           TimePoint Deadline) const {
+AdmissionVerdict
+DeadlineAdmission::decide(const AdmissionView &View,
+                          const ArrivingRequest &Arriving) const {
+  const TimePoint Deadline = Arriving.m_Deadline;
   const TimePoint FirstFree =
       *std::min_element(View.m_PlacesFreeAt.begin(), View.m_PlacesFreeAt.end());
   const bool StartsNow = View.m_Waiting.empty() && FirstFree <= View.m_Now;
   if (!StartsNow && View.m_Waiting.size() >= View.m_QueueLimit)
-    return {false, RefusalReason::QueueFull,
+    return {false, false, RefusalReason::QueueFull,
             std::max(FirstFree - View.m_Now, MinRetryAfter)};
   const Duration Spread = SpreadFactor * View.m_ServiceTime.m_Deviation;
-  const auto Behind =
-      std::upper_bound(View.m_Waiting.begin(), View.m_Waiting.end(), Deadline,
-                       [](TimePoint Wanted, const WaitingRequest &Other) {
-                         return Wanted < Other.m_Deadline;
-                       });
-  const auto Position =
-      static_cast<std::size_t>(Behind - View.m_Waiting.begin());
   const std::vector<TimePoint> Finishes = schedule(View, std::nullopt);
+  const bool IsWantedSooner = Arriving.m_Due < Deadline;
+  const std::size_t Position = positionOf(View, false, Arriving.m_Due);
   const Place Found = tryPlace(View, Finishes, Position, Spread);
-  if (Found.m_Finish + Spread <= Deadline && Found.m_DelaysNobody)
+  const TimePoint Finish =
+      IsWantedSooner ? Found.m_Finish : Found.m_Finish + Spread;
+  if (Finish <= Arriving.m_Due && Found.m_DelaysNobody)
     return {};
-  return {false, RefusalReason::Overload,
-          earliestFeasible(View, Finishes, Position, Spread, Deadline)};
+  if (IsWantedSooner) {
+    const std::size_t LatePosition = positionOf(View, true, Arriving.m_Due);
+    const Place Late = tryPlace(View, Finishes, LatePosition, Spread);
+    if (isLateWorthWhile(View, Late, Spread, Deadline))
+      return {true, true};
+  }
+  return {false, false, RefusalReason::Overload,
+          earliestFeasible(View, Finishes, Position, Spread, Arriving.m_Due)};
 }
 
 bool DeadlineAdmission::isWorthStarting(
--- a/src/core/gate/deadline_admission.h
+++ b/src/core/gate/deadline_admission.h
@@ -17,7 +17,7 @@
   std::string_view name() const override { return "deadline"; }
   QueueOrder order() const override { return QueueOrder::ByDeadline; }
   AdmissionVerdict decide(const AdmissionView &View,
-                          TimePoint Deadline) const override;
+                          const ArrivingRequest &Arriving) const override;
   bool isWorthStarting(Duration Remaining,
                        const ServiceTimeEstimate &Expected) const override;
 };
--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -157,8 +157,8 @@
 }
 
 std::optional<TimePoint> Engine::nextWakeUp() const {
-  std::optional<TimePoint> Next = m_Slots.nextChange();
-  takeEarlier(Next, m_Queue.earliestDeadline());
+  std::optional<TimePoint> Next = m_Slots.nextChange(answerGrace());
+  takeEarlier(Next, m_Queue.nextChange());
   if (!m_Queue.empty() && m_ColdWake)
     takeEarlier(Next, m_ColdWake);
   takeEarlier(Next, m_SleepGuard.nextWakeUp());
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -63,14 +63,17 @@
   template <typename Unexpected>
   void take(LinkId Link, const Unexpected &Message, TimePoint Now);
   void repeatDispatch(LinkId Link, const RequestId &Id, Knowledge Known);
-  void enter(const Dispatch &Message, TimePoint Deadline, TimePoint Now);
+  void enter(const Dispatch &Message, const ArrivingRequest &Arriving,
+             bool Late, TimePoint Now);
   void inquire(LinkId Link, const RequestId &Id);
   std::optional<RefusalCause> fenceCause(LinkId Link,
                                          const Dispatch &Message) const;
   std::optional<RefusalCause>
   stateCause(const Dispatch &Message, Duration Remaining, TimePoint Now) const;
-  std::optional<RefusalCause>
-  loadCause(const std::string &Kind, TimePoint Deadline, TimePoint Now) const;
+  /// \param Late receives whether an admitted request will be late.
+  std::optional<RefusalCause> loadCause(const std::string &Kind,
+                                        const ArrivingRequest &Arriving,
+                                        bool &Late, TimePoint Now) const;
   AdmissionView admissionView(const std::string &Kind, TimePoint Now) const;
   void noteVersion(LinkId Link, Version Seen);
   void closeLink(LinkId Link);
@@ -78,6 +81,8 @@
   // The target and the passage of time, in engine_target.cpp.
   void start(const QueuedRequest &Next, TimePoint Now);
   void startWaiting(TimePoint Now);
+  Duration answerGrace() const;
+  bool putBehind(QueuedRequest &Next, TimePoint Now);
   bool mayStart(TimePoint Now);
   void noteColdPlaces(TimePoint Now);
   void failRunning(const RequestId &Id, const std::string &Detail);
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -44,8 +44,7 @@
                                      std::to_string(Message.m_Epoch));
   if (Result.m_Gone) {
     for (const RequestId &Id : m_Ledger.queuedOf(*Result.m_Gone)) {
-      m_Queue.remove({Id, m_Ledger.find(Id)->m_Deadline,
-                      m_Ledger.find(Id)->m_Arrival, "", Duration{0}});
+      m_Queue.remove(Id);
       refuse(Id, {RefusalReason::Cancelled, Duration{0}});
     }
     m_Ledger.forget(*Result.m_Gone);
@@ -73,10 +72,13 @@
   std::optional<RefusalCause> Cause = fenceCause(Link, Message);
   if (!Cause)
     Cause = stateCause(Message, Remaining, Now);
+  const ArrivingRequest Arriving{Now + Remaining,
+                                 Now + std::min(Message.m_WantedIn, Remaining)};
+  bool Late = false;
   if (!Cause)
-    Cause = loadCause(Message.m_Kind, Now + Remaining, Now);
+    Cause = loadCause(Message.m_Kind, Arriving, Late, Now);
   if (!Cause)
-    return enter(Message, Now + Remaining, Now);
+    return enter(Message, Arriving, Late, Now);
   m_Ledger.refuse(Id, Cause->m_Reason);
   sendRefusal(Link, Id, *Cause);
 }
@@ -125,19 +127,20 @@
 }
 
 std::optional<RefusalCause> Engine::loadCause(const std::string &Kind,
-                                              TimePoint Deadline,
-                                              TimePoint Now) const {
+                                              const ArrivingRequest &Arriving,
+                                              bool &Late, TimePoint Now) const {
   if (const auto PerSecond = m_ColdRate.limit(Now)) {
     // The queue of a cold target empties at its rate, whatever its slots.
     const auto Ahead = static_cast<double>(m_Queue.size());
     const auto Wait = Duration(
         static_cast<Duration::rep>(Ahead / *PerSecond * MicrosecondsPerSecond));
     if (Wait > MaxColdWait ||
-        Now + Wait + estimate(Kind, Now).m_Mean > Deadline)
+        Now + Wait + estimate(Kind, Now).m_Mean > Arriving.m_Deadline)
       return RefusalCause{RefusalReason::Overload, Wait};
   }
   const AdmissionVerdict Verdict =
-      m_Admission->decide(admissionView(Kind, Now), Deadline);
+      m_Admission->decide(admissionView(Kind, Now), Arriving);
+  Late = Verdict.m_Late;
   if (Verdict.m_Admitted)
     return std::nullopt;
   return RefusalCause{Verdict.m_Reason, Verdict.m_RetryAfter};
@@ -150,7 +153,8 @@
   View.m_ServiceTime = estimate(Kind, Now);
   View.m_QueueLimit = m_Profile->m_QueueLimit;
   for (const QueuedRequest &Request : m_Queue.requests())
-    View.m_Waiting.push_back({Request.m_Deadline, Request.m_Expected});
+    View.m_Waiting.push_back({Request.m_Deadline, Request.m_Expected,
+                              Request.m_Due, Request.m_Late});
   const Duration Overdue =
       std::max(View.m_ServiceTime.m_Deviation, Duration{1});
   for (const OccupiedSlot &Slot : m_Slots.slots()) {
@@ -164,15 +168,17 @@
   return View;
 }
 
-void Engine::enter(const Dispatch &Message, TimePoint Deadline, TimePoint Now) {
+void Engine::enter(const Dispatch &Message, const ArrivingRequest &Arriving,
+                   bool Late, TimePoint Now) {
+  const TimePoint Deadline = Arriving.m_Deadline;
   LedgerEntry Entry;
   Entry.m_Deadline = Deadline;
   Entry.m_Idempotent = Message.m_Idempotent;
   Entry.m_Target = Message.m_Target;
   Entry.m_Arrival = ++m_Arrivals;
   Entry.m_Request = Message.m_Request;
-  m_Queue.push({Message.m_Id, Deadline, Entry.m_Arrival, Message.m_Kind,
-                estimate(Message.m_Kind, Now).m_Mean});
+  m_Queue.push({Message.m_Id, Deadline, Entry.m_Arrival, Arriving.m_Due, Late,
+                Message.m_Kind, estimate(Message.m_Kind, Now).m_Mean});
   m_Ledger.admit(Message.m_Id, std::move(Entry));
   m_Links.extend(Message.m_Id.m_Ingress, Deadline);
 }
@@ -227,8 +233,7 @@
   case Knowledge::Unknown:
     return refuse(Id, {RefusalReason::Cancelled, Duration{0}});
   case Knowledge::Queued:
-    m_Queue.remove({Id, m_Ledger.find(Id)->m_Deadline,
-                    m_Ledger.find(Id)->m_Arrival, "", Duration{0}});
+    m_Queue.remove(Id);
     return refuse(Id, {RefusalReason::Cancelled, Duration{0}});
   case Knowledge::Running:
     return abandon(Id, "cancelled by the caller", Now);
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -179,7 +179,9 @@
   const std::uint32_t Allowed = m_HoldOff.isProbing() ? 1 : m_Ramp.limit();
   noteColdPlaces(Now);
   while (!m_Queue.empty() && m_Slots.size() < Allowed && mayStart(Now)) {
-    const QueuedRequest Next = m_Queue.pop();
+    QueuedRequest Next = m_Queue.pop();
+    if (putBehind(Next, Now))
+      continue;
     const Duration Remaining = Next.m_Deadline - Now;
     if (Remaining <= Duration{0}) {
       refuse(Next.m_Id, {RefusalReason::DeadlinePassed, Duration{0}});
@@ -193,6 +195,17 @@
   }
 }
 
+// A request that can no longer be answered when it is wanted lets those go
+// first that can.
+bool Engine::putBehind(QueuedRequest &Next, TimePoint Now) {
+  if (Next.m_Late || Next.m_Due == Next.m_Deadline || m_Queue.empty() ||
+      Now + Next.m_Expected <= Next.m_Due)
+    return false;
+  Next.m_Late = true;
+  m_Queue.push(Next);
+  return true;
+}
+
 // At a cold target the next start may have to wait for its turn.
 bool Engine::mayStart(TimePoint Now) {
   const TimePoint Next = m_ColdRate.nextStart(Now);
@@ -235,15 +248,21 @@
   noteIdle(Now);
   const std::vector<OccupiedSlot> Occupied = m_Slots.slots();
   for (const OccupiedSlot &Slot : Occupied) {
-    if (!Slot.m_FreeAt && Slot.m_Deadline <= Now)
+    if (!Slot.m_FreeAt && Slot.m_Deadline + answerGrace() <= Now)
       abandon(Slot.m_Id, "the deadline passed while it ran", Now);
   }
   for (const QueuedRequest &Request : m_Queue.takeExpired(Now))
     refuse(Request.m_Id, {RefusalReason::DeadlinePassed, Duration{0}});
+  for (const QueuedRequest &Request : m_Queue.takeHopeless(Now))
+    refuse(Request.m_Id, {RefusalReason::Overload, Duration{0}});
   if (m_ZoneOutSince && Now >= *m_ZoneOutSince + ZoneOutGrace)
     refuseWaiting({RefusalReason::ZoneOut, Duration{0}});
 }
 
+Duration Engine::answerGrace() const {
+  return m_Profile == nullptr ? Duration{0} : m_Profile->m_AnswerGrace;
+}
+
 void Engine::noteEvent(TimePoint Now) {
   m_SleepGuard.onEvent(Now);
   if (!m_Links.hasLinks())
--- a/src/core/gate/request_queue.cpp
+++ b/src/core/gate/request_queue.cpp
@@ -27,13 +27,36 @@
   return All;
 }
 
-std::optional<TimePoint> RequestQueue::earliestDeadline() const {
+std::vector<QueuedRequest> RequestQueue::takeHopeless(TimePoint Now) {
+  std::vector<QueuedRequest> Hopeless;
+  for (const QueuedRequest &Request : m_Requests) {
+    if (Request.m_Late && latestStart(Request) < Now)
+      Hopeless.push_back(Request);
+  }
+  for (const QueuedRequest &Request : Hopeless)
+    m_Requests.erase(Request);
+  return Hopeless;
+}
+
+void RequestQueue::remove(const RequestId &Id) {
+  std::erase_if(m_Requests, [&Id](const QueuedRequest &Request) {
+    return Request.m_Id == Id;
+  });
+}
+
+std::optional<TimePoint> RequestQueue::nextChange() const {
   std::optional<TimePoint> Earliest;
   for (const QueuedRequest &Request : m_Requests) {
-    if (!Earliest || Request.m_Deadline < *Earliest)
-      Earliest = Request.m_Deadline;
+    const TimePoint Change = Request.m_Late ? latestStart(Request) + Duration{1}
+                                            : Request.m_Deadline;
+    if (!Earliest || Change < *Earliest)
+      Earliest = Change;
   }
   return Earliest;
 }
 
+TimePoint RequestQueue::latestStart(const QueuedRequest &Request) {
+  return Request.m_Deadline - Request.m_Expected;
+}
+
 } // namespace dandelionfall::core::gate
--- a/src/core/gate/request_queue.h
+++ b/src/core/gate/request_queue.h
@@ -11,13 +11,15 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace dandelionfall::core::gate {
 
 /// Order in which waiting requests start.
 enum class QueueOrder : std::uint8_t {
-  ByDeadline, ///< Earliest deadline first; equal ones by arrival.
+  ByDeadline, ///< In time first, late ones after them; in both the earliest
+              ///< due time first, equal ones by arrival.
   ByArrival,  ///< First come, first served.
 };
 
@@ -27,6 +29,10 @@
   TimePoint m_Deadline;
   /// Ascending number of the admission.
   std::uint64_t m_Arrival = 0;
+  /// When the answer is wanted; no later than the deadline.
+  TimePoint m_Due;
+  /// Whether the answer will come later than wanted; others go first then.
+  bool m_Late = false;
   /// Kind of the request, as its service time is known by.
   std::string m_Kind;
   /// Service time that was expected when it was admitted.
@@ -43,7 +49,7 @@
   /// Adds a request.
   void push(const QueuedRequest &Request) { m_Requests.insert(Request); }
   /// Removes a request, if it waits.
-  void remove(const QueuedRequest &Request) { m_Requests.erase(Request); }
+  void remove(const RequestId &Id);
   /// Takes the next request out; the queue must not be empty.
   QueuedRequest pop();
   /// Takes all requests out whose deadline has passed.
@@ -54,8 +60,11 @@
   std::vector<QueuedRequest> requests() const {
     return {m_Requests.begin(), m_Requests.end()};
   }
-  /// \returns the earliest deadline.
-  std::optional<TimePoint> earliestDeadline() const;
+  /// Takes the late requests out that would miss their deadline if they were
+  /// begun now.
+  std::vector<QueuedRequest> takeHopeless(TimePoint Now);
+  /// \returns when a request expires or becomes hopeless.
+  std::optional<TimePoint> nextChange() const;
   bool empty() const { return m_Requests.empty(); }
   std::uint32_t size() const {
     return static_cast<std::uint32_t>(m_Requests.size());
@@ -66,13 +75,15 @@
     QueueOrder m_Order;
     bool operator()(const QueuedRequest &Left,
                     const QueuedRequest &Right) const {
-      if (m_Order == QueueOrder::ByDeadline &&
-          Left.m_Deadline != Right.m_Deadline)
-        return Left.m_Deadline < Right.m_Deadline;
-      return Left.m_Arrival < Right.m_Arrival;
+      if (m_Order == QueueOrder::ByArrival)
+        return Left.m_Arrival < Right.m_Arrival;
+      return std::tuple(Left.m_Late, Left.m_Due, Left.m_Arrival) <
+             std::tuple(Right.m_Late, Right.m_Due, Right.m_Arrival);
     }
   };
 
+  static TimePoint latestStart(const QueuedRequest &Request);
+
   std::set<QueuedRequest, Before> m_Requests;
 };
 
--- a/src/core/gate/target_slots.cpp
+++ b/src/core/gate/target_slots.cpp
@@ -42,10 +42,10 @@
   return nullptr;
 }
 
-std::optional<TimePoint> TargetSlots::nextChange() const {
+std::optional<TimePoint> TargetSlots::nextChange(Duration Grace) const {
   std::optional<TimePoint> Next;
   for (const OccupiedSlot &Slot : m_Slots) {
-    const TimePoint Change = Slot.m_FreeAt.value_or(Slot.m_Deadline);
+    const TimePoint Change = Slot.m_FreeAt.value_or(Slot.m_Deadline + Grace);
     Next = Next ? std::min(*Next, Change) : Change;
   }
   return Next;
--- a/src/core/gate/target_slots.h
+++ b/src/core/gate/target_slots.h
@@ -47,8 +47,9 @@
   std::uint32_t size() const {
     return static_cast<std::uint32_t>(m_Slots.size());
   }
+  /// \param Grace time that is added to each deadline.
   /// \returns when a deadline passes or an abandoned slot is free.
-  std::optional<TimePoint> nextChange() const;
+  std::optional<TimePoint> nextChange(Duration Grace = Duration{0}) const;
 
 private:
   std::vector<OccupiedSlot> m_Slots;
--- a/src/core/ingress/call_records.h
+++ b/src/core/ingress/call_records.h
@@ -38,6 +38,8 @@
   HttpRequestPtr m_Request;
   std::string m_Service;
   TimePoint m_Deadline;
+  /// How long after the deadline an answer that is on its way is waited for.
+  Duration m_AnswerGrace{0};
   bool m_Idempotent = false;
   /// Whether this ingress may repeat it after it may have run.
   bool m_MayRetry = false;
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -46,6 +46,7 @@
   Entry.m_MaxAttempts = Chosen.m_MaxAttempts > 0
                             ? std::min(Chosen.m_MaxAttempts, MaxTries)
                             : 1 + MaxRetries;
+  Entry.m_AnswerGrace = View.m_Profile.m_AnswerGrace;
   Entry.m_Kind = Chosen.m_HostName + Chosen.m_PathPrefix;
   Entry.m_Priority = Chosen.m_Priority;
   Entry.m_WantedBy = Chosen.m_TargetLatency > Duration{0}
@@ -130,7 +131,8 @@
   Message.m_Idempotent = Entry.m_Idempotent;
   Message.m_Kind = Entry.m_Kind;
   Message.m_Priority = Entry.m_Priority;
-  Message.m_WantedIn = Entry.m_WantedBy - Now;
+  if (Entry.m_WantedBy < Entry.m_Deadline)
+    Message.m_WantedIn = Entry.m_WantedBy - Now;
   Message.m_Request = Current.m_Repeat == 0
                           ? Entry.m_Request
                           : markRepeat(*Entry.m_Request, Current.m_Repeat);
@@ -301,6 +303,11 @@
 void CallTable::expire(TimePoint Now) {
   while (const std::optional<CallId> Id = m_Deadlines.takeDue(Now)) {
     const Call &Late = m_Calls.at(*Id);
+    const TimePoint LastAnswer = Late.m_Deadline + Late.m_AnswerGrace;
+    if (Now < LastAnswer && mayHaveRun(Late) && !Late.m_Live.empty()) {
+      m_Deadlines.set(*Id, LastAnswer);
+      continue;
+    }
     if (Late.m_FailedAnswer != nullptr) {
       finish(*Id, CallOutcome::Answered, Late.m_FailedAnswer, "", Now);
       continue;
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -29,6 +29,9 @@
 /// written again by the targets that live.
 constexpr Duration LapseGrace = std::chrono::seconds(2);
 
+/// Time in which the answer of a target that stops at its deadline comes back;
+/// a request that is broken off sooner looks like one that was cut.
+constexpr Duration AnswerGrace = std::chrono::milliseconds(100);
 /// Removed records that peers can be told of; beyond them a peer that is far
 /// behind gets all records.
 constexpr std::size_t MaxRemembered = 4096;
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -273,6 +273,7 @@
   Result.m_Name = ProfileName;
   Result.m_Deadline = std::chrono::seconds(60);
   Result.m_TryTimeout = std::chrono::seconds(60);
+  Result.m_AnswerGrace = AnswerGrace;
   Result.m_QueueLimit = 1000;
   Result.m_RetryPercent =
       static_cast<std::uint32_t>(Percent * SpentShare * Allowed.m_Ratio);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -21,7 +21,8 @@
                                   Callback Done) {
   Exchange Next;
   Next.m_Id = ++m_LastId;
-  Next.m_Request = toBeast(Request, m_Options.m_Address);
+  Next.m_Request = std::make_shared<const BeastRequest>(
+      toBeast(Request, m_Options.m_Address));
   Next.m_Deadline = Clock::now() + Timeout;
   Next.m_Idempotent = Idempotent;
   Next.m_ToHead = Request.m_Method == "HEAD";
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -134,8 +134,9 @@
   // From here on bytes may reach the server, whatever is reported later.
   m_Sent = true;
   http::async_write(
-      m_Socket, m_Exchange->m_Request,
-      [Self = shared_from_this()](error_code Code, std::size_t Count) {
+      m_Socket, *m_Exchange->m_Request,
+      [Self = shared_from_this(),
+       Written = m_Exchange->m_Request](error_code Code, std::size_t Count) {
         Self->onWritten(Code, Count);
       });
 }
@@ -206,7 +207,7 @@
     return false;
   const auto Echoed = m_Parser->get().find(Name);
   return Echoed != m_Parser->get().end() &&
-         Echoed->value() != m_Exchange->m_Request[Name];
+         Echoed->value() != (*m_Exchange->m_Request)[Name];
 }
 
 void HttpClient::Impl::Connection::noteKeepAlive() {
--- a/src/net/http_client_pool.h
+++ b/src/net/http_client_pool.h
@@ -30,7 +30,8 @@
 
   struct Exchange {
     ExchangeId m_Id = 0;
-    BeastRequest m_Request;
+    /// Shared with a write that may outlast the exchange.
+    std::shared_ptr<const BeastRequest> m_Request;
     std::chrono::steady_clock::time_point m_Deadline;
     bool m_Idempotent = false;
     bool m_ToHead = false;
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -48,6 +48,8 @@
     core::HttpRequest Request;
     Request.m_Method = Method;
     Request.m_Path = "/";
+    Request.m_Fields = m_Fields;
+    Request.m_Body = m_Body;
     const std::size_t Place = m_Results.size();
     m_Results.emplace_back();
     return m_Client->send(Request, Timeout, Idempotent,
@@ -86,6 +88,8 @@
   std::optional<net::HttpClient> m_Client;
   std::vector<std::optional<net::HttpResult>> m_Results;
   std::list<tcp::socket> m_Peers;
+  std::vector<core::HttpField> m_Fields;
+  std::string m_Body;
   std::string m_Answer;
   Then m_Then = Then::Keep;
   std::size_t m_Requests = 0;
@@ -360,3 +364,59 @@
   Test.runFor(milliseconds(20));
   CHECK_FALSE(Test.m_Results.back().has_value());
 }
+
+TEST_CASE("a request outlasts its exchange while it is being written") {
+  constexpr std::size_t MoreThanSocketsHold = 64U << 20U;
+  Fixture Test;
+  Test.m_Body.assign(MoreThanSocketsHold, 'x');
+  const net::ExchangeId Id = Test.send();
+  Test.runFor(Quick);
+  Test.m_Client->cancel(Id);
+  CHECK(Test.last().m_End == HttpExchange::Cancelled);
+  Test.runFor(Quick);
+}
+
+TEST_CASE("an answer to an earlier request is passed over by its id") {
+  net::HttpClientOptions Options;
+  Options.m_EchoField = "Id";
+  Fixture Test(Options);
+  Test.m_Fields = {{"Id", "two"}};
+  Test.m_Answer = "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 3\r\n\r\nold"
+                  "HTTP/1.1 200 OK\r\nId: two\r\nContent-Length: 3\r\n\r\nnew";
+  Test.send();
+  const net::HttpResult Result = Test.last();
+  REQUIRE(Result.m_End == HttpExchange::Answered);
+  CHECK(Result.m_Response->m_Body == "new");
+  // Nobody knows what else will come on such a connection.
+  CHECK(Test.m_Client->connections() == 0);
+}
+
+TEST_CASE("an answer without a length ends with its connection, if whole") {
+  net::HttpClientOptions Options;
+  Options.m_TakeUnframed = true;
+  Fixture Test(Options);
+  Test.m_Answer = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody";
+  SUBCASE("the server closes") {
+    Test.m_Then = Then::Close;
+    Test.send();
+    const net::HttpResult Result = Test.last();
+    REQUIRE(Result.m_End == HttpExchange::Answered);
+    CHECK(Result.m_Response->m_Body == "body");
+  }
+  SUBCASE("the connection breaks") {
+    Test.m_Then = Then::Break;
+    Test.send();
+    CHECK(Test.last().m_End == HttpExchange::Reset);
+  }
+}
+
+TEST_CASE("a connection is not used near the end that its server states") {
+  Fixture Test;
+  Test.m_Answer = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\n"
+                  "Content-Length: 0\r\n\r\n";
+  Test.send(true);
+  Test.last();
+  Test.send(true);
+  Test.last();
+  CHECK(Test.m_Peers.size() == 2);
+}
