Wait for a slow try until another has answered

Change: the second try goes only to a target that has room, and the first is withdrawn once an answer is there. A target that reported no load counts with its slots. Watches are 400 ms apart instead of 150.

Test: ingress_retries, failed before (the first try was withdrawn at once).

--- a/src/core/ingress/call_records.h
+++ b/src/core/ingress/call_records.h
@@ -26,8 +26,7 @@
   Incarnation m_Gate;
   LinkId m_Link = 0;
   TimePoint m_SentAt;
-  /// Withdrawn after its timeout; a late answer still counts.
-  bool m_Cancelled = false;
+
   /// Another try has already been made because this one's gate is out of reach.
   bool m_Hedged = false;
 };
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -178,7 +178,8 @@
   const Candidate *Chosen = m_Router.choose(View, Entry, version(), Now);
   const double Reserve =
       Failed ? 0 : FailureReserve * View.m_Profile.m_RetryFloor;
-  if (Chosen == nullptr || !View.m_Budget.take(View.m_Profile, Now, Reserve))
+  if (Chosen == nullptr || (!Failed && !Router::hasRoom(View, *Chosen, Now)) ||
+      !View.m_Budget.take(View.m_Profile, Now, Reserve))
     return false;
   ++Entry.m_Repeats;
   startTry(Entry, *Chosen, Now);
@@ -278,8 +279,7 @@
   Current.m_Call = 0;
   if (!Current.m_Sent)
     return endTry(Number);
-  if (!Current.m_Cancelled)
-    cancel(Current);
+  cancel(Current);
   if (m_OrphanCount >= MaxOrphans) {
     m_Links.settle(Peer, Current.m_Id, Now);
     m_Links.touch(Peer, Now);
@@ -333,11 +333,8 @@
 void CallTable::timeOut(TryNumber Number, TimePoint Now) {
   Call &Entry = m_Calls.at(m_Tries.at(Number).m_Call);
   // Without another try under way this one may still bring the answer.
-  if (!retry(Entry, Now, /*Failed=*/false))
-    return;
-  Try &Slow = m_Tries.at(Number);
-  Slow.m_Cancelled = true;
-  cancel(Slow);
+  // It is withdrawn once another one has answered: that one may yet be refused.
+  retry(Entry, Now, /*Failed=*/false);
 }
 
 std::optional<TimePoint> CallTable::nextWakeUp() const {
@@ -376,7 +373,7 @@
   return std::any_of(Entry.m_Live.begin(), Entry.m_Live.end(),
                      [this](TryNumber Number) {
                        const Try &Next = m_Tries.at(Number);
-                       return !Next.m_Cancelled && !Next.m_Hedged;
+                       return !Next.m_Hedged;
                      });
 }
 
--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -94,7 +94,7 @@
   if (Ended == nullptr)
     return;
   noteEnd(*Ended, Link, Message.m_Capacity, Now);
-  if (!Ended->m_Cancelled && Ended->m_Call != 0)
+  if (Ended->m_Call != 0)
     Peer.m_Load.noteResult(false);
   endLost(Message.m_Id.m_Sequence, Message.m_Detail, Now);
 }
--- a/src/core/ingress/router.cpp
+++ b/src/core/ingress/router.cpp
@@ -36,7 +36,8 @@
 bool anyHasRoom(const Candidates &Group, const ChoiceContext &Context) {
   return std::any_of(Group.begin(), Group.end(), [&](const Candidate *Next) {
     const LoadView &View = Next->m_Peer->m_Load;
-    return View.load(Context.m_Now) < View.limit(Context.m_AssumedLimit);
+    return View.load(Context.m_Now) <
+           View.limit(assumedLimit(*Next, Context.m_AssumedLimit));
   });
 }
 
@@ -70,6 +71,15 @@
   return nullptr;
 }
 
+bool Router::hasRoom(const ServiceView &View, const Candidate &Chosen,
+                     TimePoint Now) {
+  const LoadView &Load = Chosen.m_Peer->m_Load;
+  const double Room =
+      SpillShare *
+      Load.limit(assumedLimit(Chosen, View.m_Profile.m_ColdStartLimit));
+  return Load.load(Now) + 1 <= Room;
+}
+
 Duration Router::timeToNextTry(const ServiceView &View, TimePoint Now) {
   Duration Least{0};
   for (const Candidate &Next : View.m_Candidates) {
--- a/src/core/ingress/router.h
+++ b/src/core/ingress/router.h
@@ -26,6 +26,10 @@
   const Candidate *choose(const ServiceView &View, const Call &Entry,
                           Version InForce, TimePoint Now);
 
+  /// Tells whether a target is known to have a place free, with some to spare.
+  static bool hasRoom(const ServiceView &View, const Candidate &Chosen,
+                      TimePoint Now);
+
   /// Tells when a target that takes no link now is tried again.
   /// \returns the time from now, or 0 if no target is pausing.
   static Duration timeToNextTry(const ServiceView &View, TimePoint Now);
--- a/src/core/ingress/target_choice.cpp
+++ b/src/core/ingress/target_choice.cpp
@@ -39,8 +39,8 @@
         continue;
       const LoadView &View = Next->m_Peer->m_Load;
       // A limit of one still takes one request.
-      const double Room =
-          std::max(1.0, Share * View.limit(Context.m_AssumedLimit));
+      const double Room = std::max(
+          1.0, Share * View.limit(assumedLimit(*Next, Context.m_AssumedLimit)));
       if (View.load(Context.m_Now) + 1 <= Room)
         Roomy.push_back(Next);
     }
@@ -60,7 +60,8 @@
   }
 
   static double cost(const Candidate &Of, const ChoiceContext &Context) {
-    return Of.m_Peer->m_Load.cost(Context.m_AssumedLimit, Context.m_Now);
+    return Of.m_Peer->m_Load.cost(assumedLimit(Of, Context.m_AssumedLimit),
+                                  Context.m_Now);
   }
 };
 
--- a/src/core/ingress/target_choice.h
+++ b/src/core/ingress/target_choice.h
@@ -6,6 +6,7 @@
 #include "core/ingress/gate_peer.h"
 #include "dandelionfall/core/configuration.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <random>
 #include <span>
@@ -24,6 +25,12 @@
   Distance m_Distance = Distance::SameZone;
 };
 
+/// \param Assumed limit of a target that has reported none.
+/// \returns the same, but no more than the target's slots.
+inline std::uint32_t assumedLimit(const Candidate &Of, std::uint32_t Assumed) {
+  return std::min(Assumed, Of.m_Target->m_Slots);
+}
+
 using Candidates = std::vector<const Candidate *>;
 
 /// What a strategy may draw on besides the candidates.
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -16,8 +16,8 @@
 /// Time for the answer to a call, beyond its wait.
 constexpr Duration CallTimeout = std::chrono::milliseconds(750);
 /// Least time between two watches: changes that come in quick succession are
-/// read together.
-constexpr Duration WatchInterval = std::chrono::milliseconds(150);
+/// read together. A fifth of the two seconds in which one must be in force.
+constexpr Duration WatchInterval = std::chrono::milliseconds(400);
 /// Pause after the first failed call; doubles with each further one.
 constexpr Duration FirstPause = std::chrono::milliseconds(50);
 /// Longest pause between two calls. With the call timeout it bounds how late
@@ -37,7 +37,7 @@
 constexpr std::size_t MaxRemembered = 4096;
 /// Time that a newer revision seen at a peer may take to come from the store
 /// itself, before the peer is asked for it.
-constexpr Duration PeerPullDelay = std::chrono::milliseconds(400);
+constexpr Duration PeerPullDelay = std::chrono::milliseconds(700);
 /// Time for a peer's answer.
 constexpr Duration PeerPullTimeout = std::chrono::milliseconds(1000);
 
--- a/tests/unit/ingress_retries_test.cpp
+++ b/tests/unit/ingress_retries_test.cpp
@@ -164,3 +164,23 @@
   // Each level repeats on its own account, and repeats are not repeated.
   CHECK(Chain.m_LeafRuns <= 1 + 2 * Levels);
 }
+
+TEST_CASE("a try that takes long is waited for although the next is refused") {
+  IngressFixture Test;
+  Test.configure({});
+  Test.call(1, "GET");
+  Test.advance(1s);
+  REQUIRE(Test.m_Dispatches.size() == 2);
+  CHECK(Test.sent<Cancel>().empty());
+  SUBCASE("the next one is refused") {
+    Test.refuse(ReceivedDispatch(Test.m_Dispatches[1]), 100ms);
+    CHECK_FALSE(Test.outcome(1));
+    Test.answer(ReceivedDispatch(Test.m_Dispatches[0]));
+    CHECK(Test.outcome(1) == CallOutcome::Answered);
+  }
+  SUBCASE("the next one answers") {
+    Test.answer(ReceivedDispatch(Test.m_Dispatches[1]));
+    CHECK(Test.outcome(1) == CallOutcome::Answered);
+    CHECK(Test.sent<Cancel>().size() == 1);
+  }
+}
