--- a/tests/unit/caller_response_test.cpp
+++ b/tests/unit/caller_response_test.cpp
@@ -1,4 +1,5 @@
 #include "app/node/caller_response.h"
+#include "platform/http_dialect.h"
 
 #include <doctest/doctest.h>
 
@@ -157,3 +158,64 @@
   CHECK(app::makeTargetRequest(core::ownDialect(), Request, milliseconds(-5),
                                "") == Wanted);
 }
+
+TEST_CASE("what a target's answer means in the platform's dialect") {
+  struct {
+    std::uint32_t m_Status;
+    std::vector<core::HttpField> m_Fields;
+    bool m_Idempotent;
+    app::AnswerMeaning m_Wanted;
+  } const Cases[] = {
+      {200, {{"Response-Signature", "s"}}, false, app::AnswerMeaning::Whole},
+      {200, {}, true, app::AnswerMeaning::Doubtful},
+      {500, {{"Response-Signature", "s"}}, false, app::AnswerMeaning::Whole},
+      {503, {{"not-executed", "1"}}, false, app::AnswerMeaning::NotRun},
+      {400, {{"Not-Executed", "1"}}, true, app::AnswerMeaning::NotRun},
+      {421, {{"Instance-Id", "i-2"}}, false, app::AnswerMeaning::OtherTarget},
+      // Without the target's word the status promises too much.
+      {503, {}, false, app::AnswerMeaning::Doubtful},
+      {429, {}, false, app::AnswerMeaning::Doubtful},
+      {503, {}, true, app::AnswerMeaning::Whole},
+  };
+  for (const auto &Case : Cases) {
+    CAPTURE(Case.m_Status);
+    const core::HttpResponse Response{Case.m_Status, Case.m_Fields, ""};
+    CHECK(app::meaningOf(platform::httpDialect(), Response,
+                         Case.m_Idempotent) == Case.m_Wanted);
+  }
+  const core::HttpResponse Unsigned{503, {{"Not-Executed", "1"}}, ""};
+  CHECK(app::meaningOf(core::ownDialect(), Unsigned, false) ==
+        app::AnswerMeaning::Whole);
+}
+
+TEST_CASE("only the node says which service a request comes from") {
+  core::HttpRequest Request;
+  Request.m_Fields = {{"caller-service", "forged"}, {"X", "1"}};
+  const auto Given = std::make_shared<const core::HttpRequest>(Request);
+  const auto Sent =
+      app::withCallerService(platform::httpDialect(), Given, "slotboard");
+  CHECK(Sent->m_Fields == std::vector<core::HttpField>{
+                              {"X", "1"}, {"Caller-Service", "slotboard"}});
+  CHECK(app::withCallerService(core::ownDialect(), Given, "x") == Given);
+}
+
+TEST_CASE("a target is told which start of it is meant") {
+  core::HttpRequest Request;
+  Request.m_Fields = {{"Expect-Instance", "forged"}, {"Deadline-Ms", "9"}};
+  const auto Sent = app::makeTargetRequest(platform::httpDialect(), Request,
+                                           milliseconds(250), "i-1");
+  CHECK(Sent.m_Fields ==
+        std::vector<core::HttpField>{{"Deadline-Ms", "250"},
+                                     {"Expect-Instance", "i-1"}});
+}
+
+TEST_CASE("the time to come back may be a fraction of a second") {
+  const auto Response = app::makeCallerResponse(
+      platform::httpDialect(),
+      {1, CallOutcome::NotRun, nullptr, milliseconds(150), "why"});
+  CHECK(Response.m_Status == 503);
+  CHECK(valuesOf(Response.m_Fields, "Retry-After") == Values{"0.150"});
+  CHECK(app::retryAfterOf(Response) == milliseconds(150));
+  CHECK(app::retryAfterOf({503, {{"Retry-After", "soon"}}, ""}) ==
+        core::Duration::zero());
+}
