--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -14,6 +14,7 @@
 import signal
 import subprocess
 import tempfile
+import threading
 import time
 
 from relay import Relays
@@ -68,11 +69,25 @@
         self.arguments = [str(a) for a in arguments]
         self.log = pathlib.Path(directory) / f"{name}.log"
         self.child = None
+        # Faults run in threads of their own and may mend the same host.
+        self.lock = threading.Lock()
+        # Every child that was ever started; none may outlive the fleet.
+        self.children = []
         self.start()
 
     def start(self):
-        with open(self.log, "ab") as log:
-            self.child = subprocess.Popen(self.arguments, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        """Starts the program unless it runs; returns whether it did."""
+        with self.lock:
+            if self.child is not None and self.child.poll() is None:
+                return False
+            with open(self.log, "ab") as log:
+                self.child = subprocess.Popen(self.arguments, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+            self.children.append(self.child)
+            return True
+
+    def left_over(self):
+        """The numbers of children that still run."""
+        return [child.pid for child in self.children if child.poll() is None]
 
     @property
     def pid(self):
@@ -379,10 +394,17 @@
                 target.process.kill()
         if self.platform is not None and self.platform.process.alive():
             self.platform.process.kill()
+        left = self._left_over()
         if self.relays is not None:
             self.relays.close()
         self.work.cleanup()
         self.lock.close()
+        if left:
+            raise FleetError(f"processes outlive their scenario: {left}")
+
+    def _left_over(self):
+        owners = [*self.nodes, *self.targets.values(), *([self.platform] if self.platform else [])]
+        return [pid for owner in owners if owner.process is not None for pid in owner.process.left_over()]
 
 
 def applied_version(status):
--- a/tests/system/node_edges.py
+++ b/tests/system/node_edges.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Checks on real processes what a single node does at its edges: large bodies and a second signal."""
 import http.client
+import pathlib
 import signal
 import sys
 import threading
@@ -64,10 +65,33 @@
                         f"second signal: exit code {code}")
 
 
+def check_hang_up(fleet):
+    """SIGHUP reads the settings again; a fault in them changes nothing and ends nothing."""
+    node = fleet.nodes[1]
+    settings = pathlib.Path(node.process.arguments[-1])
+    text = settings.read_text()
+    node.process.send(signal.SIGHUP)
+    wait_until(lambda: "name=settings-read" in node.process.tail(), SHORT_S, "the settings were read")
+    settings.write_text(text + "\n[log]\nlevel = loud\n")
+    node.process.send(signal.SIGHUP)
+    wait_until(lambda: "name=settings-refused" in node.process.tail(), SHORT_S, "the settings were refused")
+    settings.write_text(text)
+    status, _, _ = http_call(node.caller, "GET", "/slotboard/a")
+    return check(node.process.alive() and status == 200, "SIGHUP: the node goes on serving")
+
+
+def check_second_start(fleet):
+    """A host that runs is not started again, so no process is lost from sight."""
+    process = fleet.nodes[1].process
+    return check(not process.start() and len(process.children) == 1, "second start: refused")
+
+
 def main():
     with Fleet(services=["slotboard"]) as fleet:
         fleet.wait_ready()
         good = check_large_body(fleet)
+        good &= check_hang_up(fleet)
+        good &= check_second_start(fleet)
         good &= check_second_signal(fleet)
     return 0 if good else 1
 
