Keep the gates that a service in use lists; bounded logs of each request; explain

Test: ingress_routing, 40 targets, failed before (2 of 4,000 calls unanswered).

Logs: to standard output; one line for each request that is settled (caller's id, route, tries with their ends, version, time) and for each refusal of a gate (target, load, limit, version). At most 50 lines a second of a kind, with the number left out; a reader that stops reading costs lines, not time. dandelionfall explain ID FILE... joins the lines of one request.

--- a/include/dandelionfall/app/event_recorder.h
+++ b/include/dandelionfall/app/event_recorder.h
@@ -56,7 +56,8 @@
 public:
   /// \param Host the node's host name.
   /// \param Clock the process's logical clock; must outlive the recorder.
-  /// \param TraceRequests whether events of severity Debug are kept as well.
+  /// \param TraceRequests whether events of severity Debug and of single
+  /// requests are kept as well.
   EventRecorder(std::string Host, LogicalClock &Clock, bool TraceRequests);
   ~EventRecorder();
   EventRecorder(const EventRecorder &) = delete;
--- a/include/dandelionfall/app/logging.h
+++ b/include/dandelionfall/app/logging.h
@@ -1,5 +1,5 @@
 /// \file
-/// Structured logs on standard error, one line of `key=value` pairs an event.
+/// Structured logs on standard output, one line of `key=value` pairs an event.
 #ifndef DANDELIONFALL_APP_LOGGING_H
 #define DANDELIONFALL_APP_LOGGING_H
 
@@ -9,9 +9,10 @@
 
 namespace dandelionfall::app {
 
-/// Starts logging to standard error. Nothing is logged before.
-/// \param Level the least severity that is written: debug, info, warning or
-/// error.
+/// Starts logging to standard output. Nothing is logged before. Lines are
+/// bounded in number by kind, and dropped rather than waited for if standard
+/// output takes no more; both are counted in the log itself. \param Level the
+/// least severity that is written: debug, info, warning or error.
 void setUpLogging(const std::string &Level);
 
 /// Writes an event at its severity. Safe for use by several threads.
--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -67,6 +67,9 @@
   std::string_view m_Name;
   Severity m_Severity;
   std::string_view m_Meaning;
+  /// Whether it tells of a single request; such events are logged, but kept for
+  /// the time line only where requests are traced.
+  bool m_OfRequest = false;
 };
 
 /// Lists every event number that the program can report, in ascending order.
--- a/include/dandelionfall/core/ingress.h
+++ b/include/dandelionfall/core/ingress.h
@@ -92,8 +92,10 @@
   /// \param Request the request.
   /// \param CallerDeadline the time the caller allows, if it named one.
   /// \param Now the time.
+  /// \param CallerId id by which the caller knows it, for the log.
   void onCall(CallId Call, HttpRequestPtr Request,
-              std::optional<Duration> CallerDeadline, TimePoint Now);
+              std::optional<Duration> CallerDeadline, TimePoint Now,
+              const std::string &CallerId = "");
   /// Notes that a caller no longer waits.
   void onCallerGone(CallId Call, TimePoint Now);
   /// Notes that an asked-for link can carry messages.
--- a/include/dandelionfall/core/traffic_message.h
+++ b/include/dandelionfall/core/traffic_message.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -100,6 +101,9 @@
   OtherTarget,      ///< Another target answers at the address.
 };
 
+/// \returns the name of a reason in event details.
+std::string_view nameOf(RefusalReason Reason);
+
 /// A refusal: the request did not run here and never will; a later try at the
 /// same gate needs a new id.
 struct Refusal {
--- a/src/app/command.h
+++ b/src/app/command.h
@@ -32,6 +32,7 @@
 extern const Command StatusCommand;
 extern const Command TimelineCommand;
 extern const Command LoadCommand;
+extern const Command ExplainCommand;
 
 } // namespace dandelionfall::app
 
--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -15,9 +15,9 @@
 using core::Error;
 using core::ErrorKind;
 
-constexpr const Command *Commands[] = {&NodeCommand, &CheckCommand,
+constexpr const Command *Commands[] = {&NodeCommand,   &CheckCommand,
                                        &StatusCommand, &TimelineCommand,
-                                       &LoadCommand};
+                                       &LoadCommand,   &ExplainCommand};
 
 constexpr const char *GeneralRemedy = "see dandelionfall --help";
 
--- a/src/app/event_recorder.cpp
+++ b/src/app/event_recorder.cpp
@@ -55,16 +55,17 @@
 
   void record(const core::Event &Happened) {
     logEvent(m_Host, Happened);
-    const bool IsDebug =
-        core::describe(Happened.m_Id).m_Severity == core::Severity::Debug;
-    if (IsDebug && !m_TraceRequests)
+    const core::EventInfo &Info = core::describe(Happened.m_Id);
+    const bool IsDetail =
+        Info.m_OfRequest || Info.m_Severity == core::Severity::Debug;
+    if (IsDetail && !m_TraceRequests)
       return;
     const std::lock_guard Lock(m_Mutex);
     // The clock is read under the lock, so that sequence and logical time
     // never disagree about the order.
     RecordedEvent Entry{m_Clock.tick(), wallMilliseconds(), ++m_Sequence,
                         m_Host, Happened};
-    (IsDebug ? m_DebugEvents : m_Events).push_back(std::move(Entry));
+    (IsDetail ? m_DebugEvents : m_Events).push_back(std::move(Entry));
   }
 
   std::vector<RecordedEvent> events() const {
--- /dev/null
+++ b/src/app/explain_command.cpp
@@ -0,0 +1,107 @@
+#include "app/command.h"
+#include "app/file_reader.h"
+#include "dandelionfall/core/error.h"
+
+#include <algorithm>
+#include <iostream>
+#include <limits>
+#include <set>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace dandelionfall::app {
+
+namespace {
+
+/// Value of `KEY=VALUE` in a log line; empty if the line lacks the key.
+std::string valueOf(std::string_view Line, const std::string &Key) {
+  const std::string Wanted = Key + "=";
+  for (std::size_t Found = Line.find(Wanted); Found != std::string_view::npos;
+       Found = Line.find(Wanted, Found + 1)) {
+    const bool Begins =
+        Found == 0 || Line[Found - 1] == ' ' || Line[Found - 1] == '"';
+    if (!Begins)
+      continue;
+    const std::size_t Begin = Found + Wanted.size();
+    return std::string(
+        Line.substr(Begin, Line.find_first_of(" \"", Begin) - Begin));
+  }
+  return {};
+}
+
+/// The ids of a request's tries, from the line that settles it: all share the
+/// incarnation of the ingress.
+std::set<std::string> triesOf(std::string_view Line) {
+  const std::string Last = valueOf(Line, "request");
+  const std::string Ingress = Last.substr(0, Last.find('/'));
+  std::set<std::string> Result;
+  if (!Last.empty())
+    Result.insert(Last);
+  const std::size_t Begin = Line.find("tries=");
+  if (Begin == std::string_view::npos)
+    return Result;
+  std::istringstream Tries(std::string(Line.substr(Begin + 6)));
+  for (std::string Try; std::getline(Tries, Try, ',');) {
+    const std::size_t End = Try.find('@');
+    if (End != std::string::npos && End > 0)
+      Result.insert(Ingress + "/" + Try.substr(0, End));
+  }
+  return Result;
+}
+
+struct LogLine {
+  std::string m_Time;
+  std::string m_Text;
+};
+
+std::vector<LogLine> readLines(const Operands &Files) {
+  std::vector<LogLine> Lines;
+  for (const std::string &File : Files) {
+    std::istringstream Text(readFile(File));
+    for (std::string Line; std::getline(Text, Line);)
+      Lines.push_back({valueOf(Line, "time"), Line});
+  }
+  return Lines;
+}
+
+int run(const Operands &Given) {
+  const std::string &Id = Given.front();
+  std::vector<LogLine> Lines = readLines({Given.begin() + 1, Given.end()});
+  std::set<std::string> Requests;
+  for (const LogLine &Each : Lines) {
+    if (valueOf(Each.m_Text, "caller_id") != Id)
+      continue;
+    const std::set<std::string> Tries = triesOf(Each.m_Text);
+    Requests.insert(Tries.begin(), Tries.end());
+  }
+  std::erase_if(Lines, [&](const LogLine &Each) {
+    return valueOf(Each.m_Text, "caller_id") != Id &&
+           !Requests.contains(valueOf(Each.m_Text, "request"));
+  });
+  std::stable_sort(Lines.begin(), Lines.end(),
+                   [](const LogLine &Left, const LogLine &Right) {
+                     return Left.m_Time < Right.m_Time;
+                   });
+  if (Lines.empty())
+    throw core::Error(core::ErrorKind::Usage,
+                      "no line names the request '" + Id + "'",
+                      "give the log of the node that the caller connected to; "
+                      "under load only a part of the requests is logged");
+  for (const LogLine &Each : Lines)
+    std::cout << Each.m_Text << "\n";
+  return 0;
+}
+
+} // namespace
+
+const Command ExplainCommand = {
+    "explain",
+    "ID FILE...",
+    "shows the log lines about a caller's request, of all given logs, in time",
+    {},
+    2,
+    std::numeric_limits<std::size_t>::max(),
+    run};
+
+} // namespace dandelionfall::app
--- a/src/app/logging.cpp
+++ b/src/app/logging.cpp
@@ -1,14 +1,19 @@
 #include "dandelionfall/app/logging.h"
 
-#include <log4cplus/consoleappender.h>
+#include "app/log_limiter.h"
+#include "app/pipe_appender.h"
+
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <unistd.h>
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstdio>
 #include <memory>
+#include <mutex>
 #include <utility>
 
 namespace dandelionfall::app {
@@ -71,12 +76,9 @@
 
 void setUpLogging(const std::string &Level) {
   static const log4cplus::Initializer Library;
-  constexpr bool LogToStandardError = true;
-  constexpr bool FlushEachLine = true;
-  const log4cplus::SharedAppenderPtr Appender(
-      new log4cplus::ConsoleAppender(LogToStandardError, FlushEachLine));
-  Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-      "time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n"));
+  const log4cplus::SharedAppenderPtr Appender(new PipeAppender(
+      STDOUT_FILENO, std::make_unique<log4cplus::PatternLayout>(
+                         "time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n")));
   log4cplus::Logger &Instance = nodeLogger();
   Instance.removeAllAppenders();
   Instance.setAdditivity(false);
@@ -92,8 +94,21 @@
   const log4cplus::LogLevel Level =
       SeverityLevels.at(static_cast<std::size_t>(Value));
   const log4cplus::Logger &Instance = nodeLogger();
-  if (Instance.isEnabledFor(Level))
-    Instance.forcedLog(Level, formatEvent(Host, Happened));
+  if (!Instance.isEnabledFor(Level))
+    return;
+  static std::mutex Mutex;
+  static LogLimiter Limiter;
+  LogLimiter::Verdict Verdict;
+  {
+    const std::lock_guard Lock(Mutex);
+    Verdict = Limiter.decide(Happened.m_Id, std::chrono::steady_clock::now());
+  }
+  if (!Verdict.m_Admitted)
+    return;
+  std::string Line = formatEvent(Host, Happened);
+  if (Verdict.m_LeftOut > 0)
+    Line += " left_out=" + std::to_string(Verdict.m_LeftOut);
+  Instance.forcedLog(Level, Line);
 }
 
 std::string formatEvent(const std::string &Host, const core::Event &Happened) {
--- a/src/app/node/caller_response.cpp
+++ b/src/app/node/caller_response.cpp
@@ -137,6 +137,15 @@
   return std::nullopt;
 }
 
+std::string callerIdOf(const core::HttpDialect &Dialect,
+                       const core::HttpRequest &Request) {
+  for (const core::HttpField &Field : Request.m_Fields) {
+    if (isNamed(Field, Dialect.m_RequestIdField))
+      return Field.m_Value;
+  }
+  return {};
+}
+
 core::HttpRequestPtr withCallerService(const core::HttpDialect &Dialect,
                                        core::HttpRequestPtr Request,
                                        const std::string &Service) {
--- a/src/app/node/caller_response.h
+++ b/src/app/node/caller_response.h
@@ -37,6 +37,10 @@
 std::optional<core::Duration> callerDeadline(const core::HttpDialect &Dialect,
                                              const core::HttpRequest &Request);
 
+/// \returns the id by which the caller knows a request; empty if it names none.
+std::string callerIdOf(const core::HttpDialect &Dialect,
+                       const core::HttpRequest &Request);
+
 /// Sets what only a node may say of a request: the service that it comes from.
 /// \param Request the caller's request.
 /// \param Service the service beside the node that took it in.
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -143,9 +143,10 @@
   if (refuseIfLarge(Call, *Request))
     return;
   const auto Deadline = callerDeadline(m_Board.m_Dialect, *Request);
+  const std::string CallerId = callerIdOf(m_Board.m_Dialect, *Request);
   Request = withCallerService(m_Board.m_Dialect, std::move(Request),
                               m_Board.m_Settings.m_TargetService);
-  m_Ingress.onCall(Call, std::move(Request), Deadline, Now);
+  m_Ingress.onCall(Call, std::move(Request), Deadline, Now, CallerId);
   pump();
 }
 
--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -25,36 +25,6 @@
 
 } // namespace
 
-std::string_view nameOf(RefusalReason Reason) {
-  switch (Reason) {
-  case RefusalReason::Overload:
-    return "overload";
-  case RefusalReason::QueueFull:
-    return "queue-full";
-  case RefusalReason::DeadlinePassed:
-    return "deadline-passed";
-  case RefusalReason::ZoneOut:
-    return "zone-out";
-  case RefusalReason::Draining:
-    return "draining";
-  case RefusalReason::WrongIncarnation:
-    return "wrong-incarnation";
-  case RefusalReason::OldEpoch:
-    return "old-epoch";
-  case RefusalReason::UnknownTarget:
-    return "unknown-target";
-  case RefusalReason::TargetDown:
-    return "target-down";
-  case RefusalReason::Cancelled:
-    return "cancelled";
-  case RefusalReason::TargetRefused:
-    return "target-refused";
-  case RefusalReason::OtherTarget:
-    return "other-target";
-  }
-  return "unknown";
-}
-
 Engine::Engine(GateOptions Options)
     : m_Options(std::move(Options)),
       m_Admission(requireAdmission(m_Options.m_Admission)),
@@ -220,6 +190,11 @@
   report(EventId::RequestRefused,
          "request=" + toString(Id) +
              " reason=" + std::string(nameOf(Cause.m_Reason)) +
+             " target=" + (m_Target == nullptr ? "none" : m_Target->m_Name) +
+             " in_flight=" + std::to_string(m_Slots.size()) +
+             " queued=" + std::to_string(m_Queue.size()) +
+             " limit=" + std::to_string(capacity().m_Limit) +
+             " version=" + std::to_string(version()) +
              " retry_after_us=" + std::to_string(Cause.m_RetryAfter.count()));
 }
 
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -153,9 +153,6 @@
   std::vector<GateCommand> m_Commands;
 };
 
-/// \returns the name of a reason in event details.
-std::string_view nameOf(RefusalReason Reason);
-
 } // namespace dandelionfall::core::gate
 
 #endif // DANDELIONFALL_CORE_GATE_ENGINE_H
--- a/src/core/ingress.cpp
+++ b/src/core/ingress.cpp
@@ -95,9 +95,10 @@
 }
 
 void Ingress::onCall(CallId Call, HttpRequestPtr Request,
-                     std::optional<Duration> CallerDeadline, TimePoint Now) {
+                     std::optional<Duration> CallerDeadline, TimePoint Now,
+                     const std::string &CallerId) {
   m_Impl->m_Calls.expire(Now);
-  m_Impl->m_Calls.open(Call, std::move(Request), CallerDeadline, Now);
+  m_Impl->m_Calls.open(Call, std::move(Request), CallerDeadline, CallerId, Now);
 }
 
 void Ingress::onCallerGone(CallId Call, TimePoint Now) {
--- a/src/core/ingress/call_records.h
+++ b/src/core/ingress/call_records.h
@@ -34,6 +34,11 @@
 /// A caller's request without a final answer.
 struct Call {
   CallId m_Id = 0;
+  /// Id by which the caller knows the request; empty if it names none.
+  std::string m_CallerId;
+  TimePoint m_OpenedAt;
+  /// What became of each try, for the log.
+  std::string m_History;
   HttpRequestPtr m_Request;
   std::string m_Service;
   TimePoint m_Deadline;
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -22,19 +22,24 @@
 // Life of a call.
 
 void CallTable::open(CallId Id, HttpRequestPtr Request,
-                     std::optional<Duration> CallerDeadline, TimePoint Now) {
+                     std::optional<Duration> CallerDeadline,
+                     const std::string &CallerId, TimePoint Now) {
   const Configuration *Config = m_Services.configuration();
   if (Config == nullptr)
-    return reject(Id, CallOutcome::NotRun, "no configuration is in force yet");
+    return reject(Id, CallerId, CallOutcome::NotRun,
+                  "no configuration is in force yet");
   const RouteMatch Match =
       findRoute(*Config, Request->m_HostName, Request->m_Path);
   if (Match.m_Route == nullptr)
-    return reject(Id, CallOutcome::NoRoute, "no route fits the request");
+    return reject(Id, CallerId, CallOutcome::NoRoute,
+                  "no route fits the request");
   if (m_Calls.size() >= MaxOpenCalls)
-    return reject(Id, CallOutcome::NotRun, "too many open calls");
+    return reject(Id, CallerId, CallOutcome::NotRun, "too many open calls");
   const Route &Chosen = *Match.m_Route;
   Call Entry;
   Entry.m_Id = Id;
+  Entry.m_CallerId = CallerId;
+  Entry.m_OpenedAt = Now;
   Entry.m_Service = Match.m_Service != nullptr ? Match.m_Service->m_Name
                                                : m_Splits.choose(Chosen);
   const ServiceView &View = m_Services.use(Entry.m_Service, Now);
@@ -63,11 +68,16 @@
   afterNotRun(Added, Now);
 }
 
-void CallTable::reject(CallId Id, CallOutcome Outcome,
-                       const std::string &Detail) {
+void CallTable::reject(CallId Id, const std::string &CallerId,
+                       CallOutcome Outcome, const std::string &Detail) {
   const Duration RetryAfter =
       Outcome == CallOutcome::NotRun ? DefaultRetryAfter : Duration{0};
   m_Out.answer({Id, Outcome, nullptr, RetryAfter, Detail});
+  m_Out.report(EventId::RequestSettled,
+               "caller_id=" + CallerId + " call=" + std::to_string(Id) +
+                   " outcome=" + std::string(outcomeName(Outcome)) +
+                   " version=" + std::to_string(version()) +
+                   " cause=" + Detail);
 }
 
 void CallTable::abandon(CallId Id, TimePoint Now) {
@@ -80,7 +90,10 @@
   for (const TryNumber Number : Gone.m_Live)
     detach(m_Tries.at(Number), Gone.m_Deadline, Now);
   m_Out.report(EventId::RequestSettled,
-               "call=" + std::to_string(Id) + " outcome=caller-gone");
+               "caller_id=" + Gone.m_CallerId + " call=" + std::to_string(Id) +
+                   " outcome=caller-gone elapsed_us=" +
+                   std::to_string((Now - Gone.m_OpenedAt).count()) +
+                   " tries=" + Gone.m_History);
 }
 
 void CallTable::startTry(Call &Entry, const Candidate &Chosen, TimePoint Now) {
@@ -219,10 +232,15 @@
   const TryNumber Last =
       Ended.m_Live.empty() ? Ended.m_LastTry : Ended.m_Live.back();
   const std::string Fields =
-      "call=" + std::to_string(Id) +
+      "caller_id=" + Ended.m_CallerId + " call=" + std::to_string(Id) +
       " request=" + toString(RequestId{m_Options.m_Incarnation, Last}) +
-      " outcome=" + std::string(outcomeName(Outcome));
-  m_Out.report(EventId::RequestSettled, Fields);
+      " outcome=" + std::string(outcomeName(Outcome)) +
+      " route=" + Ended.m_Kind + " service=" + Ended.m_Service +
+      " elapsed_us=" + std::to_string((Now - Ended.m_OpenedAt).count()) +
+      " late_us=" + std::to_string((Now - Ended.m_WantedBy).count()) +
+      " version=" + std::to_string(version()) + " tries=" + Ended.m_History;
+  m_Out.report(EventId::RequestSettled,
+               Detail.empty() ? Fields : Fields + " cause=" + Detail);
   if (Outcome == CallOutcome::Unknown)
     m_Out.report(EventId::OutcomeUnknown, Fields + " fault=" + Detail);
   for (const TryNumber Number : Ended.m_Live)
@@ -234,6 +252,7 @@
 void CallTable::endNotRun(TryNumber Number, const std::string &Fault,
                           TimePoint Now, bool AtTarget) {
   const CallId Id = m_Tries.at(Number).m_Call;
+  noteEnded(m_Tries.at(Number), "not run (" + Fault + ")");
   endTry(Number);
   Call *Entry = findCall(Id);
   if (Entry == nullptr)
@@ -247,6 +266,7 @@
 void CallTable::endLost(TryNumber Number, const std::string &Fault,
                         TimePoint Now) {
   const CallId Id = m_Tries.at(Number).m_Call;
+  noteEnded(m_Tries.at(Number), "may have run (" + Fault + ")");
   endTry(Number);
   Call *Entry = findCall(Id);
   if (Entry == nullptr)
@@ -255,6 +275,15 @@
   afterLost(*Entry, Now);
 }
 
+void CallTable::noteEnded(const Try &Ended, const std::string &End) {
+  Call *Entry = findCall(Ended.m_Call);
+  if (Entry == nullptr || Entry->m_History.size() > MaxHistoryBytes)
+    return;
+  Entry->m_History += (Entry->m_History.empty() ? "" : ",") +
+                      std::to_string(Ended.m_Id.m_Sequence) + "@" +
+                      Ended.m_Peer->m_Address + ":" + End;
+}
+
 void CallTable::endTry(TryNumber Number) {
   const auto Found = m_Tries.find(Number);
   const Try &Ended = Found->second;
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -30,8 +30,10 @@
         m_Router(Options), m_Splits(Options.m_Seed) {}
 
   /// Takes a caller's request.
+  /// \param CallerId id by which the caller knows it, for the log.
   void open(CallId Id, HttpRequestPtr Request,
-            std::optional<Duration> CallerDeadline, TimePoint Now);
+            std::optional<Duration> CallerDeadline, const std::string &CallerId,
+            TimePoint Now);
   /// Gives up a call whose caller is gone.
   void abandon(CallId Id, TimePoint Now);
   /// Moves requests that wait for a gate which the new version takes out.
@@ -63,7 +65,9 @@
   void onGateDead(GatePeer &Peer, TimePoint Now) override;
 
 private:
-  void reject(CallId Id, CallOutcome Outcome, const std::string &Detail);
+  void reject(CallId Id, const std::string &CallerId, CallOutcome Outcome,
+              const std::string &Detail);
+  void noteEnded(const Try &Ended, const std::string &End);
   Version version() const;
 
   // A call may be finished, and its record gone, after any of these.
--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -32,6 +32,7 @@
   const bool Failed = Message.m_Response->m_Status >= FirstServerError;
   Peer.m_Load.noteResult(!Failed);
   const CallId Id = Ended->m_Call;
+  noteEnded(*Ended, "status " + std::to_string(Message.m_Response->m_Status));
   endTry(Message.m_Id.m_Sequence);
   Call *Entry = findCall(Id);
   if (Entry == nullptr)
@@ -66,8 +67,10 @@
     Entry->m_RetryAfter = Message.m_RetryAfter;
   const bool AtTarget = Message.m_Reason == RefusalReason::TargetRefused;
   endNotRun(Message.m_Id.m_Sequence,
-            AtTarget ? "refused by the target" : "refused by the gate", Now,
-            AtTarget);
+            AtTarget ? "refused by the target"
+                     : "refused by the gate, " +
+                           std::string(nameOf(Message.m_Reason)),
+            Now, AtTarget);
 }
 
 void CallTable::noteRefusal(GatePeer &Peer, const Refusal &Message,
--- a/src/core/ingress/gate_links.cpp
+++ b/src/core/ingress/gate_links.cpp
@@ -208,15 +208,17 @@
 }
 
 void GateLinks::clearWarm() {
-  for (const auto &[Address, Peer] : m_Peers)
+  for (const auto &[Address, Peer] : m_Peers) {
     Peer->m_Warm = false;
+    Peer->m_Listed = false;
+  }
 }
 
 void GateLinks::forgetUnused(TimePoint Now) {
   for (auto Next = m_Peers.begin(); Next != m_Peers.end();) {
     const auto Current = Next++;
     const GatePeer &Peer = *Current->second;
-    if (isWanted(Peer) || Peer.m_State != LinkState::Idle ||
+    if (isWanted(Peer) || Peer.m_Listed || Peer.m_State != LinkState::Idle ||
         !Peer.m_Abandoned.empty() || !Peer.m_Orphans.empty() ||
         Now < Peer.m_PauseUntil)
       continue;
--- a/src/core/ingress/gate_peer.h
+++ b/src/core/ingress/gate_peer.h
@@ -55,6 +55,8 @@
   TimePoint m_LastUsed;
   /// Whether a link is kept open without requests.
   bool m_Warm = false;
+  /// Whether a service in use lists it as a candidate, and so points at it.
+  bool m_Listed = false;
 
   /// The gate takes no new work until it is started anew.
   bool m_Leaving = false;
--- a/src/core/ingress/limits.h
+++ b/src/core/ingress/limits.h
@@ -56,6 +56,8 @@
 constexpr std::size_t MaxIdsSentAtOnce = 256;
 /// Time after its deadline at which an orphan is forgotten.
 constexpr Duration OrphanGrace = std::chrono::seconds(5);
+/// Length of a call's history beyond which it is not continued in the log.
+constexpr std::size_t MaxHistoryBytes = 1024;
 /// Least time between two reports of the same newer version.
 constexpr Duration NewerVersionInterval = std::chrono::seconds(1);
 
--- a/src/core/ingress/service_table.cpp
+++ b/src/core/ingress/service_table.cpp
@@ -60,8 +60,9 @@
   for (const Target &Next : View.m_Service->m_Targets) {
     if (!isZoneIn(*m_Config, Next.m_Zone) || m_Leaving.contains(Next.m_Host))
       continue;
-    View.m_Candidates.push_back(
-        {&Next, &m_Links.peer(Next.m_GateAddress), distanceTo(Next.m_Zone)});
+    GatePeer &Peer = m_Links.peer(Next.m_GateAddress);
+    Peer.m_Listed = true;
+    View.m_Candidates.push_back({&Next, &Peer, distanceTo(Next.m_Zone)});
   }
   warmUp(View, Now);
 }
--- a/tests/unit/ingress_routing_test.cpp
+++ b/tests/unit/ingress_routing_test.cpp
@@ -185,3 +185,21 @@
   for (const auto &[Gate, Count] : countByGate(Test))
     CHECK(Count == 3);
 }
+
+TEST_CASE("a large service is served after each new version") {
+  constexpr std::size_t Targets = 40;
+  constexpr CallId CallsPerVersion = 200;
+  ConfigurationBuilder Builder;
+  Builder.m_TargetZones.assign(Targets, "a");
+  IngressFixture Test;
+  CallId Last = 0;
+  for (Version Number = 1; Number <= 20; ++Number) {
+    Builder.m_Version = Number;
+    Test.configure(Builder);
+    for (CallId Count = 0; Count < CallsPerVersion; ++Count) {
+      Test.call(++Last, "POST");
+      Test.answer(ReceivedDispatch(Test.m_Dispatches.back()));
+      CHECK(Test.outcome(Last) == CallOutcome::Answered);
+    }
+  }
+}
