--- a/src/app/explain_command.cpp
+++ b/src/app/explain_command.cpp
@@ -1,8 +1,9 @@
 #include "app/command.h"
-#include "app/file_reader.h"
+
 #include "dandelionfall/core/error.h"
 
 #include <algorithm>
+#include <fstream>
 #include <iostream>
 #include <limits>
 #include <set>
@@ -58,9 +59,17 @@
 std::vector<LogLine> readLines(const Operands &Files) {
   std::vector<LogLine> Lines;
   for (const std::string &File : Files) {
-    std::istringstream Text(readFile(File));
-    for (std::string Line; std::getline(Text, Line);)
-      Lines.push_back({valueOf(Line, "time"), Line});
+    std::ifstream Text(File);
+    if (!Text)
+      throw core::Error(core::ErrorKind::UnreadableFile,
+                        "can't read '" + File + "'",
+                        "name a log file that exists and may be read");
+    for (std::string Line; std::getline(Text, Line);) {
+      // Logs are large, and only lines about requests matter.
+      if (Line.find("caller_id=") != std::string::npos ||
+          Line.find("request=") != std::string::npos)
+        Lines.push_back({valueOf(Line, "time"), Line});
+    }
   }
   return Lines;
 }
