Test nodes on a store stand-in as real processes; bind links to the node's own address

tests/system/store_node.py: a store and targets written for the test; one reader a zone, a killed reader, a start while the store is away, a draining target, a planned stop. The start without the store failed first: a peer saw the link come from the host's default address and asked nobody; links are now opened from the address of the settings. Lint: three findings in the registry and the queue.

--- a/src/app/node/traffic_commands.cpp
+++ b/src/app/node/traffic_commands.cpp
@@ -113,7 +113,8 @@
   };
   m_Outbound.emplace(Link, net::Link::open(m_Context, Command.m_GateAddress,
                                            net::LinkKind::Traffic,
-                                           std::move(Handlers)));
+                                           std::move(Handlers),
+                                           m_Board.m_Settings.m_LinkAddress));
 }
 
 void TrafficDriver::Impl::openLocalLink(LinkId Link) {
--- a/src/core/gate/request_queue.cpp
+++ b/src/core/gate/request_queue.cpp
@@ -5,7 +5,7 @@
 namespace dandelionfall::core::gate {
 
 QueuedRequest RequestQueue::pop() {
-  const QueuedRequest Next = *m_Requests.begin();
+  QueuedRequest Next = *m_Requests.begin();
   m_Requests.erase(m_Requests.begin());
   return Next;
 }
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -254,6 +254,7 @@
       Slot = &Known;
   }
   std::vector<const Believed *> Result;
+  Result.reserve(ByAddress.size());
   for (const auto &[Address, Known] : ByAddress)
     Result.push_back(Known);
   return Result;
@@ -264,8 +265,8 @@
 // the sum holds without a word between them.
 Profile Registry::makeProfile(std::size_t Nodes) const {
   const RetryAllowance &Allowed = m_Options.m_Retries;
-  const double Share =
-      BurstShare * Allowed.m_Slack / std::max<double>(Nodes, 1);
+  const double Share = BurstShare * Allowed.m_Slack /
+                       static_cast<double>(std::max<std::size_t>(Nodes, 1));
   const std::chrono::duration<double> Window = Allowed.m_Window;
   constexpr double Percent = 100;
   Profile Result;
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -214,8 +214,19 @@
 
 std::shared_ptr<Link> Link::open(boost::asio::io_context &Context,
                                  const std::string &Address, LinkKind Kind,
-                                 LinkHandlers Handlers) {
-  auto Body = std::make_shared<Impl>(tcp::socket(Context), std::move(Handlers));
+                                 LinkHandlers Handlers,
+                                 const std::string &From) {
+  tcp::socket Socket(Context);
+  if (!From.empty()) {
+    const auto Ip = parseEndpoint(From).address();
+    error_code Code;
+    Socket.open(Ip.is_v6() ? tcp::v6() : tcp::v4(), Code);
+    // Without the wanted address the link still works; the other node then only
+    // can't ask this one for records before it knows it.
+    if (!Code)
+      Socket.bind({Ip, 0}, Code);
+  }
+  auto Body = std::make_shared<Impl>(std::move(Socket), std::move(Handlers));
   Body->connect(Address, Kind);
   return std::shared_ptr<Link>(new Link(std::move(Body)));
 }
--- /dev/null
+++ b/tests/system/store_node.py
@@ -0,0 +1,261 @@
+#!/usr/bin/env python3
+"""Checks nodes that read a metadata store: stand-ins for store and targets, real nodes on loopback addresses.
+
+Each host has a loopback address of its own, since all nodes take links at the same port.
+"""
+import base64
+import contextlib
+import http.server
+import json
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import threading
+import time
+import urllib.parse
+
+from fleet import FleetError, Process, http_call, wait_until
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+BUILD = pathlib.Path(os.environ.get("DANDELIONFALL_BUILD", ROOT / "build"))
+HOSTS = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
+CALLER, LINK, OPERATOR, TARGET = 18304, 18620, 18302, 18301
+STORE = ("127.0.0.10", 18309)
+SERVICE = "desk"
+IN_FORCE_S = 2
+SHORT_S = 6
+
+
+class Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, *_):
+        """Nodes that are killed break their connections; that is no fault of the stand-in."""
+
+
+class Store:
+    """The platform's store: records by key, a revision, and a mode in which it turns everybody away."""
+
+    def __init__(self):
+        self.records, self.log, self.revision, self.up = {}, [], 1, True
+        
+        self.changed = threading.Condition()
+        store = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self):
+                
+                path, _, query = self.path.partition("?")
+                values = dict(urllib.parse.parse_qsl(query))
+                status, body = store.answer(path, values)
+                text = json.dumps(body).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(text)))
+                self.end_headers()
+                self.wfile.write(text)
+
+            def log_message(self, *_):
+                pass
+
+        self.server = Server(STORE, Handler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def answer(self, path, values):
+        with self.changed:
+            if not self.up:
+                return 503, {}
+            if path == "/kv-range":
+                return 200, {"items": list(self.records.values()), "has-more": False, "as-of": self.revision}
+            after = int(values["after"])
+            self.changed.wait_for(lambda: self.revision > after or not self.up, int(values["wait-ms"]) / 1000)
+            if not self.up:
+                return 503, {}
+            return 200, {"events": [event for event in self.log if event["rev"] > after], "as-of": self.revision}
+
+    def put(self, key, value):
+        with self.changed:
+            self.revision += 1
+            text = base64.b64encode(json.dumps(value).encode()).decode()
+            self.records[key] = {"key": key, "value": text, "rev": self.revision}
+            self.log.append(self.records[key])
+            self.changed.notify_all()
+
+    def remove(self, key):
+        with self.changed:
+            self.revision += 1
+            del self.records[key]
+            self.log.append({"key": key, "rev": self.revision, "tombstone": True})
+            self.changed.notify_all()
+
+    def set_up(self, up):
+        with self.changed:
+            self.up = up
+            self.changed.notify_all()
+
+
+class Target:
+    """A target that answers with its signature and keeps what it was sent."""
+
+    def __init__(self, host, instance):
+        self.host, self.instance, self.requests = host, instance, []
+        target = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self):
+                target.requests.append(dict(self.headers))
+                other = self.headers.get("Expect-Instance") != target.instance
+                self.send_response(421 if other else 200)
+                self.send_header("Attempt-Id", self.headers.get("Attempt-Id", ""))
+                self.send_header("Instance-Id" if other else "Response-Signature", target.instance)
+                self.send_header("Content-Length", "2")
+                self.end_headers()
+                self.wfile.write(b"ok")
+
+            def log_message(self, *_):
+                pass
+
+        self.server = Server((host, TARGET), Handler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def entry(self, state="ready"):
+        return {"service": SERVICE, "address": f"{self.host}:{TARGET}", "zone": "a", "version": "v1", "slots": 4,
+                "state": state, "cold-remaining-ms": 0, "seq": 1, "born": 1}
+
+
+def configuration(version, prefix="/a/"):
+    route = {"name": "r", "host": "h.example", "prefix": prefix, "kind": "idempotent", "timeout-ms": 1200,
+             "target-latency-ms": 400, "priority": 1, "service": SERVICE, "max-attempts": 2}
+    service = {"name": SERVICE, "health-path": "/healthz", "max-connections": 20, "protocol": "h1", "tls": False,
+               "cold-start-s": 3.0, "cold-per-s": 14.0}
+    return {"version": version, "routes": [route], "services": [service],
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": 1048576, "header-timeout-ms": 3000,
+                       "idle-timeout-ms": 15000}}
+
+
+def settings(host):
+    return "\n".join([
+        "[node]", f"host = {host}", "zone = a", f"caller_address = {host}:{CALLER}", f"link_address = {host}:{LINK}",
+        f"operator_address = {host}:{OPERATOR}", "[target]", f"name = {host}", f"address = {host}:{TARGET}",
+        f"service = {SERVICE}", "[source]", "protocol = store", f"address = {STORE[0]}:{STORE[1]}", "[zones]",
+        "a = r", "[retries]", "ratio = 0.2", "slack = 60", "[stop]", "linger_ms = 1500", ""])
+
+
+class World:
+    """A store, three targets, and the node beside each."""
+
+    def __init__(self, directory):
+        self.store = Store()
+        self.targets = [Target(host, f"i-{index}") for index, host in enumerate(HOSTS)]
+        for target in self.targets:
+            self.store.put(f"servers/{target.instance}", target.entry())
+        self.store.put("op/config", configuration(4))
+        self.nodes = []
+        for host in HOSTS:
+            path = pathlib.Path(directory) / f"{host}.ini"
+            path.write_text(settings(host))
+            self.nodes.append(Process(host, [BUILD / "dandelionfall", "node", "--settings", path], directory))
+
+    def close(self):
+        for node in self.nodes:
+            if node.alive():
+                node.kill()
+
+    @staticmethod
+    def ready(host):
+        with contextlib.suppress(OSError):
+            return http_call(f"{host}:{OPERATOR}", "GET", "/ready")[0] == 200
+        return False
+
+    @staticmethod
+    def call(host, path="/a/x"):
+        return http_call(f"{host}:{CALLER}", "GET", path, headers={
+            "Host": "h.example", "Attempt-Id": "1f", "Deadline-Ms": "1000", "Caller-Service": "forged"})
+
+    def served(self):
+        return sum(len(target.requests) for target in self.targets)
+
+
+def check(condition, what):
+    print(f"{'ok' if condition else 'FAILED'}: {what}", flush=True)
+    return bool(condition)
+
+
+def check_request(world):
+    status, headers, body = world.call(HOSTS[0])
+    good = check((status, body, headers.get("attempt-id")) == (200, b"ok", "1f"), f"request: status {status}")
+    sent = [request for target in world.targets for request in target.requests][0]
+    good &= check(sent["Caller-Service"] == SERVICE, "request: the service is the node's own")
+    good &= check(0 < int(sent["Deadline-Ms"]) <= 1000, "request: the deadline is what is left")
+    return good & check(world.call(HOSTS[0], "/b/x")[0] == 404, "request: no route")
+
+
+def check_one_reader(world):
+    time.sleep(1)
+    readers = [host for host in HOSTS
+               if json.loads(http_call(f"{host}:{OPERATOR}", "GET", "/status")[2])["reader"]]
+    return check(len(readers) == 1, f"one node reads the store: {readers}"), readers[0]
+
+
+def check_reader_lost(world, reader):
+    world.nodes[HOSTS.index(reader)].kill()
+    world.store.put("op/config", configuration(9, "/new/"))
+    others = [host for host in HOSTS if host != reader]
+    begin = time.monotonic()
+    wait_until(lambda: all(world.call(host, "/new/x")[0] != 404 for host in others), IN_FORCE_S, "a change is in force")
+    took = time.monotonic() - begin
+    return check(took < IN_FORCE_S, f"a change is in force {took:.2f} s after the reader was killed")
+
+
+def check_start_without_store(world, host):
+    """A node that starts while the store is away learns from the others."""
+    world.store.set_up(False)
+    world.nodes[HOSTS.index(host)].start()
+    wait_until(lambda: world.ready(host), SHORT_S, "the node is ready without the store")
+    status = world.call(host, "/new/x")[0]
+    world.store.set_up(True)
+    return check(status == 200, f"start without the store: status {status}")
+
+
+def check_draining(world):
+    leaving = world.targets[0]
+    world.store.put(f"servers/{leaving.instance}", leaving.entry("draining"))
+    time.sleep(IN_FORCE_S)
+    before = len(leaving.requests)
+    statuses = {world.call(host, "/new/x")[0] for host in HOSTS for _ in range(10)}
+    return check(statuses == {200} and len(leaving.requests) == before, f"a draining target gets nothing: {statuses}")
+
+
+def check_planned_stop(world):
+    host, node = HOSTS[1], world.nodes[1]
+    node.send(signal.SIGTERM)
+    wait_until(lambda: not world.ready(host), SHORT_S, "the node is not ready")
+    good = check(world.call(host, "/new/x")[0] == 200, "planned stop: a caller is still served")
+    return good & check(node.child.wait(SHORT_S) == 0, "planned stop: exit code 0")
+
+
+def main():
+    with tempfile.TemporaryDirectory() as directory, contextlib.closing(World(directory)) as world:
+        for host in HOSTS:
+            wait_until(lambda host=host: world.ready(host), SHORT_S, f"{host} is ready")
+        good = check_request(world)
+        one, reader = check_one_reader(world)
+        good &= one
+        good &= check_reader_lost(world, reader)
+        good &= check_start_without_store(world, reader)
+        good &= check_draining(world)
+        good &= check_planned_stop(world)
+    return 0 if good else 1
+
+
+if __name__ == "__main__":
+    try:
+        sys.exit(main())
+    except FleetError as error:
+        print(f"FAILED: {error}")
+        sys.exit(1)
