Take one reader a zone back: every node watches the store again

A follower noticed a lost reader after 1.5 s and then had to reach the store.

Kept: the stand-in test of the store, the address that links are opened from.

--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -4758,10 +4758,6 @@
 void RecordsPull::__set_have(const int64_t val) {
   this->have = val;
 }
-
-void RecordsPull::__set_follow(const bool val) {
-  this->follow = val;
-}
 std::ostream& operator<<(std::ostream& out, const RecordsPull& obj)
 {
   obj.printTo(out);
@@ -4798,14 +4794,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->follow);
-          this->__isset.follow = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4827,10 +4815,6 @@
   xfer += oprot->writeI64(this->have);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("follow", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->follow);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4839,29 +4823,24 @@
 void swap(RecordsPull &a, RecordsPull &b) {
   using ::std::swap;
   swap(a.have, b.have);
-  swap(a.follow, b.follow);
   swap(a.__isset, b.__isset);
 }
 
 RecordsPull::RecordsPull(const RecordsPull& other172) noexcept {
   have = other172.have;
-  follow = other172.follow;
   __isset = other172.__isset;
 }
 RecordsPull::RecordsPull(RecordsPull&& other173) noexcept {
   have = other173.have;
-  follow = other173.follow;
   __isset = other173.__isset;
 }
 RecordsPull& RecordsPull::operator=(const RecordsPull& other174) noexcept {
   have = other174.have;
-  follow = other174.follow;
   __isset = other174.__isset;
   return *this;
 }
 RecordsPull& RecordsPull::operator=(RecordsPull&& other175) noexcept {
   have = other175.have;
-  follow = other175.follow;
   __isset = other175.__isset;
   return *this;
 }
@@ -4869,7 +4848,6 @@
   using ::apache::thrift::to_string;
   out << "RecordsPull(";
   out << "have=" << to_string(have);
-  out << ", " << "follow=" << to_string(follow);
   out << ")";
 }
 
@@ -4889,10 +4867,6 @@
 void RecordsPush::__set_records(const std::vector<StoreRecord> & val) {
   this->records = val;
 }
-
-void RecordsPush::__set_age_us(const int64_t val) {
-  this->age_us = val;
-}
 std::ostream& operator<<(std::ostream& out, const RecordsPush& obj)
 {
   obj.printTo(out);
@@ -4957,14 +4931,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->age_us);
-          this->__isset.age_us = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5002,10 +4968,6 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("age_us", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->age_us);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5016,7 +4978,6 @@
   swap(a.as_of, b.as_of);
   swap(a.whole, b.whole);
   swap(a.records, b.records);
-  swap(a.age_us, b.age_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -5024,21 +4985,18 @@
   as_of = other182.as_of;
   whole = other182.whole;
   records = other182.records;
-  age_us = other182.age_us;
   __isset = other182.__isset;
 }
 RecordsPush::RecordsPush(RecordsPush&& other183) noexcept {
   as_of = other183.as_of;
   whole = other183.whole;
   records = std::move(other183.records);
-  age_us = other183.age_us;
   __isset = other183.__isset;
 }
 RecordsPush& RecordsPush::operator=(const RecordsPush& other184) {
   as_of = other184.as_of;
   whole = other184.whole;
   records = other184.records;
-  age_us = other184.age_us;
   __isset = other184.__isset;
   return *this;
 }
@@ -5046,7 +5004,6 @@
   as_of = other185.as_of;
   whole = other185.whole;
   records = std::move(other185.records);
-  age_us = other185.age_us;
   __isset = other185.__isset;
   return *this;
 }
@@ -5056,7 +5013,6 @@
   out << "as_of=" << to_string(as_of);
   out << ", " << "whole=" << to_string(whole);
   out << ", " << "records=" << to_string(records);
-  out << ", " << "age_us=" << to_string(age_us);
   out << ")";
 }
 
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -1903,9 +1903,8 @@
 std::ostream& operator<<(std::ostream& out, const StoreRecord& obj);
 
 typedef struct _RecordsPull__isset {
-  _RecordsPull__isset() : have(false), follow(false) {}
+  _RecordsPull__isset() : have(false) {}
   bool have :1;
-  bool follow :1;
 } _RecordsPull__isset;
 
 class RecordsPull : public virtual ::apache::thrift::TBase {
@@ -1916,26 +1915,20 @@
   RecordsPull& operator=(const RecordsPull&) noexcept;
   RecordsPull& operator=(RecordsPull&&) noexcept;
   RecordsPull() noexcept
-              : have(0),
-                follow(0) {
+              : have(0) {
   }
 
   virtual ~RecordsPull() noexcept;
   int64_t have;
-  bool follow;
 
   _RecordsPull__isset __isset;
 
   void __set_have(const int64_t val);
 
-  void __set_follow(const bool val);
-
   bool operator == (const RecordsPull & rhs) const
   {
     if (!(have == rhs.have))
       return false;
-    if (!(follow == rhs.follow))
-      return false;
     return true;
   }
   bool operator != (const RecordsPull &rhs) const {
@@ -1955,11 +1948,10 @@
 std::ostream& operator<<(std::ostream& out, const RecordsPull& obj);
 
 typedef struct _RecordsPush__isset {
-  _RecordsPush__isset() : as_of(false), whole(false), records(false), age_us(false) {}
+  _RecordsPush__isset() : as_of(false), whole(false), records(false) {}
   bool as_of :1;
   bool whole :1;
   bool records :1;
-  bool age_us :1;
 } _RecordsPush__isset;
 
 class RecordsPush : public virtual ::apache::thrift::TBase {
@@ -1971,15 +1963,13 @@
   RecordsPush& operator=(RecordsPush&&) noexcept;
   RecordsPush() noexcept
               : as_of(0),
-                whole(0),
-                age_us(0) {
+                whole(0) {
   }
 
   virtual ~RecordsPush() noexcept;
   int64_t as_of;
   bool whole;
   std::vector<StoreRecord>  records;
-  int64_t age_us;
 
   _RecordsPush__isset __isset;
 
@@ -1989,8 +1979,6 @@
 
   void __set_records(const std::vector<StoreRecord> & val);
 
-  void __set_age_us(const int64_t val);
-
   bool operator == (const RecordsPush & rhs) const
   {
     if (!(as_of == rhs.as_of))
@@ -1999,8 +1987,6 @@
       return false;
     if (!(records == rhs.records))
       return false;
-    if (!(age_us == rhs.age_us))
-      return false;
     return true;
   }
   bool operator != (const RecordsPush &rhs) const {
--- a/include/dandelionfall/core/control_message.h
+++ b/include/dandelionfall/core/control_message.h
@@ -116,8 +116,6 @@
 /// sender's own.
 struct RecordsPull {
   Revision m_Have = 0;
-  /// Whether later changes are wanted too, as long as the link is open.
-  bool m_Follow = false;
   friend bool operator==(const RecordsPull &, const RecordsPull &) = default;
 };
 
@@ -128,8 +126,6 @@
   /// that was asked for.
   bool m_Whole = false;
   std::vector<StoreRecord> m_Records;
-  /// Time since the store answered the one who read it.
-  Duration m_Age{0};
 };
 
 /// Any message of a control link.
--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -59,7 +59,6 @@
   ZoneTakenOut = 705,
   ZoneTakenBack = 706,
   RecordsFromPeer = 707,
-  ReaderLost = 708,
 };
 
 /// Describes one event number.
--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -78,9 +78,6 @@
   /// \returns the configuration that follows from the records, with the
   /// revision as its version; null before the operators' first.
   ConfigurationPtr configuration() const;
-  /// \returns the link addresses of the nodes beside an availability zone's
-  /// targets, without those that drain.
-  std::vector<std::string> gatesOf(const std::string &ZoneName) const;
   /// Takes the events collected since the last call.
   std::vector<Event> takeEvents();
 
--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -86,18 +86,12 @@
   explicit StoreReader(std::uint64_t Seed) : m_Random(Seed) {}
 
   /// Begins to read.
-  void start();
+  void start(TimePoint Now);
   /// Takes the reply to the call that is under way; others are ignored.
   void onReply(StoreReply Reply, TimePoint Now);
   /// Takes over records that a peer read as of a later revision than this
   /// reader's own; the next watch goes on from there.
-  void onPeerRecords(Revision AsOf);
-  /// Stops to call the store, or begins again from what is known.
-  void setActive(bool Active, TimePoint Now);
-  /// Sets whether others rely on what is read, so that it must be fresh.
-  void setFollowed(bool Followed) { m_Followed = Followed; }
-  /// \returns when the store last answered.
-  std::optional<TimePoint> answeredAt() const { return m_AnsweredAt; }
+  void onPeerRecords(Revision AsOf, TimePoint Now);
   /// Does what is due.
   void onTick(TimePoint Now);
   /// \returns when `onTick` is next needed, if at all.
@@ -110,8 +104,8 @@
   std::vector<StoreReaderCommand> takeCommands();
 
 private:
-  void call();
-  void onPage(StoreReply Reply);
+  void call(TimePoint Now);
+  void onPage(StoreReply Reply, TimePoint Now);
   void onChanges(StoreReply Reply, TimePoint Now);
   void onFailure(const StoreReply &Reply, TimePoint Now);
   void setReachable(bool Reachable, const std::string &Cause);
@@ -136,9 +130,6 @@
   Revision m_FirstPageAsOf = 0;
   unsigned m_Failures = 0;
   bool m_Reachable = true;
-  bool m_Active = true;
-  bool m_Followed = false;
-  std::optional<TimePoint> m_AnsweredAt;
 };
 
 } // namespace dandelionfall::core
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -46,8 +46,8 @@
 struct ControlGoAway {}
 // A record without a value was removed.
 struct StoreRecord { 1: string key, 2: i64 revision, 3: optional binary value }
-struct RecordsPull { 1: i64 have, 2: bool follow }
-struct RecordsPush { 1: i64 as_of, 2: bool whole, 3: list<StoreRecord> records, 4: i64 age_us }
+struct RecordsPull { 1: i64 have }
+struct RecordsPush { 1: i64 as_of, 2: bool whole, 3: list<StoreRecord> records }
 
 union Body {
   1: TrafficHello traffic_hello
--- a/src/app/node/registry_driver.cpp
+++ b/src/app/node/registry_driver.cpp
@@ -2,7 +2,6 @@
 
 #include "app/node/wake_up_timer.h"
 #include "dandelionfall/core/error.h"
-#include "dandelionfall/core/feed.h"
 #include "dandelionfall/core/peer_pull.h"
 #include "dandelionfall/core/registry.h"
 #include "dandelionfall/core/store_reader.h"
@@ -13,7 +12,6 @@
 #include "platform/record_decoder.h"
 #include "platform/store_calls.h"
 
-#include <map>
 #include <unordered_map>
 #include <utility>
 
@@ -55,12 +53,11 @@
       : m_Board(Board), m_Applied(std::move(Applied)),
         m_Registry(m_Decoder, registryOptions(Board.m_Settings)),
         m_Reader(Board.m_Incarnation.m_High),
-        m_Feed(Board.m_Settings.m_LinkAddress),
         m_Store(Context, storeOptions(Board.m_Settings)),
         m_Timer(Context, [this] { onTimer(); }), m_Context(Context) {}
 
   void start() {
-    m_Reader.start();
+    m_Reader.start(monotonicNow());
     pump();
   }
 
@@ -69,7 +66,7 @@
     Result.m_Held = {m_Registry.revision(), 0};
     Result.m_Applied = Result.m_Held;
     Result.m_Ready = m_Board.m_Ready.load();
-    Result.m_Reader = m_Feed.reads();
+    Result.m_Reader = true;
     Result.m_SourceCalls = m_Reader.calls();
     return Result;
   }
@@ -91,7 +88,6 @@
 private:
   void onTimer() {
     const core::TimePoint Now = monotonicNow();
-    m_Feed.onTick(Now);
     m_Reader.onTick(Now);
     if (m_Registry.onTick(Now))
       publish();
@@ -109,13 +105,6 @@
     };
     Handlers.m_Closed = [this, Link](const std::string & /*Reason*/) {
       m_Links.erase(Link);
-      m_Followers.erase(Link);
-      m_Reader.setFollowed(!m_Followers.empty());
-      if (Link != m_Following)
-        return;
-      m_Following = 0;
-      m_Feed.onPeerLost(monotonicNow());
-      pump();
     };
     return Handlers;
   }
@@ -159,83 +148,26 @@
       throw core::Error(core::ErrorKind::MalformedMessage,
                         "traffic message on a control link",
                         "check that both nodes run compatible versions");
-    if (const auto *Pull = std::get_if<core::RecordsPull>(Message)) {
-      if (Pull->m_Follow) {
-        m_Followers[Link] = Pull->m_Have;
-        m_Reader.setFollowed(true);
-        return pushTo(Link);
-      }
+    if (const auto *Pull = std::get_if<core::RecordsPull>(Message))
       return sendTo(Link, m_Registry.makePush(Pull->m_Have));
-    }
     if (const auto *Push = std::get_if<core::RecordsPush>(Message))
       takePush(Link, *Push);
   }
 
   void takePush(std::uint64_t Link, const core::RecordsPush &Push) {
+    closeLink(Link);
+    m_Pull.onAnswer();
     const core::TimePoint Now = monotonicNow();
-    const core::Revision Known = m_Registry.revision();
-    const bool Changed = m_Registry.takePush(Push, Now);
-    if (Link == m_Following) {
-      m_Feed.onPush(Push.m_Age, Now);
-    } else {
-      closeLink(Link);
-      m_Pull.onAnswer();
-      m_Board.m_Events.record(
-          {core::EventId::RecordsFromPeer,
-           "revision=" + std::to_string(Push.m_AsOf) +
-               " known=" + std::to_string(Known) +
-               " records=" + std::to_string(Push.m_Records.size())});
-    }
-    if (Changed)
+    if (m_Registry.takePush(Push, Now))
       publish();
-    m_Reader.onPeerRecords(m_Registry.revision());
-    pushToFollowers();
+    m_Reader.onPeerRecords(m_Registry.revision(), Now);
     pump();
   }
 
-  // Also tells that nothing has changed, which keeps the followers' records
-  // fresh.
-  void pushTo(std::uint64_t Link) {
-    core::Revision &Sent = m_Followers[Link];
-    core::RecordsPush Push = m_Registry.makePush(Sent);
-    if (m_Registry.revision() == Sent)
-      Push.m_Whole = false;
-    Push.m_Age = m_Feed.age(m_Reader.answeredAt(), monotonicNow());
-    Sent = m_Registry.revision();
-    sendTo(Link, Push);
-  }
-
-  void pushToFollowers() {
-    for (const auto &[Link, Sent] : std::map(m_Followers))
-      pushTo(Link);
-  }
-
-  void perform(const core::FollowPeer &Command) {
-    m_Following = ++m_LastLink;
-    const std::uint64_t Link = m_Following;
-    auto Opened = [this, Link] {
-      sendTo(Link, core::RecordsPull{m_Registry.revision(), true});
-    };
-    m_Links.emplace(Link, net::Link::open(m_Context, Command.m_Address,
-                                          net::LinkKind::Control,
-                                          handlersOf(Link, std::move(Opened))));
-  }
-
-  void perform(const core::LeavePeer & /*Command*/) {
-    closeLink(std::exchange(m_Following, 0));
-  }
-
-  void perform(const core::ReadStore &Command) {
-    m_Reader.setActive(Command.m_Read, monotonicNow());
-  }
-
   void pump() {
     for (;;) {
-      auto FromFeed = m_Feed.takeCommands();
-      for (core::FeedCommand &Command : FromFeed)
-        std::visit([this](auto &Each) { perform(Each); }, Command);
       auto Commands = m_Reader.takeCommands();
-      if (Commands.empty() && FromFeed.empty())
+      if (Commands.empty())
         break;
       for (core::StoreReaderCommand &Command : Commands)
         std::visit([this](auto &Each) { perform(Each); }, Command);
@@ -245,7 +177,6 @@
     m_Timer.arm(m_Reader.nextWakeUp());
     m_Timer.arm(m_Registry.nextWakeUp());
     m_Timer.arm(m_Pull.nextWakeUp());
-    m_Timer.arm(m_Feed.nextWakeUp());
   }
 
   template <typename Call> void callStore(const Call &Command) {
@@ -269,11 +200,8 @@
       Reply.m_Call = Call;
       Reply.m_Fault = Result.m_Detail;
     }
-    const bool Answered = Reply.m_Outcome == core::StoreOutcome::Answered;
     m_Reader.onReply(std::move(Reply), monotonicNow());
     pump();
-    if (Answered)
-      pushToFollowers();
   }
 
   void perform(const core::RecordsRead &Command) {
@@ -298,8 +226,6 @@
     if (Config == nullptr)
       return;
     m_Board.m_Configuration.store(std::move(Config));
-    m_Feed.onHosts(m_Registry.gatesOf(m_Board.m_Settings.m_Zone),
-                   monotonicNow());
     if (!m_Board.m_Ready.exchange(true))
       m_Board.m_Events.record({core::EventId::ProcessReady, ""});
     m_Applied();
@@ -310,7 +236,6 @@
   platform::PlatformRecordDecoder m_Decoder;
   core::Registry m_Registry;
   core::StoreReader m_Reader;
-  core::Feed m_Feed;
   net::HttpClient m_Store;
   WakeUpTimer m_Timer;
   core::PeerPull m_Pull;
@@ -319,10 +244,6 @@
   std::uint64_t m_LastLink = 0;
   /// Link on which a peer is being asked; 0 if none was yet.
   std::uint64_t m_Asking = 0;
-  /// Link to the node that reads the store for this one; 0 if none does.
-  std::uint64_t m_Following = 0;
-  /// Links of the nodes that this one reads for, with the revision they have.
-  std::map<std::uint64_t, core::Revision> m_Followers;
 };
 
 RegistryDriver::RegistryDriver(boost::asio::io_context &Context,
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -100,9 +100,6 @@
               "Operators have taken an availability zone back in."},
     EventInfo{EventId::RecordsFromPeer, "records-from-peer", Severity::Info,
               "Another node brought records that the store has not."},
-    EventInfo{EventId::ReaderLost, "reader-lost", Severity::Info,
-              "The node that read the store for this one no longer does; this "
-              "one reads itself for a while."},
 };
 
 static_assert(std::is_sorted(Catalogue.begin(), Catalogue.end(),
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -32,15 +32,6 @@
 /// Time in which the answer of a target that stops at its deadline comes back;
 /// a request that is broken off sooner looks like one that was cut.
 constexpr Duration AnswerGrace = std::chrono::milliseconds(100);
-/// Age of a reader's records at which a follower reads the store itself. With
-/// the reading it stays below the two seconds in which a change must be in
-/// force.
-constexpr Duration MaxFeedAge = std::chrono::milliseconds(1500);
-/// Time that a follower which lost its reader reads the store itself.
-constexpr Duration OwnReadingTime = std::chrono::seconds(5);
-/// Longest wait of one watch of a reader with followers, whose records stay
-/// fresh only as long as the store answers.
-constexpr Duration ReaderWatchTime = std::chrono::milliseconds(600);
 /// Removed records that peers can be told of; beyond them a peer that is far
 /// behind gets all records.
 constexpr std::size_t MaxRemembered = 4096;
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -78,15 +78,16 @@
 bool Registry::takePush(const RecordsPush &Push, TimePoint Now) {
   if (Push.m_AsOf <= m_Revision)
     return false;
-
+  report(EventId::RecordsFromPeer,
+         "revision=" + std::to_string(Push.m_AsOf) +
+             " known=" + std::to_string(m_Revision) +
+             " records=" + std::to_string(Push.m_Records.size()));
   return Push.m_Whole ? replaceAll(Push.m_Records, Push.m_AsOf, Now)
                       : apply(Push.m_Records, Push.m_AsOf, Now);
 }
 
 RecordsPush Registry::makePush(Revision Have) const {
-  RecordsPush Result;
-  Result.m_AsOf = m_Revision;
-  Result.m_Whole = Have < m_RemovedSince || Have == 0;
+  RecordsPush Result{m_Revision, Have < m_RemovedSince || Have == 0, {}};
   for (const auto &[Key, Record] : m_Records) {
     if (Result.m_Whole || Record.m_Revision > Have)
       Result.m_Records.push_back(Record);
@@ -340,15 +341,6 @@
   return Result;
 }
 
-std::vector<std::string> Registry::gatesOf(const std::string &ZoneName) const {
-  std::vector<std::string> Result;
-  for (const Believed *Known : usableTargets()) {
-    if (Known->m_Entry.m_Zone == ZoneName && !Known->m_Entry.m_Draining)
-      Result.push_back(makeTarget(*Known).m_GateAddress);
-  }
-  return Result;
-}
-
 std::vector<Event> Registry::takeEvents() {
   return std::exchange(m_Events, {});
 }
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -10,18 +10,18 @@
 
 using namespace registry;
 
-void StoreReader::start() { call(); }
+void StoreReader::start(TimePoint Now) { call(Now); }
 
-void StoreReader::call() {
+void StoreReader::call(TimePoint Now) {
   m_CallAt.reset();
   m_Calling = true;
   const std::uint64_t Call = ++m_LastCall;
   if (m_Watching) {
-    const Duration Wait = m_Followed ? ReaderWatchTime : WatchTime;
     m_Commands.emplace_back(
-        WatchRecords{Call, m_Known, Wait, Wait + CallTimeout});
+        WatchRecords{Call, m_Known, WatchTime, WatchTime + CallTimeout});
     return;
   }
+  (void)Now;
   m_Commands.emplace_back(ListRecords{Call, m_PageAfter, CallTimeout});
 }
 
@@ -32,20 +32,19 @@
   if (Reply.m_Outcome == StoreOutcome::Failed)
     return onFailure(Reply, Now);
   m_Failures = 0;
-  m_AnsweredAt = Now;
   setReachable(true, "");
   if (Reply.m_Outcome == StoreOutcome::HistoryGone) {
     m_Watching = false;
     m_Pages.clear();
     m_PageAfter.clear();
-    return call();
+    return call(Now);
   }
   if (m_Watching)
     return onChanges(std::move(Reply), Now);
-  onPage(std::move(Reply));
+  onPage(std::move(Reply), Now);
 }
 
-void StoreReader::onPage(StoreReply Reply) {
+void StoreReader::onPage(StoreReply Reply, TimePoint Now) {
   if (m_PageAfter.empty())
     m_FirstPageAsOf = Reply.m_AsOf;
   // A page that names a further one but holds nothing would be asked for
@@ -56,7 +55,7 @@
   std::move(Reply.m_Records.begin(), Reply.m_Records.end(),
             std::back_inserter(m_Pages));
   if (More)
-    return call();
+    return call(Now);
   m_PageAfter.clear();
   m_Watching = true;
   if (m_FirstPageAsOf >= m_Known) {
@@ -65,7 +64,7 @@
         RecordsRead{std::exchange(m_Pages, {}), m_FirstPageAsOf});
   }
   m_Pages.clear();
-  call();
+  call(Now);
 }
 
 void StoreReader::onChanges(StoreReply Reply, TimePoint Now) {
@@ -76,7 +75,7 @@
     m_CallAt = Now + WatchInterval;
     return;
   }
-  call();
+  call(Now);
 }
 
 void StoreReader::onFailure(const StoreReply &Reply, TimePoint Now) {
@@ -91,7 +90,7 @@
   m_CallAt = Now + Duration(Jitter(m_Random));
 }
 
-void StoreReader::onPeerRecords(Revision AsOf) {
+void StoreReader::onPeerRecords(Revision AsOf, TimePoint Now) {
   if (AsOf <= m_Known)
     return;
   m_Known = AsOf;
@@ -100,7 +99,7 @@
   m_PageAfter.clear();
   // A watch from an older revision would bring the same changes again.
   if (m_Calling && m_Reachable)
-    call();
+    call(Now);
 }
 
 void StoreReader::setReachable(bool Reachable, const std::string &Cause) {
@@ -113,20 +112,9 @@
                 " calls=" + std::to_string(m_LastCall) + " cause=" + Cause});
 }
 
-void StoreReader::setActive(bool Active, TimePoint Now) {
-  if (std::exchange(m_Active, Active) == Active)
-    return;
-  // The reply to a call that is under way is no longer wanted.
-  m_Calling = false;
-  m_CallAt.reset();
-  m_Failures = 0;
-  if (Active)
-    m_CallAt = Now;
-}
-
 void StoreReader::onTick(TimePoint Now) {
   if (m_CallAt && Now >= *m_CallAt)
-    call();
+    call(Now);
 }
 
 std::vector<StoreReaderCommand> StoreReader::takeCommands() {
--- a/src/net/wire_control.cpp
+++ b/src/net/wire_control.cpp
@@ -111,7 +111,6 @@
 
   void operator()(const core::RecordsPull &Message) {
     m_Body.records_pull.have = toSigned(Message.m_Have);
-    m_Body.records_pull.follow = Message.m_Follow;
     m_Body.__isset.records_pull = true;
   }
 
@@ -119,7 +118,6 @@
     wire::RecordsPush &Value = m_Body.records_push;
     Value.as_of = toSigned(Message.m_AsOf);
     Value.whole = Message.m_Whole;
-    Value.age_us = Message.m_Age.count();
     for (const core::StoreRecord &Record : Message.m_Records) {
       wire::StoreRecord Written;
       Written.key = Record.m_Key;
@@ -202,14 +200,12 @@
 }
 
 core::ControlMessage readRecordsPull(wire::Body &Body) {
-  return core::RecordsPull{toUnsigned(Body.records_pull.have),
-                           Body.records_pull.follow};
+  return core::RecordsPull{toUnsigned(Body.records_pull.have)};
 }
 
 core::ControlMessage readRecordsPush(wire::Body &Body) {
   wire::RecordsPush &Value = Body.records_push;
-  core::RecordsPush Result{
-      toUnsigned(Value.as_of), Value.whole, {}, core::Duration(Value.age_us)};
+  core::RecordsPush Result{toUnsigned(Value.as_of), Value.whole, {}};
   for (wire::StoreRecord &Record : Value.records) {
     core::StoreRecord Read{std::move(Record.key), toUnsigned(Record.revision),
                            nullptr};
