Grow the routing benchmark and the request world into one emulator

Change: emulator/ is one world in virtual time with the real ingresses and gates, its loads are scenarios, and build/emulator/emulator compares strategies by what callers get, as a table and a plot.

Ruled out: keeping the admission benchmark beside it. It had one gate, one target that works on after a cancellation, and neither wanted times nor other targets to go to.

--- /dev/null
+++ b/emulator/main.cpp
@@ -0,0 +1,157 @@
+#include "emulator/bar_chart.h"
+#include "emulator/scenario.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <string>
+#include <vector>
+
+ABSL_FLAG(std::vector<std::string>, scenarios, {},
+          "scenarios to play; all if none is named");
+ABSL_FLAG(std::vector<std::string>, strategies, {},
+          "strategies to compare; all if none is named");
+ABSL_FLAG(std::uint64_t, first_seed, 1, "first seed");
+ABSL_FLAG(std::uint64_t, seeds, 1, "seeds of each scenario");
+ABSL_FLAG(std::string, plot, "", "file for a plot (SVG) of the shares in time");
+
+namespace {
+
+using namespace dandelionfall::emulator;
+
+constexpr double Percent = 100;
+
+/// What a scenario came to over all seeds and deployments.
+struct Row {
+  ScenarioResult m_Sum;
+  double m_WorstSecond = 1;
+};
+
+void add(Row &To, const ScenarioResult &One) {
+  To.m_Sum.m_Total.add(One.m_Total);
+  To.m_Sum.m_Bookings.add(One.m_Bookings);
+  for (const auto Member :
+       {&Breaches::m_RanTwice, &Breaches::m_FalseNotRun, &Breaches::m_NotWhole})
+    To.m_Sum.m_Breaches.*Member += One.m_Breaches.*Member;
+  To.m_Sum.m_Collapses += One.m_Collapses;
+  To.m_Sum.m_RunsInZoneOut += One.m_RunsInZoneOut;
+  To.m_WorstSecond = std::min(To.m_WorstSecond, One.m_WorstSecond);
+}
+
+void print(const Scenario &What, const Strategy &How, const Row &Each) {
+  const Tally &All = Each.m_Sum.m_Total;
+  const auto Share = [&All](std::uint64_t Part) {
+    return All.m_Calls == 0 ? 0.0
+                            : Percent * static_cast<double>(Part) /
+                                  static_cast<double>(All.m_Calls);
+  };
+  std::printf(
+      "%-13s %-19s %8llu %8.2f %8.2f %8.2f %8.2f %8.2f %8.2f %9.2f %8llu "
+      "%8llu %8llu\n",
+      What.m_Name, How.m_Name, static_cast<unsigned long long>(All.m_Calls),
+      Share(All.m_InTime), Share(All.m_Late), Share(All.m_Refused),
+      Share(All.m_Failed), Share(All.m_Left),
+      Percent * Each.m_Sum.m_Bookings.inTimeShare(),
+      Percent * Each.m_WorstSecond,
+      static_cast<unsigned long long>(Each.m_Sum.m_Breaches.total()),
+      static_cast<unsigned long long>(Each.m_Sum.m_Collapses),
+      static_cast<unsigned long long>(Each.m_Sum.m_RunsInZoneOut));
+}
+
+/// Picks what is named, or all if nothing is.
+/// \returns pointers into the list; empty if a name is unknown.
+template <typename Item>
+std::vector<const Item *> pick(std::span<const Item> From,
+                               const std::vector<std::string> &Names,
+                               const char *Flag) {
+  std::vector<const Item *> Picked;
+  for (const std::string &Name : Names) {
+    const auto Found =
+        std::find_if(From.begin(), From.end(),
+                     [&Name](const Item &Each) { return Each.m_Name == Name; });
+    if (Found == From.end()) {
+      std::cerr << "unknown --" << Flag << "=" << Name << "; use any of:";
+      for (const Item &Each : From)
+        std::cerr << " " << Each.m_Name;
+      std::cerr << "\n";
+      return {};
+    }
+    Picked.push_back(&*Found);
+  }
+  if (Names.empty()) {
+    for (const Item &Each : From)
+      Picked.push_back(&Each);
+  }
+  return Picked;
+}
+
+Row playAll(const Scenario &What, const Strategy &How) {
+  Row Sum;
+  const std::uint64_t First = absl::GetFlag(FLAGS_first_seed);
+  for (std::uint64_t Seed = First; Seed < First + absl::GetFlag(FLAGS_seeds);
+       ++Seed) {
+    for (const Deployment &Each : deployments())
+      add(Sum, play(What, Each, How, Seed));
+  }
+  return Sum;
+}
+
+bool writePlot(const std::string &Path, const std::string &Picture) {
+  std::ofstream File(Path);
+  File << Picture;
+  File.close();
+  if (File)
+    return true;
+  std::cerr << "cannot write --plot=" << Path
+            << "; name a file in a folder that can be written\n";
+  return false;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  absl::SetProgramUsageMessage(
+      "Plays loads and faults on emulated deployments in virtual time and "
+      "compares strategies by what callers get. Shares are in percent of the "
+      "calls; 'worst_s' is the least share in time of any second.");
+  absl::ParseCommandLine(Count, Arguments);
+  const auto Scenarios =
+      pick(scenarios(), absl::GetFlag(FLAGS_scenarios), "scenarios");
+  const auto Strategies =
+      pick(strategies(), absl::GetFlag(FLAGS_strategies), "strategies");
+  if (Scenarios.empty() || Strategies.empty())
+    return 2;
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  std::printf("%-13s %-19s %8s %8s %8s %8s %8s %8s %8s %9s %8s %8s %8s\n",
+              "scenario", "strategy", "calls", "in_time", "late", "refused",
+              "failed", "left", "bookings", "worst_s", "breaches", "collapse",
+              "zone_out");
+  std::vector<BarGroup> Groups;
+  std::uint64_t OwnBreaches = 0;
+  for (const Scenario *What : Scenarios) {
+    BarGroup Group{What->m_Name, {}};
+    for (const Strategy *How : Strategies) {
+      const Row Each = playAll(*What, *How);
+      print(*What, *How, Each);
+      Group.m_Values.push_back(Each.m_Sum.m_Total.inTimeShare());
+      if (!How->m_Direct)
+        OwnBreaches += Each.m_Sum.m_Breaches.total();
+    }
+    Groups.push_back(std::move(Group));
+  }
+  std::vector<std::string> Series;
+  for (const Strategy *How : Strategies)
+    Series.emplace_back(How->m_Name);
+  const std::string Path = absl::GetFlag(FLAGS_plot);
+  if (!Path.empty() &&
+      !writePlot(Path,
+                 drawBars("Share of callers answered in time", Series, Groups)))
+    return 1;
+  return OwnBreaches == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/emulator/world_parts.h
@@ -0,0 +1,50 @@
+/// \file
+/// Parts of the emulated deployment.
+#ifndef DANDELIONFALL_EMULATOR_WORLD_PARTS_H
+#define DANDELIONFALL_EMULATOR_WORLD_PARTS_H
+
+#include "emulator/world.h"
+
+namespace dandelionfall::emulator {
+
+struct World::Running {
+  core::CallId m_Call = 0;
+  /// Tells two runs of one request apart.
+  std::uint64_t m_Number = 0;
+  RunHandler m_Done;
+};
+
+struct World::Node {
+  NodeId m_Id = 0;
+  NodeOptions m_Options;
+  std::unique_ptr<core::Ingress> m_Ingress;
+  std::unique_ptr<core::Gate> m_Gate;
+  core::ConfigurationPtr m_Config;
+  bool m_Alive = true;
+  /// Raised by each start and end, so that inputs of an earlier process are
+  /// dropped.
+  unsigned m_Generation = 0;
+  TimePoint m_FrozenUntil;
+  TimePoint m_CutOffUntil;
+  TimePoint m_WakeUp = TimePoint::max();
+  std::vector<std::function<void()>> m_Inbox;
+  TargetModel m_Target;
+  std::unordered_map<core::RequestId, Running> m_Running;
+};
+
+struct World::Link {
+  NodeId m_Ingress = 0;
+  NodeId m_Gate = 0;
+  /// The ingress's own number of it.
+  core::LinkId m_Number = 0;
+  unsigned m_IngressGeneration = 0;
+  unsigned m_GateGeneration = 0;
+  bool m_OpenAtIngress = true;
+  bool m_OpenAtGate = true;
+  bool m_Silent[2] = {false, false};
+  TimePoint m_HeldUntil[2];
+};
+
+} // namespace dandelionfall::emulator
+
+#endif // DANDELIONFALL_EMULATOR_WORLD_PARTS_H
--- a/tests/contract/requests_faults_test.cpp
+++ b/tests/contract/requests_faults_test.cpp
@@ -23,7 +23,7 @@
     for (const Duration Phase : Phases) {
       for (const bool TimersFirst : {false, true}) {
         RequestsWorld World;
-        World.m_TimersFirst = TimersFirst;
+        World.setTimersFirst(TimersFirst);
         makeCalls(World);
         World.at(Phase, [&] { Fault.m_Strike(World, 0); });
         CAPTURE(Fault.m_Name);
@@ -46,7 +46,7 @@
         for (const Duration SecondPhase : Phases) {
           const std::size_t SecondGate = Worlds % 2;
           RequestsWorld World;
-          World.m_TimersFirst = Worlds % 3 == 0;
+          World.setTimersFirst(Worlds % 3 == 0);
           makeCalls(World);
           World.at(FirstPhase, [&] { First.m_Strike(World, 0); });
           World.at(SecondPhase, [&] { Second.m_Strike(World, SecondGate); });
--- a/tests/contract/requests_random_test.cpp
+++ b/tests/contract/requests_random_test.cpp
@@ -27,7 +27,7 @@
                                            rc::gen::inRange(0, 1000000)),
                             rc::gen::inRange<std::size_t>(0, 2))));
     RequestsWorld World(3, Seed);
-    World.m_TimersFirst = TimersFirst;
+    World.setTimersFirst(TimersFirst);
     makeCalls(World);
     for (const auto &[Fault, Time, Gate] : Strikes) {
       World.at(Duration(Time), [&World, Fault = Fault, Gate = Gate] {
