Avoid a target that keeps failing, also if it is the nearest one

Cause: the nearest availability zone with room came first whatever its targets answered; with one target a zone the failing one was always chosen. Failures only counted between two targets of one zone, and the known share never faded.

Ruled out: more retries, which bookings must not have.

--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -30,7 +30,7 @@
         {Message.m_Id, "the gate sent no response", Message.m_Capacity}, Now);
   noteEnd(*Ended, Link, Message.m_Capacity, Now);
   const bool Failed = Message.m_Response->m_Status >= FirstServerError;
-  Peer.m_Load.noteResult(!Failed);
+  Peer.m_Load.noteResult(!Failed, Now);
   const CallId Id = Ended->m_Call;
   noteEnded(*Ended, "status " + std::to_string(Message.m_Response->m_Status));
   endTry(Message.m_Id.m_Sequence);
@@ -98,7 +98,7 @@
     return;
   noteEnd(*Ended, Link, Message.m_Capacity, Now);
   if (Ended->m_Call != 0)
-    Peer.m_Load.noteResult(false);
+    Peer.m_Load.noteResult(false, Now);
   endLost(Message.m_Id.m_Sequence, Message.m_Detail, Now);
 }
 
--- a/src/core/ingress/limits.h
+++ b/src/core/ingress/limits.h
@@ -71,6 +71,12 @@
 constexpr double SpillShare = 0.8;
 /// Weight of the newest sample in smoothed values.
 constexpr double SmoothingWeight = 0.2;
+/// Share of failures above which a target is chosen only if no other has room:
+/// more than one failure among the last few requests.
+constexpr double FaultyShare = 0.3;
+/// Time without evidence after which the known share of failures halves, so
+/// that a target that is avoided is tried again.
+constexpr Duration FailureHalfLife = std::chrono::seconds(2);
 /// Factor by which a target that always fails looks more loaded, plus one.
 constexpr double FailurePenalty = 10.0;
 
--- a/src/core/ingress/load_view.cpp
+++ b/src/core/ingress/load_view.cpp
@@ -3,6 +3,7 @@
 #include "core/ingress/limits.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dandelionfall::core::ingress {
 
@@ -43,10 +44,19 @@
   m_RoundTrip = Duration(static_cast<Duration::rep>(Smoothed));
 }
 
-void LoadView::noteResult(bool Whole) {
+void LoadView::noteResult(bool Whole, TimePoint Now) {
   const double Sample = Whole ? 0.0 : 1.0;
   m_FailureShare =
-      m_FailureShare * (1 - SmoothingWeight) + Sample * SmoothingWeight;
+      failureShare(Now) * (1 - SmoothingWeight) + Sample * SmoothingWeight;
+  m_LastResult = Now;
+}
+
+double LoadView::failureShare(TimePoint Now) const {
+  if (m_FailureShare <= 0)
+    return 0;
+  const std::chrono::duration<double> Quiet = Now - m_LastResult;
+  const std::chrono::duration<double> HalfLife = FailureHalfLife;
+  return m_FailureShare * std::exp2(-Quiet / HalfLife);
 }
 
 std::uint32_t LoadView::load(TimePoint Now) const {
@@ -67,7 +77,7 @@
   const double Occupancy =
       static_cast<double>(load(Now) + 1) / static_cast<double>(limit(Assumed));
   return Occupancy * static_cast<double>(Latency.count()) *
-         (1 + FailurePenalty * m_FailureShare);
+         (1 + FailurePenalty * failureShare(Now));
 }
 
 } // namespace dandelionfall::core::ingress
--- a/src/core/ingress/load_view.h
+++ b/src/core/ingress/load_view.h
@@ -23,7 +23,7 @@
   /// Notes the round trip of a ping.
   void noteRoundTrip(Duration Sample);
   /// Notes whether a request came to a whole answer.
-  void noteResult(bool Whole);
+  void noteResult(bool Whole, TimePoint Now);
 
   /// \returns the requests that run or wait at the target, as far as known.
   std::uint32_t load(TimePoint Now) const;
@@ -33,6 +33,9 @@
   /// \param Assumed the limit of a target that has reported none.
   /// \returns a cost that rises with load, latency and failures.
   double cost(std::uint32_t Assumed, TimePoint Now) const;
+  /// \returns the smoothed share of failures, from 0 to 1; it fades while there
+  /// is no new evidence.
+  double failureShare(TimePoint Now) const;
   /// \returns the smoothed round trip.
   Duration roundTrip() const { return m_RoundTrip; }
   /// \returns the requests sent and not ended.
@@ -46,6 +49,7 @@
   std::uint32_t m_SentSinceReport = 0;
   Duration m_RoundTrip{0};
   double m_FailureShare = 0;
+  TimePoint m_LastResult;
 };
 
 } // namespace dandelionfall::core::ingress
--- a/src/core/ingress/target_choice.cpp
+++ b/src/core/ingress/target_choice.cpp
@@ -12,25 +12,46 @@
 namespace {
 
 /// Takes the less loaded of two random targets, from the nearest availability
-/// zones that have room.
+/// zones that have room; those that fail much only where no other has room.
 class LeastLoadedOfTwo : public TargetChoice {
 public:
   std::string_view name() const override { return "least-loaded-of-two"; }
 
   const Candidate *choose(const Candidates &Eligible,
                           const ChoiceContext &Context) const override {
-    for (const Distance Reach :
-         {Distance::SameZone, Distance::SameRegion, Distance::OtherRegion}) {
-      const Candidates Roomy = withRoom(Eligible, Reach, SpillShare, Context);
+    const Candidates Sound = soundOf(Eligible, Context);
+    if (Sound.size() < Eligible.size()) {
+      const Candidates Roomy = roomyOf(Sound, Context);
       if (!Roomy.empty())
         return chooseOfTwo(Roomy, Context);
     }
-    const Candidates Roomy =
-        withRoom(Eligible, Distance::OtherRegion, 1.0, Context);
+    const Candidates Roomy = roomyOf(Eligible, Context);
     return chooseOfTwo(Roomy.empty() ? Eligible : Roomy, Context);
   }
 
 private:
+  static Candidates soundOf(const Candidates &Eligible,
+                            const ChoiceContext &Context) {
+    Candidates Sound;
+    for (const Candidate *Next : Eligible) {
+      if (Next->m_Peer->m_Load.failureShare(Context.m_Now) <= FaultyShare)
+        Sound.push_back(Next);
+    }
+    return Sound;
+  }
+
+  // The nearest ones with much room; if none has, all with any room.
+  static Candidates roomyOf(const Candidates &Eligible,
+                            const ChoiceContext &Context) {
+    for (const Distance Reach :
+         {Distance::SameZone, Distance::SameRegion, Distance::OtherRegion}) {
+      Candidates Roomy = withRoom(Eligible, Reach, SpillShare, Context);
+      if (!Roomy.empty())
+        return Roomy;
+    }
+    return withRoom(Eligible, Distance::OtherRegion, 1.0, Context);
+  }
+
   static Candidates withRoom(const Candidates &Eligible, Distance Reach,
                              double Share, const ChoiceContext &Context) {
     Candidates Roomy;
--- a/tests/unit/ingress_routing_test.cpp
+++ b/tests/unit/ingress_routing_test.cpp
@@ -1,3 +1,4 @@
+#include "core/ingress/limits.h"
 #include "core/ingress/load_view.h"
 #include "core/ingress/target_choice.h"
 #include "dandelionfall/core/error.h"
@@ -164,13 +165,42 @@
   ingress::LoadView Far = Base;
   Far.noteRoundTrip(5ms);
   ingress::LoadView Failing = Base;
-  Failing.noteResult(false);
+  Failing.noteResult(false, Now);
   for (const ingress::LoadView &Worse : {Busy, Slow, Far, Failing})
     CHECK(Worse.cost(1, Now) > Base.cost(1, Now));
   CHECK(Base.load(Now) == 1);
   CHECK(Base.load(Now + 1s) == 0);
 }
 
+TEST_CASE("a known share of failures fades") {
+  ingress::LoadView Failing;
+  const TimePoint Now{1s};
+  Failing.noteResult(false, Now);
+  Failing.noteResult(false, Now);
+  const double Known = Failing.failureShare(Now);
+  CHECK(Known > ingress::FaultyShare);
+  CHECK(Failing.failureShare(Now + ingress::FailureHalfLife) ==
+        doctest::Approx(Known / 2));
+}
+
+TEST_CASE("a target that keeps failing is avoided, then tried again") {
+  ConfigurationBuilder Builder;
+  Builder.m_TargetZones = {"a", "b"};
+  IngressFixture Test;
+  Test.configure(Builder);
+  // Targets of the ingress's own availability zone come first.
+  for (CallId Id = 1; Id <= 2; ++Id) {
+    Test.call(Id, "POST");
+    REQUIRE(Test.m_Dispatches.back().m_Gate == "gate1");
+    Test.fail(ReceivedDispatch(Test.m_Dispatches.back()));
+  }
+  Test.call(3, "POST");
+  CHECK(Test.m_Dispatches.back().m_Gate == "gate2");
+  Test.advance(2 * ingress::FailureHalfLife);
+  Test.call(4, "POST");
+  CHECK(Test.m_Dispatches.back().m_Gate == "gate1");
+}
+
 TEST_CASE("strategies are found by name") {
   for (const ingress::TargetChoice *Choice : ingress::targetChoices())
     CHECK(&ingress::findTargetChoice(Choice->name()) == Choice);
