Free slots at the deadline, keep a margin for what is wanted soon, build step events only for readers

Cause, slots: a request that was cut at its deadline kept its slot for as long as its kind may take, though its target was given that deadline; under overload half of the capacity stood empty. Now it keeps it at most until the deadline. Cause, margin: in time was what was expected to finish in time with nothing to spare, so that in a full queue half of it came late; late ones waited up to a quarter of their time and kept those in time out. Now two deviations, and a sixteenth. Cause, hopeless: a waiting request with no wanted time was kept until its deadline when it could no longer make it. Cause, events: the text of each step of a request was built also where neither log nor time line took it. Calls that are refused because the node is not ready or stopping now have a line with their id as well.

--- a/include/dandelionfall/core/gate.h
+++ b/include/dandelionfall/core/gate.h
@@ -105,6 +105,9 @@
   /// Notes whether the platform is about to take the gate's host away; new work
   /// is refused then.
   void onHostLeaving(bool Leaving, TimePoint Now);
+  /// Sets whether there is an event for each step of a request, beside those
+  /// for its refusal; there is unless told otherwise.
+  void setStepEvents(bool Wanted);
   /// Takes any message of an ingress; the first one of a link must be a hello.
   /// The time must be read after the message, for the process may have slept.
   void onMessage(LinkId Link, const TrafficMessage &Message, TimePoint Now);
--- a/include/dandelionfall/core/ingress.h
+++ b/include/dandelionfall/core/ingress.h
@@ -87,6 +87,9 @@
   /// Takes the hosts that the platform is about to take away; their targets
   /// get no new work.
   void onLeavingHosts(HostNames Hosts, TimePoint Now);
+  /// Sets whether there is an event for each step of a call, beside the one for
+  /// its end; there is unless told otherwise.
+  void setStepEvents(bool Wanted);
   /// Takes a caller's request.
   /// \param Call the call's number.
   /// \param Request the request.
--- a/src/app/node/blackboard.cpp
+++ b/src/app/node/blackboard.cpp
@@ -9,4 +9,8 @@
                                            : core::ownDialect();
 }
 
+bool wantsStepEvents(const Settings &Config) {
+  return Config.m_TraceRequests || Config.m_LogLevel == "debug";
+}
+
 } // namespace dandelionfall::app
--- a/src/app/node/blackboard.h
+++ b/src/app/node/blackboard.h
@@ -39,13 +39,17 @@
 /// a kind.
 const core::HttpDialect &dialectOf(SourceProtocol Protocol);
 
+/// \returns whether anything reads the events of a request's single steps.
+bool wantsStepEvents(const Settings &Config);
+
 /// Shared state of one node. Every member says which thread writes it; any
 /// thread may read.
 struct Blackboard {
   Blackboard(const Settings &Config, core::Incarnation Start)
       : m_Settings(Config), m_Dialect(dialectOf(Config.m_SourceProtocol)),
         m_Incarnation(Start),
-        m_Events(Config.m_Host, m_Clock, Config.m_TraceRequests) {}
+        m_Events(Config.m_Host, m_Clock, Config.m_TraceRequests),
+        m_StepEvents(wantsStepEvents(Config)) {}
 
   const Settings m_Settings;
   /// Field names of callers and targets.
@@ -60,6 +64,7 @@
   std::atomic<core::HostListPtr> m_Hosts;
   std::atomic<bool> m_Ready{false};
   std::atomic<bool> m_Draining{false};
+  std::atomic<bool> m_StepEvents;
   /// Written by the traffic thread.
   TrafficLoad m_Load;
   /// From the traffic thread to the control thread.
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -148,6 +148,7 @@
     try {
       const Settings Fresh = readSettings(m_SettingsFile);
       setUpLogging(Fresh.m_LogLevel);
+      m_Board.m_StepEvents.store(wantsStepEvents(Fresh));
       Settings Comparable = Fresh;
       Comparable.m_LogLevel = m_Board.m_Settings.m_LogLevel;
       m_Board.m_Events.record(
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -135,9 +135,14 @@
   const TimePoint Now = monotonicNow();
   m_CallStarts.emplace(Call, Now);
   if (!m_Board.m_Ready.load() || m_Closed) {
-    perform(core::AnswerCaller{
-        Call, core::CallOutcome::NotRun, nullptr, NotReadyRetryAfter,
-        m_Closed ? "the node is stopping" : "the node is not ready"});
+    const char *Cause =
+        m_Closed ? "the node is stopping" : "the node is not ready";
+    perform(core::AnswerCaller{Call, core::CallOutcome::NotRun, nullptr,
+                               NotReadyRetryAfter, Cause});
+    m_Board.m_Events.record(
+        {core::EventId::RequestSettled,
+         "caller_id=" + callerIdOf(m_Board.m_Dialect, *Request) + " call=" +
+             std::to_string(Call) + " outcome=not-run cause=" + Cause});
     return;
   }
   if (refuseIfLarge(Call, *Request))
@@ -299,6 +304,9 @@
   if (m_Pumping)
     return;
   m_Pumping = true;
+  const bool StepEvents = m_Board.m_StepEvents.load(std::memory_order_relaxed);
+  m_Ingress.setStepEvents(StepEvents);
+  m_Gate.setStepEvents(StepEvents);
   for (;;) {
     const auto FromIngress = m_Ingress.takeCommands();
     const auto FromGate = m_Gate.takeCommands();
--- a/src/core/gate.cpp
+++ b/src/core/gate.cpp
@@ -24,6 +24,8 @@
   m_Impl->onHostLeaving(Leaving);
 }
 
+void Gate::setStepEvents(bool Wanted) { m_Impl->setStepEvents(Wanted); }
+
 void Gate::onMessage(LinkId Link, const TrafficMessage &Message,
                      TimePoint Now) {
   m_Impl->onMessage(Link, Message, Now);
--- a/src/core/gate/deadline_admission.cpp
+++ b/src/core/gate/deadline_admission.cpp
@@ -13,11 +13,16 @@
 /// in time.
 constexpr int SpreadFactor = 1;
 
+/// The same where the answer is wanted before the deadline. A busy queue fills
+/// up to what is admitted, so with less to spare half of its answers are late.
+constexpr int WantedSpreadFactor = 2;
+
 /// Shortest time that a refused ingress is told to wait.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(1);
 
-/// Part of its remaining time that a late request may wait for a place.
-constexpr int LateWaitDivisor = 4;
+/// Part of its remaining time that a late request may wait for a place: no more
+/// than a gap that nothing in time fills, for it keeps that out while it runs.
+constexpr int LateWaitDivisor = 16;
 
 /// Hands out places in the order in which they become free.
 class PlaceSchedule {
@@ -131,13 +136,15 @@
   if (!StartsNow && View.m_Waiting.size() >= View.m_QueueLimit)
     return {false, false, RefusalReason::QueueFull,
             std::max(FirstFree - View.m_Now, MinRetryAfter)};
-  const Duration Spread = SpreadFactor * View.m_ServiceTime.m_Deviation;
+  const Duration Deviation = View.m_ServiceTime.m_Deviation;
+  const Duration Spread = SpreadFactor * Deviation;
   const std::vector<TimePoint> Finishes = schedule(View, std::nullopt);
   const bool IsWantedSooner = Arriving.m_Due < Deadline;
   const std::size_t Position = positionOf(View, false, Arriving.m_Due);
   const Place Found = tryPlace(View, Finishes, Position, Spread);
   const TimePoint Finish =
-      IsWantedSooner ? Found.m_Finish : Found.m_Finish + Spread;
+      Found.m_Finish +
+      (IsWantedSooner ? WantedSpreadFactor * Deviation : Spread);
   if (Finish <= Arriving.m_Due && Found.m_DelaysNobody)
     return {};
   if (IsWantedSooner) {
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -37,6 +37,7 @@
 
   void onConfiguration(ConfigurationPtr Config, TimePoint Now);
   void onHostLeaving(bool Leaving) { m_HostLeaving = Leaving; }
+  void setStepEvents(bool Wanted) { m_StepEvents = Wanted; }
   void onMessage(LinkId Link, const TrafficMessage &Message, TimePoint Now);
   void onLinkClosed(LinkId Link);
   void onTargetAnswer(const RequestId &Id, HttpResponsePtr Response,
@@ -102,7 +103,8 @@
   void noteIdle(TimePoint Now);
   void checkDrained(TimePoint Now);
   void sweep(TimePoint Now);
-  Duration abandonedHold(const std::string &Kind, TimePoint Now) const;
+  /// \returns until when the slot of an abandoned request counts as occupied.
+  TimePoint abandonedUntil(const OccupiedSlot &Slot, TimePoint Now) const;
   ServiceTimeEstimate estimate(const std::string &Kind, TimePoint Now) const;
 
   // Shared, in engine.cpp.
@@ -148,6 +150,7 @@
   std::optional<TimePoint> m_ZoneOutSince;
   std::optional<TimePoint> m_DrainUntil;
   bool m_HostLeaving = false;
+  bool m_StepEvents = true;
   bool m_Drained = false;
   TimePoint m_NextSweep;
   std::vector<GateCommand> m_Commands;
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -23,8 +23,9 @@
     noteServiceTime(*Slot, true, Occupied, Now);
   }
   if (m_Ledger.lookUp(Id) == Knowledge::Running) {
-    report(EventId::RequestFinished,
-           "request=" + toString(Id) + " result=answer");
+    if (m_StepEvents)
+      report(EventId::RequestFinished,
+             "request=" + toString(Id) + " result=answer");
     m_Ledger.finish(Id, std::move(Response));
     sendResult(Id);
   }
@@ -71,7 +72,7 @@
 void Engine::onBroken(const OccupiedSlot &Slot, TargetFailure Kind,
                       const std::string &Detail, TimePoint Now) {
   m_HoldOff.onConnected();
-  m_Slots.abandon(Slot.m_Id, Now + abandonedHold(Slot.m_Kind, Now));
+  m_Slots.abandon(Slot.m_Id, abandonedUntil(Slot, Now));
   if (Kind == TargetFailure::Reset)
     restartRamp("reset", Now);
   else
@@ -85,27 +86,31 @@
   const OccupiedSlot *Slot = m_Slots.find(Id);
   if (Slot != nullptr) {
     const OccupiedSlot Before = *Slot;
-    m_Slots.abandon(Id, Now + abandonedHold(Before.m_Kind, Now));
+    m_Slots.abandon(Id, abandonedUntil(Before, Now));
     noteServiceTime(Before, false, m_Slots.size(), Now);
   }
   failRunning(Id, Detail);
 }
 
 void Engine::failRunning(const RequestId &Id, const std::string &Detail) {
-  report(EventId::RequestFinished,
-         "request=" + toString(Id) + " result=failure detail=" + Detail);
+  if (m_StepEvents)
+    report(EventId::RequestFinished,
+           "request=" + toString(Id) + " result=failure detail=" + Detail);
   m_Ledger.fail(Id, Detail);
   sendResult(Id);
 }
 
-Duration Engine::abandonedHold(const std::string &Kind, TimePoint Now) const {
-  // How long it ran says little of how much longer it takes.
-  const ServiceTimeEstimate Expected = estimate(Kind, Now);
-  if (Expected.m_Mean == Duration{0})
-    return UnknownAbandonedHold;
-  const Duration Left =
-      Expected.m_Mean + AbandonedSpread * Expected.m_Deviation;
-  return std::clamp(Left, MinAbandonedHold, MaxAbandonedHold);
+// The target was given the deadline and stops by then; before it a target that
+// does not notice the cancellation works on for as long as its requests take.
+TimePoint Engine::abandonedUntil(const OccupiedSlot &Slot,
+                                 TimePoint Now) const {
+  const ServiceTimeEstimate Expected = estimate(Slot.m_Kind, Now);
+  TimePoint End = Now + UnknownAbandonedHold;
+  if (Expected.m_Mean > Duration{0})
+    End =
+        Slot.m_Start + Expected.m_Mean + AbandonedSpread * Expected.m_Deviation;
+  return std::clamp(std::min(End, Slot.m_Deadline), Now + MinAbandonedHold,
+                    Now + MaxAbandonedHold);
 }
 
 void Engine::noteServiceTime(const OccupiedSlot &Slot, bool Whole,
@@ -232,10 +237,11 @@
   m_Commands.emplace_back(StartTarget{Next.m_Id, Next.m_Deadline, Idempotent,
                                       std::move(Request),
                                       m_Ledger.find(Next.m_Id)->m_Target});
-  report(EventId::RequestStarted,
-         "request=" + toString(Next.m_Id) + " target=" + m_Options.m_Target +
-             " in_flight=" + std::to_string(m_Slots.size()) +
-             " limit=" + std::to_string(m_Ramp.limit()));
+  if (m_StepEvents)
+    report(EventId::RequestStarted,
+           "request=" + toString(Next.m_Id) + " target=" + m_Options.m_Target +
+               " in_flight=" + std::to_string(m_Slots.size()) +
+               " limit=" + std::to_string(m_Ramp.limit()));
 }
 
 void Engine::refuseWaiting(const RefusalCause &Cause) {
--- a/src/core/gate/request_queue.cpp
+++ b/src/core/gate/request_queue.cpp
@@ -30,7 +30,7 @@
 std::vector<QueuedRequest> RequestQueue::takeHopeless(TimePoint Now) {
   std::vector<QueuedRequest> Hopeless;
   for (const QueuedRequest &Request : m_Requests) {
-    if (Request.m_Late && latestStart(Request) < Now)
+    if (latestStart(Request) < Now)
       Hopeless.push_back(Request);
   }
   for (const QueuedRequest &Request : Hopeless)
@@ -47,8 +47,8 @@
 std::optional<TimePoint> RequestQueue::nextChange() const {
   std::optional<TimePoint> Earliest;
   for (const QueuedRequest &Request : m_Requests) {
-    const TimePoint Change = Request.m_Late ? latestStart(Request) + Duration{1}
-                                            : Request.m_Deadline;
+    const TimePoint Change =
+        std::min(latestStart(Request) + Duration{1}, Request.m_Deadline);
     if (!Earliest || Change < *Earliest)
       Earliest = Change;
   }
--- a/src/core/ingress.cpp
+++ b/src/core/ingress.cpp
@@ -94,6 +94,10 @@
     m_Impl->m_Calls.onConfiguration(Now);
 }
 
+void Ingress::setStepEvents(bool Wanted) {
+  m_Impl->m_Calls.setStepEvents(Wanted);
+}
+
 void Ingress::onCall(CallId Call, HttpRequestPtr Request,
                      std::optional<Duration> CallerDeadline, TimePoint Now,
                      const std::string &CallerId) {
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -154,10 +154,11 @@
   m_Links.touch(Peer, Now);
   if (Entry.m_MayRetry && Entry.m_Attempts < Entry.m_MaxAttempts)
     m_TryTimeouts.set(Current.m_Id.m_Sequence, Now + Entry.m_TryTimeout);
-  m_Out.report(EventId::RequestDispatched,
-               "request=" + toString(Current.m_Id) + " call=" +
-                   std::to_string(Entry.m_Id) + " gate=" + Peer.m_Address +
-                   " repeat=" + std::to_string(Current.m_Repeat));
+  if (m_StepEvents)
+    m_Out.report(EventId::RequestDispatched,
+                 "request=" + toString(Current.m_Id) + " call=" +
+                     std::to_string(Entry.m_Id) + " gate=" + Peer.m_Address +
+                     " repeat=" + std::to_string(Current.m_Repeat));
 }
 
 void CallTable::afterNotRun(Call &Entry, TimePoint Now) {
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -29,6 +29,7 @@
       : m_Options(Options), m_Links(Links), m_Services(Services), m_Out(Out),
         m_Router(Options), m_Splits(Options.m_Seed) {}
 
+  void setStepEvents(bool Wanted) { m_StepEvents = Wanted; }
   /// Takes a caller's request.
   /// \param CallerId id by which the caller knows it, for the log.
   void open(CallId Id, HttpRequestPtr Request,
@@ -106,6 +107,7 @@
   Outbox &m_Out;
   Router m_Router;
   SplitChoice m_Splits;
+  bool m_StepEvents = true;
   TryNumber m_LastTry = 0;
   std::map<CallId, Call> m_Calls;
   std::unordered_map<TryNumber, Try> m_Tries;
--- a/tests/unit/gate_load_test.cpp
+++ b/tests/unit/gate_load_test.cpp
@@ -1,5 +1,6 @@
 // Deadlines, admission, availability zone, drain and limits of the gate.
 
+#include "core/gate/limits.h"
 #include "gate_harness.h"
 
 #include <doctest/doctest.h>
@@ -298,3 +299,41 @@
                        "bounded",
                        std::invalid_argument);
 }
+
+TEST_CASE("a request that has run up to its deadline leaves its slot") {
+  GateHarness Harness({.m_Slots = 1, .m_ColdLimit = 1});
+  Harness.hello(1, 1);
+  Harness.warmUp(1, 100, 200, ms(100));
+  Harness.dispatch(1, 1, 1, ms(150));
+  Harness.pass(ms(150));
+  REQUIRE(Harness.commands<CancelTarget>().size() == 1);
+  Harness.failure(1, TargetFailure::Abandoned);
+  Harness.dispatch(1, 2, 1, ms(500));
+  Harness.pass(gate::MinAbandonedHold);
+  CHECK(Harness.starts(2) == 1);
+}
+
+TEST_CASE("a waiting request is refused once it can't make its deadline") {
+  GateHarness Harness({.m_Slots = 1, .m_ColdLimit = 1});
+  Harness.hello(1, 1);
+  Harness.warmUp(1, 100, 200, ms(100));
+  Harness.dispatch(1, 1, 1, ms(900));
+  Harness.dispatch(1, 2, 1, ms(250));
+  REQUIRE(Harness.sent<Refusal>().empty());
+  Harness.pass(ms(149));
+  CHECK(Harness.sent<Refusal>().empty());
+  Harness.pass(ms(3));
+  CHECK(onlyRefusal(Harness) == RefusalReason::Overload);
+}
+
+TEST_CASE("without step events only refusals and faults are told") {
+  GateHarness Harness;
+  Harness.gate().setStepEvents(false);
+  Harness.hello(1, 1);
+  Harness.dispatch(1, 1);
+  Harness.answer(1);
+  for (const Event &Each : Harness.commands<Event>()) {
+    CHECK(Each.m_Id != EventId::RequestStarted);
+    CHECK(Each.m_Id != EventId::RequestFinished);
+  }
+}
