Let a started node ask its seeds while the store is down; tell failures apart in the log

Now they ask the seeds of [overlay] seeds in turn, 300 ms after the start. Calls that did not run are event 408 now, those of unknown outcome 403 alone.

Ruled out: waiting to be called by a peer (works only for targets that peers know); the target's own heartbeat.

--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -44,6 +44,7 @@
   RequestStarted = 405,
   RequestSettled = 406,
   RequestRefused = 407,
+  RequestNotServed = 408,
   RequestFinished = 420,
   RampRestarted = 500,
   RampFinished = 501,
--- a/include/dandelionfall/core/peer_pull.h
+++ b/include/dandelionfall/core/peer_pull.h
@@ -7,13 +7,22 @@
 
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace dandelionfall::core {
 
 /// Follows the newer revisions that are seen at peers. The store itself usually
-/// brings them sooner; a node that is cut off from it asks the peer.
+/// brings them sooner; a node that is cut off from it asks the peer. One that
+/// knows nothing yet, and that no peer has called, asks its seeds in turn.
 class PeerPull {
 public:
+  /// \param Seeds link addresses of other nodes; some may be gone.
+  explicit PeerPull(std::vector<std::string> Seeds = {})
+      : m_Seeds(std::move(Seeds)) {}
+
+  /// Begins, with nothing known.
+  void start(TimePoint Now);
   /// Notes a newer revision seen at a peer.
   /// \param Seen the revision.
   /// \param Address the peer's link address.
@@ -26,11 +35,17 @@
   /// \returns the address of the peer to ask now, if any.
   std::optional<std::string> takeDue(Revision Known, TimePoint Now);
   /// \returns when `takeDue` is next needed, if at all.
-  std::optional<TimePoint> nextWakeUp() const { return m_AskAt; }
+  std::optional<TimePoint> nextWakeUp() const;
   /// \returns whether the question under way has taken too long.
   bool isOverdue(TimePoint Now) const;
 
 private:
+  std::optional<std::string> takeSeed(Revision Known, TimePoint Now);
+
+  std::vector<std::string> m_Seeds;
+  std::size_t m_NextSeed = 0;
+  /// When the next seed is to be asked; none once something is known.
+  std::optional<TimePoint> m_SeedAt;
   Revision m_Seen = 0;
   std::string m_Address;
   /// When the peer is to be asked.
--- a/src/app/node/registry_driver.cpp
+++ b/src/app/node/registry_driver.cpp
@@ -35,6 +35,13 @@
   return Options;
 }
 
+// Every host is told the same seeds, and may be one of them.
+std::vector<std::string> otherSeeds(const Settings &Config) {
+  std::vector<std::string> Others = Config.m_Seeds;
+  std::erase(Others, Config.m_LinkAddress);
+  return Others;
+}
+
 core::RegistryOptions registryOptions(const Settings &Config) {
   core::RegistryOptions Options;
   Options.m_Zones = Config.m_Zones;
@@ -54,10 +61,13 @@
         m_Registry(m_Decoder, registryOptions(Board.m_Settings)),
         m_Reader(Board.m_Incarnation.m_High),
         m_Store(Context, storeOptions(Board.m_Settings)),
-        m_Timer(Context, [this] { onTimer(); }), m_Context(Context) {}
+        m_Timer(Context, [this] { onTimer(); }),
+        m_Pull(otherSeeds(Board.m_Settings)), m_Context(Context) {}
 
   void start() {
-    m_Reader.start(monotonicNow());
+    const core::TimePoint Now = monotonicNow();
+    m_Reader.start(Now);
+    m_Pull.start(Now);
     pump();
   }
 
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -140,7 +140,7 @@
     perform(core::AnswerCaller{Call, core::CallOutcome::NotRun, nullptr,
                                NotReadyRetryAfter, Cause});
     m_Board.m_Events.record(
-        {core::EventId::RequestSettled,
+        {core::EventId::RequestNotServed,
          "caller_id=" + callerIdOf(m_Board.m_Dialect, *Request) + " call=" +
              std::to_string(Call) + " outcome=not-run cause=" + Cause});
     return;
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -17,6 +17,15 @@
   return Names[static_cast<std::size_t>(Outcome)];
 }
 
+// Failures are told apart from answers, so that many answers can't use up the
+// log lines of a few failures.
+EventId eventOf(CallOutcome Outcome) {
+  constexpr EventId Events[] = {
+      EventId::RequestSettled, EventId::RequestNotServed,
+      EventId::OutcomeUnknown, EventId::RequestNotServed};
+  return Events[static_cast<std::size_t>(Outcome)];
+}
+
 } // namespace
 
 // Life of a call.
@@ -73,7 +82,7 @@
   const Duration RetryAfter =
       Outcome == CallOutcome::NotRun ? DefaultRetryAfter : Duration{0};
   m_Out.answer({Id, Outcome, nullptr, RetryAfter, Detail});
-  m_Out.report(EventId::RequestSettled,
+  m_Out.report(EventId::RequestNotServed,
                "caller_id=" + CallerId + " call=" + std::to_string(Id) +
                    " outcome=" + std::string(outcomeName(Outcome)) +
                    " version=" + std::to_string(version()) +
@@ -240,10 +249,8 @@
       " elapsed_us=" + std::to_string((Now - Ended.m_OpenedAt).count()) +
       " late_us=" + std::to_string((Now - Ended.m_WantedBy).count()) +
       " version=" + std::to_string(version()) + " tries=" + Ended.m_History;
-  m_Out.report(EventId::RequestSettled,
+  m_Out.report(eventOf(Outcome),
                Detail.empty() ? Fields : Fields + " cause=" + Detail);
-  if (Outcome == CallOutcome::Unknown)
-    m_Out.report(EventId::OutcomeUnknown, Fields + " fault=" + Detail);
   for (const TryNumber Number : Ended.m_Live)
     detach(m_Tries.at(Number), Ended.m_Deadline, Now);
 }
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -9,15 +9,17 @@
 
 namespace dandelionfall::core::registry {
 
-/// Longest wait of one watch. A watch on a connection that has gone silent is
-/// noticed one timeout later, within the two seconds in which a change must be
-/// in force.
-constexpr Duration WatchTime = std::chrono::milliseconds(1500);
+/// Longest wait of one watch. A store that falls silent is noticed one timeout
+/// later, before the entries of targets that can't reach it either lapse: after
+/// three heartbeats of some 1.5 s. A connection that goes silent alone is found
+/// by the probes on it.
+constexpr Duration WatchTime = std::chrono::milliseconds(3000);
 /// Time for the answer to a call, beyond its wait.
 constexpr Duration CallTimeout = std::chrono::milliseconds(750);
 /// Least time between two watches: changes that come in quick succession are
-/// read together. A fifth of the two seconds in which one must be in force.
-constexpr Duration WatchInterval = std::chrono::milliseconds(400);
+/// read together. Less than a third of the two seconds in which one must be in
+/// force.
+constexpr Duration WatchInterval = std::chrono::milliseconds(600);
 /// Pause after the first failed call; doubles with each further one.
 constexpr Duration FirstPause = std::chrono::milliseconds(50);
 /// Longest pause between two calls. With the call timeout it bounds how late
@@ -38,6 +40,11 @@
 /// Time that a newer revision seen at a peer may take to come from the store
 /// itself, before the peer is asked for it.
 constexpr Duration PeerPullDelay = std::chrono::milliseconds(700);
+/// Time that the store has to answer a started node before it asks a seed: many
+/// times what an answer takes, and little beside a caller's patience.
+constexpr Duration SeedPullDelay = std::chrono::milliseconds(300);
+/// Time until the next seed is asked; one that is gone may not even refuse.
+constexpr Duration SeedPullInterval = std::chrono::milliseconds(400);
 /// Time for a peer's answer.
 constexpr Duration PeerPullTimeout = std::chrono::milliseconds(1000);
 
--- a/tests/unit/ingress_calls_test.cpp
+++ b/tests/unit/ingress_calls_test.cpp
@@ -281,3 +281,38 @@
   CHECK(Test.m_Ingress.openCalls() == Bound);
   CHECK(Test.outcome(Bound + 1) == CallOutcome::NotRun);
 }
+
+TEST_CASE("each end of a call has its own event") {
+  struct Case {
+    const char *m_Name;
+    void (*m_End)(IngressFixture &Test, const ReceivedDispatch &To);
+    EventId m_Event;
+  };
+  const Case Cases[] = {
+      {"answered",
+       [](IngressFixture &Test, const ReceivedDispatch &To) {
+         Test.answer(To);
+       },
+       EventId::RequestSettled},
+      {"refused",
+       [](IngressFixture &Test, const ReceivedDispatch &To) {
+         Test.refuse(To);
+       },
+       EventId::RequestNotServed},
+      {"unknown",
+       [](IngressFixture &Test, const ReceivedDispatch &To) { Test.fail(To); },
+       EventId::OutcomeUnknown},
+  };
+  for (const Case &Each : Cases) {
+    CAPTURE(std::string(Each.m_Name));
+    ConfigurationBuilder Builder;
+    Builder.m_TargetZones = {"a"};
+    IngressFixture Test;
+    Test.configure(Builder);
+    Test.call(1, "POST");
+    REQUIRE_FALSE(Test.m_Dispatches.empty());
+    Each.m_End(Test, ReceivedDispatch(Test.m_Dispatches.back()));
+    REQUIRE_FALSE(Test.m_Events.empty());
+    CHECK(Test.m_Events.back().m_Id == Each.m_Event);
+  }
+}
--- a/tests/unit/store_reader_test.cpp
+++ b/tests/unit/store_reader_test.cpp
@@ -48,6 +48,19 @@
 
 } // namespace
 
+TEST_CASE("a node that knows nothing asks its seeds in turn") {
+  const TimePoint Now{std::chrono::seconds(100)};
+  PeerPull Pull({"10.1.0.1:7620", "10.2.0.1:7620"});
+  Pull.start(Now);
+  REQUIRE(Pull.nextWakeUp().has_value());
+  CHECK_FALSE(Pull.takeDue(0, Now).has_value());
+  CHECK(Pull.takeDue(0, *Pull.nextWakeUp()) == "10.1.0.1:7620");
+  CHECK(Pull.takeDue(0, *Pull.nextWakeUp()) == "10.2.0.1:7620");
+  CHECK(Pull.takeDue(0, *Pull.nextWakeUp()) == "10.1.0.1:7620");
+  CHECK_FALSE(Pull.takeDue(7, *Pull.nextWakeUp()).has_value());
+  CHECK_FALSE(Pull.nextWakeUp().has_value());
+}
+
 TEST_CASE("changes since the first page are watched for") {
   Fixture World;
   CHECK(World.take<ListRecords>().size() == 1);
