--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -146,6 +146,7 @@
     Groups.push_back(std::move(Group));
   }
   std::vector<std::string> Series;
+  Series.reserve(Strategies.size());
   for (const Strategy *How : Strategies)
     Series.emplace_back(How->m_Name);
   const std::string Path = absl::GetFlag(FLAGS_plot);
--- a/emulator/world.cpp
+++ b/emulator/world.cpp
@@ -71,7 +71,7 @@
     publish(Of.m_Id, Of.m_Config);
 }
 
-void World::publish(NodeId To, core::ConfigurationPtr Config) {
+void World::publish(NodeId To, const core::ConfigurationPtr &Config) {
   Node &Of = node(To);
   Of.m_Config = Config;
   give(Of, [this, &Of, Config] {
@@ -230,7 +230,7 @@
       m_Time.now() + Record.m_Asked.m_Deadline.value_or(Duration::max() / 2);
   m_Time.at(m_Time.now() + Way, [this, To, Id, Way, Deadline] {
     run(node(To), core::RequestId{{}, Id}, Id, Deadline,
-        [this, Id, Way](core::HttpResponsePtr Response,
+        [this, Id, Way](const core::HttpResponsePtr &Response,
                         core::TargetFailure Kind) {
           core::CallOutcome Outcome = core::CallOutcome::Answered;
           if (Response == nullptr)
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -89,7 +89,7 @@
   NodeId addNode(NodeOptions Options);
   std::size_t nodeCount() const { return m_Nodes.size(); }
   /// Gives a node a version, which it also starts with from now on.
-  void publish(NodeId To, core::ConfigurationPtr Config);
+  void publish(NodeId To, const core::ConfigurationPtr &Config);
 
   /// Makes a call at a node.
   /// \param Done gets the final answer, if the node lives to give it.
@@ -148,7 +148,7 @@
   struct Link;
   struct Running;
   /// How a run came to an end: an answer, or a failure without one.
-  using RunHandler = std::function<void(core::HttpResponsePtr Response,
+  using RunHandler = std::function<void(const core::HttpResponsePtr &Response,
                                         core::TargetFailure Kind)>;
 
   Node &node(NodeId Id) { return *m_Nodes[Id]; }
@@ -173,7 +173,7 @@
   void run(Node &Of, const core::RequestId &Id, core::CallId Call,
            TimePoint Deadline, RunHandler Done);
   void endRun(Node &Of, const core::RequestId &Id,
-              core::HttpResponsePtr Response, core::TargetFailure Kind);
+              const core::HttpResponsePtr &Response, core::TargetFailure Kind);
   void breakRuns(Node &Of);
   void settle(core::CallId Call, const core::AnswerCaller &Answer);
   void abort(core::CallId Call, core::CallOutcome Outcome,
--- a/emulator/world_targets.cpp
+++ b/emulator/world_targets.cpp
@@ -22,7 +22,7 @@
   const core::RequestId Id = Start.m_Id;
   run(Of, Id, std::stoull(Start.m_Request->m_Body), Start.m_Deadline,
       [this, &Of, Id, Generation = Of.m_Generation](
-          core::HttpResponsePtr Response, core::TargetFailure Kind) {
+          const core::HttpResponsePtr &Response, core::TargetFailure Kind) {
         // The gate asked for it in the same turn; it hears of it in a later
         // one.
         m_Time.at(m_Time.now(), [this, &Of, Id, Generation, Response, Kind] {
@@ -74,12 +74,13 @@
 }
 
 void World::endRun(Node &Of, const core::RequestId &Id,
-                   core::HttpResponsePtr Response, core::TargetFailure Kind) {
+                   const core::HttpResponsePtr &Response,
+                   core::TargetFailure Kind) {
   const auto Found = Of.m_Running.extract(Id);
   if (Found.empty())
     return;
   Of.m_Target.finish();
-  Found.mapped().m_Done(std::move(Response), Kind);
+  Found.mapped().m_Done(Response, Kind);
 }
 
 void World::breakRuns(Node &Of) {
