--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -164,15 +164,18 @@
   if (!Refused.has_value())
     return false;
   m_CallStarts.erase(Call);
-  reportCallerError("a body larger than the profile allows");
+  reportCallerError("a body larger than the profile allows",
+                    callerIdOf(m_Board.m_Dialect, Request));
   m_Server->respond(Call, *Refused);
   return true;
 }
 
-void TrafficDriver::Impl::reportCallerError(const std::string &Fault) {
+void TrafficDriver::Impl::reportCallerError(const std::string &Fault,
+                                            const std::string &CallerId) {
   m_Board.m_Metrics.add(Counter::CallerErrors);
   m_Board.m_Events.record(
-      {core::EventId::CallerRejected, "fault=\"" + Fault + "\""});
+      {core::EventId::CallerRejected,
+       "caller_id=" + CallerId + " fault=\"" + Fault + "\""});
 }
 
 void TrafficDriver::Impl::onCallerGone(core::CallId Call) {
--- a/src/app/node/traffic_driver_impl.h
+++ b/src/app/node/traffic_driver_impl.h
@@ -41,7 +41,9 @@
   void startServer();
   void onCall(core::CallId Call, core::HttpRequestPtr Request);
   bool refuseIfLarge(core::CallId Call, const core::HttpRequest &Request);
-  void reportCallerError(const std::string &Fault);
+  /// \param CallerId id of the request, if it could be read.
+  void reportCallerError(const std::string &Fault,
+                         const std::string &CallerId = "");
   void onCallerGone(core::CallId Call);
   void onFrame(LinkId Link, bool Inbound, std::string_view Bytes);
   void onLinkClosed(LinkId Link, bool Inbound, const std::string &Reason);
