Let a kind of request be tried again while its target is busy with others

Ruled out: overload (in_flight=5 of limit=12, queued=0). Change: without evidence of its kind an estimate halves every 4 s. Test: gate_load_test, 'a kind that is thought too long is tried again beside others' (before, the estimate stayed at 900 ms).

--- a/src/core/gate/service_time.cpp
+++ b/src/core/gate/service_time.cpp
@@ -33,11 +33,13 @@
 
 ServiceTimeEstimate
 ServiceTime::estimate(TimePoint Now, std::optional<TimePoint> IdleSince) const {
-  if (m_Samples == 0 || !IdleSince)
+  if (m_Samples == 0)
     return m_Smoothed;
-  const TimePoint Since = std::max(m_LastSample, *IdleSince);
+  const TimePoint Since =
+      std::max(m_LastSample, IdleSince.value_or(m_LastSample));
+  const Duration Life = IdleSince ? HalfLife : BusyHalfLife;
   const auto Halvings =
-      std::clamp<std::int64_t>((Now - Since) / HalfLife, 0, MostHalvings);
+      std::clamp<std::int64_t>((Now - Since) / Life, 0, MostHalvings);
   const std::int64_t Divisor = std::int64_t{1} << Halvings;
   return {m_Smoothed.m_Mean / Divisor, m_Smoothed.m_Deviation / Divisor};
 }
--- a/src/core/gate/service_time.h
+++ b/src/core/gate/service_time.h
@@ -29,15 +29,19 @@
   /// Takes the time after which a request was given up; it says only that the
   /// service time is no shorter.
   void addLowerBound(Duration Elapsed, TimePoint Now);
-  /// Estimates the service time of the next request. While the target is idle
-  /// the estimate halves at every `HalfLife` without evidence, so that one that
-  /// is too high cannot refuse all work for good.
+  /// Estimates the service time of the next request. Without evidence the
+  /// estimate halves at every `HalfLife` while the target is idle, and at every
+  /// `BusyHalfLife` else, so that one that is too high cannot refuse all work,
+  /// or all of one kind, for good.
   /// \param IdleSince since when nothing ran, if nothing runs.
   ServiceTimeEstimate estimate(TimePoint Now,
                                std::optional<TimePoint> IdleSince) const;
 
   /// Time without evidence after which the estimate of an idle target halves.
   static constexpr Duration HalfLife = std::chrono::seconds(1);
+  /// The same for a kind of request while the target is busy with others: a few
+  /// seconds, since a kind may be rare.
+  static constexpr Duration BusyHalfLife = std::chrono::seconds(4);
 
 private:
   /// Samples taken, counted up to the largest share.
--- a/tests/unit/gate_load_test.cpp
+++ b/tests/unit/gate_load_test.cpp
@@ -1,6 +1,7 @@
 // Deadlines, admission, availability zone, drain and limits of the gate.
 
 #include "core/gate/limits.h"
+#include "core/gate/service_time.h"
 #include "gate_harness.h"
 
 #include <doctest/doctest.h>
@@ -337,3 +338,18 @@
     CHECK(Each.m_Id != EventId::RequestFinished);
   }
 }
+
+TEST_CASE("a kind that is thought too long is tried again beside others") {
+  using gate::ServiceTime;
+  gate::ServiceTimes Times;
+  const TimePoint Start{ms(1000)};
+  Times.addSample("chart", ms(900), Start);
+  Times.addSample("view", ms(100), Start);
+  const Duration Life = ServiceTime::BusyHalfLife;
+  for (TimePoint Now = Start; Now < Start + 2 * Life; Now += ms(100))
+    Times.addSample("view", ms(100), Now);
+  const TimePoint Later = Start + 2 * Life;
+  CHECK(Times.estimate("chart", Start, std::nullopt).m_Mean == ms(900));
+  CHECK(Times.estimate("chart", Later, std::nullopt).m_Mean == ms(225));
+  CHECK(Times.estimate("view", Later, std::nullopt).m_Mean == ms(100));
+}
