Take back the limit learned from throughput

The slow targets were those of srv_slow faults: a target that turns slow as a whole fills up, and the learner took its slowness for crowding. Outside of those spans service times with all slots taken were 0.9 to 1.1 times those at half, on all targets of both sites. Ruled out: a mild slowdown that shows elsewhere (alappuzha-1, 1.2 to 1.3 times at 6 of 6: all slots still answer most). Conclusion: nothing to gain on these deployments, and capacity lost at a target that is slow.

--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -50,7 +50,6 @@
   RampFinished = 501,
   ZoneOut = 502,
   ZoneIn = 503,
-  ConcurrencyLimitChanged = 504,
   TargetHeldOff = 520,
   CallerRejected = 600,
   TargetListed = 700,
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -81,10 +81,6 @@
               "An availability zone takes no new work."},
     EventInfo{EventId::ZoneIn, "zone-in", Severity::Info,
               "An availability zone takes new work again."},
-    EventInfo{EventId::ConcurrencyLimitChanged, "concurrency-limit-changed",
-              Severity::Info,
-              "The target answers more with fewer requests at once than it has "
-              "slots, or is measured anew."},
     EventInfo{
         EventId::TargetHeldOff, "target-held-off", Severity::Warning,
         "The target takes no connection; it is given nothing for a while."},
--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -37,13 +37,10 @@
   m_Config = std::move(Config);
   findTarget();
   takeColdStart(KnownName, Now);
-  if (m_Target != nullptr) {
-    const std::uint32_t Slots =
-        std::min(m_Target->m_Slots, m_Target->m_Connections);
-    m_Ramp.configure(m_Profile->m_ColdStartLimit, Slots,
+  if (m_Target != nullptr)
+    m_Ramp.configure(m_Profile->m_ColdStartLimit,
+                     std::min(m_Target->m_Slots, m_Target->m_Connections),
                      m_Profile->m_ColdStartRequests);
-    m_Crowding.configure(Slots);
-  }
   if (m_Target != nullptr && !HadTarget)
     restartRamp("target-listed", Now);
   takeZone(WasIn, Now);
@@ -83,7 +80,6 @@
   if (m_Target->m_Name != KnownName) {
     m_GoneTarget.clear();
     m_HoldOff = HoldOff();
-    m_Crowding.forget();
     // What another process gave the target before this one started is not
     // known.
     if (KnownName.empty())
@@ -149,7 +145,7 @@
   Capacity Value;
   Value.m_InFlight = m_Slots.size();
   Value.m_Queued = m_Queue.size();
-  Value.m_Limit = limit();
+  Value.m_Limit = m_Ramp.limit();
   if (m_ColdPlaces)
     Value.m_Limit = std::min(Value.m_Limit, *m_ColdPlaces);
   Value.m_ServiceTime =
@@ -161,10 +157,6 @@
   return std::exchange(m_Commands, {});
 }
 
-std::uint32_t Engine::limit() const {
-  return std::min(m_Ramp.limit(), m_Crowding.limit());
-}
-
 bool Engine::isZoneOut() const {
   return m_Config != nullptr && !isZoneIn(*m_Config, m_Options.m_Zone);
 }
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -6,7 +6,6 @@
 
 #include "core/gate/admission.h"
 #include "core/gate/cold_rate.h"
-#include "core/gate/crowding.h"
 #include "core/gate/hold_off.h"
 #include "core/gate/ledger.h"
 #include "core/gate/link_table.h"
@@ -93,8 +92,6 @@
                  TimePoint Now);
   void onBroken(const OccupiedSlot &Slot, TargetFailure Kind,
                 const std::string &Detail, TimePoint Now);
-  void noteCrowding(const OccupiedSlot &Slot, const HttpResponsePtr &Response,
-                    TimePoint Now);
   void noteServiceTime(const OccupiedSlot &Slot, bool Whole,
                        std::uint32_t Occupied, TimePoint Now);
   void restartRamp(std::string_view Cause, TimePoint Now);
@@ -116,7 +113,6 @@
   void takeColdStart(const std::string &KnownName, TimePoint Now);
   void takeZone(bool WasIn, TimePoint Now);
   bool isZoneOut() const;
-  std::uint32_t limit() const;
   Version version() const;
   void send(LinkId Link, TrafficMessage Message);
   void sendToIngress(const RequestId &Id, TrafficMessage Message);
@@ -140,7 +136,6 @@
   TargetSlots m_Slots;
   ServiceTimes m_ServiceTimes;
   Ramp m_Ramp;
-  Crowding m_Crowding;
   ColdRate m_ColdRate;
   /// When the next waiting request may start at a cold target.
   std::optional<TimePoint> m_ColdWake;
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -164,7 +164,7 @@
   }
   // Above the limit the first to finish leave no place behind.
   std::sort(View.m_PlacesFreeAt.rbegin(), View.m_PlacesFreeAt.rend());
-  View.m_PlacesFreeAt.resize(std::max(limit(), 1U), Now);
+  View.m_PlacesFreeAt.resize(m_Ramp.limit(), Now);
   return View;
 }
 
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -21,7 +21,6 @@
     m_HoldOff.onConnected();
     noteIdle(Now);
     noteServiceTime(*Slot, true, Occupied, Now);
-    noteCrowding(*Slot, Response, Now);
   }
   if (m_Ledger.lookUp(Id) == Knowledge::Running) {
     if (m_StepEvents)
@@ -140,21 +139,6 @@
   }
 }
 
-// A target's own failure may be quick, and says nothing of its speed.
-void Engine::noteCrowding(const OccupiedSlot &Slot,
-                          const HttpResponsePtr &Response, TimePoint Now) {
-  constexpr std::uint32_t FirstServerError = 500;
-  if (m_SleepGuard.sleptSince(Slot.m_Start) || Response == nullptr ||
-      Response->m_Status >= FirstServerError)
-    return;
-  if (m_Crowding.addSample(Slot.m_Kind, Now - Slot.m_Start, Slot.m_InFlight,
-                           Now))
-    report(EventId::ConcurrencyLimitChanged,
-           "limit=" + std::to_string(m_Crowding.limit()) +
-               " slots=" + std::to_string(m_Crowding.slots()) +
-               " full_slowdown=" + std::to_string(m_Crowding.fullSlowdown()));
-}
-
 void Engine::restartRamp(std::string_view Cause, TimePoint Now) {
   m_Ramp.restart(Now);
   report(EventId::RampRestarted, "cause=" + std::string(Cause) + " limit=" +
@@ -197,7 +181,7 @@
     restartRampIfRaised("idle", Now);
   if (m_HoldOff.remaining(Now) > Duration{0})
     return;
-  const std::uint32_t Allowed = m_HoldOff.isProbing() ? 1 : limit();
+  const std::uint32_t Allowed = m_HoldOff.isProbing() ? 1 : m_Ramp.limit();
   noteColdPlaces(Now);
   while (!m_Queue.empty() && m_Slots.size() < Allowed && mayStart(Now)) {
     QueuedRequest Next = m_Queue.pop();
--- a/src/core/gate/target_slots.cpp
+++ b/src/core/gate/target_slots.cpp
@@ -7,8 +7,7 @@
 
 void TargetSlots::occupy(const RequestId &Id, TimePoint Start,
                          TimePoint Deadline, std::string Kind) {
-  m_Slots.push_back(
-      {Id, Start, Deadline, std::move(Kind), size() + 1, std::nullopt});
+  m_Slots.push_back({Id, Start, Deadline, std::move(Kind), std::nullopt});
 }
 
 std::optional<OccupiedSlot> TargetSlots::release(const RequestId &Id) {
--- a/src/core/gate/target_slots.h
+++ b/src/core/gate/target_slots.h
@@ -21,8 +21,6 @@
   TimePoint m_Deadline;
   /// Kind of the request, as its service time is known by.
   std::string m_Kind;
-  /// Occupied slots when it started, its own included.
-  std::uint32_t m_InFlight = 0;
   /// For an abandoned request: until when the slot counts as occupied.
   std::optional<TimePoint> m_FreeAt;
   friend bool operator==(const OccupiedSlot &, const OccupiedSlot &) = default;
