--- a/tests/system/store_node.py
+++ b/tests/system/store_node.py
@@ -21,11 +21,15 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BUILD = pathlib.Path(os.environ.get("DANDELIONFALL_BUILD", ROOT / "build"))
 HOSTS = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
+# A host that no other knows of: its target is not in the store.
+NEW_HOST = "127.0.0.14"
 CALLER, LINK, OPERATOR, TARGET = 18304, 18620, 18302, 18301
 STORE = ("127.0.0.10", 18309)
 SERVICE = "desk"
 IN_FORCE_S = 2
 SHORT_S = 6
+# A node asks its first seed after 0.3 s.
+SEEDED_S = 2
 
 
 class Server(http.server.ThreadingHTTPServer):
@@ -40,7 +44,6 @@
 
     def __init__(self):
         self.records, self.log, self.revision, self.up = {}, [], 1, True
-        
         self.changed = threading.Condition()
         store = self
 
@@ -48,7 +51,6 @@
             protocol_version = "HTTP/1.1"
 
             def do_GET(self):
-                
                 path, _, query = self.path.partition("?")
                 values = dict(urllib.parse.parse_qsl(query))
                 status, body = store.answer(path, values)
@@ -138,12 +140,12 @@
                        "idle-timeout-ms": 15000}}
 
 
-def settings(host):
+def settings(host, seeds=()):
     return "\n".join([
         "[node]", f"host = {host}", "zone = a", f"caller_address = {host}:{CALLER}", f"link_address = {host}:{LINK}",
         f"operator_address = {host}:{OPERATOR}", "[target]", f"name = {host}", f"address = {host}:{TARGET}",
         f"service = {SERVICE}", "[source]", "protocol = store", f"address = {STORE[0]}:{STORE[1]}", "[zones]",
-        "a = r", "[retries]", "ratio = 0.2", "slack = 60", "[stop]", "linger_ms = 1500", ""])
+        "a = r", "[overlay]", "seeds = " + ", ".join(f"{seed}:{LINK}" for seed in seeds), "[retries]", "ratio = 0.2", "slack = 60", "[stop]", "linger_ms = 1500", ""])
 
 
 class World:
@@ -215,6 +217,28 @@
     return check(status == 200, f"start without the store: status {status}")
 
 
+def check_seeds(world, directory):
+    """A node that nobody knows, started while the store is away, learns from its seeds; without them it says so."""
+    world.store.set_up(False)
+    good = True
+    for seeds, wanted in (((), 503), ((NEW_HOST, HOSTS[0]), 200)):
+        path = pathlib.Path(directory) / "new.ini"
+        path.write_text(settings(NEW_HOST, seeds))
+        node = Process(f"new-{wanted}", [BUILD / "dandelionfall", "node", "--settings", path], directory)
+        world.nodes.append(node)
+        begin = time.monotonic()
+        while not world.ready(NEW_HOST) and time.monotonic() - begin < SEEDED_S:
+            time.sleep(0.05)
+        status = world.call(NEW_HOST, "/new/x")[0]
+        good &= check(status == wanted, f"a new node with {len(seeds)} seeds and no store: status {status}")
+        if wanted == 503:
+            line = next((text for text in node.log.read_text().splitlines() if "event=408" in text), "")
+            good &= check("caller_id=1f" in line, "the refusal's line names the caller's id")
+        node.kill()
+    world.store.set_up(True)
+    return good
+
+
 def check_draining(world):
     leaving = world.targets[0]
     world.store.put(f"servers/{leaving.instance}", leaving.entry("draining"))
@@ -239,6 +263,7 @@
         good = check_request(world)
         good &= check_node_lost(world, HOSTS[2])
         good &= check_start_without_store(world, HOSTS[2])
+        good &= check_seeds(world, directory)
         good &= check_draining(world)
         good &= check_planned_stop(world)
     return 0 if good else 1
