Split the emulator's promise test by deployment; tests for the answer grace and for draining targets at the gate

Found by taking mechanisms out: no test failed without the answer grace of the ingress, or without the gate's refusal for a draining target. Both have one now. Taken out and seen to fail: revisions that only rise, the cold rate, zones that are out, the retry budget (the test does not end), the signature check, the echoed id, withdrawal of calls whose caller is gone, reading at the start.

--- a/tests/contract/emulator_callers_test.cpp
+++ b/tests/contract/emulator_callers_test.cpp
@@ -4,6 +4,14 @@
 
 using namespace dandelionfall::emulator;
 
+TEST_CASE("the same seed plays the same") {
+  const Scenario &What = *findScenario("impatience");
+  const Deployment &Of = deployments().front();
+  const ScenarioResult First = play(What, Of, own(), Seed);
+  CHECK(play(What, Of, own(), Seed).m_Total == First.m_Total);
+  CHECK_FALSE(play(What, Of, own(), Seed + 1).m_Total == First.m_Total);
+}
+
 // What a fault leaves suffices for the load, so 99 in 100 are to be in time.
 TEST_CASE("callers hardly notice one faulty target among enough") {
   for (const char *Name :
--- a/tests/contract/emulator_plays.h
+++ b/tests/contract/emulator_plays.h
@@ -50,6 +50,18 @@
   return Of.m_Total.inTimeShare();
 }
 
+/// Checks that no scenario breaks a promise, collapses a target or uses an
+/// availability zone that is out.
+inline void checkPromises(const Deployment &Of) {
+  for (const Scenario &Each : scenarios()) {
+    CAPTURE(std::string(Each.m_Name));
+    const ScenarioResult Own = play(Each, Of, own(), Seed);
+    CHECK(Own.m_Breaches == Breaches{});
+    CHECK(Own.m_Collapses == 0);
+    CHECK(Own.m_RunsInZoneOut == 0);
+  }
+}
+
 } // namespace dandelionfall::emulator
 
 #endif // DANDELIONFALL_TESTS_CONTRACT_EMULATOR_PLAYS_H
--- /dev/null
+++ b/tests/contract/emulator_promises_thessaloniki_test.cpp
@@ -0,0 +1,9 @@
+#include "contract/emulator_plays.h"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionfall::emulator;
+
+TEST_CASE("every scenario keeps every promise on thessaloniki") {
+  checkPromises(deployments()[0]);
+}
--- a/tests/unit/gate_harness.h
+++ b/tests/unit/gate_harness.h
@@ -27,6 +27,7 @@
   std::uint32_t m_ColdRequests = 0;
   std::uint32_t m_QueueLimit = 8;
   bool m_Listed = true;
+  bool m_Draining = false;
 };
 
 inline ConfigurationPtr makeGateConfiguration(const GateSettings &Settings) {
@@ -44,7 +45,8 @@
   Desk->m_Profile = "booking";
   if (Settings.m_Listed)
     Desk->m_Targets.push_back({"escortdesk-1", "host-1", "sindos",
-                               "127.0.0.1:9001", Settings.m_Slots, 120});
+                               "127.0.0.1:9001", Settings.m_Slots, 120, "",
+                               std::nullopt, Settings.m_Draining});
   Config->m_Services["escortdesk"] = Desk;
   return Config;
 }
--- a/tests/unit/gate_load_test.cpp
+++ b/tests/unit/gate_load_test.cpp
@@ -353,3 +353,18 @@
   CHECK(Times.estimate("chart", Later, std::nullopt).m_Mean == ms(225));
   CHECK(Times.estimate("view", Later, std::nullopt).m_Mean == ms(100));
 }
+
+TEST_CASE("a draining target gets nothing new and ends what it runs") {
+  GateHarness Harness;
+  Harness.hello(1, 1);
+  Harness.dispatch(1, 1);
+  GateSettings Draining;
+  Draining.m_Version = 2;
+  Draining.m_Draining = true;
+  Harness.configure(Draining);
+  Harness.dispatch(1, 2);
+  CHECK(onlyRefusal(Harness) == RefusalReason::Draining);
+  CHECK(Harness.starts(2) == 0);
+  Harness.answer(1);
+  CHECK(Harness.sent<Answer>().size() == 1);
+}
--- a/tests/unit/ingress_calls_test.cpp
+++ b/tests/unit/ingress_calls_test.cpp
@@ -316,3 +316,22 @@
     CHECK(Test.m_Events.back().m_Id == Each.m_Event);
   }
 }
+
+TEST_CASE("a target's answer right after the deadline reaches the caller") {
+  ConfigurationBuilder Builder;
+  Builder.m_TargetZones = {"a"};
+  Builder.m_Profile.m_AnswerGrace = 100ms;
+  IngressFixture Test;
+  Test.configure(Builder);
+  Test.call(1, "POST", 1s);
+  REQUIRE_FALSE(Test.m_Dispatches.empty());
+  SUBCASE("within the grace") {
+    Test.advance(1s + 50ms);
+    Test.answer(ReceivedDispatch(Test.m_Dispatches.back()));
+    CHECK(Test.outcome(1) == CallOutcome::Answered);
+  }
+  SUBCASE("but it waits no longer than that") {
+    Test.advance(1s + 100ms);
+    CHECK(Test.outcome(1) == CallOutcome::Unknown);
+  }
+}
