--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -5017,6 +5017,226 @@
 }
 
 
+FollowRevisions::~FollowRevisions() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const FollowRevisions& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FollowRevisions::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FollowRevisions::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FollowRevisions");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FollowRevisions &a, FollowRevisions &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+FollowRevisions::FollowRevisions(const FollowRevisions& other186) noexcept {
+  (void) other186;
+}
+FollowRevisions::FollowRevisions(FollowRevisions&& other187) noexcept {
+  (void) other187;
+}
+FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other188) noexcept {
+  (void) other188;
+  return *this;
+}
+FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other189) noexcept {
+  (void) other189;
+  return *this;
+}
+void FollowRevisions::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FollowRevisions(";
+  out << ")";
+}
+
+
+RevisionNotice::~RevisionNotice() noexcept {
+}
+
+
+void RevisionNotice::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void RevisionNotice::__set_confirmed_ago_us(const int64_t val) {
+  this->confirmed_ago_us = val;
+}
+
+void RevisionNotice::__set_refused(const bool val) {
+  this->refused = val;
+}
+std::ostream& operator<<(std::ostream& out, const RevisionNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RevisionNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->confirmed_ago_us);
+          this->__isset.confirmed_ago_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->refused);
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RevisionNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RevisionNotice");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("confirmed_ago_us", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->confirmed_ago_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->refused);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RevisionNotice &a, RevisionNotice &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.confirmed_ago_us, b.confirmed_ago_us);
+  swap(a.refused, b.refused);
+  swap(a.__isset, b.__isset);
+}
+
+RevisionNotice::RevisionNotice(const RevisionNotice& other190) noexcept {
+  revision = other190.revision;
+  confirmed_ago_us = other190.confirmed_ago_us;
+  refused = other190.refused;
+  __isset = other190.__isset;
+}
+RevisionNotice::RevisionNotice(RevisionNotice&& other191) noexcept {
+  revision = other191.revision;
+  confirmed_ago_us = other191.confirmed_ago_us;
+  refused = other191.refused;
+  __isset = other191.__isset;
+}
+RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other192) noexcept {
+  revision = other192.revision;
+  confirmed_ago_us = other192.confirmed_ago_us;
+  refused = other192.refused;
+  __isset = other192.__isset;
+  return *this;
+}
+RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other193) noexcept {
+  revision = other193.revision;
+  confirmed_ago_us = other193.confirmed_ago_us;
+  refused = other193.refused;
+  __isset = other193.__isset;
+  return *this;
+}
+void RevisionNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RevisionNotice(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "confirmed_ago_us=" << to_string(confirmed_ago_us);
+  out << ", " << "refused=" << to_string(refused);
+  out << ")";
+}
+
+
 Body::~Body() noexcept {
 }
 
@@ -5135,6 +5355,16 @@
   this->records_push = val;
 __isset.records_push = true;
 }
+
+void Body::__set_follow_revisions(const FollowRevisions& val) {
+  this->follow_revisions = val;
+__isset.follow_revisions = true;
+}
+
+void Body::__set_revision_notice(const RevisionNotice& val) {
+  this->revision_notice = val;
+__isset.revision_notice = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -5347,6 +5577,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->follow_revisions.read(iprot);
+          this->__isset.follow_revisions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->revision_notice.read(iprot);
+          this->__isset.revision_notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5479,6 +5725,16 @@
     xfer += this->records_push.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.follow_revisions) {
+    xfer += oprot->writeFieldBegin("follow_revisions", ::apache::thrift::protocol::T_STRUCT, 30);
+    xfer += this->follow_revisions.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.revision_notice) {
+    xfer += oprot->writeFieldBegin("revision_notice", ::apache::thrift::protocol::T_STRUCT, 31);
+    xfer += this->revision_notice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5509,113 +5765,123 @@
   swap(a.control_go_away, b.control_go_away);
   swap(a.records_pull, b.records_pull);
   swap(a.records_push, b.records_push);
+  swap(a.follow_revisions, b.follow_revisions);
+  swap(a.revision_notice, b.revision_notice);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other186) {
-  traffic_hello = other186.traffic_hello;
-  traffic_welcome = other186.traffic_welcome;
-  dispatch = other186.dispatch;
-  answer = other186.answer;
-  refusal = other186.refusal;
-  failure = other186.failure;
-  inquiry = other186.inquiry;
-  inquiry_reply = other186.inquiry_reply;
-  settled = other186.settled;
-  cancel = other186.cancel;
-  traffic_ping = other186.traffic_ping;
-  traffic_pong = other186.traffic_pong;
-  traffic_go_away = other186.traffic_go_away;
-  control_hello = other186.control_hello;
-  announce = other186.announce;
-  pull = other186.pull;
-  change_records = other186.change_records;
-  snapshot_chunk = other186.snapshot_chunk;
-  held_ack = other186.held_ack;
-  heartbeat = other186.heartbeat;
-  control_go_away = other186.control_go_away;
-  records_pull = other186.records_pull;
-  records_push = other186.records_push;
-  __isset = other186.__isset;
-}
-Body::Body(Body&& other187) noexcept {
-  traffic_hello = std::move(other187.traffic_hello);
-  traffic_welcome = std::move(other187.traffic_welcome);
-  dispatch = std::move(other187.dispatch);
-  answer = std::move(other187.answer);
-  refusal = std::move(other187.refusal);
-  failure = std::move(other187.failure);
-  inquiry = std::move(other187.inquiry);
-  inquiry_reply = std::move(other187.inquiry_reply);
-  settled = std::move(other187.settled);
-  cancel = std::move(other187.cancel);
-  traffic_ping = std::move(other187.traffic_ping);
-  traffic_pong = std::move(other187.traffic_pong);
-  traffic_go_away = std::move(other187.traffic_go_away);
-  control_hello = std::move(other187.control_hello);
-  announce = std::move(other187.announce);
-  pull = std::move(other187.pull);
-  change_records = std::move(other187.change_records);
-  snapshot_chunk = std::move(other187.snapshot_chunk);
-  held_ack = std::move(other187.held_ack);
-  heartbeat = std::move(other187.heartbeat);
-  control_go_away = std::move(other187.control_go_away);
-  records_pull = std::move(other187.records_pull);
-  records_push = std::move(other187.records_push);
-  __isset = other187.__isset;
-}
-Body& Body::operator=(const Body& other188) {
-  traffic_hello = other188.traffic_hello;
-  traffic_welcome = other188.traffic_welcome;
-  dispatch = other188.dispatch;
-  answer = other188.answer;
-  refusal = other188.refusal;
-  failure = other188.failure;
-  inquiry = other188.inquiry;
-  inquiry_reply = other188.inquiry_reply;
-  settled = other188.settled;
-  cancel = other188.cancel;
-  traffic_ping = other188.traffic_ping;
-  traffic_pong = other188.traffic_pong;
-  traffic_go_away = other188.traffic_go_away;
-  control_hello = other188.control_hello;
-  announce = other188.announce;
-  pull = other188.pull;
-  change_records = other188.change_records;
-  snapshot_chunk = other188.snapshot_chunk;
-  held_ack = other188.held_ack;
-  heartbeat = other188.heartbeat;
-  control_go_away = other188.control_go_away;
-  records_pull = other188.records_pull;
-  records_push = other188.records_push;
-  __isset = other188.__isset;
+Body::Body(const Body& other194) {
+  traffic_hello = other194.traffic_hello;
+  traffic_welcome = other194.traffic_welcome;
+  dispatch = other194.dispatch;
+  answer = other194.answer;
+  refusal = other194.refusal;
+  failure = other194.failure;
+  inquiry = other194.inquiry;
+  inquiry_reply = other194.inquiry_reply;
+  settled = other194.settled;
+  cancel = other194.cancel;
+  traffic_ping = other194.traffic_ping;
+  traffic_pong = other194.traffic_pong;
+  traffic_go_away = other194.traffic_go_away;
+  control_hello = other194.control_hello;
+  announce = other194.announce;
+  pull = other194.pull;
+  change_records = other194.change_records;
+  snapshot_chunk = other194.snapshot_chunk;
+  held_ack = other194.held_ack;
+  heartbeat = other194.heartbeat;
+  control_go_away = other194.control_go_away;
+  records_pull = other194.records_pull;
+  records_push = other194.records_push;
+  follow_revisions = other194.follow_revisions;
+  revision_notice = other194.revision_notice;
+  __isset = other194.__isset;
+}
+Body::Body(Body&& other195) noexcept {
+  traffic_hello = std::move(other195.traffic_hello);
+  traffic_welcome = std::move(other195.traffic_welcome);
+  dispatch = std::move(other195.dispatch);
+  answer = std::move(other195.answer);
+  refusal = std::move(other195.refusal);
+  failure = std::move(other195.failure);
+  inquiry = std::move(other195.inquiry);
+  inquiry_reply = std::move(other195.inquiry_reply);
+  settled = std::move(other195.settled);
+  cancel = std::move(other195.cancel);
+  traffic_ping = std::move(other195.traffic_ping);
+  traffic_pong = std::move(other195.traffic_pong);
+  traffic_go_away = std::move(other195.traffic_go_away);
+  control_hello = std::move(other195.control_hello);
+  announce = std::move(other195.announce);
+  pull = std::move(other195.pull);
+  change_records = std::move(other195.change_records);
+  snapshot_chunk = std::move(other195.snapshot_chunk);
+  held_ack = std::move(other195.held_ack);
+  heartbeat = std::move(other195.heartbeat);
+  control_go_away = std::move(other195.control_go_away);
+  records_pull = std::move(other195.records_pull);
+  records_push = std::move(other195.records_push);
+  follow_revisions = std::move(other195.follow_revisions);
+  revision_notice = std::move(other195.revision_notice);
+  __isset = other195.__isset;
+}
+Body& Body::operator=(const Body& other196) {
+  traffic_hello = other196.traffic_hello;
+  traffic_welcome = other196.traffic_welcome;
+  dispatch = other196.dispatch;
+  answer = other196.answer;
+  refusal = other196.refusal;
+  failure = other196.failure;
+  inquiry = other196.inquiry;
+  inquiry_reply = other196.inquiry_reply;
+  settled = other196.settled;
+  cancel = other196.cancel;
+  traffic_ping = other196.traffic_ping;
+  traffic_pong = other196.traffic_pong;
+  traffic_go_away = other196.traffic_go_away;
+  control_hello = other196.control_hello;
+  announce = other196.announce;
+  pull = other196.pull;
+  change_records = other196.change_records;
+  snapshot_chunk = other196.snapshot_chunk;
+  held_ack = other196.held_ack;
+  heartbeat = other196.heartbeat;
+  control_go_away = other196.control_go_away;
+  records_pull = other196.records_pull;
+  records_push = other196.records_push;
+  follow_revisions = other196.follow_revisions;
+  revision_notice = other196.revision_notice;
+  __isset = other196.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other189) noexcept {
-  traffic_hello = std::move(other189.traffic_hello);
-  traffic_welcome = std::move(other189.traffic_welcome);
-  dispatch = std::move(other189.dispatch);
-  answer = std::move(other189.answer);
-  refusal = std::move(other189.refusal);
-  failure = std::move(other189.failure);
-  inquiry = std::move(other189.inquiry);
-  inquiry_reply = std::move(other189.inquiry_reply);
-  settled = std::move(other189.settled);
-  cancel = std::move(other189.cancel);
-  traffic_ping = std::move(other189.traffic_ping);
-  traffic_pong = std::move(other189.traffic_pong);
-  traffic_go_away = std::move(other189.traffic_go_away);
-  control_hello = std::move(other189.control_hello);
-  announce = std::move(other189.announce);
-  pull = std::move(other189.pull);
-  change_records = std::move(other189.change_records);
-  snapshot_chunk = std::move(other189.snapshot_chunk);
-  held_ack = std::move(other189.held_ack);
-  heartbeat = std::move(other189.heartbeat);
-  control_go_away = std::move(other189.control_go_away);
-  records_pull = std::move(other189.records_pull);
-  records_push = std::move(other189.records_push);
-  __isset = other189.__isset;
+Body& Body::operator=(Body&& other197) noexcept {
+  traffic_hello = std::move(other197.traffic_hello);
+  traffic_welcome = std::move(other197.traffic_welcome);
+  dispatch = std::move(other197.dispatch);
+  answer = std::move(other197.answer);
+  refusal = std::move(other197.refusal);
+  failure = std::move(other197.failure);
+  inquiry = std::move(other197.inquiry);
+  inquiry_reply = std::move(other197.inquiry_reply);
+  settled = std::move(other197.settled);
+  cancel = std::move(other197.cancel);
+  traffic_ping = std::move(other197.traffic_ping);
+  traffic_pong = std::move(other197.traffic_pong);
+  traffic_go_away = std::move(other197.traffic_go_away);
+  control_hello = std::move(other197.control_hello);
+  announce = std::move(other197.announce);
+  pull = std::move(other197.pull);
+  change_records = std::move(other197.change_records);
+  snapshot_chunk = std::move(other197.snapshot_chunk);
+  held_ack = std::move(other197.held_ack);
+  heartbeat = std::move(other197.heartbeat);
+  control_go_away = std::move(other197.control_go_away);
+  records_pull = std::move(other197.records_pull);
+  records_push = std::move(other197.records_push);
+  follow_revisions = std::move(other197.follow_revisions);
+  revision_notice = std::move(other197.revision_notice);
+  __isset = other197.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -5644,6 +5910,8 @@
   out << ", " << "control_go_away="; (__isset.control_go_away ? (out << to_string(control_go_away)) : (out << "<null>"));
   out << ", " << "records_pull="; (__isset.records_pull ? (out << to_string(records_pull)) : (out << "<null>"));
   out << ", " << "records_push="; (__isset.records_push ? (out << to_string(records_push)) : (out << "<null>"));
+  out << ", " << "follow_revisions="; (__isset.follow_revisions ? (out << to_string(follow_revisions)) : (out << "<null>"));
+  out << ", " << "revision_notice="; (__isset.revision_notice ? (out << to_string(revision_notice)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5740,26 +6008,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other190) {
-  logical_time = other190.logical_time;
-  body = other190.body;
-  __isset = other190.__isset;
+Frame::Frame(const Frame& other198) {
+  logical_time = other198.logical_time;
+  body = other198.body;
+  __isset = other198.__isset;
 }
-Frame::Frame(Frame&& other191) noexcept {
-  logical_time = other191.logical_time;
-  body = std::move(other191.body);
-  __isset = other191.__isset;
+Frame::Frame(Frame&& other199) noexcept {
+  logical_time = other199.logical_time;
+  body = std::move(other199.body);
+  __isset = other199.__isset;
 }
-Frame& Frame::operator=(const Frame& other192) {
-  logical_time = other192.logical_time;
-  body = other192.body;
-  __isset = other192.__isset;
+Frame& Frame::operator=(const Frame& other200) {
+  logical_time = other200.logical_time;
+  body = other200.body;
+  __isset = other200.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other193) noexcept {
-  logical_time = other193.logical_time;
-  body = std::move(other193.body);
-  __isset = other193.__isset;
+Frame& Frame::operator=(Frame&& other201) noexcept {
+  logical_time = other201.logical_time;
+  body = std::move(other201.body);
+  __isset = other201.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -87,6 +87,10 @@
 
 class RecordsPush;
 
+class FollowRevisions;
+
+class RevisionNotice;
+
 class Body;
 
 class Frame;
@@ -2005,8 +2009,100 @@
 
 std::ostream& operator<<(std::ostream& out, const RecordsPush& obj);
 
+
+class FollowRevisions : public virtual ::apache::thrift::TBase {
+ public:
+
+  FollowRevisions(const FollowRevisions&) noexcept;
+  FollowRevisions(FollowRevisions&&) noexcept;
+  FollowRevisions& operator=(const FollowRevisions&) noexcept;
+  FollowRevisions& operator=(FollowRevisions&&) noexcept;
+  FollowRevisions() noexcept {
+  }
+
+  virtual ~FollowRevisions() noexcept;
+
+  bool operator == (const FollowRevisions & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const FollowRevisions &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FollowRevisions & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FollowRevisions &a, FollowRevisions &b);
+
+std::ostream& operator<<(std::ostream& out, const FollowRevisions& obj);
+
+typedef struct _RevisionNotice__isset {
+  _RevisionNotice__isset() : revision(false), confirmed_ago_us(true), refused(false) {}
+  bool revision :1;
+  bool confirmed_ago_us :1;
+  bool refused :1;
+} _RevisionNotice__isset;
+
+class RevisionNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  RevisionNotice(const RevisionNotice&) noexcept;
+  RevisionNotice(RevisionNotice&&) noexcept;
+  RevisionNotice& operator=(const RevisionNotice&) noexcept;
+  RevisionNotice& operator=(RevisionNotice&&) noexcept;
+  RevisionNotice() noexcept
+                 : revision(0),
+                   confirmed_ago_us(-1LL),
+                   refused(0) {
+  }
+
+  virtual ~RevisionNotice() noexcept;
+  int64_t revision;
+  int64_t confirmed_ago_us;
+  bool refused;
+
+  _RevisionNotice__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_confirmed_ago_us(const int64_t val);
+
+  void __set_refused(const bool val);
+
+  bool operator == (const RevisionNotice & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(confirmed_ago_us == rhs.confirmed_ago_us))
+      return false;
+    if (!(refused == rhs.refused))
+      return false;
+    return true;
+  }
+  bool operator != (const RevisionNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RevisionNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RevisionNotice &a, RevisionNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const RevisionNotice& obj);
+
 typedef struct _Body__isset {
-  _Body__isset() : traffic_hello(false), traffic_welcome(false), dispatch(false), answer(false), refusal(false), failure(false), inquiry(false), inquiry_reply(false), settled(false), cancel(false), traffic_ping(false), traffic_pong(false), traffic_go_away(false), control_hello(false), announce(false), pull(false), change_records(false), snapshot_chunk(false), held_ack(false), heartbeat(false), control_go_away(false), records_pull(false), records_push(false) {}
+  _Body__isset() : traffic_hello(false), traffic_welcome(false), dispatch(false), answer(false), refusal(false), failure(false), inquiry(false), inquiry_reply(false), settled(false), cancel(false), traffic_ping(false), traffic_pong(false), traffic_go_away(false), control_hello(false), announce(false), pull(false), change_records(false), snapshot_chunk(false), held_ack(false), heartbeat(false), control_go_away(false), records_pull(false), records_push(false), follow_revisions(false), revision_notice(false) {}
   bool traffic_hello :1;
   bool traffic_welcome :1;
   bool dispatch :1;
@@ -2030,6 +2126,8 @@
   bool control_go_away :1;
   bool records_pull :1;
   bool records_push :1;
+  bool follow_revisions :1;
+  bool revision_notice :1;
 } _Body__isset;
 
 class Body : public virtual ::apache::thrift::TBase {
@@ -2066,6 +2164,8 @@
   ControlGoAway control_go_away;
   RecordsPull records_pull;
   RecordsPush records_push;
+  FollowRevisions follow_revisions;
+  RevisionNotice revision_notice;
 
   _Body__isset __isset;
 
@@ -2115,6 +2215,10 @@
 
   void __set_records_push(const RecordsPush& val);
 
+  void __set_follow_revisions(const FollowRevisions& val);
+
+  void __set_revision_notice(const RevisionNotice& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.traffic_hello != rhs.__isset.traffic_hello)
@@ -2209,6 +2313,14 @@
       return false;
     else if (__isset.records_push && !(records_push == rhs.records_push))
       return false;
+    if (__isset.follow_revisions != rhs.__isset.follow_revisions)
+      return false;
+    else if (__isset.follow_revisions && !(follow_revisions == rhs.follow_revisions))
+      return false;
+    if (__isset.revision_notice != rhs.__isset.revision_notice)
+      return false;
+    else if (__isset.revision_notice && !(revision_notice == rhs.revision_notice))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/include/dandelionfall/app/settings.h
+++ b/include/dandelionfall/app/settings.h
@@ -5,6 +5,7 @@
 #define DANDELIONFALL_APP_SETTINGS_H
 
 #include "dandelionfall/core/error.h"
+#include "dandelionfall/core/machine_limits.h"
 #include "dandelionfall/core/registry.h"
 
 #include <cstdint>
@@ -63,6 +64,9 @@
   /// [retries] ratio, slack, window_s: retries that all nodes together may add
   /// to a service's requests, if the source is a store.
   core::RetryAllowance m_Retries{};
+  /// [machine] processor_share, cores, memory_mb, descriptors, link_mbps: what
+  /// the machine can bear.
+  core::MachineLimits m_Machine{};
   /// [stop] linger_ms: time for which a planned stop continues to serve
   /// callers.
   std::uint32_t m_LingerMs = 0;
--- a/include/dandelionfall/app/status_report.h
+++ b/include/dandelionfall/app/status_report.h
@@ -35,6 +35,16 @@
   std::uint32_t m_TargetQueued = 0;
   /// Callers' calls that await a final response.
   std::uint64_t m_OpenCalls = 0;
+  /// How the node watches a shared store; empty with another source.
+  std::string m_WatchMode;
+  /// Number of nodes that follow this one.
+  std::uint32_t m_Followers = 0;
+  /// Limits of the machine from the settings; 0 where none is stated.
+  double m_ProcessorShare = 0;
+  std::uint32_t m_Cores = 0;
+  std::uint32_t m_MemoryMb = 0;
+  std::uint32_t m_Descriptors = 0;
+  double m_LinkMbps = 0;
   friend bool operator==(const StatusReport &, const StatusReport &) = default;
 };
 
--- a/include/dandelionfall/core/control_message.h
+++ b/include/dandelionfall/core/control_message.h
@@ -127,10 +127,32 @@
   std::vector<StoreRecord> m_Records;
 };
 
+/// Asks the receiver to send a `RevisionNotice` now, on each later revision and
+/// at regular intervals. Repeated while the sender follows; a receiver that has
+/// not seen it for a while stops sending.
+struct FollowRevisions {
+  friend bool operator==(const FollowRevisions &,
+                         const FollowRevisions &) = default;
+};
+
+/// Revision of a shared store up to which the sender holds all records.
+struct RevisionNotice {
+  Revision m_Revision = 0;
+  /// Time since the store last answered a linearizable call of the sender, and
+  /// so confirmed the revision; `NeverCalled` if it did not.
+  Duration m_ConfirmedAgo = NeverCalled;
+  /// Whether the sender ends this feed; the receiver should follow another
+  /// node.
+  bool m_Refused = false;
+  friend bool operator==(const RevisionNotice &,
+                         const RevisionNotice &) = default;
+};
+
 /// Any message on a control link.
 using ControlMessage =
     std::variant<ControlHello, Announce, Pull, ChangeRecords, SnapshotChunk,
-                 HeldAck, Heartbeat, ControlGoAway, RecordsPull, RecordsPush>;
+                 HeldAck, Heartbeat, ControlGoAway, RecordsPull, RecordsPush,
+                 FollowRevisions, RevisionNotice>;
 
 } // namespace dandelionfall::core
 
--- a/include/dandelionfall/core/distribution.h
+++ b/include/dandelionfall/core/distribution.h
@@ -3,7 +3,7 @@
 #ifndef DANDELIONFALL_CORE_DISTRIBUTION_H
 #define DANDELIONFALL_CORE_DISTRIBUTION_H
 
-#include "dandelionfall/core/control_message.h"
+#include "dandelionfall/core/control_link.h"
 #include "dandelionfall/core/event.h"
 #include "dandelionfall/core/host_list.h"
 #include "dandelionfall/core/time.h"
@@ -48,28 +48,6 @@
   std::string m_Text;
 };
 
-/// Opens a control link; the driver reports `onLinkOpened` or `onLinkClosed`
-/// with the same number.
-struct OpenControlLink {
-  LinkId m_Link = 0;
-  std::string m_Address;
-  friend bool operator==(const OpenControlLink &,
-                         const OpenControlLink &) = default;
-};
-
-/// Closes a control link.
-struct CloseControlLink {
-  LinkId m_Link = 0;
-  friend bool operator==(const CloseControlLink &,
-                         const CloseControlLink &) = default;
-};
-
-/// Sends a message on a control link.
-struct SendControl {
-  LinkId m_Link = 0;
-  ControlMessage m_Message;
-};
-
 /// Applies a version. Versions are strictly ascending across these commands.
 struct ApplyConfiguration {
   ConfigurationPtr m_Configuration;
@@ -119,6 +97,10 @@
   std::uint32_t m_Links = 0;
   std::uint32_t m_ListedHosts = 0;
   std::uint64_t m_SourceCalls = 0;
+  /// How a shared store is watched; empty with another source.
+  std::string m_WatchMode;
+  /// Number of nodes that follow this one.
+  std::uint32_t m_Followers = 0;
 };
 
 /// Decision logic of configuration distribution. It does no I/O: inputs arrive
--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -60,6 +60,10 @@
   ZoneTakenOut = 705,
   ZoneTakenBack = 706,
   RecordsFromPeer = 707,
+  FeedFollowed = 708,
+  FeedLost = 709,
+  WatchModeChanged = 710,
+  FollowerBehind = 711,
 };
 
 /// Description of an event number.
--- /dev/null
+++ b/include/dandelionfall/core/machine_limits.h
@@ -0,0 +1,32 @@
+/// \file
+/// What the machine of a node can bear, as stated by the deployment.
+#ifndef DANDELIONFALL_CORE_MACHINE_LIMITS_H
+#define DANDELIONFALL_CORE_MACHINE_LIMITS_H
+
+#include <cstddef>
+#include <cstdint>
+
+namespace dandelionfall::core {
+
+/// Limits of a machine; 0 where one is not stated.
+struct MachineLimits {
+  /// Share of each core that the process may use.
+  double m_ProcessorShare = 0;
+  std::uint32_t m_Cores = 0;
+  std::uint32_t m_MemoryMb = 0;
+  /// Descriptors that the process may hold open.
+  std::uint32_t m_Descriptors = 0;
+  /// Rate of the machine's own network link, in Mbit/s.
+  double m_LinkMbps = 0;
+  friend bool operator==(const MachineLimits &,
+                         const MachineLimits &) = default;
+};
+
+/// \returns how many other nodes may follow the revisions of a node on this
+/// machine: as many as a small, fixed share of its processor, link and
+/// descriptors carries, and at least a few.
+std::size_t maxFollowers(const MachineLimits &Limits);
+
+} // namespace dandelionfall::core
+
+#endif // DANDELIONFALL_CORE_MACHINE_LIMITS_H
--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace dandelionfall::core {
@@ -28,6 +29,19 @@
                          const RetryAllowance &) = default;
 };
 
+/// A node next to a target.
+struct NodeAddress {
+  /// Link address, `IP:PORT`.
+  std::string m_Address;
+  /// Availability zone.
+  std::string m_Zone;
+  friend bool operator==(const NodeAddress &, const NodeAddress &) = default;
+  friend bool operator<(const NodeAddress &Left, const NodeAddress &Right) {
+    return std::tie(Left.m_Address, Left.m_Zone) <
+           std::tie(Right.m_Address, Right.m_Zone);
+  }
+};
+
 /// Deployment settings of a registry.
 struct RegistryOptions {
   /// Regions by availability zone.
@@ -86,6 +100,8 @@
   /// \returns the configuration derived from the records, with the revision as
   /// its version; null until operators have published a configuration.
   ConfigurationPtr configuration() const;
+  /// \returns the nodes next to the targets that are not about to stop.
+  std::vector<NodeAddress> nodes() const;
   /// \returns the events collected since the last call.
   std::vector<Event> takeEvents();
 
@@ -109,6 +125,7 @@
   std::optional<TimePoint> lapseGraceEnd(TimePoint Now) const;
   std::vector<const KnownTarget *> usableTargets() const;
   Target makeTarget(const KnownTarget &Known) const;
+  std::string gateAddressOf(const TargetEntry &Entry) const;
   Profile makeProfile(std::size_t Nodes) const;
   void report(EventId Id, std::string Detail);
 
--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -8,14 +8,24 @@
 #include "dandelionfall/core/published.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
 namespace dandelionfall::core {
 
+/// How current a reply of the store must be.
+enum class ReadConsistency : std::uint8_t {
+  Linearizable, ///< As of a moment during the call.
+  /// As of any moment; nothing bounds its age. Costs the store a fraction of a
+  /// linearizable call.
+  Serializable,
+};
+
 /// Requests one page of all records.
 struct ListRecords {
   std::uint64_t m_Call = 0;
@@ -23,6 +33,7 @@
   std::string m_After;
   /// Time after which the driver abandons the call.
   Duration m_Timeout{0};
+  ReadConsistency m_Consistency = ReadConsistency::Linearizable;
   friend bool operator==(const ListRecords &, const ListRecords &) = default;
 };
 
@@ -33,9 +44,26 @@
   /// How long the store may wait for a change before it answers.
   Duration m_Wait{0};
   Duration m_Timeout{0};
+  ReadConsistency m_Consistency = ReadConsistency::Linearizable;
   friend bool operator==(const WatchRecords &, const WatchRecords &) = default;
 };
 
+/// Abandons a call that another one replaces; its reply is ignored.
+struct AbandonCall {
+  std::uint64_t m_Call = 0;
+  friend bool operator==(const AbandonCall &, const AbandonCall &) = default;
+};
+
+/// How a reader watches the store.
+enum class WatchMode : std::uint8_t {
+  Alone,      ///< Linearizable; only this node depends on the result.
+  Publishing, ///< Linearizable; other nodes rely on regular confirmations.
+  Following,  ///< Serializable; other nodes tell which revision is current.
+};
+
+/// \returns the mode's name, for logs.
+const char *nameOf(WatchMode Mode);
+
 /// Outcome of a call to the store.
 enum class StoreOutcome : std::uint8_t {
   Answered,
@@ -75,8 +103,8 @@
 
 /// Command from a reader to its driver; executed in order.
 using StoreReaderCommand =
-    std::variant<ListRecords, WatchRecords, RecordsRead, RecordsChanged,
-                 StoreReachability, Event>;
+    std::variant<ListRecords, WatchRecords, AbandonCall, RecordsRead,
+                 RecordsChanged, StoreReachability, Event>;
 
 /// State machine that reads a store; performs no I/O itself. Not thread-safe.
 class StoreReader {
@@ -91,10 +119,21 @@
   /// Continues from the revision of records received from a peer if it is later
   /// than this reader's own; the next watch starts there.
   void onPeerRecords(Revision AsOf, TimePoint Now);
+  /// Sets how the store is watched. A pending watch that is less current than
+  /// the mode demands is replaced at once.
+  void setMode(WatchMode Mode, TimePoint Now);
+  /// Handles the observation that the store has reached a revision. If it does
+  /// not arrive within `CatchUpDelay`, a new linearizable call reads it: the
+  /// pending one sees an old state or was lost.
+  void onNewerRevision(Revision Seen, TimePoint Now);
   /// Issues the next call if it is due.
   void onTick(TimePoint Now);
   /// \returns when `onTick` must be called next, if at all.
-  std::optional<TimePoint> nextWakeUp() const { return m_CallAt; }
+  std::optional<TimePoint> nextWakeUp() const;
+  /// \returns how the store is watched.
+  WatchMode mode() const { return m_Mode; }
+  /// \returns when the store last answered a linearizable call, if ever.
+  std::optional<TimePoint> confirmedAt() const { return m_ConfirmedAt; }
   /// \returns whether the store counts as reachable.
   bool isReachable() const { return m_Reachable; }
   /// \returns the number of calls issued since the start.
@@ -104,6 +143,12 @@
 
 private:
   void issueCall(TimePoint Now);
+  void replaceCall(TimePoint Now);
+  WatchRecords makeWatch() const;
+  std::optional<TimePoint> catchUpAt() const;
+  void setKnownRevision(Revision Known);
+  void catchUp(TimePoint Now);
+  void dropDisproved(Revision AsOf);
   void onPage(StoreReply Reply, TimePoint Now);
   void onChanges(StoreReply Reply, TimePoint Now);
   void onFailure(const StoreReply &Reply, TimePoint Now);
@@ -117,6 +162,21 @@
   bool m_CallPending = false;
   /// When the next call is issued; empty while a call is pending.
   std::optional<TimePoint> m_CallAt;
+  WatchMode m_Mode = WatchMode::Alone;
+  /// The last call if it was a watch.
+  std::optional<WatchRecords> m_LastWatch;
+  ReadConsistency m_LastConsistency = ReadConsistency::Linearizable;
+  TimePoint m_CalledAt;
+  std::optional<TimePoint> m_ConfirmedAt;
+  /// Announced revisions that this reader lacks, ascending, and when each was
+  /// first seen.
+  std::deque<std::pair<Revision, TimePoint>> m_Missing;
+  /// Highest announced revision that a later linearizable call disproved.
+  Revision m_DisprovedRevision = 0;
+  /// Whether the next watch is linearizable in any mode.
+  bool m_CatchingUp = false;
+  /// Whether the call being issued asks for a reply without a wait.
+  bool m_AnswerAtOnce = false;
   /// Whether all records were listed and changes are being watched.
   bool m_Watching = false;
   /// Revision up to which all changes were received.
@@ -128,6 +188,8 @@
   /// Revision of the first page. Pages are no consistent snapshot, so the watch
   /// starts from this revision.
   Revision m_FirstPageAsOf = 0;
+  /// Whether the next page is read again, because it was older than the first.
+  bool m_PageWasStale = false;
   /// Consecutive failed calls.
   unsigned m_Failures = 0;
   bool m_Reachable = true;
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -48,6 +48,9 @@
 struct StoreRecord { 1: string key, 2: i64 revision, 3: optional binary value }
 struct RecordsPull { 1: i64 have }
 struct RecordsPush { 1: i64 as_of, 2: bool whole, 3: list<StoreRecord> records }
+struct FollowRevisions {}
+// The time is -1 if the store has not confirmed the revision.
+struct RevisionNotice { 1: i64 revision, 2: i64 confirmed_ago_us = -1, 3: bool refused }
 
 union Body {
   1: TrafficHello traffic_hello
@@ -73,6 +76,8 @@
   27: ControlGoAway control_go_away
   28: RecordsPull records_pull
   29: RecordsPush records_push
+  30: FollowRevisions follow_revisions
+  31: RevisionNotice revision_notice
 }
 
 // The logical time gives the events of all processes a common order.
--- a/src/app/node/control_driver.cpp
+++ b/src/app/node/control_driver.cpp
@@ -17,10 +17,6 @@
 using core::LinkId;
 using core::TimePoint;
 
-// First id of links that other nodes opened; the distribution numbers the links
-// that it opens from 1.
-constexpr LinkId FirstInboundLink = LinkId{1} << 63U;
-
 core::DistributionOptions distributionOptions(const Blackboard &Board) {
   const Settings &Config = Board.m_Settings;
   core::DistributionOptions Options;
@@ -62,7 +58,7 @@
   }
 
   void onInboundLink(boost::asio::ip::tcp::socket Socket) {
-    const LinkId Link = FirstInboundLink + m_InboundCount++;
+    const LinkId Link = core::FirstInboundLink + m_InboundCount++;
     m_Links.emplace(Link, net::Link::adopt(std::move(Socket),
                                            makeLinkHandlers(Link, nullptr)));
     m_Distribution.onLinkOpened(Link, true, monotonicNow());
--- a/src/app/node/control_plane.h
+++ b/src/app/node/control_plane.h
@@ -25,8 +25,7 @@
   virtual void onInboundLink(boost::asio::ip::tcp::socket Socket) = 0;
   /// Removes the entries of Blackboard::m_PeerVersions and handles them.
   virtual void onVersionsSeen() = 0;
-  /// Announces the node's planned stop to its peers. Has no effect if peers are
-  /// notified on traffic links only.
+  /// Announces the node's planned stop to its peers.
   virtual void startDrain() = 0;
   /// \returns the state shown on the operator pages.
   virtual core::DistributionStatus status() const = 0;
--- a/src/app/node/operator_pages.cpp
+++ b/src/app/node/operator_pages.cpp
@@ -45,6 +45,14 @@
   Report.m_TargetInFlight = Board.m_Load.m_InFlight.load();
   Report.m_TargetQueued = Board.m_Load.m_Queued.load();
   Report.m_OpenCalls = Board.m_Load.m_OpenCalls.load();
+  Report.m_WatchMode = Distribution.m_WatchMode;
+  Report.m_Followers = Distribution.m_Followers;
+  const core::MachineLimits &Machine = Board.m_Settings.m_Machine;
+  Report.m_ProcessorShare = Machine.m_ProcessorShare;
+  Report.m_Cores = Machine.m_Cores;
+  Report.m_MemoryMb = Machine.m_MemoryMb;
+  Report.m_Descriptors = Machine.m_Descriptors;
+  Report.m_LinkMbps = Machine.m_LinkMbps;
   return Report;
 }
 
--- a/src/app/node/registry_driver.cpp
+++ b/src/app/node/registry_driver.cpp
@@ -2,9 +2,8 @@
 
 #include "app/node/wake_up_timer.h"
 #include "dandelionfall/core/error.h"
-#include "dandelionfall/core/peer_pull.h"
-#include "dandelionfall/core/registry.h"
-#include "dandelionfall/core/store_reader.h"
+#include "dandelionfall/core/machine_limits.h"
+#include "dandelionfall/core/store_replica.h"
 #include "dandelionfall/net/address.h"
 #include "dandelionfall/net/codec.h"
 #include "dandelionfall/net/http_client.h"
@@ -35,13 +34,6 @@
   return Options;
 }
 
-// All hosts have the same list of seeds, which can include this host.
-std::vector<std::string> otherSeeds(const Settings &Config) {
-  std::vector<std::string> Others = Config.m_Seeds;
-  std::erase(Others, Config.m_LinkAddress);
-  return Others;
-}
-
 core::RegistryOptions registryOptions(const Settings &Config) {
   core::RegistryOptions Options;
   Options.m_Zones = Config.m_Zones;
@@ -50,6 +42,18 @@
   return Options;
 }
 
+core::StoreReplicaOptions replicaOptions(const Blackboard &Board) {
+  const Settings &Config = Board.m_Settings;
+  core::StoreReplicaOptions Options;
+  Options.m_Registry = registryOptions(Config);
+  Options.m_LinkAddress = Config.m_LinkAddress;
+  Options.m_Zone = Config.m_Zone;
+  Options.m_Seeds = Config.m_Seeds;
+  Options.m_RandomSeed = Board.m_Incarnation.m_High;
+  Options.m_MaxFollowers = core::maxFollowers(Config.m_Machine);
+  return Options;
+}
+
 } // namespace
 
 class RegistryDriver::Impl
@@ -58,31 +62,30 @@
   Impl(boost::asio::io_context &Context, Blackboard &Board,
        std::function<void()> OnApplied)
       : m_Board(Board), m_OnApplied(std::move(OnApplied)),
-        m_Registry(m_Decoder, registryOptions(Board.m_Settings)),
-        m_Reader(Board.m_Incarnation.m_High),
+        m_Replica(m_Decoder, replicaOptions(Board)),
         m_Store(Context, storeOptions(Board.m_Settings)),
-        m_Timer(Context, [this] { onTimer(); }),
-        m_Pull(otherSeeds(Board.m_Settings)), m_Context(Context) {}
+        m_Timer(Context, [this] { onTimer(); }), m_Context(Context) {}
 
   void start() {
-    const core::TimePoint Now = monotonicNow();
-    m_Reader.start(Now);
-    m_Pull.start(Now);
+    m_Replica.start(monotonicNow());
     performCommands();
   }
 
   core::DistributionStatus status() const {
     core::DistributionStatus Result;
-    Result.m_Held = {m_Registry.revision(), 0};
+    Result.m_Held = {m_Replica.registry().revision(), 0};
     Result.m_Applied = Result.m_Held;
     Result.m_Ready = m_Board.m_Ready.load();
-    Result.m_Reader = true;
-    Result.m_SourceCalls = m_Reader.calls();
+    Result.m_Reader = m_Replica.mode() != core::WatchMode::Following;
+    Result.m_Links = static_cast<std::uint32_t>(m_Links.size());
+    Result.m_SourceCalls = m_Replica.calls();
+    Result.m_WatchMode = core::nameOf(m_Replica.mode());
+    Result.m_Followers = static_cast<std::uint32_t>(m_Replica.followers());
     return Result;
   }
 
   void onInboundLink(boost::asio::ip::tcp::socket Socket) {
-    const std::uint64_t Link = ++m_LastLink;
+    const core::LinkId Link = core::FirstInboundLink + m_InboundCount++;
     m_Links.emplace(Link, net::Link::adopt(std::move(Socket),
                                            makeLinkHandlers(Link, nullptr)));
   }
@@ -90,23 +93,22 @@
   void onVersionsSeen() {
     PeerVersion Seen;
     while (m_Board.m_PeerVersions.try_pop(Seen))
-      m_Pull.onPeerRevision(Seen.m_Version, Seen.m_Address,
-                            m_Registry.revision(), monotonicNow());
+      m_Replica.onPeerRevision(Seen.m_Version, Seen.m_Address, monotonicNow());
+    performCommands();
+  }
+
+  void startDrain() {
+    m_Replica.startDrain(monotonicNow());
     performCommands();
   }
 
 private:
   void onTimer() {
-    const core::TimePoint Now = monotonicNow();
-    m_Reader.onTick(Now);
-    if (m_Registry.onTick(Now))
-      publish();
-    if (const auto Peer = m_Pull.takeDuePeer(m_Registry.revision(), Now))
-      pullFromPeer(*Peer);
+    m_Replica.onTick(monotonicNow());
     performCommands();
   }
 
-  net::LinkHandlers makeLinkHandlers(std::uint64_t Link,
+  net::LinkHandlers makeLinkHandlers(core::LinkId Link,
                                      std::function<void()> Opened) {
     net::LinkHandlers Handlers;
     Handlers.m_Opened = std::move(Opened);
@@ -115,40 +117,13 @@
     };
     Handlers.m_Closed = [this, Link](const std::string & /*Reason*/) {
       m_Links.erase(Link);
+      m_Replica.onLinkClosed(Link, monotonicNow());
+      performCommands();
     };
     return Handlers;
   }
 
-  // At most one pull is open at a time.
-  void pullFromPeer(const std::string &Address) {
-    closeLink(std::exchange(m_PullLink, ++m_LastLink));
-    const std::uint64_t Link = m_PullLink;
-    auto Opened = [this, Link] {
-      sendTo(Link, core::RecordsPull{m_Registry.revision()});
-    };
-    m_Links.emplace(Link,
-                    net::Link::open(m_Context, Address, net::LinkKind::Control,
-                                    makeLinkHandlers(Link, std::move(Opened))));
-  }
-
-  void closeLink(std::uint64_t Link) {
-    const auto Found = m_Links.find(Link);
-    if (Found == m_Links.end())
-      return;
-    Found->second->close();
-    m_Links.erase(Found);
-  }
-
-  void sendTo(std::uint64_t Link, const core::ControlMessage &Message) {
-    const auto Found = m_Links.find(Link);
-    if (Found == m_Links.end())
-      return;
-    std::string Frame = net::encodeFrame(Message, m_Board.m_Clock.tick());
-    m_Board.m_Metrics.add(Counter::ControlBytesSent, Frame.size());
-    Found->second->send(std::move(Frame));
-  }
-
-  void onFrame(std::uint64_t Link, std::string_view Bytes) {
+  void onFrame(core::LinkId Link, std::string_view Bytes) {
     m_Board.m_Metrics.add(Counter::ControlBytesReceived,
                           Bytes.size() + net::FrameHeaderBytes);
     const net::DecodedFrame Frame = net::decodeFrame(Bytes);
@@ -158,51 +133,44 @@
       throw core::Error(core::ErrorKind::MalformedMessage,
                         "traffic message on a control link",
                         "check that both nodes run compatible versions");
-    if (const auto *Pull = std::get_if<core::RecordsPull>(Message))
-      return sendTo(Link, m_Registry.makePush(Pull->m_Have));
-    if (const auto *Push = std::get_if<core::RecordsPush>(Message))
-      handlePush(Link, *Push);
-  }
-
-  void handlePush(std::uint64_t Link, const core::RecordsPush &Push) {
-    closeLink(Link);
-    m_Pull.onReply();
-    const core::TimePoint Now = monotonicNow();
-    if (m_Registry.applyPush(Push, Now))
-      publish();
-    m_Reader.onPeerRecords(m_Registry.revision(), Now);
+    m_Replica.onMessage(Link, *Message, monotonicNow());
     performCommands();
   }
 
   void performCommands() {
     for (;;) {
-      auto Commands = m_Reader.takeCommands();
+      const auto Commands = m_Replica.takeCommands();
       if (Commands.empty())
         break;
-      for (core::StoreReaderCommand &Command : Commands)
-        std::visit([this](auto &Each) { perform(Each); }, Command);
+      for (const core::StoreReplicaCommand &Command : Commands)
+        std::visit([this](const auto &Each) { perform(Each); }, Command);
     }
-    for (const core::Event &Recorded : m_Registry.takeEvents())
-      m_Board.m_Events.record(Recorded);
-    m_Timer.arm(m_Reader.nextWakeUp());
-    m_Timer.arm(m_Registry.nextWakeUp());
-    m_Timer.arm(m_Pull.nextWakeUp());
+    m_Timer.arm(m_Replica.nextWakeUp());
   }
 
   template <typename Call> void callStore(const Call &Command) {
     m_Board.m_Metrics.add(Counter::SourceCalls);
-    m_Store.send(
-        platform::makeRequest(Command), Command.m_Timeout, true,
-        [this, Number = Command.m_Call](const net::HttpResult &Result) {
-          onStoreResult(Number, Result);
-        });
+    const std::uint64_t Number = Command.m_Call;
+    const net::ExchangeId Exchange =
+        m_Store.send(platform::makeRequest(Command), Command.m_Timeout, true,
+                     [this, Number](const net::HttpResult &Result) {
+                       onStoreResult(Number, Result);
+                     });
+    m_PendingCalls.emplace(Number, Exchange);
   }
 
   void perform(const core::ListRecords &Command) { callStore(Command); }
 
   void perform(const core::WatchRecords &Command) { callStore(Command); }
 
+  void perform(const core::AbandonCall &Command) {
+    const auto Found = m_PendingCalls.find(Command.m_Call);
+    if (Found != m_PendingCalls.end())
+      m_Store.cancel(Found->second);
+  }
+
   void onStoreResult(std::uint64_t Call, const net::HttpResult &Result) {
+    m_PendingCalls.erase(Call);
     core::StoreReply Reply;
     if (Result.m_Outcome == net::ExchangeOutcome::Answered) {
       Reply = platform::readReply(Call, *Result.m_Response);
@@ -210,50 +178,59 @@
       Reply.m_Call = Call;
       Reply.m_Fault = Result.m_Detail;
     }
-    m_Reader.onReply(std::move(Reply), monotonicNow());
+    m_Replica.onStoreReply(std::move(Reply), monotonicNow());
     performCommands();
   }
 
-  void perform(const core::RecordsRead &Command) {
-    if (m_Registry.replaceAll(Command.m_Records, Command.m_AsOf,
-                              monotonicNow()))
-      publish();
+  void perform(const core::OpenControlLink &Command) {
+    const core::LinkId Link = Command.m_Link;
+    auto Opened = [this, Link] {
+      m_Replica.onLinkOpened(Link, monotonicNow());
+      performCommands();
+    };
+    m_Links.emplace(Link, net::Link::open(m_Context, Command.m_Address,
+                                          net::LinkKind::Control,
+                                          makeLinkHandlers(Link, Opened)));
   }
 
-  void perform(const core::RecordsChanged &Command) {
-    if (m_Registry.apply(Command.m_Records, Command.m_AsOf, monotonicNow()))
-      publish();
+  void perform(const core::CloseControlLink &Command) {
+    const auto Found = m_Links.find(Command.m_Link);
+    if (Found == m_Links.end())
+      return;
+    Found->second->close();
+    m_Links.erase(Found);
   }
 
-  void perform(const core::StoreReachability &Command) {
-    m_Registry.onStoreReachable(Command.m_Reachable, monotonicNow());
+  void perform(const core::SendControl &Command) {
+    const auto Found = m_Links.find(Command.m_Link);
+    if (Found == m_Links.end())
+      return;
+    std::string Frame =
+        net::encodeFrame(Command.m_Message, m_Board.m_Clock.tick());
+    m_Board.m_Metrics.add(Counter::ControlBytesSent, Frame.size());
+    Found->second->send(std::move(Frame));
   }
 
-  void perform(const core::Event &Command) { m_Board.m_Events.record(Command); }
-
-  void publish() {
-    core::ConfigurationPtr Config = m_Registry.configuration();
-    if (Config == nullptr)
-      return;
-    m_Board.m_Configuration.store(std::move(Config));
+  void perform(const core::ApplyRecords &Command) {
+    m_Board.m_Configuration.store(Command.m_Configuration);
     if (!m_Board.m_Ready.exchange(true))
       m_Board.m_Events.record({core::EventId::ProcessReady, ""});
     m_OnApplied();
   }
 
+  void perform(const core::Event &Command) { m_Board.m_Events.record(Command); }
+
   Blackboard &m_Board;
   std::function<void()> m_OnApplied;
   platform::PlatformRecordDecoder m_Decoder;
-  core::Registry m_Registry;
-  core::StoreReader m_Reader;
+  core::StoreReplica m_Replica;
   net::HttpClient m_Store;
+  /// Exchanges of calls without a reply, by the number of the call.
+  std::unordered_map<std::uint64_t, net::ExchangeId> m_PendingCalls;
   WakeUpTimer m_Timer;
-  core::PeerPull m_Pull;
   boost::asio::io_context &m_Context;
-  std::unordered_map<std::uint64_t, std::shared_ptr<net::Link>> m_Links;
-  std::uint64_t m_LastLink = 0;
-  /// Link of the latest pull; 0 before the first one.
-  std::uint64_t m_PullLink = 0;
+  std::unordered_map<core::LinkId, std::shared_ptr<net::Link>> m_Links;
+  std::uint64_t m_InboundCount = 0;
 };
 
 RegistryDriver::RegistryDriver(boost::asio::io_context &Context,
@@ -271,8 +248,7 @@
 
 void RegistryDriver::onVersionsSeen() { m_Impl->onVersionsSeen(); }
 
-// Peers are notified of a planned stop on their traffic links.
-void RegistryDriver::startDrain() {}
+void RegistryDriver::startDrain() { m_Impl->startDrain(); }
 
 core::DistributionStatus RegistryDriver::status() const {
   return m_Impl->status();
--- a/src/app/node/registry_driver.h
+++ b/src/app/node/registry_driver.h
@@ -14,8 +14,8 @@
 
 namespace dandelionfall::app {
 
-/// Connects core::StoreReader, core::Registry and core::PeerPull to the store,
-/// network links and the clock. All calls must be made on the control thread.
+/// Connects core::StoreReplica to the store, network links and the clock. All
+/// calls must be made on the control thread.
 class RegistryDriver : public ControlPlane {
 public:
   /// \param Context the context to run on; must outlive the driver.
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -192,6 +192,40 @@
     {"window_s", setRetryWindow},
 };
 
+constexpr double MaxLinkMbps = 1'000'000;
+constexpr std::uint32_t MaxCores = 4096;
+constexpr std::uint32_t MaxMemoryMb = 1U << 24U;
+constexpr std::uint32_t MaxDescriptors = 1U << 24U;
+
+void setProcessorShare(Settings &Result, const IniEntry &Entry,
+                       const IniSource &Source) {
+  Result.m_Machine.m_ProcessorShare =
+      core::parseNumber(Entry, Source, 0.0, 1.0);
+}
+
+void setLinkMbps(Settings &Result, const IniEntry &Entry,
+                 const IniSource &Source) {
+  Result.m_Machine.m_LinkMbps =
+      core::parseNumber(Entry, Source, 0.0, MaxLinkMbps);
+}
+
+template <std::uint32_t core::MachineLimits::*Member, std::uint32_t Max>
+void setMachineNumber(Settings &Result, const IniEntry &Entry,
+                      const IniSource &Source) {
+  Result.m_Machine.*Member =
+      core::parseNumber(Entry, Source, std::uint32_t{0}, Max);
+}
+
+constexpr KeyHandler<Settings> MachineKeys[] = {
+    {"processor_share", setProcessorShare},
+    {"cores", setMachineNumber<&core::MachineLimits::m_Cores, MaxCores>},
+    {"memory_mb",
+     setMachineNumber<&core::MachineLimits::m_MemoryMb, MaxMemoryMb>},
+    {"descriptors",
+     setMachineNumber<&core::MachineLimits::m_Descriptors, MaxDescriptors>},
+    {"link_mbps", setLinkMbps},
+};
+
 constexpr std::uint32_t MaxLingerMs = 600'000;
 
 constexpr KeyHandler<Settings> StopKeys[] = {
@@ -243,6 +277,7 @@
     {"overlay", false, {}, readSection<OverlayKeys>},
     {"zones", false, {}, readZones},
     {"retries", false, {}, readSection<RetryKeys>},
+    {"machine", false, {}, readSection<MachineKeys>},
     {"stop", false, {}, readSection<StopKeys>},
     {"log", false, {}, readSection<LogKeys>},
 };
--- a/src/app/status_report.cpp
+++ b/src/app/status_report.cpp
@@ -31,6 +31,7 @@
 std::string formatValue(bool Value) { return Value ? "yes" : "no"; }
 std::string formatValue(std::uint32_t Value) { return std::to_string(Value); }
 std::string formatValue(std::uint64_t Value) { return std::to_string(Value); }
+std::string formatValue(double Value) { return Json(Value).dump(); }
 std::string formatValue(const core::VersionStamp &Value) {
   return std::to_string(Value.m_Version) + "/" +
          core::formatDigest(Value.m_Digest);
@@ -93,6 +94,14 @@
                                                "target in flight"),
     makeField<&StatusReport::m_TargetQueued>("target_queued", "target queued"),
     makeField<&StatusReport::m_OpenCalls>("open_calls", "open calls"),
+    makeField<&StatusReport::m_WatchMode>("watch_mode", "watch mode"),
+    makeField<&StatusReport::m_Followers>("followers", "followers"),
+    makeField<&StatusReport::m_ProcessorShare>("processor_share",
+                                               "processor share"),
+    makeField<&StatusReport::m_Cores>("cores", "cores"),
+    makeField<&StatusReport::m_MemoryMb>("memory_mb", "memory MB"),
+    makeField<&StatusReport::m_Descriptors>("descriptors", "descriptors"),
+    makeField<&StatusReport::m_LinkMbps>("link_mbps", "link Mbit/s"),
 };
 
 } // namespace
--- a/src/core/distribution.cpp
+++ b/src/core/distribution.cpp
@@ -81,6 +81,8 @@
   // Records are exchanged only between nodes that read a shared store.
   void handle(ControlLink & /*Link*/, const RecordsPull & /*Value*/) {}
   void handle(ControlLink & /*Link*/, const RecordsPush & /*Value*/) {}
+  void handle(ControlLink & /*Link*/, const FollowRevisions & /*Value*/) {}
+  void handle(ControlLink & /*Link*/, const RevisionNotice & /*Value*/) {}
   void handle(ControlLink &Link, const ControlGoAway & /*Value*/) {
     m_Overlay.onGoAway(m_Board, Link);
   }
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -108,6 +108,15 @@
               "Operators returned an availability zone to service."},
     EventInfo{EventId::RecordsFromPeer, "records-from-peer", Severity::Info,
               "Another node sent records that the store does not have."},
+    EventInfo{EventId::FeedFollowed, "feed-followed", Severity::Info,
+              "Another node tells this one which revision is current."},
+    EventInfo{EventId::FeedLost, "feed-lost", Severity::Info,
+              "Another node no longer tells which revision is current."},
+    EventInfo{EventId::WatchModeChanged, "watch-mode-changed", Severity::Info,
+              "The node watches the store in another way."},
+    EventInfo{EventId::FollowerBehind, "follower-behind", Severity::Info,
+              "The node reads a revision from the store that another node "
+              "announced and its own watch has not delivered."},
 };
 
 static_assert(std::is_sorted(Catalogue.begin(), Catalogue.end(),
--- /dev/null
+++ b/src/core/registry/feed_follower.cpp
@@ -0,0 +1,238 @@
+#include "core/registry/feed_follower.h"
+
+#include <algorithm>
+#include <initializer_list>
+#include <utility>
+
+namespace dandelionfall::core::registry {
+
+namespace {
+
+/// Avoided nodes of an availability zone from which other zones are preferred:
+/// the whole zone may be unreachable.
+constexpr std::ptrdiff_t MaxAvoidedInZone = 3;
+
+} // namespace
+
+FeedFollower::Slot *FeedFollower::findSlot(LinkId Link) {
+  auto *Found =
+      std::find_if(m_Slots.begin(), m_Slots.end(), [Link](const Slot &Each) {
+        return Each && Each->m_Link == Link;
+      });
+  return Found == m_Slots.end() ? nullptr : Found;
+}
+
+// A feed that has not answered yet is given the time of a silent one.
+TimePoint FeedFollower::reliableUntil(const Feed &Followed) {
+  const TimePoint HeardUntil = Followed.m_HeardAt + FeedSilenceLimit;
+  if (!Followed.m_ConfirmedAt)
+    return HeardUntil;
+  return std::min(HeardUntil, *Followed.m_ConfirmedAt + ConfirmationLimit);
+}
+
+std::size_t FeedFollower::reliableFeeds(TimePoint Now) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Slots.begin(), m_Slots.end(), [Now](const Slot &Each) {
+        return Each && Each->m_ConfirmedAt && Now < reliableUntil(*Each);
+      }));
+}
+
+void FeedFollower::onNodes(std::vector<NodeAddress> Nodes, TimePoint Now) {
+  if (!m_Candidates.replace(std::move(Nodes)))
+    return;
+  for (Slot &Each : m_Slots) {
+    if (Each && !m_Candidates.contains(Each->m_Node))
+      close(Each);
+  }
+  onTick(Now);
+}
+
+bool FeedFollower::onLinkOpened(LinkId Link, TimePoint Now) {
+  Slot *Found = findSlot(Link);
+  if (Found == nullptr)
+    return false;
+  Feed &Opened = **Found;
+  Opened.m_Opened = true;
+  Opened.m_NextFollowAt = Now + FollowInterval;
+  m_Commands.emplace_back(SendControl{Link, FollowRevisions{}});
+  return true;
+}
+
+void FeedFollower::onLinkClosed(LinkId Link, TimePoint Now) {
+  if (Slot *Found = findSlot(Link)) {
+    drop(*Found, "the link was closed", LostFeedDelay, Now);
+    onTick(Now);
+  }
+}
+
+std::string FeedFollower::onNotice(LinkId Link, const RevisionNotice &Notice,
+                                   TimePoint Now) {
+  Slot *Found = findSlot(Link);
+  if (Found == nullptr)
+    return "";
+  Feed &Sender = **Found;
+  std::string Address = Sender.m_Node.m_Address;
+  if (Notice.m_Refused) {
+    drop(*Found, "refused", RefusedFeedDelay, Now);
+    onTick(Now);
+    return Address;
+  }
+  Sender.m_HeardAt = Now;
+  m_Losses = 0;
+  if (!std::exchange(Sender.m_ConfirmedAt, Now - Notice.m_ConfirmedAgo))
+    report(EventId::FeedFollowed, Sender,
+           "revision=" + std::to_string(Notice.m_Revision));
+  return Address;
+}
+
+bool FeedFollower::isInFailingZone(const NodeAddress &Node) const {
+  const auto Avoided = std::count_if(
+      m_AvoidedUntil.begin(), m_AvoidedUntil.end(),
+      [&](const auto &Each) { return Each.first.m_Zone == Node.m_Zone; });
+  return Avoided >= MaxAvoidedInZone;
+}
+
+const NodeAddress *FeedFollower::choose(std::size_t Index) const {
+  const Slot &Other = m_Slots[(Index + 1) % m_Slots.size()];
+  const auto IsFree = [&](const NodeAddress &Node) {
+    return !m_AvoidedUntil.contains(Node) && (!Other || Other->m_Node != Node);
+  };
+  const auto IsInNewZone = [&](const NodeAddress &Node) {
+    return IsFree(Node) && (!Other || Other->m_Node.m_Zone != Node.m_Zone);
+  };
+  const auto IsInGoodZone = [&](const NodeAddress &Node) {
+    return IsInNewZone(Node) && !isInFailingZone(Node);
+  };
+  const auto Find = [&](const auto &IsSuitable) -> const NodeAddress * {
+    const std::vector<NodeAddress> *First = &m_Candidates.inZone();
+    const std::vector<NodeAddress> *Second = &m_Candidates.inOtherZones();
+    if (Index > 0)
+      std::swap(First, Second);
+    for (const auto *Nodes : {First, Second}) {
+      const auto Found = std::find_if(Nodes->begin(), Nodes->end(), IsSuitable);
+      if (Found != Nodes->end())
+        return &*Found;
+    }
+    return nullptr;
+  };
+  if (const NodeAddress *Good = Find(IsInGoodZone))
+    return Good;
+  if (const NodeAddress *InNewZone = Find(IsInNewZone))
+    return InNewZone;
+  return Find(IsFree);
+}
+
+void FeedFollower::open(Slot &Free, const NodeAddress &Node, TimePoint Now) {
+  Feed New;
+  New.m_Node = Node;
+  New.m_Link = ++m_LastLink;
+  New.m_HeardAt = Now;
+  Free = std::move(New);
+  m_Commands.emplace_back(OpenControlLink{m_LastLink, Node.m_Address});
+}
+
+void FeedFollower::close(Slot &Open) {
+  m_Commands.emplace_back(CloseControlLink{Open->m_Link});
+  Open.reset();
+}
+
+void FeedFollower::drop(Slot &Open, const char *Cause, Duration AvoidedFor,
+                        TimePoint Now) {
+  report(EventId::FeedLost, *Open, std::string("cause=") + Cause);
+  m_AvoidedUntil.insert_or_assign(Open->m_Node, Now + AvoidedFor);
+  constexpr unsigned MaxDoublings = 6;
+  const Duration Delay =
+      FirstFeedDelay * (1U << std::min(m_Losses++, MaxDoublings));
+  m_NextOpenAt = Now + std::min(Delay, MaxFeedDelay);
+  close(Open);
+}
+
+void FeedFollower::review(TimePoint Now) {
+  if (!m_NextReviewAt)
+    m_NextReviewAt = Now + FeedReviewInterval;
+  if (Now < *m_NextReviewAt)
+    return;
+  m_NextReviewAt = Now + FeedReviewInterval;
+  // At most one feed moves at a time, so that the other one is still there.
+  if (reliableFeeds(Now) < m_Slots.size())
+    return;
+  for (std::size_t Index = 0; Index < m_Slots.size(); ++Index) {
+    const NodeAddress *Preferred = choose(Index);
+    if (Preferred == nullptr || *Preferred == m_Slots[Index]->m_Node)
+      continue;
+    close(m_Slots[Index]);
+    open(m_Slots[Index], *Preferred, Now);
+    return;
+  }
+}
+
+void FeedFollower::onTick(TimePoint Now) {
+  if (m_Stopped)
+    return;
+  std::erase_if(m_AvoidedUntil,
+                [Now](const auto &Each) { return Each.second <= Now; });
+  for (Slot &Each : m_Slots) {
+    if (!Each)
+      continue;
+    if (Now >= reliableUntil(*Each)) {
+      drop(Each, Each->m_ConfirmedAt ? "silent" : "no answer", LostFeedDelay,
+           Now);
+    } else if (Each->m_Opened && Now >= Each->m_NextFollowAt) {
+      Each->m_NextFollowAt = Now + FollowInterval;
+      m_Commands.emplace_back(SendControl{Each->m_Link, FollowRevisions{}});
+    }
+  }
+  review(Now);
+  if (Now < m_NextOpenAt)
+    return;
+  for (std::size_t Index = 0; Index < m_Slots.size(); ++Index) {
+    if (m_Slots[Index])
+      continue;
+    if (const NodeAddress *Chosen = choose(Index))
+      open(m_Slots[Index], *Chosen, Now);
+  }
+}
+
+void FeedFollower::stop() {
+  m_Stopped = true;
+  for (Slot &Each : m_Slots) {
+    if (Each)
+      close(Each);
+  }
+}
+
+std::optional<TimePoint> FeedFollower::nextWakeUp() const {
+  if (m_Stopped)
+    return std::nullopt;
+  std::optional<TimePoint> Next = m_NextReviewAt;
+  const auto Include = [&Next](TimePoint At) {
+    Next = Next ? std::min(*Next, At) : At;
+  };
+  for (std::size_t Index = 0; Index < m_Slots.size(); ++Index) {
+    const Slot &Each = m_Slots[Index];
+    if (Each) {
+      Include(reliableUntil(*Each));
+      if (Each->m_Opened)
+        Include(Each->m_NextFollowAt);
+      continue;
+    }
+    if (choose(Index) != nullptr)
+      Include(m_NextOpenAt);
+    for (const auto &[Node, Until] : m_AvoidedUntil)
+      Include(std::max(Until, m_NextOpenAt));
+  }
+  return Next;
+}
+
+void FeedFollower::report(EventId Id, const Feed &Followed,
+                          const std::string &Detail) {
+  m_Commands.emplace_back(Event{Id, "node=" + Followed.m_Node.m_Address +
+                                        " zone=" + Followed.m_Node.m_Zone +
+                                        " " + Detail});
+}
+
+std::vector<FeedCommand> FeedFollower::takeCommands() {
+  return std::exchange(m_Commands, {});
+}
+
+} // namespace dandelionfall::core::registry
--- /dev/null
+++ b/src/core/registry/feed_follower.h
@@ -0,0 +1,91 @@
+/// \file
+/// Learns from other nodes which revision of a shared store is current.
+#ifndef DANDELIONFALL_SRC_CORE_REGISTRY_FEED_FOLLOWER_H
+#define DANDELIONFALL_SRC_CORE_REGISTRY_FEED_FOLLOWER_H
+
+#include "core/registry/feed_candidates.h"
+#include "core/registry/limits.h"
+#include "core/registry/revision_feed.h"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dandelionfall::core::registry {
+
+/// Follows the revision feeds of `FollowedFeeds` other nodes, one of them in
+/// another availability zone where there is one, and replaces a feed that is
+/// silent, refused, or no longer confirmed by the store. Not thread-safe.
+class FeedFollower {
+public:
+  /// \param OwnAddress link address of this node.
+  /// \param OwnZone availability zone of this node.
+  FeedFollower(std::string OwnAddress, std::string OwnZone)
+      : m_Candidates(std::move(OwnAddress), std::move(OwnZone)) {}
+
+  /// Replaces the nodes that can be followed.
+  void onNodes(std::vector<NodeAddress> Nodes, TimePoint Now);
+  /// Handles the opening of a link that this class requested.
+  /// \returns whether the link belongs to a feed.
+  bool onLinkOpened(LinkId Link, TimePoint Now);
+  /// Handles a link that failed or was closed by the other node.
+  void onLinkClosed(LinkId Link, TimePoint Now);
+  /// Handles a notice.
+  /// \returns the address of the node that sent it; empty if the link belongs
+  /// to no feed.
+  std::string onNotice(LinkId Link, const RevisionNotice &Notice,
+                       TimePoint Now);
+  /// Opens missing feeds and closes those that can't be relied on.
+  void onTick(TimePoint Now);
+  /// Closes all feeds and opens no more.
+  void stop();
+  /// \returns when `onTick` must be called next, if at all.
+  std::optional<TimePoint> nextWakeUp() const;
+  /// \returns the number of feeds that can be relied on.
+  std::size_t reliableFeeds(TimePoint Now) const;
+  /// \returns the commands collected since the last call.
+  std::vector<FeedCommand> takeCommands();
+
+private:
+  struct Feed {
+    NodeAddress m_Node;
+    LinkId m_Link = 0;
+    bool m_Opened = false;
+    /// When the last notice arrived; at first, when the feed was requested.
+    TimePoint m_HeardAt;
+    /// When the store confirmed the revision of the last notice; empty before
+    /// the first notice.
+    std::optional<TimePoint> m_ConfirmedAt;
+    TimePoint m_NextFollowAt;
+  };
+  using Slot = std::optional<Feed>;
+
+  Slot *findSlot(LinkId Link);
+  static TimePoint reliableUntil(const Feed &Followed);
+  const NodeAddress *choose(std::size_t Index) const;
+  void open(Slot &Free, const NodeAddress &Node, TimePoint Now);
+  void close(Slot &Open);
+  void drop(Slot &Open, const char *Cause, Duration AvoidedFor, TimePoint Now);
+  bool isInFailingZone(const NodeAddress &Node) const;
+  void review(TimePoint Now);
+  void report(EventId Id, const Feed &Followed, const std::string &Detail);
+
+  FeedCandidates m_Candidates;
+  std::array<Slot, FollowedFeeds> m_Slots;
+  /// Nodes that are not followed until a time.
+  std::map<NodeAddress, TimePoint> m_AvoidedUntil;
+  /// When the next feed may be opened.
+  TimePoint m_NextOpenAt;
+  /// Feeds lost since one was last reliable.
+  unsigned m_Losses = 0;
+  std::optional<TimePoint> m_NextReviewAt;
+  LinkId m_LastLink = 0;
+  bool m_Stopped = false;
+  std::vector<FeedCommand> m_Commands;
+};
+
+} // namespace dandelionfall::core::registry
+
+#endif // DANDELIONFALL_SRC_CORE_REGISTRY_FEED_FOLLOWER_H
--- /dev/null
+++ b/src/core/registry/feed_publisher.h
@@ -0,0 +1,60 @@
+/// \file
+/// Tells other nodes which revision of a shared store is current.
+#ifndef DANDELIONFALL_SRC_CORE_REGISTRY_FEED_PUBLISHER_H
+#define DANDELIONFALL_SRC_CORE_REGISTRY_FEED_PUBLISHER_H
+
+#include "core/registry/revision_feed.h"
+
+#include <map>
+#include <vector>
+
+namespace dandelionfall::core::registry {
+
+/// Sends revision notices to a bounded number of followers: at once when the
+/// revision rises, and at regular intervals while the store confirms it. Not
+/// thread-safe.
+class FeedPublisher {
+public:
+  /// \param MaxFollowers number of followers that the machine can carry.
+  explicit FeedPublisher(std::size_t MaxFollowers)
+      : m_MaxFollowers(MaxFollowers) {}
+
+  /// Accepts or refuses a follower, or renews an accepted one.
+  /// \param Link the link on which the follower asked.
+  /// \param Own the node's own revision.
+  void onFollow(LinkId Link, const ConfirmedRevision &Own, TimePoint Now);
+  /// Removes the follower on a closed link, if there is one.
+  void onLinkClosed(LinkId Link);
+  /// Sends the revision to all followers if it is newer than the last one sent,
+  /// or confirmed again.
+  void onRevision(const ConfirmedRevision &Own, TimePoint Now);
+  /// Sends due notices and drops followers that no longer ask.
+  void onTick(const ConfirmedRevision &Own, TimePoint Now);
+  /// Refuses all followers, now and later.
+  void startDrain();
+  /// \returns when `onTick` must be called next, if at all.
+  std::optional<TimePoint> nextWakeUp() const;
+  /// \returns the number of followers.
+  std::size_t followers() const { return m_Followers.size(); }
+  /// \returns the commands collected since the last call.
+  std::vector<FeedCommand> takeCommands();
+
+private:
+  void send(LinkId Link, const ConfirmedRevision &Own, TimePoint Now);
+  void refuse(LinkId Link);
+  void sendToAll(const ConfirmedRevision &Own, TimePoint Now);
+
+  std::size_t m_MaxFollowers;
+  /// When each follower last asked, by link.
+  std::map<LinkId, TimePoint> m_Followers;
+  Revision m_SentRevision = 0;
+  TimePoint m_NextNoticeAt;
+  /// Whether followers wait for a notice until the store confirms the revision.
+  bool m_NoticeOwed = false;
+  bool m_Draining = false;
+  std::vector<FeedCommand> m_Commands;
+};
+
+} // namespace dandelionfall::core::registry
+
+#endif // DANDELIONFALL_SRC_CORE_REGISTRY_FEED_PUBLISHER_H
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -13,12 +13,26 @@
 /// detected one call timeout later; a change must be applied within two
 /// seconds.
 constexpr Duration MaxWatchWait = std::chrono::milliseconds(1500);
+/// Longest wait of one watch of a node that others follow; each reply confirms
+/// their revision.
+constexpr Duration PublisherWatchWait = std::chrono::milliseconds(1000);
+/// Longest wait of one watch of a follower. Feeds of other nodes tell what it
+/// misses.
+constexpr Duration FollowerWatchWait = std::chrono::seconds(8);
 /// Time limit for the reply to a call, in addition to its wait.
 constexpr Duration CallTimeout = std::chrono::milliseconds(750);
 /// Minimum time between a change and the next watch, so that changes in quick
 /// succession are read together. A fifth of the two seconds within which a
 /// change must be applied.
 constexpr Duration MinWatchInterval = std::chrono::milliseconds(400);
+/// The same for a follower. Most of its calls are due to changes in quick
+/// succession.
+constexpr Duration FollowerWatchInterval = std::chrono::milliseconds(800);
+/// Time for a revision that another node has announced to arrive by the own
+/// watch, before a new linearizable call reads it. Just over the interval
+/// between two watches.
+constexpr Duration CatchUpDelay =
+    FollowerWatchInterval + std::chrono::milliseconds(50);
 /// Delay after the first failed call; doubles with each further failure.
 constexpr Duration FirstRetryDelay = std::chrono::milliseconds(50);
 /// Maximum delay between two calls. Together with the call timeout it limits
@@ -37,8 +51,9 @@
 /// removals receives all records.
 constexpr std::size_t MaxRemovalHistory = 4096;
 /// Time for a newer revision seen at a peer to arrive from the store, before it
-/// is pulled from the peer.
-constexpr Duration PeerPullDelay = std::chrono::milliseconds(700);
+/// is pulled from the peer. Leaves a call that catches up time to be answered.
+constexpr Duration PeerPullDelay =
+    CatchUpDelay + std::chrono::milliseconds(100);
 /// Time for the store to answer a node that has just started, before the node
 /// pulls from a seed. Many times a normal response time, and short compared
 /// with the time for which callers wait.
@@ -49,6 +64,33 @@
 /// Time limit for the reply of a peer.
 constexpr Duration PeerPullTimeout = std::chrono::milliseconds(1000);
 
+/// Interval between two notices of a feed without a newer revision.
+constexpr Duration NoticeInterval = std::chrono::milliseconds(250);
+/// Time without a notice after which a feed counts as lost.
+constexpr Duration FeedSilenceLimit = std::chrono::milliseconds(700);
+/// Age of the store's last confirmation from which a revision is not relied on.
+/// The publisher's calls are at most a watch and an interval apart, and its
+/// notices one more interval; the rest is for a slow store or node.
+constexpr Duration ConfirmationLimit = PublisherWatchWait + MinWatchInterval +
+                                       NoticeInterval +
+                                       std::chrono::milliseconds(200);
+/// Time for which a node whose feed was lost is not followed again.
+constexpr Duration LostFeedDelay = std::chrono::seconds(4);
+/// Time for which a node that refused a follower is not asked again.
+constexpr Duration RefusedFeedDelay = std::chrono::seconds(60);
+/// Delay before a lost feed is replaced; doubles with each further loss until a
+/// feed is reliable.
+constexpr Duration FirstFeedDelay = std::chrono::milliseconds(50);
+constexpr Duration MaxFeedDelay = std::chrono::milliseconds(3200);
+/// Interval at which a follower repeats its request to a publisher.
+constexpr Duration FollowInterval = std::chrono::seconds(4);
+/// Time without a repeated request after which a publisher drops a follower.
+constexpr Duration FollowTimeout = std::chrono::seconds(10);
+/// Interval at which a follower looks for a feed that it prefers to its own.
+constexpr Duration FeedReviewInterval = std::chrono::seconds(12);
+/// Feeds that a node follows at the same time, from different hosts.
+constexpr std::size_t FollowedFeeds = 2;
+
 } // namespace dandelionfall::core::registry
 
 #endif // DANDELIONFALL_CORE_REGISTRY_LIMITS_H
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -289,14 +289,26 @@
   return Result;
 }
 
+std::string Registry::gateAddressOf(const TargetEntry &Entry) const {
+  return hostOf(Entry.m_Address) + ":" + std::to_string(m_Options.m_LinkPort);
+}
+
+std::vector<NodeAddress> Registry::nodes() const {
+  std::vector<NodeAddress> Result;
+  for (const KnownTarget *Known : usableTargets()) {
+    if (!Known->m_Entry.m_Draining)
+      Result.push_back({gateAddressOf(Known->m_Entry), Known->m_Entry.m_Zone});
+  }
+  return Result;
+}
+
 Target Registry::makeTarget(const KnownTarget &Known) const {
   Target Result;
   Result.m_Name = Known.m_Entry.m_Instance;
   Result.m_Address = Known.m_Entry.m_Address;
   Result.m_Host = hostOf(Known.m_Entry.m_Address);
   Result.m_Zone = Known.m_Entry.m_Zone;
-  Result.m_GateAddress =
-      Result.m_Host + ":" + std::to_string(m_Options.m_LinkPort);
+  Result.m_GateAddress = gateAddressOf(Known.m_Entry);
   Result.m_Slots = std::max(Known.m_Entry.m_Slots, 1U);
   Result.m_ColdUntil = Known.m_ColdUntil;
   Result.m_Draining = Known.m_Entry.m_Draining;
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -10,19 +10,125 @@
 
 using namespace registry;
 
+namespace {
+
+/// Name and watch parameters of a mode.
+struct ModeRow {
+  const char *m_Name;
+  Duration m_Wait;
+  /// Minimum time between a change and the next watch.
+  Duration m_Interval;
+  ReadConsistency m_Consistency;
+};
+
+/// Rows in the order of `WatchMode`.
+constexpr ModeRow Modes[] = {
+    {"alone", MaxWatchWait, MinWatchInterval, ReadConsistency::Linearizable},
+    {"publishing", PublisherWatchWait, MinWatchInterval,
+     ReadConsistency::Linearizable},
+    {"following", FollowerWatchWait, FollowerWatchInterval,
+     ReadConsistency::Serializable},
+};
+
+const ModeRow &rowOf(WatchMode Mode) {
+  return Modes[static_cast<std::size_t>(Mode)];
+}
+
+} // namespace
+
+const char *nameOf(WatchMode Mode) { return rowOf(Mode).m_Name; }
+
 void StoreReader::start(TimePoint Now) { issueCall(Now); }
 
+WatchRecords StoreReader::makeWatch() const {
+  const ModeRow &Row =
+      rowOf(m_CatchingUp && m_Mode == WatchMode::Following ? WatchMode::Alone
+                                                           : m_Mode);
+  const Duration Wait =
+      m_AnswerAtOnce || m_Failures > 0 ? Duration{0} : Row.m_Wait;
+  return {m_LastCall, m_KnownRevision, Wait, Wait + CallTimeout,
+          Row.m_Consistency};
+}
+
 void StoreReader::issueCall(TimePoint Now) {
   m_CallAt.reset();
   m_CallPending = true;
-  const std::uint64_t Call = ++m_LastCall;
+  m_CalledAt = Now;
+  ++m_LastCall;
+  m_LastWatch.reset();
   if (m_Watching) {
-    m_Commands.emplace_back(WatchRecords{Call, m_KnownRevision, MaxWatchWait,
-                                         MaxWatchWait + CallTimeout});
+    m_LastWatch = makeWatch();
+    m_LastConsistency = m_LastWatch->m_Consistency;
+    m_Commands.emplace_back(*m_LastWatch);
+    return;
+  }
+  // A later page may be read serializably, since its revision shows whether it
+  // is at least as new as the first one.
+  m_LastConsistency = m_NextPageAfter.empty() || m_PageWasStale
+                          ? ReadConsistency::Linearizable
+                          : ReadConsistency::Serializable;
+  m_Commands.emplace_back(
+      ListRecords{m_LastCall, m_NextPageAfter, CallTimeout, m_LastConsistency});
+}
+
+void StoreReader::replaceCall(TimePoint Now) {
+  if (m_CallPending)
+    m_Commands.emplace_back(AbandonCall{m_LastCall});
+  m_AnswerAtOnce = true;
+  issueCall(Now);
+  m_AnswerAtOnce = false;
+}
+
+void StoreReader::setMode(WatchMode Mode, TimePoint Now) {
+  if (std::exchange(m_Mode, Mode) == Mode)
     return;
+  if (!m_CallPending || !m_LastWatch)
+    return;
+  const ModeRow &Row = rowOf(Mode);
+  const bool IsStale = Row.m_Consistency == ReadConsistency::Linearizable &&
+                       m_LastWatch->m_Consistency != Row.m_Consistency;
+  if (IsStale || m_LastWatch->m_Wait > Row.m_Wait)
+    replaceCall(Now);
+}
+
+void StoreReader::onNewerRevision(Revision Seen, TimePoint Now) {
+  const Revision Newest =
+      m_Missing.empty() ? m_KnownRevision : m_Missing.back().first;
+  if (Seen > Newest && Seen > m_DisprovedRevision)
+    m_Missing.emplace_back(Seen, Now);
+}
+
+// A linearizable reply is as of a moment after any revision seen before its
+// call.
+void StoreReader::dropDisproved(Revision AsOf) {
+  while (!m_Missing.empty() && m_Missing.front().second <= m_CalledAt) {
+    if (m_Missing.front().first > AsOf)
+      m_DisprovedRevision = m_Missing.front().first;
+    m_Missing.pop_front();
   }
-  (void)Now;
-  m_Commands.emplace_back(ListRecords{Call, m_NextPageAfter, CallTimeout});
+}
+
+std::optional<TimePoint> StoreReader::catchUpAt() const {
+  // A failed call is repeated after its own delay; a listing reads everything.
+  if (m_Missing.empty() || m_CatchingUp || m_Failures > 0 || !m_Watching)
+    return std::nullopt;
+  return m_Missing.front().second + CatchUpDelay;
+}
+
+void StoreReader::setKnownRevision(Revision Known) {
+  m_KnownRevision = Known;
+  while (!m_Missing.empty() && m_Missing.front().first <= Known)
+    m_Missing.pop_front();
+}
+
+void StoreReader::catchUp(TimePoint Now) {
+  m_CatchingUp = true;
+  m_Commands.emplace_back(
+      Event{EventId::FollowerBehind,
+            std::string("mode=") + nameOf(m_Mode) +
+                " known_revision=" + std::to_string(m_KnownRevision) +
+                " seen=" + std::to_string(m_Missing.back().first)});
+  replaceCall(Now);
 }
 
 void StoreReader::onReply(StoreReply Reply, TimePoint Now) {
@@ -33,7 +139,18 @@
     return onFailure(Reply, Now);
   m_Failures = 0;
   setReachable(true, "");
+  const bool IsLinearizable =
+      m_LastConsistency == ReadConsistency::Linearizable;
+  if (IsLinearizable)
+    m_ConfirmedAt = Now;
+  if (IsLinearizable && m_LastWatch)
+    m_CatchingUp = false;
+  if (IsLinearizable && Reply.m_Outcome == StoreOutcome::Answered)
+    dropDisproved(Reply.m_AsOf);
   if (Reply.m_Outcome == StoreOutcome::HistoryCompacted) {
+    // A replica of the store that lags behind can refuse a serializable watch
+    // after every listing.
+    m_CatchingUp = !IsLinearizable;
     m_Watching = false;
     m_ListedRecords.clear();
     m_NextPageAfter.clear();
@@ -47,6 +164,9 @@
 void StoreReader::onPage(StoreReply Reply, TimePoint Now) {
   if (m_NextPageAfter.empty())
     m_FirstPageAsOf = Reply.m_AsOf;
+  m_PageWasStale = Reply.m_AsOf < m_FirstPageAsOf;
+  if (m_PageWasStale)
+    return issueCall(Now);
   // An empty page that announces a further one would be requested forever.
   const bool More = Reply.m_HasMore && !Reply.m_Records.empty();
   if (More)
@@ -58,7 +178,7 @@
   m_NextPageAfter.clear();
   m_Watching = true;
   if (m_FirstPageAsOf >= m_KnownRevision) {
-    m_KnownRevision = m_FirstPageAsOf;
+    setKnownRevision(m_FirstPageAsOf);
     m_Commands.emplace_back(
         RecordsRead{std::exchange(m_ListedRecords, {}), m_FirstPageAsOf});
   }
@@ -68,10 +188,16 @@
 
 void StoreReader::onChanges(StoreReply Reply, TimePoint Now) {
   if (Reply.m_AsOf > m_KnownRevision) {
-    m_KnownRevision = Reply.m_AsOf;
+    setKnownRevision(Reply.m_AsOf);
     m_Commands.emplace_back(
         RecordsChanged{std::move(Reply.m_Records), Reply.m_AsOf});
-    m_CallAt = Now + MinWatchInterval;
+    m_CallAt = Now + rowOf(m_Mode).m_Interval;
+    return;
+  }
+  // A replica that lags behind the known revision need not wait.
+  if (m_LastConsistency == ReadConsistency::Serializable &&
+      Now < m_CalledAt + FollowerWatchInterval) {
+    m_CallAt = m_CalledAt + FollowerWatchInterval;
     return;
   }
   issueCall(Now);
@@ -93,7 +219,7 @@
 void StoreReader::onPeerRecords(Revision AsOf, TimePoint Now) {
   if (AsOf <= m_KnownRevision)
     return;
-  m_KnownRevision = AsOf;
+  setKnownRevision(AsOf);
   m_Watching = true;
   m_ListedRecords.clear();
   m_NextPageAfter.clear();
@@ -113,7 +239,17 @@
                 " calls=" + std::to_string(m_LastCall) + " cause=" + Cause});
 }
 
+std::optional<TimePoint> StoreReader::nextWakeUp() const {
+  const std::optional<TimePoint> CatchUpAt = catchUpAt();
+  if (m_CallAt && CatchUpAt)
+    return std::min(*m_CallAt, *CatchUpAt);
+  return m_CallAt ? m_CallAt : CatchUpAt;
+}
+
 void StoreReader::onTick(TimePoint Now) {
+  const std::optional<TimePoint> CatchUpAt = catchUpAt();
+  if (CatchUpAt && Now >= *CatchUpAt)
+    return catchUp(Now);
   if (m_CallAt && Now >= *m_CallAt)
     issueCall(Now);
 }
--- /dev/null
+++ b/src/core/registry/store_replica.cpp
@@ -0,0 +1,280 @@
+#include "dandelionfall/core/store_replica.h"
+
+#include "core/registry/feed_follower.h"
+#include "core/registry/feed_publisher.h"
+#include "dandelionfall/core/peer_pull.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionfall::core {
+
+using namespace registry;
+
+namespace {
+
+// All hosts have the same list of seeds, which can include this host.
+std::vector<std::string> otherSeeds(const StoreReplicaOptions &Options) {
+  std::vector<std::string> Others = Options.m_Seeds;
+  std::erase(Others, Options.m_LinkAddress);
+  return Others;
+}
+
+/// Links of pulls are numbered from here; those of feeds from 1.
+constexpr LinkId FirstPullLink = LinkId{1} << 62U;
+
+} // namespace
+
+class StoreReplica::Impl {
+public:
+  Impl(const RecordDecoder &Decoder, const StoreReplicaOptions &Options)
+      : m_Registry(Decoder, Options.m_Registry), m_Reader(Options.m_RandomSeed),
+        m_Pull(otherSeeds(Options)),
+        m_Follower(Options.m_LinkAddress, Options.m_Zone),
+        m_Publisher(Options.m_MaxFollowers) {}
+
+  void start(TimePoint Now) {
+    m_Reader.start(Now);
+    m_Pull.start(Now);
+    settle(Now);
+  }
+
+  void onStoreReply(StoreReply Reply, TimePoint Now) {
+    m_Reader.onReply(std::move(Reply), Now);
+    settle(Now);
+  }
+
+  void onLinkOpened(LinkId Link, TimePoint Now) {
+    if (!m_Follower.onLinkOpened(Link, Now) && Link == m_PullLink)
+      m_Commands.emplace_back(
+          SendControl{Link, RecordsPull{m_Registry.revision()}});
+    settle(Now);
+  }
+
+  void onLinkClosed(LinkId Link, TimePoint Now) {
+    m_Follower.onLinkClosed(Link, Now);
+    m_Publisher.onLinkClosed(Link);
+    settle(Now);
+  }
+
+  void onMessage(LinkId Link, const ControlMessage &Message, TimePoint Now) {
+    std::visit([&](const auto &Each) { handle(Link, Each, Now); }, Message);
+    settle(Now);
+  }
+
+  void onPeerRevision(Revision Seen, const std::string &Address,
+                      TimePoint Now) {
+    m_Pull.onPeerRevision(Seen, Address, m_Registry.revision(), Now);
+    m_Reader.onNewerRevision(Seen, Now);
+    settle(Now);
+  }
+
+  void startDrain(TimePoint Now) {
+    m_Publisher.startDrain();
+    settle(Now);
+  }
+
+  void onTick(TimePoint Now) {
+    m_Reader.onTick(Now);
+    if (m_Registry.onTick(Now))
+      onRecords(Now);
+    m_Follower.onTick(Now);
+    m_Publisher.onTick(ownRevision(), Now);
+    if (const auto Peer = m_Pull.takeDuePeer(m_Registry.revision(), Now))
+      pullFrom(*Peer);
+    settle(Now);
+  }
+
+  std::optional<TimePoint> nextWakeUp() const {
+    std::optional<TimePoint> Next;
+    for (const std::optional<TimePoint> &Each :
+         {m_Reader.nextWakeUp(), m_Registry.nextWakeUp(), m_Pull.nextWakeUp(),
+          m_Follower.nextWakeUp(), m_Publisher.nextWakeUp()}) {
+      if (Each)
+        Next = Next ? std::min(*Next, *Each) : *Each;
+    }
+    return Next;
+  }
+
+  std::vector<StoreReplicaCommand> takeCommands() {
+    return std::exchange(m_Commands, {});
+  }
+
+  Registry m_Registry;
+  StoreReader m_Reader;
+  PeerPull m_Pull;
+  FeedFollower m_Follower;
+  FeedPublisher m_Publisher;
+
+private:
+  ConfirmedRevision ownRevision() const {
+    return {m_Registry.revision(), m_Reader.confirmedAt()};
+  }
+
+  // At most one pull is open at a time.
+  void pullFrom(const std::string &Address) {
+    if (m_PullLink != 0)
+      m_Commands.emplace_back(CloseControlLink{m_PullLink});
+    m_PullLink = FirstPullLink + m_Pulls++;
+    m_Commands.emplace_back(OpenControlLink{m_PullLink, Address});
+  }
+
+  // Other messages belong to the product's own source.
+  template <typename Message>
+  void handle(LinkId /*Link*/, const Message & /*Value*/, TimePoint /*Now*/) {}
+
+  void handle(LinkId Link, const RecordsPull &Pull, TimePoint /*Now*/) {
+    m_Commands.emplace_back(
+        SendControl{Link, m_Registry.makePush(Pull.m_Have)});
+  }
+
+  void handle(LinkId Link, const RecordsPush &Push, TimePoint Now) {
+    m_Commands.emplace_back(CloseControlLink{Link});
+    if (Link == m_PullLink)
+      m_PullLink = 0;
+    m_Pull.onReply();
+    if (m_Registry.applyPush(Push, Now))
+      onRecords(Now);
+    m_Reader.onPeerRecords(m_Registry.revision(), Now);
+  }
+
+  void handle(LinkId Link, const FollowRevisions & /*Value*/, TimePoint Now) {
+    m_Publisher.onFollow(Link, ownRevision(), Now);
+  }
+
+  void handle(LinkId Link, const RevisionNotice &Notice, TimePoint Now) {
+    const std::string Address = m_Follower.onNotice(Link, Notice, Now);
+    if (Address.empty())
+      return;
+    m_Pull.onPeerRevision(Notice.m_Revision, Address, m_Registry.revision(),
+                          Now);
+    m_Reader.onNewerRevision(Notice.m_Revision, Now);
+  }
+
+  void onRecords(TimePoint Now) {
+    ConfigurationPtr Config = m_Registry.configuration();
+    if (Config != nullptr)
+      m_Commands.emplace_back(ApplyRecords{std::move(Config)});
+    m_Follower.onNodes(m_Registry.nodes(), Now);
+  }
+
+  // Lets each part react to what the others did.
+  void settle(TimePoint Now) {
+    for (;;) {
+      updateMode(Now);
+      const auto Commands = m_Reader.takeCommands();
+      if (Commands.empty())
+        break;
+      for (const StoreReaderCommand &Command : Commands)
+        std::visit([&](const auto &Each) { perform(Each, Now); }, Command);
+    }
+    m_Publisher.onRevision(ownRevision(), Now);
+    for (const Event &Recorded : m_Registry.takeEvents())
+      m_Commands.emplace_back(Recorded);
+    forward(m_Follower.takeCommands());
+    forward(m_Publisher.takeCommands());
+  }
+
+  void updateMode(TimePoint Now) {
+    const WatchMode Previous = m_Reader.mode();
+    const std::size_t Feeds = m_Follower.reliableFeeds(Now);
+    const std::size_t Followers = m_Publisher.followers();
+    const WatchMode Mode = Followers > 0 ? WatchMode::Publishing
+                           : Feeds > 0   ? WatchMode::Following
+                                         : WatchMode::Alone;
+    if (Mode == Previous)
+      return;
+    m_Commands.emplace_back(Event{
+        EventId::WatchModeChanged,
+        std::string("mode=") + nameOf(Mode) + " previous=" + nameOf(Previous) +
+            " feeds=" + std::to_string(Feeds) +
+            " followers=" + std::to_string(Followers) +
+            " revision=" + std::to_string(m_Registry.revision())});
+    m_Reader.setMode(Mode, Now);
+  }
+
+  void forward(std::vector<FeedCommand> Commands) {
+    for (FeedCommand &Command : Commands)
+      std::visit(
+          [this](auto &Each) { m_Commands.emplace_back(std::move(Each)); },
+          Command);
+  }
+
+  void perform(const RecordsRead &Command, TimePoint Now) {
+    if (m_Registry.replaceAll(Command.m_Records, Command.m_AsOf, Now))
+      onRecords(Now);
+  }
+
+  void perform(const RecordsChanged &Command, TimePoint Now) {
+    if (m_Registry.apply(Command.m_Records, Command.m_AsOf, Now))
+      onRecords(Now);
+  }
+
+  void perform(const StoreReachability &Command, TimePoint Now) {
+    m_Registry.onStoreReachable(Command.m_Reachable, Now);
+  }
+
+  template <typename Command>
+  void perform(const Command &ForDriver, TimePoint /*Now*/) {
+    m_Commands.emplace_back(ForDriver);
+  }
+
+  std::vector<StoreReplicaCommand> m_Commands;
+  /// Link of the pending pull; 0 if there is none.
+  LinkId m_PullLink = 0;
+  std::uint64_t m_Pulls = 0;
+};
+
+StoreReplica::StoreReplica(const RecordDecoder &Decoder,
+                           const StoreReplicaOptions &Options)
+    : m_Impl(std::make_unique<Impl>(Decoder, Options)) {}
+
+StoreReplica::~StoreReplica() = default;
+
+void StoreReplica::start(TimePoint Now) { m_Impl->start(Now); }
+
+void StoreReplica::onStoreReply(StoreReply Reply, TimePoint Now) {
+  m_Impl->onStoreReply(std::move(Reply), Now);
+}
+
+void StoreReplica::onLinkOpened(LinkId Link, TimePoint Now) {
+  m_Impl->onLinkOpened(Link, Now);
+}
+
+void StoreReplica::onLinkClosed(LinkId Link, TimePoint Now) {
+  m_Impl->onLinkClosed(Link, Now);
+}
+
+void StoreReplica::onMessage(LinkId Link, const ControlMessage &Message,
+                             TimePoint Now) {
+  m_Impl->onMessage(Link, Message, Now);
+}
+
+void StoreReplica::onPeerRevision(Revision Seen, const std::string &Address,
+                                  TimePoint Now) {
+  m_Impl->onPeerRevision(Seen, Address, Now);
+}
+
+void StoreReplica::startDrain(TimePoint Now) { m_Impl->startDrain(Now); }
+
+void StoreReplica::onTick(TimePoint Now) { m_Impl->onTick(Now); }
+
+std::optional<TimePoint> StoreReplica::nextWakeUp() const {
+  return m_Impl->nextWakeUp();
+}
+
+const Registry &StoreReplica::registry() const { return m_Impl->m_Registry; }
+
+WatchMode StoreReplica::mode() const { return m_Impl->m_Reader.mode(); }
+
+std::uint64_t StoreReplica::calls() const { return m_Impl->m_Reader.calls(); }
+
+std::size_t StoreReplica::followers() const {
+  return m_Impl->m_Publisher.followers();
+}
+
+std::vector<StoreReplicaCommand> StoreReplica::takeCommands() {
+  return m_Impl->takeCommands();
+}
+
+} // namespace dandelionfall::core
--- a/src/net/wire_control.cpp
+++ b/src/net/wire_control.cpp
@@ -129,6 +129,18 @@
     m_Body.__isset.records_push = true;
   }
 
+  void operator()(const core::FollowRevisions & /*Message*/) {
+    m_Body.__set_follow_revisions({});
+  }
+
+  void operator()(const core::RevisionNotice &Message) {
+    wire::RevisionNotice Value;
+    Value.revision = toSigned(Message.m_Revision);
+    Value.confirmed_ago_us = elapsedToWire(Message.m_ConfirmedAgo);
+    Value.refused = Message.m_Refused;
+    m_Body.__set_revision_notice(Value);
+  }
+
   void operator()(const core::ControlGoAway & /*Message*/) {
     m_Body.__set_control_go_away({});
   }
@@ -217,6 +229,17 @@
   return Result;
 }
 
+core::ControlMessage readFollowRevisions(wire::Body & /*Body*/) {
+  return core::FollowRevisions{};
+}
+
+core::ControlMessage readRevisionNotice(wire::Body &Body) {
+  const wire::RevisionNotice &Value = Body.revision_notice;
+  return core::RevisionNotice{toUnsigned(Value.revision),
+                              elapsedFromWire(Value.confirmed_ago_us),
+                              Value.refused};
+}
+
 constexpr MessageReader<core::ControlMessage> Readers[] = {
     {[](const wire::Body &Body) { return Body.__isset.heartbeat; },
      readHeartbeat},
@@ -236,6 +259,10 @@
      readRecordsPull},
     {[](const wire::Body &Body) { return Body.__isset.records_push; },
      readRecordsPush},
+    {[](const wire::Body &Body) { return Body.__isset.follow_revisions; },
+     readFollowRevisions},
+    {[](const wire::Body &Body) { return Body.__isset.revision_notice; },
+     readRevisionNotice},
 };
 
 } // namespace
--- /dev/null
+++ b/tests/contract/store_fleet.cpp
@@ -0,0 +1,463 @@
+#include "store_fleet.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace dandelionfall::test {
+
+using namespace core;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr Duration StoreDelay = milliseconds(4);
+constexpr Duration LinkDelay = milliseconds(1);
+/// Time after which the driver gives up to connect to a node that is silent.
+constexpr Duration ConnectTimeout = std::chrono::seconds(1);
+constexpr std::uint16_t LinkPort = 7620;
+constexpr double SerializablePrice = 0.1;
+
+std::string targetKey(std::size_t Node) {
+  return "target/" + std::to_string(Node);
+}
+
+} // namespace
+
+DecodedRecord FleetDecoder::decode(const StoreRecord &Record) const {
+  std::istringstream Stream(*Record.m_Value);
+  if (Record.m_Key == "configuration") {
+    auto Result = std::make_shared<PublishedConfiguration>();
+    Stream >> Result->m_Version;
+    Result->m_Routes = std::make_shared<const std::vector<Route>>();
+    Result->m_Services.push_back({"desk", 100, Duration{0}, 0});
+    return std::shared_ptr<const PublishedConfiguration>(Result);
+  }
+  TargetEntry Entry;
+  std::string State;
+  Stream >> Entry.m_Service >> Entry.m_Address >> Entry.m_Zone >> State;
+  Entry.m_Instance = Record.m_Key;
+  Entry.m_Draining = State == "draining";
+  return Entry;
+}
+
+Revision FleetStore::put(const std::string &Key, const std::string &Value,
+                         TimePoint Now) {
+  const Revision New = m_Log.size() + 1;
+  m_Log.push_back(
+      {{Key, New, std::make_shared<const std::string>(Value)}, Now});
+  return New;
+}
+
+Revision FleetStore::visible(ReadConsistency Consistency, TimePoint Now) const {
+  if (Consistency == ReadConsistency::Linearizable)
+    return m_Log.size();
+  const auto First =
+      std::find_if(m_Log.begin(), m_Log.end(), [&](const Change &Each) {
+        return Each.m_At + m_Staleness > Now;
+      });
+  return static_cast<Revision>(First - m_Log.begin());
+}
+
+StoreReply FleetStore::list(const ListRecords &Call, TimePoint /*Now*/) const {
+  std::map<std::string, StoreRecord> Newest;
+  for (const Change &Each : m_Log)
+    Newest.insert_or_assign(Each.m_Record.m_Key, Each.m_Record);
+  StoreReply Result;
+  Result.m_Call = Call.m_Call;
+  Result.m_Outcome = StoreOutcome::Answered;
+  Result.m_AsOf = m_Log.size();
+  for (const auto &[Key, Record] : Newest)
+    Result.m_Records.push_back(Record);
+  return Result;
+}
+
+StoreReply FleetStore::changes(const WatchRecords &Call, TimePoint Now) const {
+  StoreReply Result;
+  Result.m_Call = Call.m_Call;
+  Result.m_Outcome = StoreOutcome::Answered;
+  Result.m_AsOf = visible(Call.m_Consistency, Now);
+  for (const Change &Each : m_Log) {
+    if (Each.m_Record.m_Revision > Call.m_After &&
+        Each.m_Record.m_Revision <= Result.m_AsOf)
+      Result.m_Records.push_back(Each.m_Record);
+  }
+  return Result;
+}
+
+StoreFleet::StoreFleet(StoreFleetOptions Options)
+    : m_Options(Options), m_Store(Options.m_Staleness),
+      m_Random(Options.m_Seed), m_Nodes(Options.m_Nodes) {
+  for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number)
+    m_Store.put(targetKey(Number),
+                "desk " + addressOf(Number) + " " + zoneOf(Number) + " ready",
+                m_Now);
+  publish();
+}
+
+std::string StoreFleet::addressOf(std::size_t Node) {
+  constexpr std::size_t NodesPerNet = 200;
+  return "10." + std::to_string(Node / NodesPerNet) + ".0." +
+         std::to_string(1 + Node % NodesPerNet) + ":" +
+         std::to_string(LinkPort);
+}
+
+std::string StoreFleet::zoneOf(std::size_t Node) const {
+  return "zone-" + std::to_string(Node % m_Options.m_Zones);
+}
+
+void StoreFleet::at(TimePoint When, std::function<void()> Run) {
+  m_Events.push({When, ++m_LastOrder, std::move(Run)});
+}
+
+void StoreFleet::run(Duration Length) {
+  const TimePoint End = m_Now + Length;
+  while (!m_Events.empty() && m_Events.top().m_At <= End) {
+    PendingEvent Next = m_Events.top();
+    m_Events.pop();
+    m_Now = Next.m_At;
+    Next.m_Run();
+  }
+  m_Now = End;
+}
+
+void StoreFleet::deliver(std::size_t Number, std::uint64_t Start,
+                         Duration Delay,
+                         std::function<void(StoreReplica &)> Action) {
+  at(m_Now + Delay, [this, Number, Start, Action = std::move(Action)] {
+    auto Run = [this, Number, Start, Action] {
+      Member &Receiver = m_Nodes[Number];
+      if (Receiver.m_Replica == nullptr || Receiver.m_Start != Start)
+        return;
+      Action(*Receiver.m_Replica);
+      settle(Number);
+    };
+    if (m_Nodes[Number].m_Frozen)
+      m_Nodes[Number].m_Held.emplace_back(std::move(Run));
+    else
+      Run();
+  });
+}
+
+void StoreFleet::settle(std::size_t Number) {
+  Member &Settled = m_Nodes[Number];
+  for (;;) {
+    const auto Commands = Settled.m_Replica->takeCommands();
+    if (Commands.empty())
+      break;
+    for (const StoreReplicaCommand &Command : Commands)
+      std::visit([&](const auto &Each) { perform(Number, Each); }, Command);
+  }
+  Settled.m_HeldAt.emplace(Settled.m_Replica->registry().revision(), m_Now);
+  const std::optional<TimePoint> Due = Settled.m_Replica->nextWakeUp();
+  if (!Due || (Settled.m_TickAt && *Settled.m_TickAt <= *Due))
+    return;
+  Settled.m_TickAt = Due;
+  deliver(Number, Settled.m_Start, std::max(*Due - m_Now, Duration{0}),
+          [this, Number](StoreReplica &Replica) {
+            m_Nodes[Number].m_TickAt.reset();
+            Replica.onTick(m_Now);
+          });
+}
+
+void StoreFleet::start(std::size_t Number) {
+  Member &Started = m_Nodes[Number];
+  StoreReplicaOptions Options;
+  Options.m_Registry.m_LinkPort = LinkPort;
+  Options.m_LinkAddress = addressOf(Number);
+  Options.m_Zone = zoneOf(Number);
+  Options.m_RandomSeed = m_Random();
+  Options.m_MaxFollowers = maxFollowers(m_Options.m_Machine);
+  Started.m_Replica = std::make_unique<StoreReplica>(m_Decoder, Options);
+  ++Started.m_Start;
+  Started.m_HeldAt.clear();
+  Started.m_TickAt.reset();
+  Started.m_Silenced.clear();
+  Started.m_Replica->start(m_Now);
+  settle(Number);
+  if (m_Options.m_TrafficInterval > Duration{0})
+    showTraffic(Number);
+}
+
+void StoreFleet::startAll() {
+  constexpr int StartSpreadMs = 300;
+  std::uniform_int_distribution<int> Spread(0, StartSpreadMs);
+  for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number)
+    at(m_Now + milliseconds(Spread(m_Random)),
+       [this, Number] { start(Number); });
+  run(std::chrono::seconds(8));
+}
+
+void StoreFleet::showTraffic(std::size_t Number) {
+  const std::size_t Receiver = m_Random() % m_Nodes.size();
+  Member &Sender = m_Nodes[Number];
+  if (!m_Nodes[Receiver].m_CutFromNodes && !Sender.m_CutFromNodes) {
+    const Revision Shown = Sender.m_Replica->registry().revision();
+    deliver(Receiver, m_Nodes[Receiver].m_Start, LinkDelay,
+            [this, Shown, Number](StoreReplica &Replica) {
+              Replica.onPeerRevision(Shown, addressOf(Number), m_Now);
+            });
+  }
+  std::exponential_distribution<double> Interval(
+      1.0 / static_cast<double>(m_Options.m_TrafficInterval.count()));
+  deliver(Number, Sender.m_Start,
+          Duration(static_cast<Duration::rep>(Interval(m_Random))),
+          [this, Number](StoreReplica & /*Replica*/) { showTraffic(Number); });
+}
+
+void StoreFleet::closeEnds(std::size_t Number) {
+  std::vector<LinkEnd> Closed;
+  for (const auto &[Own, Other] : m_Peers) {
+    if (Own.m_Node == Number)
+      Closed.push_back(Own);
+  }
+  for (const LinkEnd &Own : Closed)
+    perform(Number, CloseControlLink{Own.m_Link});
+}
+
+void StoreFleet::kill(std::size_t Number) {
+  closeEnds(Number);
+  m_Nodes[Number].m_Replica.reset();
+  m_Nodes[Number].m_Held.clear();
+  m_Nodes[Number].m_Frozen = false;
+}
+
+void StoreFleet::losePower(std::size_t Number) {
+  std::erase_if(m_Peers, [Number](const auto &Each) {
+    return Each.first.m_Node == Number;
+  });
+  kill(Number);
+}
+
+void StoreFleet::freeze(std::size_t Number) { m_Nodes[Number].m_Frozen = true; }
+
+void StoreFleet::thaw(std::size_t Number) {
+  m_Nodes[Number].m_Frozen = false;
+  for (const auto &Run : std::exchange(m_Nodes[Number].m_Held, {}))
+    Run();
+}
+
+void StoreFleet::cutFromStore(std::size_t Number) {
+  m_Nodes[Number].m_CutFromStore = true;
+  silencePendingCall(Number);
+}
+
+void StoreFleet::silencePendingCall(std::size_t Number) {
+  m_Nodes[Number].m_Silenced.insert(m_Nodes[Number].m_LastCall);
+}
+
+void StoreFleet::cutFromNodes(std::size_t Number) {
+  m_Nodes[Number].m_CutFromNodes = true;
+}
+
+void StoreFleet::drain(std::size_t Number) {
+  m_Nodes[Number].m_Replica->startDrain(m_Now);
+  settle(Number);
+}
+
+Revision StoreFleet::publish() {
+  const Revision New =
+      m_Store.put("configuration", std::to_string(++m_Version), m_Now);
+  m_PublishedAt.emplace(New, m_Now);
+  wakeWatchers(ReadConsistency::Linearizable);
+  at(m_Now + m_Options.m_Staleness,
+     [this] { wakeWatchers(ReadConsistency::Serializable); });
+  return New;
+}
+
+Revision StoreFleet::drainTarget(std::size_t Number) {
+  const Revision New = m_Store.put(
+      targetKey(Number),
+      "desk " + addressOf(Number) + " " + zoneOf(Number) + " draining", m_Now);
+  m_PublishedAt.emplace(New, m_Now);
+  wakeWatchers(ReadConsistency::Linearizable);
+  at(m_Now + m_Options.m_Staleness,
+     [this] { wakeWatchers(ReadConsistency::Serializable); });
+  return New;
+}
+
+void StoreFleet::wakeWatchers(ReadConsistency Consistency) {
+  std::vector<Watcher> Answered;
+  std::erase_if(m_Watchers, [&](const Watcher &Each) {
+    if (Each.m_Call.m_Consistency != Consistency ||
+        m_Store.visible(Consistency, m_Now) <= Each.m_Call.m_After)
+      return false;
+    Answered.push_back(Each);
+    return true;
+  });
+  for (const Watcher &Each : Answered)
+    reply(Each.m_Node, Each.m_Start, m_Store.changes(Each.m_Call, m_Now));
+}
+
+void StoreFleet::reply(std::size_t Number, std::uint64_t Start,
+                       StoreReply Reply) {
+  if (m_Nodes[Number].m_CutFromStore ||
+      m_Nodes[Number].m_Silenced.contains(Reply.m_Call))
+    return;
+  deliver(Number, Start, StoreDelay / 2,
+          [this, Reply = std::move(Reply)](StoreReplica &Replica) {
+            Replica.onStoreReply(Reply, m_Now);
+          });
+}
+
+void StoreFleet::perform(std::size_t Number, const ListRecords &Command) {
+  m_PricedCalls += 1;
+  Member &Caller = m_Nodes[Number];
+  Caller.m_LastCall = Command.m_Call;
+  const std::uint64_t Start = Caller.m_Start;
+  deliver(Number, Start, Command.m_Timeout,
+          [this, Command](StoreReplica &Replica) {
+            StoreReply Lost;
+            Lost.m_Call = Command.m_Call;
+            Replica.onStoreReply(Lost, m_Now);
+          });
+  if (Caller.m_CutFromStore)
+    return;
+  at(m_Now + StoreDelay / 2, [this, Number, Start, Command] {
+    reply(Number, Start, m_Store.list(Command, m_Now));
+  });
+}
+
+void StoreFleet::perform(std::size_t Number, const WatchRecords &Command) {
+  m_PricedCalls += Command.m_Consistency == ReadConsistency::Linearizable
+                       ? 1
+                       : SerializablePrice;
+  Member &Caller = m_Nodes[Number];
+  Caller.m_LastCall = Command.m_Call;
+  const std::uint64_t Start = Caller.m_Start;
+  deliver(Number, Start, Command.m_Timeout,
+          [this, Command](StoreReplica &Replica) {
+            StoreReply Lost;
+            Lost.m_Call = Command.m_Call;
+            Replica.onStoreReply(Lost, m_Now);
+          });
+  if (Caller.m_CutFromStore)
+    return;
+  at(m_Now + StoreDelay / 2, [this, Number, Start, Command] {
+    m_Watchers.push_back({Number, Start, Command});
+    wakeWatchers(Command.m_Consistency);
+  });
+  at(m_Now + StoreDelay / 2 + Command.m_Wait, [this, Number, Start, Command] {
+    const auto Removed = std::erase_if(m_Watchers, [&](const Watcher &Each) {
+      return Each.m_Node == Number && Each.m_Start == Start &&
+             Each.m_Call == Command;
+    });
+    if (Removed > 0)
+      reply(Number, Start, m_Store.changes(Command, m_Now));
+  });
+}
+
+void StoreFleet::perform(std::size_t Number, const AbandonCall &Command) {
+  std::erase_if(m_Watchers, [&](const Watcher &Each) {
+    return Each.m_Node == Number && Each.m_Call.m_Call == Command.m_Call;
+  });
+}
+
+void StoreFleet::perform(std::size_t Number, const OpenControlLink &Command) {
+  const auto Found =
+      std::find_if(m_Nodes.begin(), m_Nodes.end(), [&](const Member &Each) {
+        return addressOf(static_cast<std::size_t>(&Each - m_Nodes.data())) ==
+               Command.m_Address;
+      });
+  const auto Peer = static_cast<std::size_t>(Found - m_Nodes.begin());
+  const LinkEnd Own{Number, Command.m_Link};
+  const auto Fail = [&](Duration Delay) {
+    deliver(Number, m_Nodes[Number].m_Start, Delay,
+            [this, Own](StoreReplica &Replica) {
+              Replica.onLinkClosed(Own.m_Link, m_Now);
+            });
+  };
+  if (Found == m_Nodes.end() || Found->m_Replica == nullptr)
+    return Fail(2 * LinkDelay);
+  if (Found->m_CutFromNodes || m_Nodes[Number].m_CutFromNodes)
+    return Fail(ConnectTimeout);
+  // The system accepts a connection also for a process that stands still.
+  const LinkEnd Other{Peer, Found->m_NextInbound++};
+  m_Peers.emplace(Own, Other);
+  m_Peers.emplace(Other, Own);
+  deliver(Number, m_Nodes[Number].m_Start, 2 * LinkDelay,
+          [this, Own](StoreReplica &Replica) {
+            if (m_Peers.contains(Own))
+              Replica.onLinkOpened(Own.m_Link, m_Now);
+          });
+}
+
+void StoreFleet::perform(std::size_t Number, const CloseControlLink &Command) {
+  const auto Found = m_Peers.find(LinkEnd{Number, Command.m_Link});
+  if (Found == m_Peers.end())
+    return;
+  const LinkEnd Other = Found->second;
+  m_Peers.erase(Found);
+  if (m_Nodes[Number].m_CutFromNodes || m_Nodes[Other.m_Node].m_CutFromNodes)
+    return;
+  deliver(Other.m_Node, m_Nodes[Other.m_Node].m_Start, LinkDelay,
+          [this, Other](StoreReplica &Replica) {
+            if (m_Peers.erase(Other) > 0)
+              Replica.onLinkClosed(Other.m_Link, m_Now);
+          });
+}
+
+void StoreFleet::perform(std::size_t Number, const SendControl &Command) {
+  const auto Found = m_Peers.find(LinkEnd{Number, Command.m_Link});
+  if (Found == m_Peers.end())
+    return;
+  const LinkEnd Other = Found->second;
+  if (m_Nodes[Number].m_CutFromNodes || m_Nodes[Other.m_Node].m_CutFromNodes)
+    return;
+  deliver(Other.m_Node, m_Nodes[Other.m_Node].m_Start, LinkDelay,
+          [this, Other, Message = Command.m_Message](StoreReplica &Replica) {
+            if (m_Peers.contains(Other))
+              Replica.onMessage(Other.m_Link, Message, m_Now);
+          });
+}
+
+void StoreFleet::perform(std::size_t /*Number*/,
+                         const ApplyRecords & /*Command*/) {}
+
+void StoreFleet::perform(std::size_t /*Number*/, const Event & /*Command*/) {}
+
+std::optional<Duration> StoreFleet::lag(std::size_t Number,
+                                        Revision Searched) const {
+  const auto Held = m_Nodes[Number].m_HeldAt.lower_bound(Searched);
+  if (Held == m_Nodes[Number].m_HeldAt.end())
+    return std::nullopt;
+  return Held->second - m_PublishedAt.at(Searched);
+}
+
+std::optional<Duration>
+StoreFleet::worstLag(Revision Searched,
+                     const std::set<std::size_t> &Except) const {
+  Duration Worst{0};
+  for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number) {
+    if (m_Nodes[Number].m_Replica == nullptr || Except.contains(Number))
+      continue;
+    const std::optional<Duration> Each = lag(Number, Searched);
+    if (!Each)
+      return std::nullopt;
+    Worst = std::max(Worst, *Each);
+  }
+  return Worst;
+}
+
+std::set<std::size_t> StoreFleet::sourcesOf(std::size_t Number) const {
+  std::set<std::size_t> Result;
+  for (const auto &[Own, Other] : m_Peers) {
+    if (Own.m_Node == Number && Own.m_Link < FirstInboundLink)
+      Result.insert(Other.m_Node);
+  }
+  return Result;
+}
+
+std::size_t StoreFleet::count(WatchMode Mode) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Nodes.begin(), m_Nodes.end(), [&](const Member &Each) {
+        return Each.m_Replica != nullptr && Each.m_Replica->mode() == Mode;
+      }));
+}
+
+bool StoreFleet::isReady(std::size_t Number) const {
+  return m_Nodes[Number].m_Replica != nullptr &&
+         m_Nodes[Number].m_Replica->registry().configuration() != nullptr;
+}
+
+} // namespace dandelionfall::test
--- /dev/null
+++ b/tests/contract/store_fleet.h
@@ -0,0 +1,199 @@
+/// \file
+/// Nodes that read a shared store, their links and the store in virtual time.
+#ifndef DANDELIONFALL_TESTS_CONTRACT_STORE_FLEET_H
+#define DANDELIONFALL_TESTS_CONTRACT_STORE_FLEET_H
+
+#include "dandelionfall/core/machine_limits.h"
+#include "dandelionfall/core/store_replica.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace dandelionfall::test {
+
+using core::Duration;
+using core::LinkId;
+using core::Revision;
+using core::TimePoint;
+
+/// Size of a fleet and behaviour of its store.
+struct StoreFleetOptions {
+  std::size_t m_Nodes = 16;
+  std::size_t m_Zones = 4;
+  /// Age of the state that serializable calls see.
+  Duration m_Staleness{0};
+  /// Mean interval at which each node shows its revision to a random other
+  /// node, as traffic does; 0 for no traffic.
+  Duration m_TrafficInterval{0};
+  std::uint64_t m_Seed = 1;
+  core::MachineLimits m_Machine{};
+};
+
+/// Decodes the fleet's records: `SERVICE ADDRESS ZONE STATE` for a target, and
+/// a version number for the configuration.
+class FleetDecoder : public core::RecordDecoder {
+public:
+  core::DecodedRecord decode(const core::StoreRecord &Record) const override;
+};
+
+/// A store whose serializable calls see an old state.
+class FleetStore {
+public:
+  explicit FleetStore(Duration Staleness) : m_Staleness(Staleness) {}
+
+  /// Writes a record. \returns its revision.
+  Revision put(const std::string &Key, const std::string &Value, TimePoint Now);
+  /// \returns the revision that calls of a consistency see.
+  Revision visible(core::ReadConsistency Consistency, TimePoint Now) const;
+  core::StoreReply list(const core::ListRecords &Call, TimePoint Now) const;
+  core::StoreReply changes(const core::WatchRecords &Call, TimePoint Now) const;
+  Duration staleness() const { return m_Staleness; }
+
+private:
+  struct Change {
+    core::StoreRecord m_Record;
+    TimePoint m_At;
+  };
+  Duration m_Staleness;
+  std::vector<Change> m_Log;
+};
+
+/// A fleet; node `I` is next to target `I`, in availability zone `I modulo
+/// zones`.
+class StoreFleet {
+public:
+  explicit StoreFleet(StoreFleetOptions Options);
+
+  /// Starts all nodes, at random moments within 300 ms, and runs until they
+  /// have settled.
+  void startAll();
+  void start(std::size_t Node);
+  /// The process ends; its connections are reset.
+  void kill(std::size_t Node);
+  /// The machine loses power; its peers notice nothing.
+  void losePower(std::size_t Node);
+  /// The process stands still; its connections stay open.
+  void freeze(std::size_t Node);
+  void thaw(std::size_t Node);
+  /// Calls of the node get no reply, pending ones included.
+  void cutFromStore(std::size_t Node);
+  /// The pending call of the node never gets a reply; later ones do.
+  void silencePendingCall(std::size_t Node);
+  /// Nothing passes between the node and any other node.
+  void cutFromNodes(std::size_t Node);
+  /// Asks the node to hand over to others before a planned stop.
+  void drain(std::size_t Node);
+  /// Writes a new configuration version. \returns its revision.
+  Revision publish();
+  /// Marks a target as draining. \returns its revision.
+  Revision drainTarget(std::size_t Node);
+  void run(Duration Length);
+  TimePoint now() const { return m_Now; }
+
+  /// \returns how long after its publication the node held a revision; nothing
+  /// if it does not hold it yet.
+  std::optional<Duration> lag(std::size_t Node, Revision Searched) const;
+  /// \returns the longest lag of all nodes that run and are not excepted;
+  /// nothing if one of them does not hold the revision.
+  std::optional<Duration>
+  worstLag(Revision Searched, const std::set<std::size_t> &Except = {}) const;
+  /// \returns the nodes whose feeds the node follows.
+  std::set<std::size_t> sourcesOf(std::size_t Node) const;
+  /// \returns the running nodes that watch in a mode.
+  std::size_t count(core::WatchMode Mode) const;
+  bool isReady(std::size_t Node) const;
+  const core::StoreReplica &replica(std::size_t Node) const {
+    return *m_Nodes[Node].m_Replica;
+  }
+  /// \returns calls to the store so far: a linearizable one counts 1, a
+  /// serializable one 0.1.
+  double pricedCalls() const { return m_PricedCalls; }
+  std::size_t nodes() const { return m_Nodes.size(); }
+  std::string zoneOf(std::size_t Node) const;
+
+private:
+  struct Member {
+    std::unique_ptr<core::StoreReplica> m_Replica;
+    /// Counts the starts; events of an earlier start are dropped.
+    std::uint64_t m_Start = 0;
+    bool m_Frozen = false;
+    bool m_CutFromStore = false;
+    bool m_CutFromNodes = false;
+    /// Events that wait for the end of a freeze.
+    std::deque<std::function<void()>> m_Held;
+    std::uint64_t m_LastCall = 0;
+    /// Calls that get no reply.
+    std::set<std::uint64_t> m_Silenced;
+    std::optional<TimePoint> m_TickAt;
+    std::map<Revision, TimePoint> m_HeldAt;
+    LinkId m_NextInbound = core::FirstInboundLink;
+  };
+  /// One end of a link.
+  struct LinkEnd {
+    std::size_t m_Node = 0;
+    LinkId m_Link = 0;
+    friend bool operator<(const LinkEnd &Left, const LinkEnd &Right) {
+      return std::pair(Left.m_Node, Left.m_Link) <
+             std::pair(Right.m_Node, Right.m_Link);
+    }
+  };
+  struct PendingEvent {
+    TimePoint m_At;
+    std::uint64_t m_Order = 0;
+    std::function<void()> m_Run;
+    friend bool operator<(const PendingEvent &Left, const PendingEvent &Right) {
+      return std::pair(Left.m_At, Left.m_Order) >
+             std::pair(Right.m_At, Right.m_Order);
+    }
+  };
+  struct Watcher {
+    std::size_t m_Node = 0;
+    std::uint64_t m_Start = 0;
+    core::WatchRecords m_Call;
+  };
+
+  static std::string addressOf(std::size_t Node);
+  void at(TimePoint When, std::function<void()> Run);
+  /// Runs an action on a node, unless it has ended or restarted since.
+  void deliver(std::size_t Node, std::uint64_t Start, Duration Delay,
+               std::function<void(core::StoreReplica &)> Action);
+  void settle(std::size_t Node);
+  void reply(std::size_t Node, std::uint64_t Start, core::StoreReply Reply);
+  void wakeWatchers(core::ReadConsistency Consistency);
+  void showTraffic(std::size_t Node);
+  void closeEnds(std::size_t Node);
+  void perform(std::size_t Node, const core::ListRecords &Command);
+  void perform(std::size_t Node, const core::WatchRecords &Command);
+  void perform(std::size_t Node, const core::AbandonCall &Command);
+  void perform(std::size_t Node, const core::OpenControlLink &Command);
+  void perform(std::size_t Node, const core::CloseControlLink &Command);
+  void perform(std::size_t Node, const core::SendControl &Command);
+  void perform(std::size_t Node, const core::ApplyRecords &Command);
+  void perform(std::size_t Node, const core::Event &Command);
+
+  StoreFleetOptions m_Options;
+  FleetDecoder m_Decoder;
+  FleetStore m_Store;
+  std::mt19937_64 m_Random;
+  TimePoint m_Now{std::chrono::seconds(1000)};
+  std::uint64_t m_LastOrder = 0;
+  std::priority_queue<PendingEvent> m_Events;
+  std::vector<Member> m_Nodes;
+  std::map<LinkEnd, LinkEnd> m_Peers;
+  std::vector<Watcher> m_Watchers;
+  std::map<Revision, TimePoint> m_PublishedAt;
+  std::uint64_t m_Version = 0;
+  double m_PricedCalls = 0;
+};
+
+} // namespace dandelionfall::test
+
+#endif // DANDELIONFALL_TESTS_CONTRACT_STORE_FLEET_H
--- a/tests/system/store_node.py
+++ b/tests/system/store_node.py
@@ -27,6 +27,7 @@
 STORE = ("127.0.0.10", 18309)
 SERVICE = "desk"
 APPLY_TIMEOUT_S = 2
+POLL_INTERVAL_S = 0.02
 STEP_TIMEOUT_S = 6
 # A node pulls from its first seed after 0.3 s.
 SEED_TIMEOUT_S = 2
@@ -40,10 +41,14 @@
 
 
 class Store:
-    """The platform's store: records by key, a revision, and a mode in which it responds 503 to every request."""
+    """The platform's store: records by key, a revision, and a mode in which it responds 503 to every request.
+
+    Serializable watches see the state of `staleness_s` ago.
+    """
 
     def __init__(self):
         self.records, self.log, self.revision, self.available = {}, [], 1, True
+        self.staleness_s, self.changed_at, self.serializable_calls = 0, {1: 0.0}, 0
         self.changed = threading.Condition()
         store = self
 
@@ -72,15 +77,29 @@
                 return 503, {}
             if path == "/kv-range":
                 return 200, {"items": list(self.records.values()), "has-more": False, "as-of": self.revision}
-            after = int(values["after"])
-            self.changed.wait_for(lambda: self.revision > after or not self.available, int(values["wait-ms"]) / 1000)
+            after, stale = int(values["after"]), values.get("serializable") == "1"
+            self.serializable_calls += stale
+            end = time.monotonic() + int(values["wait-ms"]) / 1000
+            while self.available and self.visible(stale) <= after and time.monotonic() < end:
+                self.changed.wait(min(POLL_INTERVAL_S, max(end - time.monotonic(), 0)))
             if not self.available:
                 return 503, {}
-            return 200, {"events": [event for event in self.log if event["rev"] > after], "as-of": self.revision}
+            as_of = self.visible(stale)
+            return 200, {"events": [event for event in self.log if after < event["rev"] <= as_of], "as-of": as_of}
+
+    def visible(self, stale):
+        if not stale:
+            return self.revision
+        newest = time.monotonic() - self.staleness_s
+        return max(revision for revision, at in self.changed_at.items() if at <= newest)
+
+    def count_change(self):
+        self.revision += 1
+        self.changed_at[self.revision] = time.monotonic()
 
     def put(self, key, value):
         with self.changed:
-            self.revision += 1
+            self.count_change()
             encoded = base64.b64encode(json.dumps(value).encode()).decode()
             self.records[key] = {"key": key, "value": encoded, "rev": self.revision}
             self.log.append(self.records[key])
@@ -88,7 +107,7 @@
 
     def remove(self, key):
         with self.changed:
-            self.revision += 1
+            self.count_change()
             del self.records[key]
             self.log.append({"key": key, "rev": self.revision, "tombstone": True})
             self.changed.notify_all()
@@ -197,6 +216,30 @@
     return passed & check(deployment.call(HOSTS[0], "/b/x")[0] == 404, "request: no route")
 
 
+def check_stale_reads(deployment):
+    """Nodes whose serializable reads are 6 s old apply a change in time, without calls between them."""
+    store = deployment.store
+    time.sleep(APPLY_TIMEOUT_S)
+    passed = check(store.serializable_calls > 0, f"{store.serializable_calls} watches were serializable")
+    store.staleness_s = 6
+    statuses = []
+    for version, prefix in ((5, "/stale-1/"), (6, "/stale-2/")):
+        store.put("op/config", configuration(version, prefix))
+        time.sleep(APPLY_TIMEOUT_S)
+        statuses += [deployment.call(host, prefix + "x")[0] for host in HOSTS]
+    passed &= check(statuses == [200] * len(statuses), f"a change is applied in time beside stale reads: {statuses}")
+    leaving = deployment.targets[1]
+    store.put(f"servers/{leaving.instance}", leaving.record("draining"))
+    time.sleep(APPLY_TIMEOUT_S)
+    before = len(leaving.requests)
+    for host in HOSTS * 5:
+        deployment.call(host, "/stale-2/x")
+    passed &= check(len(leaving.requests) == before, "a draining target receives no request beside stale reads")
+    store.put(f"servers/{leaving.instance}", leaving.record())
+    store.staleness_s = 0
+    return passed
+
+
 def check_node_killed(deployment, killed_host):
     deployment.nodes[HOSTS.index(killed_host)].kill()
     deployment.store.put("op/config", configuration(9, "/new/"))
@@ -266,6 +309,7 @@
         for host in HOSTS:
             wait_until(lambda host=host: deployment.ready(host), STEP_TIMEOUT_S, f"{host} is ready")
         passed = check_request(deployment)
+        passed &= check_stale_reads(deployment)
         passed &= check_node_killed(deployment, HOSTS[2])
         passed &= check_start_without_store(deployment, HOSTS[2])
         passed &= check_seeds(deployment, directory)
--- a/tests/unit/configuration_page_test.cpp
+++ b/tests/unit/configuration_page_test.cpp
@@ -33,7 +33,8 @@
     {"service/slotboard", "target spare"},
 };
 
-const char *SettingsSections[] = {"node", "target", "source", "overlay", "log"};
+const char *SettingsSections[] = {"node",    "target",  "source", "overlay",
+                                  "machine", "retries", "stop",   "log"};
 
 std::string readPage() {
   std::ifstream Stream(DANDELIONFALL_SOURCE_DIRECTORY "/docs/CONFIGURATION.md");
--- a/tests/unit/status_report_test.cpp
+++ b/tests/unit/status_report_test.cpp
@@ -29,7 +29,14 @@
           .m_TargetLimit = 12,
           .m_TargetInFlight = 4,
           .m_TargetQueued = 1,
-          .m_OpenCalls = 5};
+          .m_OpenCalls = 5,
+          .m_WatchMode = "publishing",
+          .m_Followers = 3,
+          .m_ProcessorShare = 0.1,
+          .m_Cores = 1,
+          .m_MemoryMb = 160,
+          .m_Descriptors = 4100,
+          .m_LinkMbps = 20.5};
 }
 
 } // namespace
@@ -44,7 +51,8 @@
   for (const char *Line :
        {"applied version: 7/0000000000000001\n", "ready: yes\n",
         "draining: no\n", "control links: 8\n", "target limit: 12\n",
-        "availability zone: sindos\n"}) {
+        "availability zone: sindos\n", "watch mode: publishing\n",
+        "processor share: 0.1\n", "link Mbit/s: 20.5\n"}) {
     CAPTURE(Line);
     CHECK(Text.find(Line) != std::string::npos);
   }
@@ -55,8 +63,9 @@
   const std::string Line = app::toLine(sample());
   CHECK(Line.starts_with("host=host-1 zone=sindos "));
   CHECK(Line.find(" held=8/fedcba9876543210 ") != std::string::npos);
-  CHECK(Line.find(" open_calls=5\n") != std::string::npos);
-  constexpr int Fields = 18;
+  CHECK(Line.find(" open_calls=5 ") != std::string::npos);
+  CHECK(Line.find(" link_mbps=20.5\n") != std::string::npos);
+  constexpr int Fields = 25;
   CHECK(std::count(Line.begin(), Line.end(), '=') == Fields);
   CHECK(std::count(Line.begin(), Line.end(), ' ') == Fields - 1);
 }
