Bound the bytes that an HTTP parser has not consumed

Cause: Beast limits header and body, but not a chunk size, a chunk extension or the trailers; what stays unparsed was kept until the deadline. A target that sent one of these without end took 300 to 395 MB of a node's memory within one second, which ends the process on machines of 160 MB; a caller could do the same with an extension or trailers.

Ruled out: status lines, fields, chunks, bodies with and without a length, informational responses and responses to other requests without end were bounded already.

--- a/src/net/http_client_connection.h
+++ b/src/net/http_client_connection.h
@@ -61,7 +61,7 @@
   std::shared_ptr<Impl> m_Owner;
   boost::asio::ip::tcp::socket m_Socket;
   boost::asio::steady_timer m_Timer;
-  boost::beast::flat_buffer m_Buffer;
+  boost::beast::flat_buffer m_Buffer{MaxUnparsedBytes};
   std::optional<Parser> m_Parser;
   std::optional<Exchange> m_Exchange;
   Clock::time_point m_LastResponse;
--- a/src/net/http_conversion.h
+++ b/src/net/http_conversion.h
@@ -9,11 +9,17 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
 namespace dandelionfall::net {
 
+/// Maximum number of received bytes that a parser has not consumed, in addition
+/// to a header. The parser's own limits leave out chunk sizes, chunk extensions
+/// and trailers.
+inline constexpr std::size_t MaxUnparsedBytes = 1U << 17U;
+
 using BeastRequest =
     boost::beast::http::request<boost::beast::http::string_body>;
 using BeastResponse =
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -120,6 +120,7 @@
     m_Parser.emplace();
     m_Parser->header_limit(m_Owner->m_Options.m_MaxHeaderBytes);
     m_Parser->body_limit(m_Owner->m_Options.m_MaxBodyBytes);
+    m_Buffer.max_size(m_Owner->m_Options.m_MaxHeaderBytes + MaxUnparsedBytes);
     m_State = State::Idle;
     m_Deadline = Clock::now() + m_Owner->m_Options.m_IdleTimeout;
     if (m_Buffer.size() > 0)
