Let a disproved revision hide no lower one

Cause: a revision that a linearizable call disproved hid every lower revision as well, so one notice with a far too high number, from a faulty node or one that read a store before it was restored from an older copy, would have ended the reading of missed revisions for good. Found when the diff was read again.

Change: only the disproved number itself is ignored. Test: "a disproved revision hides no lower one" fails with the earlier comparison.

--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -170,7 +170,8 @@
   TimePoint m_CalledAt;
   std::optional<TimePoint> m_ConfirmedAt;
   MissingRevisions m_Missing;
-  /// Highest announced revision that a later linearizable call disproved.
+  /// Announced revision that a later linearizable call disproved. Lower ones
+  /// can still be true: the announcement may come from a faulty node.
   Revision m_DisprovedRevision = 0;
   /// Whether the next watch is linearizable in any mode.
   bool m_CatchingUp = false;
--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -1,7 +1,6 @@
 #include "core/registry/feed_follower.h"
 
 #include <algorithm>
-#include <initializer_list>
 #include <utility>
 
 namespace dandelionfall::core::registry {
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -92,7 +92,7 @@
 }
 
 void StoreReader::onNewerRevision(Revision Seen, TimePoint Now) {
-  if (Seen > m_DisprovedRevision)
+  if (Seen != m_DisprovedRevision)
     m_Missing.add(Seen, m_KnownRevision, Now);
 }
 
--- a/tests/unit/store_feeds_test.cpp
+++ b/tests/unit/store_feeds_test.cpp
@@ -377,6 +377,22 @@
   CHECK(World.m_Reader.calls() <= Calls + 1);
 }
 
+TEST_CASE("a disproved revision hides no lower one") {
+  ReaderFixture World;
+  World.follow();
+  World.m_Reader.onNewerRevision(~Revision{0}, World.m_Now);
+  World.m_Now = *World.m_Reader.nextWakeUp();
+  World.m_Reader.onTick(World.m_Now);
+  World.reply(7);
+  World.takeWatches();
+  World.m_Reader.onNewerRevision(8, World.m_Now);
+  World.m_Now += seconds(1);
+  World.m_Reader.onTick(World.m_Now);
+  const auto Watches = World.takeWatches();
+  REQUIRE_FALSE(Watches.empty());
+  CHECK(Watches.back().m_Consistency == ReadConsistency::Linearizable);
+}
+
 TEST_CASE("a follower without reliable feeds asks the store at once") {
   ReaderFixture World;
   World.follow();
