--- a/include/dandelionfall/core/control_message.h
+++ b/include/dandelionfall/core/control_message.h
@@ -135,7 +135,7 @@
                          const FollowRevisions &) = default;
 };
 
-/// Newest revision of a shared store that the sender knows of.
+/// Newest revision of a shared store, as far as the sender was notified.
 struct RevisionNotice {
   Revision m_Revision = 0;
   /// Revision up to which the sender itself holds all records.
--- a/src/core/registry/feed_publisher.cpp
+++ b/src/core/registry/feed_publisher.cpp
@@ -73,7 +73,8 @@
     m_Commands.emplace_back(CloseControlLink{Each.first});
     return true;
   });
-  // Without a confirmation the followers hear nothing and rely on other nodes.
+  // Without a confirmation the followers receive nothing and rely on other
+  // nodes.
   if (isConfirmed(Own, Now))
     return sendToAll(Own, Now);
   m_NextNoticeAt = Now + NoticeInterval;
--- a/src/core/registry/revision_feed.h
+++ b/src/core/registry/revision_feed.h
@@ -12,8 +12,8 @@
 
 namespace dandelionfall::core::registry {
 
-/// Newest revision of a store that a node knows of, and when the store last
-/// confirmed it.
+/// Newest revision of a store that a node has read or was notified of, and when
+/// the store last confirmed it.
 struct ConfirmedRevision {
   Revision m_Revision = 0;
   /// Revision up to which the node itself holds all records.
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -190,7 +190,7 @@
     const std::size_t Feeds = m_Follower.reliableFeeds(Now);
     const std::size_t Followers = m_Publisher.followers();
     // Of the nodes with followers the first of each availability zone reads
-    // for all; the others pass on what they hear.
+    // for all; the others forward the notices that they receive.
     const bool Publishes =
         Followers > 0 && (Feeds == 0 || !m_Follower.hasBetterNode());
     const bool Follows = Feeds > 0 || m_StartEnds;
--- a/tests/contract/store_fleet.cpp
+++ b/tests/contract/store_fleet.cpp
@@ -300,17 +300,22 @@
           });
 }
 
+void StoreFleet::failAfter(std::size_t Number, std::uint64_t Call,
+                           Duration Timeout) {
+  deliver(Number, m_Nodes[Number].m_Start, Timeout,
+          [this, Call](StoreReplica &Replica) {
+            StoreReply Lost;
+            Lost.m_Call = Call;
+            Replica.onStoreReply(Lost, m_Now);
+          });
+}
+
 void StoreFleet::perform(std::size_t Number, const ListRecords &Command) {
   m_PricedCalls += 1;
   Member &Caller = m_Nodes[Number];
   Caller.m_LastCall = Command.m_Call;
   const std::uint64_t Start = Caller.m_Start;
-  deliver(Number, Start, Command.m_Timeout,
-          [this, Command](StoreReplica &Replica) {
-            StoreReply Lost;
-            Lost.m_Call = Command.m_Call;
-            Replica.onStoreReply(Lost, m_Now);
-          });
+  failAfter(Number, Command.m_Call, Command.m_Timeout);
   if (Caller.m_CutFromStore)
     return;
   at(m_Now + StoreDelay / 2, [this, Number, Start, Command] {
@@ -325,12 +330,7 @@
   Member &Caller = m_Nodes[Number];
   Caller.m_LastCall = Command.m_Call;
   const std::uint64_t Start = Caller.m_Start;
-  deliver(Number, Start, Command.m_Timeout,
-          [this, Command](StoreReplica &Replica) {
-            StoreReply Lost;
-            Lost.m_Call = Command.m_Call;
-            Replica.onStoreReply(Lost, m_Now);
-          });
+  failAfter(Number, Command.m_Call, Command.m_Timeout);
   if (Caller.m_CutFromStore)
     return;
   at(m_Now + StoreDelay / 2, [this, Number, Start, Command] {
--- a/tests/contract/store_fleet.h
+++ b/tests/contract/store_fleet.h
@@ -167,6 +167,8 @@
                std::function<void(core::StoreReplica &)> Action);
   void settle(std::size_t Node);
   void reply(std::size_t Node, std::uint64_t Start, core::StoreReply Reply);
+  /// Reports a call as failed at its timeout; a reply before it counts.
+  void failAfter(std::size_t Node, std::uint64_t Call, Duration Timeout);
   void wakeWatchers(core::ReadConsistency Consistency);
   void showTraffic(std::size_t Node);
   void closeEnds(std::size_t Node);
