--- /dev/null
+++ b/tests/system/target_statements.py
@@ -0,0 +1,127 @@
+#!/usr/bin/env python3
+"""Checks that nodes respect what a target states in its responses: a request rate, or that it is leaving.
+
+Usage: target_statements.py limit|leaving
+"""
+import contextlib
+import sys
+import tempfile
+import threading
+import time
+
+from fleet import FleetError, wait_until
+from store_deployment import HOSTS, Deployment, Target, check
+
+READY_TIMEOUT_S = 6
+CALLS_PER_S = 60
+# Bounds of the deployment: time after which a limit binds, and after which a leaving target receives nothing.
+STABLE_WINDOW_S = 3
+DRAIN_S = 2
+# A limit binds in each window of this length; excess factor and slack are added to it.
+WINDOW_S = 4
+OVERAGE = 1.5
+SLACK = 5
+LIMIT_PER_S = 6
+# Hosts at which calls begin; the node beside the target under test is at the other one.
+CALLER_HOSTS = HOSTS[1:]
+
+
+class Load:
+    """Calls at a constant rate, in turn at each of the hosts, until closed."""
+
+    def __init__(self, hosts, per_s):
+        self.hosts, self.per_s, self.statuses, self.threads = hosts, per_s, [], []
+        self.stopped = threading.Event()
+        self.pacer = threading.Thread(target=self.run, daemon=True)
+        self.pacer.start()
+
+    def run(self):
+        start, count = time.monotonic(), 0
+        while not self.stopped.wait(max(start + count / self.per_s - time.monotonic(), 0)):
+            thread = threading.Thread(target=self.call, args=(self.hosts[count % len(self.hosts)],), daemon=True)
+            thread.start()
+            self.threads.append(thread)
+            count += 1
+
+    def call(self, host):
+        with contextlib.suppress(OSError):
+            sent_at = time.monotonic()
+            status = Deployment.call(host, headers={"Origin-Host": host, "Sent-At": str(sent_at)})[0]
+            self.statuses.append((sent_at, status))
+
+    def close(self):
+        self.stopped.set()
+        self.pacer.join()
+        for thread in self.threads:
+            thread.join()
+
+
+def most_in_window(arrivals, start):
+    """Returns the largest number of arrivals in any window that begins at `start` or later."""
+    times = [at for at in arrivals if at >= start]
+    return max((sum(first <= at < first + WINDOW_S for at in times) for first in times), default=0)
+
+
+def check_limit(deployment):
+    target, allowed = deployment.targets[0], OVERAGE * LIMIT_PER_S * WINDOW_S + SLACK
+    target.extra_headers = {"Server-Limit": f"{LIMIT_PER_S:.1f}"}
+    with contextlib.closing(Load(CALLER_HOSTS, CALLS_PER_S)) as load:
+        wait_until(lambda: target.arrivals, READY_TIMEOUT_S, "the target names its limit")
+        binds_at = target.arrivals[0] + STABLE_WINDOW_S
+        time.sleep(STABLE_WINDOW_S + WINDOW_S)
+        most = most_in_window(target.arrivals, binds_at)
+        passed = check(most <= allowed, f"{most} requests in {WINDOW_S} s at a target that takes {LIMIT_PER_S} a second")
+        deployment.nodes[0].kill()
+        restarted_at = time.monotonic()
+        deployment.nodes[0].start()
+        wait_until(lambda: deployment.ready(HOSTS[0]), READY_TIMEOUT_S, "the node is ready again")
+        time.sleep(WINDOW_S)
+        most = most_in_window(target.arrivals, restarted_at)
+        passed &= check(most <= allowed, f"{most} requests in {WINDOW_S} s after a restart of the node beside it")
+        passed &= check(most > 0, "the target still receives requests")
+        target.extra_headers = {}
+        time.sleep(STABLE_WINDOW_S)
+        most = most_in_window(target.arrivals, time.monotonic() - STABLE_WINDOW_S + 1)
+        passed &= check(most > 2 * 2 * LIMIT_PER_S, f"{most} requests in 2 s once the target names no limit")
+    served = sum(status == 200 for _, status in load.statuses)
+    return passed & check(served > 0.98 * len(load.statuses), f"{served} of {len(load.statuses)} calls are served")
+
+
+def check_leaving(deployment):
+    target = deployment.targets[0]
+    with contextlib.closing(Load(CALLER_HOSTS, CALLS_PER_S)):
+        time.sleep(1)
+        target.extra_headers = {"Server-Leaving": "1"}
+        stated_at = time.monotonic()
+        time.sleep(DRAIN_S + 1)
+        deployment.nodes[0].kill()
+        deployment.nodes[0].start()
+        wait_until(lambda: deployment.ready(HOSTS[0]), READY_TIMEOUT_S, "the node is ready again")
+        time.sleep(2)
+        late = sum(float(request.get("Sent-At", 0)) > stated_at + DRAIN_S + 0.5 for request in target.requests)
+        passed = check(late == 0, f"{late} requests sent after the target had stated that it is leaving")
+        target.server.end()
+        successor = Target(HOSTS[0], "i-successor")
+        deployment.targets[0] = successor
+        deployment.store.remove(f"servers/{target.instance}")
+        deployment.store.put(f"servers/{successor.instance}", successor.record())
+        wait_until(lambda: successor.requests, READY_TIMEOUT_S, "the next target at that address receives requests")
+    return passed
+
+
+CHECKS = {"limit": check_limit, "leaving": check_leaving}
+
+
+def main():
+    with tempfile.TemporaryDirectory() as directory, contextlib.closing(Deployment(directory)) as deployment:
+        for host in HOSTS:
+            wait_until(lambda host=host: deployment.ready(host), READY_TIMEOUT_S, f"{host} is ready")
+        return 0 if CHECKS[sys.argv[1]](deployment) else 1
+
+
+if __name__ == "__main__":
+    try:
+        sys.exit(main())
+    except FleetError as error:
+        print(f"FAILED: {error}")
+        sys.exit(1)
