--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -1047,6 +1047,109 @@
 }
 
 
+TargetStatement::~TargetStatement() noexcept {
+}
+
+
+void TargetStatement::__set_requests_per_second(const double val) {
+  this->requests_per_second = val;
+__isset.requests_per_second = true;
+}
+std::ostream& operator<<(std::ostream& out, const TargetStatement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetStatement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->requests_per_second);
+          this->__isset.requests_per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetStatement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetStatement");
+
+  if (this->__isset.requests_per_second) {
+    xfer += oprot->writeFieldBegin("requests_per_second", ::apache::thrift::protocol::T_DOUBLE, 1);
+    xfer += oprot->writeDouble(this->requests_per_second);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetStatement &a, TargetStatement &b) {
+  using ::std::swap;
+  swap(a.requests_per_second, b.requests_per_second);
+  swap(a.__isset, b.__isset);
+}
+
+TargetStatement::TargetStatement(const TargetStatement& other40) noexcept {
+  requests_per_second = other40.requests_per_second;
+  __isset = other40.__isset;
+}
+TargetStatement::TargetStatement(TargetStatement&& other41) noexcept {
+  requests_per_second = other41.requests_per_second;
+  __isset = other41.__isset;
+}
+TargetStatement& TargetStatement::operator=(const TargetStatement& other42) noexcept {
+  requests_per_second = other42.requests_per_second;
+  __isset = other42.__isset;
+  return *this;
+}
+TargetStatement& TargetStatement::operator=(TargetStatement&& other43) noexcept {
+  requests_per_second = other43.requests_per_second;
+  __isset = other43.__isset;
+  return *this;
+}
+void TargetStatement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetStatement(";
+  out << "requests_per_second="; (__isset.requests_per_second ? (out << to_string(requests_per_second)) : (out << "<null>"));
+  out << ")";
+}
+
+
 TrafficHello::~TrafficHello() noexcept {
 }
 
@@ -1173,34 +1276,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TrafficHello::TrafficHello(const TrafficHello& other40) {
-  host = other40.host;
-  ingress = other40.ingress;
-  epoch = other40.epoch;
-  version = other40.version;
-  __isset = other40.__isset;
+TrafficHello::TrafficHello(const TrafficHello& other44) {
+  host = other44.host;
+  ingress = other44.ingress;
+  epoch = other44.epoch;
+  version = other44.version;
+  __isset = other44.__isset;
 }
-TrafficHello::TrafficHello(TrafficHello&& other41) noexcept {
-  host = std::move(other41.host);
-  ingress = std::move(other41.ingress);
-  epoch = other41.epoch;
-  version = other41.version;
-  __isset = other41.__isset;
+TrafficHello::TrafficHello(TrafficHello&& other45) noexcept {
+  host = std::move(other45.host);
+  ingress = std::move(other45.ingress);
+  epoch = other45.epoch;
+  version = other45.version;
+  __isset = other45.__isset;
 }
-TrafficHello& TrafficHello::operator=(const TrafficHello& other42) {
-  host = other42.host;
-  ingress = other42.ingress;
-  epoch = other42.epoch;
-  version = other42.version;
-  __isset = other42.__isset;
+TrafficHello& TrafficHello::operator=(const TrafficHello& other46) {
+  host = other46.host;
+  ingress = other46.ingress;
+  epoch = other46.epoch;
+  version = other46.version;
+  __isset = other46.__isset;
   return *this;
 }
-TrafficHello& TrafficHello::operator=(TrafficHello&& other43) noexcept {
-  host = std::move(other43.host);
-  ingress = std::move(other43.ingress);
-  epoch = other43.epoch;
-  version = other43.version;
-  __isset = other43.__isset;
+TrafficHello& TrafficHello::operator=(TrafficHello&& other47) noexcept {
+  host = std::move(other47.host);
+  ingress = std::move(other47.ingress);
+  epoch = other47.epoch;
+  version = other47.version;
+  __isset = other47.__isset;
   return *this;
 }
 void TrafficHello::printTo(std::ostream& out) const {
@@ -1357,38 +1460,38 @@
   swap(a.__isset, b.__isset);
 }
 
-TrafficWelcome::TrafficWelcome(const TrafficWelcome& other44) {
-  host = other44.host;
-  gate = other44.gate;
-  epoch = other44.epoch;
-  version = other44.version;
-  capacity = other44.capacity;
-  __isset = other44.__isset;
+TrafficWelcome::TrafficWelcome(const TrafficWelcome& other48) {
+  host = other48.host;
+  gate = other48.gate;
+  epoch = other48.epoch;
+  version = other48.version;
+  capacity = other48.capacity;
+  __isset = other48.__isset;
 }
-TrafficWelcome::TrafficWelcome(TrafficWelcome&& other45) noexcept {
-  host = std::move(other45.host);
-  gate = std::move(other45.gate);
-  epoch = other45.epoch;
-  version = other45.version;
-  capacity = std::move(other45.capacity);
-  __isset = other45.__isset;
+TrafficWelcome::TrafficWelcome(TrafficWelcome&& other49) noexcept {
+  host = std::move(other49.host);
+  gate = std::move(other49.gate);
+  epoch = other49.epoch;
+  version = other49.version;
+  capacity = std::move(other49.capacity);
+  __isset = other49.__isset;
 }
-TrafficWelcome& TrafficWelcome::operator=(const TrafficWelcome& other46) {
-  host = other46.host;
-  gate = other46.gate;
-  epoch = other46.epoch;
-  version = other46.version;
-  capacity = other46.capacity;
-  __isset = other46.__isset;
+TrafficWelcome& TrafficWelcome::operator=(const TrafficWelcome& other50) {
+  host = other50.host;
+  gate = other50.gate;
+  epoch = other50.epoch;
+  version = other50.version;
+  capacity = other50.capacity;
+  __isset = other50.__isset;
   return *this;
 }
-TrafficWelcome& TrafficWelcome::operator=(TrafficWelcome&& other47) noexcept {
-  host = std::move(other47.host);
-  gate = std::move(other47.gate);
-  epoch = other47.epoch;
-  version = other47.version;
-  capacity = std::move(other47.capacity);
-  __isset = other47.__isset;
+TrafficWelcome& TrafficWelcome::operator=(TrafficWelcome&& other51) noexcept {
+  host = std::move(other51.host);
+  gate = std::move(other51.gate);
+  epoch = other51.epoch;
+  version = other51.version;
+  capacity = std::move(other51.capacity);
+  __isset = other51.__isset;
   return *this;
 }
 void TrafficWelcome::printTo(std::ostream& out) const {
@@ -1454,6 +1557,11 @@
 void Dispatch::__set_wanted_in_us(const int64_t val) {
   this->wanted_in_us = val;
 }
+
+void Dispatch::__set_stated_rate(const double val) {
+  this->stated_rate = val;
+__isset.stated_rate = true;
+}
 std::ostream& operator<<(std::ostream& out, const Dispatch& obj)
 {
   obj.printTo(out);
@@ -1578,6 +1686,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->stated_rate);
+          this->__isset.stated_rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1643,6 +1759,11 @@
   xfer += oprot->writeI64(this->wanted_in_us);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.stated_rate) {
+    xfer += oprot->writeFieldBegin("stated_rate", ::apache::thrift::protocol::T_DOUBLE, 13);
+    xfer += oprot->writeDouble(this->stated_rate);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1662,69 +1783,74 @@
   swap(a.kind, b.kind);
   swap(a.priority, b.priority);
   swap(a.wanted_in_us, b.wanted_in_us);
+  swap(a.stated_rate, b.stated_rate);
   swap(a.__isset, b.__isset);
 }
 
-Dispatch::Dispatch(const Dispatch& other48) {
-  id = other48.id;
-  epoch = other48.epoch;
-  gate = other48.gate;
-  remaining_us = other48.remaining_us;
-  version = other48.version;
-  service_name = other48.service_name;
-  target_name = other48.target_name;
-  idempotent = other48.idempotent;
-  request = other48.request;
-  kind = other48.kind;
-  priority = other48.priority;
-  wanted_in_us = other48.wanted_in_us;
-  __isset = other48.__isset;
+Dispatch::Dispatch(const Dispatch& other52) {
+  id = other52.id;
+  epoch = other52.epoch;
+  gate = other52.gate;
+  remaining_us = other52.remaining_us;
+  version = other52.version;
+  service_name = other52.service_name;
+  target_name = other52.target_name;
+  idempotent = other52.idempotent;
+  request = other52.request;
+  kind = other52.kind;
+  priority = other52.priority;
+  wanted_in_us = other52.wanted_in_us;
+  stated_rate = other52.stated_rate;
+  __isset = other52.__isset;
 }
-Dispatch::Dispatch(Dispatch&& other49) noexcept {
-  id = std::move(other49.id);
-  epoch = other49.epoch;
-  gate = std::move(other49.gate);
-  remaining_us = other49.remaining_us;
-  version = other49.version;
-  service_name = std::move(other49.service_name);
-  target_name = std::move(other49.target_name);
-  idempotent = other49.idempotent;
-  request = std::move(other49.request);
-  kind = std::move(other49.kind);
-  priority = other49.priority;
-  wanted_in_us = other49.wanted_in_us;
-  __isset = other49.__isset;
+Dispatch::Dispatch(Dispatch&& other53) noexcept {
+  id = std::move(other53.id);
+  epoch = other53.epoch;
+  gate = std::move(other53.gate);
+  remaining_us = other53.remaining_us;
+  version = other53.version;
+  service_name = std::move(other53.service_name);
+  target_name = std::move(other53.target_name);
+  idempotent = other53.idempotent;
+  request = std::move(other53.request);
+  kind = std::move(other53.kind);
+  priority = other53.priority;
+  wanted_in_us = other53.wanted_in_us;
+  stated_rate = other53.stated_rate;
+  __isset = other53.__isset;
 }
-Dispatch& Dispatch::operator=(const Dispatch& other50) {
-  id = other50.id;
-  epoch = other50.epoch;
-  gate = other50.gate;
-  remaining_us = other50.remaining_us;
-  version = other50.version;
-  service_name = other50.service_name;
-  target_name = other50.target_name;
-  idempotent = other50.idempotent;
-  request = other50.request;
-  kind = other50.kind;
-  priority = other50.priority;
-  wanted_in_us = other50.wanted_in_us;
-  __isset = other50.__isset;
+Dispatch& Dispatch::operator=(const Dispatch& other54) {
+  id = other54.id;
+  epoch = other54.epoch;
+  gate = other54.gate;
+  remaining_us = other54.remaining_us;
+  version = other54.version;
+  service_name = other54.service_name;
+  target_name = other54.target_name;
+  idempotent = other54.idempotent;
+  request = other54.request;
+  kind = other54.kind;
+  priority = other54.priority;
+  wanted_in_us = other54.wanted_in_us;
+  stated_rate = other54.stated_rate;
+  __isset = other54.__isset;
   return *this;
 }
-Dispatch& Dispatch::operator=(Dispatch&& other51) noexcept {
-  id = std::move(other51.id);
-  epoch = other51.epoch;
-  gate = std::move(other51.gate);
-  remaining_us = other51.remaining_us;
-  version = other51.version;
-  service_name = std::move(other51.service_name);
-  target_name = std::move(other51.target_name);
-  idempotent = other51.idempotent;
-  request = std::move(other51.request);
-  kind = std::move(other51.kind);
-  priority = other51.priority;
-  wanted_in_us = other51.wanted_in_us;
-  __isset = other51.__isset;
+Dispatch& Dispatch::operator=(Dispatch&& other55) noexcept {
+  id = std::move(other55.id);
+  epoch = other55.epoch;
+  gate = std::move(other55.gate);
+  remaining_us = other55.remaining_us;
+  version = other55.version;
+  service_name = std::move(other55.service_name);
+  target_name = std::move(other55.target_name);
+  idempotent = other55.idempotent;
+  request = std::move(other55.request);
+  kind = std::move(other55.kind);
+  priority = other55.priority;
+  wanted_in_us = other55.wanted_in_us;
+  stated_rate = other55.stated_rate;
+  __isset = other55.__isset;
   return *this;
 }
 void Dispatch::printTo(std::ostream& out) const {
@@ -1742,6 +1868,7 @@
   out << ", " << "kind=" << to_string(kind);
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "wanted_in_us=" << to_string(wanted_in_us);
+  out << ", " << "stated_rate="; (__isset.stated_rate ? (out << to_string(stated_rate)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1761,6 +1888,10 @@
 void Answer::__set_capacity(const Capacity& val) {
   this->capacity = val;
 }
+
+void Answer::__set_statement(const TargetStatement& val) {
+  this->statement = val;
+}
 std::ostream& operator<<(std::ostream& out, const Answer& obj)
 {
   obj.printTo(out);
@@ -1813,6 +1944,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement.read(iprot);
+          this->__isset.statement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1842,6 +1981,10 @@
   xfer += this->capacity.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("statement", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->statement.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1852,33 +1995,38 @@
   swap(a.id, b.id);
   swap(a.response, b.response);
   swap(a.capacity, b.capacity);
+  swap(a.statement, b.statement);
   swap(a.__isset, b.__isset);
 }
 
-Answer::Answer(const Answer& other52) {
-  id = other52.id;
-  response = other52.response;
-  capacity = other52.capacity;
-  __isset = other52.__isset;
+Answer::Answer(const Answer& other56) {
+  id = other56.id;
+  response = other56.response;
+  capacity = other56.capacity;
+  statement = other56.statement;
+  __isset = other56.__isset;
 }
-Answer::Answer(Answer&& other53) noexcept {
-  id = std::move(other53.id);
-  response = std::move(other53.response);
-  capacity = std::move(other53.capacity);
-  __isset = other53.__isset;
+Answer::Answer(Answer&& other57) noexcept {
+  id = std::move(other57.id);
+  response = std::move(other57.response);
+  capacity = std::move(other57.capacity);
+  statement = std::move(other57.statement);
+  __isset = other57.__isset;
 }
-Answer& Answer::operator=(const Answer& other54) {
-  id = other54.id;
-  response = other54.response;
-  capacity = other54.capacity;
-  __isset = other54.__isset;
+Answer& Answer::operator=(const Answer& other58) {
+  id = other58.id;
+  response = other58.response;
+  capacity = other58.capacity;
+  statement = other58.statement;
+  __isset = other58.__isset;
   return *this;
 }
-Answer& Answer::operator=(Answer&& other55) noexcept {
-  id = std::move(other55.id);
-  response = std::move(other55.response);
-  capacity = std::move(other55.capacity);
-  __isset = other55.__isset;
+Answer& Answer::operator=(Answer&& other59) noexcept {
+  id = std::move(other59.id);
+  response = std::move(other59.response);
+  capacity = std::move(other59.capacity);
+  statement = std::move(other59.statement);
+  __isset = other59.__isset;
   return *this;
 }
 void Answer::printTo(std::ostream& out) const {
@@ -1887,6 +2035,7 @@
   out << "id=" << to_string(id);
   out << ", " << "response=" << to_string(response);
   out << ", " << "capacity=" << to_string(capacity);
+  out << ", " << "statement=" << to_string(statement);
   out << ")";
 }
 
@@ -1914,6 +2063,11 @@
 void Refusal::__set_capacity(const Capacity& val) {
   this->capacity = val;
 }
+
+void Refusal::__set_statement(const TargetStatement& val) {
+  this->statement = val;
+__isset.statement = true;
+}
 std::ostream& operator<<(std::ostream& out, const Refusal& obj)
 {
   obj.printTo(out);
@@ -1982,6 +2136,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement.read(iprot);
+          this->__isset.statement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2019,6 +2181,11 @@
   xfer += this->capacity.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.statement) {
+    xfer += oprot->writeFieldBegin("statement", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->statement.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2031,41 +2198,46 @@
   swap(a.retry_after_us, b.retry_after_us);
   swap(a.version, b.version);
   swap(a.capacity, b.capacity);
+  swap(a.statement, b.statement);
   swap(a.__isset, b.__isset);
 }
 
-Refusal::Refusal(const Refusal& other56) noexcept {
-  id = other56.id;
-  reason = other56.reason;
-  retry_after_us = other56.retry_after_us;
-  version = other56.version;
-  capacity = other56.capacity;
-  __isset = other56.__isset;
+Refusal::Refusal(const Refusal& other60) noexcept {
+  id = other60.id;
+  reason = other60.reason;
+  retry_after_us = other60.retry_after_us;
+  version = other60.version;
+  capacity = other60.capacity;
+  statement = other60.statement;
+  __isset = other60.__isset;
 }
-Refusal::Refusal(Refusal&& other57) noexcept {
-  id = std::move(other57.id);
-  reason = other57.reason;
-  retry_after_us = other57.retry_after_us;
-  version = other57.version;
-  capacity = std::move(other57.capacity);
-  __isset = other57.__isset;
+Refusal::Refusal(Refusal&& other61) noexcept {
+  id = std::move(other61.id);
+  reason = other61.reason;
+  retry_after_us = other61.retry_after_us;
+  version = other61.version;
+  capacity = std::move(other61.capacity);
+  statement = std::move(other61.statement);
+  __isset = other61.__isset;
 }
-Refusal& Refusal::operator=(const Refusal& other58) noexcept {
-  id = other58.id;
-  reason = other58.reason;
-  retry_after_us = other58.retry_after_us;
-  version = other58.version;
-  capacity = other58.capacity;
-  __isset = other58.__isset;
+Refusal& Refusal::operator=(const Refusal& other62) noexcept {
+  id = other62.id;
+  reason = other62.reason;
+  retry_after_us = other62.retry_after_us;
+  version = other62.version;
+  capacity = other62.capacity;
+  statement = other62.statement;
+  __isset = other62.__isset;
   return *this;
 }
-Refusal& Refusal::operator=(Refusal&& other59) noexcept {
-  id = std::move(other59.id);
-  reason = other59.reason;
-  retry_after_us = other59.retry_after_us;
-  version = other59.version;
-  capacity = std::move(other59.capacity);
-  __isset = other59.__isset;
+Refusal& Refusal::operator=(Refusal&& other63) noexcept {
+  id = std::move(other63.id);
+  reason = other63.reason;
+  retry_after_us = other63.retry_after_us;
+  version = other63.version;
+  capacity = std::move(other63.capacity);
+  statement = std::move(other63.statement);
+  __isset = other63.__isset;
   return *this;
 }
 void Refusal::printTo(std::ostream& out) const {
@@ -2076,6 +2248,7 @@
   out << ", " << "retry_after_us=" << to_string(retry_after_us);
   out << ", " << "version=" << to_string(version);
   out << ", " << "capacity=" << to_string(capacity);
+  out << ", " << "statement="; (__isset.statement ? (out << to_string(statement)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2189,30 +2362,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Failure::Failure(const Failure& other60) {
-  id = other60.id;
-  detail = other60.detail;
-  capacity = other60.capacity;
-  __isset = other60.__isset;
+Failure::Failure(const Failure& other64) {
+  id = other64.id;
+  detail = other64.detail;
+  capacity = other64.capacity;
+  __isset = other64.__isset;
 }
-Failure::Failure(Failure&& other61) noexcept {
-  id = std::move(other61.id);
-  detail = std::move(other61.detail);
-  capacity = std::move(other61.capacity);
-  __isset = other61.__isset;
+Failure::Failure(Failure&& other65) noexcept {
+  id = std::move(other65.id);
+  detail = std::move(other65.detail);
+  capacity = std::move(other65.capacity);
+  __isset = other65.__isset;
 }
-Failure& Failure::operator=(const Failure& other62) {
-  id = other62.id;
-  detail = other62.detail;
-  capacity = other62.capacity;
-  __isset = other62.__isset;
+Failure& Failure::operator=(const Failure& other66) {
+  id = other66.id;
+  detail = other66.detail;
+  capacity = other66.capacity;
+  __isset = other66.__isset;
   return *this;
 }
-Failure& Failure::operator=(Failure&& other63) noexcept {
-  id = std::move(other63.id);
-  detail = std::move(other63.detail);
-  capacity = std::move(other63.capacity);
-  __isset = other63.__isset;
+Failure& Failure::operator=(Failure&& other67) noexcept {
+  id = std::move(other67.id);
+  detail = std::move(other67.detail);
+  capacity = std::move(other67.capacity);
+  __isset = other67.__isset;
   return *this;
 }
 void Failure::printTo(std::ostream& out) const {
@@ -2264,14 +2437,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ids.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->ids.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->ids.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->ids[_i68].read(iprot);
+              xfer += this->ids[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2300,10 +2473,10 @@
   xfer += oprot->writeFieldBegin("ids", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ids.size()));
-    std::vector<RequestId> ::const_iterator _iter69;
-    for (_iter69 = this->ids.begin(); _iter69 != this->ids.end(); ++_iter69)
+    std::vector<RequestId> ::const_iterator _iter73;
+    for (_iter73 = this->ids.begin(); _iter73 != this->ids.end(); ++_iter73)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2320,22 +2493,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Inquiry::Inquiry(const Inquiry& other70) {
-  ids = other70.ids;
-  __isset = other70.__isset;
+Inquiry::Inquiry(const Inquiry& other74) {
+  ids = other74.ids;
+  __isset = other74.__isset;
 }
-Inquiry::Inquiry(Inquiry&& other71) noexcept {
-  ids = std::move(other71.ids);
-  __isset = other71.__isset;
+Inquiry::Inquiry(Inquiry&& other75) noexcept {
+  ids = std::move(other75.ids);
+  __isset = other75.__isset;
 }
-Inquiry& Inquiry::operator=(const Inquiry& other72) {
-  ids = other72.ids;
-  __isset = other72.__isset;
+Inquiry& Inquiry::operator=(const Inquiry& other76) {
+  ids = other76.ids;
+  __isset = other76.__isset;
   return *this;
 }
-Inquiry& Inquiry::operator=(Inquiry&& other73) noexcept {
-  ids = std::move(other73.ids);
-  __isset = other73.__isset;
+Inquiry& Inquiry::operator=(Inquiry&& other77) noexcept {
+  ids = std::move(other77.ids);
+  __isset = other77.__isset;
   return *this;
 }
 void Inquiry::printTo(std::ostream& out) const {
@@ -2438,26 +2611,26 @@
   swap(a.__isset, b.__isset);
 }
 
-InquiryReply::InquiryReply(const InquiryReply& other74) noexcept {
-  id = other74.id;
-  state = other74.state;
-  __isset = other74.__isset;
+InquiryReply::InquiryReply(const InquiryReply& other78) noexcept {
+  id = other78.id;
+  state = other78.state;
+  __isset = other78.__isset;
 }
-InquiryReply::InquiryReply(InquiryReply&& other75) noexcept {
-  id = std::move(other75.id);
-  state = other75.state;
-  __isset = other75.__isset;
+InquiryReply::InquiryReply(InquiryReply&& other79) noexcept {
+  id = std::move(other79.id);
+  state = other79.state;
+  __isset = other79.__isset;
 }
-InquiryReply& InquiryReply::operator=(const InquiryReply& other76) noexcept {
-  id = other76.id;
-  state = other76.state;
-  __isset = other76.__isset;
+InquiryReply& InquiryReply::operator=(const InquiryReply& other80) noexcept {
+  id = other80.id;
+  state = other80.state;
+  __isset = other80.__isset;
   return *this;
 }
-InquiryReply& InquiryReply::operator=(InquiryReply&& other77) noexcept {
-  id = std::move(other77.id);
-  state = other77.state;
-  __isset = other77.__isset;
+InquiryReply& InquiryReply::operator=(InquiryReply&& other81) noexcept {
+  id = std::move(other81.id);
+  state = other81.state;
+  __isset = other81.__isset;
   return *this;
 }
 void InquiryReply::printTo(std::ostream& out) const {
@@ -2508,14 +2681,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ids.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->ids.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->ids.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->ids[_i82].read(iprot);
+              xfer += this->ids[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2544,10 +2717,10 @@
   xfer += oprot->writeFieldBegin("ids", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ids.size()));
-    std::vector<RequestId> ::const_iterator _iter83;
-    for (_iter83 = this->ids.begin(); _iter83 != this->ids.end(); ++_iter83)
+    std::vector<RequestId> ::const_iterator _iter87;
+    for (_iter87 = this->ids.begin(); _iter87 != this->ids.end(); ++_iter87)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2564,22 +2737,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Settled::Settled(const Settled& other84) {
-  ids = other84.ids;
-  __isset = other84.__isset;
+Settled::Settled(const Settled& other88) {
+  ids = other88.ids;
+  __isset = other88.__isset;
 }
-Settled::Settled(Settled&& other85) noexcept {
-  ids = std::move(other85.ids);
-  __isset = other85.__isset;
+Settled::Settled(Settled&& other89) noexcept {
+  ids = std::move(other89.ids);
+  __isset = other89.__isset;
 }
-Settled& Settled::operator=(const Settled& other86) {
-  ids = other86.ids;
-  __isset = other86.__isset;
+Settled& Settled::operator=(const Settled& other90) {
+  ids = other90.ids;
+  __isset = other90.__isset;
   return *this;
 }
-Settled& Settled::operator=(Settled&& other87) noexcept {
-  ids = std::move(other87.ids);
-  __isset = other87.__isset;
+Settled& Settled::operator=(Settled&& other91) noexcept {
+  ids = std::move(other91.ids);
+  __isset = other91.__isset;
   return *this;
 }
 void Settled::printTo(std::ostream& out) const {
@@ -2665,22 +2838,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancel::Cancel(const Cancel& other88) noexcept {
-  id = other88.id;
-  __isset = other88.__isset;
+Cancel::Cancel(const Cancel& other92) noexcept {
+  id = other92.id;
+  __isset = other92.__isset;
 }
-Cancel::Cancel(Cancel&& other89) noexcept {
-  id = std::move(other89.id);
-  __isset = other89.__isset;
+Cancel::Cancel(Cancel&& other93) noexcept {
+  id = std::move(other93.id);
+  __isset = other93.__isset;
 }
-Cancel& Cancel::operator=(const Cancel& other90) noexcept {
-  id = other90.id;
-  __isset = other90.__isset;
+Cancel& Cancel::operator=(const Cancel& other94) noexcept {
+  id = other94.id;
+  __isset = other94.__isset;
   return *this;
 }
-Cancel& Cancel::operator=(Cancel&& other91) noexcept {
-  id = std::move(other91.id);
-  __isset = other91.__isset;
+Cancel& Cancel::operator=(Cancel&& other95) noexcept {
+  id = std::move(other95.id);
+  __isset = other95.__isset;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -2783,26 +2956,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TrafficPing::TrafficPing(const TrafficPing& other92) noexcept {
-  sequence = other92.sequence;
-  version = other92.version;
-  __isset = other92.__isset;
+TrafficPing::TrafficPing(const TrafficPing& other96) noexcept {
+  sequence = other96.sequence;
+  version = other96.version;
+  __isset = other96.__isset;
 }
-TrafficPing::TrafficPing(TrafficPing&& other93) noexcept {
-  sequence = other93.sequence;
-  version = other93.version;
-  __isset = other93.__isset;
+TrafficPing::TrafficPing(TrafficPing&& other97) noexcept {
+  sequence = other97.sequence;
+  version = other97.version;
+  __isset = other97.__isset;
 }
-TrafficPing& TrafficPing::operator=(const TrafficPing& other94) noexcept {
-  sequence = other94.sequence;
-  version = other94.version;
-  __isset = other94.__isset;
+TrafficPing& TrafficPing::operator=(const TrafficPing& other98) noexcept {
+  sequence = other98.sequence;
+  version = other98.version;
+  __isset = other98.__isset;
   return *this;
 }
-TrafficPing& TrafficPing::operator=(TrafficPing&& other95) noexcept {
-  sequence = other95.sequence;
-  version = other95.version;
-  __isset = other95.__isset;
+TrafficPing& TrafficPing::operator=(TrafficPing&& other99) noexcept {
+  sequence = other99.sequence;
+  version = other99.version;
+  __isset = other99.__isset;
   return *this;
 }
 void TrafficPing::printTo(std::ostream& out) const {
@@ -2923,30 +3096,30 @@
   swap(a.__isset, b.__isset);
 }
 
-TrafficPong::TrafficPong(const TrafficPong& other96) noexcept {
-  sequence = other96.sequence;
-  version = other96.version;
-  capacity = other96.capacity;
-  __isset = other96.__isset;
+TrafficPong::TrafficPong(const TrafficPong& other100) noexcept {
+  sequence = other100.sequence;
+  version = other100.version;
+  capacity = other100.capacity;
+  __isset = other100.__isset;
 }
-TrafficPong::TrafficPong(TrafficPong&& other97) noexcept {
-  sequence = other97.sequence;
-  version = other97.version;
-  capacity = std::move(other97.capacity);
-  __isset = other97.__isset;
+TrafficPong::TrafficPong(TrafficPong&& other101) noexcept {
+  sequence = other101.sequence;
+  version = other101.version;
+  capacity = std::move(other101.capacity);
+  __isset = other101.__isset;
 }
-TrafficPong& TrafficPong::operator=(const TrafficPong& other98) noexcept {
-  sequence = other98.sequence;
-  version = other98.version;
-  capacity = other98.capacity;
-  __isset = other98.__isset;
+TrafficPong& TrafficPong::operator=(const TrafficPong& other102) noexcept {
+  sequence = other102.sequence;
+  version = other102.version;
+  capacity = other102.capacity;
+  __isset = other102.__isset;
   return *this;
 }
-TrafficPong& TrafficPong::operator=(TrafficPong&& other99) noexcept {
-  sequence = other99.sequence;
-  version = other99.version;
-  capacity = std::move(other99.capacity);
-  __isset = other99.__isset;
+TrafficPong& TrafficPong::operator=(TrafficPong&& other103) noexcept {
+  sequence = other103.sequence;
+  version = other103.version;
+  capacity = std::move(other103.capacity);
+  __isset = other103.__isset;
   return *this;
 }
 void TrafficPong::printTo(std::ostream& out) const {
@@ -3013,18 +3186,18 @@
   (void) b;
 }
 
-TrafficGoAway::TrafficGoAway(const TrafficGoAway& other100) noexcept {
-  (void) other100;
+TrafficGoAway::TrafficGoAway(const TrafficGoAway& other104) noexcept {
+  (void) other104;
 }
-TrafficGoAway::TrafficGoAway(TrafficGoAway&& other101) noexcept {
-  (void) other101;
+TrafficGoAway::TrafficGoAway(TrafficGoAway&& other105) noexcept {
+  (void) other105;
 }
-TrafficGoAway& TrafficGoAway::operator=(const TrafficGoAway& other102) noexcept {
-  (void) other102;
+TrafficGoAway& TrafficGoAway::operator=(const TrafficGoAway& other106) noexcept {
+  (void) other106;
   return *this;
 }
-TrafficGoAway& TrafficGoAway::operator=(TrafficGoAway&& other103) noexcept {
-  (void) other103;
+TrafficGoAway& TrafficGoAway::operator=(TrafficGoAway&& other107) noexcept {
+  (void) other107;
   return *this;
 }
 void TrafficGoAway::printTo(std::ostream& out) const {
@@ -3211,46 +3384,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlHello::ControlHello(const ControlHello& other104) {
-  host = other104.host;
-  zone = other104.zone;
-  incarnation = other104.incarnation;
-  address = other104.address;
-  held = other104.held;
-  applied = other104.applied;
-  host_list = other104.host_list;
-  __isset = other104.__isset;
-}
-ControlHello::ControlHello(ControlHello&& other105) noexcept {
-  host = std::move(other105.host);
-  zone = std::move(other105.zone);
-  incarnation = std::move(other105.incarnation);
-  address = std::move(other105.address);
-  held = std::move(other105.held);
-  applied = std::move(other105.applied);
-  host_list = std::move(other105.host_list);
-  __isset = other105.__isset;
-}
-ControlHello& ControlHello::operator=(const ControlHello& other106) {
-  host = other106.host;
-  zone = other106.zone;
-  incarnation = other106.incarnation;
-  address = other106.address;
-  held = other106.held;
-  applied = other106.applied;
-  host_list = other106.host_list;
-  __isset = other106.__isset;
+ControlHello::ControlHello(const ControlHello& other108) {
+  host = other108.host;
+  zone = other108.zone;
+  incarnation = other108.incarnation;
+  address = other108.address;
+  held = other108.held;
+  applied = other108.applied;
+  host_list = other108.host_list;
+  __isset = other108.__isset;
+}
+ControlHello::ControlHello(ControlHello&& other109) noexcept {
+  host = std::move(other109.host);
+  zone = std::move(other109.zone);
+  incarnation = std::move(other109.incarnation);
+  address = std::move(other109.address);
+  held = std::move(other109.held);
+  applied = std::move(other109.applied);
+  host_list = std::move(other109.host_list);
+  __isset = other109.__isset;
+}
+ControlHello& ControlHello::operator=(const ControlHello& other110) {
+  host = other110.host;
+  zone = other110.zone;
+  incarnation = other110.incarnation;
+  address = other110.address;
+  held = other110.held;
+  applied = other110.applied;
+  host_list = other110.host_list;
+  __isset = other110.__isset;
   return *this;
 }
-ControlHello& ControlHello::operator=(ControlHello&& other107) noexcept {
-  host = std::move(other107.host);
-  zone = std::move(other107.zone);
-  incarnation = std::move(other107.incarnation);
-  address = std::move(other107.address);
-  held = std::move(other107.held);
-  applied = std::move(other107.applied);
-  host_list = std::move(other107.host_list);
-  __isset = other107.__isset;
+ControlHello& ControlHello::operator=(ControlHello&& other111) noexcept {
+  host = std::move(other111.host);
+  zone = std::move(other111.zone);
+  incarnation = std::move(other111.incarnation);
+  address = std::move(other111.address);
+  held = std::move(other111.held);
+  applied = std::move(other111.applied);
+  host_list = std::move(other111.host_list);
+  __isset = other111.__isset;
   return *this;
 }
 void ControlHello::printTo(std::ostream& out) const {
@@ -3359,26 +3532,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Announce::Announce(const Announce& other108) noexcept {
-  stream = other108.stream;
-  held = other108.held;
-  __isset = other108.__isset;
+Announce::Announce(const Announce& other112) noexcept {
+  stream = other112.stream;
+  held = other112.held;
+  __isset = other112.__isset;
 }
-Announce::Announce(Announce&& other109) noexcept {
-  stream = other109.stream;
-  held = std::move(other109.held);
-  __isset = other109.__isset;
+Announce::Announce(Announce&& other113) noexcept {
+  stream = other113.stream;
+  held = std::move(other113.held);
+  __isset = other113.__isset;
 }
-Announce& Announce::operator=(const Announce& other110) noexcept {
-  stream = other110.stream;
-  held = other110.held;
-  __isset = other110.__isset;
+Announce& Announce::operator=(const Announce& other114) noexcept {
+  stream = other114.stream;
+  held = other114.held;
+  __isset = other114.__isset;
   return *this;
 }
-Announce& Announce::operator=(Announce&& other111) noexcept {
-  stream = other111.stream;
-  held = std::move(other111.held);
-  __isset = other111.__isset;
+Announce& Announce::operator=(Announce&& other115) noexcept {
+  stream = other115.stream;
+  held = std::move(other115.held);
+  __isset = other115.__isset;
   return *this;
 }
 void Announce::printTo(std::ostream& out) const {
@@ -3482,26 +3655,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Pull::Pull(const Pull& other112) noexcept {
-  stream = other112.stream;
-  have = other112.have;
-  __isset = other112.__isset;
+Pull::Pull(const Pull& other116) noexcept {
+  stream = other116.stream;
+  have = other116.have;
+  __isset = other116.__isset;
 }
-Pull::Pull(Pull&& other113) noexcept {
-  stream = other113.stream;
-  have = std::move(other113.have);
-  __isset = other113.__isset;
+Pull::Pull(Pull&& other117) noexcept {
+  stream = other117.stream;
+  have = std::move(other117.have);
+  __isset = other117.__isset;
 }
-Pull& Pull::operator=(const Pull& other114) noexcept {
-  stream = other114.stream;
-  have = other114.have;
-  __isset = other114.__isset;
+Pull& Pull::operator=(const Pull& other118) noexcept {
+  stream = other118.stream;
+  have = other118.have;
+  __isset = other118.__isset;
   return *this;
 }
-Pull& Pull::operator=(Pull&& other115) noexcept {
-  stream = other115.stream;
-  have = std::move(other115.have);
-  __isset = other115.__isset;
+Pull& Pull::operator=(Pull&& other119) noexcept {
+  stream = other119.stream;
+  have = std::move(other119.have);
+  __isset = other119.__isset;
   return *this;
 }
 void Pull::printTo(std::ostream& out) const {
@@ -3605,26 +3778,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Part::Part(const Part& other116) {
-  name = other116.name;
-  text = other116.text;
-  __isset = other116.__isset;
+Part::Part(const Part& other120) {
+  name = other120.name;
+  text = other120.text;
+  __isset = other120.__isset;
 }
-Part::Part(Part&& other117) noexcept {
-  name = std::move(other117.name);
-  text = std::move(other117.text);
-  __isset = other117.__isset;
+Part::Part(Part&& other121) noexcept {
+  name = std::move(other121.name);
+  text = std::move(other121.text);
+  __isset = other121.__isset;
 }
-Part& Part::operator=(const Part& other118) {
-  name = other118.name;
-  text = other118.text;
-  __isset = other118.__isset;
+Part& Part::operator=(const Part& other122) {
+  name = other122.name;
+  text = other122.text;
+  __isset = other122.__isset;
   return *this;
 }
-Part& Part::operator=(Part&& other119) noexcept {
-  name = std::move(other119.name);
-  text = std::move(other119.text);
-  __isset = other119.__isset;
+Part& Part::operator=(Part&& other123) noexcept {
+  name = std::move(other123.name);
+  text = std::move(other123.text);
+  __isset = other123.__isset;
   return *this;
 }
 void Part::printTo(std::ostream& out) const {
@@ -3703,14 +3876,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->changed.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->changed.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->changed[_i124].read(iprot);
+              xfer += this->changed[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3723,14 +3896,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size125;
-            ::apache::thrift::protocol::TType _etype128;
-            xfer += iprot->readListBegin(_etype128, _size125);
-            this->removed.resize(_size125);
-            uint32_t _i129;
-            for (_i129 = 0; _i129 < _size125; ++_i129)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->removed.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += iprot->readString(this->removed[_i129]);
+              xfer += iprot->readString(this->removed[_i133]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3767,10 +3940,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<Part> ::const_iterator _iter130;
-    for (_iter130 = this->changed.begin(); _iter130 != this->changed.end(); ++_iter130)
+    std::vector<Part> ::const_iterator _iter134;
+    for (_iter134 = this->changed.begin(); _iter134 != this->changed.end(); ++_iter134)
     {
-      xfer += (*_iter130).write(oprot);
+      xfer += (*_iter134).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3779,10 +3952,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter131;
-    for (_iter131 = this->removed.begin(); _iter131 != this->removed.end(); ++_iter131)
+    std::vector<std::string> ::const_iterator _iter135;
+    for (_iter135 = this->removed.begin(); _iter135 != this->removed.end(); ++_iter135)
     {
-      xfer += oprot->writeString((*_iter131));
+      xfer += oprot->writeString((*_iter135));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3802,34 +3975,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeRecord::ChangeRecord(const ChangeRecord& other132) {
-  base = other132.base;
-  stamp = other132.stamp;
-  changed = other132.changed;
-  removed = other132.removed;
-  __isset = other132.__isset;
-}
-ChangeRecord::ChangeRecord(ChangeRecord&& other133) noexcept {
-  base = std::move(other133.base);
-  stamp = std::move(other133.stamp);
-  changed = std::move(other133.changed);
-  removed = std::move(other133.removed);
-  __isset = other133.__isset;
-}
-ChangeRecord& ChangeRecord::operator=(const ChangeRecord& other134) {
-  base = other134.base;
-  stamp = other134.stamp;
-  changed = other134.changed;
-  removed = other134.removed;
-  __isset = other134.__isset;
+ChangeRecord::ChangeRecord(const ChangeRecord& other136) {
+  base = other136.base;
+  stamp = other136.stamp;
+  changed = other136.changed;
+  removed = other136.removed;
+  __isset = other136.__isset;
+}
+ChangeRecord::ChangeRecord(ChangeRecord&& other137) noexcept {
+  base = std::move(other137.base);
+  stamp = std::move(other137.stamp);
+  changed = std::move(other137.changed);
+  removed = std::move(other137.removed);
+  __isset = other137.__isset;
+}
+ChangeRecord& ChangeRecord::operator=(const ChangeRecord& other138) {
+  base = other138.base;
+  stamp = other138.stamp;
+  changed = other138.changed;
+  removed = other138.removed;
+  __isset = other138.__isset;
   return *this;
 }
-ChangeRecord& ChangeRecord::operator=(ChangeRecord&& other135) noexcept {
-  base = std::move(other135.base);
-  stamp = std::move(other135.stamp);
-  changed = std::move(other135.changed);
-  removed = std::move(other135.removed);
-  __isset = other135.__isset;
+ChangeRecord& ChangeRecord::operator=(ChangeRecord&& other139) noexcept {
+  base = std::move(other139.base);
+  stamp = std::move(other139.stamp);
+  changed = std::move(other139.changed);
+  removed = std::move(other139.removed);
+  __isset = other139.__isset;
   return *this;
 }
 void ChangeRecord::printTo(std::ostream& out) const {
@@ -3894,14 +4067,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size136;
-            ::apache::thrift::protocol::TType _etype139;
-            xfer += iprot->readListBegin(_etype139, _size136);
-            this->records.resize(_size136);
-            uint32_t _i140;
-            for (_i140 = 0; _i140 < _size136; ++_i140)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->records.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += this->records[_i140].read(iprot);
+              xfer += this->records[_i144].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3934,10 +4107,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<ChangeRecord> ::const_iterator _iter141;
-    for (_iter141 = this->records.begin(); _iter141 != this->records.end(); ++_iter141)
+    std::vector<ChangeRecord> ::const_iterator _iter145;
+    for (_iter145 = this->records.begin(); _iter145 != this->records.end(); ++_iter145)
     {
-      xfer += (*_iter141).write(oprot);
+      xfer += (*_iter145).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3955,26 +4128,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeRecords::ChangeRecords(const ChangeRecords& other142) {
-  stream = other142.stream;
-  records = other142.records;
-  __isset = other142.__isset;
+ChangeRecords::ChangeRecords(const ChangeRecords& other146) {
+  stream = other146.stream;
+  records = other146.records;
+  __isset = other146.__isset;
 }
-ChangeRecords::ChangeRecords(ChangeRecords&& other143) noexcept {
-  stream = other143.stream;
-  records = std::move(other143.records);
-  __isset = other143.__isset;
+ChangeRecords::ChangeRecords(ChangeRecords&& other147) noexcept {
+  stream = other147.stream;
+  records = std::move(other147.records);
+  __isset = other147.__isset;
 }
-ChangeRecords& ChangeRecords::operator=(const ChangeRecords& other144) {
-  stream = other144.stream;
-  records = other144.records;
-  __isset = other144.__isset;
+ChangeRecords& ChangeRecords::operator=(const ChangeRecords& other148) {
+  stream = other148.stream;
+  records = other148.records;
+  __isset = other148.__isset;
   return *this;
 }
-ChangeRecords& ChangeRecords::operator=(ChangeRecords&& other145) noexcept {
-  stream = other145.stream;
-  records = std::move(other145.records);
-  __isset = other145.__isset;
+ChangeRecords& ChangeRecords::operator=(ChangeRecords&& other149) noexcept {
+  stream = other149.stream;
+  records = std::move(other149.records);
+  __isset = other149.__isset;
   return *this;
 }
 void ChangeRecords::printTo(std::ostream& out) const {
@@ -4073,14 +4246,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->parts.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->parts.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
             {
-              xfer += this->parts[_i150].read(iprot);
+              xfer += this->parts[_i154].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4125,10 +4298,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<Part> ::const_iterator _iter151;
-    for (_iter151 = this->parts.begin(); _iter151 != this->parts.end(); ++_iter151)
+    std::vector<Part> ::const_iterator _iter155;
+    for (_iter155 = this->parts.begin(); _iter155 != this->parts.end(); ++_iter155)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter155).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4149,38 +4322,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other152) {
-  stream = other152.stream;
-  stamp = other152.stamp;
-  index = other152.index;
-  count = other152.count;
-  parts = other152.parts;
-  __isset = other152.__isset;
-}
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other153) noexcept {
-  stream = other153.stream;
-  stamp = std::move(other153.stamp);
-  index = other153.index;
-  count = other153.count;
-  parts = std::move(other153.parts);
-  __isset = other153.__isset;
-}
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other154) {
-  stream = other154.stream;
-  stamp = other154.stamp;
-  index = other154.index;
-  count = other154.count;
-  parts = other154.parts;
-  __isset = other154.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other156) {
+  stream = other156.stream;
+  stamp = other156.stamp;
+  index = other156.index;
+  count = other156.count;
+  parts = other156.parts;
+  __isset = other156.__isset;
+}
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other157) noexcept {
+  stream = other157.stream;
+  stamp = std::move(other157.stamp);
+  index = other157.index;
+  count = other157.count;
+  parts = std::move(other157.parts);
+  __isset = other157.__isset;
+}
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other158) {
+  stream = other158.stream;
+  stamp = other158.stamp;
+  index = other158.index;
+  count = other158.count;
+  parts = other158.parts;
+  __isset = other158.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other155) noexcept {
-  stream = other155.stream;
-  stamp = std::move(other155.stamp);
-  index = other155.index;
-  count = other155.count;
-  parts = std::move(other155.parts);
-  __isset = other155.__isset;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other159) noexcept {
+  stream = other159.stream;
+  stamp = std::move(other159.stamp);
+  index = other159.index;
+  count = other159.count;
+  parts = std::move(other159.parts);
+  __isset = other159.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -4287,26 +4460,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HeldAck::HeldAck(const HeldAck& other156) noexcept {
-  stream = other156.stream;
-  held = other156.held;
-  __isset = other156.__isset;
+HeldAck::HeldAck(const HeldAck& other160) noexcept {
+  stream = other160.stream;
+  held = other160.held;
+  __isset = other160.__isset;
 }
-HeldAck::HeldAck(HeldAck&& other157) noexcept {
-  stream = other157.stream;
-  held = std::move(other157.held);
-  __isset = other157.__isset;
+HeldAck::HeldAck(HeldAck&& other161) noexcept {
+  stream = other161.stream;
+  held = std::move(other161.held);
+  __isset = other161.__isset;
 }
-HeldAck& HeldAck::operator=(const HeldAck& other158) noexcept {
-  stream = other158.stream;
-  held = other158.held;
-  __isset = other158.__isset;
+HeldAck& HeldAck::operator=(const HeldAck& other162) noexcept {
+  stream = other162.stream;
+  held = other162.held;
+  __isset = other162.__isset;
   return *this;
 }
-HeldAck& HeldAck::operator=(HeldAck&& other159) noexcept {
-  stream = other159.stream;
-  held = std::move(other159.held);
-  __isset = other159.__isset;
+HeldAck& HeldAck::operator=(HeldAck&& other163) noexcept {
+  stream = other163.stream;
+  held = std::move(other163.held);
+  __isset = other163.__isset;
   return *this;
 }
 void HeldAck::printTo(std::ostream& out) const {
@@ -4478,42 +4651,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other160) noexcept {
-  sequence = other160.sequence;
-  held = other160.held;
-  applied = other160.applied;
-  host_list = other160.host_list;
-  source_tried_ago_us = other160.source_tried_ago_us;
-  source_reached_ago_us = other160.source_reached_ago_us;
-  __isset = other160.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other161) noexcept {
-  sequence = other161.sequence;
-  held = std::move(other161.held);
-  applied = std::move(other161.applied);
-  host_list = std::move(other161.host_list);
-  source_tried_ago_us = other161.source_tried_ago_us;
-  source_reached_ago_us = other161.source_reached_ago_us;
-  __isset = other161.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other162) noexcept {
-  sequence = other162.sequence;
-  held = other162.held;
-  applied = other162.applied;
-  host_list = other162.host_list;
-  source_tried_ago_us = other162.source_tried_ago_us;
-  source_reached_ago_us = other162.source_reached_ago_us;
-  __isset = other162.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other164) noexcept {
+  sequence = other164.sequence;
+  held = other164.held;
+  applied = other164.applied;
+  host_list = other164.host_list;
+  source_tried_ago_us = other164.source_tried_ago_us;
+  source_reached_ago_us = other164.source_reached_ago_us;
+  __isset = other164.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other165) noexcept {
+  sequence = other165.sequence;
+  held = std::move(other165.held);
+  applied = std::move(other165.applied);
+  host_list = std::move(other165.host_list);
+  source_tried_ago_us = other165.source_tried_ago_us;
+  source_reached_ago_us = other165.source_reached_ago_us;
+  __isset = other165.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other166) noexcept {
+  sequence = other166.sequence;
+  held = other166.held;
+  applied = other166.applied;
+  host_list = other166.host_list;
+  source_tried_ago_us = other166.source_tried_ago_us;
+  source_reached_ago_us = other166.source_reached_ago_us;
+  __isset = other166.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other163) noexcept {
-  sequence = other163.sequence;
-  held = std::move(other163.held);
-  applied = std::move(other163.applied);
-  host_list = std::move(other163.host_list);
-  source_tried_ago_us = other163.source_tried_ago_us;
-  source_reached_ago_us = other163.source_reached_ago_us;
-  __isset = other163.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other167) noexcept {
+  sequence = other167.sequence;
+  held = std::move(other167.held);
+  applied = std::move(other167.applied);
+  host_list = std::move(other167.host_list);
+  source_tried_ago_us = other167.source_tried_ago_us;
+  source_reached_ago_us = other167.source_reached_ago_us;
+  __isset = other167.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -4583,18 +4756,18 @@
   (void) b;
 }
 
-ControlGoAway::ControlGoAway(const ControlGoAway& other164) noexcept {
-  (void) other164;
+ControlGoAway::ControlGoAway(const ControlGoAway& other168) noexcept {
+  (void) other168;
 }
-ControlGoAway::ControlGoAway(ControlGoAway&& other165) noexcept {
-  (void) other165;
+ControlGoAway::ControlGoAway(ControlGoAway&& other169) noexcept {
+  (void) other169;
 }
-ControlGoAway& ControlGoAway::operator=(const ControlGoAway& other166) noexcept {
-  (void) other166;
+ControlGoAway& ControlGoAway::operator=(const ControlGoAway& other170) noexcept {
+  (void) other170;
   return *this;
 }
-ControlGoAway& ControlGoAway::operator=(ControlGoAway&& other167) noexcept {
-  (void) other167;
+ControlGoAway& ControlGoAway::operator=(ControlGoAway&& other171) noexcept {
+  (void) other171;
   return *this;
 }
 void ControlGoAway::printTo(std::ostream& out) const {
@@ -4715,30 +4888,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreRecord::StoreRecord(const StoreRecord& other168) {
-  key = other168.key;
-  revision = other168.revision;
-  value = other168.value;
-  __isset = other168.__isset;
+StoreRecord::StoreRecord(const StoreRecord& other172) {
+  key = other172.key;
+  revision = other172.revision;
+  value = other172.value;
+  __isset = other172.__isset;
 }
-StoreRecord::StoreRecord(StoreRecord&& other169) noexcept {
-  key = std::move(other169.key);
-  revision = other169.revision;
-  value = std::move(other169.value);
-  __isset = other169.__isset;
+StoreRecord::StoreRecord(StoreRecord&& other173) noexcept {
+  key = std::move(other173.key);
+  revision = other173.revision;
+  value = std::move(other173.value);
+  __isset = other173.__isset;
 }
-StoreRecord& StoreRecord::operator=(const StoreRecord& other170) {
-  key = other170.key;
-  revision = other170.revision;
-  value = other170.value;
-  __isset = other170.__isset;
+StoreRecord& StoreRecord::operator=(const StoreRecord& other174) {
+  key = other174.key;
+  revision = other174.revision;
+  value = other174.value;
+  __isset = other174.__isset;
   return *this;
 }
-StoreRecord& StoreRecord::operator=(StoreRecord&& other171) noexcept {
-  key = std::move(other171.key);
-  revision = other171.revision;
-  value = std::move(other171.value);
-  __isset = other171.__isset;
+StoreRecord& StoreRecord::operator=(StoreRecord&& other175) noexcept {
+  key = std::move(other175.key);
+  revision = other175.revision;
+  value = std::move(other175.value);
+  __isset = other175.__isset;
   return *this;
 }
 void StoreRecord::printTo(std::ostream& out) const {
@@ -4826,22 +4999,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordsPull::RecordsPull(const RecordsPull& other172) noexcept {
-  have = other172.have;
-  __isset = other172.__isset;
+RecordsPull::RecordsPull(const RecordsPull& other176) noexcept {
+  have = other176.have;
+  __isset = other176.__isset;
 }
-RecordsPull::RecordsPull(RecordsPull&& other173) noexcept {
-  have = other173.have;
-  __isset = other173.__isset;
+RecordsPull::RecordsPull(RecordsPull&& other177) noexcept {
+  have = other177.have;
+  __isset = other177.__isset;
 }
-RecordsPull& RecordsPull::operator=(const RecordsPull& other174) noexcept {
-  have = other174.have;
-  __isset = other174.__isset;
+RecordsPull& RecordsPull::operator=(const RecordsPull& other178) noexcept {
+  have = other178.have;
+  __isset = other178.__isset;
   return *this;
 }
-RecordsPull& RecordsPull::operator=(RecordsPull&& other175) noexcept {
-  have = other175.have;
-  __isset = other175.__isset;
+RecordsPull& RecordsPull::operator=(RecordsPull&& other179) noexcept {
+  have = other179.have;
+  __isset = other179.__isset;
   return *this;
 }
 void RecordsPull::printTo(std::ostream& out) const {
@@ -4915,14 +5088,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->records.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->records.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
             {
-              xfer += this->records[_i180].read(iprot);
+              xfer += this->records[_i184].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4959,10 +5132,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoreRecord> ::const_iterator _iter181;
-    for (_iter181 = this->records.begin(); _iter181 != this->records.end(); ++_iter181)
+    std::vector<StoreRecord> ::const_iterator _iter185;
+    for (_iter185 = this->records.begin(); _iter185 != this->records.end(); ++_iter185)
     {
-      xfer += (*_iter181).write(oprot);
+      xfer += (*_iter185).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4981,30 +5154,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordsPush::RecordsPush(const RecordsPush& other182) {
-  as_of = other182.as_of;
-  whole = other182.whole;
-  records = other182.records;
-  __isset = other182.__isset;
+RecordsPush::RecordsPush(const RecordsPush& other186) {
+  as_of = other186.as_of;
+  whole = other186.whole;
+  records = other186.records;
+  __isset = other186.__isset;
 }
-RecordsPush::RecordsPush(RecordsPush&& other183) noexcept {
-  as_of = other183.as_of;
-  whole = other183.whole;
-  records = std::move(other183.records);
-  __isset = other183.__isset;
+RecordsPush::RecordsPush(RecordsPush&& other187) noexcept {
+  as_of = other187.as_of;
+  whole = other187.whole;
+  records = std::move(other187.records);
+  __isset = other187.__isset;
 }
-RecordsPush& RecordsPush::operator=(const RecordsPush& other184) {
-  as_of = other184.as_of;
-  whole = other184.whole;
-  records = other184.records;
-  __isset = other184.__isset;
+RecordsPush& RecordsPush::operator=(const RecordsPush& other188) {
+  as_of = other188.as_of;
+  whole = other188.whole;
+  records = other188.records;
+  __isset = other188.__isset;
   return *this;
 }
-RecordsPush& RecordsPush::operator=(RecordsPush&& other185) noexcept {
-  as_of = other185.as_of;
-  whole = other185.whole;
-  records = std::move(other185.records);
-  __isset = other185.__isset;
+RecordsPush& RecordsPush::operator=(RecordsPush&& other189) noexcept {
+  as_of = other189.as_of;
+  whole = other189.whole;
+  records = std::move(other189.records);
+  __isset = other189.__isset;
   return *this;
 }
 void RecordsPush::printTo(std::ostream& out) const {
@@ -5071,18 +5244,18 @@
   (void) b;
 }
 
-FollowRevisions::FollowRevisions(const FollowRevisions& other186) noexcept {
-  (void) other186;
+FollowRevisions::FollowRevisions(const FollowRevisions& other190) noexcept {
+  (void) other190;
 }
-FollowRevisions::FollowRevisions(FollowRevisions&& other187) noexcept {
-  (void) other187;
+FollowRevisions::FollowRevisions(FollowRevisions&& other191) noexcept {
+  (void) other191;
 }
-FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other188) noexcept {
-  (void) other188;
+FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other192) noexcept {
+  (void) other192;
   return *this;
 }
-FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other189) noexcept {
-  (void) other189;
+FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other193) noexcept {
+  (void) other193;
   return *this;
 }
 void FollowRevisions::printTo(std::ostream& out) const {
@@ -5218,34 +5391,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RevisionNotice::RevisionNotice(const RevisionNotice& other190) noexcept {
-  revision = other190.revision;
-  held = other190.held;
-  confirmed_ago_us = other190.confirmed_ago_us;
-  refused = other190.refused;
-  __isset = other190.__isset;
-}
-RevisionNotice::RevisionNotice(RevisionNotice&& other191) noexcept {
-  revision = other191.revision;
-  held = other191.held;
-  confirmed_ago_us = other191.confirmed_ago_us;
-  refused = other191.refused;
-  __isset = other191.__isset;
-}
-RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other192) noexcept {
-  revision = other192.revision;
-  held = other192.held;
-  confirmed_ago_us = other192.confirmed_ago_us;
-  refused = other192.refused;
-  __isset = other192.__isset;
+RevisionNotice::RevisionNotice(const RevisionNotice& other194) noexcept {
+  revision = other194.revision;
+  held = other194.held;
+  confirmed_ago_us = other194.confirmed_ago_us;
+  refused = other194.refused;
+  __isset = other194.__isset;
+}
+RevisionNotice::RevisionNotice(RevisionNotice&& other195) noexcept {
+  revision = other195.revision;
+  held = other195.held;
+  confirmed_ago_us = other195.confirmed_ago_us;
+  refused = other195.refused;
+  __isset = other195.__isset;
+}
+RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other196) noexcept {
+  revision = other196.revision;
+  held = other196.held;
+  confirmed_ago_us = other196.confirmed_ago_us;
+  refused = other196.refused;
+  __isset = other196.__isset;
   return *this;
 }
-RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other193) noexcept {
-  revision = other193.revision;
-  held = other193.held;
-  confirmed_ago_us = other193.confirmed_ago_us;
-  refused = other193.refused;
-  __isset = other193.__isset;
+RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other197) noexcept {
+  revision = other197.revision;
+  held = other197.held;
+  confirmed_ago_us = other197.confirmed_ago_us;
+  refused = other197.refused;
+  __isset = other197.__isset;
   return *this;
 }
 void RevisionNotice::printTo(std::ostream& out) const {
@@ -5792,118 +5965,118 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other194) {
-  traffic_hello = other194.traffic_hello;
-  traffic_welcome = other194.traffic_welcome;
-  dispatch = other194.dispatch;
-  answer = other194.answer;
-  refusal = other194.refusal;
-  failure = other194.failure;
-  inquiry = other194.inquiry;
-  inquiry_reply = other194.inquiry_reply;
-  settled = other194.settled;
-  cancel = other194.cancel;
-  traffic_ping = other194.traffic_ping;
-  traffic_pong = other194.traffic_pong;
-  traffic_go_away = other194.traffic_go_away;
-  control_hello = other194.control_hello;
-  announce = other194.announce;
-  pull = other194.pull;
-  change_records = other194.change_records;
-  snapshot_chunk = other194.snapshot_chunk;
-  held_ack = other194.held_ack;
-  heartbeat = other194.heartbeat;
-  control_go_away = other194.control_go_away;
-  records_pull = other194.records_pull;
-  records_push = other194.records_push;
-  follow_revisions = other194.follow_revisions;
-  revision_notice = other194.revision_notice;
-  __isset = other194.__isset;
+Body::Body(const Body& other198) {
+  traffic_hello = other198.traffic_hello;
+  traffic_welcome = other198.traffic_welcome;
+  dispatch = other198.dispatch;
+  answer = other198.answer;
+  refusal = other198.refusal;
+  failure = other198.failure;
+  inquiry = other198.inquiry;
+  inquiry_reply = other198.inquiry_reply;
+  settled = other198.settled;
+  cancel = other198.cancel;
+  traffic_ping = other198.traffic_ping;
+  traffic_pong = other198.traffic_pong;
+  traffic_go_away = other198.traffic_go_away;
+  control_hello = other198.control_hello;
+  announce = other198.announce;
+  pull = other198.pull;
+  change_records = other198.change_records;
+  snapshot_chunk = other198.snapshot_chunk;
+  held_ack = other198.held_ack;
+  heartbeat = other198.heartbeat;
+  control_go_away = other198.control_go_away;
+  records_pull = other198.records_pull;
+  records_push = other198.records_push;
+  follow_revisions = other198.follow_revisions;
+  revision_notice = other198.revision_notice;
+  __isset = other198.__isset;
 }
-Body::Body(Body&& other195) noexcept {
-  traffic_hello = std::move(other195.traffic_hello);
-  traffic_welcome = std::move(other195.traffic_welcome);
-  dispatch = std::move(other195.dispatch);
-  answer = std::move(other195.answer);
-  refusal = std::move(other195.refusal);
-  failure = std::move(other195.failure);
-  inquiry = std::move(other195.inquiry);
-  inquiry_reply = std::move(other195.inquiry_reply);
-  settled = std::move(other195.settled);
-  cancel = std::move(other195.cancel);
-  traffic_ping = std::move(other195.traffic_ping);
-  traffic_pong = std::move(other195.traffic_pong);
-  traffic_go_away = std::move(other195.traffic_go_away);
-  control_hello = std::move(other195.control_hello);
-  announce = std::move(other195.announce);
-  pull = std::move(other195.pull);
-  change_records = std::move(other195.change_records);
-  snapshot_chunk = std::move(other195.snapshot_chunk);
-  held_ack = std::move(other195.held_ack);
-  heartbeat = std::move(other195.heartbeat);
-  control_go_away = std::move(other195.control_go_away);
-  records_pull = std::move(other195.records_pull);
-  records_push = std::move(other195.records_push);
-  follow_revisions = std::move(other195.follow_revisions);
-  revision_notice = std::move(other195.revision_notice);
-  __isset = other195.__isset;
+Body::Body(Body&& other199) noexcept {
+  traffic_hello = std::move(other199.traffic_hello);
+  traffic_welcome = std::move(other199.traffic_welcome);
+  dispatch = std::move(other199.dispatch);
+  answer = std::move(other199.answer);
+  refusal = std::move(other199.refusal);
+  failure = std::move(other199.failure);
+  inquiry = std::move(other199.inquiry);
+  inquiry_reply = std::move(other199.inquiry_reply);
+  settled = std::move(other199.settled);
+  cancel = std::move(other199.cancel);
+  traffic_ping = std::move(other199.traffic_ping);
+  traffic_pong = std::move(other199.traffic_pong);
+  traffic_go_away = std::move(other199.traffic_go_away);
+  control_hello = std::move(other199.control_hello);
+  announce = std::move(other199.announce);
+  pull = std::move(other199.pull);
+  change_records = std::move(other199.change_records);
+  snapshot_chunk = std::move(other199.snapshot_chunk);
+  held_ack = std::move(other199.held_ack);
+  heartbeat = std::move(other199.heartbeat);
+  control_go_away = std::move(other199.control_go_away);
+  records_pull = std::move(other199.records_pull);
+  records_push = std::move(other199.records_push);
+  follow_revisions = std::move(other199.follow_revisions);
+  revision_notice = std::move(other199.revision_notice);
+  __isset = other199.__isset;
 }
-Body& Body::operator=(const Body& other196) {
-  traffic_hello = other196.traffic_hello;
-  traffic_welcome = other196.traffic_welcome;
-  dispatch = other196.dispatch;
-  answer = other196.answer;
-  refusal = other196.refusal;
-  failure = other196.failure;
-  inquiry = other196.inquiry;
-  inquiry_reply = other196.inquiry_reply;
-  settled = other196.settled;
-  cancel = other196.cancel;
-  traffic_ping = other196.traffic_ping;
-  traffic_pong = other196.traffic_pong;
-  traffic_go_away = other196.traffic_go_away;
-  control_hello = other196.control_hello;
-  announce = other196.announce;
-  pull = other196.pull;
-  change_records = other196.change_records;
-  snapshot_chunk = other196.snapshot_chunk;
-  held_ack = other196.held_ack;
-  heartbeat = other196.heartbeat;
-  control_go_away = other196.control_go_away;
-  records_pull = other196.records_pull;
-  records_push = other196.records_push;
-  follow_revisions = other196.follow_revisions;
-  revision_notice = other196.revision_notice;
-  __isset = other196.__isset;
+Body& Body::operator=(const Body& other200) {
+  traffic_hello = other200.traffic_hello;
+  traffic_welcome = other200.traffic_welcome;
+  dispatch = other200.dispatch;
+  answer = other200.answer;
+  refusal = other200.refusal;
+  failure = other200.failure;
+  inquiry = other200.inquiry;
+  inquiry_reply = other200.inquiry_reply;
+  settled = other200.settled;
+  cancel = other200.cancel;
+  traffic_ping = other200.traffic_ping;
+  traffic_pong = other200.traffic_pong;
+  traffic_go_away = other200.traffic_go_away;
+  control_hello = other200.control_hello;
+  announce = other200.announce;
+  pull = other200.pull;
+  change_records = other200.change_records;
+  snapshot_chunk = other200.snapshot_chunk;
+  held_ack = other200.held_ack;
+  heartbeat = other200.heartbeat;
+  control_go_away = other200.control_go_away;
+  records_pull = other200.records_pull;
+  records_push = other200.records_push;
+  follow_revisions = other200.follow_revisions;
+  revision_notice = other200.revision_notice;
+  __isset = other200.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other197) noexcept {
-  traffic_hello = std::move(other197.traffic_hello);
-  traffic_welcome = std::move(other197.traffic_welcome);
-  dispatch = std::move(other197.dispatch);
-  answer = std::move(other197.answer);
-  refusal = std::move(other197.refusal);
-  failure = std::move(other197.failure);
-  inquiry = std::move(other197.inquiry);
-  inquiry_reply = std::move(other197.inquiry_reply);
-  settled = std::move(other197.settled);
-  cancel = std::move(other197.cancel);
-  traffic_ping = std::move(other197.traffic_ping);
-  traffic_pong = std::move(other197.traffic_pong);
-  traffic_go_away = std::move(other197.traffic_go_away);
-  control_hello = std::move(other197.control_hello);
-  announce = std::move(other197.announce);
-  pull = std::move(other197.pull);
-  change_records = std::move(other197.change_records);
-  snapshot_chunk = std::move(other197.snapshot_chunk);
-  held_ack = std::move(other197.held_ack);
-  heartbeat = std::move(other197.heartbeat);
-  control_go_away = std::move(other197.control_go_away);
-  records_pull = std::move(other197.records_pull);
-  records_push = std::move(other197.records_push);
-  follow_revisions = std::move(other197.follow_revisions);
-  revision_notice = std::move(other197.revision_notice);
-  __isset = other197.__isset;
+Body& Body::operator=(Body&& other201) noexcept {
+  traffic_hello = std::move(other201.traffic_hello);
+  traffic_welcome = std::move(other201.traffic_welcome);
+  dispatch = std::move(other201.dispatch);
+  answer = std::move(other201.answer);
+  refusal = std::move(other201.refusal);
+  failure = std::move(other201.failure);
+  inquiry = std::move(other201.inquiry);
+  inquiry_reply = std::move(other201.inquiry_reply);
+  settled = std::move(other201.settled);
+  cancel = std::move(other201.cancel);
+  traffic_ping = std::move(other201.traffic_ping);
+  traffic_pong = std::move(other201.traffic_pong);
+  traffic_go_away = std::move(other201.traffic_go_away);
+  control_hello = std::move(other201.control_hello);
+  announce = std::move(other201.announce);
+  pull = std::move(other201.pull);
+  change_records = std::move(other201.change_records);
+  snapshot_chunk = std::move(other201.snapshot_chunk);
+  held_ack = std::move(other201.held_ack);
+  heartbeat = std::move(other201.heartbeat);
+  control_go_away = std::move(other201.control_go_away);
+  records_pull = std::move(other201.records_pull);
+  records_push = std::move(other201.records_push);
+  follow_revisions = std::move(other201.follow_revisions);
+  revision_notice = std::move(other201.revision_notice);
+  __isset = other201.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -6030,26 +6203,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other198) {
-  logical_time = other198.logical_time;
-  body = other198.body;
-  __isset = other198.__isset;
+Frame::Frame(const Frame& other202) {
+  logical_time = other202.logical_time;
+  body = other202.body;
+  __isset = other202.__isset;
 }
-Frame::Frame(Frame&& other199) noexcept {
-  logical_time = other199.logical_time;
-  body = std::move(other199.body);
-  __isset = other199.__isset;
+Frame::Frame(Frame&& other203) noexcept {
+  logical_time = other203.logical_time;
+  body = std::move(other203.body);
+  __isset = other203.__isset;
 }
-Frame& Frame::operator=(const Frame& other200) {
-  logical_time = other200.logical_time;
-  body = other200.body;
-  __isset = other200.__isset;
+Frame& Frame::operator=(const Frame& other204) {
+  logical_time = other204.logical_time;
+  body = other204.body;
+  __isset = other204.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other201) noexcept {
-  logical_time = other201.logical_time;
-  body = std::move(other201.body);
-  __isset = other201.__isset;
+Frame& Frame::operator=(Frame&& other205) noexcept {
+  logical_time = other205.logical_time;
+  body = std::move(other205.body);
+  __isset = other205.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -35,6 +35,8 @@
 
 class HttpResponse;
 
+class TargetStatement;
+
 class TrafficHello;
 
 class TrafficWelcome;
@@ -498,6 +500,53 @@
 
 std::ostream& operator<<(std::ostream& out, const HttpResponse& obj);
 
+typedef struct _TargetStatement__isset {
+  _TargetStatement__isset() : requests_per_second(false) {}
+  bool requests_per_second :1;
+} _TargetStatement__isset;
+
+class TargetStatement : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetStatement(const TargetStatement&) noexcept;
+  TargetStatement(TargetStatement&&) noexcept;
+  TargetStatement& operator=(const TargetStatement&) noexcept;
+  TargetStatement& operator=(TargetStatement&&) noexcept;
+  TargetStatement() noexcept
+                  : requests_per_second(0) {
+  }
+
+  virtual ~TargetStatement() noexcept;
+  double requests_per_second;
+
+  _TargetStatement__isset __isset;
+
+  void __set_requests_per_second(const double val);
+
+  bool operator == (const TargetStatement & rhs) const
+  {
+    if (__isset.requests_per_second != rhs.__isset.requests_per_second)
+      return false;
+    else if (__isset.requests_per_second && !(requests_per_second == rhs.requests_per_second))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetStatement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetStatement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetStatement &a, TargetStatement &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetStatement& obj);
+
 typedef struct _TrafficHello__isset {
   _TrafficHello__isset() : host(false), ingress(false), epoch(false), version(false) {}
   bool host :1;
@@ -635,7 +684,7 @@
 std::ostream& operator<<(std::ostream& out, const TrafficWelcome& obj);
 
 typedef struct _Dispatch__isset {
-  _Dispatch__isset() : id(false), epoch(false), gate(false), remaining_us(false), version(false), service_name(false), target_name(false), idempotent(false), request(false), kind(false), priority(false), wanted_in_us(false) {}
+  _Dispatch__isset() : id(false), epoch(false), gate(false), remaining_us(false), version(false), service_name(false), target_name(false), idempotent(false), request(false), kind(false), priority(false), wanted_in_us(false), stated_rate(false) {}
   bool id :1;
   bool epoch :1;
   bool gate :1;
@@ -648,6 +697,7 @@
   bool kind :1;
   bool priority :1;
   bool wanted_in_us :1;
+  bool stated_rate :1;
 } _Dispatch__isset;
 
 class Dispatch : public virtual ::apache::thrift::TBase {
@@ -666,7 +716,8 @@
              idempotent(0),
              kind(),
              priority(0),
-             wanted_in_us(0) {
+             wanted_in_us(0),
+             stated_rate(0) {
   }
 
   virtual ~Dispatch() noexcept;
@@ -682,6 +733,7 @@
   std::string kind;
   int32_t priority;
   int64_t wanted_in_us;
+  double stated_rate;
 
   _Dispatch__isset __isset;
 
@@ -709,6 +761,8 @@
 
   void __set_wanted_in_us(const int64_t val);
 
+  void __set_stated_rate(const double val);
+
   bool operator == (const Dispatch & rhs) const
   {
     if (!(id == rhs.id))
@@ -735,6 +789,10 @@
       return false;
     if (!(wanted_in_us == rhs.wanted_in_us))
       return false;
+    if (__isset.stated_rate != rhs.__isset.stated_rate)
+      return false;
+    else if (__isset.stated_rate && !(stated_rate == rhs.stated_rate))
+      return false;
     return true;
   }
   bool operator != (const Dispatch &rhs) const {
@@ -754,10 +812,11 @@
 std::ostream& operator<<(std::ostream& out, const Dispatch& obj);
 
 typedef struct _Answer__isset {
-  _Answer__isset() : id(false), response(false), capacity(false) {}
+  _Answer__isset() : id(false), response(false), capacity(false), statement(false) {}
   bool id :1;
   bool response :1;
   bool capacity :1;
+  bool statement :1;
 } _Answer__isset;
 
 class Answer : public virtual ::apache::thrift::TBase {
@@ -774,6 +833,7 @@
   RequestId id;
   HttpResponse response;
   Capacity capacity;
+  TargetStatement statement;
 
   _Answer__isset __isset;
 
@@ -783,6 +843,8 @@
 
   void __set_capacity(const Capacity& val);
 
+  void __set_statement(const TargetStatement& val);
+
   bool operator == (const Answer & rhs) const
   {
     if (!(id == rhs.id))
@@ -791,6 +853,8 @@
       return false;
     if (!(capacity == rhs.capacity))
       return false;
+    if (!(statement == rhs.statement))
+      return false;
     return true;
   }
   bool operator != (const Answer &rhs) const {
@@ -810,12 +874,13 @@
 std::ostream& operator<<(std::ostream& out, const Answer& obj);
 
 typedef struct _Refusal__isset {
-  _Refusal__isset() : id(false), reason(false), retry_after_us(false), version(false), capacity(false) {}
+  _Refusal__isset() : id(false), reason(false), retry_after_us(false), version(false), capacity(false), statement(false) {}
   bool id :1;
   bool reason :1;
   bool retry_after_us :1;
   bool version :1;
   bool capacity :1;
+  bool statement :1;
 } _Refusal__isset;
 
 class Refusal : public virtual ::apache::thrift::TBase {
@@ -837,6 +902,7 @@
   int64_t retry_after_us;
   int64_t version;
   Capacity capacity;
+  TargetStatement statement;
 
   _Refusal__isset __isset;
 
@@ -850,6 +916,8 @@
 
   void __set_capacity(const Capacity& val);
 
+  void __set_statement(const TargetStatement& val);
+
   bool operator == (const Refusal & rhs) const
   {
     if (!(id == rhs.id))
@@ -862,6 +930,10 @@
       return false;
     if (!(capacity == rhs.capacity))
       return false;
+    if (__isset.statement != rhs.__isset.statement)
+      return false;
+    else if (__isset.statement && !(statement == rhs.statement))
+      return false;
     return true;
   }
   bool operator != (const Refusal &rhs) const {
--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -51,6 +51,8 @@
   ZoneOut = 502,
   ZoneIn = 503,
   TargetHeldOff = 520,
+  TargetRateStated = 521,
+  StatementMalformed = 522,
   CallerRejected = 600,
   TargetListed = 700,
   TargetDraining = 701,
--- a/include/dandelionfall/core/gate.h
+++ b/include/dandelionfall/core/gate.h
@@ -117,6 +117,11 @@
   /// Handles the end of a link. Running requests continue, because the ingress
   /// may inquire about them on a new link.
   void onLinkClosed(LinkId Link, TimePoint Now);
+  /// Handles what the target states about itself in a response. Called before
+  /// the method that handles the response itself.
+  /// \param Id the request that the response belongs to.
+  void onTargetStatement(const RequestId &Id, const TargetStatement &Statement,
+                         TimePoint Now);
   /// Handles the complete response of the target.
   void onTargetAnswer(const RequestId &Id, HttpResponsePtr Response,
                       TimePoint Now);
--- a/include/dandelionfall/core/http_dialect.h
+++ b/include/dandelionfall/core/http_dialect.h
@@ -25,6 +25,9 @@
   /// In a response of a target: proves that the target itself created it; every
   /// complete response carries it.
   std::string_view m_SignatureField;
+  /// In a response of a target: requests per second that it takes from all
+  /// nodes together, as a decimal number.
+  std::string_view m_RateLimitField;
   /// In a response created by a node: `not-run`, `unknown` or `no-route`.
   std::string_view m_OutcomeField;
   /// In a response created by a node: milliseconds after which the request may
--- a/include/dandelionfall/core/traffic_message.h
+++ b/include/dandelionfall/core/traffic_message.h
@@ -6,10 +6,12 @@
 #include "dandelionfall/core/configuration.h"
 #include "dandelionfall/core/http_message.h"
 #include "dandelionfall/core/identity.h"
+#include "dandelionfall/core/target_statement.h"
 #include "dandelionfall/core/time.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -75,6 +77,9 @@
   /// Time left until the soft deadline, after which an answer counts as late.
   /// Zero or negative once it has passed; the maximum if there is none.
   Duration m_SoftDeadlineIn = Duration::max();
+  /// Rate that the target stated in its latest response to this ingress; unset
+  /// if it stated none. A gate that has restarted relies on it.
+  std::optional<double> m_StatedRate{};
   friend bool operator==(const Dispatch &, const Dispatch &) = default;
 };
 
@@ -83,6 +88,7 @@
   RequestId m_Id;
   HttpResponsePtr m_Response;
   Capacity m_Capacity;
+  TargetStatement m_Statement{};
   friend bool operator==(const Answer &, const Answer &) = default;
 };
 
@@ -116,6 +122,8 @@
   Duration m_RetryAfter{0};
   Version m_Version = 0;
   Capacity m_Capacity;
+  /// Set if the target itself refused the request.
+  std::optional<TargetStatement> m_Statement{};
   friend bool operator==(const Refusal &, const Refusal &) = default;
 };
 
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -9,15 +9,21 @@
 struct HttpRequest { 1: string method, 2: binary path, 3: string host_name, 4: list<HttpField> fields, 5: binary body }
 struct HttpResponse { 1: i32 status, 2: list<HttpField> fields, 3: binary body }
 
+// A missing rate means that the target states none.
+struct TargetStatement { 1: optional double requests_per_second }
+
 struct TrafficHello { 1: string host, 2: Incarnation ingress, 3: i64 epoch, 4: i64 version }
 struct TrafficWelcome { 1: string host, 2: Incarnation gate, 3: i64 epoch, 4: i64 version, 5: Capacity capacity }
 struct Dispatch {
   1: RequestId id, 2: i64 epoch, 3: Incarnation gate, 4: i64 remaining_us, 5: i64 version,
   6: string service_name, 7: string target_name, 8: bool idempotent, 9: HttpRequest request,
-  10: string kind, 11: i32 priority, 12: i64 wanted_in_us
+  10: string kind, 11: i32 priority, 12: i64 wanted_in_us, 13: optional double stated_rate
+}
+struct Answer { 1: RequestId id, 2: HttpResponse response, 3: Capacity capacity, 4: TargetStatement statement }
+struct Refusal {
+  1: RequestId id, 2: i32 reason, 3: i64 retry_after_us, 4: i64 version, 5: Capacity capacity,
+  6: optional TargetStatement statement
 }
-struct Answer { 1: RequestId id, 2: HttpResponse response, 3: Capacity capacity }
-struct Refusal { 1: RequestId id, 2: i32 reason, 3: i64 retry_after_us, 4: i64 version, 5: Capacity capacity }
 struct Failure { 1: RequestId id, 2: string detail, 3: Capacity capacity }
 struct Inquiry { 1: list<RequestId> ids }
 struct InquiryReply { 1: RequestId id, 2: i32 state }
--- a/src/app/node/caller_response.cpp
+++ b/src/app/node/caller_response.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <string>
 
@@ -186,6 +187,21 @@
   return ResponseClass::Complete;
 }
 
+std::optional<core::TargetStatement>
+parseStatement(const core::HttpDialect &Dialect,
+               const core::HttpResponse &Response) {
+  core::TargetStatement Result;
+  const core::HttpField *Rate = findField(Response, Dialect.m_RateLimitField);
+  double PerSecond = 0;
+  if (Rate == nullptr)
+    return Result;
+  if (!absl::SimpleAtod(Rate->m_Value, &PerSecond) ||
+      !std::isfinite(PerSecond) || PerSecond < 0)
+    return std::nullopt;
+  Result.m_RequestsPerSecond = PerSecond;
+  return Result;
+}
+
 core::Duration parseRetryAfter(const core::HttpResponse &Response) {
   constexpr double MicrosecondsPerSecond = 1'000'000;
   constexpr double OneDaySeconds = 86'400;
--- a/src/app/node/caller_response.h
+++ b/src/app/node/caller_response.h
@@ -7,6 +7,7 @@
 #include "dandelionfall/core/configuration.h"
 #include "dandelionfall/core/http_dialect.h"
 #include "dandelionfall/core/ingress.h"
+#include "dandelionfall/core/target_statement.h"
 
 #include <cstdint>
 #include <optional>
@@ -66,6 +67,12 @@
                                const core::HttpResponse &Response,
                                bool Idempotent);
 
+/// Reads what a target states about itself in a response.
+/// \returns nothing if a statement is malformed.
+std::optional<core::TargetStatement>
+parseStatement(const core::HttpDialect &Dialect,
+               const core::HttpResponse &Response);
+
 /// \returns the delay in the response's `Retry-After` field, in seconds with an
 /// optional fraction; 0 if it is missing, malformed or not between 0 and one
 /// day.
--- a/src/app/node/traffic_commands.cpp
+++ b/src/app/node/traffic_commands.cpp
@@ -260,8 +260,11 @@
 void TrafficDriver::Impl::onTargetResponse(
     const core::StartTarget &Started, const core::HttpResponsePtr &Response,
     TimePoint Now) {
-  switch (
-      classifyResponse(m_Board.m_Dialect, *Response, Started.m_Idempotent)) {
+  const ResponseClass Class =
+      classifyResponse(m_Board.m_Dialect, *Response, Started.m_Idempotent);
+  if (Class == ResponseClass::Complete || Class == ResponseClass::NotRun)
+    recordStatement(Started, *Response, Now);
+  switch (Class) {
   case ResponseClass::Complete:
     return m_Gate.onTargetAnswer(Started.m_Id, Response, Now);
   case ResponseClass::NotRun:
@@ -276,6 +279,17 @@
   }
 }
 
+void TrafficDriver::Impl::recordStatement(const core::StartTarget &Started,
+                                          const core::HttpResponse &Response,
+                                          TimePoint Now) {
+  const auto Statement = parseStatement(m_Board.m_Dialect, Response);
+  if (Statement)
+    return m_Gate.onTargetStatement(Started.m_Id, *Statement, Now);
+  m_Board.m_Events.record({core::EventId::StatementMalformed,
+                           "request=" + core::toString(Started.m_Id) +
+                               " target=" + Started.m_Target});
+}
+
 void TrafficDriver::Impl::perform(const core::CancelTarget &Command) {
   const auto Found = m_Exchanges.find(Command.m_Id);
   if (Found != m_Exchanges.end())
--- a/src/app/node/traffic_driver_impl.h
+++ b/src/app/node/traffic_driver_impl.h
@@ -81,6 +81,8 @@
                       const net::HttpResult &Result);
   void onTargetResponse(const core::StartTarget &Started,
                         const core::HttpResponsePtr &Response, TimePoint Now);
+  void recordStatement(const core::StartTarget &Started,
+                       const core::HttpResponse &Response, TimePoint Now);
   std::string encode(const core::TrafficMessage &Message);
 
   boost::asio::io_context &m_Context;
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -86,6 +86,13 @@
     EventInfo{EventId::TargetHeldOff, "target-held-off", Severity::Warning,
               "The target accepts no connections; it receives no requests for "
               "a while."},
+    EventInfo{EventId::TargetRateStated, "target-rate-stated", Severity::Info,
+              "A target states how many requests per second it takes, or no "
+              "longer does."},
+    EventInfo{EventId::StatementMalformed, "statement-malformed",
+              Severity::Warning,
+              "A target's response states something unreadable about the "
+              "target; the previous statement stays in force."},
     EventInfo{EventId::CallerRejected, "caller-rejected", Severity::Warning,
               "A caller's request broke a limit or the protocol."},
     EventInfo{EventId::TargetListed, "target-listed", Severity::Info,
--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -80,6 +80,7 @@
   if (m_Target->m_Name != PreviousName) {
     m_DepartedTarget.clear();
     m_HoldOff = HoldOff();
+    m_StatedRate = StatedRate();
     // Requests that another process sent to the target before this one started
     // are unknown.
     if (PreviousName.empty())
@@ -130,8 +131,8 @@
 std::optional<TimePoint> Engine::nextWakeUp() const {
   std::optional<TimePoint> Next = m_Slots.nextChange(answerGrace());
   updateEarliest(Next, m_Queue.nextChange());
-  if (!m_Queue.empty() && m_NextColdStart)
-    updateEarliest(Next, m_NextColdStart);
+  if (!m_Queue.empty() && m_NextRateStart)
+    updateEarliest(Next, m_NextRateStart);
   updateEarliest(Next, m_SleepGuard.nextWakeUp());
   if (!m_Ledger.empty())
     updateEarliest(Next, std::optional(m_NextSweep));
@@ -147,8 +148,8 @@
   Value.m_InFlight = m_Slots.size();
   Value.m_Queued = m_Queue.size();
   Value.m_Limit = m_Ramp.limit();
-  if (m_ColdSlots)
-    Value.m_Limit = std::min(Value.m_Limit, *m_ColdSlots);
+  if (m_RateSlots)
+    Value.m_Limit = std::min(Value.m_Limit, *m_RateSlots);
   Value.m_ServiceTime =
       m_ServiceTimes.overall().estimate(TimePoint{}, std::nullopt).m_Mean;
   return Value;
@@ -180,14 +181,18 @@
   if (Entry == nullptr || Entry->m_State != RequestState::Done)
     return;
   if (Entry->m_Response != nullptr)
-    return sendToIngress(Id, Answer{Id, Entry->m_Response, capacity()});
+    return sendToIngress(
+        Id, Answer{Id, Entry->m_Response, capacity(), statement()});
   sendToIngress(Id, Failure{Id, Entry->m_FailureDetail, capacity()});
 }
 
 void Engine::sendRefusal(LinkId Link, const RequestId &Id,
                          const RefusalCause &Cause) {
-  send(Link,
-       Refusal{Id, Cause.m_Reason, Cause.m_RetryAfter, version(), capacity()});
+  Refusal Message{Id, Cause.m_Reason, Cause.m_RetryAfter, version(),
+                  capacity()};
+  if (Cause.m_Reason == RefusalReason::TargetRefused)
+    Message.m_Statement = statement();
+  send(Link, std::move(Message));
   report(EventId::RequestRefused,
          "request=" + toString(Id) +
              " reason=" + std::string(nameOf(Cause.m_Reason)) +
@@ -205,6 +210,17 @@
     sendRefusal(*Link, Id, Cause);
 }
 
+TargetStatement Engine::statement() const { return {m_StatedRate.limit()}; }
+
+void Engine::reportStatedRate(std::string_view Origin) {
+  const std::optional<double> PerSecond = m_StatedRate.limit();
+  report(
+      EventId::TargetRateStated,
+      "target=" + (m_Target == nullptr ? "none" : m_Target->m_Name) +
+          " per_second=" + (PerSecond ? std::to_string(*PerSecond) : "none") +
+          " origin=" + std::string(Origin));
+}
+
 void Engine::report(EventId Id, std::string Detail) {
   m_Commands.emplace_back(Event{Id, std::move(Detail)});
 }
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -13,6 +13,7 @@
 #include "core/gate/request_queue.h"
 #include "core/gate/service_time.h"
 #include "core/gate/sleep_guard.h"
+#include "core/gate/stated_rate.h"
 #include "core/gate/target_slots.h"
 #include "dandelionfall/core/gate.h"
 
@@ -46,6 +47,8 @@
                        const std::string &Detail, TimePoint Now);
   void onTargetRefused(const RequestId &Id, bool IsOtherTarget,
                        Duration RetryAfter, TimePoint Now);
+  void onTargetStatement(const RequestId &Id, const TargetStatement &Statement,
+                         TimePoint Now);
   void onTargetConnectionClosed(TimePoint Now);
   void startDrain(TimePoint Now);
   void onTick(TimePoint Now);
@@ -77,6 +80,9 @@
   std::optional<RefusalCause> refusalByLoad(const std::string &Kind,
                                             const ArrivingRequest &Arriving,
                                             bool &Late, TimePoint Now) const;
+  /// \returns the time that an arriving request would wait for the rate limits
+  /// of the target.
+  Duration rateWait(TimePoint Now) const;
   AdmissionView admissionView(const std::string &Kind, TimePoint Now) const;
   void reportNewerVersion(LinkId Link, Version Seen);
   void closeLink(LinkId Link);
@@ -87,7 +93,7 @@
   Duration answerGrace() const;
   bool requeueIfLate(QueuedRequest &Next, TimePoint Now);
   bool canStartNow(TimePoint Now);
-  void updateColdSlots(TimePoint Now);
+  void updateRateSlots(TimePoint Now);
   void failRunning(const RequestId &Id, const std::string &Detail);
   void abandon(const RequestId &Id, const std::string &Detail, TimePoint Now);
   void onNotSent(const OccupiedSlot &Slot, const std::string &Detail,
@@ -114,6 +120,8 @@
   void findLocalTarget();
   bool isLocalTarget(const Target &Each) const;
   void applyColdStart(const std::string &PreviousName, TimePoint Now);
+  TargetStatement statement() const;
+  void reportStatedRate(std::string_view Origin);
   void applyZoneState(bool WasIn, TimePoint Now);
   bool isZoneOut() const;
   Version version() const;
@@ -140,12 +148,13 @@
   ServiceTimes m_ServiceTimes;
   Ramp m_Ramp;
   ColdRate m_ColdRate;
-  /// When the next waiting request may start at a cold target; unset if it need
-  /// not wait.
-  std::optional<TimePoint> m_NextColdStart;
-  /// Concurrency that a cold target is expected to reach at its rate limit;
-  /// unset if warm.
-  std::optional<std::uint32_t> m_ColdSlots;
+  StatedRate m_StatedRate;
+  /// When the next waiting request may start within the rate limits of the
+  /// target; unset if it need not wait.
+  std::optional<TimePoint> m_NextRateStart;
+  /// Concurrency that the target is expected to reach at its rate limits; unset
+  /// if it has none.
+  std::optional<std::uint32_t> m_RateSlots;
   /// Name of a target whose address turned out to be served by another target.
   std::string m_DepartedTarget;
   HoldOff m_HoldOff;
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -74,6 +74,9 @@
     Cause = refusalByState(Message, Remaining, Now);
   const ArrivingRequest Arriving{
       Now + Remaining, Now + std::min(Message.m_SoftDeadlineIn, Remaining)};
+  if (!Cause && Message.m_StatedRate &&
+      m_StatedRate.adopt(*Message.m_StatedRate, Now))
+    reportStatedRate("ingress");
   bool Late = false;
   if (!Cause)
     Cause = refusalByLoad(Message.m_Kind, Arriving, Late, Now);
@@ -130,16 +133,11 @@
 std::optional<RefusalCause>
 Engine::refusalByLoad(const std::string &Kind, const ArrivingRequest &Arriving,
                       bool &Late, TimePoint Now) const {
-  if (const auto PerSecond = m_ColdRate.limit(Now)) {
-    // The queue of a cold target drains at the rate limit, regardless of free
-    // slots.
-    const auto Ahead = static_cast<double>(m_Queue.size());
-    const auto Wait = Duration(
-        static_cast<Duration::rep>(Ahead / *PerSecond * MicrosecondsPerSecond));
-    if (Wait > MaxColdWait ||
-        Now + Wait + estimate(Kind, Now).m_Mean > Arriving.m_Deadline)
-      return RefusalCause{RefusalReason::Overload, Wait};
-  }
+  const Duration Wait = rateWait(Now);
+  if (Wait > MaxRateWait ||
+      (Wait > Duration{0} &&
+       Now + Wait + estimate(Kind, Now).m_Mean > Arriving.m_Deadline))
+    return RefusalCause{RefusalReason::Overload, Wait};
   const AdmissionDecision Decision =
       m_Admission->decide(admissionView(Kind, Now), Arriving);
   Late = Decision.m_Late;
@@ -148,6 +146,18 @@
   return RefusalCause{Decision.m_Reason, Decision.m_RetryAfter};
 }
 
+// The queue of a target with a rate limit drains at that rate, regardless of
+// free slots.
+Duration Engine::rateWait(TimePoint Now) const {
+  Duration Wait = m_StatedRate.wait(m_Queue.size(), Now);
+  if (const auto PerSecond = m_ColdRate.limit(Now)) {
+    const auto Ahead = static_cast<double>(m_Queue.size());
+    Wait = std::max(Wait, Duration(static_cast<Duration::rep>(
+                              Ahead / *PerSecond * MicrosecondsPerSecond)));
+  }
+  return Wait;
+}
+
 AdmissionView Engine::admissionView(const std::string &Kind,
                                     TimePoint Now) const {
   AdmissionView View;
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -174,6 +174,21 @@
   advance(Now);
 }
 
+void Engine::onTargetStatement(const RequestId &Id,
+                               const TargetStatement &Statement,
+                               TimePoint Now) {
+  const OccupiedSlot *Slot = m_Slots.find(Id);
+  const LedgerEntry *Entry = m_Ledger.find(Id);
+  // A statement of a target that has been replaced since says nothing about the
+  // present one.
+  if (Slot == nullptr || Entry == nullptr || m_Target == nullptr ||
+      Entry->m_Target != m_Target->m_Name)
+    return;
+  if (m_StatedRate.onResponse(Statement.m_RequestsPerSecond, Slot->m_Start,
+                              Now))
+    reportStatedRate("response");
+}
+
 void Engine::onTargetConnectionClosed(TimePoint Now) {
   updateSleepGuard(Now);
   restartRampIfRaised("connection-closed", Now);
@@ -186,7 +201,7 @@
   if (m_HoldOff.remaining(Now) > Duration{0})
     return;
   const std::uint32_t Allowed = m_HoldOff.isProbing() ? 1 : m_Ramp.limit();
-  updateColdSlots(Now);
+  updateRateSlots(Now);
   while (!m_Queue.empty() && m_Slots.size() < Allowed && canStartNow(Now)) {
     QueuedRequest Next = m_Queue.pop();
     if (requeueIfLate(Next, Now))
@@ -214,21 +229,25 @@
   return true;
 }
 
-// At a cold target the next start may have to wait for the rate limit.
 bool Engine::canStartNow(TimePoint Now) {
-  const TimePoint Next = m_ColdRate.earliestStart(Now);
-  m_NextColdStart = Next > Now ? std::optional(Next) : std::nullopt;
+  const TimePoint Next =
+      std::max(m_ColdRate.earliestStart(Now), m_StatedRate.earliestStart(Now));
+  m_NextRateStart = Next > Now ? std::optional(Next) : std::nullopt;
   return Next <= Now;
 }
 
-void Engine::updateColdSlots(TimePoint Now) {
-  m_ColdSlots.reset();
-  const std::optional<double> PerSecond = m_ColdRate.limit(Now);
-  if (!PerSecond)
-    return;
-  const std::chrono::duration<double> Mean =
-      m_ServiceTimes.overall().estimate(Now, m_IdleSince).m_Mean;
-  m_ColdSlots = static_cast<std::uint32_t>(1 + *PerSecond * Mean.count());
+void Engine::updateRateSlots(TimePoint Now) {
+  m_RateSlots.reset();
+  for (const std::optional<double> &PerSecond :
+       {m_ColdRate.limit(Now), m_StatedRate.limit()}) {
+    if (!PerSecond)
+      continue;
+    const std::chrono::duration<double> Mean =
+        m_ServiceTimes.overall().estimate(Now, m_IdleSince).m_Mean;
+    const auto Slots =
+        static_cast<std::uint32_t>(1 + *PerSecond * Mean.count());
+    m_RateSlots = std::min(Slots, m_RateSlots.value_or(Slots));
+  }
 }
 
 void Engine::start(const QueuedRequest &Next, TimePoint Now) {
@@ -236,6 +255,7 @@
   HttpRequestPtr Request = m_Ledger.start(Next.m_Id);
   m_Slots.occupy(Next.m_Id, Now, Next.m_Deadline, Next.m_Kind);
   m_ColdRate.recordStart(Now);
+  m_StatedRate.recordStart(Now);
   m_IdleSince.reset();
   m_Commands.emplace_back(StartTarget{Next.m_Id, Next.m_Deadline, Idempotent,
                                       std::move(Request),
--- a/src/core/gate/limits.h
+++ b/src/core/gate/limits.h
@@ -37,9 +37,11 @@
 /// Time after the availability zone went out at which requests that still wait
 /// are refused.
 inline constexpr Duration ZoneOutGrace = std::chrono::seconds(1);
-/// Longest time that a request may wait for the rate limit of a cold target.
-/// Beyond it, another target is the better choice.
-inline constexpr Duration MaxColdWait = std::chrono::milliseconds(300);
+/// Longest time that a request may wait for the rate limit of a target. Beyond
+/// it, another target is the better choice.
+inline constexpr Duration MaxRateWait = std::chrono::milliseconds(300);
+/// Longest time between two requests to a target that states a low rate.
+inline constexpr Duration MaxStatedInterval = std::chrono::seconds(2);
 /// Longest time that an abandoned request occupies its slot.
 inline constexpr Duration MaxAbandonedHold = std::chrono::seconds(5);
 /// Time that an abandoned request occupies its slot while no service time has
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -158,6 +158,8 @@
   Message.m_Priority = Entry.m_Priority;
   if (Entry.m_SoftDeadline < Entry.m_Deadline)
     Message.m_SoftDeadlineIn = Entry.m_SoftDeadline - Now;
+  if (Peer.m_StatedBy == Current.m_Target)
+    Message.m_StatedRate = Peer.m_Statement.m_RequestsPerSecond;
   Message.m_Request = Current.m_Repeat == 0
                           ? Entry.m_Request
                           : markRepeat(*Entry.m_Request, Current.m_Repeat);
--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -30,6 +30,7 @@
         Peer, Link,
         {Message.m_Id, "the gate sent no response", Message.m_Capacity}, Now);
   recordGateReply(*Ended, Link, Message.m_Capacity, Now);
+  recordStatement(*Ended, Message.m_Statement);
   const bool Failed = Message.m_Response->m_Status >= FirstServerError;
   Peer.m_Load.recordResult(!Failed, Now);
   const CallId Id = Ended->m_Call;
@@ -62,6 +63,8 @@
   if (Ended == nullptr)
     return;
   recordGateReply(*Ended, Link, Message.m_Capacity, Now);
+  if (Message.m_Statement)
+    recordStatement(*Ended, *Message.m_Statement);
   applyRefusal(Peer, Message, Now);
   Call *Entry = findCall(Ended->m_Call);
   if (Entry != nullptr && Message.m_RetryAfter > Duration{0} &&
@@ -131,6 +134,12 @@
   m_Links.rescheduleTimer(Peer, Now);
 }
 
+void CallTable::recordStatement(const Attempt &Ended,
+                                const TargetStatement &Statement) {
+  Ended.m_Peer->m_StatedBy = Ended.m_Target;
+  Ended.m_Peer->m_Statement = Statement;
+}
+
 // Changes of gates and versions.
 
 void CallTable::endOrphans(GatePeer &Peer) {
--- a/src/core/ingress/gate_peer.h
+++ b/src/core/ingress/gate_peer.h
@@ -5,6 +5,7 @@
 
 #include "core/ingress/load_view.h"
 #include "dandelionfall/core/identity.h"
+#include "dandelionfall/core/target_statement.h"
 
 #include <cstdint>
 #include <optional>
@@ -76,6 +77,11 @@
   std::vector<RequestId> m_Settled;
   std::optional<TimePoint> m_SettleDue;
 
+  /// Name of the target that made the latest statement, and the statement. They
+  /// outlive the gate's process, which forgets them when it restarts.
+  std::string m_StatedBy;
+  TargetStatement m_Statement;
+
   LoadView m_Load;
 };
 
--- a/src/net/wire_traffic.cpp
+++ b/src/net/wire_traffic.cpp
@@ -24,6 +24,20 @@
           countFromWire(Value.limit), Duration(Value.service_time_us)};
 }
 
+wire::TargetStatement toWire(const core::TargetStatement &Value) {
+  wire::TargetStatement Result;
+  if (Value.m_RequestsPerSecond)
+    Result.__set_requests_per_second(*Value.m_RequestsPerSecond);
+  return Result;
+}
+
+core::TargetStatement fromWire(const wire::TargetStatement &Value) {
+  core::TargetStatement Result;
+  if (Value.__isset.requests_per_second)
+    Result.m_RequestsPerSecond = rateFromWire(Value.requests_per_second);
+  return Result;
+}
+
 std::vector<wire::HttpField>
 toWire(const std::vector<core::HttpField> &Fields) {
   std::vector<wire::HttpField> Result(Fields.size());
@@ -126,6 +140,8 @@
     Value.kind = Message.m_Kind;
     Value.priority = static_cast<std::int32_t>(Message.m_Priority);
     Value.wanted_in_us = Message.m_SoftDeadlineIn.count();
+    if (Message.m_StatedRate)
+      Value.__set_stated_rate(*Message.m_StatedRate);
     if (Message.m_Request != nullptr)
       Value.request = toWire(*Message.m_Request);
     m_Body.__isset.dispatch = true;
@@ -137,6 +153,7 @@
     if (Message.m_Response != nullptr)
       Value.response = toWire(*Message.m_Response);
     Value.capacity = toWire(Message.m_Capacity);
+    Value.statement = toWire(Message.m_Statement);
     m_Body.__isset.answer = true;
   }
 
@@ -147,6 +164,8 @@
     Value.retry_after_us = Message.m_RetryAfter.count();
     Value.version = toSigned(Message.m_Version);
     Value.capacity = toWire(Message.m_Capacity);
+    if (Message.m_Statement)
+      Value.__set_statement(toWire(*Message.m_Statement));
     m_Body.__set_refusal(Value);
   }
 
@@ -221,28 +240,34 @@
 
 core::TrafficMessage readDispatch(wire::Body &Body) {
   wire::Dispatch &Value = Body.dispatch;
-  return core::Dispatch{
+  core::Dispatch Result{
       net::fromWire(Value.id),       toUnsigned(Value.epoch),
       net::fromWire(Value.gate),     Duration(Value.remaining_us),
       toUnsigned(Value.version),     std::move(Value.service_name),
       std::move(Value.target_name),  Value.idempotent,
       fromWire(Value.request),       std::move(Value.kind),
       countFromWire(Value.priority), Duration(Value.wanted_in_us)};
+  if (Value.__isset.stated_rate)
+    Result.m_StatedRate = rateFromWire(Value.stated_rate);
+  return Result;
 }
 
 core::TrafficMessage readAnswer(wire::Body &Body) {
   wire::Answer &Value = Body.answer;
   return core::Answer{net::fromWire(Value.id), fromWire(Value.response),
-                      fromWire(Value.capacity)};
+                      fromWire(Value.capacity), fromWire(Value.statement)};
 }
 
 core::TrafficMessage readRefusal(wire::Body &Body) {
   const wire::Refusal &Value = Body.refusal;
-  return core::Refusal{
+  core::Refusal Result{
       net::fromWire(Value.id),
       enumFromWire(Value.reason, core::RefusalReason::OtherTarget),
       Duration(Value.retry_after_us), toUnsigned(Value.version),
       fromWire(Value.capacity)};
+  if (Value.__isset.statement)
+    Result.m_Statement = fromWire(Value.statement);
+  return Result;
 }
 
 core::TrafficMessage readFailure(wire::Body &Body) {
--- a/src/net/wire_values.h
+++ b/src/net/wire_values.h
@@ -9,6 +9,7 @@
 
 #include <wire_types.h>
 
+#include <cmath>
 #include <cstdint>
 #include <limits>
 
@@ -63,6 +64,15 @@
   return static_cast<std::uint32_t>(Value);
 }
 
+/// \throws Error of kind MalformedMessage if the rate is not a number, infinite
+/// or negative.
+inline double rateFromWire(double PerSecond) {
+  if (!std::isfinite(PerSecond) || PerSecond < 0)
+    throw core::Error(core::ErrorKind::MalformedMessage, "invalid rate",
+                      "check that both nodes run compatible versions");
+  return PerSecond;
+}
+
 /// \param Last the last enumerator; the first one is 0.
 /// \throws Error of kind MalformedMessage if \p Value is out of range.
 template <typename Enum> Enum enumFromWire(std::int32_t Value, Enum Last) {
--- a/tests/unit/caller_response_test.cpp
+++ b/tests/unit/caller_response_test.cpp
@@ -193,6 +193,25 @@
         app::ResponseClass::Complete);
 }
 
+TEST_CASE("a target states its rate in a response") {
+  struct {
+    std::vector<core::HttpField> m_Fields;
+    std::optional<core::TargetStatement> m_Expected;
+  } const Cases[] = {
+      {{}, core::TargetStatement{}},
+      {{{"server-limit", "8.2"}}, core::TargetStatement{8.2}},
+      {{{"Server-Limit", "0"}}, core::TargetStatement{0}},
+      {{{"Server-Limit", "-1"}}, std::nullopt},
+      {{{"Server-Limit", "inf"}}, std::nullopt},
+      {{{"Server-Limit", "nan"}}, std::nullopt},
+      {{{"Server-Limit", ""}}, std::nullopt},
+      {{{"Server-Limit", "8 a second"}}, std::nullopt},
+  };
+  for (const auto &Case : Cases)
+    CHECK(app::parseStatement(platform::httpDialect(),
+                              {200, Case.m_Fields, ""}) == Case.m_Expected);
+}
+
 TEST_CASE("only the node sets the calling service of a request") {
   core::HttpRequest Request;
   Request.m_Fields = {{"caller-service", "forged"}, {"X", "1"}};
--- a/tests/unit/ingress_fixture.h
+++ b/tests/unit/ingress_fixture.h
@@ -98,6 +98,11 @@
           Answer{To.m_Message.m_Id, makeResponse("done"), m_Load[To.m_Gate]});
   }
 
+  void answer(const ReceivedDispatch &To, const TargetStatement &Statement) {
+    reply(To, Answer{To.m_Message.m_Id, makeResponse("done"), m_Load[To.m_Gate],
+                     Statement});
+  }
+
   void refuse(const ReceivedDispatch &To, Duration RetryAfter = 0ms,
               RefusalReason Reason = RefusalReason::Overload) {
     reply(To, Refusal{To.m_Message.m_Id, Reason, RetryAfter, m_GateVersion,
