Send no new requests to a target that states that it is leaving

Cause: the same as for the stated rate, a response field without a reader. Change: the gate refuses new requests for that start of the target (target-leaving, so the ingress tries another target), and each ingress that passed on the statement does not select it again, also after a restart of the gate, which forgets. A start is told apart by name and start time, since a target may start again under its name; so the successor at the same address or name receives requests at once.

--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -1055,6 +1055,10 @@
   this->requests_per_second = val;
 __isset.requests_per_second = true;
 }
+
+void TargetStatement::__set_leaving(const bool val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const TargetStatement& obj)
 {
   obj.printTo(out);
@@ -1091,6 +1095,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1113,6 +1125,10 @@
     xfer += oprot->writeDouble(this->requests_per_second);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1121,24 +1137,29 @@
 void swap(TargetStatement &a, TargetStatement &b) {
   using ::std::swap;
   swap(a.requests_per_second, b.requests_per_second);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
 TargetStatement::TargetStatement(const TargetStatement& other40) noexcept {
   requests_per_second = other40.requests_per_second;
+  leaving = other40.leaving;
   __isset = other40.__isset;
 }
 TargetStatement::TargetStatement(TargetStatement&& other41) noexcept {
   requests_per_second = other41.requests_per_second;
+  leaving = other41.leaving;
   __isset = other41.__isset;
 }
 TargetStatement& TargetStatement::operator=(const TargetStatement& other42) noexcept {
   requests_per_second = other42.requests_per_second;
+  leaving = other42.leaving;
   __isset = other42.__isset;
   return *this;
 }
 TargetStatement& TargetStatement::operator=(TargetStatement&& other43) noexcept {
   requests_per_second = other43.requests_per_second;
+  leaving = other43.leaving;
   __isset = other43.__isset;
   return *this;
 }
@@ -1146,6 +1167,7 @@
   using ::apache::thrift::to_string;
   out << "TargetStatement(";
   out << "requests_per_second="; (__isset.requests_per_second ? (out << to_string(requests_per_second)) : (out << "<null>"));
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -501,8 +501,9 @@
 std::ostream& operator<<(std::ostream& out, const HttpResponse& obj);
 
 typedef struct _TargetStatement__isset {
-  _TargetStatement__isset() : requests_per_second(false) {}
+  _TargetStatement__isset() : requests_per_second(false), leaving(false) {}
   bool requests_per_second :1;
+  bool leaving :1;
 } _TargetStatement__isset;
 
 class TargetStatement : public virtual ::apache::thrift::TBase {
@@ -513,22 +514,28 @@
   TargetStatement& operator=(const TargetStatement&) noexcept;
   TargetStatement& operator=(TargetStatement&&) noexcept;
   TargetStatement() noexcept
-                  : requests_per_second(0) {
+                  : requests_per_second(0),
+                    leaving(0) {
   }
 
   virtual ~TargetStatement() noexcept;
   double requests_per_second;
+  bool leaving;
 
   _TargetStatement__isset __isset;
 
   void __set_requests_per_second(const double val);
 
+  void __set_leaving(const bool val);
+
   bool operator == (const TargetStatement & rhs) const
   {
     if (__isset.requests_per_second != rhs.__isset.requests_per_second)
       return false;
     else if (__isset.requests_per_second && !(requests_per_second == rhs.requests_per_second))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const TargetStatement &rhs) const {
--- a/include/dandelionfall/core/configuration.h
+++ b/include/dandelionfall/core/configuration.h
@@ -136,9 +136,25 @@
   std::optional<TimePoint> m_ColdUntil = std::nullopt;
   /// Whether the target is about to stop and receives no new requests.
   bool m_Draining = false;
+  /// Start of the target in ms since the Unix epoch, if it has announced it.
+  /// Tells apart targets that start one after the other under the same name.
+  std::int64_t m_StartedAtMs = 0;
   friend bool operator==(const Target &, const Target &) = default;
 };
 
+/// One start of a target.
+struct TargetInstance {
+  std::string m_Name;
+  std::int64_t m_StartedAtMs = 0;
+  friend bool operator==(const TargetInstance &,
+                         const TargetInstance &) = default;
+};
+
+/// \returns the start of the target that an entry describes.
+inline TargetInstance instanceOf(const Target &Entry) {
+  return {Entry.m_Name, Entry.m_StartedAtMs};
+}
+
 /// A service with its routes and targets.
 struct Service {
   std::string m_Name;
--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -53,6 +53,7 @@
   TargetHeldOff = 520,
   TargetRateStated = 521,
   StatementMalformed = 522,
+  TargetLeaving = 523,
   CallerRejected = 600,
   TargetListed = 700,
   TargetDraining = 701,
--- a/include/dandelionfall/core/http_dialect.h
+++ b/include/dandelionfall/core/http_dialect.h
@@ -28,6 +28,8 @@
   /// In a response of a target: requests per second that it takes from all
   /// nodes together, as a decimal number.
   std::string_view m_RateLimitField;
+  /// In a response of a target: `1` if it is about to stop.
+  std::string_view m_LeavingField;
   /// In a response created by a node: `not-run`, `unknown` or `no-route`.
   std::string_view m_OutcomeField;
   /// In a response created by a node: milliseconds after which the request may
--- a/include/dandelionfall/core/target_statement.h
+++ b/include/dandelionfall/core/target_statement.h
@@ -12,6 +12,8 @@
   /// Requests per second that the target takes from all nodes together, not
   /// negative; unset if it takes as many as it can.
   std::optional<double> m_RequestsPerSecond;
+  /// Whether the target is about to stop and takes no new requests.
+  bool m_Leaving = false;
   friend bool operator==(const TargetStatement &,
                          const TargetStatement &) = default;
 };
--- a/include/dandelionfall/core/traffic_message.h
+++ b/include/dandelionfall/core/traffic_message.h
@@ -107,6 +107,7 @@
   Cancelled,        ///< The ingress cancelled it before it started.
   TargetRefused,    ///< The target stated that it did not run it.
   OtherTarget,      ///< Another target answers at the address.
+  TargetLeaving,    ///< The target is about to stop.
 };
 
 /// \returns the name of the reason in event details.
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -10,7 +10,7 @@
 struct HttpResponse { 1: i32 status, 2: list<HttpField> fields, 3: binary body }
 
 // A missing rate means that the target states none.
-struct TargetStatement { 1: optional double requests_per_second }
+struct TargetStatement { 1: optional double requests_per_second, 2: bool leaving }
 
 struct TrafficHello { 1: string host, 2: Incarnation ingress, 3: i64 epoch, 4: i64 version }
 struct TrafficWelcome { 1: string host, 2: Incarnation gate, 3: i64 epoch, 4: i64 version, 5: Capacity capacity }
--- a/src/app/node/caller_response.cpp
+++ b/src/app/node/caller_response.cpp
@@ -191,6 +191,10 @@
 parseStatement(const core::HttpDialect &Dialect,
                const core::HttpResponse &Response) {
   core::TargetStatement Result;
+  const core::HttpField *Leaving = findField(Response, Dialect.m_LeavingField);
+  Result.m_Leaving = Leaving != nullptr && Leaving->m_Value == "1";
+  if (Leaving != nullptr && !Result.m_Leaving && Leaving->m_Value != "0")
+    return std::nullopt;
   const core::HttpField *Rate = findField(Response, Dialect.m_RateLimitField);
   double PerSecond = 0;
   if (Rate == nullptr)
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -93,6 +93,9 @@
               Severity::Warning,
               "A target's response states something unreadable about the "
               "target; the previous statement stays in force."},
+    EventInfo{EventId::TargetLeaving, "target-leaving", Severity::Info,
+              "A target states in a response that it is about to stop; it "
+              "receives no new requests."},
     EventInfo{EventId::CallerRejected, "caller-rejected", Severity::Warning,
               "A caller's request broke a limit or the protocol."},
     EventInfo{EventId::TargetListed, "target-listed", Severity::Info,
--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -33,10 +33,9 @@
 void Engine::onConfiguration(ConfigurationPtr Config, TimePoint Now) {
   const bool WasIn = m_Config == nullptr || !isZoneOut();
   const bool HadTarget = m_Target != nullptr;
-  const std::string PreviousName = HadTarget ? m_Target->m_Name : "";
   m_Config = std::move(Config);
   findLocalTarget();
-  applyColdStart(PreviousName, Now);
+  applyNewInstance(HadTarget, Now);
   if (m_Target != nullptr)
     m_Ramp.configure(m_Profile->m_ColdStartLimit,
                      std::min(m_Target->m_Slots, m_Target->m_Connections),
@@ -73,18 +72,20 @@
   return !m_Options.m_Target.empty() && Each.m_Name == m_Options.m_Target;
 }
 
-void Engine::applyColdStart(const std::string &PreviousName, TimePoint Now) {
+void Engine::applyNewInstance(bool WasListed, TimePoint Now) {
   if (m_Target == nullptr)
     return;
   m_ColdRate.configure(m_Service->m_ColdRequestsPerSecond);
-  if (m_Target->m_Name != PreviousName) {
+  // Requests that another process sent to the target before this one started
+  // are unknown.
+  if (!WasListed)
+    m_ColdRate.assumeLimitReached(Now);
+  if (instanceOf(*m_Target) != m_Instance) {
+    m_Instance = instanceOf(*m_Target);
+    m_InstanceLeaving = false;
     m_DepartedTarget.clear();
     m_HoldOff = HoldOff();
     m_StatedRate = StatedRate();
-    // Requests that another process sent to the target before this one started
-    // are unknown.
-    if (PreviousName.empty())
-      m_ColdRate.assumeLimitReached(Now);
   }
   if (m_Target->m_ColdUntil)
     m_ColdRate.extendColdUntil(*m_Target->m_ColdUntil);
@@ -192,7 +193,7 @@
                   capacity()};
   if (Cause.m_Reason == RefusalReason::TargetRefused)
     Message.m_Statement = statement();
-  send(Link, std::move(Message));
+  send(Link, Message);
   report(EventId::RequestRefused,
          "request=" + toString(Id) +
              " reason=" + std::string(nameOf(Cause.m_Reason)) +
@@ -210,7 +211,9 @@
     sendRefusal(*Link, Id, Cause);
 }
 
-TargetStatement Engine::statement() const { return {m_StatedRate.limit()}; }
+TargetStatement Engine::statement() const {
+  return {m_StatedRate.limit(), m_InstanceLeaving};
+}
 
 void Engine::reportStatedRate(std::string_view Origin) {
   const std::optional<double> PerSecond = m_StatedRate.limit();
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -119,7 +119,7 @@
   // Shared, in engine.cpp.
   void findLocalTarget();
   bool isLocalTarget(const Target &Each) const;
-  void applyColdStart(const std::string &PreviousName, TimePoint Now);
+  void applyNewInstance(bool WasListed, TimePoint Now);
   TargetStatement statement() const;
   void reportStatedRate(std::string_view Origin);
   void applyZoneState(bool WasIn, TimePoint Now);
@@ -149,6 +149,10 @@
   Ramp m_Ramp;
   ColdRate m_ColdRate;
   StatedRate m_StatedRate;
+  /// Start of the target that was listed last, and whether that target stated
+  /// that it is about to stop.
+  TargetInstance m_Instance;
+  bool m_InstanceLeaving = false;
   /// When the next waiting request may start within the rate limits of the
   /// target; unset if it need not wait.
   std::optional<TimePoint> m_NextRateStart;
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -118,6 +118,8 @@
     return RefusalCause{RefusalReason::UnknownTarget, Duration{0}};
   if (m_DrainUntil || m_HostLeaving || m_Target->m_Draining)
     return RefusalCause{RefusalReason::Draining, Duration{0}};
+  if (m_InstanceLeaving)
+    return RefusalCause{RefusalReason::TargetLeaving, Duration{0}};
   if (isZoneOut())
     return RefusalCause{RefusalReason::ZoneOut, Duration{0}};
   if (Remaining <= Duration{0})
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -187,6 +187,11 @@
   if (m_StatedRate.onResponse(Statement.m_RequestsPerSecond, Slot->m_Start,
                               Now))
     reportStatedRate("response");
+  if (!Statement.m_Leaving || m_InstanceLeaving)
+    return;
+  m_InstanceLeaving = true;
+  report(EventId::TargetLeaving,
+         "target=" + m_Target->m_Name + " request=" + toString(Id));
 }
 
 void Engine::onTargetConnectionClosed(TimePoint Now) {
--- a/src/core/http_dialect.cpp
+++ b/src/core/http_dialect.cpp
@@ -10,6 +10,7 @@
                                           "",
                                           "",
                                           "",
+                                          "",
                                           "Dandelionfall-Outcome",
                                           "Dandelionfall-Retry-After-Ms",
                                           /*m_FractionalRetryAfter=*/false};
--- a/src/core/ingress/call_records.h
+++ b/src/core/ingress/call_records.h
@@ -17,7 +17,7 @@
   /// The call; 0 once the call has ended.
   CallId m_Call = 0;
   GatePeer *m_Peer = nullptr;
-  std::string m_Target;
+  TargetInstance m_Target;
   /// Number of this repeat; 0 if the request has not been run before.
   unsigned m_Repeat = 0;
   bool m_Sent = false;
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -113,7 +113,7 @@
   Current.m_Id = {m_Options.m_Incarnation, ++m_LastAttempt};
   Current.m_Call = Entry.m_Id;
   Current.m_Peer = &Peer;
-  Current.m_Target = Chosen.m_Target->m_Name;
+  Current.m_Target = instanceOf(*Chosen.m_Target);
   Current.m_Repeat = Entry.m_Repeats;
   ++Entry.m_TargetAttempts;
   Entry.m_OpenAttempts.push_back(m_LastAttempt);
@@ -152,7 +152,7 @@
   Message.m_Remaining = Remaining;
   Message.m_Version = version();
   Message.m_Service = Entry.m_Service;
-  Message.m_Target = Current.m_Target;
+  Message.m_Target = Current.m_Target.m_Name;
   Message.m_Idempotent = Entry.m_Idempotent;
   Message.m_Kind = Entry.m_Kind;
   Message.m_Priority = Entry.m_Priority;
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -96,6 +96,7 @@
                        TimePoint Now);
   static void recordStatement(const Attempt &Ended,
                               const TargetStatement &Statement);
+  static void recordLeaving(const Attempt &Ended);
   void endAttempt(AttemptNumber Number);
   void endOrphans(GatePeer &Peer);
   void detach(Attempt &Current, TimePoint Deadline, TimePoint Now);
--- a/src/core/ingress/gate_peer.h
+++ b/src/core/ingress/gate_peer.h
@@ -4,6 +4,7 @@
 #define DANDELIONFALL_CORE_INGRESS_GATE_PEER_H
 
 #include "core/ingress/load_view.h"
+#include "dandelionfall/core/configuration.h"
 #include "dandelionfall/core/identity.h"
 #include "dandelionfall/core/target_statement.h"
 
@@ -77,9 +78,9 @@
   std::vector<RequestId> m_Settled;
   std::optional<TimePoint> m_SettleDue;
 
-  /// Name of the target that made the latest statement, and the statement. They
-  /// outlive the gate's process, which forgets them when it restarts.
-  std::string m_StatedBy;
+  /// The target that made the latest statement, and the statement. They outlive
+  /// the gate's process, which forgets them when it restarts.
+  TargetInstance m_StatedBy;
   TargetStatement m_Statement;
 
   LoadView m_Load;
--- a/src/core/ingress/router.cpp
+++ b/src/core/ingress/router.cpp
@@ -29,6 +29,11 @@
   return Peer.m_State != LinkState::Idle || Now >= Peer.m_BackoffUntil;
 }
 
+bool isLeaving(const Candidate &Of) {
+  return Of.m_Peer->m_Statement.m_Leaving &&
+         Of.m_Peer->m_StatedBy == instanceOf(*Of.m_Target);
+}
+
 bool wasTried(const Call &Entry, const GatePeer &Peer) {
   return std::find(Entry.m_TriedGates.begin(), Entry.m_TriedGates.end(),
                    Peer.m_Address) != Entry.m_TriedGates.end();
@@ -53,7 +58,8 @@
   std::array<Candidates, ReadinessCount> Groups;
   for (const Candidate &Next : View.m_Candidates) {
     const GatePeer &Peer = *Next.m_Peer;
-    if (!isEligible(Peer, AppliedVersion, Now) || wasTried(Entry, Peer))
+    if (!isEligible(Peer, AppliedVersion, Now) || isLeaving(Next) ||
+        wasTried(Entry, Peer))
       continue;
     Groups[readiness(Peer, Now)].push_back(&Next);
   }
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -312,6 +312,7 @@
   Result.m_Slots = std::max(Known.m_Entry.m_Slots, 1U);
   Result.m_ColdUntil = Known.m_ColdUntil;
   Result.m_Draining = Known.m_Entry.m_Draining;
+  Result.m_StartedAtMs = Known.m_Entry.m_StartedAtMs;
   return Result;
 }
 
--- a/src/core/traffic_message.cpp
+++ b/src/core/traffic_message.cpp
@@ -28,6 +28,8 @@
     return "target-refused";
   case RefusalReason::OtherTarget:
     return "other-target";
+  case RefusalReason::TargetLeaving:
+    return "target-leaving";
   }
   return "unknown";
 }
--- a/src/net/wire_traffic.cpp
+++ b/src/net/wire_traffic.cpp
@@ -28,6 +28,7 @@
   wire::TargetStatement Result;
   if (Value.m_RequestsPerSecond)
     Result.__set_requests_per_second(*Value.m_RequestsPerSecond);
+  Result.leaving = Value.m_Leaving;
   return Result;
 }
 
@@ -35,6 +36,7 @@
   core::TargetStatement Result;
   if (Value.__isset.requests_per_second)
     Result.m_RequestsPerSecond = rateFromWire(Value.requests_per_second);
+  Result.m_Leaving = Value.leaving;
   return Result;
 }
 
@@ -262,7 +264,7 @@
   const wire::Refusal &Value = Body.refusal;
   core::Refusal Result{
       net::fromWire(Value.id),
-      enumFromWire(Value.reason, core::RefusalReason::OtherTarget),
+      enumFromWire(Value.reason, core::RefusalReason::TargetLeaving),
       Duration(Value.retry_after_us), toUnsigned(Value.version),
       fromWire(Value.capacity)};
   if (Value.__isset.statement)
--- a/tests/unit/caller_response_test.cpp
+++ b/tests/unit/caller_response_test.cpp
@@ -193,7 +193,7 @@
         app::ResponseClass::Complete);
 }
 
-TEST_CASE("a target states its rate in a response") {
+TEST_CASE("a target states its rate and its leaving in a response") {
   struct {
     std::vector<core::HttpField> m_Fields;
     std::optional<core::TargetStatement> m_Expected;
@@ -201,6 +201,11 @@
       {{}, core::TargetStatement{}},
       {{{"server-limit", "8.2"}}, core::TargetStatement{8.2}},
       {{{"Server-Limit", "0"}}, core::TargetStatement{0}},
+      {{{"Server-Leaving", "1"}}, core::TargetStatement{std::nullopt, true}},
+      {{{"server-leaving", "1"}, {"Server-Limit", "2"}},
+       core::TargetStatement{2, true}},
+      {{{"Server-Leaving", "0"}}, core::TargetStatement{}},
+      {{{"Server-Leaving", "soon"}}, std::nullopt},
       {{{"Server-Limit", "-1"}}, std::nullopt},
       {{{"Server-Limit", "inf"}}, std::nullopt},
       {{{"Server-Limit", "nan"}}, std::nullopt},
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -42,7 +42,7 @@
                true,
                makeRequest()},
       Answer{Id, makeResponse(), Load},
-      Answer{Id, makeResponse(), Load, {8.2}},
+      Answer{Id, makeResponse(), Load, {8.2, true}},
       Refusal{Id, RefusalReason::Cancelled, std::chrono::seconds(1), 9, Load},
       Refusal{Id, RefusalReason::TargetRefused, std::chrono::seconds(1), 9,
               Load, TargetStatement{0.0}},
--- a/tests/unit/gate_harness.h
+++ b/tests/unit/gate_harness.h
@@ -28,6 +28,7 @@
   std::uint32_t m_QueueLimit = 8;
   bool m_Listed = true;
   bool m_Draining = false;
+  std::int64_t m_StartedAtMs = 0;
 };
 
 inline ConfigurationPtr makeGateConfiguration(const GateSettings &Settings) {
@@ -44,9 +45,9 @@
   Desk->m_Name = "escortdesk";
   Desk->m_Profile = "booking";
   if (Settings.m_Listed)
-    Desk->m_Targets.push_back({"escortdesk-1", "host-1", "sindos",
-                               "127.0.0.1:9001", Settings.m_Slots, 120, "",
-                               std::nullopt, Settings.m_Draining});
+    Desk->m_Targets.push_back(
+        {"escortdesk-1", "host-1", "sindos", "127.0.0.1:9001", Settings.m_Slots,
+         120, "", std::nullopt, Settings.m_Draining, Settings.m_StartedAtMs});
   Config->m_Services["escortdesk"] = Desk;
   return Config;
 }
--- /dev/null
+++ b/tests/unit/gate_leaving_target_test.cpp
@@ -0,0 +1,62 @@
+// A target that states in its responses that it is about to stop.
+#include "gate_harness.h"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionfall::core;
+using namespace dandelionfall::core::testing;
+
+namespace {
+
+void stateLeaving(GateHarness &Harness, std::uint64_t Sequence) {
+  Harness.dispatch(1, Sequence);
+  Harness.gate().onTargetStatement(GateHarness::id(Sequence),
+                                   {std::nullopt, true}, Harness.now());
+  Harness.answer(Sequence);
+}
+
+} // namespace
+
+TEST_CASE("a target that states that it is leaving receives no new request") {
+  GateHarness Harness;
+  Harness.hello(1, 1);
+  Harness.dispatch(1, 1);
+  stateLeaving(Harness, 2);
+  const auto Answered = Harness.sent<Answer>();
+  REQUIRE(Answered.size() == 1);
+  CHECK(Answered[0].second.m_Statement.m_Leaving);
+  Harness.takeAll();
+  Harness.dispatch(1, 3);
+  CHECK(Harness.starts(3) == 0);
+  REQUIRE(Harness.sent<Refusal>().size() == 1);
+  CHECK(Harness.sent<Refusal>()[0].second.m_Reason ==
+        RefusalReason::TargetLeaving);
+  // What runs is answered.
+  Harness.takeAll();
+  Harness.answer(1);
+  CHECK(Harness.sent<Answer>().size() == 1);
+}
+
+TEST_CASE("the next start of a target receives requests after it left") {
+  for (const bool Unlisted : {false, true}) {
+    GateHarness Harness;
+    Harness.hello(1, 1);
+    stateLeaving(Harness, 1);
+    GateSettings Settings;
+    Settings.m_Version = 2;
+    if (Unlisted) {
+      Settings.m_Listed = false;
+      Harness.configure(Settings);
+      Settings.m_Listed = true;
+      Settings.m_Version = 3;
+      Harness.configure(Settings);
+      Harness.dispatch(1, 2);
+      CHECK(Harness.starts(2) == 0);
+    }
+    Settings.m_Version = 4;
+    Settings.m_StartedAtMs = 1000;
+    Harness.configure(Settings);
+    Harness.dispatch(1, 3);
+    CHECK(Harness.starts(3) == 1);
+  }
+}
--- a/tests/unit/ingress_fixture.h
+++ b/tests/unit/ingress_fixture.h
@@ -27,6 +27,9 @@
   Profile m_Profile;
   Idempotency m_Idempotency = Idempotency::ByMethod;
 
+  /// Start of each target.
+  std::int64_t m_StartedAtMs = 0;
+
   ConfigurationPtr build() const {
     auto Config = std::make_shared<Configuration>();
     Config->m_Stamp.m_Version = m_Version;
@@ -42,6 +45,7 @@
           ZoneName, m_FarZones.contains(ZoneName) ? "far" : "near", State};
       Desk->m_Targets.push_back(
           {"t" + Number, "h" + Number, ZoneName, "gate" + Number, 4, 8});
+      Desk->m_Targets.back().m_StartedAtMs = m_StartedAtMs;
     }
     Profile Standard = m_Profile;
     Standard.m_Name = "standard";
--- a/tests/unit/ingress_statements_test.cpp
+++ b/tests/unit/ingress_statements_test.cpp
@@ -31,3 +31,40 @@
   Test.call(3, "GET");
   CHECK(!Test.m_Dispatches.back().m_Message.m_StatedRate);
 }
+
+TEST_CASE("a target that states that it is leaving is not selected again, even "
+          "after a restart of its gate") {
+  for (const bool Refused : {false, true}) {
+    IngressFixture Test;
+    ConfigurationBuilder Builder = oneTarget();
+    Test.configure(Builder);
+    Test.call(1, "GET");
+    if (Refused)
+      Test.refuse(Test.m_Dispatches.back(), 0ms, RefusalReason::TargetLeaving);
+    else
+      Test.answer(Test.m_Dispatches.back(), {std::nullopt, true});
+    Test.m_Incarnations["gate1"] = {9, 9};
+    Test.breakLinks("gate1");
+    Test.advance(10s);
+    Test.call(2, "GET");
+    CHECK(Test.m_Dispatches.size() == 1);
+    CHECK(Test.outcome(2) == CallOutcome::NotRun);
+    // The next target at the same gate is not affected.
+    Builder.m_Version = 2;
+    Builder.m_StartedAtMs = 1000;
+    Test.configure(Builder);
+    Test.call(3, "GET");
+    CHECK(Test.m_Dispatches.size() == 2);
+  }
+}
+
+TEST_CASE("a reordered response doesn't withdraw that a target is leaving") {
+  IngressFixture Test;
+  Test.configure(oneTarget());
+  Test.call(1, "GET");
+  Test.call(2, "GET");
+  Test.answer(Test.m_Dispatches[0], {std::nullopt, true});
+  Test.answer(Test.m_Dispatches[1], TargetStatement{});
+  Test.call(3, "GET");
+  CHECK(Test.m_Dispatches.size() == 2);
+}
