Let a draining target not close its gate to the next target

Now the reason is target-leaving, which binds one start of the target.

The test in gate_leaving_target_test fails on the parent (reason draining).

--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -116,9 +116,9 @@
       Message.m_Service != m_Service->m_Name ||
       m_Target->m_Name == m_DepartedTarget)
     return RefusalCause{RefusalReason::UnknownTarget, Duration{0}};
-  if (m_DrainUntil || m_HostLeaving || m_Target->m_Draining)
+  if (m_DrainUntil || m_HostLeaving)
     return RefusalCause{RefusalReason::Draining, Duration{0}};
-  if (m_InstanceLeaving)
+  if (m_Target->m_Draining || m_InstanceLeaving)
     return RefusalCause{RefusalReason::TargetLeaving, Duration{0}};
   if (isZoneOut())
     return RefusalCause{RefusalReason::ZoneOut, Duration{0}};
--- a/tests/unit/gate_leaving_target_test.cpp
+++ b/tests/unit/gate_leaving_target_test.cpp
@@ -60,3 +60,16 @@
     CHECK(Harness.starts(3) == 1);
   }
 }
+
+TEST_CASE("a target that drains doesn't close its gate to the next one") {
+  GateHarness Harness;
+  Harness.hello(1, 1);
+  GateSettings Settings;
+  Settings.m_Version = 2;
+  Settings.m_Draining = true;
+  Harness.configure(Settings);
+  Harness.dispatch(1, 1);
+  REQUIRE(Harness.sent<Refusal>().size() == 1);
+  // `Draining` would tell ingresses to avoid this gate until it restarts.
+  CHECK(Harness.sent<Refusal>()[0].second.m_Reason != RefusalReason::Draining);
+}
