--- a/tests/system/store_deployment.py
+++ b/tests/system/store_deployment.py
@@ -4,6 +4,7 @@
 """
 import base64
 import contextlib
+import http.client
 import http.server
 import json
 import os
@@ -22,6 +23,8 @@
 STORE = ("127.0.0.10", 18309)
 SERVICE = "desk"
 POLL_INTERVAL_S = 0.02
+# Time within which a server notices that it should end.
+SERVE_POLL_S = 0.005
 
 
 class Server(http.server.ThreadingHTTPServer):
@@ -29,7 +32,7 @@
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
-        self.connections = []
+        self.connections, self.ending, self.ended = [], threading.Lock(), False
 
     def process_request(self, request, client_address):
         self.connections.append(request)
@@ -37,6 +40,10 @@
 
     def end(self):
         """Closes the port and all connections, as when the process ends."""
+        with self.ending:
+            if self.ended:
+                return
+            self.ended = True
         self.shutdown()
         self.server_close()
         for connection in self.connections:
@@ -76,7 +83,7 @@
                 pass
 
         self.server = Server(STORE, Handler)
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        threading.Thread(target=self.server.serve_forever, args=(SERVE_POLL_S,), daemon=True).start()
 
     def respond(self, path, values):
         with self.changed:
@@ -128,11 +135,13 @@
 class Target:
     """A target that responds with its instance as signature and records the headers of its requests.
 
-    `arrivals` holds the time of each request, and `extra_headers` the further headers of each response.
+    `arrivals` holds the time of each request, and `extra_headers` the further headers of each response. Each request
+    takes `work_s`. A request for a path that contains `crash_marker` ends the target; `start` starts it again.
     """
 
     def __init__(self, host, instance):
         self.host, self.instance, self.requests, self.arrivals, self.extra_headers = host, instance, [], [], {}
+        self.work_s, self.crash_marker, self.paths = 0, None, []
         target = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -141,6 +150,11 @@
             def do_GET(self):
                 target.arrivals.append(time.monotonic())
                 target.requests.append(dict(self.headers))
+                target.paths.append(self.path)
+                time.sleep(target.work_s)
+                if target.crash_marker is not None and target.crash_marker in self.path:
+                    target.server.end()
+                    return
                 wrong_instance = self.headers.get("Expect-Instance") != target.instance
                 self.send_response(421 if wrong_instance else 200)
                 self.send_header("Attempt-Id", self.headers.get("Attempt-Id", ""))
@@ -154,8 +168,12 @@
             def log_message(self, *_):
                 pass
 
-        self.server = Server((host, TARGET), Handler)
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.handler = Handler
+        self.start()
+
+    def start(self):
+        self.server = Server((self.host, TARGET), self.handler)
+        threading.Thread(target=self.server.serve_forever, args=(SERVE_POLL_S,), daemon=True).start()
 
     def record(self, state="ready"):
         return {"service": SERVICE, "address": f"{self.host}:{TARGET}", "zone": "a", "version": "v1", "slots": 4,
@@ -216,6 +234,40 @@
         return sum(len(target.requests) for target in self.targets)
 
 
+class Load:
+    """Calls at a constant rate, in turn at each of the hosts, until closed.
+
+    `make_path` returns the path of a call from its number.
+    """
+
+    def __init__(self, hosts, per_s, make_path=lambda _: "/a/x"):
+        self.hosts, self.per_s, self.make_path, self.statuses, self.threads = hosts, per_s, make_path, [], []
+        self.stopped = threading.Event()
+        self.pacer = threading.Thread(target=self.run, daemon=True)
+        self.pacer.start()
+
+    def run(self):
+        start, count = time.monotonic(), 0
+        while not self.stopped.wait(max(start + count / self.per_s - time.monotonic(), 0)):
+            thread = threading.Thread(target=self.call, args=(count,), daemon=True)
+            thread.start()
+            self.threads.append(thread)
+            count += 1
+
+    def call(self, number):
+        sent_at, status = time.monotonic(), None
+        host = self.hosts[number % len(self.hosts)]
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            status = Deployment.call(host, self.make_path(number), {"Origin-Host": host, "Sent-At": str(sent_at)})[0]
+        self.statuses.append((sent_at, status))
+
+    def close(self):
+        self.stopped.set()
+        self.pacer.join()
+        for thread in self.threads:
+            thread.join()
+
+
 def check(condition, description):
     print(f"{'ok' if condition else 'FAILED'}: {description}", flush=True)
     return bool(condition)
--- a/tests/system/target_statements.py
+++ b/tests/system/target_statements.py
@@ -6,11 +6,10 @@
 import contextlib
 import sys
 import tempfile
-import threading
 import time
 
 from fleet import FleetError, wait_until
-from store_deployment import HOSTS, Deployment, Target, check
+from store_deployment import HOSTS, Deployment, Load, Target, check
 
 READY_TIMEOUT_S = 6
 CALLS_PER_S = 60
@@ -26,36 +25,6 @@
 CALLER_HOSTS = HOSTS[1:]
 
 
-class Load:
-    """Calls at a constant rate, in turn at each of the hosts, until closed."""
-
-    def __init__(self, hosts, per_s):
-        self.hosts, self.per_s, self.statuses, self.threads = hosts, per_s, [], []
-        self.stopped = threading.Event()
-        self.pacer = threading.Thread(target=self.run, daemon=True)
-        self.pacer.start()
-
-    def run(self):
-        start, count = time.monotonic(), 0
-        while not self.stopped.wait(max(start + count / self.per_s - time.monotonic(), 0)):
-            thread = threading.Thread(target=self.call, args=(self.hosts[count % len(self.hosts)],), daemon=True)
-            thread.start()
-            self.threads.append(thread)
-            count += 1
-
-    def call(self, host):
-        with contextlib.suppress(OSError):
-            sent_at = time.monotonic()
-            status = Deployment.call(host, headers={"Origin-Host": host, "Sent-At": str(sent_at)})[0]
-            self.statuses.append((sent_at, status))
-
-    def close(self):
-        self.stopped.set()
-        self.pacer.join()
-        for thread in self.threads:
-            thread.join()
-
-
 def most_in_window(arrivals, start):
     """Returns the largest number of arrivals in any window that begins at `start` or later."""
     times = [at for at in arrivals if at >= start]
