Log under which requests a target ended

A gate now watches for the end of its target: after a broken connection it checks once, 50 ms later, whether the target still accepts connections; a request refused before tells the same. Event 524 names the requests that ran, each with a fingerprint of method, host, path, credentials and body, which stays the same when the request comes again. A time-out or a reset alone is no sign of an end. A target that ended occupies no slots any more.

--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -54,6 +54,7 @@
   TargetRateStated = 521,
   StatementMalformed = 522,
   TargetLeaving = 523,
+  TargetEnded = 524,
   CallerRejected = 600,
   TargetListed = 700,
   TargetDraining = 701,
--- a/include/dandelionfall/core/gate.h
+++ b/include/dandelionfall/core/gate.h
@@ -47,6 +47,12 @@
   friend bool operator==(const CancelTarget &, const CancelTarget &) = default;
 };
 
+/// Checks whether the target accepts connections. The outcome is reported
+/// through `Gate::onTargetCheck`.
+struct CheckTarget {
+  friend bool operator==(const CheckTarget &, const CheckTarget &) = default;
+};
+
 /// No admitted request is left; the gate may shut down.
 struct GateDrained {
   friend bool operator==(const GateDrained &, const GateDrained &) = default;
@@ -65,7 +71,7 @@
 /// A command to the driver; commands are executed in order.
 using GateCommand =
     std::variant<SendTraffic, CloseTrafficLink, StartTarget, CancelTarget,
-                 GateDrained, Event, PeerVersionSeen>;
+                 CheckTarget, GateDrained, Event, PeerVersionSeen>;
 
 /// Why a request at the target ended without a complete response.
 enum class TargetFailure : std::uint8_t {
@@ -134,6 +140,9 @@
   /// \param RetryAfter when the target asks for a retry; 0 if it doesn't say.
   void onTargetRefused(const RequestId &Id, bool IsOtherTarget,
                        Duration RetryAfter, TimePoint Now);
+  /// Handles the outcome of a `CheckTarget` command.
+  /// \param Refused whether the target refused the connection: it has ended.
+  void onTargetCheck(bool Refused, TimePoint Now);
   /// Handles the close of an idle connection by the target, as when it restarts
   /// between two requests. Restarts the cold start.
   void onTargetConnectionClosed(TimePoint Now);
--- a/src/app/node/traffic_commands.cpp
+++ b/src/app/node/traffic_commands.cpp
@@ -1,6 +1,7 @@
 #include "app/node/caller_response.h"
 #include "app/node/traffic_driver_impl.h"
 #include "dandelionfall/net/codec.h"
+#include "dandelionfall/net/connection_check.h"
 
 #include <type_traits>
 #include <utility>
@@ -16,6 +17,8 @@
 // itself; the gate abandons it sooner.
 constexpr core::Duration ExchangeGrace = std::chrono::seconds(1);
 
+constexpr std::chrono::milliseconds TargetCheckTimeout{500};
+
 core::TargetFailure failureOf(net::ExchangeOutcome End) {
   switch (End) {
   case net::ExchangeOutcome::NotSent:
@@ -296,6 +299,16 @@
     m_Target->cancel(Found->second);
 }
 
+void TrafficDriver::Impl::perform(const core::CheckTarget & /*Command*/) {
+  net::checkConnection(
+      m_Context, m_Board.m_Settings.m_TargetAddress, TargetCheckTimeout,
+      [Self = shared_from_this()](net::ConnectionCheck Result) {
+        Self->m_Gate.onTargetCheck(Result == net::ConnectionCheck::Refused,
+                                   monotonicNow());
+        Self->performCommands();
+      });
+}
+
 void TrafficDriver::Impl::perform(const core::GateDrained & /*Command*/) {
   m_GateDrained = true;
 }
--- a/src/app/node/traffic_driver_impl.h
+++ b/src/app/node/traffic_driver_impl.h
@@ -67,6 +67,7 @@
   void perform(const core::PeerVersionSeen &Command);
   void perform(const core::StartTarget &Command);
   void perform(const core::CancelTarget &Command);
+  void perform(const core::CheckTarget &Command);
   void perform(const core::GateDrained &Command);
   void perform(const core::Event &Command);
   void performIngress(const core::IngressCommand &Command);
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -96,6 +96,9 @@
     EventInfo{EventId::TargetLeaving, "target-leaving", Severity::Info,
               "A target states in a response that it is about to stop; it "
               "receives no new requests."},
+    EventInfo{EventId::TargetEnded, "target-ended", Severity::Warning,
+              "The target ended while it ran requests; the detail names them "
+              "and their fingerprints."},
     EventInfo{EventId::CallerRejected, "caller-rejected", Severity::Warning,
               "A caller's request broke a limit or the protocol."},
     EventInfo{EventId::TargetListed, "target-listed", Severity::Info,
--- a/src/core/gate.cpp
+++ b/src/core/gate.cpp
@@ -55,6 +55,10 @@
   m_Impl->onTargetStatement(Id, Statement, Now);
 }
 
+void Gate::onTargetCheck(bool Refused, TimePoint Now) {
+  m_Impl->onTargetCheck(Refused, Now);
+}
+
 void Gate::onTargetConnectionClosed(TimePoint Now) {
   m_Impl->onTargetConnectionClosed(Now);
 }
--- /dev/null
+++ b/src/core/gate/end_watch.cpp
@@ -0,0 +1,35 @@
+#include "core/gate/end_watch.h"
+
+#include <utility>
+
+namespace dandelionfall::core::gate {
+
+void EndWatch::onConnectionBroken(const std::vector<OccupiedSlot> &Running,
+                                  TimePoint Now) {
+  // All connections of a target that ends break together, so the first one
+  // finds all requests still running.
+  if (!m_Suspicion)
+    m_Suspicion = Suspicion{Now + CheckDelay, false, Running};
+}
+
+bool EndWatch::takeDueCheck(TimePoint Now) {
+  if (!m_Suspicion || m_Suspicion->m_CheckDemanded ||
+      Now < m_Suspicion->m_CheckAt)
+    return false;
+  m_Suspicion->m_CheckDemanded = true;
+  return true;
+}
+
+std::vector<OccupiedSlot> EndWatch::onRefused() {
+  if (!m_Suspicion)
+    return {};
+  return std::exchange(m_Suspicion, std::nullopt)->m_Running;
+}
+
+std::optional<TimePoint> EndWatch::nextWakeUp() const {
+  if (!m_Suspicion || m_Suspicion->m_CheckDemanded)
+    return std::nullopt;
+  return m_Suspicion->m_CheckAt;
+}
+
+} // namespace dandelionfall::core::gate
--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -126,6 +126,8 @@
   updateSleepGuard(Now);
   expire(Now);
   sweep(Now);
+  if (m_EndWatch.takeDueCheck(Now))
+    m_Commands.emplace_back(CheckTarget{});
   advance(Now);
 }
 
@@ -135,6 +137,7 @@
   if (!m_Queue.empty() && m_NextRateStart)
     updateEarliest(Next, m_NextRateStart);
   updateEarliest(Next, m_SleepGuard.nextWakeUp());
+  updateEarliest(Next, m_EndWatch.nextWakeUp());
   if (!m_Ledger.empty())
     updateEarliest(Next, std::optional(m_NextSweep));
   if (m_ZoneOutSince && !m_Queue.empty())
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -6,6 +6,7 @@
 
 #include "core/gate/admission.h"
 #include "core/gate/cold_rate.h"
+#include "core/gate/end_watch.h"
 #include "core/gate/hold_off.h"
 #include "core/gate/ledger.h"
 #include "core/gate/link_table.h"
@@ -49,6 +50,7 @@
                        Duration RetryAfter, TimePoint Now);
   void onTargetStatement(const RequestId &Id, const TargetStatement &Statement,
                          TimePoint Now);
+  void onTargetCheck(bool Refused, TimePoint Now);
   void onTargetConnectionClosed(TimePoint Now);
   void startDrain(TimePoint Now);
   void onTick(TimePoint Now);
@@ -100,6 +102,7 @@
                  TimePoint Now);
   void onFailedAfterSend(const OccupiedSlot &Slot, TargetFailure Kind,
                          const std::string &Detail, TimePoint Now);
+  void onTargetEnded(const std::vector<OccupiedSlot> &Running);
   void recordServiceTime(const OccupiedSlot &Slot, bool Complete,
                          std::uint32_t Occupied, TimePoint Now);
   void restartRamp(std::string_view Cause, TimePoint Now);
@@ -162,6 +165,7 @@
   /// Name of a target whose address turned out to be served by another target.
   std::string m_DepartedTarget;
   HoldOff m_HoldOff;
+  EndWatch m_EndWatch;
   SleepGuard m_SleepGuard;
   std::uint64_t m_Arrivals = 0;
   std::optional<TimePoint> m_IdleSince;
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -1,6 +1,7 @@
 #include "core/gate/engine.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace dandelionfall::core::gate {
@@ -10,6 +11,8 @@
 /// Number of deviations above the mean service time within which an abandoned
 /// request is expected to end at the target.
 constexpr int AbandonedDeviations = 4;
+/// Maximum number of requests that one event names.
+constexpr std::size_t MaxLoggedRequests = 16;
 
 } // namespace
 
@@ -56,6 +59,7 @@
   // about the target.
   if (Slot.m_FreeAt)
     return;
+  onTargetEnded(m_EndWatch.onRefused());
   if (m_HoldOff.onRefused(Slot.m_Start, Now)) {
     report(EventId::TargetHeldOff,
            "pause_us=" + std::to_string(m_HoldOff.remaining(Now).count()) +
@@ -74,6 +78,8 @@
 void Engine::onFailedAfterSend(const OccupiedSlot &Slot, TargetFailure Kind,
                                const std::string &Detail, TimePoint Now) {
   m_HoldOff.onConnected();
+  if (Kind == TargetFailure::Reset)
+    m_EndWatch.onConnectionBroken(m_Slots.slots(), Now);
   m_Slots.abandon(Slot.m_Id, abandonedUntil(Slot, Now));
   if (Kind == TargetFailure::Reset)
     restartRamp("reset", Now);
@@ -82,6 +88,31 @@
   failRunning(Slot.m_Id, Detail);
 }
 
+void Engine::onTargetCheck(bool Refused, TimePoint Now) {
+  updateSleepGuard(Now);
+  if (Refused)
+    onTargetEnded(m_EndWatch.onRefused());
+  else
+    m_EndWatch.onAccepted();
+  advance(Now);
+}
+
+void Engine::onTargetEnded(const std::vector<OccupiedSlot> &Running) {
+  if (Running.empty())
+    return;
+  // A target that ended runs nothing any more.
+  m_Slots.releaseAbandoned();
+  std::string Requests;
+  for (const OccupiedSlot &Slot :
+       std::span(Running).first(std::min(Running.size(), MaxLoggedRequests)))
+    Requests += (Requests.empty() ? "" : ",") + toString(Slot.m_Id) + ":" +
+                toString(Slot.m_Fingerprint);
+  report(EventId::TargetEnded,
+         "target=" + (m_Target == nullptr ? "none" : m_Target->m_Name) +
+             " running=" + std::to_string(Running.size()) +
+             " requests=" + Requests);
+}
+
 void Engine::abandon(const RequestId &Id, const std::string &Detail,
                      TimePoint Now) {
   m_Commands.emplace_back(CancelTarget{Id});
@@ -258,7 +289,9 @@
 void Engine::start(const QueuedRequest &Next, TimePoint Now) {
   const bool Idempotent = m_Ledger.find(Next.m_Id)->m_Idempotent;
   HttpRequestPtr Request = m_Ledger.start(Next.m_Id);
-  m_Slots.occupy(Next.m_Id, Now, Next.m_Deadline, Next.m_Kind);
+  m_Slots.occupy(Next.m_Id, Now, Next.m_Deadline, Next.m_Kind,
+                 Request == nullptr ? RequestFingerprint()
+                                    : fingerprintOf(*Request));
   m_ColdRate.recordStart(Now);
   m_StatedRate.recordStart(Now);
   m_IdleSince.reset();
--- a/src/core/gate/target_slots.cpp
+++ b/src/core/gate/target_slots.cpp
@@ -6,8 +6,10 @@
 namespace dandelionfall::core::gate {
 
 void TargetSlots::occupy(const RequestId &Id, TimePoint Start,
-                         TimePoint Deadline, std::string Kind) {
-  m_Slots.push_back({Id, Start, Deadline, std::move(Kind), std::nullopt});
+                         TimePoint Deadline, std::string Kind,
+                         RequestFingerprint Fingerprint) {
+  m_Slots.push_back(
+      {Id, Start, Deadline, std::move(Kind), std::nullopt, Fingerprint});
 }
 
 std::optional<OccupiedSlot> TargetSlots::release(const RequestId &Id) {
@@ -21,6 +23,12 @@
   return Slot;
 }
 
+void TargetSlots::releaseAbandoned() {
+  std::erase_if(m_Slots, [](const OccupiedSlot &Slot) {
+    return Slot.m_FreeAt.has_value();
+  });
+}
+
 void TargetSlots::abandon(const RequestId &Id, TimePoint FreeAt) {
   for (OccupiedSlot &Slot : m_Slots) {
     if (Slot.m_Id == Id)
--- a/src/core/gate/target_slots.h
+++ b/src/core/gate/target_slots.h
@@ -5,6 +5,7 @@
 #define DANDELIONFALL_CORE_GATE_TARGET_SLOTS_H
 
 #include "dandelionfall/core/identity.h"
+#include "dandelionfall/core/request_fingerprint.h"
 #include "dandelionfall/core/time.h"
 
 #include <cstdint>
@@ -24,6 +25,7 @@
   /// For an abandoned request: the time until which the slot counts as
   /// occupied.
   std::optional<TimePoint> m_FreeAt;
+  RequestFingerprint m_Fingerprint{};
   friend bool operator==(const OccupiedSlot &, const OccupiedSlot &) = default;
 };
 
@@ -31,13 +33,15 @@
 class TargetSlots {
 public:
   void occupy(const RequestId &Id, TimePoint Start, TimePoint Deadline,
-              std::string Kind = "");
+              std::string Kind = "", RequestFingerprint Fingerprint = {});
   /// Frees the slot of a request.
   /// \returns the slot, or nothing if it was free already.
   std::optional<OccupiedSlot> release(const RequestId &Id);
   /// Marks the request of a slot as abandoned; the slot stays occupied until
   /// \p FreeAt.
   void abandon(const RequestId &Id, TimePoint FreeAt);
+  /// Frees the slots of all abandoned requests.
+  void releaseAbandoned();
   /// Frees the slots of abandoned requests at the end of their time.
   void expire(TimePoint Now);
   /// \returns the slot of a request, or null.
--- a/tests/unit/gate_harness.h
+++ b/tests/unit/gate_harness.h
@@ -128,6 +128,11 @@
     collect();
   }
 
+  void check(bool Refused) {
+    m_Gate.onTargetCheck(Refused, m_Now);
+    collect();
+  }
+
   void drain() {
     m_Gate.startDrain(m_Now);
     collect();
