--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -3229,6 +3229,316 @@
 }
 
 
+CrashEvidence::~CrashEvidence() noexcept {
+}
+
+
+void CrashEvidence::__set_fingerprint_high(const int64_t val) {
+  this->fingerprint_high = val;
+}
+
+void CrashEvidence::__set_fingerprint_low(const int64_t val) {
+  this->fingerprint_low = val;
+}
+
+void CrashEvidence::__set_cleared(const bool val) {
+  this->cleared = val;
+}
+
+void CrashEvidence::__set_target_end(const RequestId& val) {
+  this->target_end = val;
+}
+
+void CrashEvidence::__set_seen_ago_us(const int64_t val) {
+  this->seen_ago_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashEvidence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint_high);
+          this->__isset.fingerprint_high = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint_low);
+          this->__isset.fingerprint_low = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->cleared);
+          this->__isset.cleared = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->target_end.read(iprot);
+          this->__isset.target_end = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->seen_ago_us);
+          this->__isset.seen_ago_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashEvidence");
+
+  xfer += oprot->writeFieldBegin("fingerprint_high", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint_high);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fingerprint_low", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->fingerprint_low);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cleared", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->cleared);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target_end", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->target_end.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("seen_ago_us", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->seen_ago_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashEvidence &a, CrashEvidence &b) {
+  using ::std::swap;
+  swap(a.fingerprint_high, b.fingerprint_high);
+  swap(a.fingerprint_low, b.fingerprint_low);
+  swap(a.cleared, b.cleared);
+  swap(a.target_end, b.target_end);
+  swap(a.seen_ago_us, b.seen_ago_us);
+  swap(a.__isset, b.__isset);
+}
+
+CrashEvidence::CrashEvidence(const CrashEvidence& other108) noexcept {
+  fingerprint_high = other108.fingerprint_high;
+  fingerprint_low = other108.fingerprint_low;
+  cleared = other108.cleared;
+  target_end = other108.target_end;
+  seen_ago_us = other108.seen_ago_us;
+  __isset = other108.__isset;
+}
+CrashEvidence::CrashEvidence(CrashEvidence&& other109) noexcept {
+  fingerprint_high = other109.fingerprint_high;
+  fingerprint_low = other109.fingerprint_low;
+  cleared = other109.cleared;
+  target_end = std::move(other109.target_end);
+  seen_ago_us = other109.seen_ago_us;
+  __isset = other109.__isset;
+}
+CrashEvidence& CrashEvidence::operator=(const CrashEvidence& other110) noexcept {
+  fingerprint_high = other110.fingerprint_high;
+  fingerprint_low = other110.fingerprint_low;
+  cleared = other110.cleared;
+  target_end = other110.target_end;
+  seen_ago_us = other110.seen_ago_us;
+  __isset = other110.__isset;
+  return *this;
+}
+CrashEvidence& CrashEvidence::operator=(CrashEvidence&& other111) noexcept {
+  fingerprint_high = other111.fingerprint_high;
+  fingerprint_low = other111.fingerprint_low;
+  cleared = other111.cleared;
+  target_end = std::move(other111.target_end);
+  seen_ago_us = other111.seen_ago_us;
+  __isset = other111.__isset;
+  return *this;
+}
+void CrashEvidence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashEvidence(";
+  out << "fingerprint_high=" << to_string(fingerprint_high);
+  out << ", " << "fingerprint_low=" << to_string(fingerprint_low);
+  out << ", " << "cleared=" << to_string(cleared);
+  out << ", " << "target_end=" << to_string(target_end);
+  out << ", " << "seen_ago_us=" << to_string(seen_ago_us);
+  out << ")";
+}
+
+
+CrashNotice::~CrashNotice() noexcept {
+}
+
+
+void CrashNotice::__set_evidence(const std::vector<CrashEvidence> & val) {
+  this->evidence = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evidence.clear();
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->evidence.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
+            {
+              xfer += this->evidence[_i116].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evidence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashNotice");
+
+  xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
+    std::vector<CrashEvidence> ::const_iterator _iter117;
+    for (_iter117 = this->evidence.begin(); _iter117 != this->evidence.end(); ++_iter117)
+    {
+      xfer += (*_iter117).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashNotice &a, CrashNotice &b) {
+  using ::std::swap;
+  swap(a.evidence, b.evidence);
+  swap(a.__isset, b.__isset);
+}
+
+CrashNotice::CrashNotice(const CrashNotice& other118) {
+  evidence = other118.evidence;
+  __isset = other118.__isset;
+}
+CrashNotice::CrashNotice(CrashNotice&& other119) noexcept {
+  evidence = std::move(other119.evidence);
+  __isset = other119.__isset;
+}
+CrashNotice& CrashNotice::operator=(const CrashNotice& other120) {
+  evidence = other120.evidence;
+  __isset = other120.__isset;
+  return *this;
+}
+CrashNotice& CrashNotice::operator=(CrashNotice&& other121) noexcept {
+  evidence = std::move(other121.evidence);
+  __isset = other121.__isset;
+  return *this;
+}
+void CrashNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashNotice(";
+  out << "evidence=" << to_string(evidence);
+  out << ")";
+}
+
+
 ControlHello::~ControlHello() noexcept {
 }
 
@@ -3406,46 +3716,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlHello::ControlHello(const ControlHello& other108) {
-  host = other108.host;
-  zone = other108.zone;
-  incarnation = other108.incarnation;
-  address = other108.address;
-  held = other108.held;
-  applied = other108.applied;
-  host_list = other108.host_list;
-  __isset = other108.__isset;
+ControlHello::ControlHello(const ControlHello& other122) {
+  host = other122.host;
+  zone = other122.zone;
+  incarnation = other122.incarnation;
+  address = other122.address;
+  held = other122.held;
+  applied = other122.applied;
+  host_list = other122.host_list;
+  __isset = other122.__isset;
 }
-ControlHello::ControlHello(ControlHello&& other109) noexcept {
-  host = std::move(other109.host);
-  zone = std::move(other109.zone);
-  incarnation = std::move(other109.incarnation);
-  address = std::move(other109.address);
-  held = std::move(other109.held);
-  applied = std::move(other109.applied);
-  host_list = std::move(other109.host_list);
-  __isset = other109.__isset;
+ControlHello::ControlHello(ControlHello&& other123) noexcept {
+  host = std::move(other123.host);
+  zone = std::move(other123.zone);
+  incarnation = std::move(other123.incarnation);
+  address = std::move(other123.address);
+  held = std::move(other123.held);
+  applied = std::move(other123.applied);
+  host_list = std::move(other123.host_list);
+  __isset = other123.__isset;
 }
-ControlHello& ControlHello::operator=(const ControlHello& other110) {
-  host = other110.host;
-  zone = other110.zone;
-  incarnation = other110.incarnation;
-  address = other110.address;
-  held = other110.held;
-  applied = other110.applied;
-  host_list = other110.host_list;
-  __isset = other110.__isset;
+ControlHello& ControlHello::operator=(const ControlHello& other124) {
+  host = other124.host;
+  zone = other124.zone;
+  incarnation = other124.incarnation;
+  address = other124.address;
+  held = other124.held;
+  applied = other124.applied;
+  host_list = other124.host_list;
+  __isset = other124.__isset;
   return *this;
 }
-ControlHello& ControlHello::operator=(ControlHello&& other111) noexcept {
-  host = std::move(other111.host);
-  zone = std::move(other111.zone);
-  incarnation = std::move(other111.incarnation);
-  address = std::move(other111.address);
-  held = std::move(other111.held);
-  applied = std::move(other111.applied);
-  host_list = std::move(other111.host_list);
-  __isset = other111.__isset;
+ControlHello& ControlHello::operator=(ControlHello&& other125) noexcept {
+  host = std::move(other125.host);
+  zone = std::move(other125.zone);
+  incarnation = std::move(other125.incarnation);
+  address = std::move(other125.address);
+  held = std::move(other125.held);
+  applied = std::move(other125.applied);
+  host_list = std::move(other125.host_list);
+  __isset = other125.__isset;
   return *this;
 }
 void ControlHello::printTo(std::ostream& out) const {
@@ -3554,26 +3864,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Announce::Announce(const Announce& other112) noexcept {
-  stream = other112.stream;
-  held = other112.held;
-  __isset = other112.__isset;
+Announce::Announce(const Announce& other126) noexcept {
+  stream = other126.stream;
+  held = other126.held;
+  __isset = other126.__isset;
 }
-Announce::Announce(Announce&& other113) noexcept {
-  stream = other113.stream;
-  held = std::move(other113.held);
-  __isset = other113.__isset;
+Announce::Announce(Announce&& other127) noexcept {
+  stream = other127.stream;
+  held = std::move(other127.held);
+  __isset = other127.__isset;
 }
-Announce& Announce::operator=(const Announce& other114) noexcept {
-  stream = other114.stream;
-  held = other114.held;
-  __isset = other114.__isset;
+Announce& Announce::operator=(const Announce& other128) noexcept {
+  stream = other128.stream;
+  held = other128.held;
+  __isset = other128.__isset;
   return *this;
 }
-Announce& Announce::operator=(Announce&& other115) noexcept {
-  stream = other115.stream;
-  held = std::move(other115.held);
-  __isset = other115.__isset;
+Announce& Announce::operator=(Announce&& other129) noexcept {
+  stream = other129.stream;
+  held = std::move(other129.held);
+  __isset = other129.__isset;
   return *this;
 }
 void Announce::printTo(std::ostream& out) const {
@@ -3677,26 +3987,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Pull::Pull(const Pull& other116) noexcept {
-  stream = other116.stream;
-  have = other116.have;
-  __isset = other116.__isset;
+Pull::Pull(const Pull& other130) noexcept {
+  stream = other130.stream;
+  have = other130.have;
+  __isset = other130.__isset;
 }
-Pull::Pull(Pull&& other117) noexcept {
-  stream = other117.stream;
-  have = std::move(other117.have);
-  __isset = other117.__isset;
+Pull::Pull(Pull&& other131) noexcept {
+  stream = other131.stream;
+  have = std::move(other131.have);
+  __isset = other131.__isset;
 }
-Pull& Pull::operator=(const Pull& other118) noexcept {
-  stream = other118.stream;
-  have = other118.have;
-  __isset = other118.__isset;
+Pull& Pull::operator=(const Pull& other132) noexcept {
+  stream = other132.stream;
+  have = other132.have;
+  __isset = other132.__isset;
   return *this;
 }
-Pull& Pull::operator=(Pull&& other119) noexcept {
-  stream = other119.stream;
-  have = std::move(other119.have);
-  __isset = other119.__isset;
+Pull& Pull::operator=(Pull&& other133) noexcept {
+  stream = other133.stream;
+  have = std::move(other133.have);
+  __isset = other133.__isset;
   return *this;
 }
 void Pull::printTo(std::ostream& out) const {
@@ -3800,26 +4110,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Part::Part(const Part& other120) {
-  name = other120.name;
-  text = other120.text;
-  __isset = other120.__isset;
+Part::Part(const Part& other134) {
+  name = other134.name;
+  text = other134.text;
+  __isset = other134.__isset;
 }
-Part::Part(Part&& other121) noexcept {
-  name = std::move(other121.name);
-  text = std::move(other121.text);
-  __isset = other121.__isset;
+Part::Part(Part&& other135) noexcept {
+  name = std::move(other135.name);
+  text = std::move(other135.text);
+  __isset = other135.__isset;
 }
-Part& Part::operator=(const Part& other122) {
-  name = other122.name;
-  text = other122.text;
-  __isset = other122.__isset;
+Part& Part::operator=(const Part& other136) {
+  name = other136.name;
+  text = other136.text;
+  __isset = other136.__isset;
   return *this;
 }
-Part& Part::operator=(Part&& other123) noexcept {
-  name = std::move(other123.name);
-  text = std::move(other123.text);
-  __isset = other123.__isset;
+Part& Part::operator=(Part&& other137) noexcept {
+  name = std::move(other137.name);
+  text = std::move(other137.text);
+  __isset = other137.__isset;
   return *this;
 }
 void Part::printTo(std::ostream& out) const {
@@ -3898,14 +4208,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->changed.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->changed.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->changed[_i128].read(iprot);
+              xfer += this->changed[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3918,14 +4228,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->removed.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->removed.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += iprot->readString(this->removed[_i133]);
+              xfer += iprot->readString(this->removed[_i147]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3962,10 +4272,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<Part> ::const_iterator _iter134;
-    for (_iter134 = this->changed.begin(); _iter134 != this->changed.end(); ++_iter134)
+    std::vector<Part> ::const_iterator _iter148;
+    for (_iter148 = this->changed.begin(); _iter148 != this->changed.end(); ++_iter148)
     {
-      xfer += (*_iter134).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3974,10 +4284,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter135;
-    for (_iter135 = this->removed.begin(); _iter135 != this->removed.end(); ++_iter135)
+    std::vector<std::string> ::const_iterator _iter149;
+    for (_iter149 = this->removed.begin(); _iter149 != this->removed.end(); ++_iter149)
     {
-      xfer += oprot->writeString((*_iter135));
+      xfer += oprot->writeString((*_iter149));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3997,34 +4307,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeRecord::ChangeRecord(const ChangeRecord& other136) {
-  base = other136.base;
-  stamp = other136.stamp;
-  changed = other136.changed;
-  removed = other136.removed;
-  __isset = other136.__isset;
-}
-ChangeRecord::ChangeRecord(ChangeRecord&& other137) noexcept {
-  base = std::move(other137.base);
-  stamp = std::move(other137.stamp);
-  changed = std::move(other137.changed);
-  removed = std::move(other137.removed);
-  __isset = other137.__isset;
-}
-ChangeRecord& ChangeRecord::operator=(const ChangeRecord& other138) {
-  base = other138.base;
-  stamp = other138.stamp;
-  changed = other138.changed;
-  removed = other138.removed;
-  __isset = other138.__isset;
+ChangeRecord::ChangeRecord(const ChangeRecord& other150) {
+  base = other150.base;
+  stamp = other150.stamp;
+  changed = other150.changed;
+  removed = other150.removed;
+  __isset = other150.__isset;
+}
+ChangeRecord::ChangeRecord(ChangeRecord&& other151) noexcept {
+  base = std::move(other151.base);
+  stamp = std::move(other151.stamp);
+  changed = std::move(other151.changed);
+  removed = std::move(other151.removed);
+  __isset = other151.__isset;
+}
+ChangeRecord& ChangeRecord::operator=(const ChangeRecord& other152) {
+  base = other152.base;
+  stamp = other152.stamp;
+  changed = other152.changed;
+  removed = other152.removed;
+  __isset = other152.__isset;
   return *this;
 }
-ChangeRecord& ChangeRecord::operator=(ChangeRecord&& other139) noexcept {
-  base = std::move(other139.base);
-  stamp = std::move(other139.stamp);
-  changed = std::move(other139.changed);
-  removed = std::move(other139.removed);
-  __isset = other139.__isset;
+ChangeRecord& ChangeRecord::operator=(ChangeRecord&& other153) noexcept {
+  base = std::move(other153.base);
+  stamp = std::move(other153.stamp);
+  changed = std::move(other153.changed);
+  removed = std::move(other153.removed);
+  __isset = other153.__isset;
   return *this;
 }
 void ChangeRecord::printTo(std::ostream& out) const {
@@ -4089,14 +4399,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->records.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->records.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += this->records[_i144].read(iprot);
+              xfer += this->records[_i158].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4129,10 +4439,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<ChangeRecord> ::const_iterator _iter145;
-    for (_iter145 = this->records.begin(); _iter145 != this->records.end(); ++_iter145)
+    std::vector<ChangeRecord> ::const_iterator _iter159;
+    for (_iter159 = this->records.begin(); _iter159 != this->records.end(); ++_iter159)
     {
-      xfer += (*_iter145).write(oprot);
+      xfer += (*_iter159).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4150,26 +4460,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeRecords::ChangeRecords(const ChangeRecords& other146) {
-  stream = other146.stream;
-  records = other146.records;
-  __isset = other146.__isset;
+ChangeRecords::ChangeRecords(const ChangeRecords& other160) {
+  stream = other160.stream;
+  records = other160.records;
+  __isset = other160.__isset;
 }
-ChangeRecords::ChangeRecords(ChangeRecords&& other147) noexcept {
-  stream = other147.stream;
-  records = std::move(other147.records);
-  __isset = other147.__isset;
+ChangeRecords::ChangeRecords(ChangeRecords&& other161) noexcept {
+  stream = other161.stream;
+  records = std::move(other161.records);
+  __isset = other161.__isset;
 }
-ChangeRecords& ChangeRecords::operator=(const ChangeRecords& other148) {
-  stream = other148.stream;
-  records = other148.records;
-  __isset = other148.__isset;
+ChangeRecords& ChangeRecords::operator=(const ChangeRecords& other162) {
+  stream = other162.stream;
+  records = other162.records;
+  __isset = other162.__isset;
   return *this;
 }
-ChangeRecords& ChangeRecords::operator=(ChangeRecords&& other149) noexcept {
-  stream = other149.stream;
-  records = std::move(other149.records);
-  __isset = other149.__isset;
+ChangeRecords& ChangeRecords::operator=(ChangeRecords&& other163) noexcept {
+  stream = other163.stream;
+  records = std::move(other163.records);
+  __isset = other163.__isset;
   return *this;
 }
 void ChangeRecords::printTo(std::ostream& out) const {
@@ -4268,14 +4578,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size150;
-            ::apache::thrift::protocol::TType _etype153;
-            xfer += iprot->readListBegin(_etype153, _size150);
-            this->parts.resize(_size150);
-            uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->parts.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += this->parts[_i154].read(iprot);
+              xfer += this->parts[_i168].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4320,10 +4630,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<Part> ::const_iterator _iter155;
-    for (_iter155 = this->parts.begin(); _iter155 != this->parts.end(); ++_iter155)
+    std::vector<Part> ::const_iterator _iter169;
+    for (_iter169 = this->parts.begin(); _iter169 != this->parts.end(); ++_iter169)
     {
-      xfer += (*_iter155).write(oprot);
+      xfer += (*_iter169).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4344,38 +4654,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other156) {
-  stream = other156.stream;
-  stamp = other156.stamp;
-  index = other156.index;
-  count = other156.count;
-  parts = other156.parts;
-  __isset = other156.__isset;
-}
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other157) noexcept {
-  stream = other157.stream;
-  stamp = std::move(other157.stamp);
-  index = other157.index;
-  count = other157.count;
-  parts = std::move(other157.parts);
-  __isset = other157.__isset;
-}
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other158) {
-  stream = other158.stream;
-  stamp = other158.stamp;
-  index = other158.index;
-  count = other158.count;
-  parts = other158.parts;
-  __isset = other158.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other170) {
+  stream = other170.stream;
+  stamp = other170.stamp;
+  index = other170.index;
+  count = other170.count;
+  parts = other170.parts;
+  __isset = other170.__isset;
+}
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other171) noexcept {
+  stream = other171.stream;
+  stamp = std::move(other171.stamp);
+  index = other171.index;
+  count = other171.count;
+  parts = std::move(other171.parts);
+  __isset = other171.__isset;
+}
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other172) {
+  stream = other172.stream;
+  stamp = other172.stamp;
+  index = other172.index;
+  count = other172.count;
+  parts = other172.parts;
+  __isset = other172.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other159) noexcept {
-  stream = other159.stream;
-  stamp = std::move(other159.stamp);
-  index = other159.index;
-  count = other159.count;
-  parts = std::move(other159.parts);
-  __isset = other159.__isset;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other173) noexcept {
+  stream = other173.stream;
+  stamp = std::move(other173.stamp);
+  index = other173.index;
+  count = other173.count;
+  parts = std::move(other173.parts);
+  __isset = other173.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -4482,26 +4792,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HeldAck::HeldAck(const HeldAck& other160) noexcept {
-  stream = other160.stream;
-  held = other160.held;
-  __isset = other160.__isset;
+HeldAck::HeldAck(const HeldAck& other174) noexcept {
+  stream = other174.stream;
+  held = other174.held;
+  __isset = other174.__isset;
 }
-HeldAck::HeldAck(HeldAck&& other161) noexcept {
-  stream = other161.stream;
-  held = std::move(other161.held);
-  __isset = other161.__isset;
+HeldAck::HeldAck(HeldAck&& other175) noexcept {
+  stream = other175.stream;
+  held = std::move(other175.held);
+  __isset = other175.__isset;
 }
-HeldAck& HeldAck::operator=(const HeldAck& other162) noexcept {
-  stream = other162.stream;
-  held = other162.held;
-  __isset = other162.__isset;
+HeldAck& HeldAck::operator=(const HeldAck& other176) noexcept {
+  stream = other176.stream;
+  held = other176.held;
+  __isset = other176.__isset;
   return *this;
 }
-HeldAck& HeldAck::operator=(HeldAck&& other163) noexcept {
-  stream = other163.stream;
-  held = std::move(other163.held);
-  __isset = other163.__isset;
+HeldAck& HeldAck::operator=(HeldAck&& other177) noexcept {
+  stream = other177.stream;
+  held = std::move(other177.held);
+  __isset = other177.__isset;
   return *this;
 }
 void HeldAck::printTo(std::ostream& out) const {
@@ -4673,42 +4983,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other164) noexcept {
-  sequence = other164.sequence;
-  held = other164.held;
-  applied = other164.applied;
-  host_list = other164.host_list;
-  source_tried_ago_us = other164.source_tried_ago_us;
-  source_reached_ago_us = other164.source_reached_ago_us;
-  __isset = other164.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other165) noexcept {
-  sequence = other165.sequence;
-  held = std::move(other165.held);
-  applied = std::move(other165.applied);
-  host_list = std::move(other165.host_list);
-  source_tried_ago_us = other165.source_tried_ago_us;
-  source_reached_ago_us = other165.source_reached_ago_us;
-  __isset = other165.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other166) noexcept {
-  sequence = other166.sequence;
-  held = other166.held;
-  applied = other166.applied;
-  host_list = other166.host_list;
-  source_tried_ago_us = other166.source_tried_ago_us;
-  source_reached_ago_us = other166.source_reached_ago_us;
-  __isset = other166.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other178) noexcept {
+  sequence = other178.sequence;
+  held = other178.held;
+  applied = other178.applied;
+  host_list = other178.host_list;
+  source_tried_ago_us = other178.source_tried_ago_us;
+  source_reached_ago_us = other178.source_reached_ago_us;
+  __isset = other178.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other179) noexcept {
+  sequence = other179.sequence;
+  held = std::move(other179.held);
+  applied = std::move(other179.applied);
+  host_list = std::move(other179.host_list);
+  source_tried_ago_us = other179.source_tried_ago_us;
+  source_reached_ago_us = other179.source_reached_ago_us;
+  __isset = other179.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other180) noexcept {
+  sequence = other180.sequence;
+  held = other180.held;
+  applied = other180.applied;
+  host_list = other180.host_list;
+  source_tried_ago_us = other180.source_tried_ago_us;
+  source_reached_ago_us = other180.source_reached_ago_us;
+  __isset = other180.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other167) noexcept {
-  sequence = other167.sequence;
-  held = std::move(other167.held);
-  applied = std::move(other167.applied);
-  host_list = std::move(other167.host_list);
-  source_tried_ago_us = other167.source_tried_ago_us;
-  source_reached_ago_us = other167.source_reached_ago_us;
-  __isset = other167.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other181) noexcept {
+  sequence = other181.sequence;
+  held = std::move(other181.held);
+  applied = std::move(other181.applied);
+  host_list = std::move(other181.host_list);
+  source_tried_ago_us = other181.source_tried_ago_us;
+  source_reached_ago_us = other181.source_reached_ago_us;
+  __isset = other181.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -4778,18 +5088,18 @@
   (void) b;
 }
 
-ControlGoAway::ControlGoAway(const ControlGoAway& other168) noexcept {
-  (void) other168;
+ControlGoAway::ControlGoAway(const ControlGoAway& other182) noexcept {
+  (void) other182;
 }
-ControlGoAway::ControlGoAway(ControlGoAway&& other169) noexcept {
-  (void) other169;
+ControlGoAway::ControlGoAway(ControlGoAway&& other183) noexcept {
+  (void) other183;
 }
-ControlGoAway& ControlGoAway::operator=(const ControlGoAway& other170) noexcept {
-  (void) other170;
+ControlGoAway& ControlGoAway::operator=(const ControlGoAway& other184) noexcept {
+  (void) other184;
   return *this;
 }
-ControlGoAway& ControlGoAway::operator=(ControlGoAway&& other171) noexcept {
-  (void) other171;
+ControlGoAway& ControlGoAway::operator=(ControlGoAway&& other185) noexcept {
+  (void) other185;
   return *this;
 }
 void ControlGoAway::printTo(std::ostream& out) const {
@@ -4910,30 +5220,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreRecord::StoreRecord(const StoreRecord& other172) {
-  key = other172.key;
-  revision = other172.revision;
-  value = other172.value;
-  __isset = other172.__isset;
+StoreRecord::StoreRecord(const StoreRecord& other186) {
+  key = other186.key;
+  revision = other186.revision;
+  value = other186.value;
+  __isset = other186.__isset;
 }
-StoreRecord::StoreRecord(StoreRecord&& other173) noexcept {
-  key = std::move(other173.key);
-  revision = other173.revision;
-  value = std::move(other173.value);
-  __isset = other173.__isset;
+StoreRecord::StoreRecord(StoreRecord&& other187) noexcept {
+  key = std::move(other187.key);
+  revision = other187.revision;
+  value = std::move(other187.value);
+  __isset = other187.__isset;
 }
-StoreRecord& StoreRecord::operator=(const StoreRecord& other174) {
-  key = other174.key;
-  revision = other174.revision;
-  value = other174.value;
-  __isset = other174.__isset;
+StoreRecord& StoreRecord::operator=(const StoreRecord& other188) {
+  key = other188.key;
+  revision = other188.revision;
+  value = other188.value;
+  __isset = other188.__isset;
   return *this;
 }
-StoreRecord& StoreRecord::operator=(StoreRecord&& other175) noexcept {
-  key = std::move(other175.key);
-  revision = other175.revision;
-  value = std::move(other175.value);
-  __isset = other175.__isset;
+StoreRecord& StoreRecord::operator=(StoreRecord&& other189) noexcept {
+  key = std::move(other189.key);
+  revision = other189.revision;
+  value = std::move(other189.value);
+  __isset = other189.__isset;
   return *this;
 }
 void StoreRecord::printTo(std::ostream& out) const {
@@ -5021,22 +5331,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordsPull::RecordsPull(const RecordsPull& other176) noexcept {
-  have = other176.have;
-  __isset = other176.__isset;
+RecordsPull::RecordsPull(const RecordsPull& other190) noexcept {
+  have = other190.have;
+  __isset = other190.__isset;
 }
-RecordsPull::RecordsPull(RecordsPull&& other177) noexcept {
-  have = other177.have;
-  __isset = other177.__isset;
+RecordsPull::RecordsPull(RecordsPull&& other191) noexcept {
+  have = other191.have;
+  __isset = other191.__isset;
 }
-RecordsPull& RecordsPull::operator=(const RecordsPull& other178) noexcept {
-  have = other178.have;
-  __isset = other178.__isset;
+RecordsPull& RecordsPull::operator=(const RecordsPull& other192) noexcept {
+  have = other192.have;
+  __isset = other192.__isset;
   return *this;
 }
-RecordsPull& RecordsPull::operator=(RecordsPull&& other179) noexcept {
-  have = other179.have;
-  __isset = other179.__isset;
+RecordsPull& RecordsPull::operator=(RecordsPull&& other193) noexcept {
+  have = other193.have;
+  __isset = other193.__isset;
   return *this;
 }
 void RecordsPull::printTo(std::ostream& out) const {
@@ -5110,14 +5420,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size180;
-            ::apache::thrift::protocol::TType _etype183;
-            xfer += iprot->readListBegin(_etype183, _size180);
-            this->records.resize(_size180);
-            uint32_t _i184;
-            for (_i184 = 0; _i184 < _size180; ++_i184)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->records.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += this->records[_i184].read(iprot);
+              xfer += this->records[_i198].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5154,10 +5464,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoreRecord> ::const_iterator _iter185;
-    for (_iter185 = this->records.begin(); _iter185 != this->records.end(); ++_iter185)
+    std::vector<StoreRecord> ::const_iterator _iter199;
+    for (_iter199 = this->records.begin(); _iter199 != this->records.end(); ++_iter199)
     {
-      xfer += (*_iter185).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5176,30 +5486,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordsPush::RecordsPush(const RecordsPush& other186) {
-  as_of = other186.as_of;
-  whole = other186.whole;
-  records = other186.records;
-  __isset = other186.__isset;
+RecordsPush::RecordsPush(const RecordsPush& other200) {
+  as_of = other200.as_of;
+  whole = other200.whole;
+  records = other200.records;
+  __isset = other200.__isset;
 }
-RecordsPush::RecordsPush(RecordsPush&& other187) noexcept {
-  as_of = other187.as_of;
-  whole = other187.whole;
-  records = std::move(other187.records);
-  __isset = other187.__isset;
+RecordsPush::RecordsPush(RecordsPush&& other201) noexcept {
+  as_of = other201.as_of;
+  whole = other201.whole;
+  records = std::move(other201.records);
+  __isset = other201.__isset;
 }
-RecordsPush& RecordsPush::operator=(const RecordsPush& other188) {
-  as_of = other188.as_of;
-  whole = other188.whole;
-  records = other188.records;
-  __isset = other188.__isset;
+RecordsPush& RecordsPush::operator=(const RecordsPush& other202) {
+  as_of = other202.as_of;
+  whole = other202.whole;
+  records = other202.records;
+  __isset = other202.__isset;
   return *this;
 }
-RecordsPush& RecordsPush::operator=(RecordsPush&& other189) noexcept {
-  as_of = other189.as_of;
-  whole = other189.whole;
-  records = std::move(other189.records);
-  __isset = other189.__isset;
+RecordsPush& RecordsPush::operator=(RecordsPush&& other203) noexcept {
+  as_of = other203.as_of;
+  whole = other203.whole;
+  records = std::move(other203.records);
+  __isset = other203.__isset;
   return *this;
 }
 void RecordsPush::printTo(std::ostream& out) const {
@@ -5266,18 +5576,18 @@
   (void) b;
 }
 
-FollowRevisions::FollowRevisions(const FollowRevisions& other190) noexcept {
-  (void) other190;
+FollowRevisions::FollowRevisions(const FollowRevisions& other204) noexcept {
+  (void) other204;
 }
-FollowRevisions::FollowRevisions(FollowRevisions&& other191) noexcept {
-  (void) other191;
+FollowRevisions::FollowRevisions(FollowRevisions&& other205) noexcept {
+  (void) other205;
 }
-FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other192) noexcept {
-  (void) other192;
+FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other206) noexcept {
+  (void) other206;
   return *this;
 }
-FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other193) noexcept {
-  (void) other193;
+FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other207) noexcept {
+  (void) other207;
   return *this;
 }
 void FollowRevisions::printTo(std::ostream& out) const {
@@ -5413,34 +5723,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RevisionNotice::RevisionNotice(const RevisionNotice& other194) noexcept {
-  revision = other194.revision;
-  held = other194.held;
-  confirmed_ago_us = other194.confirmed_ago_us;
-  refused = other194.refused;
-  __isset = other194.__isset;
-}
-RevisionNotice::RevisionNotice(RevisionNotice&& other195) noexcept {
-  revision = other195.revision;
-  held = other195.held;
-  confirmed_ago_us = other195.confirmed_ago_us;
-  refused = other195.refused;
-  __isset = other195.__isset;
-}
-RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other196) noexcept {
-  revision = other196.revision;
-  held = other196.held;
-  confirmed_ago_us = other196.confirmed_ago_us;
-  refused = other196.refused;
-  __isset = other196.__isset;
+RevisionNotice::RevisionNotice(const RevisionNotice& other208) noexcept {
+  revision = other208.revision;
+  held = other208.held;
+  confirmed_ago_us = other208.confirmed_ago_us;
+  refused = other208.refused;
+  __isset = other208.__isset;
+}
+RevisionNotice::RevisionNotice(RevisionNotice&& other209) noexcept {
+  revision = other209.revision;
+  held = other209.held;
+  confirmed_ago_us = other209.confirmed_ago_us;
+  refused = other209.refused;
+  __isset = other209.__isset;
+}
+RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other210) noexcept {
+  revision = other210.revision;
+  held = other210.held;
+  confirmed_ago_us = other210.confirmed_ago_us;
+  refused = other210.refused;
+  __isset = other210.__isset;
   return *this;
 }
-RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other197) noexcept {
-  revision = other197.revision;
-  held = other197.held;
-  confirmed_ago_us = other197.confirmed_ago_us;
-  refused = other197.refused;
-  __isset = other197.__isset;
+RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other211) noexcept {
+  revision = other211.revision;
+  held = other211.held;
+  confirmed_ago_us = other211.confirmed_ago_us;
+  refused = other211.refused;
+  __isset = other211.__isset;
   return *this;
 }
 void RevisionNotice::printTo(std::ostream& out) const {
@@ -5523,6 +5833,11 @@
 __isset.traffic_go_away = true;
 }
 
+void Body::__set_crash_notice(const CrashNotice& val) {
+  this->crash_notice = val;
+__isset.crash_notice = true;
+}
+
 void Body::__set_control_hello(const ControlHello& val) {
   this->control_hello = val;
 __isset.control_hello = true;
@@ -5714,6 +6029,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crash_notice.read(iprot);
+          this->__isset.crash_notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 20:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->control_hello.read(iprot);
@@ -5892,6 +6215,11 @@
     xfer += this->traffic_go_away.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.crash_notice) {
+    xfer += oprot->writeFieldBegin("crash_notice", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->crash_notice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.control_hello) {
     xfer += oprot->writeFieldBegin("control_hello", ::apache::thrift::protocol::T_STRUCT, 20);
     xfer += this->control_hello.write(oprot);
@@ -5972,6 +6300,7 @@
   swap(a.traffic_ping, b.traffic_ping);
   swap(a.traffic_pong, b.traffic_pong);
   swap(a.traffic_go_away, b.traffic_go_away);
+  swap(a.crash_notice, b.crash_notice);
   swap(a.control_hello, b.control_hello);
   swap(a.announce, b.announce);
   swap(a.pull, b.pull);
@@ -5987,118 +6316,122 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other198) {
-  traffic_hello = other198.traffic_hello;
-  traffic_welcome = other198.traffic_welcome;
-  dispatch = other198.dispatch;
-  answer = other198.answer;
-  refusal = other198.refusal;
-  failure = other198.failure;
-  inquiry = other198.inquiry;
-  inquiry_reply = other198.inquiry_reply;
-  settled = other198.settled;
-  cancel = other198.cancel;
-  traffic_ping = other198.traffic_ping;
-  traffic_pong = other198.traffic_pong;
-  traffic_go_away = other198.traffic_go_away;
-  control_hello = other198.control_hello;
-  announce = other198.announce;
-  pull = other198.pull;
-  change_records = other198.change_records;
-  snapshot_chunk = other198.snapshot_chunk;
-  held_ack = other198.held_ack;
-  heartbeat = other198.heartbeat;
-  control_go_away = other198.control_go_away;
-  records_pull = other198.records_pull;
-  records_push = other198.records_push;
-  follow_revisions = other198.follow_revisions;
-  revision_notice = other198.revision_notice;
-  __isset = other198.__isset;
-}
-Body::Body(Body&& other199) noexcept {
-  traffic_hello = std::move(other199.traffic_hello);
-  traffic_welcome = std::move(other199.traffic_welcome);
-  dispatch = std::move(other199.dispatch);
-  answer = std::move(other199.answer);
-  refusal = std::move(other199.refusal);
-  failure = std::move(other199.failure);
-  inquiry = std::move(other199.inquiry);
-  inquiry_reply = std::move(other199.inquiry_reply);
-  settled = std::move(other199.settled);
-  cancel = std::move(other199.cancel);
-  traffic_ping = std::move(other199.traffic_ping);
-  traffic_pong = std::move(other199.traffic_pong);
-  traffic_go_away = std::move(other199.traffic_go_away);
-  control_hello = std::move(other199.control_hello);
-  announce = std::move(other199.announce);
-  pull = std::move(other199.pull);
-  change_records = std::move(other199.change_records);
-  snapshot_chunk = std::move(other199.snapshot_chunk);
-  held_ack = std::move(other199.held_ack);
-  heartbeat = std::move(other199.heartbeat);
-  control_go_away = std::move(other199.control_go_away);
-  records_pull = std::move(other199.records_pull);
-  records_push = std::move(other199.records_push);
-  follow_revisions = std::move(other199.follow_revisions);
-  revision_notice = std::move(other199.revision_notice);
-  __isset = other199.__isset;
-}
-Body& Body::operator=(const Body& other200) {
-  traffic_hello = other200.traffic_hello;
-  traffic_welcome = other200.traffic_welcome;
-  dispatch = other200.dispatch;
-  answer = other200.answer;
-  refusal = other200.refusal;
-  failure = other200.failure;
-  inquiry = other200.inquiry;
-  inquiry_reply = other200.inquiry_reply;
-  settled = other200.settled;
-  cancel = other200.cancel;
-  traffic_ping = other200.traffic_ping;
-  traffic_pong = other200.traffic_pong;
-  traffic_go_away = other200.traffic_go_away;
-  control_hello = other200.control_hello;
-  announce = other200.announce;
-  pull = other200.pull;
-  change_records = other200.change_records;
-  snapshot_chunk = other200.snapshot_chunk;
-  held_ack = other200.held_ack;
-  heartbeat = other200.heartbeat;
-  control_go_away = other200.control_go_away;
-  records_pull = other200.records_pull;
-  records_push = other200.records_push;
-  follow_revisions = other200.follow_revisions;
-  revision_notice = other200.revision_notice;
-  __isset = other200.__isset;
+Body::Body(const Body& other212) {
+  traffic_hello = other212.traffic_hello;
+  traffic_welcome = other212.traffic_welcome;
+  dispatch = other212.dispatch;
+  answer = other212.answer;
+  refusal = other212.refusal;
+  failure = other212.failure;
+  inquiry = other212.inquiry;
+  inquiry_reply = other212.inquiry_reply;
+  settled = other212.settled;
+  cancel = other212.cancel;
+  traffic_ping = other212.traffic_ping;
+  traffic_pong = other212.traffic_pong;
+  traffic_go_away = other212.traffic_go_away;
+  crash_notice = other212.crash_notice;
+  control_hello = other212.control_hello;
+  announce = other212.announce;
+  pull = other212.pull;
+  change_records = other212.change_records;
+  snapshot_chunk = other212.snapshot_chunk;
+  held_ack = other212.held_ack;
+  heartbeat = other212.heartbeat;
+  control_go_away = other212.control_go_away;
+  records_pull = other212.records_pull;
+  records_push = other212.records_push;
+  follow_revisions = other212.follow_revisions;
+  revision_notice = other212.revision_notice;
+  __isset = other212.__isset;
+}
+Body::Body(Body&& other213) noexcept {
+  traffic_hello = std::move(other213.traffic_hello);
+  traffic_welcome = std::move(other213.traffic_welcome);
+  dispatch = std::move(other213.dispatch);
+  answer = std::move(other213.answer);
+  refusal = std::move(other213.refusal);
+  failure = std::move(other213.failure);
+  inquiry = std::move(other213.inquiry);
+  inquiry_reply = std::move(other213.inquiry_reply);
+  settled = std::move(other213.settled);
+  cancel = std::move(other213.cancel);
+  traffic_ping = std::move(other213.traffic_ping);
+  traffic_pong = std::move(other213.traffic_pong);
+  traffic_go_away = std::move(other213.traffic_go_away);
+  crash_notice = std::move(other213.crash_notice);
+  control_hello = std::move(other213.control_hello);
+  announce = std::move(other213.announce);
+  pull = std::move(other213.pull);
+  change_records = std::move(other213.change_records);
+  snapshot_chunk = std::move(other213.snapshot_chunk);
+  held_ack = std::move(other213.held_ack);
+  heartbeat = std::move(other213.heartbeat);
+  control_go_away = std::move(other213.control_go_away);
+  records_pull = std::move(other213.records_pull);
+  records_push = std::move(other213.records_push);
+  follow_revisions = std::move(other213.follow_revisions);
+  revision_notice = std::move(other213.revision_notice);
+  __isset = other213.__isset;
+}
+Body& Body::operator=(const Body& other214) {
+  traffic_hello = other214.traffic_hello;
+  traffic_welcome = other214.traffic_welcome;
+  dispatch = other214.dispatch;
+  answer = other214.answer;
+  refusal = other214.refusal;
+  failure = other214.failure;
+  inquiry = other214.inquiry;
+  inquiry_reply = other214.inquiry_reply;
+  settled = other214.settled;
+  cancel = other214.cancel;
+  traffic_ping = other214.traffic_ping;
+  traffic_pong = other214.traffic_pong;
+  traffic_go_away = other214.traffic_go_away;
+  crash_notice = other214.crash_notice;
+  control_hello = other214.control_hello;
+  announce = other214.announce;
+  pull = other214.pull;
+  change_records = other214.change_records;
+  snapshot_chunk = other214.snapshot_chunk;
+  held_ack = other214.held_ack;
+  heartbeat = other214.heartbeat;
+  control_go_away = other214.control_go_away;
+  records_pull = other214.records_pull;
+  records_push = other214.records_push;
+  follow_revisions = other214.follow_revisions;
+  revision_notice = other214.revision_notice;
+  __isset = other214.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other201) noexcept {
-  traffic_hello = std::move(other201.traffic_hello);
-  traffic_welcome = std::move(other201.traffic_welcome);
-  dispatch = std::move(other201.dispatch);
-  answer = std::move(other201.answer);
-  refusal = std::move(other201.refusal);
-  failure = std::move(other201.failure);
-  inquiry = std::move(other201.inquiry);
-  inquiry_reply = std::move(other201.inquiry_reply);
-  settled = std::move(other201.settled);
-  cancel = std::move(other201.cancel);
-  traffic_ping = std::move(other201.traffic_ping);
-  traffic_pong = std::move(other201.traffic_pong);
-  traffic_go_away = std::move(other201.traffic_go_away);
-  control_hello = std::move(other201.control_hello);
-  announce = std::move(other201.announce);
-  pull = std::move(other201.pull);
-  change_records = std::move(other201.change_records);
-  snapshot_chunk = std::move(other201.snapshot_chunk);
-  held_ack = std::move(other201.held_ack);
-  heartbeat = std::move(other201.heartbeat);
-  control_go_away = std::move(other201.control_go_away);
-  records_pull = std::move(other201.records_pull);
-  records_push = std::move(other201.records_push);
-  follow_revisions = std::move(other201.follow_revisions);
-  revision_notice = std::move(other201.revision_notice);
-  __isset = other201.__isset;
+Body& Body::operator=(Body&& other215) noexcept {
+  traffic_hello = std::move(other215.traffic_hello);
+  traffic_welcome = std::move(other215.traffic_welcome);
+  dispatch = std::move(other215.dispatch);
+  answer = std::move(other215.answer);
+  refusal = std::move(other215.refusal);
+  failure = std::move(other215.failure);
+  inquiry = std::move(other215.inquiry);
+  inquiry_reply = std::move(other215.inquiry_reply);
+  settled = std::move(other215.settled);
+  cancel = std::move(other215.cancel);
+  traffic_ping = std::move(other215.traffic_ping);
+  traffic_pong = std::move(other215.traffic_pong);
+  traffic_go_away = std::move(other215.traffic_go_away);
+  crash_notice = std::move(other215.crash_notice);
+  control_hello = std::move(other215.control_hello);
+  announce = std::move(other215.announce);
+  pull = std::move(other215.pull);
+  change_records = std::move(other215.change_records);
+  snapshot_chunk = std::move(other215.snapshot_chunk);
+  held_ack = std::move(other215.held_ack);
+  heartbeat = std::move(other215.heartbeat);
+  control_go_away = std::move(other215.control_go_away);
+  records_pull = std::move(other215.records_pull);
+  records_push = std::move(other215.records_push);
+  follow_revisions = std::move(other215.follow_revisions);
+  revision_notice = std::move(other215.revision_notice);
+  __isset = other215.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -6117,6 +6450,7 @@
   out << ", " << "traffic_ping="; (__isset.traffic_ping ? (out << to_string(traffic_ping)) : (out << "<null>"));
   out << ", " << "traffic_pong="; (__isset.traffic_pong ? (out << to_string(traffic_pong)) : (out << "<null>"));
   out << ", " << "traffic_go_away="; (__isset.traffic_go_away ? (out << to_string(traffic_go_away)) : (out << "<null>"));
+  out << ", " << "crash_notice="; (__isset.crash_notice ? (out << to_string(crash_notice)) : (out << "<null>"));
   out << ", " << "control_hello="; (__isset.control_hello ? (out << to_string(control_hello)) : (out << "<null>"));
   out << ", " << "announce="; (__isset.announce ? (out << to_string(announce)) : (out << "<null>"));
   out << ", " << "pull="; (__isset.pull ? (out << to_string(pull)) : (out << "<null>"));
@@ -6225,26 +6559,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other202) {
-  logical_time = other202.logical_time;
-  body = other202.body;
-  __isset = other202.__isset;
+Frame::Frame(const Frame& other216) {
+  logical_time = other216.logical_time;
+  body = other216.body;
+  __isset = other216.__isset;
 }
-Frame::Frame(Frame&& other203) noexcept {
-  logical_time = other203.logical_time;
-  body = std::move(other203.body);
-  __isset = other203.__isset;
+Frame::Frame(Frame&& other217) noexcept {
+  logical_time = other217.logical_time;
+  body = std::move(other217.body);
+  __isset = other217.__isset;
 }
-Frame& Frame::operator=(const Frame& other204) {
-  logical_time = other204.logical_time;
-  body = other204.body;
-  __isset = other204.__isset;
+Frame& Frame::operator=(const Frame& other218) {
+  logical_time = other218.logical_time;
+  body = other218.body;
+  __isset = other218.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other205) noexcept {
-  logical_time = other205.logical_time;
-  body = std::move(other205.body);
-  __isset = other205.__isset;
+Frame& Frame::operator=(Frame&& other219) noexcept {
+  logical_time = other219.logical_time;
+  body = std::move(other219.body);
+  __isset = other219.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -63,6 +63,10 @@
 
 class TrafficGoAway;
 
+class CrashEvidence;
+
+class CrashNotice;
+
 class ControlHello;
 
 class Announce;
@@ -1342,6 +1346,122 @@
 
 std::ostream& operator<<(std::ostream& out, const TrafficGoAway& obj);
 
+typedef struct _CrashEvidence__isset {
+  _CrashEvidence__isset() : fingerprint_high(false), fingerprint_low(false), cleared(false), target_end(false), seen_ago_us(false) {}
+  bool fingerprint_high :1;
+  bool fingerprint_low :1;
+  bool cleared :1;
+  bool target_end :1;
+  bool seen_ago_us :1;
+} _CrashEvidence__isset;
+
+class CrashEvidence : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashEvidence(const CrashEvidence&) noexcept;
+  CrashEvidence(CrashEvidence&&) noexcept;
+  CrashEvidence& operator=(const CrashEvidence&) noexcept;
+  CrashEvidence& operator=(CrashEvidence&&) noexcept;
+  CrashEvidence() noexcept
+                : fingerprint_high(0),
+                  fingerprint_low(0),
+                  cleared(0),
+                  seen_ago_us(0) {
+  }
+
+  virtual ~CrashEvidence() noexcept;
+  int64_t fingerprint_high;
+  int64_t fingerprint_low;
+  bool cleared;
+  RequestId target_end;
+  int64_t seen_ago_us;
+
+  _CrashEvidence__isset __isset;
+
+  void __set_fingerprint_high(const int64_t val);
+
+  void __set_fingerprint_low(const int64_t val);
+
+  void __set_cleared(const bool val);
+
+  void __set_target_end(const RequestId& val);
+
+  void __set_seen_ago_us(const int64_t val);
+
+  bool operator == (const CrashEvidence & rhs) const
+  {
+    if (!(fingerprint_high == rhs.fingerprint_high))
+      return false;
+    if (!(fingerprint_low == rhs.fingerprint_low))
+      return false;
+    if (!(cleared == rhs.cleared))
+      return false;
+    if (!(target_end == rhs.target_end))
+      return false;
+    if (!(seen_ago_us == rhs.seen_ago_us))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashEvidence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashEvidence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashEvidence &a, CrashEvidence &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashEvidence& obj);
+
+typedef struct _CrashNotice__isset {
+  _CrashNotice__isset() : evidence(false) {}
+  bool evidence :1;
+} _CrashNotice__isset;
+
+class CrashNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashNotice(const CrashNotice&);
+  CrashNotice(CrashNotice&&) noexcept;
+  CrashNotice& operator=(const CrashNotice&);
+  CrashNotice& operator=(CrashNotice&&) noexcept;
+  CrashNotice() noexcept {
+  }
+
+  virtual ~CrashNotice() noexcept;
+  std::vector<CrashEvidence>  evidence;
+
+  _CrashNotice__isset __isset;
+
+  void __set_evidence(const std::vector<CrashEvidence> & val);
+
+  bool operator == (const CrashNotice & rhs) const
+  {
+    if (!(evidence == rhs.evidence))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashNotice &a, CrashNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashNotice& obj);
+
 typedef struct _ControlHello__isset {
   _ControlHello__isset() : host(false), zone(false), incarnation(false), address(false), held(false), applied(false), host_list(false) {}
   bool host :1;
@@ -2188,7 +2308,7 @@
 std::ostream& operator<<(std::ostream& out, const RevisionNotice& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : traffic_hello(false), traffic_welcome(false), dispatch(false), answer(false), refusal(false), failure(false), inquiry(false), inquiry_reply(false), settled(false), cancel(false), traffic_ping(false), traffic_pong(false), traffic_go_away(false), control_hello(false), announce(false), pull(false), change_records(false), snapshot_chunk(false), held_ack(false), heartbeat(false), control_go_away(false), records_pull(false), records_push(false), follow_revisions(false), revision_notice(false) {}
+  _Body__isset() : traffic_hello(false), traffic_welcome(false), dispatch(false), answer(false), refusal(false), failure(false), inquiry(false), inquiry_reply(false), settled(false), cancel(false), traffic_ping(false), traffic_pong(false), traffic_go_away(false), crash_notice(false), control_hello(false), announce(false), pull(false), change_records(false), snapshot_chunk(false), held_ack(false), heartbeat(false), control_go_away(false), records_pull(false), records_push(false), follow_revisions(false), revision_notice(false) {}
   bool traffic_hello :1;
   bool traffic_welcome :1;
   bool dispatch :1;
@@ -2202,6 +2322,7 @@
   bool traffic_ping :1;
   bool traffic_pong :1;
   bool traffic_go_away :1;
+  bool crash_notice :1;
   bool control_hello :1;
   bool announce :1;
   bool pull :1;
@@ -2240,6 +2361,7 @@
   TrafficPing traffic_ping;
   TrafficPong traffic_pong;
   TrafficGoAway traffic_go_away;
+  CrashNotice crash_notice;
   ControlHello control_hello;
   Announce announce;
   Pull pull;
@@ -2281,6 +2403,8 @@
 
   void __set_traffic_go_away(const TrafficGoAway& val);
 
+  void __set_crash_notice(const CrashNotice& val);
+
   void __set_control_hello(const ControlHello& val);
 
   void __set_announce(const Announce& val);
@@ -2359,6 +2483,10 @@
       return false;
     else if (__isset.traffic_go_away && !(traffic_go_away == rhs.traffic_go_away))
       return false;
+    if (__isset.crash_notice != rhs.__isset.crash_notice)
+      return false;
+    else if (__isset.crash_notice && !(crash_notice == rhs.crash_notice))
+      return false;
     if (__isset.control_hello != rhs.__isset.control_hello)
       return false;
     else if (__isset.control_hello && !(control_hello == rhs.control_hello))
--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -55,6 +55,8 @@
   StatementMalformed = 522,
   TargetLeaving = 523,
   TargetEnded = 524,
+  RequestQuarantined = 525,
+  RequestCleared = 526,
   CallerRejected = 600,
   TargetListed = 700,
   TargetDraining = 701,
--- a/include/dandelionfall/core/gate.h
+++ b/include/dandelionfall/core/gate.h
@@ -94,6 +94,9 @@
   /// Address of the local target, for platforms that publish it and give
   /// targets a new name at each start; empty elsewhere.
   std::string m_TargetAddress{};
+  /// Requests that crash targets, shared with the ingress of the node; the gate
+  /// has its own if null.
+  std::shared_ptr<Quarantine> m_Quarantine{};
 };
 
 /// Decision logic of a gate. Does no I/O: the driver passes in messages,
@@ -146,6 +149,8 @@
   /// Handles the close of an idle connection by the target, as when it restarts
   /// between two requests. Restarts the cold start.
   void onTargetConnectionClosed(TimePoint Now);
+  /// Passes evidence on to the ingresses.
+  void spread(const CrashNotice &Notice);
   /// Stops admitting requests; `GateDrained` follows once no admitted request
   /// is left.
   void startDrain(TimePoint Now);
--- a/include/dandelionfall/core/ingress.h
+++ b/include/dandelionfall/core/ingress.h
@@ -70,6 +70,9 @@
   std::uint64_t m_Seed = 0;
   /// Strategy that selects targets: `least-loaded-of-two` or `round-robin`.
   std::string m_Strategy = "least-loaded-of-two";
+  /// Requests that crash targets, shared with the gate of the node; the ingress
+  /// has its own if null.
+  std::shared_ptr<Quarantine> m_Quarantine{};
 };
 
 /// Decision logic of an ingress. Not thread-safe.
@@ -108,6 +111,8 @@
   /// even if the deadline has passed, as long as the call is open. `Now` must
   /// be read after the message, because the process may have been suspended.
   void onMessage(LinkId Link, const TrafficMessage &Message, TimePoint Now);
+  /// Passes evidence on to the gates.
+  void spread(const CrashNotice &Notice);
   /// Performs the work that is due.
   void onTick(TimePoint Now);
   /// \returns the time at which `onTick` is next needed, if any.
--- a/include/dandelionfall/core/traffic_message.h
+++ b/include/dandelionfall/core/traffic_message.h
@@ -6,6 +6,7 @@
 #include "dandelionfall/core/configuration.h"
 #include "dandelionfall/core/http_message.h"
 #include "dandelionfall/core/identity.h"
+#include "dandelionfall/core/quarantine.h"
 #include "dandelionfall/core/target_statement.h"
 #include "dandelionfall/core/time.h"
 
@@ -108,6 +109,7 @@
   TargetRefused,    ///< The target stated that it did not run it.
   OtherTarget,      ///< Another target answers at the address.
   TargetLeaving,    ///< The target is about to stop.
+  Quarantined,      ///< Targets ended whenever they ran the request.
 };
 
 /// \returns the name of the reason in event details.
@@ -197,11 +199,18 @@
                          const TrafficGoAway &) = default;
 };
 
+/// Evidence against requests that crash targets; sent in both directions. A
+/// node passes on what is new to it.
+struct CrashNotice {
+  std::vector<CrashEvidence> m_Evidence;
+  friend bool operator==(const CrashNotice &, const CrashNotice &) = default;
+};
+
 /// Any message on a traffic link.
 using TrafficMessage =
     std::variant<TrafficHello, TrafficWelcome, Dispatch, Answer, Refusal,
                  Failure, Inquiry, InquiryReply, Settled, Cancel, TrafficPing,
-                 TrafficPong, TrafficGoAway>;
+                 TrafficPong, TrafficGoAway, CrashNotice>;
 
 } // namespace dandelionfall::core
 
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -32,6 +32,10 @@
 struct TrafficPing { 1: i64 sequence, 2: i64 version }
 struct TrafficPong { 1: i64 sequence, 2: i64 version, 3: Capacity capacity }
 struct TrafficGoAway {}
+struct CrashEvidence {
+  1: i64 fingerprint_high, 2: i64 fingerprint_low, 3: bool cleared, 4: RequestId target_end, 5: i64 seen_ago_us
+}
+struct CrashNotice { 1: list<CrashEvidence> evidence }
 
 struct ControlHello {
   1: string host, 2: string zone, 3: Incarnation incarnation, 4: string address,
@@ -72,6 +76,7 @@
   11: TrafficPing traffic_ping
   12: TrafficPong traffic_pong
   13: TrafficGoAway traffic_go_away
+  14: CrashNotice crash_notice
   20: ControlHello control_hello
   21: Announce announce
   22: Pull pull
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -33,17 +33,27 @@
 // that a caller that uses it within the timeout never finds it closed.
 constexpr std::chrono::milliseconds IdleMargin{5000};
 
-core::IngressOptions ingressOptions(const Blackboard &Board) {
-  return {Board.m_Settings.m_Host, Board.m_Settings.m_Zone, Board.m_Incarnation,
-          Board.m_Incarnation.m_Low};
+core::IngressOptions
+ingressOptions(const Blackboard &Board,
+               const std::shared_ptr<core::Quarantine> &Evidence) {
+  core::IngressOptions Options;
+  Options.m_Host = Board.m_Settings.m_Host;
+  Options.m_Zone = Board.m_Settings.m_Zone;
+  Options.m_Incarnation = Board.m_Incarnation;
+  Options.m_Seed = Board.m_Incarnation.m_Low;
+  Options.m_Quarantine = Evidence;
+  return Options;
 }
 
-core::GateOptions gateOptions(const Blackboard &Board) {
+core::GateOptions
+gateOptions(const Blackboard &Board,
+            const std::shared_ptr<core::Quarantine> &Evidence) {
   const Settings &Config = Board.m_Settings;
   core::GateOptions Options;
   Options.m_Host = Config.m_Host;
   Options.m_Zone = Config.m_Zone;
   Options.m_Incarnation = Board.m_Incarnation;
+  Options.m_Quarantine = Evidence;
   if (Config.m_SourceProtocol == SourceProtocol::Store)
     Options.m_TargetAddress = Config.m_TargetAddress;
   else
@@ -67,7 +77,9 @@
 TrafficDriver::Impl::Impl(boost::asio::io_context &Context, Blackboard &Board,
                           TrafficDriverHandlers Handlers)
     : m_Context(Context), m_Board(Board), m_Handlers(std::move(Handlers)),
-      m_Ingress(ingressOptions(Board)), m_Gate(gateOptions(Board)),
+      m_Quarantine(std::make_shared<core::Quarantine>(Board.m_Incarnation)),
+      m_Ingress(ingressOptions(Board, m_Quarantine)),
+      m_Gate(gateOptions(Board, m_Quarantine)),
       m_Timer(Context, [this] { onTimer(); }), m_DrainTimer(Context),
       m_SilentLinkTimer(Context) {
   startServer();
@@ -316,6 +328,7 @@
   m_Ingress.setStepEvents(StepEvents);
   m_Gate.setStepEvents(StepEvents);
   for (;;) {
+    spreadEvidence();
     const auto FromIngress = m_Ingress.takeCommands();
     const auto FromGate = m_Gate.takeCommands();
     if (FromIngress.empty() && FromGate.empty())
@@ -332,6 +345,18 @@
   finishDrainIfDone();
 }
 
+void TrafficDriver::Impl::spreadEvidence() {
+  if (m_Quarantine->empty())
+    return;
+  for (const core::Event &Each : m_Quarantine->takeEvents())
+    m_Board.m_Events.record(Each);
+  const core::CrashNotice News{m_Quarantine->takeNews(monotonicNow())};
+  if (News.m_Evidence.empty())
+    return;
+  m_Ingress.spread(News);
+  m_Gate.spread(News);
+}
+
 void TrafficDriver::Impl::publishLoad() {
   const core::Capacity GateCapacity = m_Gate.capacity();
   TrafficLoad &Load = m_Board.m_Load;
--- a/src/app/node/traffic_driver_impl.h
+++ b/src/app/node/traffic_driver_impl.h
@@ -56,6 +56,7 @@
   void closeSilentLinks();
 
   void performCommands();
+  void spreadEvidence();
   void publishLoad();
   std::string peerAddressOf(LinkId Inbound) const;
 
@@ -90,6 +91,7 @@
   Blackboard &m_Board;
   TrafficDriverHandlers m_Handlers;
   core::ConfigurationPtr m_Configuration;
+  std::shared_ptr<core::Quarantine> m_Quarantine;
   core::Ingress m_Ingress;
   core::Gate m_Gate;
   std::optional<net::HttpServer> m_Server;
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -99,6 +99,13 @@
     EventInfo{EventId::TargetEnded, "target-ended", Severity::Warning,
               "The target ended while it ran requests; the detail names them "
               "and their fingerprints."},
+    EventInfo{EventId::RequestQuarantined, "request-quarantined",
+              Severity::Warning,
+              "A request ran at several targets when they ended; it is sent to "
+              "no target any more."},
+    EventInfo{EventId::RequestCleared, "request-cleared", Severity::Info,
+              "A target answered a quarantined request; it is sent to targets "
+              "again."},
     EventInfo{EventId::CallerRejected, "caller-rejected", Severity::Warning,
               "A caller's request broke a limit or the protocol."},
     EventInfo{EventId::TargetListed, "target-listed", Severity::Info,
--- a/src/core/gate.cpp
+++ b/src/core/gate.cpp
@@ -63,6 +63,8 @@
   m_Impl->onTargetConnectionClosed(Now);
 }
 
+void Gate::spread(const CrashNotice &Notice) { m_Impl->spread(Notice); }
+
 void Gate::startDrain(TimePoint Now) { m_Impl->startDrain(Now); }
 
 void Gate::onTick(TimePoint Now) { m_Impl->onTick(Now); }
--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -28,7 +28,10 @@
 Engine::Engine(GateOptions Options)
     : m_Options(std::move(Options)),
       m_Admission(requireAdmission(m_Options.m_Admission)),
-      m_Queue(m_Admission->order()) {}
+      m_Queue(m_Admission->order()), m_Quarantine(m_Options.m_Quarantine) {
+  if (m_Quarantine == nullptr)
+    m_Quarantine = std::make_shared<Quarantine>(m_Options.m_Incarnation);
+}
 
 void Engine::onConfiguration(ConfigurationPtr Config, TimePoint Now) {
   const bool WasIn = m_Config == nullptr || !isZoneOut();
@@ -122,6 +125,11 @@
   advance(Now);
 }
 
+void Engine::spread(const CrashNotice &Notice) {
+  for (const LinkId Link : m_Links.currentLinks())
+    send(Link, Notice);
+}
+
 void Engine::onTick(TimePoint Now) {
   updateSleepGuard(Now);
   expire(Now);
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -51,6 +51,7 @@
   void onTargetStatement(const RequestId &Id, const TargetStatement &Statement,
                          TimePoint Now);
   void onTargetCheck(bool Refused, TimePoint Now);
+  void spread(const CrashNotice &Notice);
   void onTargetConnectionClosed(TimePoint Now);
   void startDrain(TimePoint Now);
   void onTick(TimePoint Now);
@@ -66,6 +67,7 @@
   void handle(LinkId Link, const Settled &Message, TimePoint Now);
   void handle(LinkId Link, const Cancel &Message, TimePoint Now);
   void handle(LinkId Link, const TrafficPing &Message, TimePoint Now);
+  void handle(LinkId Link, const CrashNotice &Message, TimePoint Now);
   template <typename Unexpected>
   void handle(LinkId Link, const Unexpected &Message, TimePoint Now);
   void handleRepeatedDispatch(LinkId Link, const RequestId &Id,
@@ -78,6 +80,8 @@
   std::optional<RefusalCause> refusalByState(const Dispatch &Message,
                                              Duration Remaining,
                                              TimePoint Now) const;
+  std::optional<RefusalCause> refusalByQuarantine(const HttpRequestPtr &Request,
+                                                  TimePoint Now);
   /// \param Late set to whether an admitted request is expected to be late.
   std::optional<RefusalCause> refusalByLoad(const std::string &Kind,
                                             const ArrivingRequest &Arriving,
@@ -102,7 +106,7 @@
                  TimePoint Now);
   void onFailedAfterSend(const OccupiedSlot &Slot, TargetFailure Kind,
                          const std::string &Detail, TimePoint Now);
-  void onTargetEnded(const std::vector<OccupiedSlot> &Running);
+  void onTargetEnded(const std::vector<OccupiedSlot> &Running, TimePoint Now);
   void recordServiceTime(const OccupiedSlot &Slot, bool Complete,
                          std::uint32_t Occupied, TimePoint Now);
   void restartRamp(std::string_view Cause, TimePoint Now);
@@ -166,6 +170,7 @@
   std::string m_DepartedTarget;
   HoldOff m_HoldOff;
   EndWatch m_EndWatch;
+  std::shared_ptr<Quarantine> m_Quarantine;
   SleepGuard m_SleepGuard;
   std::uint64_t m_Arrivals = 0;
   std::optional<TimePoint> m_IdleSince;
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -55,6 +55,8 @@
                             Message.m_Epoch, version(), capacity()});
   if (m_DrainUntil)
     send(Link, TrafficGoAway{});
+  if (!m_Quarantine->empty())
+    send(Link, CrashNotice{m_Quarantine->snapshot(Now)});
   reportNewerVersion(Link, Message.m_Version);
   advance(Now);
 }
@@ -72,6 +74,8 @@
   std::optional<RefusalCause> Cause = refusalByFence(Link, Message);
   if (!Cause)
     Cause = refusalByState(Message, Remaining, Now);
+  if (!Cause)
+    Cause = refusalByQuarantine(Message.m_Request, Now);
   const ArrivingRequest Arriving{
       Now + Remaining, Now + std::min(Message.m_SoftDeadlineIn, Remaining)};
   if (!Cause && Message.m_StatedRate &&
@@ -132,6 +136,26 @@
   return std::nullopt;
 }
 
+std::optional<RefusalCause>
+Engine::refusalByQuarantine(const HttpRequestPtr &Request, TimePoint Now) {
+  if (m_Quarantine->empty() || Request == nullptr)
+    return std::nullopt;
+  const RequestFingerprint Arriving = fingerprintOf(*Request);
+  if (const auto Remaining = m_Quarantine->check(Arriving, Now))
+    return RefusalCause{RefusalReason::Quarantined, *Remaining};
+  if (!m_Quarantine->isSuspect(Arriving))
+    return std::nullopt;
+  const auto &Running = m_Slots.slots();
+  const bool IsBesideSuspect = std::any_of(
+      Running.begin(), Running.end(), [&](const OccupiedSlot &Slot) {
+        return Slot.m_Fingerprint != Arriving &&
+               m_Quarantine->isSuspect(Slot.m_Fingerprint);
+      });
+  if (IsBesideSuspect)
+    return RefusalCause{RefusalReason::Overload, Duration{0}};
+  return std::nullopt;
+}
+
 std::optional<RefusalCause>
 Engine::refusalByLoad(const std::string &Kind, const ArrivingRequest &Arriving,
                       bool &Late, TimePoint Now) const {
@@ -268,6 +292,12 @@
   send(Link, TrafficPong{Message.m_Sequence, version(), capacity()});
 }
 
+void Engine::handle(LinkId Link, const CrashNotice &Message, TimePoint Now) {
+  if (Message.m_Evidence.size() > Quarantine::MaxExchanged)
+    return closeLink(Link);
+  m_Quarantine->merge(Message.m_Evidence, Now);
+}
+
 void Engine::reportNewerVersion(LinkId Link, Version Seen) {
   if (Seen <= std::max(version(), m_NewestSeenVersion))
     return;
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -11,6 +11,8 @@
 /// Number of deviations above the mean service time within which an abandoned
 /// request is expected to end at the target.
 constexpr int AbandonedDeviations = 4;
+/// Lowest HTTP status of a server error.
+constexpr std::uint32_t FirstServerError = 500;
 /// Maximum number of requests that one event names.
 constexpr std::size_t MaxLoggedRequests = 16;
 
@@ -24,6 +26,8 @@
     m_HoldOff.onConnected();
     updateIdleSince(Now);
     recordServiceTime(*Slot, true, Occupied, Now);
+    if (!m_Quarantine->empty() && Response->m_Status < FirstServerError)
+      m_Quarantine->onAnswered(Slot->m_Fingerprint, Now);
   }
   if (m_Ledger.lookUp(Id) == RequestState::Running) {
     if (m_StepEvents)
@@ -59,7 +63,7 @@
   // about the target.
   if (Slot.m_FreeAt)
     return;
-  onTargetEnded(m_EndWatch.onRefused());
+  onTargetEnded(m_EndWatch.onRefused(), Now);
   if (m_HoldOff.onRefused(Slot.m_Start, Now)) {
     report(EventId::TargetHeldOff,
            "pause_us=" + std::to_string(m_HoldOff.remaining(Now).count()) +
@@ -91,26 +95,32 @@
 void Engine::onTargetCheck(bool Refused, TimePoint Now) {
   updateSleepGuard(Now);
   if (Refused)
-    onTargetEnded(m_EndWatch.onRefused());
+    onTargetEnded(m_EndWatch.onRefused(), Now);
   else
     m_EndWatch.onAccepted();
   advance(Now);
 }
 
-void Engine::onTargetEnded(const std::vector<OccupiedSlot> &Running) {
+void Engine::onTargetEnded(const std::vector<OccupiedSlot> &Running,
+                           TimePoint Now) {
   if (Running.empty())
     return;
+  std::vector<RequestFingerprint> Requests;
+  Requests.reserve(Running.size());
+  for (const OccupiedSlot &Slot : Running)
+    Requests.push_back(Slot.m_Fingerprint);
+  m_Quarantine->onTargetEnded(Requests, Now);
   // A target that ended runs nothing any more.
   m_Slots.releaseAbandoned();
-  std::string Requests;
+  std::string Described;
   for (const OccupiedSlot &Slot :
        std::span(Running).first(std::min(Running.size(), MaxLoggedRequests)))
-    Requests += (Requests.empty() ? "" : ",") + toString(Slot.m_Id) + ":" +
-                toString(Slot.m_Fingerprint);
+    Described += (Described.empty() ? "" : ",") + toString(Slot.m_Id) + ":" +
+                 toString(Slot.m_Fingerprint);
   report(EventId::TargetEnded,
          "target=" + (m_Target == nullptr ? "none" : m_Target->m_Name) +
              " running=" + std::to_string(Running.size()) +
-             " requests=" + Requests);
+             " requests=" + Described);
 }
 
 void Engine::abandon(const RequestId &Id, const std::string &Detail,
@@ -251,6 +261,11 @@
       refuse(Next.m_Id, {RefusalReason::Overload, Duration{0}});
       continue;
     }
+    if (const auto Cause =
+            refusalByQuarantine(m_Ledger.find(Next.m_Id)->m_Request, Now)) {
+      refuse(Next.m_Id, *Cause);
+      continue;
+    }
     start(Next, Now);
   }
 }
@@ -365,6 +380,7 @@
   if (Now < m_NextSweep)
     return;
   m_NextSweep = Now + SweepInterval;
+  m_Quarantine->expire(Now);
   for (const Incarnation &Ingress : m_Ledger.ingresses()) {
     const auto ActiveUntil = m_Links.activeUntil(Ingress);
     if (!ActiveUntil || *ActiveUntil + ForgetMargin < Now)
--- a/src/core/ingress.cpp
+++ b/src/core/ingress.cpp
@@ -10,11 +10,21 @@
 
 using namespace ingress;
 
+namespace {
+
+IngressOptions withQuarantine(IngressOptions Options) {
+  if (Options.m_Quarantine == nullptr)
+    Options.m_Quarantine = std::make_shared<Quarantine>(Options.m_Incarnation);
+  return Options;
+}
+
+} // namespace
+
 class Ingress::Impl {
 public:
   explicit Impl(IngressOptions Options)
-      : m_Options(std::move(Options)), m_Links(m_Options, m_Out),
-        m_Services(m_Options, m_Links),
+      : m_Options(withQuarantine(std::move(Options))),
+        m_Links(m_Options, m_Out), m_Services(m_Options, m_Links),
         m_Calls(m_Options, m_Links, m_Services, m_Out) {
     m_Links.setListener(m_Calls);
   }
@@ -60,6 +70,8 @@
     m_Links.onPong(Link, *Pong, Now);
   } else if (std::holds_alternative<TrafficGoAway>(Message)) {
     Peer->m_Draining = true;
+  } else if (const auto *Notice = std::get_if<CrashNotice>(&Message)) {
+    m_Options.m_Quarantine->merge(Notice->m_Evidence, Now);
   }
 }
 
@@ -124,6 +136,11 @@
   m_Impl->handleMessage(Link, Message, Now);
 }
 
+void Ingress::spread(const CrashNotice &Notice) {
+  for (const LinkId Link : m_Impl->m_Links.readyLinks())
+    m_Impl->m_Out.send(Link, Notice);
+}
+
 void Ingress::onTick(TimePoint Now) {
   m_Impl->m_Calls.expire(Now);
   m_Impl->m_Calls.onTick(Now);
--- a/src/core/ingress/call_records.h
+++ b/src/core/ingress/call_records.h
@@ -70,6 +70,8 @@
   unsigned m_Repeats = 0;
   /// Whether an ended attempt may have run.
   bool m_MayHaveRun = false;
+  /// A gate refused the request because it crashes targets.
+  bool m_IsQuarantined = false;
   /// Shortest delay given by a refusing gate; 0 if none gave one.
   Duration m_RetryAfter{0};
   std::string m_LastFault;
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr char QuarantinedFault[] = "targets ended whenever they ran it";
+
 std::string_view outcomeName(CallOutcome Outcome) {
   constexpr std::string_view Names[] = {"answered", "not-run", "unknown",
                                         "no-route"};
@@ -42,6 +44,9 @@
   if (Match.m_Route == nullptr)
     return reject(Id, CallerId, CallOutcome::NoRoute,
                   "no route fits the request");
+  if (const auto Remaining = quarantineOf(*Request, Now))
+    return reject(Id, CallerId, CallOutcome::NotRun, QuarantinedFault,
+                  *Remaining);
   if (m_Calls.size() >= MaxOpenCalls)
     return reject(Id, CallerId, CallOutcome::NotRun, "too many open calls");
   const Route &Chosen = *Match.m_Route;
@@ -79,9 +84,10 @@
 }
 
 void CallTable::reject(CallId Id, const std::string &CallerId,
-                       CallOutcome Outcome, const std::string &Detail) {
-  const Duration RetryAfter =
-      Outcome == CallOutcome::NotRun ? DefaultRetryAfter : Duration{0};
+                       CallOutcome Outcome, const std::string &Detail,
+                       Duration RetryAfter) {
+  if (Outcome != CallOutcome::NotRun)
+    RetryAfter = Duration{0};
   m_Out.answer({Id, Outcome, nullptr, RetryAfter, Detail});
   m_Out.report(EventId::RequestNotServed,
                "caller_id=" + CallerId + " call=" + std::to_string(Id) +
@@ -90,6 +96,14 @@
                    " cause=" + Detail);
 }
 
+std::optional<Duration> CallTable::quarantineOf(const HttpRequest &Request,
+                                                TimePoint Now) const {
+  Quarantine &Evidence = *m_Options.m_Quarantine;
+  if (Evidence.empty())
+    return std::nullopt;
+  return Evidence.check(fingerprintOf(Request), Now);
+}
+
 void CallTable::abandon(CallId Id, TimePoint Now) {
   const auto Found = m_Calls.find(Id);
   if (Found == m_Calls.end())
@@ -180,7 +194,8 @@
   if (hasUnhedgedAttempt(Entry))
     return;
   const bool InTime = Now < Entry.m_Deadline;
-  if (InTime && Entry.m_TriedGates.size() < MaxGatesPerCall &&
+  if (InTime && !Entry.m_IsQuarantined &&
+      Entry.m_TriedGates.size() < MaxGatesPerCall &&
       Entry.m_TargetAttempts < Entry.m_MaxTargetAttempts) {
     ServiceView &View = m_Services.findOrAdd(Entry.m_Service, Now);
     const Candidate *Chosen = m_Router.choose(View, Entry, version(), Now);
@@ -204,6 +219,10 @@
       Entry.m_TargetAttempts >= Entry.m_MaxTargetAttempts ||
       Entry.m_TriedGates.size() >= MaxGatesPerCall || Now >= Entry.m_Deadline)
     return false;
+  if (quarantineOf(*Entry.m_Request, Now)) {
+    Entry.m_LastFault = QuarantinedFault;
+    return false;
+  }
   ServiceView &View = m_Services.findOrAdd(Entry.m_Service, Now);
   const Candidate *Chosen = m_Router.choose(View, Entry, version(), Now);
   const double Reserve =
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -5,6 +5,7 @@
 
 #include "core/ingress/call_records.h"
 #include "core/ingress/gate_links.h"
+#include "core/ingress/limits.h"
 #include "core/ingress/outbox.h"
 #include "core/ingress/router.h"
 #include "core/ingress/service_table.h"
@@ -67,7 +68,10 @@
 
 private:
   void reject(CallId Id, const std::string &CallerId, CallOutcome Outcome,
-              const std::string &Detail);
+              const std::string &Detail,
+              Duration RetryAfter = DefaultRetryAfter);
+  std::optional<Duration> quarantineOf(const HttpRequest &Request,
+                                       TimePoint Now) const;
   void appendHistory(const Attempt &Ended, const std::string &End);
   Version version() const;
 
--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -73,6 +73,8 @@
       (Entry->m_RetryAfter == Duration{0} ||
        Message.m_RetryAfter < Entry->m_RetryAfter))
     Entry->m_RetryAfter = Message.m_RetryAfter;
+  if (Entry != nullptr && Message.m_Reason == RefusalReason::Quarantined)
+    Entry->m_IsQuarantined = true;
   const bool RefusedByTarget = Message.m_Reason == RefusalReason::TargetRefused;
   endNotRun(Message.m_Id.m_Sequence,
             RefusedByTarget ? "refused by the target"
@@ -171,6 +173,9 @@
 }
 
 void CallTable::onGateReady(GatePeer &Peer, TimePoint Now) {
+  // A gate that has restarted must know the evidence before it gets requests.
+  if (!m_Options.m_Quarantine->empty())
+    m_Out.send(Peer.m_Link, CrashNotice{m_Options.m_Quarantine->snapshot(Now)});
   Inquiry NextInquiry;
   for (const AttemptNumber Number : Peer.m_Sent) {
     NextInquiry.m_Ids.push_back(m_Attempts.at(Number).m_Id);
--- a/src/core/ingress/gate_links.cpp
+++ b/src/core/ingress/gate_links.cpp
@@ -60,6 +60,15 @@
   rescheduleTimer(*Peer, Now);
 }
 
+std::vector<LinkId> GateLinks::readyLinks() const {
+  std::vector<LinkId> Result;
+  for (const auto &[Link, Peer] : m_Links) {
+    if (Peer->m_Link == Link && Peer->m_State == LinkState::Ready)
+      Result.push_back(Link);
+  }
+  return Result;
+}
+
 void GateLinks::onWelcome(LinkId Link, const TrafficWelcome &Message,
                           TimePoint Now) {
   GatePeer *Peer = findByLink(Link);
--- a/src/core/ingress/gate_links.h
+++ b/src/core/ingress/gate_links.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace dandelionfall::core::ingress {
 
@@ -47,6 +48,8 @@
   GatePeer &peer(const std::string &Address);
   /// \returns the gate at the other end of a link in use, or null.
   GatePeer *findByLink(LinkId Link);
+  /// \returns the links that can carry messages.
+  std::vector<LinkId> readyLinks() const;
   /// Opens a link unless there is one, the gate is backed off, or the maximum
   /// number of links is reached.
   /// \returns whether a link is open or being opened.
--- a/src/net/wire_traffic.cpp
+++ b/src/net/wire_traffic.cpp
@@ -40,6 +40,16 @@
   return Result;
 }
 
+wire::CrashEvidence toWire(const core::CrashEvidence &Value) {
+  wire::CrashEvidence Result;
+  Result.fingerprint_high = toSigned(Value.m_Request.m_High);
+  Result.fingerprint_low = toSigned(Value.m_Request.m_Low);
+  Result.cleared = Value.m_Cleared;
+  Result.target_end = net::toWire(Value.m_End);
+  Result.seen_ago_us = Value.m_SeenAgo.count();
+  return Result;
+}
+
 std::vector<wire::HttpField>
 toWire(const std::vector<core::HttpField> &Fields) {
   std::vector<wire::HttpField> Result(Fields.size());
@@ -223,6 +233,13 @@
     m_Body.__set_traffic_go_away({});
   }
 
+  void operator()(const core::CrashNotice &Message) {
+    wire::CrashNotice Value;
+    for (const core::CrashEvidence &Each : Message.m_Evidence)
+      Value.evidence.push_back(toWire(Each));
+    m_Body.__set_crash_notice(Value);
+  }
+
 private:
   wire::Body &m_Body;
 };
@@ -264,7 +281,7 @@
   const wire::Refusal &Value = Body.refusal;
   core::Refusal Result{
       net::fromWire(Value.id),
-      enumFromWire(Value.reason, core::RefusalReason::TargetLeaving),
+      enumFromWire(Value.reason, core::RefusalReason::Quarantined),
       Duration(Value.retry_after_us), toUnsigned(Value.version),
       fromWire(Value.capacity)};
   if (Value.__isset.statement)
@@ -311,6 +328,17 @@
   return core::TrafficGoAway{};
 }
 
+core::TrafficMessage readCrashNotice(wire::Body &Body) {
+  core::CrashNotice Result;
+  for (const wire::CrashEvidence &Each : Body.crash_notice.evidence)
+    Result.m_Evidence.push_back(
+        {{toUnsigned(Each.fingerprint_high), toUnsigned(Each.fingerprint_low)},
+         Each.cleared,
+         net::fromWire(Each.target_end),
+         Duration(Each.seen_ago_us)});
+  return Result;
+}
+
 constexpr MessageReader<core::TrafficMessage> Readers[] = {
     {[](const wire::Body &Body) { return Body.__isset.dispatch; },
      readDispatch},
@@ -332,6 +360,8 @@
      readWelcome},
     {[](const wire::Body &Body) { return Body.__isset.traffic_go_away; },
      readGoAway},
+    {[](const wire::Body &Body) { return Body.__isset.crash_notice; },
+     readCrashNotice},
 };
 
 } // namespace
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -41,6 +41,9 @@
                "escortdesk-1",
                true,
                makeRequest()},
+      CrashNotice{
+          {{{1, 2}, false, Id, Duration{3}}, {{3, 4}, true, Id, Duration{0}}}},
+      CrashNotice{},
       Answer{Id, makeResponse(), Load},
       Answer{Id, makeResponse(), Load, {8.2, true}},
       Refusal{Id, RefusalReason::Cancelled, std::chrono::seconds(1), 9, Load},
--- /dev/null
+++ b/tests/unit/gate_quarantine_test.cpp
@@ -0,0 +1,127 @@
+// Requests that crash targets, at the gate.
+#include "gate_harness.h"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionfall::core;
+using namespace dandelionfall::core::testing;
+
+namespace {
+
+HttpRequestPtr request(const std::string &Path) {
+  return std::make_shared<const HttpRequest>(
+      HttpRequest{"GET", Path, "host", {}, ""});
+}
+
+/// A gate to which other nodes have sent evidence.
+class WarnedGate {
+public:
+  WarnedGate() { m_Harness.hello(1, 1); }
+
+  void warn(const std::string &Path, std::uint64_t Ends) {
+    CrashNotice Notice;
+    for (std::uint64_t End = 1; End <= Ends; ++End)
+      Notice.m_Evidence.push_back(
+          {fingerprintOf(*request(Path)), false, {{5, 5}, ++m_Ends}});
+    m_Harness.message(1, Notice);
+  }
+
+  void dispatch(std::uint64_t Sequence, const std::string &Path) {
+    m_Harness.takeAll();
+    Dispatch Message = GateHarness::makeDispatch(Sequence);
+    Message.m_Request = request(Path);
+    m_Harness.message(1, Message);
+  }
+
+  std::optional<RefusalReason> refusal() const {
+    const auto Refused = m_Harness.sent<Refusal>();
+    if (Refused.empty())
+      return std::nullopt;
+    return Refused.back().second.m_Reason;
+  }
+
+  GateHarness m_Harness;
+
+private:
+  std::uint64_t m_Ends = 0;
+};
+
+} // namespace
+
+TEST_CASE("a gate runs no request under which three targets ended") {
+  WarnedGate Gate;
+  Gate.warn("/guilty", 3);
+  Gate.dispatch(1, "/guilty");
+  CHECK(Gate.m_Harness.starts(1) == 0);
+  CHECK(Gate.refusal() == RefusalReason::Quarantined);
+  Gate.dispatch(2, "/innocent");
+  CHECK(Gate.m_Harness.starts(2) == 1);
+}
+
+TEST_CASE("a waiting request is refused once it is quarantined") {
+  WarnedGate Gate;
+  for (const std::uint64_t Sequence : {1, 2, 3, 4})
+    Gate.dispatch(Sequence, "/other");
+  Gate.dispatch(5, "/guilty");
+  CHECK(!Gate.refusal());
+  Gate.warn("/guilty", 3);
+  Gate.m_Harness.answer(1);
+  CHECK(Gate.m_Harness.starts(5) == 0);
+  CHECK(Gate.refusal() == RefusalReason::Quarantined);
+}
+
+TEST_CASE("two suspects don't run beside each other") {
+  WarnedGate Gate;
+  Gate.warn("/guilty", 2);
+  Gate.warn("/beside", 2);
+  Gate.dispatch(1, "/guilty");
+  CHECK(Gate.m_Harness.starts(1) == 1);
+  Gate.dispatch(2, "/beside");
+  CHECK(Gate.refusal() == RefusalReason::Overload);
+  Gate.dispatch(3, "/guilty");
+  CHECK(Gate.m_Harness.starts(3) == 1);
+  Gate.dispatch(4, "/innocent");
+  CHECK(Gate.m_Harness.starts(4) == 1);
+}
+
+TEST_CASE("a gate counts the ends of its own target and tells new ingresses") {
+  WarnedGate Gate;
+  Gate.warn("/guilty", 2);
+  Gate.dispatch(1, "/guilty");
+  Gate.m_Harness.failure(1, TargetFailure::Reset);
+  Gate.m_Harness.check(true);
+  Gate.dispatch(2, "/guilty");
+  CHECK(Gate.refusal() == RefusalReason::Quarantined);
+  Gate.m_Harness.takeAll();
+  Gate.m_Harness.hello(2, 1, 2);
+  const auto Notices = Gate.m_Harness.sent<CrashNotice>();
+  REQUIRE(Notices.size() == 1);
+  CHECK(Notices[0].first == 2);
+  CHECK(Notices[0].second.m_Evidence.size() == 3);
+}
+
+TEST_CASE("an answer clears a suspect, a server error doesn't") {
+  for (const std::uint32_t Status : {200U, 404U, 500U, 504U}) {
+    CAPTURE(Status);
+    WarnedGate Gate;
+    Gate.warn("/suspect", 2);
+    Gate.dispatch(1, "/suspect");
+    Gate.m_Harness.gate().onTargetAnswer(
+        GateHarness::id(1),
+        std::make_shared<const HttpResponse>(HttpResponse{Status, {}, ""}),
+        Gate.m_Harness.now());
+    Gate.m_Harness.advanceTime(ms(10));
+    Gate.warn("/suspect", 1);
+    Gate.dispatch(2, "/suspect");
+    CHECK((Gate.refusal() == RefusalReason::Quarantined) == (Status >= 500));
+  }
+}
+
+TEST_CASE("a notice that is too large closes the link") {
+  GateHarness Harness;
+  Harness.hello(1, 1);
+  CrashNotice Notice;
+  Notice.m_Evidence.resize(Quarantine::MaxExchanged + 1);
+  Harness.message(1, Notice);
+  CHECK(Harness.commands<CloseTrafficLink>().size() == 1);
+}
--- /dev/null
+++ b/tests/unit/ingress_quarantine_test.cpp
@@ -0,0 +1,91 @@
+// Requests that crash targets, at the ingress.
+#include "unit/ingress_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionfall::core;
+
+namespace {
+
+/// An ingress whose calls of number 1 are requests that crash targets.
+class WarnedIngress : public IngressFixture {
+public:
+  WarnedIngress()
+      : IngressFixture({"h0",
+                        "a",
+                        {7, 7},
+                        1,
+                        "least-loaded-of-two",
+                        std::make_shared<Quarantine>(Incarnation{7, 7})}) {
+    ConfigurationBuilder Builder;
+    Builder.m_TargetZones = {"a", "a", "a"};
+    Builder.m_Profile.m_RetryPercent = 100;
+    Builder.m_Profile.m_RetryFloor = 10;
+    configure(Builder);
+  }
+
+  void warn(const std::string &Method, std::uint64_t Ends) {
+    CrashNotice Notice;
+    for (std::uint64_t End = 1; End <= Ends; ++End)
+      Notice.m_Evidence.push_back(
+          {fingerprintOf(*makeRequest(Method, "1")), false, {{5, 5}, End}});
+    m_Ingress.onMessage(m_Links.begin()->first, Notice, m_Now);
+    performCommands();
+  }
+};
+
+} // namespace
+
+TEST_CASE("a quarantined request is rejected at once, as not run") {
+  WarnedIngress Test;
+  Test.call(2, "GET");
+  Test.warn("GET", 3);
+  Test.call(1, "GET");
+  CHECK(Test.outcome(1) == CallOutcome::NotRun);
+  CHECK(Test.m_Answers.at(1).m_RetryAfter == Quarantine::Lifetime);
+  CHECK(Test.m_Dispatches.size() == 1);
+  Test.call(3, "GET");
+  CHECK(Test.m_Dispatches.size() == 2);
+}
+
+TEST_CASE("a request that is quarantined while it runs is not sent again") {
+  WarnedIngress Test;
+  Test.call(1, "GET");
+  REQUIRE(Test.m_Dispatches.size() == 1);
+  Test.warn("GET", 3);
+  Test.fail(Test.m_Dispatches.back());
+  CHECK(Test.m_Dispatches.size() == 1);
+  CHECK(Test.outcome(1) == CallOutcome::Unknown);
+}
+
+TEST_CASE("a request that a gate refuses as quarantined is tried at no other") {
+  WarnedIngress Test;
+  Test.call(1, "POST");
+  Test.refuse(Test.m_Dispatches.back(), Quarantine::Lifetime,
+              RefusalReason::Quarantined);
+  CHECK(Test.m_Dispatches.size() == 1);
+  CHECK(Test.outcome(1) == CallOutcome::NotRun);
+  CHECK(Test.m_Answers.at(1).m_RetryAfter == Quarantine::Lifetime);
+}
+
+TEST_CASE("a gate learns the evidence before it gets a request") {
+  WarnedIngress Test;
+  Test.call(2, "GET");
+  Test.answer(Test.m_Dispatches.back());
+  Test.warn("GET", 2);
+  Test.m_Sends.clear();
+  const std::string Gate = Test.m_Dispatches.back().m_Gate;
+  Test.m_Incarnations[Gate] = {9, 9};
+  Test.breakLinks(Gate);
+  Test.advance(1s);
+  std::vector<std::size_t> Order;
+  for (const SendTraffic &Send : Test.m_Sends) {
+    if (Test.m_Links.contains(Send.m_Link) &&
+        Test.m_Links.at(Send.m_Link) == Gate &&
+        (std::holds_alternative<CrashNotice>(Send.m_Message) ||
+         std::holds_alternative<Dispatch>(Send.m_Message)))
+      Order.push_back(Send.m_Message.index());
+  }
+  REQUIRE(!Order.empty());
+  CHECK(Order.front() == TrafficMessage(CrashNotice{}).index());
+}
--- /dev/null
+++ b/tests/unit/quarantine_test.cpp
@@ -0,0 +1,204 @@
+#include "dandelionfall/core/quarantine.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace dandelionfall::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr RequestFingerprint Guilty{1, 1};
+constexpr RequestFingerprint Beside{2, 2};
+constexpr TimePoint Begin{1000s};
+
+RequestFingerprint innocent(std::uint64_t Number) { return {9, Number}; }
+
+/// Nodes that pass news on to each other, each message with its own delay.
+class Fleet {
+public:
+  explicit Fleet(std::size_t Count, std::uint64_t Seed = 1) : m_Random(Seed) {
+    for (std::size_t Number = 0; Number < Count; ++Number)
+      m_Nodes.emplace_back(Incarnation{Number + 1, 0});
+  }
+
+  /// Delivers messages until no node has news.
+  /// \returns the number of messages.
+  std::size_t settle() {
+    constexpr std::size_t Limit = 100'000;
+    std::size_t Messages = 0;
+    collect();
+    while (!m_Pending.empty() && Messages < Limit) {
+      const std::size_t Next = m_Random() % m_Pending.size();
+      const Message Delivered = m_Pending[Next];
+      m_Pending.erase(m_Pending.begin() + static_cast<std::ptrdiff_t>(Next));
+      m_Now += Duration(1 + static_cast<Duration::rep>(m_Random() % 3000));
+      m_Nodes[Delivered.m_To].merge(Delivered.m_Evidence, m_Now);
+      ++Messages;
+      collect();
+    }
+    return Messages;
+  }
+
+  std::size_t quarantinedAt(const RequestFingerprint &Request) {
+    std::size_t Count = 0;
+    for (Quarantine &Node : m_Nodes)
+      Count += Node.check(Request, m_Now) ? 1 : 0;
+    return Count;
+  }
+
+  std::vector<Quarantine> m_Nodes;
+  TimePoint m_Now = Begin;
+
+private:
+  struct Message {
+    std::size_t m_To = 0;
+    std::vector<CrashEvidence> m_Evidence;
+  };
+
+  void collect() {
+    for (std::size_t From = 0; From < m_Nodes.size(); ++From) {
+      const auto News = m_Nodes[From].takeNews(m_Now);
+      if (News.empty())
+        continue;
+      // Also to itself: a node has a link to its own gate.
+      for (std::size_t To = 0; To < m_Nodes.size(); ++To)
+        m_Pending.push_back({To, News});
+    }
+  }
+
+  std::mt19937_64 m_Random;
+  std::vector<Message> m_Pending;
+};
+
+} // namespace
+
+TEST_CASE("a request under which three targets ended is quarantined at all "
+          "nodes") {
+  Fleet Nodes(5);
+  for (const std::size_t Number : {0U, 1U, 2U}) {
+    CHECK(Nodes.quarantinedAt(Guilty) == 0);
+    Nodes.m_Nodes[Number].onTargetEnded({Guilty, innocent(Number)},
+                                        Nodes.m_Now);
+    Nodes.settle();
+  }
+  CHECK(Nodes.quarantinedAt(Guilty) == 5);
+  for (const std::size_t Number : {0U, 1U, 2U})
+    CHECK(Nodes.quarantinedAt(innocent(Number)) == 0);
+}
+
+TEST_CASE("copies of a request that ran at the same target count as one end") {
+  Quarantine Node({1, 1});
+  Node.onTargetEnded({Guilty, Guilty, Guilty}, Begin);
+  CHECK(!Node.check(Guilty, Begin));
+  CHECK(!Node.isSuspect(Guilty));
+}
+
+TEST_CASE("a request that a target answers is not quarantined, however often "
+          "it ran beside the guilty one") {
+  Fleet Nodes(4);
+  for (std::size_t Round = 0; Round < 20; ++Round) {
+    Nodes.m_Now += 500ms;
+    Nodes.m_Nodes[Round % 4].onTargetEnded({Guilty, Beside}, Nodes.m_Now);
+    Nodes.settle();
+    Nodes.m_Now += 100ms;
+    Nodes.m_Nodes[(Round + 1) % 4].onAnswered(Beside, Nodes.m_Now);
+    Nodes.settle();
+  }
+  CHECK(Nodes.quarantinedAt(Guilty) == 4);
+  CHECK(Nodes.quarantinedAt(Beside) == 0);
+}
+
+TEST_CASE("an answer to a quarantined request ends the quarantine everywhere") {
+  Fleet Nodes(3);
+  for (int Round = 0; Round < 3; ++Round)
+    Nodes.m_Nodes[0].onTargetEnded({Beside}, Nodes.m_Now += 1s);
+  Nodes.settle();
+  CHECK(Nodes.quarantinedAt(Beside) == 3);
+  Nodes.m_Now += 10ms;
+  Nodes.m_Nodes[2].onAnswered(Beside, Nodes.m_Now);
+  Nodes.settle();
+  CHECK(Nodes.quarantinedAt(Beside) == 0);
+}
+
+TEST_CASE("the exchange of evidence ends, whatever the delays") {
+  for (std::uint64_t Seed = 1; Seed <= 50; ++Seed) {
+    CAPTURE(Seed);
+    Fleet Nodes(6, Seed);
+    std::mt19937_64 Random(Seed);
+    for (int Step = 0; Step < 30; ++Step) {
+      Nodes.m_Now += Duration(static_cast<Duration::rep>(Random() % 5000));
+      Quarantine &Node = Nodes.m_Nodes[Random() % 6];
+      if (Random() % 3 == 0)
+        Node.onAnswered(Beside, Nodes.m_Now);
+      else
+        Node.onTargetEnded({Guilty, Beside, innocent(Random() % 5)},
+                           Nodes.m_Now);
+      // Sometimes several events are under way at once.
+      if (Random() % 2 == 0)
+        CHECK(Nodes.settle() < 2000);
+    }
+    CHECK(Nodes.settle() < 2000);
+    CHECK(Nodes.quarantinedAt(Guilty) == 6);
+    Nodes.settle();
+    Nodes.quarantinedAt(Guilty);
+    CHECK(Nodes.settle() == 0);
+  }
+}
+
+TEST_CASE("a node that restarts learns the evidence from one other") {
+  Fleet Nodes(2);
+  for (int Round = 0; Round < 3; ++Round)
+    Nodes.m_Nodes[0].onTargetEnded({Guilty, innocent(1)}, Nodes.m_Now += 1s);
+  Quarantine Restarted({7, 7});
+  Restarted.merge(Nodes.m_Nodes[0].snapshot(Nodes.m_Now), Nodes.m_Now);
+  CHECK(Restarted.check(Guilty, Nodes.m_Now));
+}
+
+TEST_CASE("a request that keeps coming stays quarantined, one that stays away "
+          "is forgotten") {
+  Fleet Nodes(2);
+  for (int Round = 0; Round < 3; ++Round)
+    Nodes.m_Nodes[0].onTargetEnded({Guilty, Beside}, Nodes.m_Now);
+  Nodes.settle();
+  for (int Minute = 0; Minute < 60; ++Minute) {
+    Nodes.m_Now += 1min;
+    REQUIRE(Nodes.m_Nodes[0].check(Guilty, Nodes.m_Now));
+    CHECK(Nodes.settle() <= 4);
+    for (Quarantine &Node : Nodes.m_Nodes)
+      Node.expire(Nodes.m_Now);
+  }
+  // Known at the other node too, where the request never arrived.
+  CHECK(Nodes.m_Nodes[1].check(Guilty, Nodes.m_Now));
+  CHECK(!Nodes.m_Nodes[1].check(Beside, Nodes.m_Now));
+  Nodes.m_Now += Quarantine::Lifetime;
+  Nodes.m_Nodes[0].expire(Nodes.m_Now);
+  CHECK(Nodes.m_Nodes[0].empty());
+}
+
+TEST_CASE("a flood of requests that end targets keeps the quarantined ones") {
+  Quarantine Node({1, 1});
+  for (int Round = 0; Round < 3; ++Round)
+    Node.onTargetEnded({Guilty}, Begin);
+  for (std::uint64_t Number = 0; Number < 3 * Quarantine::MaxRequests; ++Number)
+    Node.onTargetEnded({innocent(Number)}, Begin + 1s);
+  CHECK(Node.check(Guilty, Begin + 2s));
+  CHECK(Node.takeNews(Begin + 2s).size() <= Quarantine::MaxExchanged);
+  const auto Snapshot = Node.snapshot(Begin + 2s);
+  CHECK(Snapshot.size() <= Quarantine::MaxExchanged);
+  Quarantine Other({2, 2});
+  Other.merge(Snapshot, Begin + 2s);
+  CHECK(Other.check(Guilty, Begin + 2s));
+}
+
+TEST_CASE("evidence with impossible times is ignored") {
+  Quarantine Node({1, 1});
+  for (const Duration Age :
+       {Duration{-1}, Quarantine::Lifetime, Duration::max(), Duration::min()})
+    Node.merge({{Guilty, false, {{2, 2}, 1}, Age}}, Begin);
+  CHECK(Node.empty());
+}
