--- a/include/dandelionfall/core/http_message.h
+++ b/include/dandelionfall/core/http_message.h
@@ -36,6 +36,9 @@
   friend bool operator==(const HttpResponse &, const HttpResponse &) = default;
 };
 
+/// Lowest HTTP status of a server error.
+inline constexpr std::uint32_t FirstServerError = 500;
+
 using HttpRequestPtr = std::shared_ptr<const HttpRequest>;
 using HttpResponsePtr = std::shared_ptr<const HttpResponse>;
 
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -11,8 +11,6 @@
 /// Number of deviations above the mean service time within which an abandoned
 /// request is expected to end at the target.
 constexpr int AbandonedDeviations = 4;
-/// Lowest HTTP status of a server error.
-constexpr std::uint32_t FirstServerError = 500;
 /// Maximum number of requests that one event names.
 constexpr std::size_t MaxLoggedRequests = 16;
 
--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// Lowest HTTP status of a server error.
-constexpr std::uint32_t FirstServerError = 500;
-
 // Copies the numbers, because ending an attempt changes the set.
 std::vector<AttemptNumber> copyOf(const std::set<AttemptNumber> &Numbers) {
   return {Numbers.begin(), Numbers.end()};
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -2,7 +2,6 @@
 
 #include <doctest/doctest.h>
 
-#include <deque>
 #include <random>
 #include <string>
 #include <vector>
