--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -70,6 +70,8 @@
   FeedLost = 709,
   WatchModeChanged = 710,
   FollowerBehind = 711,
+  StoreCallFailed = 712,
+  FollowerCaughtUp = 713,
 };
 
 /// Description of an event number.
--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -102,7 +102,8 @@
   ConfigurationPtr configuration() const;
   /// \returns the nodes next to the targets that are not about to stop.
   std::vector<NodeAddress> nodes() const;
-  /// \returns the events collected since the last call.
+  /// \returns the events collected since the last call. The detail of an event
+  /// about a record names the way on which it came as `origin`.
   std::vector<Event> takeEvents();
 
 private:
@@ -127,7 +128,11 @@
   Target makeTarget(const KnownTarget &Known) const;
   std::string gateAddressOf(const TargetEntry &Entry) const;
   Profile makeProfile(std::size_t Nodes) const;
-  void report(EventId Id, std::string Detail);
+  bool replaceRecords(const std::vector<StoreRecord> &Records, Revision AsOf,
+                      TimePoint Now);
+  bool applyChanges(const std::vector<StoreRecord> &Changes, Revision AsOf,
+                    TimePoint Now);
+  void report(EventId Id, const std::string &Detail);
 
   const RecordDecoder &m_Decoder;
   RegistryOptions m_Options;
@@ -146,6 +151,8 @@
   std::map<std::string, std::string, std::less<>> m_ZonesOut;
   bool m_StoreReachable = true;
   std::optional<TimePoint> m_ReachableSince;
+  /// Way on which the records being applied came, for events.
+  const char *m_Origin = "";
   std::vector<Event> m_Events;
 };
 
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -137,6 +137,12 @@
     EventInfo{EventId::FollowerBehind, "follower-behind", Severity::Info,
               "The node reads a revision from the store that another node "
               "announced and its own watch has not delivered."},
+    EventInfo{EventId::StoreCallFailed, "store-call-failed", Severity::Info,
+              "A call to the store failed; only the first failures in a row "
+              "are logged."},
+    EventInfo{EventId::FollowerCaughtUp, "follower-caught-up", Severity::Info,
+              "The store returned the announced revision that the node "
+              "lacked."},
 };
 
 static_assert(std::is_sorted(Catalogue.begin(), Catalogue.end(),
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -41,6 +41,12 @@
 
 bool Registry::replaceAll(const std::vector<StoreRecord> &Records,
                           Revision AsOf, TimePoint Now) {
+  m_Origin = "listing";
+  return replaceRecords(Records, AsOf, Now);
+}
+
+bool Registry::replaceRecords(const std::vector<StoreRecord> &Records,
+                              Revision AsOf, TimePoint Now) {
   if (AsOf < m_Revision)
     return false;
   if (m_Revision == 0)
@@ -64,6 +70,12 @@
 
 bool Registry::apply(const std::vector<StoreRecord> &Changes, Revision AsOf,
                      TimePoint Now) {
+  m_Origin = "watch";
+  return applyChanges(Changes, AsOf, Now);
+}
+
+bool Registry::applyChanges(const std::vector<StoreRecord> &Changes,
+                            Revision AsOf, TimePoint Now) {
   if (AsOf <= m_Revision)
     return false;
   m_Revision = AsOf;
@@ -78,12 +90,13 @@
 bool Registry::applyPush(const RecordsPush &Push, TimePoint Now) {
   if (Push.m_AsOf <= m_Revision)
     return false;
+  m_Origin = "peer";
   report(EventId::RecordsFromPeer,
          "revision=" + std::to_string(Push.m_AsOf) +
              " known=" + std::to_string(m_Revision) +
              " records=" + std::to_string(Push.m_Records.size()));
-  return Push.m_IsFull ? replaceAll(Push.m_Records, Push.m_AsOf, Now)
-                       : apply(Push.m_Records, Push.m_AsOf, Now);
+  return Push.m_IsFull ? replaceRecords(Push.m_Records, Push.m_AsOf, Now)
+                       : applyChanges(Push.m_Records, Push.m_AsOf, Now);
 }
 
 RecordsPush Registry::makePush(Revision PeerRevision) const {
@@ -224,6 +237,7 @@
 }
 
 bool Registry::onTick(TimePoint Now) {
+  m_Origin = "timer";
   return std::erase_if(m_Targets, [&](const auto &Each) {
            const KnownTarget &Known = Each.second;
            if (!Known.m_LapsedUntil || Now < *Known.m_LapsedUntil)
@@ -362,8 +376,8 @@
   return std::exchange(m_Events, {});
 }
 
-void Registry::report(EventId Id, std::string Detail) {
-  m_Events.push_back({Id, std::move(Detail)});
+void Registry::report(EventId Id, const std::string &Detail) {
+  m_Events.push_back({Id, Detail + " origin=" + m_Origin});
 }
 
 } // namespace dandelionfall::core
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -34,6 +34,16 @@
   return Modes[static_cast<std::size_t>(Mode)];
 }
 
+/// Failures in a row that are logged.
+constexpr unsigned MaxLoggedFailures = 4;
+
+std::size_t bytesOf(const std::vector<StoreRecord> &Records) {
+  std::size_t Bytes = 0;
+  for (const StoreRecord &Record : Records)
+    Bytes += Record.m_Value == nullptr ? 0 : Record.m_Value->size();
+  return Bytes;
+}
+
 } // namespace
 
 const char *nameOf(WatchMode Mode) { return rowOf(Mode).m_Name; }
@@ -184,6 +194,7 @@
 
 void StoreReader::onChanges(StoreReply Reply, TimePoint Now) {
   if (Reply.m_AsOf > m_KnownRevision) {
+    reportCaughtUp(Reply, Now);
     setKnownRevision(Reply.m_AsOf);
     m_Commands.emplace_back(
         RecordsChanged{std::move(Reply.m_Records), Reply.m_AsOf});
@@ -199,8 +210,29 @@
   issueCall(Now);
 }
 
+void StoreReader::reportCaughtUp(const StoreReply &Reply, TimePoint Now) {
+  const std::optional<TimePoint> SeenAt = m_Missing.oldestSeenAt();
+  if (!SeenAt || m_LastConsistency != ReadConsistency::Linearizable)
+    return;
+  m_Commands.emplace_back(
+      Event{EventId::FollowerCaughtUp,
+            "revision=" + std::to_string(Reply.m_AsOf) +
+                " missing_us=" + std::to_string((Now - *SeenAt).count()) +
+                " elapsed_us=" + std::to_string((Now - m_CalledAt).count()) +
+                " records=" + std::to_string(Reply.m_Records.size()) +
+                " bytes=" + std::to_string(bytesOf(Reply.m_Records))});
+}
+
 void StoreReader::onFailure(const StoreReply &Reply, TimePoint Now) {
   ++m_Failures;
+  if (m_Failures <= MaxLoggedFailures)
+    m_Commands.emplace_back(
+        Event{EventId::StoreCallFailed,
+              std::string("mode=") + nameOf(m_Mode) +
+                  " known_revision=" + std::to_string(m_KnownRevision) +
+                  " elapsed_us=" + std::to_string((Now - m_CalledAt).count()) +
+                  " failures=" + std::to_string(m_Failures) +
+                  " cause=" + Reply.m_Fault});
   if (m_Failures >= UnreachableAfterFailures)
     setReachable(false, Reply.m_Fault);
   const unsigned Doublings = std::min(m_Failures - 1, 8U);
