--- /dev/null
+++ b/tests/contract/store_departures_test.cpp
@@ -0,0 +1,61 @@
+// How late each node knows that a target leaves while large configurations
+// follow one another and machines receive them slowly.
+#include "store_fleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace dandelionfall;
+using namespace dandelionfall::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Shortest time within which a leaving target must get no more requests.
+constexpr Duration Bound = seconds(2);
+constexpr Duration Settle = seconds(6);
+
+/// Machines behind 20 Mbit/s, and a configuration of some thousand routes.
+StoreFleetOptions smallMachines(Duration Staleness, std::uint64_t Seed) {
+  StoreFleetOptions Options;
+  Options.m_Nodes = 40;
+  Options.m_Staleness = Staleness;
+  Options.m_Seed = Seed;
+  Options.m_ConfigurationBytes = 400'000;
+  Options.m_BytesPerSecond = 2'500'000;
+  Options.m_Machine = {0.1, 1, 160, 4100, 20};
+  return Options;
+}
+
+} // namespace
+
+TEST_CASE("a leaving target is known in time while large configurations "
+          "follow one another") {
+  for (const milliseconds Staleness :
+       {milliseconds(0), milliseconds(800), milliseconds(3000)}) {
+    for (const milliseconds Interval :
+         {milliseconds(100), milliseconds(300), milliseconds(700)}) {
+      for (const std::uint64_t Seed : {1U, 2U, 3U}) {
+        CAPTURE(Staleness.count());
+        CAPTURE(Interval.count());
+        CAPTURE(Seed);
+        StoreFleet Fleet(smallMachines(Staleness, Seed));
+        Fleet.startAll();
+        std::vector<core::Revision> Departures;
+        for (std::size_t Count = 0; Count < 30; ++Count) {
+          Fleet.publish();
+          Fleet.run(Interval / 2);
+          if (Count % 4 == 1)
+            Departures.push_back(
+                Fleet.drainTarget(Fleet.nodes() - 1 - Count / 4));
+          Fleet.run(Interval / 2);
+        }
+        Fleet.run(Settle);
+        for (const core::Revision Departure : Departures) {
+          const auto Lag = Fleet.worstDepartureLag(Departure);
+          CHECK(Lag.value_or(Duration::max()) < Bound);
+        }
+      }
+    }
+  }
+}
--- a/tests/contract/store_fleet.cpp
+++ b/tests/contract/store_fleet.cpp
@@ -149,6 +149,7 @@
       std::visit([&](const auto &Each) { perform(Number, Each); }, Command);
   }
   Settled.m_HeldAt.emplace(Settled.m_Replica->registry().revision(), m_Now);
+  noteDepartures(Number);
   const std::optional<TimePoint> Due = Settled.m_Replica->nextWakeUp();
   if (!Due || (Settled.m_TickAt && *Settled.m_TickAt <= *Due))
     return;
@@ -160,6 +161,34 @@
           });
 }
 
+void StoreFleet::noteDepartures(std::size_t Number) {
+  Member &Settled = m_Nodes[Number];
+  const auto &Records = Settled.m_Replica->registry().records();
+  for (const auto &[Searched, Key] : m_Departures) {
+    const auto Found = Records.find(Key);
+    if (Found != Records.end() && Found->second.m_Revision >= Searched)
+      Settled.m_DepartureAt.emplace(Searched, m_Now);
+  }
+}
+
+Duration StoreFleet::transfer(std::size_t Number,
+                              const std::vector<core::StoreRecord> &Records) {
+  if (m_Options.m_BytesPerSecond == 0)
+    return Duration{0};
+  std::size_t Bytes = 0;
+  for (const core::StoreRecord &Record : Records) {
+    if (Record.m_Value != nullptr)
+      Bytes += Record.m_Value->size();
+  }
+  constexpr std::size_t MicrosecondsPerSecond = 1'000'000;
+  Member &Receiver = m_Nodes[Number];
+  Receiver.m_LinkFreeAt =
+      std::max(Receiver.m_LinkFreeAt, m_Now) +
+      Duration(static_cast<Duration::rep>(Bytes * MicrosecondsPerSecond /
+                                          m_Options.m_BytesPerSecond));
+  return Receiver.m_LinkFreeAt - m_Now;
+}
+
 void StoreFleet::start(std::size_t Number) {
   Member &Started = m_Nodes[Number];
   StoreReplicaOptions Options;
@@ -171,6 +200,7 @@
   Started.m_Replica = std::make_unique<StoreReplica>(m_Decoder, Options);
   ++Started.m_Start;
   Started.m_HeldAt.clear();
+  Started.m_DepartureAt.clear();
   Started.m_TickAt.reset();
   Started.m_Silenced.clear();
   Started.m_Replica->start(m_Now);
@@ -256,8 +286,9 @@
 }
 
 Revision StoreFleet::publish() {
-  const Revision New =
-      m_Store.put("configuration", std::to_string(++m_Version), m_Now);
+  std::string Value = std::to_string(++m_Version);
+  Value.resize(std::max(Value.size(), m_Options.m_ConfigurationBytes), ' ');
+  const Revision New = m_Store.put("configuration", Value, m_Now);
   m_PublishedAt.emplace(New, m_Now);
   wakeWatchers(ReadConsistency::Linearizable);
   at(m_Now + m_Options.m_Staleness,
@@ -270,6 +301,7 @@
       targetKey(Number),
       "desk " + addressOf(Number) + " " + zoneOf(Number) + " draining", m_Now);
   m_PublishedAt.emplace(New, m_Now);
+  m_Departures.emplace(New, targetKey(Number));
   wakeWatchers(ReadConsistency::Linearizable);
   at(m_Now + m_Options.m_Staleness,
      [this] { wakeWatchers(ReadConsistency::Serializable); });
@@ -294,7 +326,8 @@
   if (m_Nodes[Number].m_CutFromStore ||
       m_Nodes[Number].m_Silenced.contains(Reply.m_Call))
     return;
-  deliver(Number, Start, StoreDelay / 2,
+  const Duration Delay = StoreDelay / 2 + transfer(Number, Reply.m_Records);
+  deliver(Number, Start, Delay,
           [this, Reply = std::move(Reply)](StoreReplica &Replica) {
             Replica.onStoreReply(Reply, m_Now);
           });
@@ -303,7 +336,10 @@
 void StoreFleet::failAfter(std::size_t Number, std::uint64_t Call,
                            Duration Timeout) {
   deliver(Number, m_Nodes[Number].m_Start, Timeout,
-          [this, Call](StoreReplica &Replica) {
+          [this, Number, Call](StoreReplica &Replica) {
+            // The connection of a call that timed out is closed.
+            if (m_Nodes[Number].m_LastCall == Call)
+              m_Nodes[Number].m_LinkFreeAt = m_Now;
             StoreReply Lost;
             Lost.m_Call = Call;
             Replica.onStoreReply(Lost, m_Now);
@@ -404,7 +440,10 @@
   const LinkEnd Other = Found->second;
   if (m_Nodes[Number].m_CutFromNodes || m_Nodes[Other.m_Node].m_CutFromNodes)
     return;
-  deliver(Other.m_Node, m_Nodes[Other.m_Node].m_Start, LinkDelay,
+  Duration Delay = LinkDelay;
+  if (const auto *Push = std::get_if<RecordsPush>(&Command.m_Message))
+    Delay += transfer(Other.m_Node, Push->m_Records);
+  deliver(Other.m_Node, m_Nodes[Other.m_Node].m_Start, Delay,
           [this, Other, Message = Command.m_Message](StoreReplica &Replica) {
             if (m_Peers.contains(Other))
               Replica.onMessage(Other.m_Link, Message, m_Now);
@@ -439,6 +478,22 @@
   return Worst;
 }
 
+std::optional<Duration>
+StoreFleet::worstDepartureLag(Revision Searched,
+                              const std::set<std::size_t> &Except) const {
+  Duration Worst{0};
+  for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number) {
+    const Member &Each = m_Nodes[Number];
+    if (Each.m_Replica == nullptr || Except.contains(Number))
+      continue;
+    const auto Known = Each.m_DepartureAt.find(Searched);
+    if (Known == Each.m_DepartureAt.end())
+      return std::nullopt;
+    Worst = std::max(Worst, Known->second - m_PublishedAt.at(Searched));
+  }
+  return Worst;
+}
+
 std::set<std::size_t> StoreFleet::sourcesOf(std::size_t Number) const {
   std::set<std::size_t> Result;
   for (const auto &[Own, Other] : m_Peers) {
--- a/tests/contract/store_fleet.h
+++ b/tests/contract/store_fleet.h
@@ -35,6 +35,11 @@
   Duration m_TrafficInterval{0};
   std::uint64_t m_Seed = 1;
   core::MachineLimits m_Machine{};
+  /// Size of a configuration's value.
+  std::size_t m_ConfigurationBytes = 0;
+  /// Rate at which each machine receives and reads replies and messages; 0 if
+  /// it takes no time.
+  std::size_t m_BytesPerSecond = 0;
 };
 
 /// Decodes the fleet's records: `SERVICE ADDRESS ZONE STATE` for a target, and
@@ -105,6 +110,12 @@
   /// nothing if one of them does not hold the revision.
   std::optional<Duration>
   worstLag(Revision Searched, const std::set<std::size_t> &Except = {}) const;
+  /// \returns the longest time after which a node that runs and is not excepted
+  /// sent nothing more to a target that `drainTarget` marked; nothing if one of
+  /// them still does.
+  std::optional<Duration>
+  worstDepartureLag(Revision Searched,
+                    const std::set<std::size_t> &Except = {}) const;
   /// \returns the nodes whose feeds the node follows.
   std::set<std::size_t> sourcesOf(std::size_t Node) const;
   /// \returns the running nodes that watch in a mode.
@@ -134,6 +145,10 @@
     std::set<std::uint64_t> m_Silenced;
     std::optional<TimePoint> m_TickAt;
     std::map<Revision, TimePoint> m_HeldAt;
+    /// When the node learned of each departure.
+    std::map<Revision, TimePoint> m_DepartureAt;
+    /// Until when earlier bytes occupy the machine's link.
+    TimePoint m_LinkFreeAt;
     LinkId m_NextInbound = core::FirstInboundLink;
   };
   /// One end of a link.
@@ -166,6 +181,10 @@
   void deliver(std::size_t Node, std::uint64_t Start, Duration Delay,
                std::function<void(core::StoreReplica &)> Action);
   void settle(std::size_t Node);
+  void noteDepartures(std::size_t Node);
+  /// \returns the time until a node has received records, behind earlier ones.
+  Duration transfer(std::size_t Node,
+                    const std::vector<core::StoreRecord> &Records);
   void reply(std::size_t Node, std::uint64_t Start, core::StoreReply Reply);
   /// Reports a call as failed at its timeout; a reply before it counts.
   void failAfter(std::size_t Node, std::uint64_t Call, Duration Timeout);
@@ -192,6 +211,8 @@
   std::map<LinkEnd, LinkEnd> m_Peers;
   std::vector<Watcher> m_Watchers;
   std::map<Revision, TimePoint> m_PublishedAt;
+  /// Keys of the targets that leave, by revision.
+  std::map<Revision, std::string> m_Departures;
   std::uint64_t m_Version = 0;
   double m_PricedCalls = 0;
 };
