Send small changed records with the notices of feeds

Requests reached targets up to seconds after the store had acknowledged their departure (DRAIN). A feed told only that the revision had risen. What had changed each follower read itself: its serializable watch sees a state that is 0.8 s old or older, and after a change waits 0.6 s; then the call that catches up is due 0.4 s later, may take 0.75 s, and a pull from a peer comes last. Each wait keeps its own limit, their sum keeps none.

A notice now carries the records of up to 2 KB that changed, so a departure, a return and a zone taken out reach a follower with the announcement, one hop after the node that read it, and are passed on likewise. A new feed is told what it lacks since the revision it holds, and so is one whose request is repeated. Such a record is applied ahead of the revision that contains it; the revision itself rises only when all records are there. A removal received that way is not reverted by an older state of the store.

Ruled out: spreading departures over the traffic links as Server-Leaving is, since each node would send each departure to each other (195 x 195 messages).

A node of the version before ignores the new fields.

--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -5865,6 +5865,10 @@
 FollowRevisions::~FollowRevisions() noexcept {
 }
 
+
+void FollowRevisions::__set_held(const int64_t val) {
+  this->held = val;
+}
 std::ostream& operator<<(std::ostream& out, const FollowRevisions& obj)
 {
   obj.printTo(out);
@@ -5891,7 +5895,20 @@
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    xfer += iprot->skip(ftype);
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->held);
+          this->__isset.held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
     xfer += iprot->readFieldEnd();
   }
 
@@ -5905,6 +5922,10 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("FollowRevisions");
 
+  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->held);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5912,27 +5933,32 @@
 
 void swap(FollowRevisions &a, FollowRevisions &b) {
   using ::std::swap;
-  (void) a;
-  (void) b;
+  swap(a.held, b.held);
+  swap(a.__isset, b.__isset);
 }
 
 FollowRevisions::FollowRevisions(const FollowRevisions& other218) noexcept {
-  (void) other218;
+  held = other218.held;
+  __isset = other218.__isset;
 }
 FollowRevisions::FollowRevisions(FollowRevisions&& other219) noexcept {
-  (void) other219;
+  held = other219.held;
+  __isset = other219.__isset;
 }
 FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other220) noexcept {
-  (void) other220;
+  held = other220.held;
+  __isset = other220.__isset;
   return *this;
 }
 FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other221) noexcept {
-  (void) other221;
+  held = other221.held;
+  __isset = other221.__isset;
   return *this;
 }
 void FollowRevisions::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "FollowRevisions(";
+  out << "held=" << to_string(held);
   out << ")";
 }
 
@@ -5956,6 +5982,10 @@
 void RevisionNotice::__set_refused(const bool val) {
   this->refused = val;
 }
+
+void RevisionNotice::__set_records(const std::vector<StoreRecord> & val) {
+  this->records = val;
+}
 std::ostream& operator<<(std::ostream& out, const RevisionNotice& obj)
 {
   obj.printTo(out);
@@ -6016,6 +6046,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->records.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
+            {
+              xfer += this->records[_i226].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6049,6 +6099,18 @@
   xfer += oprot->writeBool(this->refused);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+    std::vector<StoreRecord> ::const_iterator _iter227;
+    for (_iter227 = this->records.begin(); _iter227 != this->records.end(); ++_iter227)
+    {
+      xfer += (*_iter227).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6060,37 +6122,42 @@
   swap(a.held, b.held);
   swap(a.confirmed_ago_us, b.confirmed_ago_us);
   swap(a.refused, b.refused);
+  swap(a.records, b.records);
   swap(a.__isset, b.__isset);
 }
 
-RevisionNotice::RevisionNotice(const RevisionNotice& other222) noexcept {
-  revision = other222.revision;
-  held = other222.held;
-  confirmed_ago_us = other222.confirmed_ago_us;
-  refused = other222.refused;
-  __isset = other222.__isset;
-}
-RevisionNotice::RevisionNotice(RevisionNotice&& other223) noexcept {
-  revision = other223.revision;
-  held = other223.held;
-  confirmed_ago_us = other223.confirmed_ago_us;
-  refused = other223.refused;
-  __isset = other223.__isset;
-}
-RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other224) noexcept {
-  revision = other224.revision;
-  held = other224.held;
-  confirmed_ago_us = other224.confirmed_ago_us;
-  refused = other224.refused;
-  __isset = other224.__isset;
+RevisionNotice::RevisionNotice(const RevisionNotice& other228) {
+  revision = other228.revision;
+  held = other228.held;
+  confirmed_ago_us = other228.confirmed_ago_us;
+  refused = other228.refused;
+  records = other228.records;
+  __isset = other228.__isset;
+}
+RevisionNotice::RevisionNotice(RevisionNotice&& other229) noexcept {
+  revision = other229.revision;
+  held = other229.held;
+  confirmed_ago_us = other229.confirmed_ago_us;
+  refused = other229.refused;
+  records = std::move(other229.records);
+  __isset = other229.__isset;
+}
+RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other230) {
+  revision = other230.revision;
+  held = other230.held;
+  confirmed_ago_us = other230.confirmed_ago_us;
+  refused = other230.refused;
+  records = other230.records;
+  __isset = other230.__isset;
   return *this;
 }
-RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other225) noexcept {
-  revision = other225.revision;
-  held = other225.held;
-  confirmed_ago_us = other225.confirmed_ago_us;
-  refused = other225.refused;
-  __isset = other225.__isset;
+RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other231) noexcept {
+  revision = other231.revision;
+  held = other231.held;
+  confirmed_ago_us = other231.confirmed_ago_us;
+  refused = other231.refused;
+  records = std::move(other231.records);
+  __isset = other231.__isset;
   return *this;
 }
 void RevisionNotice::printTo(std::ostream& out) const {
@@ -6100,6 +6167,7 @@
   out << ", " << "held=" << to_string(held);
   out << ", " << "confirmed_ago_us=" << to_string(confirmed_ago_us);
   out << ", " << "refused=" << to_string(refused);
+  out << ", " << "records=" << to_string(records);
   out << ")";
 }
 
@@ -6675,126 +6743,126 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other226) {
-  traffic_hello = other226.traffic_hello;
-  traffic_welcome = other226.traffic_welcome;
-  dispatch = other226.dispatch;
-  answer = other226.answer;
-  refusal = other226.refusal;
-  failure = other226.failure;
-  inquiry = other226.inquiry;
-  inquiry_reply = other226.inquiry_reply;
-  settled = other226.settled;
-  cancel = other226.cancel;
-  traffic_ping = other226.traffic_ping;
-  traffic_pong = other226.traffic_pong;
-  traffic_go_away = other226.traffic_go_away;
-  crash_notice = other226.crash_notice;
-  leaving_notice = other226.leaving_notice;
-  control_hello = other226.control_hello;
-  announce = other226.announce;
-  pull = other226.pull;
-  change_records = other226.change_records;
-  snapshot_chunk = other226.snapshot_chunk;
-  held_ack = other226.held_ack;
-  heartbeat = other226.heartbeat;
-  control_go_away = other226.control_go_away;
-  records_pull = other226.records_pull;
-  records_push = other226.records_push;
-  follow_revisions = other226.follow_revisions;
-  revision_notice = other226.revision_notice;
-  __isset = other226.__isset;
-}
-Body::Body(Body&& other227) noexcept {
-  traffic_hello = std::move(other227.traffic_hello);
-  traffic_welcome = std::move(other227.traffic_welcome);
-  dispatch = std::move(other227.dispatch);
-  answer = std::move(other227.answer);
-  refusal = std::move(other227.refusal);
-  failure = std::move(other227.failure);
-  inquiry = std::move(other227.inquiry);
-  inquiry_reply = std::move(other227.inquiry_reply);
-  settled = std::move(other227.settled);
-  cancel = std::move(other227.cancel);
-  traffic_ping = std::move(other227.traffic_ping);
-  traffic_pong = std::move(other227.traffic_pong);
-  traffic_go_away = std::move(other227.traffic_go_away);
-  crash_notice = std::move(other227.crash_notice);
-  leaving_notice = std::move(other227.leaving_notice);
-  control_hello = std::move(other227.control_hello);
-  announce = std::move(other227.announce);
-  pull = std::move(other227.pull);
-  change_records = std::move(other227.change_records);
-  snapshot_chunk = std::move(other227.snapshot_chunk);
-  held_ack = std::move(other227.held_ack);
-  heartbeat = std::move(other227.heartbeat);
-  control_go_away = std::move(other227.control_go_away);
-  records_pull = std::move(other227.records_pull);
-  records_push = std::move(other227.records_push);
-  follow_revisions = std::move(other227.follow_revisions);
-  revision_notice = std::move(other227.revision_notice);
-  __isset = other227.__isset;
-}
-Body& Body::operator=(const Body& other228) {
-  traffic_hello = other228.traffic_hello;
-  traffic_welcome = other228.traffic_welcome;
-  dispatch = other228.dispatch;
-  answer = other228.answer;
-  refusal = other228.refusal;
-  failure = other228.failure;
-  inquiry = other228.inquiry;
-  inquiry_reply = other228.inquiry_reply;
-  settled = other228.settled;
-  cancel = other228.cancel;
-  traffic_ping = other228.traffic_ping;
-  traffic_pong = other228.traffic_pong;
-  traffic_go_away = other228.traffic_go_away;
-  crash_notice = other228.crash_notice;
-  leaving_notice = other228.leaving_notice;
-  control_hello = other228.control_hello;
-  announce = other228.announce;
-  pull = other228.pull;
-  change_records = other228.change_records;
-  snapshot_chunk = other228.snapshot_chunk;
-  held_ack = other228.held_ack;
-  heartbeat = other228.heartbeat;
-  control_go_away = other228.control_go_away;
-  records_pull = other228.records_pull;
-  records_push = other228.records_push;
-  follow_revisions = other228.follow_revisions;
-  revision_notice = other228.revision_notice;
-  __isset = other228.__isset;
+Body::Body(const Body& other232) {
+  traffic_hello = other232.traffic_hello;
+  traffic_welcome = other232.traffic_welcome;
+  dispatch = other232.dispatch;
+  answer = other232.answer;
+  refusal = other232.refusal;
+  failure = other232.failure;
+  inquiry = other232.inquiry;
+  inquiry_reply = other232.inquiry_reply;
+  settled = other232.settled;
+  cancel = other232.cancel;
+  traffic_ping = other232.traffic_ping;
+  traffic_pong = other232.traffic_pong;
+  traffic_go_away = other232.traffic_go_away;
+  crash_notice = other232.crash_notice;
+  leaving_notice = other232.leaving_notice;
+  control_hello = other232.control_hello;
+  announce = other232.announce;
+  pull = other232.pull;
+  change_records = other232.change_records;
+  snapshot_chunk = other232.snapshot_chunk;
+  held_ack = other232.held_ack;
+  heartbeat = other232.heartbeat;
+  control_go_away = other232.control_go_away;
+  records_pull = other232.records_pull;
+  records_push = other232.records_push;
+  follow_revisions = other232.follow_revisions;
+  revision_notice = other232.revision_notice;
+  __isset = other232.__isset;
+}
+Body::Body(Body&& other233) noexcept {
+  traffic_hello = std::move(other233.traffic_hello);
+  traffic_welcome = std::move(other233.traffic_welcome);
+  dispatch = std::move(other233.dispatch);
+  answer = std::move(other233.answer);
+  refusal = std::move(other233.refusal);
+  failure = std::move(other233.failure);
+  inquiry = std::move(other233.inquiry);
+  inquiry_reply = std::move(other233.inquiry_reply);
+  settled = std::move(other233.settled);
+  cancel = std::move(other233.cancel);
+  traffic_ping = std::move(other233.traffic_ping);
+  traffic_pong = std::move(other233.traffic_pong);
+  traffic_go_away = std::move(other233.traffic_go_away);
+  crash_notice = std::move(other233.crash_notice);
+  leaving_notice = std::move(other233.leaving_notice);
+  control_hello = std::move(other233.control_hello);
+  announce = std::move(other233.announce);
+  pull = std::move(other233.pull);
+  change_records = std::move(other233.change_records);
+  snapshot_chunk = std::move(other233.snapshot_chunk);
+  held_ack = std::move(other233.held_ack);
+  heartbeat = std::move(other233.heartbeat);
+  control_go_away = std::move(other233.control_go_away);
+  records_pull = std::move(other233.records_pull);
+  records_push = std::move(other233.records_push);
+  follow_revisions = std::move(other233.follow_revisions);
+  revision_notice = std::move(other233.revision_notice);
+  __isset = other233.__isset;
+}
+Body& Body::operator=(const Body& other234) {
+  traffic_hello = other234.traffic_hello;
+  traffic_welcome = other234.traffic_welcome;
+  dispatch = other234.dispatch;
+  answer = other234.answer;
+  refusal = other234.refusal;
+  failure = other234.failure;
+  inquiry = other234.inquiry;
+  inquiry_reply = other234.inquiry_reply;
+  settled = other234.settled;
+  cancel = other234.cancel;
+  traffic_ping = other234.traffic_ping;
+  traffic_pong = other234.traffic_pong;
+  traffic_go_away = other234.traffic_go_away;
+  crash_notice = other234.crash_notice;
+  leaving_notice = other234.leaving_notice;
+  control_hello = other234.control_hello;
+  announce = other234.announce;
+  pull = other234.pull;
+  change_records = other234.change_records;
+  snapshot_chunk = other234.snapshot_chunk;
+  held_ack = other234.held_ack;
+  heartbeat = other234.heartbeat;
+  control_go_away = other234.control_go_away;
+  records_pull = other234.records_pull;
+  records_push = other234.records_push;
+  follow_revisions = other234.follow_revisions;
+  revision_notice = other234.revision_notice;
+  __isset = other234.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other229) noexcept {
-  traffic_hello = std::move(other229.traffic_hello);
-  traffic_welcome = std::move(other229.traffic_welcome);
-  dispatch = std::move(other229.dispatch);
-  answer = std::move(other229.answer);
-  refusal = std::move(other229.refusal);
-  failure = std::move(other229.failure);
-  inquiry = std::move(other229.inquiry);
-  inquiry_reply = std::move(other229.inquiry_reply);
-  settled = std::move(other229.settled);
-  cancel = std::move(other229.cancel);
-  traffic_ping = std::move(other229.traffic_ping);
-  traffic_pong = std::move(other229.traffic_pong);
-  traffic_go_away = std::move(other229.traffic_go_away);
-  crash_notice = std::move(other229.crash_notice);
-  leaving_notice = std::move(other229.leaving_notice);
-  control_hello = std::move(other229.control_hello);
-  announce = std::move(other229.announce);
-  pull = std::move(other229.pull);
-  change_records = std::move(other229.change_records);
-  snapshot_chunk = std::move(other229.snapshot_chunk);
-  held_ack = std::move(other229.held_ack);
-  heartbeat = std::move(other229.heartbeat);
-  control_go_away = std::move(other229.control_go_away);
-  records_pull = std::move(other229.records_pull);
-  records_push = std::move(other229.records_push);
-  follow_revisions = std::move(other229.follow_revisions);
-  revision_notice = std::move(other229.revision_notice);
-  __isset = other229.__isset;
+Body& Body::operator=(Body&& other235) noexcept {
+  traffic_hello = std::move(other235.traffic_hello);
+  traffic_welcome = std::move(other235.traffic_welcome);
+  dispatch = std::move(other235.dispatch);
+  answer = std::move(other235.answer);
+  refusal = std::move(other235.refusal);
+  failure = std::move(other235.failure);
+  inquiry = std::move(other235.inquiry);
+  inquiry_reply = std::move(other235.inquiry_reply);
+  settled = std::move(other235.settled);
+  cancel = std::move(other235.cancel);
+  traffic_ping = std::move(other235.traffic_ping);
+  traffic_pong = std::move(other235.traffic_pong);
+  traffic_go_away = std::move(other235.traffic_go_away);
+  crash_notice = std::move(other235.crash_notice);
+  leaving_notice = std::move(other235.leaving_notice);
+  control_hello = std::move(other235.control_hello);
+  announce = std::move(other235.announce);
+  pull = std::move(other235.pull);
+  change_records = std::move(other235.change_records);
+  snapshot_chunk = std::move(other235.snapshot_chunk);
+  held_ack = std::move(other235.held_ack);
+  heartbeat = std::move(other235.heartbeat);
+  control_go_away = std::move(other235.control_go_away);
+  records_pull = std::move(other235.records_pull);
+  records_push = std::move(other235.records_push);
+  follow_revisions = std::move(other235.follow_revisions);
+  revision_notice = std::move(other235.revision_notice);
+  __isset = other235.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -6923,26 +6991,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other230) {
-  logical_time = other230.logical_time;
-  body = other230.body;
-  __isset = other230.__isset;
+Frame::Frame(const Frame& other236) {
+  logical_time = other236.logical_time;
+  body = other236.body;
+  __isset = other236.__isset;
 }
-Frame::Frame(Frame&& other231) noexcept {
-  logical_time = other231.logical_time;
-  body = std::move(other231.body);
-  __isset = other231.__isset;
+Frame::Frame(Frame&& other237) noexcept {
+  logical_time = other237.logical_time;
+  body = std::move(other237.body);
+  __isset = other237.__isset;
 }
-Frame& Frame::operator=(const Frame& other232) {
-  logical_time = other232.logical_time;
-  body = other232.body;
-  __isset = other232.__isset;
+Frame& Frame::operator=(const Frame& other238) {
+  logical_time = other238.logical_time;
+  body = other238.body;
+  __isset = other238.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other233) noexcept {
-  logical_time = other233.logical_time;
-  body = std::move(other233.body);
-  __isset = other233.__isset;
+Frame& Frame::operator=(Frame&& other239) noexcept {
+  logical_time = other239.logical_time;
+  body = std::move(other239.body);
+  __isset = other239.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -2343,6 +2343,10 @@
 
 std::ostream& operator<<(std::ostream& out, const RecordsPush& obj);
 
+typedef struct _FollowRevisions__isset {
+  _FollowRevisions__isset() : held(false) {}
+  bool held :1;
+} _FollowRevisions__isset;
 
 class FollowRevisions : public virtual ::apache::thrift::TBase {
  public:
@@ -2351,13 +2355,21 @@
   FollowRevisions(FollowRevisions&&) noexcept;
   FollowRevisions& operator=(const FollowRevisions&) noexcept;
   FollowRevisions& operator=(FollowRevisions&&) noexcept;
-  FollowRevisions() noexcept {
+  FollowRevisions() noexcept
+                  : held(0) {
   }
 
   virtual ~FollowRevisions() noexcept;
+  int64_t held;
 
-  bool operator == (const FollowRevisions & /* rhs */) const
+  _FollowRevisions__isset __isset;
+
+  void __set_held(const int64_t val);
+
+  bool operator == (const FollowRevisions & rhs) const
   {
+    if (!(held == rhs.held))
+      return false;
     return true;
   }
   bool operator != (const FollowRevisions &rhs) const {
@@ -2377,19 +2389,20 @@
 std::ostream& operator<<(std::ostream& out, const FollowRevisions& obj);
 
 typedef struct _RevisionNotice__isset {
-  _RevisionNotice__isset() : revision(false), held(false), confirmed_ago_us(true), refused(false) {}
+  _RevisionNotice__isset() : revision(false), held(false), confirmed_ago_us(true), refused(false), records(false) {}
   bool revision :1;
   bool held :1;
   bool confirmed_ago_us :1;
   bool refused :1;
+  bool records :1;
 } _RevisionNotice__isset;
 
 class RevisionNotice : public virtual ::apache::thrift::TBase {
  public:
 
-  RevisionNotice(const RevisionNotice&) noexcept;
+  RevisionNotice(const RevisionNotice&);
   RevisionNotice(RevisionNotice&&) noexcept;
-  RevisionNotice& operator=(const RevisionNotice&) noexcept;
+  RevisionNotice& operator=(const RevisionNotice&);
   RevisionNotice& operator=(RevisionNotice&&) noexcept;
   RevisionNotice() noexcept
                  : revision(0),
@@ -2403,6 +2416,7 @@
   int64_t held;
   int64_t confirmed_ago_us;
   bool refused;
+  std::vector<StoreRecord>  records;
 
   _RevisionNotice__isset __isset;
 
@@ -2414,6 +2428,8 @@
 
   void __set_refused(const bool val);
 
+  void __set_records(const std::vector<StoreRecord> & val);
+
   bool operator == (const RevisionNotice & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -2424,6 +2440,8 @@
       return false;
     if (!(refused == rhs.refused))
       return false;
+    if (!(records == rhs.records))
+      return false;
     return true;
   }
   bool operator != (const RevisionNotice &rhs) const {
--- a/include/dandelionfall/core/control_message.h
+++ b/include/dandelionfall/core/control_message.h
@@ -131,6 +131,8 @@
 /// at regular intervals. Repeated while the sender follows; a receiver that has
 /// not seen it for a while stops sending.
 struct FollowRevisions {
+  /// Revision up to which the sender holds all records; 0 if it holds none.
+  Revision m_Held = 0;
   friend bool operator==(const FollowRevisions &,
                          const FollowRevisions &) = default;
 };
@@ -146,6 +148,9 @@
   /// Whether the sender ends this feed; the receiver should follow another
   /// node.
   bool m_Refused = false;
+  /// Small records that changed since the last notice, in any order. They can
+  /// be newer than `m_Held`.
+  std::vector<StoreRecord> m_Records;
   friend bool operator==(const RevisionNotice &,
                          const RevisionNotice &) = default;
 };
--- a/include/dandelionfall/core/published.h
+++ b/include/dandelionfall/core/published.h
@@ -28,6 +28,12 @@
   Revision m_Revision = 0;
   /// The value's bytes; null if the value was removed.
   std::shared_ptr<const std::string> m_Value;
+  friend bool operator==(const StoreRecord &Left, const StoreRecord &Right) {
+    const bool HasValue = Left.m_Value != nullptr;
+    return Left.m_Key == Right.m_Key && Left.m_Revision == Right.m_Revision &&
+           HasValue == (Right.m_Value != nullptr) &&
+           (!HasValue || *Left.m_Value == *Right.m_Value);
+  }
 };
 
 /// Entry that a target writes about itself.
--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -71,6 +71,16 @@
   /// \returns whether anything but the revision changed.
   bool apply(const std::vector<StoreRecord> &Changes, Revision AsOf,
              TimePoint Now);
+  /// Applies records that another node sent ahead of the revision that contains
+  /// them. A record or removal older than the known one is ignored.
+  /// \returns whether anything changed.
+  bool applyAhead(const std::vector<StoreRecord> &Records, TimePoint Now);
+  /// \returns the small records and removals newer than a revision; none if the
+  /// revision is 0.
+  std::vector<StoreRecord> smallChangesAfter(Revision Known) const;
+  /// Removes and returns the small records and removals applied since the last
+  /// call, each key's latest one.
+  std::vector<StoreRecord> takeSmallChanges();
   /// Sets whether the store is reachable. Targets whose entries lapsed during
   /// an outage are retained until they have had time to write their entries
   /// again.
@@ -118,6 +128,8 @@
   };
   using TargetsByKey = std::map<std::string, KnownTarget, std::less<>>;
 
+  bool applyEach(const std::vector<StoreRecord> &Changes, TimePoint Now);
+  std::vector<StoreRecord> changesAfter(Revision Known) const;
   bool applyRecord(const StoreRecord &Record, TimePoint Now);
   bool remove(const std::string &Key, Revision At, TimePoint Now);
   bool applyTarget(const StoreRecord &Record, const TargetEntry &Entry,
@@ -151,6 +163,8 @@
   std::map<std::string, std::string, std::less<>> m_ZonesOut;
   bool m_StoreReachable = true;
   std::optional<TimePoint> m_ReachableSince;
+  /// Small changes not yet taken, by key.
+  std::map<std::string, StoreRecord, std::less<>> m_SmallChanges;
   /// Way on which the records being applied came, for events.
   const char *m_Origin = "";
   std::vector<Event> m_Events;
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -63,9 +63,11 @@
 struct StoreRecord { 1: string key, 2: i64 revision, 3: optional binary value }
 struct RecordsPull { 1: i64 have }
 struct RecordsPush { 1: i64 as_of, 2: bool whole, 3: list<StoreRecord> records }
-struct FollowRevisions {}
+struct FollowRevisions { 1: i64 held }
 // The time is -1 if the store has not confirmed the revision.
-struct RevisionNotice { 1: i64 revision, 2: i64 held, 3: i64 confirmed_ago_us = -1, 4: bool refused }
+struct RevisionNotice {
+  1: i64 revision, 2: i64 held, 3: i64 confirmed_ago_us = -1, 4: bool refused, 5: list<StoreRecord> records
+}
 
 union Body {
   1: TrafficHello traffic_hello
--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -64,7 +64,7 @@
   Feed &Opened = **Found;
   Opened.m_Opened = true;
   Opened.m_NextFollowAt = Now + FollowInterval;
-  m_Commands.emplace_back(SendControl{Link, FollowRevisions{}});
+  m_Commands.emplace_back(SendControl{Link, FollowRevisions{m_Held}});
   return true;
 }
 
@@ -190,7 +190,8 @@
            Now);
     } else if (Each->m_Opened && Now >= Each->m_NextFollowAt) {
       Each->m_NextFollowAt = Now + FollowInterval;
-      m_Commands.emplace_back(SendControl{Each->m_Link, FollowRevisions{}});
+      m_Commands.emplace_back(
+          SendControl{Each->m_Link, FollowRevisions{m_Held}});
     }
   }
   review(Now);
--- a/src/core/registry/feed_follower.h
+++ b/src/core/registry/feed_follower.h
@@ -37,6 +37,8 @@
   /// to no feed.
   std::string onNotice(LinkId Link, const RevisionNotice &Notice,
                        TimePoint Now);
+  /// Sets the revision up to which this node holds all records.
+  void setHeld(Revision Held) { m_Held = Held; }
   /// Opens missing feeds and closes those that can't be relied on.
   void onTick(TimePoint Now);
   /// Closes all feeds and opens no more.
@@ -89,6 +91,7 @@
   unsigned m_Losses = 0;
   std::optional<TimePoint> m_NextReviewAt;
   LinkId m_LastLink = 0;
+  Revision m_Held = 0;
   bool m_Stopped = false;
   std::vector<FeedCommand> m_Commands;
 };
--- a/src/core/registry/feed_publisher.cpp
+++ b/src/core/registry/feed_publisher.cpp
@@ -15,10 +15,12 @@
 } // namespace
 
 void FeedPublisher::onFollow(LinkId Link, const ConfirmedRevision &Own,
-                             TimePoint Now) {
+                             std::vector<StoreRecord> Lacking, TimePoint Now) {
   const auto Known = m_Followers.find(Link);
   if (Known != m_Followers.end()) {
     Known->second = Now;
+    if (!Lacking.empty() && isConfirmed(Own, Now))
+      send(Link, Own, Lacking, Now);
     return;
   }
   if (m_Draining || m_Followers.size() >= m_MaxFollowers)
@@ -29,30 +31,46 @@
   }
   m_Followers.emplace(Link, Now);
   if (isConfirmed(Own, Now))
-    send(Link, Own, Now);
-  else
-    m_NoticeOwed = true;
+    return send(Link, Own, Lacking, Now);
+  m_NoticeOwed = true;
+  addUnsent(std::move(Lacking));
+}
+
+void FeedPublisher::addUnsent(std::vector<StoreRecord> Records) {
+  for (StoreRecord &Each : Records) {
+    StoreRecord &Unsent = m_Unsent[Each.m_Key];
+    if (Each.m_Revision > Unsent.m_Revision)
+      Unsent = std::move(Each);
+  }
 }
 
 void FeedPublisher::send(LinkId Link, const ConfirmedRevision &Own,
+                         const std::vector<StoreRecord> &Records,
                          TimePoint Now) {
-  m_Commands.emplace_back(
-      SendControl{Link, RevisionNotice{Own.m_Revision, Own.m_Held,
-                                       Now - *Own.m_ConfirmedAt, false}});
+  m_Commands.emplace_back(SendControl{
+      Link, RevisionNotice{Own.m_Revision, Own.m_Held, Now - *Own.m_ConfirmedAt,
+                           false, Records}});
 }
 
 void FeedPublisher::refuse(LinkId Link) {
   m_Commands.emplace_back(
-      SendControl{Link, RevisionNotice{0, 0, NeverCalled, true}});
+      SendControl{Link, RevisionNotice{0, 0, NeverCalled, true, {}}});
   m_Commands.emplace_back(CloseControlLink{Link});
 }
 
 void FeedPublisher::onLinkClosed(LinkId Link) { m_Followers.erase(Link); }
 
-void FeedPublisher::onRevision(const ConfirmedRevision &Own, TimePoint Now) {
-  if (m_Followers.empty() || !isConfirmed(Own, Now))
+void FeedPublisher::onRevision(const ConfirmedRevision &Own,
+                               std::vector<StoreRecord> Changes,
+                               TimePoint Now) {
+  if (m_Followers.empty()) {
+    m_Unsent.clear();
+    return;
+  }
+  addUnsent(std::move(Changes));
+  if (!isConfirmed(Own, Now))
     return;
-  if (m_NoticeOwed || Own.m_Revision > m_SentRevision)
+  if (m_NoticeOwed || !m_Unsent.empty() || Own.m_Revision > m_SentRevision)
     sendToAll(Own, Now);
 }
 
@@ -60,8 +78,12 @@
   m_SentRevision = Own.m_Revision;
   m_NextNoticeAt = Now + NoticeInterval;
   m_NoticeOwed = false;
+  std::vector<StoreRecord> Records;
+  Records.reserve(m_Unsent.size());
+  for (auto &[Key, Record] : std::exchange(m_Unsent, {}))
+    Records.push_back(std::move(Record));
   for (const auto &[Link, AskedAt] : m_Followers)
-    send(Link, Own, Now);
+    send(Link, Own, Records, Now);
 }
 
 void FeedPublisher::onTick(const ConfirmedRevision &Own, TimePoint Now) {
--- a/src/core/registry/feed_publisher.h
+++ b/src/core/registry/feed_publisher.h
@@ -5,7 +5,9 @@
 
 #include "core/registry/revision_feed.h"
 
+#include <functional>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace dandelionfall::core::registry {
@@ -22,12 +24,16 @@
   /// Accepts or refuses a follower, or renews an accepted one.
   /// \param Link the link on which the follower asked.
   /// \param Own the node's own revision.
-  void onFollow(LinkId Link, const ConfirmedRevision &Own, TimePoint Now);
+  /// \param Lacking small records that the follower lacks.
+  void onFollow(LinkId Link, const ConfirmedRevision &Own,
+                std::vector<StoreRecord> Lacking, TimePoint Now);
   /// Removes the follower on a closed link, if there is one.
   void onLinkClosed(LinkId Link);
   /// Sends the revision to all followers if it is newer than the last one sent,
-  /// or confirmed again.
-  void onRevision(const ConfirmedRevision &Own, TimePoint Now);
+  /// or confirmed again, or if small records changed.
+  /// \param Changes small records that changed since the last call.
+  void onRevision(const ConfirmedRevision &Own,
+                  std::vector<StoreRecord> Changes, TimePoint Now);
   /// Sends due notices and drops followers that no longer ask.
   void onTick(const ConfirmedRevision &Own, TimePoint Now);
   /// Refuses all followers, now and later.
@@ -40,7 +46,9 @@
   std::vector<FeedCommand> takeCommands();
 
 private:
-  void send(LinkId Link, const ConfirmedRevision &Own, TimePoint Now);
+  void send(LinkId Link, const ConfirmedRevision &Own,
+            const std::vector<StoreRecord> &Records, TimePoint Now);
+  void addUnsent(std::vector<StoreRecord> Records);
   void refuse(LinkId Link);
   void sendToAll(const ConfirmedRevision &Own, TimePoint Now);
 
@@ -48,6 +56,9 @@
   /// When each follower last asked, by link.
   std::map<LinkId, TimePoint> m_Followers;
   Revision m_SentRevision = 0;
+  /// Records that wait for a notice until the store confirms the revision, by
+  /// key.
+  std::map<std::string, StoreRecord, std::less<>> m_Unsent;
   TimePoint m_NextNoticeAt;
   /// Whether followers wait for a notice until the store confirms the revision.
   bool m_NoticeOwed = false;
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -65,6 +65,9 @@
 /// Time limit for the reply of a peer.
 constexpr Duration PeerPullTimeout = std::chrono::milliseconds(1000);
 
+/// Size of a value up to which feeds carry it. Above the size of an entry of a
+/// target, far below that of a configuration.
+constexpr std::size_t MaxSmallRecordBytes = 2048;
 /// Interval between two notices of a feed without a newer revision.
 constexpr Duration NoticeInterval = std::chrono::milliseconds(250);
 /// Time without a notice after which a feed counts as lost.
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -25,6 +25,11 @@
   return Address.substr(0, Address.rfind(':'));
 }
 
+bool isSmall(const StoreRecord &Record) {
+  return Record.m_Value == nullptr ||
+         Record.m_Value->size() <= MaxSmallRecordBytes;
+}
+
 std::string describeTarget(const TargetEntry &Entry) {
   return "instance=" + Entry.m_Instance + " service=" + Entry.m_Service +
          " address=" + Entry.m_Address + " zone=" + Entry.m_Zone;
@@ -79,12 +84,7 @@
   if (AsOf <= m_Revision)
     return false;
   m_Revision = AsOf;
-  bool Changed = false;
-  for (const StoreRecord &Record : Changes)
-    Changed |= Record.m_Value == nullptr
-                   ? remove(Record.m_Key, Record.m_Revision, Now)
-                   : applyRecord(Record, Now);
-  return Changed;
+  return applyEach(Changes, Now);
 }
 
 bool Registry::applyPush(const RecordsPush &Push, TimePoint Now) {
@@ -100,27 +100,73 @@
 }
 
 RecordsPush Registry::makePush(Revision PeerRevision) const {
-  RecordsPush Result{m_Revision,
-                     PeerRevision < m_RemovalHistoryStart || PeerRevision == 0,
-                     {}};
+  const bool IsFull = PeerRevision < m_RemovalHistoryStart || PeerRevision == 0;
+  RecordsPush Result{m_Revision, IsFull, {}};
+  if (!IsFull) {
+    Result.m_Records = changesAfter(PeerRevision);
+    return Result;
+  }
+  for (const auto &[Key, Record] : m_Records)
+    Result.m_Records.push_back(Record);
+  return Result;
+}
+
+std::vector<StoreRecord> Registry::changesAfter(Revision Known) const {
+  std::vector<StoreRecord> Result;
   for (const auto &[Key, Record] : m_Records) {
-    if (Result.m_IsFull || Record.m_Revision > PeerRevision)
-      Result.m_Records.push_back(Record);
+    if (Record.m_Revision > Known)
+      Result.push_back(Record);
   }
-  if (Result.m_IsFull)
-    return Result;
   for (const auto &[Key, At] : m_Removed) {
-    if (At > PeerRevision)
-      Result.m_Records.push_back({Key, At, nullptr});
+    if (At > Known)
+      Result.push_back({Key, At, nullptr});
   }
   return Result;
 }
 
+bool Registry::applyAhead(const std::vector<StoreRecord> &Records,
+                          TimePoint Now) {
+  m_Origin = "feed";
+  return applyEach(Records, Now);
+}
+
+bool Registry::applyEach(const std::vector<StoreRecord> &Changes,
+                         TimePoint Now) {
+  bool Changed = false;
+  for (const StoreRecord &Record : Changes)
+    Changed |= Record.m_Value == nullptr
+                   ? remove(Record.m_Key, Record.m_Revision, Now)
+                   : applyRecord(Record, Now);
+  return Changed;
+}
+
+std::vector<StoreRecord> Registry::smallChangesAfter(Revision Known) const {
+  if (Known == 0)
+    return {};
+  std::vector<StoreRecord> Result = changesAfter(Known);
+  std::erase_if(Result, [](const StoreRecord &Each) { return !isSmall(Each); });
+  return Result;
+}
+
+std::vector<StoreRecord> Registry::takeSmallChanges() {
+  std::vector<StoreRecord> Result;
+  Result.reserve(m_SmallChanges.size());
+  for (auto &[Key, Record] : std::exchange(m_SmallChanges, {}))
+    Result.push_back(std::move(Record));
+  return Result;
+}
+
 bool Registry::applyRecord(const StoreRecord &Record, TimePoint Now) {
   const auto Known = m_Records.find(Record.m_Key);
   if (Known != m_Records.end() && Known->second.m_Revision >= Record.m_Revision)
     return false;
+  // A removal received from a feed can precede an older value from the store.
+  const auto Removed = m_Removed.find(Record.m_Key);
+  if (Removed != m_Removed.end() && Removed->second >= Record.m_Revision)
+    return false;
   m_Records.insert_or_assign(Record.m_Key, Record);
+  if (isSmall(Record))
+    m_SmallChanges.insert_or_assign(Record.m_Key, Record);
   m_Removed.erase(Record.m_Key);
   DecodedRecord Decoded = m_Decoder.decode(Record);
   if (const auto *Entry = std::get_if<TargetEntry>(&Decoded))
@@ -195,7 +241,10 @@
     m_Removed.clear();
     m_RemovalHistoryStart = At;
   }
-  m_Removed[Key] = At;
+  Revision &RemovedAt = m_Removed[Key];
+  if (At > RemovedAt)
+    m_SmallChanges.insert_or_assign(Key, StoreRecord{Key, At, nullptr});
+  RemovedAt = std::max(RemovedAt, At);
   const auto Zone = m_ZonesOut.find(Key);
   if (Zone != m_ZonesOut.end()) {
     report(EventId::ZoneTakenBack,
--- a/src/core/registry/revision_feed.h
+++ b/src/core/registry/revision_feed.h
@@ -5,6 +5,7 @@
 
 #include "dandelionfall/core/control_link.h"
 #include "dandelionfall/core/event.h"
+#include "dandelionfall/core/published.h"
 #include "dandelionfall/core/time.h"
 
 #include <optional>
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -148,14 +148,17 @@
     m_Reader.onPeerRecords(m_Registry.revision(), Now);
   }
 
-  void handle(LinkId Link, const FollowRevisions & /*Value*/, TimePoint Now) {
-    m_Publisher.onFollow(Link, ownRevision(Now), Now);
+  void handle(LinkId Link, const FollowRevisions &Request, TimePoint Now) {
+    m_Publisher.onFollow(Link, ownRevision(Now),
+                         m_Registry.smallChangesAfter(Request.m_Held), Now);
   }
 
   void handle(LinkId Link, const RevisionNotice &Notice, TimePoint Now) {
     const std::string Address = m_Follower.onNotice(Link, Notice, Now);
     if (Address.empty())
       return;
+    if (m_Registry.applyAhead(Notice.m_Records, Now))
+      onRecords(Now);
     m_Pull.onPeerRevision(Notice.m_Held, Address, m_Registry.revision(), Now);
     m_Reader.onNewerRevision(Notice.m_Revision, Now);
   }
@@ -178,7 +181,9 @@
         std::visit([&](const auto &Each) { perform(Each, Now); }, Command);
     }
     m_Pull.setStoreAnswers(m_Reader.isAnswered());
-    m_Publisher.onRevision(ownRevision(Now), Now);
+    m_Follower.setHeld(m_Registry.revision());
+    m_Publisher.onRevision(ownRevision(Now), m_Registry.takeSmallChanges(),
+                           Now);
     for (const Event &Recorded : m_Registry.takeEvents())
       m_Commands.emplace_back(Recorded);
     forward(m_Follower.takeCommands());
--- a/src/net/wire_control.cpp
+++ b/src/net/wire_control.cpp
@@ -36,6 +36,35 @@
   return Value < 0 ? core::NeverCalled : core::Duration(Value);
 }
 
+std::vector<wire::StoreRecord>
+recordsToWire(const std::vector<core::StoreRecord> &Records) {
+  std::vector<wire::StoreRecord> Result;
+  Result.reserve(Records.size());
+  for (const core::StoreRecord &Record : Records) {
+    wire::StoreRecord &Written = Result.emplace_back();
+    Written.key = Record.m_Key;
+    Written.revision = toSigned(Record.m_Revision);
+    if (Record.m_Value != nullptr)
+      Written.__set_value(*Record.m_Value);
+  }
+  return Result;
+}
+
+std::vector<core::StoreRecord>
+recordsFromWire(std::vector<wire::StoreRecord> &Records) {
+  std::vector<core::StoreRecord> Result;
+  Result.reserve(Records.size());
+  for (wire::StoreRecord &Record : Records) {
+    core::StoreRecord &Read = Result.emplace_back();
+    Read.m_Key = std::move(Record.key);
+    Read.m_Revision = toUnsigned(Record.revision);
+    if (Record.__isset.value)
+      Read.m_Value =
+          std::make_shared<const std::string>(std::move(Record.value));
+  }
+  return Result;
+}
+
 // Visitor with one overload for each message type.
 class BodyWriter {
 public:
@@ -118,19 +147,14 @@
     wire::RecordsPush &Value = m_Body.records_push;
     Value.as_of = toSigned(Message.m_AsOf);
     Value.whole = Message.m_IsFull;
-    for (const core::StoreRecord &Record : Message.m_Records) {
-      wire::StoreRecord Written;
-      Written.key = Record.m_Key;
-      Written.revision = toSigned(Record.m_Revision);
-      if (Record.m_Value != nullptr)
-        Written.__set_value(*Record.m_Value);
-      Value.records.push_back(std::move(Written));
-    }
+    Value.records = recordsToWire(Message.m_Records);
     m_Body.__isset.records_push = true;
   }
 
-  void operator()(const core::FollowRevisions & /*Message*/) {
-    m_Body.__set_follow_revisions({});
+  void operator()(const core::FollowRevisions &Message) {
+    wire::FollowRevisions Value;
+    Value.held = toSigned(Message.m_Held);
+    m_Body.__set_follow_revisions(Value);
   }
 
   void operator()(const core::RevisionNotice &Message) {
@@ -139,6 +163,7 @@
     Value.held = toSigned(Message.m_Held);
     Value.confirmed_ago_us = elapsedToWire(Message.m_ConfirmedAgo);
     Value.refused = Message.m_Refused;
+    Value.records = recordsToWire(Message.m_Records);
     m_Body.__set_revision_notice(Value);
   }
 
@@ -218,27 +243,20 @@
 
 core::ControlMessage readRecordsPush(wire::Body &Body) {
   wire::RecordsPush &Value = Body.records_push;
-  core::RecordsPush Result{toUnsigned(Value.as_of), Value.whole, {}};
-  for (wire::StoreRecord &Record : Value.records) {
-    core::StoreRecord Read{std::move(Record.key), toUnsigned(Record.revision),
-                           nullptr};
-    if (Record.__isset.value)
-      Read.m_Value =
-          std::make_shared<const std::string>(std::move(Record.value));
-    Result.m_Records.push_back(std::move(Read));
-  }
-  return Result;
+  return core::RecordsPush{toUnsigned(Value.as_of), Value.whole,
+                           recordsFromWire(Value.records)};
 }
 
-core::ControlMessage readFollowRevisions(wire::Body & /*Body*/) {
-  return core::FollowRevisions{};
+core::ControlMessage readFollowRevisions(wire::Body &Body) {
+  return core::FollowRevisions{toUnsigned(Body.follow_revisions.held)};
 }
 
 core::ControlMessage readRevisionNotice(wire::Body &Body) {
-  const wire::RevisionNotice &Value = Body.revision_notice;
-  return core::RevisionNotice{
-      toUnsigned(Value.revision), toUnsigned(Value.held),
-      elapsedFromWire(Value.confirmed_ago_us), Value.refused};
+  wire::RevisionNotice &Value = Body.revision_notice;
+  return core::RevisionNotice{toUnsigned(Value.revision),
+                              toUnsigned(Value.held),
+                              elapsedFromWire(Value.confirmed_ago_us),
+                              Value.refused, recordsFromWire(Value.records)};
 }
 
 constexpr MessageReader<core::ControlMessage> Readers[] = {
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -129,9 +129,15 @@
       Heartbeat{9, {1, 2}, {3, 4}, {5, 6}},
       ControlGoAway{},
       FollowRevisions{},
-      RevisionNotice{~std::uint64_t{0}, 8, std::chrono::milliseconds(40),
-                     false},
-      RevisionNotice{7, 6, NeverCalled, true},
+      FollowRevisions{9},
+      RevisionNotice{
+          ~std::uint64_t{0},
+          8,
+          std::chrono::milliseconds(40),
+          false,
+          {{"servers/i-1", 9, nullptr},
+           {"servers/i-2", 8, std::make_shared<const std::string>("value")}}},
+      RevisionNotice{7, 6, NeverCalled, true, {}},
   };
   for (const ControlMessage &Message : Messages) {
     const std::string Frame = net::encodeFrame(Message, 1);
--- a/tests/unit/registry_test.cpp
+++ b/tests/unit/registry_test.cpp
@@ -1,6 +1,7 @@
 // Targets and availability zones as derived from the records of a store.
 #include "dandelionfall/core/registry.h"
 
+#include "core/registry/limits.h"
 #include "platform/record_decoder.h"
 
 #include <doctest/doctest.h>
@@ -200,3 +201,51 @@
     CHECK_FALSE(Peer.m_Registry.applyPush(Push, Peer.m_Now));
   }
 }
+
+TEST_CASE("a record of a feed is applied ahead of its revision") {
+  Fixture World;
+  World.m_Registry.takeSmallChanges();
+  const core::StoreRecord Leaving =
+      record("servers/i-1", 14, targetJson("10.1.0.8:8301", "draining"));
+  CHECK(World.m_Registry.applyAhead({Leaving}, World.m_Now));
+  CHECK(World.targets()[0].m_Draining);
+  CHECK(World.m_Registry.revision() == 10);
+  CHECK(World.m_Registry.takeSmallChanges() == std::vector{Leaving});
+  CHECK_FALSE(World.m_Registry.applyAhead({Leaving}, World.m_Now));
+  CHECK(World.m_Registry.takeSmallChanges().empty());
+  CHECK(World.m_Registry.smallChangesAfter(10) == std::vector{Leaving});
+  CHECK(World.m_Registry.smallChangesAfter(14).empty());
+  CHECK(World.m_Registry.smallChangesAfter(0).empty());
+}
+
+TEST_CASE("no older state of the store reverts a removal received from a "
+          "feed") {
+  Fixture World;
+  const core::StoreRecord Removal{"servers/i-1", 14, nullptr};
+  const core::StoreRecord Before =
+      record("servers/i-1", 12, targetJson("10.1.0.8:8301", "ready"));
+  CHECK(World.m_Registry.applyAhead({Removal}, World.m_Now));
+  CHECK(World.targets().empty());
+  World.m_Registry.apply({Before}, 12, World.m_Now);
+  CHECK(World.targets().empty());
+  World.m_Registry.replaceAll(
+      {record("op/config", 1, configurationJson(4)), Before}, 13, World.m_Now);
+  CHECK(World.targets().empty());
+  const core::StoreRecord After =
+      record("servers/i-1", 15, targetJson("10.1.0.8:8301", "ready"));
+  CHECK(World.m_Registry.apply({After}, 15, World.m_Now));
+  CHECK(World.targets().size() == 1);
+  CHECK_FALSE(World.m_Registry.applyAhead({Removal}, World.m_Now));
+  CHECK(World.targets().size() == 1);
+}
+
+TEST_CASE("a configuration is too large for a feed") {
+  Fixture World;
+  World.m_Registry.takeSmallChanges();
+  std::string Value = configurationJson(5);
+  Value.append(core::registry::MaxSmallRecordBytes, ' ');
+  CHECK(World.m_Registry.apply({record("op/config", 11, std::move(Value))}, 11,
+                               World.m_Now));
+  CHECK(World.m_Registry.takeSmallChanges().empty());
+  CHECK(World.m_Registry.smallChangesAfter(10).empty());
+}
--- a/tests/unit/store_feeds_test.cpp
+++ b/tests/unit/store_feeds_test.cpp
@@ -61,7 +61,7 @@
   }
 
   void notify(LinkId Link, Revision Value, Duration ConfirmedAgo) {
-    m_Follower.onNotice(Link, {Value, Value, ConfirmedAgo, false}, m_Now);
+    m_Follower.onNotice(Link, {Value, Value, ConfirmedAgo, false, {}}, m_Now);
   }
 
   TimePoint m_Now = Start;
@@ -101,41 +101,62 @@
 
 TEST_CASE("a publisher sends a newer revision at once and repeats it") {
   FeedPublisher Publisher(4);
-  Publisher.onFollow(1, {7, 7, Start}, Start);
+  Publisher.onFollow(1, {7, 7, Start}, {}, Start);
   CHECK(takeNotices(Publisher) ==
-        std::vector<RevisionNotice>{{7, 7, Duration{0}, false}});
+        std::vector<RevisionNotice>{{7, 7, Duration{0}, false, {}}});
   const TimePoint Later = Start + milliseconds(10);
-  Publisher.onRevision({7, 7, Later}, Later);
+  Publisher.onRevision({7, 7, Later}, {}, Later);
   CHECK(takeNotices(Publisher).empty());
-  Publisher.onRevision({8, 8, Later}, Later);
+  Publisher.onRevision({8, 8, Later}, {}, Later);
   CHECK(takeNotices(Publisher) ==
-        std::vector<RevisionNotice>{{8, 8, Duration{0}, false}});
+        std::vector<RevisionNotice>{{8, 8, Duration{0}, false, {}}});
   REQUIRE(Publisher.nextWakeUp().has_value());
   const TimePoint Due = *Publisher.nextWakeUp();
   CHECK(Due - Later <= NoticeInterval);
   Publisher.onTick({8, 8, Later}, Due);
   CHECK(takeNotices(Publisher) ==
-        std::vector<RevisionNotice>{{8, 8, Due - Later, false}});
+        std::vector<RevisionNotice>{{8, 8, Due - Later, false, {}}});
+}
+
+TEST_CASE("a publisher sends small changes once, the latest of each key") {
+  const StoreRecord Older{"servers/i-1", 8, nullptr};
+  const StoreRecord Newer{"servers/i-1", 9, nullptr};
+  FeedPublisher Publisher(4);
+  Publisher.onRevision({8, 8, Start}, {Older}, Start);
+  Publisher.onFollow(1, {8, 8, Start}, {Newer}, Start);
+  CHECK(takeNotices(Publisher) ==
+        std::vector<RevisionNotice>{{8, 8, Duration{0}, false, {Newer}}});
+  const TimePoint Late = Start + ConfirmationLimit;
+  Publisher.onRevision({8, 8, Start}, {Older}, Late);
+  Publisher.onRevision({8, 8, Start}, {Newer}, Late);
+  CHECK(takeNotices(Publisher).empty());
+  Publisher.onRevision({8, 8, Late}, {}, Late);
+  CHECK(takeNotices(Publisher) ==
+        std::vector<RevisionNotice>{{8, 8, Duration{0}, false, {Newer}}});
+  Publisher.onRevision({8, 8, Late}, {}, Late);
+  CHECK(takeNotices(Publisher).empty());
+  Publisher.onFollow(1, {8, 8, Late}, {Newer}, Late);
+  CHECK(takeNotices(Publisher).size() == 1);
 }
 
 TEST_CASE("a publisher is silent while the store does not confirm") {
   FeedPublisher Publisher(4);
-  Publisher.onFollow(1, {7, 7, std::nullopt}, Start);
+  Publisher.onFollow(1, {7, 7, std::nullopt}, {}, Start);
   CHECK(takeNotices(Publisher).empty());
-  Publisher.onRevision({7, 7, Start}, Start);
+  Publisher.onRevision({7, 7, Start}, {}, Start);
   CHECK(takeNotices(Publisher).size() == 1);
   const TimePoint Late = Start + ConfirmationLimit;
   Publisher.onTick({7, 7, Start}, Late);
-  Publisher.onRevision({8, 8, Start}, Late);
+  Publisher.onRevision({8, 8, Start}, {}, Late);
   CHECK(takeNotices(Publisher).empty());
-  Publisher.onRevision({8, 8, Late}, Late);
+  Publisher.onRevision({8, 8, Late}, {}, Late);
   CHECK(takeNotices(Publisher).size() == 1);
 }
 
 TEST_CASE("a publisher refuses more followers than its machine carries") {
   FeedPublisher Publisher(2);
   for (LinkId Link = 1; Link <= 3; ++Link)
-    Publisher.onFollow(Link, {7, 7, Start}, Start);
+    Publisher.onFollow(Link, {7, 7, Start}, {}, Start);
   const auto Notices = takeNotices(Publisher);
   REQUIRE(Notices.size() == 3);
   CHECK_FALSE(Notices[1].m_Refused);
@@ -145,9 +166,9 @@
 
 TEST_CASE("a publisher drops a follower that no longer asks") {
   FeedPublisher Publisher(4);
-  Publisher.onFollow(1, {7, 7, Start}, Start);
-  Publisher.onFollow(2, {7, 7, Start}, Start);
-  Publisher.onFollow(2, {7, 7, Start}, Start + FollowInterval);
+  Publisher.onFollow(1, {7, 7, Start}, {}, Start);
+  Publisher.onFollow(2, {7, 7, Start}, {}, Start);
+  Publisher.onFollow(2, {7, 7, Start}, {}, Start + FollowInterval);
   Publisher.takeCommands();
   const TimePoint Late = Start + FollowTimeout;
   Publisher.onTick({7, 7, Late}, Late);
@@ -219,7 +240,7 @@
 
 TEST_CASE("a follower does not ask a node that refused it again soon") {
   FollowerFixture World;
-  World.m_Follower.onNotice(1, {0, 0, NeverCalled, true}, World.m_Now);
+  World.m_Follower.onNotice(1, {0, 0, NeverCalled, true, {}}, World.m_Now);
   const std::string Refusing = World.m_Open.at(1);
   for (int Second = 1; Second < 30; ++Second) {
     World.m_Now = Start + seconds(Second);
