Watch urgent records apart from the configuration

The nodes that watch linearizably now also watch the entries of targets and the zones taken out, each below its key prefix. Such a watch reports records ahead of their revision and confirms nothing; the watch of all records still says what is complete. Followers get the records from their feeds.

--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -71,10 +71,13 @@
   /// \returns whether anything but the revision changed.
   bool apply(const std::vector<StoreRecord> &Changes, Revision AsOf,
              TimePoint Now);
-  /// Applies records that another node sent ahead of the revision that contains
-  /// them. A record or removal older than the known one is ignored.
+  /// Applies records ahead of the revision that contains them. A record or
+  /// removal older than the known one is ignored.
+  /// \param Origin name of the way on which they came, for events; must outlive
+  /// this object.
   /// \returns whether anything changed.
-  bool applyAhead(const std::vector<StoreRecord> &Records, TimePoint Now);
+  bool applyAhead(const std::vector<StoreRecord> &Records, const char *Origin,
+                  TimePoint Now);
   /// \returns the small records and removals newer than a revision; none if the
   /// revision is 0.
   std::vector<StoreRecord> smallChangesAfter(Revision Known) const;
--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -44,6 +44,8 @@
   Duration m_Wait{0};
   Duration m_Timeout{0};
   ReadConsistency m_Consistency = ReadConsistency::Linearizable;
+  /// Prefix of the watched keys; empty for all.
+  std::string m_Prefix;
   friend bool operator==(const WatchRecords &, const WatchRecords &) = default;
 };
 
--- a/include/dandelionfall/core/store_replica.h
+++ b/include/dandelionfall/core/store_replica.h
@@ -26,6 +26,9 @@
   std::string m_Zone;
   /// Link addresses of other nodes; some may no longer exist.
   std::vector<std::string> m_Seeds;
+  /// Prefixes of the keys whose records are small and urgent; a node that reads
+  /// for others watches each of them apart from the larger records.
+  std::vector<std::string> m_UrgentPrefixes;
   /// Seed of the random jitter between calls.
   std::uint64_t m_RandomSeed = 0;
   /// Number of nodes that may follow this one.
--- a/src/app/node/registry_driver.cpp
+++ b/src/app/node/registry_driver.cpp
@@ -27,7 +27,9 @@
 net::HttpClientOptions storeOptions(const Settings &Config) {
   net::HttpClientOptions Options;
   Options.m_Address = Config.m_SourceAddress;
-  Options.m_MaxConnections = 2;
+  // The watch of all records, the call that replaces it, and the watches of
+  // prefixes.
+  Options.m_MaxConnections = 2 + platform::urgentPrefixes().size();
   Options.m_MaxBodyBytes = MaxStoreResponseBytes;
   Options.m_ConnectTimeout = std::chrono::milliseconds(500);
   Options.m_TcpUserTimeout = StoreSilenceTimeout;
@@ -49,6 +51,7 @@
   Options.m_LinkAddress = Config.m_LinkAddress;
   Options.m_Zone = Config.m_Zone;
   Options.m_Seeds = Config.m_Seeds;
+  Options.m_UrgentPrefixes = platform::urgentPrefixes();
   Options.m_RandomSeed = Board.m_Incarnation.m_High;
   Options.m_MaxFollowers = core::maxFollowers(Config.m_Machine);
   return Options;
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -21,6 +21,11 @@
 constexpr Duration FollowerWatchWait = std::chrono::seconds(8);
 /// Time limit for the reply to a call, in addition to its wait.
 constexpr Duration CallTimeout = std::chrono::milliseconds(750);
+/// Longest wait of one watch of a key prefix. It only speeds up what the watch
+/// of all records delivers.
+constexpr Duration PrefixWatchWait = std::chrono::seconds(8);
+/// Minimum time between a reply to a watch of a key prefix and the next one.
+constexpr Duration PrefixWatchInterval = std::chrono::milliseconds(100);
 /// Minimum time between a change and the next watch, so that changes in quick
 /// succession are read together. A fifth of the two seconds within which a
 /// change must be applied.
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -125,8 +125,8 @@
 }
 
 bool Registry::applyAhead(const std::vector<StoreRecord> &Records,
-                          TimePoint Now) {
-  m_Origin = "feed";
+                          const char *Origin, TimePoint Now) {
+  m_Origin = Origin;
   return applyEach(Records, Now);
 }
 
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -1,5 +1,6 @@
 #include "dandelionfall/core/store_reader.h"
 
+#include "core/registry/call_backoff.h"
 #include "core/registry/limits.h"
 
 #include <algorithm>
@@ -56,8 +57,8 @@
                                                            : m_Mode);
   const Duration Wait =
       m_AnswerAtOnce || m_Failures > 0 ? Duration{0} : Row.m_Wait;
-  return {m_LastCall, m_KnownRevision, Wait, Wait + CallTimeout,
-          Row.m_Consistency};
+  return {m_LastCall,         m_KnownRevision,   Wait,
+          Wait + CallTimeout, Row.m_Consistency, ""};
 }
 
 void StoreReader::issueCall(TimePoint Now) {
@@ -235,13 +236,7 @@
                   " cause=" + Reply.m_Fault});
   if (m_Failures >= UnreachableAfterFailures)
     setReachable(false, Reply.m_Fault);
-  const unsigned Doublings = std::min(m_Failures - 1, 8U);
-  const Duration Delay =
-      std::min(FirstRetryDelay * (1U << Doublings), MaxRetryDelay);
-  // Jitter spreads out readers that lost the store at the same time.
-  std::uniform_int_distribution<Duration::rep> Jitter(Delay.count() / 2,
-                                                      Delay.count());
-  m_CallAt = Now + Duration(Jitter(m_Random));
+  m_CallAt = Now + retryDelay(m_Failures, m_Random);
 }
 
 void StoreReader::onPeerRecords(Revision AsOf, TimePoint Now) {
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -2,6 +2,7 @@
 
 #include "core/registry/feed_follower.h"
 #include "core/registry/feed_publisher.h"
+#include "core/registry/prefix_watch.h"
 #include "dandelionfall/core/peer_pull.h"
 
 #include <algorithm>
@@ -22,6 +23,9 @@
 
 /// Links of pulls are numbered from here; those of feeds from 1.
 constexpr LinkId FirstPullLink = LinkId{1} << 62U;
+/// Calls of the prefix watches are numbered in steps of this, those of the
+/// reader from 1.
+constexpr std::uint64_t PrefixWatchCalls = std::uint64_t{1} << 48U;
 
 } // namespace
 
@@ -31,7 +35,12 @@
       : m_Registry(Decoder, Options.m_Registry), m_Reader(Options.m_RandomSeed),
         m_Pull(otherSeeds(Options)),
         m_Follower(Options.m_LinkAddress, Options.m_Zone),
-        m_Publisher(Options.m_MaxFollowers) {}
+        m_Publisher(Options.m_MaxFollowers) {
+    for (const std::string &Prefix : Options.m_UrgentPrefixes)
+      m_UrgentWatches.emplace_back(
+          Prefix, PrefixWatchCalls * (m_UrgentWatches.size() + 1),
+          Options.m_RandomSeed);
+  }
 
   void start(TimePoint Now) {
     m_StartEnds = Now + StartTime;
@@ -41,7 +50,12 @@
   }
 
   void onStoreReply(StoreReply Reply, TimePoint Now) {
-    m_Reader.onReply(std::move(Reply), Now);
+    const std::uint64_t Watch = Reply.m_Call / PrefixWatchCalls;
+    if (Watch == 0)
+      m_Reader.onReply(std::move(Reply), Now);
+    else
+      m_UrgentWatches.at(Watch - 1).onReply(std::move(Reply),
+                                            m_Registry.revision(), Now);
     settle(Now);
   }
 
@@ -79,6 +93,8 @@
     if (m_StartEnds && Now >= *m_StartEnds)
       m_StartEnds.reset();
     m_Reader.onTick(Now);
+    for (PrefixWatch &Each : m_UrgentWatches)
+      Each.onTick(Now);
     if (m_Registry.onTick(Now))
       onRecords(Now);
     m_Follower.onTick(Now);
@@ -97,9 +113,20 @@
       if (Each)
         Next = Next ? std::min(*Next, *Each) : *Each;
     }
+    for (const PrefixWatch &Watch : m_UrgentWatches) {
+      if (const auto At = Watch.nextWakeUp())
+        Next = Next ? std::min(*Next, *At) : *At;
+    }
     return Next;
   }
 
+  std::uint64_t calls() const {
+    std::uint64_t Calls = m_Reader.calls();
+    for (const PrefixWatch &Each : m_UrgentWatches)
+      Calls += Each.calls();
+    return Calls;
+  }
+
   std::vector<StoreReplicaCommand> takeCommands() {
     return std::exchange(m_Commands, {});
   }
@@ -109,6 +136,7 @@
   PeerPull m_Pull;
   FeedFollower m_Follower;
   FeedPublisher m_Publisher;
+  std::vector<PrefixWatch> m_UrgentWatches;
 
 private:
   // A node that follows others passes on what they announce. With the latest
@@ -157,7 +185,7 @@
     const std::string Address = m_Follower.onNotice(Link, Notice, Now);
     if (Address.empty())
       return;
-    if (m_Registry.applyAhead(Notice.m_Records, Now))
+    if (m_Registry.applyAhead(Notice.m_Records, "feed", Now))
       onRecords(Now);
     m_Pull.onPeerRevision(Notice.m_Held, Address, m_Registry.revision(), Now);
     m_Reader.onNewerRevision(Notice.m_Revision, Now);
@@ -180,6 +208,7 @@
       for (const StoreReaderCommand &Command : Commands)
         std::visit([&](const auto &Each) { perform(Each, Now); }, Command);
     }
+    settleUrgentWatches(Now);
     m_Pull.setStoreAnswers(m_Reader.isAnswered());
     m_Follower.setHeld(m_Registry.revision());
     m_Publisher.onRevision(ownRevision(Now), m_Registry.takeSmallChanges(),
@@ -190,6 +219,17 @@
     forward(m_Publisher.takeCommands());
   }
 
+  // A follower receives these records from the nodes that it follows.
+  void settleUrgentWatches(TimePoint Now) {
+    const bool Active =
+        m_Reader.mode() != WatchMode::Following && m_Registry.revision() > 0;
+    for (PrefixWatch &Each : m_UrgentWatches) {
+      Each.setActive(Active, m_Registry.revision(), Now);
+      for (const PrefixWatchCommand &Command : Each.takeCommands())
+        std::visit([&](const auto &Any) { perform(Any, Now); }, Command);
+    }
+  }
+
   void updateMode(TimePoint Now) {
     const WatchMode Previous = m_Reader.mode();
     const std::size_t Feeds = m_Follower.reliableFeeds(Now);
@@ -230,6 +270,11 @@
       onRecords(Now);
   }
 
+  void perform(const std::vector<StoreRecord> &Urgent, TimePoint Now) {
+    if (m_Registry.applyAhead(Urgent, "urgent-watch", Now))
+      onRecords(Now);
+  }
+
   void perform(const StoreReachability &Command, TimePoint Now) {
     m_Registry.onStoreReachable(Command.m_Reachable, Now);
   }
@@ -290,7 +335,7 @@
 
 WatchMode StoreReplica::mode() const { return m_Impl->m_Reader.mode(); }
 
-std::uint64_t StoreReplica::calls() const { return m_Impl->m_Reader.calls(); }
+std::uint64_t StoreReplica::calls() const { return m_Impl->calls(); }
 
 std::size_t StoreReplica::followers() const {
   return m_Impl->m_Publisher.followers();
