Don't take a node's own failed calls for an outage of the store

Two calls of a node timed out on large replies; from then on the node counted the store as away, and the removals that a peer sent it were kept for the 2 s within which an entry that lapsed during an outage can be written again.

The grace protects targets whose entries lapse because the store is away from them. A store that confirms revisions to the nodes that this one follows is not away. It now counts as away only while neither the node's own calls nor its feeds confirm anything, and that is decided before records are applied.

Same cause elsewhere: the pull from a peer is due sooner while the own calls fail, which is right, since it asks about the own calls; nothing else uses it.

New beside it: an entry that lapses while no node reaches the store is still kept for 2 s.

--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -50,6 +50,7 @@
   }
 
   void onStoreReply(StoreReply Reply, TimePoint Now) {
+    updateOutage(Now);
     const std::uint64_t Watch = Reply.m_Call / PrefixWatchCalls;
     if (Watch == 0)
       m_Reader.onReply(std::move(Reply), Now);
@@ -73,6 +74,7 @@
   }
 
   void onMessage(LinkId Link, const ControlMessage &Message, TimePoint Now) {
+    updateOutage(Now);
     std::visit([&](const auto &Each) { handle(Link, Each, Now); }, Message);
     settle(Now);
   }
@@ -185,12 +187,24 @@
     const std::string Address = m_Follower.onNotice(Link, Notice, Now);
     if (Address.empty())
       return;
+    updateOutage(Now);
     if (m_Registry.applyAhead(Notice.m_Records, "feed", Now))
       onRecords(Now);
     m_Pull.onPeerRevision(Notice.m_Held, Address, m_Registry.revision(), Now);
     m_Reader.onNewerRevision(Notice.m_Revision, Now);
   }
 
+  // A store that confirms revisions to other nodes is not away, whatever
+  // becomes of this node's calls. Must run before records are applied: whether
+  // a removal is a lapse depends on it.
+  void updateOutage(TimePoint Now) {
+    const std::optional<TimePoint> Confirmed = ownRevision(Now).m_ConfirmedAt;
+    const bool IsAway = !m_Reader.isReachable() &&
+                        (!Confirmed || Now >= *Confirmed + ConfirmationLimit);
+    if (std::exchange(m_StoreIsAway, IsAway) != IsAway)
+      m_Registry.onStoreReachable(!IsAway, Now);
+  }
+
   void onRecords(TimePoint Now) {
     ConfigurationPtr Config = m_Registry.configuration();
     if (Config != nullptr)
@@ -209,6 +223,7 @@
         std::visit([&](const auto &Each) { perform(Each, Now); }, Command);
     }
     settleUrgentWatches(Now);
+    updateOutage(Now);
     m_Pull.setStoreAnswers(m_Reader.isAnswered());
     m_Follower.setHeld(m_Registry.revision());
     m_Publisher.onRevision(ownRevision(Now), m_Registry.takeSmallChanges(),
@@ -275,8 +290,8 @@
       onRecords(Now);
   }
 
-  void perform(const StoreReachability &Command, TimePoint Now) {
-    m_Registry.onStoreReachable(Command.m_Reachable, Now);
+  void perform(const StoreReachability & /*Command*/, TimePoint Now) {
+    updateOutage(Now);
   }
 
   template <typename Command>
@@ -288,6 +303,8 @@
   /// Until when the listing of a node that has just started is recent enough to
   /// watch serializably while its first feeds open.
   std::optional<TimePoint> m_StartEnds;
+  /// Whether the store answers neither this node nor one that it follows.
+  bool m_StoreIsAway = false;
   /// Link of the pending pull; 0 if there is none.
   LinkId m_PullLink = 0;
   std::uint64_t m_Pulls = 0;
--- a/tests/contract/store_departures_test.cpp
+++ b/tests/contract/store_departures_test.cpp
@@ -45,9 +45,10 @@
         for (std::size_t Count = 0; Count < 30; ++Count) {
           Fleet.publish();
           Fleet.run(Interval / 2);
+          const std::size_t Target = Fleet.nodes() - 1 - Count / 4;
           if (Count % 4 == 1)
-            Departures.push_back(
-                Fleet.drainTarget(Fleet.nodes() - 1 - Count / 4));
+            Departures.push_back(Count % 8 == 1 ? Fleet.drainTarget(Target)
+                                                : Fleet.removeTarget(Target));
           Fleet.run(Interval / 2);
         }
         Fleet.run(Settle);
@@ -59,3 +60,56 @@
     }
   }
 }
+
+TEST_CASE("a removed target is left in time by nodes whose own calls to the "
+          "store fail") {
+  for (const std::uint64_t Seed : {1U, 2U, 3U, 4U}) {
+    for (const Duration Outage :
+         {milliseconds(100), milliseconds(1700), milliseconds(4000)}) {
+      CAPTURE(Seed);
+      CAPTURE(Outage.count());
+      StoreFleet Fleet(smallMachines(milliseconds(800), Seed));
+      Fleet.startAll();
+      for (std::size_t Node = 0; Node < Fleet.nodes(); Node += 3)
+        Fleet.cutFromStore(Node);
+      Fleet.run(Outage);
+      const core::Revision Removed = Fleet.removeTarget(Fleet.nodes() - 1);
+      Fleet.run(milliseconds(300));
+      for (std::size_t Node = 0; Node < Fleet.nodes(); Node += 3)
+        Fleet.reconnectToStore(Node);
+      Fleet.run(Settle);
+      CHECK(Fleet.worstDepartureLag(Removed).value_or(Duration::max()) < Bound);
+    }
+  }
+}
+
+TEST_CASE("an entry that lapsed while no node reached the store is kept until "
+          "it can be written again") {
+  for (const std::uint64_t Seed : {1U, 2U, 3U, 4U}) {
+    CAPTURE(Seed);
+    StoreFleet Fleet(smallMachines(milliseconds(800), Seed));
+    Fleet.startAll();
+    for (std::size_t Node = 0; Node < Fleet.nodes(); ++Node)
+      Fleet.cutFromStore(Node);
+    Fleet.run(seconds(5));
+    const std::size_t Back = Fleet.nodes() - 1;
+    const std::size_t Gone = Fleet.nodes() - 2;
+    Fleet.removeTarget(Back);
+    Fleet.removeTarget(Gone);
+    for (std::size_t Node = 0; Node < Fleet.nodes(); ++Node)
+      Fleet.reconnectToStore(Node);
+    for (int Step = 0; Step < 15; ++Step) {
+      for (std::size_t Node = 0; Node < Fleet.nodes(); ++Node) {
+        CHECK(Fleet.usesTarget(Node, Back));
+        CHECK(Fleet.usesTarget(Node, Gone));
+      }
+      Fleet.run(milliseconds(100));
+    }
+    Fleet.listTarget(Back);
+    Fleet.run(Settle);
+    for (std::size_t Node = 0; Node < Fleet.nodes(); ++Node) {
+      CHECK(Fleet.usesTarget(Node, Back));
+      CHECK_FALSE(Fleet.usesTarget(Node, Gone));
+    }
+  }
+}
--- a/tests/contract/store_fleet.cpp
+++ b/tests/contract/store_fleet.cpp
@@ -1,7 +1,6 @@
 #include "store_fleet.h"
 
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
 namespace dandelionfall::test {
@@ -24,75 +23,11 @@
 
 } // namespace
 
-DecodedRecord FleetDecoder::decode(const StoreRecord &Record) const {
-  std::istringstream Stream(*Record.m_Value);
-  if (Record.m_Key == "configuration") {
-    auto Result = std::make_shared<PublishedConfiguration>();
-    Stream >> Result->m_Version;
-    Result->m_Routes = std::make_shared<const std::vector<Route>>();
-    Result->m_Services.push_back({"desk", 100, Duration{0}, 0});
-    return std::shared_ptr<const PublishedConfiguration>(Result);
-  }
-  TargetEntry Entry;
-  std::string State;
-  Stream >> Entry.m_Service >> Entry.m_Address >> Entry.m_Zone >> State;
-  Entry.m_Instance = Record.m_Key;
-  Entry.m_Draining = State == "draining";
-  return Entry;
-}
-
-Revision FleetStore::put(const std::string &Key, const std::string &Value,
-                         TimePoint Now) {
-  const Revision New = m_Log.size() + 1;
-  m_Log.push_back(
-      {{Key, New, std::make_shared<const std::string>(Value)}, Now});
-  return New;
-}
-
-Revision FleetStore::visible(ReadConsistency Consistency, TimePoint Now) const {
-  if (Consistency == ReadConsistency::Linearizable)
-    return m_Log.size();
-  const auto First =
-      std::find_if(m_Log.begin(), m_Log.end(), [&](const Change &Each) {
-        return Each.m_At + m_Staleness > Now;
-      });
-  return static_cast<Revision>(First - m_Log.begin());
-}
-
-StoreReply FleetStore::list(const ListRecords &Call, TimePoint /*Now*/) const {
-  std::map<std::string, StoreRecord> Newest;
-  for (const Change &Each : m_Log)
-    Newest.insert_or_assign(Each.m_Record.m_Key, Each.m_Record);
-  StoreReply Result;
-  Result.m_Call = Call.m_Call;
-  Result.m_Outcome = StoreOutcome::Answered;
-  Result.m_AsOf = m_Log.size();
-  for (const auto &[Key, Record] : Newest)
-    Result.m_Records.push_back(Record);
-  return Result;
-}
-
-StoreReply FleetStore::changes(const WatchRecords &Call, TimePoint Now) const {
-  StoreReply Result;
-  Result.m_Call = Call.m_Call;
-  Result.m_Outcome = StoreOutcome::Answered;
-  Result.m_AsOf = visible(Call.m_Consistency, Now);
-  for (const Change &Each : m_Log) {
-    if (Each.m_Record.m_Revision > Call.m_After &&
-        Each.m_Record.m_Revision <= Result.m_AsOf &&
-        Each.m_Record.m_Key.starts_with(Call.m_Prefix))
-      Result.m_Records.push_back(Each.m_Record);
-  }
-  return Result;
-}
-
 StoreFleet::StoreFleet(StoreFleetOptions Options)
     : m_Options(Options), m_Store(Options.m_Staleness),
       m_Random(Options.m_Seed), m_Nodes(Options.m_Nodes) {
   for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number)
-    m_Store.put(targetKey(Number),
-                "desk " + addressOf(Number) + " " + zoneOf(Number) + " ready",
-                m_Now);
+    listTarget(Number);
   publish();
 }
 
@@ -163,15 +98,24 @@
 }
 
 void StoreFleet::noteDepartures(std::size_t Number) {
-  Member &Settled = m_Nodes[Number];
-  const auto &Records = Settled.m_Replica->registry().records();
-  for (const auto &[Searched, Key] : m_Departures) {
-    const auto Found = Records.find(Key);
-    if (Found != Records.end() && Found->second.m_Revision >= Searched)
-      Settled.m_DepartureAt.emplace(Searched, m_Now);
+  if (m_Departures.empty())
+    return;
+  std::set<std::string> Used;
+  for (const NodeAddress &Each : m_Nodes[Number].m_Replica->registry().nodes())
+    Used.insert(Each.m_Address);
+  for (const auto &[Searched, Target] : m_Departures) {
+    if (!Used.contains(addressOf(Target)))
+      m_Nodes[Number].m_DepartureAt.emplace(Searched, m_Now);
   }
 }
 
+bool StoreFleet::usesTarget(std::size_t Number, std::size_t Target) const {
+  const auto Nodes = m_Nodes[Number].m_Replica->registry().nodes();
+  return std::any_of(Nodes.begin(), Nodes.end(), [&](const NodeAddress &Each) {
+    return Each.m_Address == addressOf(Target);
+  });
+}
+
 Duration StoreFleet::transfer(std::size_t Number,
                               const std::vector<core::StoreRecord> &Records) {
   if (m_Options.m_BytesPerSecond == 0)
@@ -278,6 +222,10 @@
   silencePendingCalls(Number);
 }
 
+void StoreFleet::reconnectToStore(std::size_t Number) {
+  m_Nodes[Number].m_CutFromStore = false;
+}
+
 void StoreFleet::silencePendingCalls(std::size_t Number) {
   Member &Silent = m_Nodes[Number];
   Silent.m_Silenced.insert(Silent.m_PendingCalls.begin(),
@@ -298,10 +246,14 @@
   Value.resize(std::max(Value.size(), m_Options.m_ConfigurationBytes), ' ');
   const Revision New = m_Store.put("configuration", Value, m_Now);
   m_PublishedAt.emplace(New, m_Now);
+  announce();
+  return New;
+}
+
+void StoreFleet::announce() {
   wakeWatchers(ReadConsistency::Linearizable);
   at(m_Now + m_Options.m_Staleness,
      [this] { wakeWatchers(ReadConsistency::Serializable); });
-  return New;
 }
 
 Revision StoreFleet::drainTarget(std::size_t Number) {
@@ -309,13 +261,26 @@
       targetKey(Number),
       "desk " + addressOf(Number) + " " + zoneOf(Number) + " draining", m_Now);
   m_PublishedAt.emplace(New, m_Now);
-  m_Departures.emplace(New, targetKey(Number));
-  wakeWatchers(ReadConsistency::Linearizable);
-  at(m_Now + m_Options.m_Staleness,
-     [this] { wakeWatchers(ReadConsistency::Serializable); });
+  m_Departures.emplace(New, Number);
+  announce();
+  return New;
+}
+
+Revision StoreFleet::removeTarget(std::size_t Number) {
+  const Revision New = m_Store.remove(targetKey(Number), m_Now);
+  m_PublishedAt.emplace(New, m_Now);
+  m_Departures.emplace(New, Number);
+  announce();
   return New;
 }
 
+void StoreFleet::listTarget(std::size_t Number) {
+  m_Store.put(targetKey(Number),
+              "desk " + addressOf(Number) + " " + zoneOf(Number) + " ready",
+              m_Now);
+  announce();
+}
+
 void StoreFleet::wakeWatchers(ReadConsistency Consistency) {
   std::vector<Watcher> Answered;
   std::erase_if(m_Watchers, [&](const Watcher &Each) {
--- a/tests/contract/store_fleet.h
+++ b/tests/contract/store_fleet.h
@@ -5,6 +5,7 @@
 
 #include "dandelionfall/core/machine_limits.h"
 #include "dandelionfall/core/store_replica.h"
+#include "store_emulation.h"
 
 #include <deque>
 #include <functional>
@@ -42,35 +43,6 @@
   std::size_t m_BytesPerSecond = 0;
 };
 
-/// Decodes the fleet's records: `SERVICE ADDRESS ZONE STATE` for a target, and
-/// a version number for the configuration.
-class FleetDecoder : public core::RecordDecoder {
-public:
-  core::DecodedRecord decode(const core::StoreRecord &Record) const override;
-};
-
-/// A store whose serializable calls see an old state.
-class FleetStore {
-public:
-  explicit FleetStore(Duration Staleness) : m_Staleness(Staleness) {}
-
-  /// Writes a record. \returns its revision.
-  Revision put(const std::string &Key, const std::string &Value, TimePoint Now);
-  /// \returns the revision that calls of a consistency see.
-  Revision visible(core::ReadConsistency Consistency, TimePoint Now) const;
-  core::StoreReply list(const core::ListRecords &Call, TimePoint Now) const;
-  core::StoreReply changes(const core::WatchRecords &Call, TimePoint Now) const;
-  Duration staleness() const { return m_Staleness; }
-
-private:
-  struct Change {
-    core::StoreRecord m_Record;
-    TimePoint m_At;
-  };
-  Duration m_Staleness;
-  std::vector<Change> m_Log;
-};
-
 /// A fleet; node `I` is next to target `I`, in availability zone `I modulo
 /// zones`.
 class StoreFleet {
@@ -90,6 +62,7 @@
   void thaw(std::size_t Node);
   /// Calls of the node get no reply, pending ones included.
   void cutFromStore(std::size_t Node);
+  void reconnectToStore(std::size_t Node);
   /// The pending calls of the node never get a reply; later ones do.
   void silencePendingCalls(std::size_t Node);
   /// Nothing passes between the node and any other node.
@@ -100,6 +73,12 @@
   Revision publish();
   /// Marks a target as draining. \returns its revision.
   Revision drainTarget(std::size_t Node);
+  /// Removes the entry of a target. \returns the revision of the removal.
+  Revision removeTarget(std::size_t Node);
+  /// Writes the entry of a target again.
+  void listTarget(std::size_t Node);
+  /// \returns whether a node has a target in use.
+  bool usesTarget(std::size_t Node, std::size_t Target) const;
   void run(Duration Length);
   TimePoint now() const { return m_Now; }
 
@@ -190,6 +169,8 @@
   /// Reports a call as failed at its timeout; a reply before it counts.
   void failAfter(std::size_t Node, std::uint64_t Call, Duration Timeout);
   void wakeWatchers(core::ReadConsistency Consistency);
+  /// Replies to the watches that see a change, now or once stale reads do.
+  void announce();
   void showTraffic(std::size_t Node);
   void closeEnds(std::size_t Node);
   void perform(std::size_t Node, const core::ListRecords &Command);
@@ -212,8 +193,8 @@
   std::map<LinkEnd, LinkEnd> m_Peers;
   std::vector<Watcher> m_Watchers;
   std::map<Revision, TimePoint> m_PublishedAt;
-  /// Keys of the targets that leave, by revision.
-  std::map<Revision, std::string> m_Departures;
+  /// Targets that leave, by revision.
+  std::map<Revision, std::size_t> m_Departures;
   std::uint64_t m_Version = 0;
   double m_PricedCalls = 0;
 };
