Don't prolong the grace of a lapsed target when its removal is read again

A removal that is already known now changes nothing. What the repetition did by accident is done where it belongs: when the store returns, targets that lapsed during the outage have the whole grace from that moment.

unit.registry_test: both new cases failed before (2 lapses instead of 1; a target dropped half a second before its grace from the store's return ended).

--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -242,9 +242,10 @@
     m_RemovalHistoryStart = At;
   }
   Revision &RemovedAt = m_Removed[Key];
-  if (At > RemovedAt)
-    m_SmallChanges.insert_or_assign(Key, StoreRecord{Key, At, nullptr});
-  RemovedAt = std::max(RemovedAt, At);
+  if (At <= RemovedAt)
+    return false;
+  RemovedAt = At;
+  m_SmallChanges.insert_or_assign(Key, StoreRecord{Key, At, nullptr});
   const auto Zone = m_ZonesOut.find(Key);
   if (Zone != m_ZonesOut.end()) {
     report(EventId::ZoneTakenBack,
@@ -281,8 +282,13 @@
 
 void Registry::onStoreReachable(bool Reachable, TimePoint Now) {
   m_StoreReachable = Reachable;
-  if (Reachable)
-    m_ReachableSince = Now;
+  if (!Reachable)
+    return;
+  m_ReachableSince = Now;
+  for (auto &[Key, Known] : m_Targets) {
+    if (Known.m_LapsedUntil)
+      Known.m_LapsedUntil = Now + LapseGrace;
+  }
 }
 
 bool Registry::onTick(TimePoint Now) {
--- a/tests/unit/registry_test.cpp
+++ b/tests/unit/registry_test.cpp
@@ -249,3 +249,32 @@
   CHECK(World.m_Registry.takeSmallChanges().empty());
   CHECK(World.m_Registry.smallChangesAfter(10).empty());
 }
+
+TEST_CASE("a removal that is read again does not keep a lapsed target longer") {
+  Fixture World;
+  const std::vector<core::StoreRecord> Removal{{"servers/i-1", 11, nullptr}};
+  World.m_Registry.onStoreReachable(false, World.m_Now);
+  World.m_Registry.onStoreReachable(true, World.m_Now);
+  World.m_Registry.applyAhead(Removal, "feed", World.m_Now);
+  World.m_Registry.apply(Removal, 11, World.m_Now + milliseconds(900));
+  World.m_Registry.replaceAll({record("op/config", 1, configurationJson(4))},
+                              12, World.m_Now + milliseconds(1500));
+  CHECK(World.countEvents(EventId::TargetLapsed) == 1);
+  CHECK(World.targets().size() == 1);
+  CHECK(World.m_Registry.onTick(World.m_Now + core::registry::LapseGrace));
+  CHECK(World.targets().empty());
+}
+
+TEST_CASE("a target that lapsed while the store was away has the whole grace "
+          "period from its return") {
+  Fixture World;
+  World.m_Registry.onStoreReachable(false, World.m_Now);
+  World.m_Registry.applyAhead({{"servers/i-1", 11, nullptr}}, "feed",
+                              World.m_Now);
+  const core::TimePoint Return = World.m_Now + milliseconds(1500);
+  World.m_Registry.onStoreReachable(true, Return);
+  CHECK_FALSE(
+      World.m_Registry.onTick(World.m_Now + core::registry::LapseGrace));
+  CHECK(World.m_Registry.nextWakeUp() == Return + core::registry::LapseGrace);
+  CHECK(World.m_Registry.onTick(Return + core::registry::LapseGrace));
+}
