--- a/tests/unit/registry_test.cpp
+++ b/tests/unit/registry_test.cpp
@@ -278,3 +278,37 @@
   CHECK(World.m_Registry.nextWakeUp() == Return + core::registry::LapseGrace);
   CHECK(World.m_Registry.onTick(Return + core::registry::LapseGrace));
 }
+
+TEST_CASE("an odd entry among those of targets names no target and disturbs no "
+          "other") {
+  const std::string Nested = std::string(100'000, '[');
+  const auto Entry = [](const std::string &Address, const std::string &Slots) {
+    return R"({"service":"desk","address":")" + Address +
+           R"(","zone":"kalamaria","version":"v1","slots":)" + Slots +
+           R"(,"state":"ready","cold-remaining-ms":0,"seq":4,"born":1})";
+  };
+  const auto Unclosed = [&](const std::string &Inner) {
+    return Entry("10.1.0.9:8301", Inner);
+  };
+  for (const std::string &Odd :
+       {Nested, Nested + std::string(100'000, ']'),
+        Unclosed(R"({"a":)" + Nested + std::string(100'000, ']') + "}"),
+        Unclosed("4294967296"), Unclosed("18446744073709551616"),
+        Unclosed("1e400"), Unclosed("1e30"), Unclosed("2.5"),
+        Entry("10.1.0.9:65536", "12"), Entry("10.1.0.9:0", "12"),
+        Entry("10.1.0.9:-1", "12"), Entry("10.1.0.9:8301x", "12"),
+        Entry("10.1.0:8301", "12"), Entry("desk.example:8301", "12"),
+        Entry("10.1.0.999:8301", "12"), Entry(":8301", "12")}) {
+    CAPTURE(Odd.substr(0, 120));
+    Fixture World;
+    CHECK_FALSE(World.m_Registry.apply({record("servers/i-2", 11, Odd)}, 11,
+                                       World.m_Now));
+    CHECK(World.countEvents(EventId::RecordRefused) == 1);
+    REQUIRE(World.targets().size() == 1);
+    CHECK(World.m_Registry.revision() == 11);
+    CHECK(World.m_Registry.apply(
+        {record("servers/i-1", 12, targetJson("10.1.0.8:8301", "draining"))},
+        12, World.m_Now));
+    CHECK(World.targets().front().m_Draining);
+  }
+}
