Send a request again on another connection than the one that refused it

Reported by another operator: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that had run (REFUSED), or such a request ran at a second target (TWICE). It can happen here: all sends of an attempt carry the same id, so that the echoed id does not tell the refusal of the first send from the response to the second.

A connection now remembers the ids of requests that were not answered with success, and carries none of them a second time; after 64 of them it is closed. Other requests use it as before, so that overload costs no new connections.

Ruled out: closing the connection after each refusal (a new connection for each one under overload), and a new id for each send (the platform defines it).

unit.http_client_reuse_test: both cases failed before (the second send was answered 503, by the repeated refusal). The fixture of http_client_test moves to a header.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -37,7 +37,7 @@
     ConnectionPtr Chosen;
     const bool HasTime = Clock::now() < m_Queue.front().m_Deadline;
     if (HasTime) {
-      Chosen = acquireConnection(m_Queue.front().m_Idempotent);
+      Chosen = acquireConnection(m_Queue.front());
       if (Chosen == nullptr)
         break;
     }
@@ -55,8 +55,8 @@
 
 // Returns null if all connections are in use and the pool is full.
 HttpClient::Impl::ConnectionPtr
-HttpClient::Impl::acquireConnection(bool Idempotent) {
-  if (ConnectionPtr Idle = acquireIdle(Idempotent))
+HttpClient::Impl::acquireConnection(const Exchange &Next) {
+  if (ConnectionPtr Idle = acquireIdle(Next))
     return Idle;
   if (m_Open.size() >= m_Options.m_MaxConnections) {
     if (m_Idle.empty())
@@ -107,21 +107,25 @@
   });
 }
 
-HttpClient::Impl::ConnectionPtr HttpClient::Impl::acquireIdle(bool Idempotent) {
-  while (!m_Idle.empty()) {
-    ConnectionPtr MostRecent = m_Idle.back();
-    if (!Idempotent && !MostRecent->acceptsNonIdempotent())
+HttpClient::Impl::ConnectionPtr
+HttpClient::Impl::acquireIdle(const Exchange &Next) {
+  // The most recently used connection first.
+  for (std::size_t Index = m_Idle.size(); Index > 0; --Index) {
+    const ConnectionPtr Candidate = m_Idle[Index - 1];
+    if (Candidate->hasFailed(*Next.m_Request))
+      continue;
+    if (!Next.m_Idempotent && !Candidate->acceptsNonIdempotent())
       return nullptr;
-    m_Idle.pop_back();
-    if (MostRecent->isWithinIdleLimit() && MostRecent->looksAlive())
-      return MostRecent;
+    m_Idle.erase(m_Idle.begin() + static_cast<std::ptrdiff_t>(Index - 1));
+    if (Candidate->isWithinIdleLimit() && Candidate->looksAlive())
+      return Candidate;
     // Servers close connections after a long idle time; only an early close
     // indicates that the server itself stopped or restarted.
-    if (MostRecent->isIdleLessThan(m_Options.m_MaxIdleNonIdempotent) &&
+    if (Candidate->isIdleLessThan(m_Options.m_MaxIdleNonIdempotent) &&
         m_Options.m_IdleClosedEarly)
       boost::asio::post(m_Context, m_Options.m_IdleClosedEarly);
-    MostRecent->close();
-    removeConnection(MostRecent);
+    Candidate->close();
+    removeConnection(Candidate);
   }
   return nullptr;
 }
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -24,6 +24,9 @@
 /// connection is not reused, because the server's FIN may already be in flight.
 constexpr std::chrono::milliseconds IdleMargin{1000};
 
+/// Failed requests that a connection remembers; it is closed after as many.
+constexpr std::size_t MaxFailedRequests = 64;
+
 bool isInformational(unsigned Status) {
   constexpr unsigned FirstFinal = 200;
   return Status < FirstFinal;
@@ -199,9 +202,11 @@
     return read();
   }
   updateKeepAliveTimeout();
+  recordFailure();
   // Bytes after the response would be read as the response to the next request.
   const bool Reusable = m_Parser->get().keep_alive() && m_Buffer.size() == 0 &&
-                        !m_SkippedResponse;
+                        !m_SkippedResponse &&
+                        m_Failed.size() < MaxFailedRequests;
   finish({ExchangeOutcome::Answered, fromBeast(m_Parser->release()), ""},
          Reusable);
 }
@@ -215,6 +220,26 @@
          Echoed->value() != (*m_Exchange->m_Request)[Name];
 }
 
+// Only a request that was not answered with success is sent again.
+void HttpClient::Impl::Connection::recordFailure() {
+  const std::string &Name = m_Owner->m_Options.m_EchoField;
+  constexpr unsigned FirstFailure = 300;
+  if (Name.empty() || m_Parser->get().result_int() < FirstFailure)
+    return;
+  const auto Value = (*m_Exchange->m_Request)[Name];
+  m_Failed.emplace_back(Value.data(), Value.size());
+}
+
+bool HttpClient::Impl::Connection::hasFailed(
+    const BeastRequest &Request) const {
+  if (m_Failed.empty())
+    return false;
+  const auto Value = Request[m_Owner->m_Options.m_EchoField];
+  return std::find(m_Failed.begin(), m_Failed.end(),
+                   std::string_view(Value.data(), Value.size())) !=
+         m_Failed.end();
+}
+
 void HttpClient::Impl::Connection::updateKeepAliveTimeout() {
   constexpr std::string_view Parameter = "timeout=";
   const auto Field = m_Parser->get()[http::field::keep_alive];
--- a/src/net/http_client_connection.h
+++ b/src/net/http_client_connection.h
@@ -10,6 +10,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace dandelionfall::net {
 
@@ -36,6 +37,10 @@
   bool isWithinIdleLimit() const;
   /// \returns whether the connection can carry a non-idempotent request.
   bool acceptsNonIdempotent() const;
+  /// \returns whether a request with the same echoed value failed on this
+  /// connection. If the server sent that response once more, it could not be
+  /// told from the response to this request.
+  bool hasFailed(const BeastRequest &Request) const;
   /// Closes the socket without calling back.
   void close();
 
@@ -52,6 +57,7 @@
   void onHeader(boost::system::error_code Code);
   void readBody();
   bool isStaleResponse() const;
+  void recordFailure();
   void updateKeepAliveTimeout();
   void onRead(boost::system::error_code Code);
   void failRead(boost::system::error_code Code);
@@ -68,6 +74,8 @@
   /// Idle time after which the server closes the connection, as stated in its
   /// Keep-Alive field.
   std::optional<std::chrono::milliseconds> m_KeepAliveTimeout;
+  /// Echoed values of requests whose response was no success.
+  std::vector<std::string> m_Failed;
   /// Whether a response to an earlier request was received; the connection is
   /// then not reused.
   bool m_SkippedResponse = false;
--- a/src/net/http_client_pool.h
+++ b/src/net/http_client_pool.h
@@ -44,11 +44,11 @@
   void cancel(ExchangeId Id);
   void stop();
   void sweep();
-  ConnectionPtr acquireIdle(bool Idempotent);
+  ConnectionPtr acquireIdle(const Exchange &Next);
   void release(const ConnectionPtr &Released);
   void removeConnection(const ConnectionPtr &Removed);
   void startQueued();
-  ConnectionPtr acquireConnection(bool Idempotent);
+  ConnectionPtr acquireConnection(const Exchange &Next);
   void armQueueTimer();
   void expireQueued();
   void postNotSent(Exchange Ended, const std::string &Detail);
--- /dev/null
+++ b/tests/unit/http_client_reuse_test.cpp
@@ -0,0 +1,59 @@
+// Responses that a faulty server repeats or breaks off.
+#include "http_client_fixture.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace dandelionfall;
+using Fixture = test::HttpClientFixture;
+using net::ExchangeOutcome;
+using test::ConnectionAction;
+
+TEST_CASE("an earlier refusal that is sent again does not answer the second "
+          "send of the same id") {
+  net::HttpClientOptions Options;
+  Options.m_EchoField = "Id";
+  Fixture Test(Options);
+  Test.m_Fields = {{"Id", "one"}};
+  const std::string Refusal =
+      "HTTP/1.1 503 Busy\r\nId: one\r\nContent-Length: 0\r\n\r\n";
+  Test.m_ResponseBytes = Refusal;
+  Test.send();
+  CHECK(Test.lastResult().m_Response->m_Status == 503);
+  // On the first connection the server's next bytes are the refusal again.
+  Test.m_ResponseBytes =
+      "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 3\r\n\r\nran";
+  Test.m_FirstPeerPrefix = Refusal;
+  Test.send();
+  const net::HttpResult Second = Test.lastResult();
+  REQUIRE(Second.m_Outcome == ExchangeOutcome::Answered);
+  CHECK(Second.m_Response->m_Status == 200);
+  CHECK(Test.m_Peers.size() == 2);
+  // Another id can use either connection.
+  Test.m_FirstPeerPrefix.clear();
+  Test.m_ResponseBytes =
+      "HTTP/1.1 200 OK\r\nId: two\r\nContent-Length: 0\r\n\r\n";
+  Test.m_Fields = {{"Id", "two"}};
+  Test.send();
+  CHECK(Test.lastResult().m_Response->m_Status == 200);
+  CHECK(Test.m_Peers.size() == 2);
+}
+
+TEST_CASE("a connection that has carried many failed requests is not reused") {
+  net::HttpClientOptions Options;
+  Options.m_EchoField = "Id";
+  Fixture Test(Options);
+  constexpr int Requests = 200;
+  for (int Count = 0; Count < Requests; ++Count) {
+    const std::string Id = std::to_string(Count);
+    Test.m_Fields = {{"Id", Id}};
+    Test.m_ResponseBytes =
+        "HTTP/1.1 503 Busy\r\nId: " + Id + "\r\nContent-Length: 0\r\n\r\n";
+    Test.send();
+    REQUIRE(Test.lastResult().m_Outcome == ExchangeOutcome::Answered);
+  }
+  CHECK(Test.m_Peers.size() > 1);
+  CHECK(Test.m_Peers.size() <= Requests / 10);
+  CHECK(Test.m_Client->connections() <= 1);
+}
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -1,16 +1,9 @@
-#include "dandelionfall/net/address.h"
-#include "dandelionfall/net/http_client.h"
-
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
+#include "http_client_fixture.h"
 
 #include <doctest/doctest.h>
 
 #include <functional>
-#include <list>
 #include <optional>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -21,107 +14,10 @@
 
 namespace {
 
-constexpr std::chrono::seconds WaitLimit{3};
-constexpr milliseconds ShortTimeout{150};
-
-std::string formatEndpoint(const tcp::endpoint &Endpoint) {
-  std::ostringstream Text;
-  Text << Endpoint;
-  return Text.str();
-}
-
-enum class ConnectionAction : std::uint8_t { Keep, Close, Break };
-
-/// A server that counts complete request headers and sends fixed bytes in
-/// response, and a client connected to it.
-class Fixture {
-public:
-  explicit Fixture(net::HttpClientOptions Options = {})
-      : m_Acceptor(m_Context, net::parseEndpoint("127.0.0.1:0")) {
-    Options.m_Address = formatEndpoint(m_Acceptor.local_endpoint());
-    m_Client.emplace(m_Context, Options);
-    accept();
-  }
-
-  net::ExchangeId send(bool Idempotent = false,
-                       milliseconds Timeout = WaitLimit,
-                       const std::string &Method = "GET") {
-    core::HttpRequest Request;
-    Request.m_Method = Method;
-    Request.m_Path = "/";
-    Request.m_Fields = m_Fields;
-    Request.m_Body = m_Body;
-    const std::size_t Index = m_Results.size();
-    m_Results.emplace_back();
-    return m_Client->send(Request, Timeout, Idempotent,
-                          [this, Index](const net::HttpResult &Result) {
-                            CHECK_FALSE(m_Results[Index].has_value());
-                            m_Results[Index] = Result;
-                          });
-  }
-
-  void runUntil(const std::function<bool()> &Done) {
-    const auto Limit = std::chrono::steady_clock::now() + WaitLimit;
-    while (!Done() && std::chrono::steady_clock::now() < Limit)
-      m_Context.run_for(milliseconds(5));
-  }
-
-  void runFor(milliseconds Time) { m_Context.run_for(Time); }
-
-  /// \returns the result of the most recent exchange; waits for it.
-  net::HttpResult lastResult() {
-    runUntil([this] { return m_Results.back().has_value(); });
-    REQUIRE(m_Results.back().has_value());
-    return *m_Results.back();
-  }
-
-  void finishConnection(tcp::socket &Peer, ConnectionAction Next) {
-    boost::system::error_code Ignored;
-    if (Next == ConnectionAction::Keep)
-      return;
-    if (Next == ConnectionAction::Break)
-      Peer.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
-    Peer.close(Ignored);
-  }
-
-  boost::asio::io_context m_Context;
-  tcp::acceptor m_Acceptor;
-  std::optional<net::HttpClient> m_Client;
-  std::vector<std::optional<net::HttpResult>> m_Results;
-  std::list<tcp::socket> m_Peers;
-  std::vector<core::HttpField> m_Fields;
-  std::string m_Body;
-  std::string m_ResponseBytes;
-  ConnectionAction m_ConnectionAction = ConnectionAction::Keep;
-  std::size_t m_Requests = 0;
-
-private:
-  void accept() {
-    m_Acceptor.async_accept(
-        [this](boost::system::error_code Code, tcp::socket Peer) {
-          if (Code)
-            return;
-          m_Peers.push_back(std::move(Peer));
-          serve(m_Peers.back());
-          accept();
-        });
-  }
-
-  void serve(tcp::socket &Peer) {
-    const auto Input = std::make_shared<std::string>();
-    boost::asio::async_read_until(
-        Peer, boost::asio::dynamic_buffer(*Input), "\r\n\r\n",
-        [this, &Peer, Input](boost::system::error_code Code, std::size_t) {
-          if (Code)
-            return;
-          ++m_Requests;
-          boost::asio::write(Peer, boost::asio::buffer(m_ResponseBytes));
-          finishConnection(Peer, m_ConnectionAction);
-          if (m_ConnectionAction == ConnectionAction::Keep)
-            serve(Peer);
-        });
-  }
-};
+using Fixture = test::HttpClientFixture;
+using test::ConnectionAction;
+using test::ShortTimeout;
+using test::WaitLimit;
 
 const std::string CompleteResponse =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
@@ -313,7 +209,7 @@
   tcp::socket Filler(Other);
   Filler.connect(Full.local_endpoint());
   net::HttpClientOptions Options;
-  Options.m_Address = formatEndpoint(Full.local_endpoint());
+  Options.m_Address = test::formatEndpoint(Full.local_endpoint());
   Options.m_ConnectTimeout = ShortTimeout;
   Test.m_Client.emplace(Test.m_Context, Options);
   Test.send();
