Test that a response cut anywhere in its head is never complete

Reported by another operator: a target stopped in the middle of the head of a response, and callers got a 200 with an empty or short body. Not so here: of four responses (sized, chunked, until close, after an interim one), cut at each byte of the head and closed or reset, none counts as answered.

--- a/tests/unit/http_client_reuse_test.cpp
+++ b/tests/unit/http_client_reuse_test.cpp
@@ -57,3 +57,31 @@
   CHECK(Test.m_Peers.size() <= Requests / 10);
   CHECK(Test.m_Client->connections() <= 1);
 }
+
+TEST_CASE("a response that ends anywhere within its head is never complete") {
+  const std::string Sized = "HTTP/1.1 200 OK\r\nSignature: s\r\n"
+                            "Content-Length: 12\r\nX: y\r\n\r\n";
+  const std::string Chunked = "HTTP/1.1 200 OK\r\nSignature: s\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "2\r\nhi\r\n0\r\n\r\n";
+  const std::string UntilClose =
+      "HTTP/1.1 200 OK\r\nSignature: s\r\nX: y\r\n\r\n";
+  const std::string Interim =
+      "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n" + UntilClose;
+  for (const std::string &Whole : {Sized, Chunked, UntilClose, Interim}) {
+    for (std::size_t Length = 0; Length < Whole.size(); ++Length) {
+      for (const auto Action :
+           {ConnectionAction::Close, ConnectionAction::Break}) {
+        CAPTURE(Whole);
+        CAPTURE(Length);
+        net::HttpClientOptions Options;
+        Options.m_AllowCloseDelimited = true;
+        Fixture Test(Options);
+        Test.m_ResponseBytes = Whole.substr(0, Length);
+        Test.m_ConnectionAction = Action;
+        Test.send();
+        CHECK(Test.lastResult().m_Outcome != ExchangeOutcome::Answered);
+      }
+    }
+  }
+}
