--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -5963,6 +5963,360 @@
 }
 
 
+PatchPiece::~PatchPiece() noexcept {
+}
+
+
+void PatchPiece::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void PatchPiece::__set_length(const int64_t val) {
+  this->length = val;
+}
+
+void PatchPiece::__set_bytes(const std::string& val) {
+  this->bytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const PatchPiece& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PatchPiece::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->length);
+          this->__isset.length = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PatchPiece::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PatchPiece");
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("length", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->length);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PatchPiece &a, PatchPiece &b) {
+  using ::std::swap;
+  swap(a.offset, b.offset);
+  swap(a.length, b.length);
+  swap(a.bytes, b.bytes);
+  swap(a.__isset, b.__isset);
+}
+
+PatchPiece::PatchPiece(const PatchPiece& other222) {
+  offset = other222.offset;
+  length = other222.length;
+  bytes = other222.bytes;
+  __isset = other222.__isset;
+}
+PatchPiece::PatchPiece(PatchPiece&& other223) noexcept {
+  offset = other223.offset;
+  length = other223.length;
+  bytes = std::move(other223.bytes);
+  __isset = other223.__isset;
+}
+PatchPiece& PatchPiece::operator=(const PatchPiece& other224) {
+  offset = other224.offset;
+  length = other224.length;
+  bytes = other224.bytes;
+  __isset = other224.__isset;
+  return *this;
+}
+PatchPiece& PatchPiece::operator=(PatchPiece&& other225) noexcept {
+  offset = other225.offset;
+  length = other225.length;
+  bytes = std::move(other225.bytes);
+  __isset = other225.__isset;
+  return *this;
+}
+void PatchPiece::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PatchPiece(";
+  out << "offset=" << to_string(offset);
+  out << ", " << "length=" << to_string(length);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ")";
+}
+
+
+RecordPatch::~RecordPatch() noexcept {
+}
+
+
+void RecordPatch::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void RecordPatch::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void RecordPatch::__set_base(const int64_t val) {
+  this->base = val;
+}
+
+void RecordPatch::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void RecordPatch::__set_pieces(const std::vector<PatchPiece> & val) {
+  this->pieces = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordPatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordPatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->pieces.clear();
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _etype229;
+            xfer += iprot->readListBegin(_etype229, _size226);
+            this->pieces.resize(_size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
+            {
+              xfer += this->pieces[_i230].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.pieces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RecordPatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordPatch");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pieces", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pieces.size()));
+    std::vector<PatchPiece> ::const_iterator _iter231;
+    for (_iter231 = this->pieces.begin(); _iter231 != this->pieces.end(); ++_iter231)
+    {
+      xfer += (*_iter231).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordPatch &a, RecordPatch &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.revision, b.revision);
+  swap(a.base, b.base);
+  swap(a.digest, b.digest);
+  swap(a.pieces, b.pieces);
+  swap(a.__isset, b.__isset);
+}
+
+RecordPatch::RecordPatch(const RecordPatch& other232) {
+  key = other232.key;
+  revision = other232.revision;
+  base = other232.base;
+  digest = other232.digest;
+  pieces = other232.pieces;
+  __isset = other232.__isset;
+}
+RecordPatch::RecordPatch(RecordPatch&& other233) noexcept {
+  key = std::move(other233.key);
+  revision = other233.revision;
+  base = other233.base;
+  digest = other233.digest;
+  pieces = std::move(other233.pieces);
+  __isset = other233.__isset;
+}
+RecordPatch& RecordPatch::operator=(const RecordPatch& other234) {
+  key = other234.key;
+  revision = other234.revision;
+  base = other234.base;
+  digest = other234.digest;
+  pieces = other234.pieces;
+  __isset = other234.__isset;
+  return *this;
+}
+RecordPatch& RecordPatch::operator=(RecordPatch&& other235) noexcept {
+  key = std::move(other235.key);
+  revision = other235.revision;
+  base = other235.base;
+  digest = other235.digest;
+  pieces = std::move(other235.pieces);
+  __isset = other235.__isset;
+  return *this;
+}
+void RecordPatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordPatch(";
+  out << "key=" << to_string(key);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "base=" << to_string(base);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "pieces=" << to_string(pieces);
+  out << ")";
+}
+
+
 RevisionNotice::~RevisionNotice() noexcept {
 }
 
@@ -5986,6 +6340,18 @@
 void RevisionNotice::__set_records(const std::vector<StoreRecord> & val) {
   this->records = val;
 }
+
+void RevisionNotice::__set_patches(const std::vector<RecordPatch> & val) {
+  this->patches = val;
+}
+
+void RevisionNotice::__set_large(const std::map<std::string, int64_t> & val) {
+  this->large = val;
+}
+
+void RevisionNotice::__set_complete(const bool val) {
+  this->complete = val;
+}
 std::ostream& operator<<(std::ostream& out, const RevisionNotice& obj)
 {
   obj.printTo(out);
@@ -6050,14 +6416,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->records.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size236;
+            ::apache::thrift::protocol::TType _etype239;
+            xfer += iprot->readListBegin(_etype239, _size236);
+            this->records.resize(_size236);
+            uint32_t _i240;
+            for (_i240 = 0; _i240 < _size236; ++_i240)
             {
-              xfer += this->records[_i226].read(iprot);
+              xfer += this->records[_i240].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6066,6 +6432,57 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->patches.clear();
+            uint32_t _size241;
+            ::apache::thrift::protocol::TType _etype244;
+            xfer += iprot->readListBegin(_etype244, _size241);
+            this->patches.resize(_size241);
+            uint32_t _i245;
+            for (_i245 = 0; _i245 < _size241; ++_i245)
+            {
+              xfer += this->patches[_i245].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.patches = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->large.clear();
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _ktype247;
+            ::apache::thrift::protocol::TType _vtype248;
+            xfer += iprot->readMapBegin(_ktype247, _vtype248, _size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
+            {
+              std::string _key251;
+              xfer += iprot->readString(_key251);
+              int64_t& _val252 = this->large[_key251];
+              xfer += iprot->readI64(_val252);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.large = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6102,15 +6519,44 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoreRecord> ::const_iterator _iter227;
-    for (_iter227 = this->records.begin(); _iter227 != this->records.end(); ++_iter227)
+    std::vector<StoreRecord> ::const_iterator _iter253;
+    for (_iter253 = this->records.begin(); _iter253 != this->records.end(); ++_iter253)
     {
-      xfer += (*_iter227).write(oprot);
+      xfer += (*_iter253).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("patches", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->patches.size()));
+    std::vector<RecordPatch> ::const_iterator _iter254;
+    for (_iter254 = this->patches.begin(); _iter254 != this->patches.end(); ++_iter254)
+    {
+      xfer += (*_iter254).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("large", ::apache::thrift::protocol::T_MAP, 7);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->large.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter255;
+    for (_iter255 = this->large.begin(); _iter255 != this->large.end(); ++_iter255)
+    {
+      xfer += oprot->writeString(_iter255->first);
+      xfer += oprot->writeI64(_iter255->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6123,41 +6569,56 @@
   swap(a.confirmed_ago_us, b.confirmed_ago_us);
   swap(a.refused, b.refused);
   swap(a.records, b.records);
+  swap(a.patches, b.patches);
+  swap(a.large, b.large);
+  swap(a.complete, b.complete);
   swap(a.__isset, b.__isset);
 }
 
-RevisionNotice::RevisionNotice(const RevisionNotice& other228) {
-  revision = other228.revision;
-  held = other228.held;
-  confirmed_ago_us = other228.confirmed_ago_us;
-  refused = other228.refused;
-  records = other228.records;
-  __isset = other228.__isset;
-}
-RevisionNotice::RevisionNotice(RevisionNotice&& other229) noexcept {
-  revision = other229.revision;
-  held = other229.held;
-  confirmed_ago_us = other229.confirmed_ago_us;
-  refused = other229.refused;
-  records = std::move(other229.records);
-  __isset = other229.__isset;
-}
-RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other230) {
-  revision = other230.revision;
-  held = other230.held;
-  confirmed_ago_us = other230.confirmed_ago_us;
-  refused = other230.refused;
-  records = other230.records;
-  __isset = other230.__isset;
+RevisionNotice::RevisionNotice(const RevisionNotice& other256) {
+  revision = other256.revision;
+  held = other256.held;
+  confirmed_ago_us = other256.confirmed_ago_us;
+  refused = other256.refused;
+  records = other256.records;
+  patches = other256.patches;
+  large = other256.large;
+  complete = other256.complete;
+  __isset = other256.__isset;
+}
+RevisionNotice::RevisionNotice(RevisionNotice&& other257) noexcept {
+  revision = other257.revision;
+  held = other257.held;
+  confirmed_ago_us = other257.confirmed_ago_us;
+  refused = other257.refused;
+  records = std::move(other257.records);
+  patches = std::move(other257.patches);
+  large = std::move(other257.large);
+  complete = other257.complete;
+  __isset = other257.__isset;
+}
+RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other258) {
+  revision = other258.revision;
+  held = other258.held;
+  confirmed_ago_us = other258.confirmed_ago_us;
+  refused = other258.refused;
+  records = other258.records;
+  patches = other258.patches;
+  large = other258.large;
+  complete = other258.complete;
+  __isset = other258.__isset;
   return *this;
 }
-RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other231) noexcept {
-  revision = other231.revision;
-  held = other231.held;
-  confirmed_ago_us = other231.confirmed_ago_us;
-  refused = other231.refused;
-  records = std::move(other231.records);
-  __isset = other231.__isset;
+RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other259) noexcept {
+  revision = other259.revision;
+  held = other259.held;
+  confirmed_ago_us = other259.confirmed_ago_us;
+  refused = other259.refused;
+  records = std::move(other259.records);
+  patches = std::move(other259.patches);
+  large = std::move(other259.large);
+  complete = other259.complete;
+  __isset = other259.__isset;
   return *this;
 }
 void RevisionNotice::printTo(std::ostream& out) const {
@@ -6168,6 +6629,9 @@
   out << ", " << "confirmed_ago_us=" << to_string(confirmed_ago_us);
   out << ", " << "refused=" << to_string(refused);
   out << ", " << "records=" << to_string(records);
+  out << ", " << "patches=" << to_string(patches);
+  out << ", " << "large=" << to_string(large);
+  out << ", " << "complete=" << to_string(complete);
   out << ")";
 }
 
@@ -6743,126 +7207,126 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other232) {
-  traffic_hello = other232.traffic_hello;
-  traffic_welcome = other232.traffic_welcome;
-  dispatch = other232.dispatch;
-  answer = other232.answer;
-  refusal = other232.refusal;
-  failure = other232.failure;
-  inquiry = other232.inquiry;
-  inquiry_reply = other232.inquiry_reply;
-  settled = other232.settled;
-  cancel = other232.cancel;
-  traffic_ping = other232.traffic_ping;
-  traffic_pong = other232.traffic_pong;
-  traffic_go_away = other232.traffic_go_away;
-  crash_notice = other232.crash_notice;
-  leaving_notice = other232.leaving_notice;
-  control_hello = other232.control_hello;
-  announce = other232.announce;
-  pull = other232.pull;
-  change_records = other232.change_records;
-  snapshot_chunk = other232.snapshot_chunk;
-  held_ack = other232.held_ack;
-  heartbeat = other232.heartbeat;
-  control_go_away = other232.control_go_away;
-  records_pull = other232.records_pull;
-  records_push = other232.records_push;
-  follow_revisions = other232.follow_revisions;
-  revision_notice = other232.revision_notice;
-  __isset = other232.__isset;
-}
-Body::Body(Body&& other233) noexcept {
-  traffic_hello = std::move(other233.traffic_hello);
-  traffic_welcome = std::move(other233.traffic_welcome);
-  dispatch = std::move(other233.dispatch);
-  answer = std::move(other233.answer);
-  refusal = std::move(other233.refusal);
-  failure = std::move(other233.failure);
-  inquiry = std::move(other233.inquiry);
-  inquiry_reply = std::move(other233.inquiry_reply);
-  settled = std::move(other233.settled);
-  cancel = std::move(other233.cancel);
-  traffic_ping = std::move(other233.traffic_ping);
-  traffic_pong = std::move(other233.traffic_pong);
-  traffic_go_away = std::move(other233.traffic_go_away);
-  crash_notice = std::move(other233.crash_notice);
-  leaving_notice = std::move(other233.leaving_notice);
-  control_hello = std::move(other233.control_hello);
-  announce = std::move(other233.announce);
-  pull = std::move(other233.pull);
-  change_records = std::move(other233.change_records);
-  snapshot_chunk = std::move(other233.snapshot_chunk);
-  held_ack = std::move(other233.held_ack);
-  heartbeat = std::move(other233.heartbeat);
-  control_go_away = std::move(other233.control_go_away);
-  records_pull = std::move(other233.records_pull);
-  records_push = std::move(other233.records_push);
-  follow_revisions = std::move(other233.follow_revisions);
-  revision_notice = std::move(other233.revision_notice);
-  __isset = other233.__isset;
-}
-Body& Body::operator=(const Body& other234) {
-  traffic_hello = other234.traffic_hello;
-  traffic_welcome = other234.traffic_welcome;
-  dispatch = other234.dispatch;
-  answer = other234.answer;
-  refusal = other234.refusal;
-  failure = other234.failure;
-  inquiry = other234.inquiry;
-  inquiry_reply = other234.inquiry_reply;
-  settled = other234.settled;
-  cancel = other234.cancel;
-  traffic_ping = other234.traffic_ping;
-  traffic_pong = other234.traffic_pong;
-  traffic_go_away = other234.traffic_go_away;
-  crash_notice = other234.crash_notice;
-  leaving_notice = other234.leaving_notice;
-  control_hello = other234.control_hello;
-  announce = other234.announce;
-  pull = other234.pull;
-  change_records = other234.change_records;
-  snapshot_chunk = other234.snapshot_chunk;
-  held_ack = other234.held_ack;
-  heartbeat = other234.heartbeat;
-  control_go_away = other234.control_go_away;
-  records_pull = other234.records_pull;
-  records_push = other234.records_push;
-  follow_revisions = other234.follow_revisions;
-  revision_notice = other234.revision_notice;
-  __isset = other234.__isset;
+Body::Body(const Body& other260) {
+  traffic_hello = other260.traffic_hello;
+  traffic_welcome = other260.traffic_welcome;
+  dispatch = other260.dispatch;
+  answer = other260.answer;
+  refusal = other260.refusal;
+  failure = other260.failure;
+  inquiry = other260.inquiry;
+  inquiry_reply = other260.inquiry_reply;
+  settled = other260.settled;
+  cancel = other260.cancel;
+  traffic_ping = other260.traffic_ping;
+  traffic_pong = other260.traffic_pong;
+  traffic_go_away = other260.traffic_go_away;
+  crash_notice = other260.crash_notice;
+  leaving_notice = other260.leaving_notice;
+  control_hello = other260.control_hello;
+  announce = other260.announce;
+  pull = other260.pull;
+  change_records = other260.change_records;
+  snapshot_chunk = other260.snapshot_chunk;
+  held_ack = other260.held_ack;
+  heartbeat = other260.heartbeat;
+  control_go_away = other260.control_go_away;
+  records_pull = other260.records_pull;
+  records_push = other260.records_push;
+  follow_revisions = other260.follow_revisions;
+  revision_notice = other260.revision_notice;
+  __isset = other260.__isset;
+}
+Body::Body(Body&& other261) noexcept {
+  traffic_hello = std::move(other261.traffic_hello);
+  traffic_welcome = std::move(other261.traffic_welcome);
+  dispatch = std::move(other261.dispatch);
+  answer = std::move(other261.answer);
+  refusal = std::move(other261.refusal);
+  failure = std::move(other261.failure);
+  inquiry = std::move(other261.inquiry);
+  inquiry_reply = std::move(other261.inquiry_reply);
+  settled = std::move(other261.settled);
+  cancel = std::move(other261.cancel);
+  traffic_ping = std::move(other261.traffic_ping);
+  traffic_pong = std::move(other261.traffic_pong);
+  traffic_go_away = std::move(other261.traffic_go_away);
+  crash_notice = std::move(other261.crash_notice);
+  leaving_notice = std::move(other261.leaving_notice);
+  control_hello = std::move(other261.control_hello);
+  announce = std::move(other261.announce);
+  pull = std::move(other261.pull);
+  change_records = std::move(other261.change_records);
+  snapshot_chunk = std::move(other261.snapshot_chunk);
+  held_ack = std::move(other261.held_ack);
+  heartbeat = std::move(other261.heartbeat);
+  control_go_away = std::move(other261.control_go_away);
+  records_pull = std::move(other261.records_pull);
+  records_push = std::move(other261.records_push);
+  follow_revisions = std::move(other261.follow_revisions);
+  revision_notice = std::move(other261.revision_notice);
+  __isset = other261.__isset;
+}
+Body& Body::operator=(const Body& other262) {
+  traffic_hello = other262.traffic_hello;
+  traffic_welcome = other262.traffic_welcome;
+  dispatch = other262.dispatch;
+  answer = other262.answer;
+  refusal = other262.refusal;
+  failure = other262.failure;
+  inquiry = other262.inquiry;
+  inquiry_reply = other262.inquiry_reply;
+  settled = other262.settled;
+  cancel = other262.cancel;
+  traffic_ping = other262.traffic_ping;
+  traffic_pong = other262.traffic_pong;
+  traffic_go_away = other262.traffic_go_away;
+  crash_notice = other262.crash_notice;
+  leaving_notice = other262.leaving_notice;
+  control_hello = other262.control_hello;
+  announce = other262.announce;
+  pull = other262.pull;
+  change_records = other262.change_records;
+  snapshot_chunk = other262.snapshot_chunk;
+  held_ack = other262.held_ack;
+  heartbeat = other262.heartbeat;
+  control_go_away = other262.control_go_away;
+  records_pull = other262.records_pull;
+  records_push = other262.records_push;
+  follow_revisions = other262.follow_revisions;
+  revision_notice = other262.revision_notice;
+  __isset = other262.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other235) noexcept {
-  traffic_hello = std::move(other235.traffic_hello);
-  traffic_welcome = std::move(other235.traffic_welcome);
-  dispatch = std::move(other235.dispatch);
-  answer = std::move(other235.answer);
-  refusal = std::move(other235.refusal);
-  failure = std::move(other235.failure);
-  inquiry = std::move(other235.inquiry);
-  inquiry_reply = std::move(other235.inquiry_reply);
-  settled = std::move(other235.settled);
-  cancel = std::move(other235.cancel);
-  traffic_ping = std::move(other235.traffic_ping);
-  traffic_pong = std::move(other235.traffic_pong);
-  traffic_go_away = std::move(other235.traffic_go_away);
-  crash_notice = std::move(other235.crash_notice);
-  leaving_notice = std::move(other235.leaving_notice);
-  control_hello = std::move(other235.control_hello);
-  announce = std::move(other235.announce);
-  pull = std::move(other235.pull);
-  change_records = std::move(other235.change_records);
-  snapshot_chunk = std::move(other235.snapshot_chunk);
-  held_ack = std::move(other235.held_ack);
-  heartbeat = std::move(other235.heartbeat);
-  control_go_away = std::move(other235.control_go_away);
-  records_pull = std::move(other235.records_pull);
-  records_push = std::move(other235.records_push);
-  follow_revisions = std::move(other235.follow_revisions);
-  revision_notice = std::move(other235.revision_notice);
-  __isset = other235.__isset;
+Body& Body::operator=(Body&& other263) noexcept {
+  traffic_hello = std::move(other263.traffic_hello);
+  traffic_welcome = std::move(other263.traffic_welcome);
+  dispatch = std::move(other263.dispatch);
+  answer = std::move(other263.answer);
+  refusal = std::move(other263.refusal);
+  failure = std::move(other263.failure);
+  inquiry = std::move(other263.inquiry);
+  inquiry_reply = std::move(other263.inquiry_reply);
+  settled = std::move(other263.settled);
+  cancel = std::move(other263.cancel);
+  traffic_ping = std::move(other263.traffic_ping);
+  traffic_pong = std::move(other263.traffic_pong);
+  traffic_go_away = std::move(other263.traffic_go_away);
+  crash_notice = std::move(other263.crash_notice);
+  leaving_notice = std::move(other263.leaving_notice);
+  control_hello = std::move(other263.control_hello);
+  announce = std::move(other263.announce);
+  pull = std::move(other263.pull);
+  change_records = std::move(other263.change_records);
+  snapshot_chunk = std::move(other263.snapshot_chunk);
+  held_ack = std::move(other263.held_ack);
+  heartbeat = std::move(other263.heartbeat);
+  control_go_away = std::move(other263.control_go_away);
+  records_pull = std::move(other263.records_pull);
+  records_push = std::move(other263.records_push);
+  follow_revisions = std::move(other263.follow_revisions);
+  revision_notice = std::move(other263.revision_notice);
+  __isset = other263.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -6991,26 +7455,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other236) {
-  logical_time = other236.logical_time;
-  body = other236.body;
-  __isset = other236.__isset;
+Frame::Frame(const Frame& other264) {
+  logical_time = other264.logical_time;
+  body = other264.body;
+  __isset = other264.__isset;
 }
-Frame::Frame(Frame&& other237) noexcept {
-  logical_time = other237.logical_time;
-  body = std::move(other237.body);
-  __isset = other237.__isset;
+Frame::Frame(Frame&& other265) noexcept {
+  logical_time = other265.logical_time;
+  body = std::move(other265.body);
+  __isset = other265.__isset;
 }
-Frame& Frame::operator=(const Frame& other238) {
-  logical_time = other238.logical_time;
-  body = other238.body;
-  __isset = other238.__isset;
+Frame& Frame::operator=(const Frame& other266) {
+  logical_time = other266.logical_time;
+  body = other266.body;
+  __isset = other266.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other239) noexcept {
-  logical_time = other239.logical_time;
-  body = std::move(other239.body);
-  __isset = other239.__isset;
+Frame& Frame::operator=(Frame&& other267) noexcept {
+  logical_time = other267.logical_time;
+  body = std::move(other267.body);
+  __isset = other267.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -99,6 +99,10 @@
 
 class FollowRevisions;
 
+class PatchPiece;
+
+class RecordPatch;
+
 class RevisionNotice;
 
 class Body;
@@ -2388,13 +2392,147 @@
 
 std::ostream& operator<<(std::ostream& out, const FollowRevisions& obj);
 
+typedef struct _PatchPiece__isset {
+  _PatchPiece__isset() : offset(false), length(false), bytes(false) {}
+  bool offset :1;
+  bool length :1;
+  bool bytes :1;
+} _PatchPiece__isset;
+
+class PatchPiece : public virtual ::apache::thrift::TBase {
+ public:
+
+  PatchPiece(const PatchPiece&);
+  PatchPiece(PatchPiece&&) noexcept;
+  PatchPiece& operator=(const PatchPiece&);
+  PatchPiece& operator=(PatchPiece&&) noexcept;
+  PatchPiece() noexcept
+             : offset(0),
+               length(0),
+               bytes() {
+  }
+
+  virtual ~PatchPiece() noexcept;
+  int64_t offset;
+  int64_t length;
+  std::string bytes;
+
+  _PatchPiece__isset __isset;
+
+  void __set_offset(const int64_t val);
+
+  void __set_length(const int64_t val);
+
+  void __set_bytes(const std::string& val);
+
+  bool operator == (const PatchPiece & rhs) const
+  {
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(length == rhs.length))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    return true;
+  }
+  bool operator != (const PatchPiece &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PatchPiece & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PatchPiece &a, PatchPiece &b);
+
+std::ostream& operator<<(std::ostream& out, const PatchPiece& obj);
+
+typedef struct _RecordPatch__isset {
+  _RecordPatch__isset() : key(false), revision(false), base(false), digest(false), pieces(false) {}
+  bool key :1;
+  bool revision :1;
+  bool base :1;
+  bool digest :1;
+  bool pieces :1;
+} _RecordPatch__isset;
+
+class RecordPatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  RecordPatch(const RecordPatch&);
+  RecordPatch(RecordPatch&&) noexcept;
+  RecordPatch& operator=(const RecordPatch&);
+  RecordPatch& operator=(RecordPatch&&) noexcept;
+  RecordPatch() noexcept
+              : key(),
+                revision(0),
+                base(0),
+                digest(0) {
+  }
+
+  virtual ~RecordPatch() noexcept;
+  std::string key;
+  int64_t revision;
+  int64_t base;
+  int64_t digest;
+  std::vector<PatchPiece>  pieces;
+
+  _RecordPatch__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_base(const int64_t val);
+
+  void __set_digest(const int64_t val);
+
+  void __set_pieces(const std::vector<PatchPiece> & val);
+
+  bool operator == (const RecordPatch & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(base == rhs.base))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(pieces == rhs.pieces))
+      return false;
+    return true;
+  }
+  bool operator != (const RecordPatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RecordPatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RecordPatch &a, RecordPatch &b);
+
+std::ostream& operator<<(std::ostream& out, const RecordPatch& obj);
+
 typedef struct _RevisionNotice__isset {
-  _RevisionNotice__isset() : revision(false), held(false), confirmed_ago_us(true), refused(false), records(false) {}
+  _RevisionNotice__isset() : revision(false), held(false), confirmed_ago_us(true), refused(false), records(false), patches(false), large(false), complete(false) {}
   bool revision :1;
   bool held :1;
   bool confirmed_ago_us :1;
   bool refused :1;
   bool records :1;
+  bool patches :1;
+  bool large :1;
+  bool complete :1;
 } _RevisionNotice__isset;
 
 class RevisionNotice : public virtual ::apache::thrift::TBase {
@@ -2408,7 +2546,8 @@
                  : revision(0),
                    held(0),
                    confirmed_ago_us(-1LL),
-                   refused(0) {
+                   refused(0),
+                   complete(0) {
   }
 
   virtual ~RevisionNotice() noexcept;
@@ -2417,6 +2556,9 @@
   int64_t confirmed_ago_us;
   bool refused;
   std::vector<StoreRecord>  records;
+  std::vector<RecordPatch>  patches;
+  std::map<std::string, int64_t>  large;
+  bool complete;
 
   _RevisionNotice__isset __isset;
 
@@ -2430,6 +2572,12 @@
 
   void __set_records(const std::vector<StoreRecord> & val);
 
+  void __set_patches(const std::vector<RecordPatch> & val);
+
+  void __set_large(const std::map<std::string, int64_t> & val);
+
+  void __set_complete(const bool val);
+
   bool operator == (const RevisionNotice & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -2442,6 +2590,12 @@
       return false;
     if (!(records == rhs.records))
       return false;
+    if (!(patches == rhs.patches))
+      return false;
+    if (!(large == rhs.large))
+      return false;
+    if (!(complete == rhs.complete))
+      return false;
     return true;
   }
   bool operator != (const RevisionNotice &rhs) const {
--- a/include/dandelionfall/core/control_message.h
+++ b/include/dandelionfall/core/control_message.h
@@ -7,8 +7,11 @@
 #include "dandelionfall/core/identity.h"
 #include "dandelionfall/core/published.h"
 #include "dandelionfall/core/time.h"
+#include "dandelionfall/core/value_patch.h"
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -137,6 +140,31 @@
                          const FollowRevisions &) = default;
 };
 
+/// A large value of a shared store, as the difference from an older revision.
+struct RecordPatch {
+  std::string m_Key;
+  Revision m_Revision = 0;
+  /// Revision of the older value.
+  Revision m_Base = 0;
+  ValuePatch m_Patch;
+  friend bool operator==(const RecordPatch &, const RecordPatch &) = default;
+};
+
+/// Changes of a shared store that a follower lacks.
+struct RecordChanges {
+  /// Small records, in any order. They can be newer than the sender's revision.
+  std::vector<StoreRecord> m_Records;
+  /// Large records of which the receiver probably has the older value.
+  std::vector<RecordPatch> m_Patches;
+  /// Revisions of all large records that the sender holds, by key.
+  std::map<std::string, Revision, std::less<>> m_Large;
+  /// Whether the receiver has been sent all small records up to the sender's
+  /// revision. It then holds that revision if it holds all of `m_Large`.
+  bool m_IsComplete = false;
+  friend bool operator==(const RecordChanges &,
+                         const RecordChanges &) = default;
+};
+
 /// Newest revision of a shared store, as far as the sender was notified.
 struct RevisionNotice {
   Revision m_Revision = 0;
@@ -148,9 +176,8 @@
   /// Whether the sender ends this feed; the receiver should follow another
   /// node.
   bool m_Refused = false;
-  /// Small records that changed since the last notice, in any order. They can
-  /// be newer than `m_Held`.
-  std::vector<StoreRecord> m_Records;
+  /// What changed since the last notice.
+  RecordChanges m_Changes;
   friend bool operator==(const RevisionNotice &,
                          const RevisionNotice &) = default;
 };
--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -9,6 +9,7 @@
 #include "dandelionfall/core/published.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -78,12 +79,20 @@
   /// \returns whether anything changed.
   bool applyAhead(const std::vector<StoreRecord> &Records, const char *Origin,
                   TimePoint Now);
-  /// \returns the small records and removals newer than a revision; none if the
-  /// revision is 0.
-  std::vector<StoreRecord> smallChangesAfter(Revision Known) const;
-  /// Removes and returns the small records and removals applied since the last
-  /// call, each key's latest one.
-  std::vector<StoreRecord> takeSmallChanges();
+  /// Applies what a followed node sent, and raises the revision to the node's
+  /// if nothing is missing.
+  /// \param Held revision of the sender.
+  /// \returns whether anything but the revision changed.
+  bool applyFeed(const RecordChanges &Changes, Revision Held, TimePoint Now);
+  /// \returns what a follower lacks: small records and removals, and large
+  /// records of whose values the older one is still stored.
+  /// \param Known revision that the follower holds; 0 if it holds none.
+  RecordChanges changesFor(Revision Known) const;
+  /// Removes and returns what was applied since the last call, each key's
+  /// latest value.
+  RecordChanges takeChanges();
+  /// Forgets what was applied since the last call of `takeChanges`.
+  void dropChanges();
   /// Sets whether the store is reachable. Targets whose entries lapsed during
   /// an outage are retained until they have had time to write their entries
   /// again.
@@ -131,6 +140,14 @@
   };
   using TargetsByKey = std::map<std::string, KnownTarget, std::less<>>;
 
+  static bool isSmall(const StoreRecord &Record);
+  void storeLarge(const StoreRecord &Record);
+  std::map<std::string, Revision, std::less<>> largeRevisions() const;
+  std::optional<RecordPatch> patchFrom(const std::deque<StoreRecord> &Values,
+                                       Revision Known) const;
+  bool applyPatch(const RecordPatch &Patch, TimePoint Now);
+  bool
+  holdsAll(const std::map<std::string, Revision, std::less<>> &Large) const;
   bool applyEach(const std::vector<StoreRecord> &Changes, TimePoint Now);
   std::vector<StoreRecord> changesAfter(Revision Known) const;
   bool applyRecord(const StoreRecord &Record, TimePoint Now);
@@ -168,6 +185,10 @@
   std::optional<TimePoint> m_ReachableSince;
   /// Small changes not yet taken, by key.
   std::map<std::string, StoreRecord, std::less<>> m_SmallChanges;
+  /// Latest values of large records, oldest first, by key; bases of patches.
+  std::map<std::string, std::deque<StoreRecord>, std::less<>> m_LargeValues;
+  /// Revisions of the large records when changes were last taken.
+  std::map<std::string, Revision, std::less<>> m_TakenLarge;
   /// Way on which the records being applied came, for events.
   const char *m_Origin = "";
   std::vector<Event> m_Events;
--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -60,6 +60,7 @@
   Alone,      ///< Linearizable; only this node depends on the result.
   Publishing, ///< Linearizable; other nodes rely on regular confirmations.
   Following,  ///< Serializable; other nodes tell which revision is current.
+  Fed,        ///< No watch; other nodes send all changes.
 };
 
 /// \returns the mode's name, for logs.
@@ -145,6 +146,8 @@
   std::vector<StoreReaderCommand> takeCommands();
 
 private:
+  bool needsNoCall() const;
+  void endCall();
   void issueCall(TimePoint Now);
   void replaceCall(TimePoint Now);
   WatchRecords makeWatch() const;
--- a/src/app/node/registry_driver.cpp
+++ b/src/app/node/registry_driver.cpp
@@ -79,7 +79,9 @@
     Result.m_Held = {m_Replica.registry().revision(), 0};
     Result.m_Applied = Result.m_Held;
     Result.m_Ready = m_Board.m_Ready.load();
-    Result.m_Reader = m_Replica.mode() != core::WatchMode::Following;
+    const core::WatchMode Mode = m_Replica.mode();
+    Result.m_Reader =
+        Mode == core::WatchMode::Alone || Mode == core::WatchMode::Publishing;
     Result.m_Links = static_cast<std::uint32_t>(m_Links.size());
     Result.m_SourceCalls = m_Replica.calls();
     Result.m_WatchMode = core::nameOf(m_Replica.mode());
--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -36,6 +36,12 @@
       }));
 }
 
+bool FeedFollower::hasCompleteFeed(TimePoint Now) const {
+  return std::any_of(m_Slots.begin(), m_Slots.end(), [Now](const Slot &Each) {
+    return Each && Each->m_IsComplete && Now < reliableUntil(*Each);
+  });
+}
+
 ConfirmedRevision FeedFollower::newest(TimePoint Now) const {
   ConfirmedRevision Result;
   for (const Slot &Each : m_Slots) {
@@ -89,6 +95,7 @@
   }
   Sender.m_HeardAt = Now;
   Sender.m_Revision = Notice.m_Revision;
+  Sender.m_IsComplete = Notice.m_Changes.m_IsComplete;
   m_Losses = 0;
   if (!std::exchange(Sender.m_ConfirmedAt, Now - Notice.m_ConfirmedAgo))
     report(EventId::FeedFollowed, Sender,
--- a/src/core/registry/feed_follower.h
+++ b/src/core/registry/feed_follower.h
@@ -47,6 +47,8 @@
   std::optional<TimePoint> nextWakeUp() const;
   /// \returns the number of feeds that can be relied on.
   std::size_t reliableFeeds(TimePoint Now) const;
+  /// \returns whether a feed that can be relied on sends all small records.
+  bool hasCompleteFeed(TimePoint Now) const;
   /// \returns the highest revision of the feeds that can be relied on, and the
   /// latest confirmation of any of them.
   ConfirmedRevision newest(TimePoint Now) const;
@@ -67,6 +69,8 @@
     /// the first notice.
     std::optional<TimePoint> m_ConfirmedAt;
     Revision m_Revision = 0;
+    /// Whether the last notice was complete.
+    bool m_IsComplete = false;
     TimePoint m_NextFollowAt;
   };
   using Slot = std::optional<Feed>;
--- a/src/core/registry/feed_publisher.cpp
+++ b/src/core/registry/feed_publisher.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Patches that wait for a confirmation of the store.
+constexpr std::size_t MaxUnsentPatches = 8;
+
 bool isConfirmed(const ConfirmedRevision &Own, TimePoint Now) {
   return Own.m_ConfirmedAt && Now < *Own.m_ConfirmedAt + ConfirmationLimit;
 }
@@ -15,41 +18,35 @@
 } // namespace
 
 void FeedPublisher::onFollow(LinkId Link, const ConfirmedRevision &Own,
-                             std::vector<StoreRecord> Lacking, TimePoint Now) {
+                             const RecordChanges &Lacking, TimePoint Now) {
   const auto Known = m_Followers.find(Link);
-  if (Known != m_Followers.end()) {
-    Known->second = Now;
-    if (!Lacking.empty() && isConfirmed(Own, Now))
-      send(Link, Own, Lacking, Now);
-    return;
-  }
-  if (m_Draining || m_Followers.size() >= m_MaxFollowers)
+  const bool IsNew = Known == m_Followers.end();
+  if (IsNew && (m_Draining || m_Followers.size() >= m_MaxFollowers))
     return refuse(Link);
   if (m_Followers.empty()) {
     m_SentRevision = Own.m_Revision;
+    m_SentHeld = Own.m_Held;
     m_NextNoticeAt = Now + NoticeInterval;
   }
-  m_Followers.emplace(Link, Now);
-  if (isConfirmed(Own, Now))
-    return send(Link, Own, Lacking, Now);
-  m_NoticeOwed = true;
-  addUnsent(std::move(Lacking));
-}
-
-void FeedPublisher::addUnsent(std::vector<StoreRecord> Records) {
-  for (StoreRecord &Each : Records) {
-    StoreRecord &Unsent = m_Unsent[Each.m_Key];
-    if (Each.m_Revision > Unsent.m_Revision)
-      Unsent = std::move(Each);
+  // Without a confirmation it asks again until there is one.
+  const bool IsSent = isConfirmed(Own, Now);
+  Follower &Asking = m_Followers[Link];
+  Asking.m_AskedAt = Now;
+  if (!IsSent) {
+    m_NoticeOwed = true;
+    return;
   }
+  Asking.m_IsComplete = Asking.m_IsComplete || Lacking.m_IsComplete;
+  if (IsNew || !Lacking.m_Records.empty() || !Lacking.m_Patches.empty())
+    send(Link, Own, Lacking, Now);
 }
 
 void FeedPublisher::send(LinkId Link, const ConfirmedRevision &Own,
-                         const std::vector<StoreRecord> &Records,
-                         TimePoint Now) {
+                         RecordChanges Changes, TimePoint Now) {
+  Changes.m_IsComplete = m_Followers.at(Link).m_IsComplete;
   m_Commands.emplace_back(SendControl{
       Link, RevisionNotice{Own.m_Revision, Own.m_Held, Now - *Own.m_ConfirmedAt,
-                           false, Records}});
+                           false, std::move(Changes)}});
 }
 
 void FeedPublisher::refuse(LinkId Link) {
@@ -61,36 +58,49 @@
 void FeedPublisher::onLinkClosed(LinkId Link) { m_Followers.erase(Link); }
 
 void FeedPublisher::onRevision(const ConfirmedRevision &Own,
-                               std::vector<StoreRecord> Changes,
-                               TimePoint Now) {
+                               RecordChanges Changes, TimePoint Now) {
+  m_Large = std::move(Changes.m_Large);
   if (m_Followers.empty()) {
-    m_Unsent.clear();
+    m_UnsentRecords.clear();
+    m_UnsentPatches.clear();
     return;
   }
-  addUnsent(std::move(Changes));
+  for (StoreRecord &Each : Changes.m_Records) {
+    StoreRecord &Unsent = m_UnsentRecords[Each.m_Key];
+    if (Each.m_Revision > Unsent.m_Revision)
+      Unsent = std::move(Each);
+  }
+  for (RecordPatch &Each : Changes.m_Patches)
+    m_UnsentPatches.push_back(std::move(Each));
+  // Followers read what they lack themselves.
+  if (m_UnsentPatches.size() > MaxUnsentPatches)
+    m_UnsentPatches.clear();
   if (!isConfirmed(Own, Now))
     return;
-  if (m_NoticeOwed || !m_Unsent.empty() || Own.m_Revision > m_SentRevision)
+  if (m_NoticeOwed || !m_UnsentRecords.empty() || !m_UnsentPatches.empty() ||
+      Own.m_Revision > m_SentRevision || Own.m_Held > m_SentHeld)
     sendToAll(Own, Now);
 }
 
 void FeedPublisher::sendToAll(const ConfirmedRevision &Own, TimePoint Now) {
   m_SentRevision = Own.m_Revision;
+  m_SentHeld = Own.m_Held;
   m_NextNoticeAt = Now + NoticeInterval;
   m_NoticeOwed = false;
-  std::vector<StoreRecord> Records;
-  Records.reserve(m_Unsent.size());
-  for (auto &[Key, Record] : std::exchange(m_Unsent, {}))
-    Records.push_back(std::move(Record));
-  for (const auto &[Link, AskedAt] : m_Followers)
-    send(Link, Own, Records, Now);
+  RecordChanges Changes;
+  Changes.m_Large = m_Large;
+  Changes.m_Patches = std::exchange(m_UnsentPatches, {});
+  for (auto &[Key, Record] : std::exchange(m_UnsentRecords, {}))
+    Changes.m_Records.push_back(std::move(Record));
+  for (const auto &[Link, Each] : m_Followers)
+    send(Link, Own, Changes, Now);
 }
 
 void FeedPublisher::onTick(const ConfirmedRevision &Own, TimePoint Now) {
   if (m_Followers.empty() || Now < m_NextNoticeAt)
     return;
   std::erase_if(m_Followers, [&](const auto &Each) {
-    if (Now < Each.second + FollowTimeout)
+    if (Now < Each.second.m_AskedAt + FollowTimeout)
       return false;
     m_Commands.emplace_back(CloseControlLink{Each.first});
     return true;
@@ -105,7 +115,7 @@
 
 void FeedPublisher::startDrain() {
   m_Draining = true;
-  for (const auto &[Link, AskedAt] : std::exchange(m_Followers, {}))
+  for (const auto &[Link, Each] : std::exchange(m_Followers, {}))
     refuse(Link);
 }
 
--- a/src/core/registry/feed_publisher.h
+++ b/src/core/registry/feed_publisher.h
@@ -4,6 +4,7 @@
 #define DANDELIONFALL_SRC_CORE_REGISTRY_FEED_PUBLISHER_H
 
 #include "core/registry/revision_feed.h"
+#include "dandelionfall/core/control_message.h"
 
 #include <functional>
 #include <map>
@@ -24,16 +25,16 @@
   /// Accepts or refuses a follower, or renews an accepted one.
   /// \param Link the link on which the follower asked.
   /// \param Own the node's own revision.
-  /// \param Lacking small records that the follower lacks.
+  /// \param Lacking what the follower lacks.
   void onFollow(LinkId Link, const ConfirmedRevision &Own,
-                std::vector<StoreRecord> Lacking, TimePoint Now);
+                const RecordChanges &Lacking, TimePoint Now);
   /// Removes the follower on a closed link, if there is one.
   void onLinkClosed(LinkId Link);
   /// Sends the revision to all followers if it is newer than the last one sent,
-  /// or confirmed again, or if small records changed.
-  /// \param Changes small records that changed since the last call.
-  void onRevision(const ConfirmedRevision &Own,
-                  std::vector<StoreRecord> Changes, TimePoint Now);
+  /// or confirmed again, or if records changed.
+  /// \param Changes what changed since the last call.
+  void onRevision(const ConfirmedRevision &Own, RecordChanges Changes,
+                  TimePoint Now);
   /// Sends due notices and drops followers that no longer ask.
   void onTick(const ConfirmedRevision &Own, TimePoint Now);
   /// Refuses all followers, now and later.
@@ -46,19 +47,27 @@
   std::vector<FeedCommand> takeCommands();
 
 private:
-  void send(LinkId Link, const ConfirmedRevision &Own,
-            const std::vector<StoreRecord> &Records, TimePoint Now);
-  void addUnsent(std::vector<StoreRecord> Records);
+  struct Follower {
+    TimePoint m_AskedAt;
+    /// Whether it was sent all small records that it lacked when it asked.
+    bool m_IsComplete = false;
+  };
+
+  void send(LinkId Link, const ConfirmedRevision &Own, RecordChanges Changes,
+            TimePoint Now);
   void refuse(LinkId Link);
   void sendToAll(const ConfirmedRevision &Own, TimePoint Now);
 
   std::size_t m_MaxFollowers;
-  /// When each follower last asked, by link.
-  std::map<LinkId, TimePoint> m_Followers;
+  std::map<LinkId, Follower> m_Followers;
   Revision m_SentRevision = 0;
+  Revision m_SentHeld = 0;
+  /// Large records of the last changes.
+  std::map<std::string, Revision, std::less<>> m_Large;
   /// Records that wait for a notice until the store confirms the revision, by
   /// key.
-  std::map<std::string, StoreRecord, std::less<>> m_Unsent;
+  std::map<std::string, StoreRecord, std::less<>> m_UnsentRecords;
+  std::vector<RecordPatch> m_UnsentPatches;
   TimePoint m_NextNoticeAt;
   /// Whether followers wait for a notice until the store confirms the revision.
   bool m_NoticeOwed = false;
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -73,6 +73,13 @@
 /// Size of a value up to which feeds carry it. Above the size of an entry of a
 /// target, far below that of a configuration.
 constexpr std::size_t MaxSmallRecordBytes = 2048;
+/// Limit of the size of a value, patched or not; above what stores accept.
+constexpr std::size_t MaxPatchedBytes = 4U << 20U;
+/// Maximum size of a patch. A change that takes more is read from the store.
+constexpr std::size_t MaxPatchBytes = 65'536;
+/// Values of a large record kept as bases of patches: followed nodes read
+/// different versions of a quick succession.
+constexpr std::size_t StoredLargeValues = 4;
 /// Interval between two notices of a feed without a newer revision.
 constexpr Duration NoticeInterval = std::chrono::milliseconds(250);
 /// Time without a notice after which a feed counts as lost.
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -25,11 +25,6 @@
   return Address.substr(0, Address.rfind(':'));
 }
 
-bool isSmall(const StoreRecord &Record) {
-  return Record.m_Value == nullptr ||
-         Record.m_Value->size() <= MaxSmallRecordBytes;
-}
-
 std::string describeTarget(const TargetEntry &Entry) {
   return "instance=" + Entry.m_Instance + " service=" + Entry.m_Service +
          " address=" + Entry.m_Address + " zone=" + Entry.m_Zone;
@@ -140,22 +135,6 @@
   return Changed;
 }
 
-std::vector<StoreRecord> Registry::smallChangesAfter(Revision Known) const {
-  if (Known == 0)
-    return {};
-  std::vector<StoreRecord> Result = changesAfter(Known);
-  std::erase_if(Result, [](const StoreRecord &Each) { return !isSmall(Each); });
-  return Result;
-}
-
-std::vector<StoreRecord> Registry::takeSmallChanges() {
-  std::vector<StoreRecord> Result;
-  Result.reserve(m_SmallChanges.size());
-  for (auto &[Key, Record] : std::exchange(m_SmallChanges, {}))
-    Result.push_back(std::move(Record));
-  return Result;
-}
-
 bool Registry::applyRecord(const StoreRecord &Record, TimePoint Now) {
   const auto Known = m_Records.find(Record.m_Key);
   if (Known != m_Records.end() && Known->second.m_Revision >= Record.m_Revision)
@@ -167,6 +146,8 @@
   m_Records.insert_or_assign(Record.m_Key, Record);
   if (isSmall(Record))
     m_SmallChanges.insert_or_assign(Record.m_Key, Record);
+  else
+    storeLarge(Record);
   m_Removed.erase(Record.m_Key);
   DecodedRecord Decoded = m_Decoder.decode(Record);
   if (const auto *Entry = std::get_if<TargetEntry>(&Decoded))
--- /dev/null
+++ b/src/core/registry/registry_feed.cpp
@@ -0,0 +1,131 @@
+#include "core/registry/limits.h"
+#include "dandelionfall/core/registry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionfall::core {
+
+using namespace registry;
+
+bool Registry::applyFeed(const RecordChanges &Changes, Revision Held,
+                         TimePoint Now) {
+  bool Changed = applyAhead(Changes.m_Records, "feed", Now);
+  for (const RecordPatch &Each : Changes.m_Patches)
+    Changed |= applyPatch(Each, Now);
+  if (Changes.m_IsComplete && Held > m_Revision && m_Revision > 0 &&
+      holdsAll(Changes.m_Large))
+    m_Revision = Held;
+  return Changed;
+}
+
+bool Registry::holdsAll(
+    const std::map<std::string, Revision, std::less<>> &Large) const {
+  return std::all_of(Large.begin(), Large.end(), [this](const auto &Each) {
+    const auto Known = m_Records.find(Each.first);
+    if (Known != m_Records.end())
+      return Known->second.m_Revision >= Each.second;
+    const auto Removed = m_Removed.find(Each.first);
+    return Removed != m_Removed.end() && Removed->second >= Each.second;
+  });
+}
+
+bool Registry::applyPatch(const RecordPatch &Patch, TimePoint Now) {
+  const auto Values = m_LargeValues.find(Patch.m_Key);
+  if (Values == m_LargeValues.end() ||
+      Values->second.back().m_Revision >= Patch.m_Revision)
+    return false;
+  const auto Base = std::find_if(
+      Values->second.begin(), Values->second.end(),
+      [&](const StoreRecord &Each) { return Each.m_Revision == Patch.m_Base; });
+  if (Base == Values->second.end())
+    return false;
+  auto Value = core::applyPatch(*Base->m_Value, Patch.m_Patch, MaxPatchedBytes);
+  if (!Value) {
+    report(EventId::RecordRefused, "key=" + Patch.m_Key + " revision=" +
+                                       std::to_string(Patch.m_Revision) +
+                                       " fault=a patch does not fit its base");
+    return false;
+  }
+  return applyRecord({Patch.m_Key, Patch.m_Revision,
+                      std::make_shared<const std::string>(std::move(*Value))},
+                     Now);
+}
+
+void Registry::storeLarge(const StoreRecord &Record) {
+  std::deque<StoreRecord> &Values = m_LargeValues[Record.m_Key];
+  Values.push_back(Record);
+  if (Values.size() > StoredLargeValues)
+    Values.pop_front();
+}
+
+std::map<std::string, Revision, std::less<>> Registry::largeRevisions() const {
+  std::map<std::string, Revision, std::less<>> Result;
+  for (const auto &[Key, Values] : m_LargeValues) {
+    const auto Known = m_Records.find(Key);
+    if (Known != m_Records.end())
+      Result.emplace(Key, Known->second.m_Revision);
+  }
+  return Result;
+}
+
+std::optional<RecordPatch>
+Registry::patchFrom(const std::deque<StoreRecord> &Values,
+                    Revision Known) const {
+  const auto After = std::find_if(
+      Values.begin(), Values.end(),
+      [Known](const StoreRecord &Each) { return Each.m_Revision > Known; });
+  if (After == Values.begin() || After == Values.end())
+    return std::nullopt;
+  const StoreRecord &Base = *std::prev(After);
+  const StoreRecord &Newest = Values.back();
+  auto Patch = makePatch(*Base.m_Value, *Newest.m_Value, MaxPatchBytes);
+  if (!Patch)
+    return std::nullopt;
+  return RecordPatch{Newest.m_Key, Newest.m_Revision, Base.m_Revision,
+                     std::move(*Patch)};
+}
+
+RecordChanges Registry::changesFor(Revision Known) const {
+  RecordChanges Result;
+  Result.m_Large = largeRevisions();
+  Result.m_IsComplete = Known > 0 && Known >= m_RemovalHistoryStart;
+  if (Known == 0)
+    return Result;
+  Result.m_Records = changesAfter(Known);
+  std::erase_if(Result.m_Records,
+                [](const StoreRecord &Each) { return !isSmall(Each); });
+  for (const auto &[Key, Values] : m_LargeValues) {
+    if (auto Patch = patchFrom(Values, Known))
+      Result.m_Patches.push_back(std::move(*Patch));
+  }
+  return Result;
+}
+
+RecordChanges Registry::takeChanges() {
+  RecordChanges Result;
+  Result.m_Large = largeRevisions();
+  for (auto &[Key, Record] : std::exchange(m_SmallChanges, {}))
+    Result.m_Records.push_back(std::move(Record));
+  for (const auto &[Key, Newest] : Result.m_Large) {
+    const auto Taken = m_TakenLarge.find(Key);
+    if (Taken == m_TakenLarge.end() || Taken->second >= Newest)
+      continue;
+    if (auto Patch = patchFrom(m_LargeValues.at(Key), Taken->second))
+      Result.m_Patches.push_back(std::move(*Patch));
+  }
+  m_TakenLarge = Result.m_Large;
+  return Result;
+}
+
+void Registry::dropChanges() {
+  m_SmallChanges.clear();
+  m_TakenLarge = largeRevisions();
+}
+
+bool Registry::isSmall(const StoreRecord &Record) {
+  return Record.m_Value == nullptr ||
+         Record.m_Value->size() <= MaxSmallRecordBytes;
+}
+
+} // namespace dandelionfall::core
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -29,6 +29,8 @@
      ReadConsistency::Linearizable},
     {"following", FollowerWatchWait, FollowerWatchInterval,
      ReadConsistency::Serializable},
+    {"fed", FollowerWatchWait, FollowerWatchInterval,
+     ReadConsistency::Serializable},
 };
 
 const ModeRow &rowOf(WatchMode Mode) {
@@ -52,17 +54,32 @@
 void StoreReader::start(TimePoint Now) { issueCall(Now); }
 
 WatchRecords StoreReader::makeWatch() const {
+  const bool IsTold =
+      m_Mode == WatchMode::Following || m_Mode == WatchMode::Fed;
   const ModeRow &Row =
-      rowOf(m_CatchingUp && m_Mode == WatchMode::Following ? WatchMode::Alone
-                                                           : m_Mode);
+      rowOf(m_CatchingUp && IsTold ? WatchMode::Alone : m_Mode);
   const Duration Wait =
       m_AnswerAtOnce || m_Failures > 0 ? Duration{0} : Row.m_Wait;
   return {m_LastCall,         m_KnownRevision,   Wait,
           Wait + CallTimeout, Row.m_Consistency, ""};
 }
 
+bool StoreReader::needsNoCall() const {
+  return m_Mode == WatchMode::Fed && m_Watching && !m_CatchingUp &&
+         m_Failures == 0;
+}
+
+void StoreReader::endCall() {
+  m_CallAt.reset();
+  m_LastWatch.reset();
+  if (std::exchange(m_CallPending, false))
+    m_Commands.emplace_back(AbandonCall{m_LastCall});
+}
+
 void StoreReader::issueCall(TimePoint Now) {
   m_CallAt.reset();
+  if (needsNoCall())
+    return;
   m_CallPending = true;
   m_CalledAt = Now;
   ++m_LastCall;
@@ -91,8 +108,13 @@
 }
 
 void StoreReader::setMode(WatchMode Mode, TimePoint Now) {
-  if (std::exchange(m_Mode, Mode) == Mode)
+  const WatchMode Previous = std::exchange(m_Mode, Mode);
+  if (Previous == Mode)
     return;
+  if (needsNoCall())
+    return endCall();
+  if (Previous == WatchMode::Fed && !m_CallPending && !m_CallAt)
+    return replaceCall(Now);
   if (!m_CallPending || !m_LastWatch)
     return;
   const ModeRow &Row = rowOf(Mode);
@@ -199,7 +221,8 @@
     setKnownRevision(Reply.m_AsOf);
     m_Commands.emplace_back(
         RecordsChanged{std::move(Reply.m_Records), Reply.m_AsOf});
-    m_CallAt = Now + rowOf(m_Mode).m_Interval;
+    if (!needsNoCall())
+      m_CallAt = Now + rowOf(m_Mode).m_Interval;
     return;
   }
   // A replica that lags behind the known revision need not wait.
@@ -246,6 +269,10 @@
   m_Watching = true;
   m_ListedRecords.clear();
   m_NextPageAfter.clear();
+  if (m_Mode == WatchMode::Fed && !m_Missing.oldestSeenAt())
+    m_CatchingUp = false;
+  if (needsNoCall())
+    return endCall();
   // Replaces the pending call; a watch from the older revision would return the
   // same changes again.
   if (m_CallPending && m_Reachable)
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -180,7 +180,7 @@
 
   void handle(LinkId Link, const FollowRevisions &Request, TimePoint Now) {
     m_Publisher.onFollow(Link, ownRevision(Now),
-                         m_Registry.smallChangesAfter(Request.m_Held), Now);
+                         m_Registry.changesFor(Request.m_Held), Now);
   }
 
   void handle(LinkId Link, const RevisionNotice &Notice, TimePoint Now) {
@@ -188,8 +188,9 @@
     if (Address.empty())
       return;
     updateOutage(Now);
-    if (m_Registry.applyAhead(Notice.m_Records, "feed", Now))
+    if (m_Registry.applyFeed(Notice.m_Changes, Notice.m_Held, Now))
       onRecords(Now);
+    m_Reader.onPeerRecords(m_Registry.revision(), Now);
     m_Pull.onPeerRevision(Notice.m_Held, Address, m_Registry.revision(), Now);
     m_Reader.onNewerRevision(Notice.m_Revision, Now);
   }
@@ -226,8 +227,9 @@
     updateOutage(Now);
     m_Pull.setStoreAnswers(m_Reader.isAnswered());
     m_Follower.setHeld(m_Registry.revision());
-    m_Publisher.onRevision(ownRevision(Now), m_Registry.takeSmallChanges(),
-                           Now);
+    if (m_Publisher.followers() == 0)
+      m_Registry.dropChanges();
+    m_Publisher.onRevision(ownRevision(Now), m_Registry.takeChanges(), Now);
     for (const Event &Recorded : m_Registry.takeEvents())
       m_Commands.emplace_back(Recorded);
     forward(m_Follower.takeCommands());
@@ -236,8 +238,10 @@
 
   // A follower receives these records from the nodes that it follows.
   void settleUrgentWatches(TimePoint Now) {
+    const WatchMode Mode = m_Reader.mode();
     const bool Active =
-        m_Reader.mode() != WatchMode::Following && m_Registry.revision() > 0;
+        (Mode == WatchMode::Publishing || Mode == WatchMode::Alone) &&
+        m_Registry.revision() > 0;
     for (PrefixWatch &Each : m_UrgentWatches) {
       Each.setActive(Active, m_Registry.revision(), Now);
       for (const PrefixWatchCommand &Command : Each.takeCommands())
@@ -254,7 +258,9 @@
     const bool Publishes =
         Followers > 0 && (Feeds == 0 || !m_Follower.hasBetterNode());
     const bool Follows = Feeds > 0 || m_StartEnds;
+    const bool IsFed = m_Follower.hasCompleteFeed(Now);
     const WatchMode Mode = Publishes ? WatchMode::Publishing
+                           : IsFed   ? WatchMode::Fed
                            : Follows ? WatchMode::Following
                                      : WatchMode::Alone;
     if (Mode == Previous)
--- a/src/net/wire_control.cpp
+++ b/src/net/wire_control.cpp
@@ -50,6 +50,33 @@
   return Result;
 }
 
+wire::RecordPatch toWirePatch(const core::RecordPatch &Patch) {
+  wire::RecordPatch Result;
+  Result.key = Patch.m_Key;
+  Result.revision = toSigned(Patch.m_Revision);
+  Result.base = toSigned(Patch.m_Base);
+  Result.digest = toSigned(Patch.m_Patch.m_Digest);
+  for (const core::PatchPiece &Piece : Patch.m_Patch.m_Pieces) {
+    wire::PatchPiece &Written = Result.pieces.emplace_back();
+    Written.offset = toSigned(Piece.m_Offset);
+    Written.length = toSigned(Piece.m_Length);
+    Written.bytes = Piece.m_Bytes;
+  }
+  return Result;
+}
+
+core::RecordPatch fromWirePatch(wire::RecordPatch &Patch) {
+  core::RecordPatch Result{std::move(Patch.key),
+                           toUnsigned(Patch.revision),
+                           toUnsigned(Patch.base),
+                           {toUnsigned(Patch.digest), {}}};
+  for (wire::PatchPiece &Piece : Patch.pieces)
+    Result.m_Patch.m_Pieces.push_back({toUnsigned(Piece.offset),
+                                       toUnsigned(Piece.length),
+                                       std::move(Piece.bytes)});
+  return Result;
+}
+
 std::vector<core::StoreRecord>
 recordsFromWire(std::vector<wire::StoreRecord> &Records) {
   std::vector<core::StoreRecord> Result;
@@ -163,7 +190,12 @@
     Value.held = toSigned(Message.m_Held);
     Value.confirmed_ago_us = elapsedToWire(Message.m_ConfirmedAgo);
     Value.refused = Message.m_Refused;
-    Value.records = recordsToWire(Message.m_Records);
+    Value.records = recordsToWire(Message.m_Changes.m_Records);
+    for (const core::RecordPatch &Patch : Message.m_Changes.m_Patches)
+      Value.patches.push_back(toWirePatch(Patch));
+    for (const auto &[Key, Held] : Message.m_Changes.m_Large)
+      Value.large.emplace(Key, toSigned(Held));
+    Value.complete = Message.m_Changes.m_IsComplete;
     m_Body.__set_revision_notice(Value);
   }
 
@@ -253,10 +285,18 @@
 
 core::ControlMessage readRevisionNotice(wire::Body &Body) {
   wire::RevisionNotice &Value = Body.revision_notice;
-  return core::RevisionNotice{toUnsigned(Value.revision),
+  core::RevisionNotice Result{toUnsigned(Value.revision),
                               toUnsigned(Value.held),
                               elapsedFromWire(Value.confirmed_ago_us),
-                              Value.refused, recordsFromWire(Value.records)};
+                              Value.refused,
+                              {}};
+  Result.m_Changes.m_Records = recordsFromWire(Value.records);
+  for (wire::RecordPatch &Patch : Value.patches)
+    Result.m_Changes.m_Patches.push_back(fromWirePatch(Patch));
+  for (const auto &[Key, Held] : Value.large)
+    Result.m_Changes.m_Large.emplace(Key, toUnsigned(Held));
+  Result.m_Changes.m_IsComplete = Value.complete;
+  return Result;
 }
 
 constexpr MessageReader<core::ControlMessage> Readers[] = {
--- a/tests/contract/store_departures_test.cpp
+++ b/tests/contract/store_departures_test.cpp
@@ -61,6 +61,29 @@
   }
 }
 
+TEST_CASE("a large configuration is held in time while others follow it") {
+  for (const milliseconds Staleness : {milliseconds(800), milliseconds(6000)}) {
+    for (const milliseconds Interval :
+         {milliseconds(300), milliseconds(700), milliseconds(1500)}) {
+      for (const std::uint64_t Seed : {1U, 2U}) {
+        CAPTURE(Staleness.count());
+        CAPTURE(Interval.count());
+        CAPTURE(Seed);
+        StoreFleet Fleet(smallMachines(Staleness, Seed));
+        Fleet.startAll();
+        std::vector<core::Revision> Versions;
+        for (int Count = 0; Count < 12; ++Count) {
+          Versions.push_back(Fleet.publish());
+          Fleet.run(Interval);
+        }
+        Fleet.run(Settle);
+        for (const core::Revision Version : Versions)
+          CHECK(Fleet.worstLag(Version).value_or(Duration::max()) < Bound);
+      }
+    }
+  }
+}
+
 TEST_CASE("a removed target is left in time by nodes whose own calls to the "
           "store fail") {
   for (const std::uint64_t Seed : {1U, 2U, 3U, 4U}) {
