Don't count the end of a leaving target as evidence against what ran there

Under two planned stops an innocent request was rejected for a minute: its targets had stated that they were leaving, or were listed as draining or no more, and each end was recorded against what still ran. A request that ends targets does so when it starts, and a leaving target starts none, so such an end says nothing about it. What ran there fails as before, without suspicion; event 524 tells whether the end was planned.

--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -176,6 +176,9 @@
                               TimePoint Now) const;
   RequestFingerprint queuedFingerprint(const RequestId &Id) const;
   void onTargetEnded(const std::vector<OccupiedSlot> &Running, TimePoint Now);
+  bool isTargetLeaving() const;
+  RequestId addEvidence(const std::vector<OccupiedSlot> &Running,
+                        TimePoint Now);
 
   // Shared, in engine.cpp.
   void findLocalTarget();
--- a/src/core/gate/engine_target_end.cpp
+++ b/src/core/gate/engine_target_end.cpp
@@ -93,13 +93,9 @@
                            TimePoint Now) {
   if (Running.empty())
     return;
-  std::vector<RequestFingerprint> Requests;
-  Requests.reserve(Running.size());
-  for (const OccupiedSlot &Slot : Running)
-    Requests.push_back(Slot.m_Fingerprint);
-  const RequestId End = m_Quarantine->onTargetEnded(Requests, Now);
-  m_EndWatch.onEnded(End, Running);
-  releaseHeldFailures(End);
+  const bool IsPlanned = isTargetLeaving();
+  releaseHeldFailures(IsPlanned ? std::nullopt
+                                : std::optional(addEvidence(Running, Now)));
   releaseHeldRefusals(true, Now);
   // A target that ended runs nothing any more.
   m_Slots.releaseAbandoned();
@@ -110,8 +106,26 @@
                  toString(Slot.m_Fingerprint);
   report(EventId::TargetEnded,
          "target=" + (m_Target == nullptr ? "none" : m_Target->m_Name) +
-             " running=" + std::to_string(Running.size()) +
-             " requests=" + Described);
+             " planned=" + (IsPlanned ? "true" : "false") + " running=" +
+             std::to_string(Running.size()) + " requests=" + Described);
+}
+
+// A target that ends because it is leaving says nothing about what it ran; a
+// request that crashes targets does so when it starts.
+bool Engine::isTargetLeaving() const {
+  return m_Target == nullptr || m_Target->m_Draining ||
+         m_LeavingTargets->contains(m_Instance);
+}
+
+RequestId Engine::addEvidence(const std::vector<OccupiedSlot> &Running,
+                              TimePoint Now) {
+  std::vector<RequestFingerprint> Requests;
+  Requests.reserve(Running.size());
+  for (const OccupiedSlot &Slot : Running)
+    Requests.push_back(Slot.m_Fingerprint);
+  const RequestId End = m_Quarantine->onTargetEnded(Requests, Now);
+  m_EndWatch.onEnded(End, Running);
+  return End;
 }
 
 CrashNotice Engine::evidenceAgainst(const RequestFingerprint &Request,
