--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -111,7 +111,7 @@
 HttpClient::Impl::acquireIdle(const Exchange &Next) {
   // The most recently used connection first.
   for (std::size_t Index = m_Idle.size(); Index > 0; --Index) {
-    const ConnectionPtr Candidate = m_Idle[Index - 1];
+    ConnectionPtr Candidate = m_Idle[Index - 1];
     if (Candidate->hasFailed(*Next.m_Request))
       continue;
     if (!Next.m_Idempotent && !Candidate->acceptsNonIdempotent())
