--- a/include/dandelionfall/core/store_replica.h
+++ b/include/dandelionfall/core/store_replica.h
@@ -47,10 +47,10 @@
 
 /// State machine that decides how a node reads the store. One node of each
 /// availability zone watches it linearizably and announces the revision that it
-/// confirms, with what changed; all others follow two nodes that read or pass on
-/// these announcements, and make no calls while they are sent everything. What a
-/// follower lacks it reads from the store, or from a peer if the store does not
-/// answer. A node with no reliable feed watches linearizably itself.
+/// confirms, with what changed; all others follow two nodes that read or pass
+/// on these announcements, and make no calls while they are sent everything.
+/// What a follower lacks it reads from the store, or from a peer if the store
+/// does not answer. A node with no reliable feed watches linearizably itself.
 ///
 /// It performs no I/O. Not thread-safe.
 class StoreReplica {
--- a/src/core/registry/feed_publisher.h
+++ b/src/core/registry/feed_publisher.h
@@ -14,8 +14,8 @@
 namespace dandelionfall::core::registry {
 
 /// Sends revision notices, with what changed, to a bounded number of followers:
-/// at once when the revision rises or a record changes, and at regular intervals
-/// while the store confirms the revision. Not thread-safe.
+/// at once when the revision rises or a record changes, and at regular
+/// intervals while the store confirms the revision. Not thread-safe.
 class FeedPublisher {
 public:
   /// \param MaxFollowers number of followers that the machine can carry.
