--- a/tests/system/store_deployment.py
+++ b/tests/system/store_deployment.py
@@ -23,6 +23,8 @@
 STORE = ("127.0.0.10", 18309)
 SERVICE = "desk"
 POLL_INTERVAL_S = 0.02
+# Bytes of a reply that are sent together.
+SENT_AT_ONCE = 16384
 # Time within which a server notices that it should end.
 SERVE_POLL_S = 0.005
 
@@ -57,13 +59,13 @@
 class Store:
     """The platform's store: records by key, a revision, and a mode in which it responds 503 to every request.
 
-    Serializable watches see the state of `staleness_s` ago.
+    Serializable watches see the state of `staleness_s` ago. If `link_bytes_per_s` is set, each reply is sent at that rate.
     """
 
     def __init__(self):
         self.records, self.log, self.revision, self.available = {}, [], 1, True
         self.staleness_s, self.changed_at, self.serializable_calls = 0, {1: 0.0}, 0
-        self.changed = threading.Condition()
+        self.changed, self.link_bytes_per_s = threading.Condition(), None
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -77,7 +79,10 @@
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(text)))
                 self.end_headers()
-                self.wfile.write(text)
+                for start in range(0, len(text), SENT_AT_ONCE):
+                    if start > 0 and store.link_bytes_per_s is not None:
+                        time.sleep(SENT_AT_ONCE / store.link_bytes_per_s)
+                    self.wfile.write(text[start:start + SENT_AT_ONCE])
 
             def log_message(self, *_):
                 pass
