Watch urgent records as often as all records

At 400 ms a departure is known by 0.3 s later at most, far within the bounds.

It also lists a target that takes the address of another one together with the other's removal again.

--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -25,12 +25,13 @@
 /// Longest wait of one watch of a key prefix. It only speeds up what the watch
 /// of all records delivers.
 constexpr Duration PrefixWatchWait = std::chrono::seconds(8);
-/// Minimum time between a reply to a watch of a key prefix and the next one.
-constexpr Duration PrefixWatchInterval = std::chrono::milliseconds(100);
 /// Minimum time between a change and the next watch, so that changes in quick
 /// succession are read together. A fifth of the two seconds within which a
 /// change must be applied.
 constexpr Duration MinWatchInterval = std::chrono::milliseconds(400);
+/// The same for a watch of a key prefix: a target that replaces another one at
+/// its address is listed together with the removal of the other.
+constexpr Duration PrefixWatchInterval = MinWatchInterval;
 /// The same for a follower. Most of its calls are due to changes in quick
 /// succession.
 constexpr Duration FollowerWatchInterval = std::chrono::milliseconds(600);
