--- a/src/core/registry/prefix_watch.h
+++ b/src/core/registry/prefix_watch.h
@@ -20,7 +20,7 @@
 
 /// Watches the records below a key prefix linearizably, beside the watch of all
 /// records, so that no large record delays them. It reports changed records and
-/// no revision: only the watch of all records knows that nothing is missing.
+/// no revision: only the watch of all records shows that nothing is missing.
 /// Not thread-safe.
 class PrefixWatch {
 public:
--- a/src/net/http_client_connection.h
+++ b/src/net/http_client_connection.h
@@ -39,7 +39,7 @@
   bool acceptsNonIdempotent() const;
   /// \returns whether a request with the same echoed value failed on this
   /// connection. If the server sent that response once more, it could not be
-  /// told from the response to this request.
+  /// distinguished from the response to this request.
   bool hasFailed(const BeastRequest &Request) const;
   /// Closes the socket without calling back.
   void close();
