Log what occupies the control thread for long, and how late its timer is

No event told whether a node that learned something late had waited for the store or had been occupied itself. Events 714 (an input that took 0.1 s or more) and 715 (a timer that came as late) tell these apart.

--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -72,6 +72,8 @@
   FollowerBehind = 711,
   StoreCallFailed = 712,
   FollowerCaughtUp = 713,
+  ControlThreadBusy = 714,
+  ControlTimerLate = 715,
 };
 
 /// Description of an event number.
--- a/src/app/node/registry_driver.cpp
+++ b/src/app/node/registry_driver.cpp
@@ -29,6 +29,9 @@
 constexpr std::chrono::milliseconds StoreBodySilenceTimeout{750};
 /// Time limit of a response of the maximum size on 10 Mbit/s.
 constexpr std::chrono::seconds MaxStoreBodyTime{5};
+/// Time that one input may occupy the control thread, or delay its timer,
+/// without an event. Notices of other nodes arrive each 250 ms.
+constexpr core::Duration LongInput = std::chrono::milliseconds(100);
 
 net::HttpClientOptions storeOptions(const Settings &Config) {
   net::HttpClientOptions Options;
@@ -78,8 +81,7 @@
         m_Timer(Context, [this] { onTimer(); }), m_Context(Context) {}
 
   void start() {
-    m_Replica.start(monotonicNow());
-    performCommands();
+    handle("start", [this](TimePoint Now) { m_Replica.start(Now); });
   }
 
   core::DistributionStatus status() const {
@@ -104,21 +106,46 @@
   }
 
   void onVersionsSeen() {
-    PeerVersion Seen;
-    while (m_Board.m_PeerVersions.try_pop(Seen))
-      m_Replica.onPeerRevision(Seen.m_Version, Seen.m_Address, monotonicNow());
-    performCommands();
+    handle("peer-versions", [this](TimePoint Now) {
+      PeerVersion Seen;
+      while (m_Board.m_PeerVersions.try_pop(Seen))
+        m_Replica.onPeerRevision(Seen.m_Version, Seen.m_Address, Now);
+    });
   }
 
   void startDrain() {
-    m_Replica.startDrain(monotonicNow());
-    performCommands();
+    handle("planned-stop",
+           [this](TimePoint Now) { m_Replica.startDrain(Now); });
   }
 
 private:
-  void onTimer() {
-    m_Replica.onTick(monotonicNow());
+  using TimePoint = core::TimePoint;
+
+  /// Passes an input to the replica, performs what follows from it, and reports
+  /// if that takes long: all other inputs wait meanwhile.
+  template <typename Action> void handle(const char *Input, Action Handle) {
+    const TimePoint Start = monotonicNow();
+    Handle(Start);
     performCommands();
+    const core::Duration Elapsed = monotonicNow() - Start;
+    if (Elapsed < LongInput)
+      return;
+    m_Board.m_Events.record(
+        {core::EventId::ControlThreadBusy,
+         std::string("input=") + Input +
+             " elapsed_us=" + std::to_string(Elapsed.count()) +
+             " revision=" + std::to_string(m_Replica.registry().revision())});
+  }
+
+  void onTimer() {
+    handle("timer", [this](TimePoint Now) {
+      const std::optional<TimePoint> Due = m_Replica.nextWakeUp();
+      if (Due && Now - *Due >= LongInput)
+        m_Board.m_Events.record(
+            {core::EventId::ControlTimerLate,
+             "late_us=" + std::to_string((Now - *Due).count())});
+      m_Replica.onTick(Now);
+    });
   }
 
   net::LinkHandlers makeLinkHandlers(core::LinkId Link,
@@ -130,24 +157,30 @@
     };
     Handlers.m_Closed = [this, Link](const std::string & /*Reason*/) {
       m_Links.erase(Link);
-      m_Replica.onLinkClosed(Link, monotonicNow());
-      performCommands();
+      handle("closed-link", [this, Link](TimePoint Now) {
+        m_Replica.onLinkClosed(Link, Now);
+      });
     };
     return Handlers;
   }
 
   void onFrame(core::LinkId Link, std::string_view Bytes) {
+    handle("node-message", [&](TimePoint Now) {
+      m_Replica.onMessage(Link, decode(Bytes), Now);
+    });
+  }
+
+  core::ControlMessage decode(std::string_view Bytes) {
     m_Board.m_Metrics.add(Counter::ControlBytesReceived,
                           Bytes.size() + net::FrameHeaderBytes);
-    const net::DecodedFrame Frame = net::decodeFrame(Bytes);
+    net::DecodedFrame Frame = net::decodeFrame(Bytes);
     m_Board.m_Clock.merge(Frame.m_LogicalTime);
-    const auto *Message = std::get_if<core::ControlMessage>(&Frame.m_Message);
+    auto *Message = std::get_if<core::ControlMessage>(&Frame.m_Message);
     if (Message == nullptr)
       throw core::Error(core::ErrorKind::MalformedMessage,
                         "traffic message on a control link",
                         "check that both nodes run compatible versions");
-    m_Replica.onMessage(Link, *Message, monotonicNow());
-    performCommands();
+    return std::move(*Message);
   }
 
   void performCommands() {
@@ -184,22 +217,24 @@
 
   void onStoreResult(std::uint64_t Call, const net::HttpResult &Result) {
     m_PendingCalls.erase(Call);
-    core::StoreReply Reply;
-    if (Result.m_Outcome == net::ExchangeOutcome::Answered) {
-      Reply = platform::readReply(Call, *Result.m_Response);
-    } else {
-      Reply.m_Call = Call;
-      Reply.m_Fault = Result.m_Detail;
-    }
-    m_Replica.onStoreReply(std::move(Reply), monotonicNow());
-    performCommands();
+    handle("store-reply", [&](TimePoint Now) {
+      core::StoreReply Reply;
+      if (Result.m_Outcome == net::ExchangeOutcome::Answered) {
+        Reply = platform::readReply(Call, *Result.m_Response);
+      } else {
+        Reply.m_Call = Call;
+        Reply.m_Fault = Result.m_Detail;
+      }
+      m_Replica.onStoreReply(std::move(Reply), Now);
+    });
   }
 
   void perform(const core::OpenControlLink &Command) {
     const core::LinkId Link = Command.m_Link;
     auto Opened = [this, Link] {
-      m_Replica.onLinkOpened(Link, monotonicNow());
-      performCommands();
+      handle("opened-link", [this, Link](TimePoint Now) {
+        m_Replica.onLinkOpened(Link, Now);
+      });
     };
     m_Links.emplace(Link, net::Link::open(m_Context, Command.m_Address,
                                           net::LinkKind::Control,
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -143,6 +143,11 @@
     EventInfo{EventId::FollowerCaughtUp, "follower-caught-up", Severity::Info,
               "The store returned the announced revision that the node "
               "lacked."},
+    EventInfo{EventId::ControlThreadBusy, "control-thread-busy", Severity::Info,
+              "One input occupied the control thread for long; all others "
+              "waited."},
+    EventInfo{EventId::ControlTimerLate, "control-timer-late", Severity::Info,
+              "The control thread came late to a timer."},
 };
 
 static_assert(std::is_sorted(Catalogue.begin(), Catalogue.end(),
