--- a/tests/contract/store_departures_test.cpp
+++ b/tests/contract/store_departures_test.cpp
@@ -84,6 +84,31 @@
   }
 }
 
+TEST_CASE("departures and versions are known in time while all nodes need a "
+          "configuration with many more routes") {
+  StoreFleetOptions Options = smallMachines(milliseconds(800), 1);
+  Options.m_Nodes = 300;
+  Options.m_ConfigurationBytes = 100'000;
+  // 1,000 Mbit/s of base64.
+  Options.m_StoreBytesPerSecond = 94'000'000;
+  StoreFleet Fleet(Options);
+  Fleet.startAll();
+  Fleet.run(Settle);
+  std::vector<core::Revision> Versions = {Fleet.publishMoreRoutes(4000)};
+  std::vector<core::Revision> Departures;
+  for (std::size_t Step = 0; Step < 5; ++Step) {
+    Departures.push_back(Fleet.drainTarget(Fleet.nodes() - 1 - Step));
+    Fleet.run(milliseconds(400));
+    if (Step % 2 == 1)
+      Versions.push_back(Fleet.publish());
+  }
+  Fleet.run(Settle);
+  for (const core::Revision Departure : Departures)
+    CHECK(Fleet.worstDepartureLag(Departure).value_or(Duration::max()) < Bound);
+  for (const core::Revision Version : Versions)
+    CHECK(Fleet.worstLag(Version).value_or(Duration::max()) < Bound);
+}
+
 TEST_CASE("a removed target is left in time by nodes whose own calls to the "
           "store fail") {
   for (const std::uint64_t Seed : {1U, 2U, 3U, 4U}) {
--- a/tests/contract/store_emulation.cpp
+++ b/tests/contract/store_emulation.cpp
@@ -13,6 +13,7 @@
 DecodedRecord FleetDecoder::decode(const StoreRecord &Record) const {
   std::istringstream Stream(*Record.m_Value);
   if (Record.m_Key == "configuration") {
+    ++m_Configurations;
     auto Result = std::make_shared<PublishedConfiguration>();
     Stream >> Result->m_Version;
     Result->m_Routes = std::make_shared<const std::vector<Route>>();
--- a/tests/contract/store_emulation.h
+++ b/tests/contract/store_emulation.h
@@ -19,6 +19,11 @@
 class FleetDecoder : public core::RecordDecoder {
 public:
   core::DecodedRecord decode(const core::StoreRecord &Record) const override;
+  /// \returns the number of configurations decoded so far.
+  std::size_t configurations() const { return m_Configurations; }
+
+private:
+  mutable std::size_t m_Configurations = 0;
 };
 
 /// A store whose serializable calls see an old state.
--- a/tests/contract/store_fleet.cpp
+++ b/tests/contract/store_fleet.cpp
@@ -61,20 +61,38 @@
                          Duration Delay,
                          std::function<void(StoreReplica &)> Action) {
   at(m_Now + Delay, [this, Number, Start, Action = std::move(Action)] {
-    auto Run = [this, Number, Start, Action] {
-      Member &Receiver = m_Nodes[Number];
-      if (Receiver.m_Replica == nullptr || Receiver.m_Start != Start)
-        return;
-      Action(*Receiver.m_Replica);
-      settle(Number);
-    };
-    if (m_Nodes[Number].m_Frozen)
-      m_Nodes[Number].m_Held.emplace_back(std::move(Run));
-    else
-      Run();
+    m_Nodes[Number].m_Inputs.push_back({Start, Action});
+    handleInputs(Number);
   });
 }
 
+void StoreFleet::handleInputs(std::size_t Number) {
+  Member &Receiver = m_Nodes[Number];
+  while (!Receiver.m_Frozen && !Receiver.m_Busy && !Receiver.m_Inputs.empty()) {
+    const Input Next = std::move(Receiver.m_Inputs.front());
+    Receiver.m_Inputs.pop_front();
+    if (Receiver.m_Replica == nullptr || Receiver.m_Start != Next.m_Start)
+      continue;
+    const std::size_t Before = m_Decoder.configurations();
+    Next.m_Action(*Receiver.m_Replica);
+    const std::size_t Decoded = m_Decoder.configurations() - Before;
+    if (Decoded == 0 || m_Options.m_DecodeTime == Duration{0}) {
+      settle(Number);
+      continue;
+    }
+    Receiver.m_Busy = true;
+    at(m_Now + m_Options.m_DecodeTime * static_cast<Duration::rep>(Decoded),
+       [this, Number, Start = Next.m_Start] {
+         Member &Done = m_Nodes[Number];
+         if (Done.m_Replica == nullptr || Done.m_Start != Start)
+           return;
+         Done.m_Busy = false;
+         settle(Number);
+         handleInputs(Number);
+       });
+  }
+}
+
 void StoreFleet::settle(std::size_t Number) {
   Member &Settled = m_Nodes[Number];
   for (;;) {
@@ -85,6 +103,7 @@
       std::visit([&](const auto &Each) { perform(Number, Each); }, Command);
   }
   Settled.m_HeldAt.emplace(Settled.m_Replica->registry().revision(), m_Now);
+  Settled.m_AppliedAt.emplace(Settled.m_Replica->registry().version(), m_Now);
   noteDepartures(Number);
   const std::optional<TimePoint> Due = Settled.m_Replica->nextWakeUp();
   if (!Due || (Settled.m_TickAt && *Settled.m_TickAt <= *Due))
@@ -116,20 +135,41 @@
   });
 }
 
-Duration StoreFleet::transfer(std::size_t Number,
-                              const std::vector<core::StoreRecord> &Records) {
-  if (m_Options.m_BytesPerSecond == 0)
-    return Duration{0};
+namespace {
+
+// Connections share a link, so a large message holds up no small one.
+constexpr std::size_t SmallBytes = 16'384;
+
+Duration timeFor(std::size_t Bytes, std::size_t BytesPerSecond) {
+  constexpr std::size_t MicrosecondsPerSecond = 1'000'000;
+  return Duration(static_cast<Duration::rep>(Bytes * MicrosecondsPerSecond /
+                                             BytesPerSecond));
+}
+
+std::size_t bytesOf(const std::vector<core::StoreRecord> &Records) {
   std::size_t Bytes = 0;
   for (const core::StoreRecord &Record : Records) {
     if (Record.m_Value != nullptr)
       Bytes += Record.m_Value->size();
   }
-  constexpr std::size_t MicrosecondsPerSecond = 1'000'000;
-  const Duration Time(static_cast<Duration::rep>(Bytes * MicrosecondsPerSecond /
-                                                 m_Options.m_BytesPerSecond));
-  // Connections share the link, so a large reply holds up no small one.
-  constexpr std::size_t SmallBytes = 16'384;
+  return Bytes;
+}
+
+std::size_t bytesOf(const std::vector<core::RecordPatch> &Patches) {
+  std::size_t Bytes = 0;
+  for (const core::RecordPatch &Patch : Patches) {
+    for (const core::PatchPiece &Piece : Patch.m_Patch.m_Pieces)
+      Bytes += Piece.m_Bytes.size();
+  }
+  return Bytes;
+}
+
+} // namespace
+
+Duration StoreFleet::transferBytes(std::size_t Number, std::size_t Bytes) {
+  if (m_Options.m_BytesPerSecond == 0)
+    return Duration{0};
+  const Duration Time = timeFor(Bytes, m_Options.m_BytesPerSecond);
   if (Bytes <= SmallBytes)
     return Time;
   Member &Receiver = m_Nodes[Number];
@@ -137,6 +177,24 @@
   return Receiver.m_LinkFreeAt - m_Now;
 }
 
+Duration StoreFleet::sendBytes(std::size_t Number, std::size_t Bytes) {
+  if (m_Options.m_BytesPerSecond == 0 || Bytes <= SmallBytes)
+    return Duration{0};
+  Member &Sender = m_Nodes[Number];
+  Sender.m_SendingFreeAt = std::max(Sender.m_SendingFreeAt, m_Now) +
+                           timeFor(Bytes, m_Options.m_BytesPerSecond);
+  return Sender.m_SendingFreeAt - m_Now;
+}
+
+Duration StoreFleet::sendReply(const StoreReply &Reply) {
+  if (m_Options.m_StoreBytesPerSecond == 0)
+    return Duration{0};
+  m_StoreFreeAt =
+      std::max(m_StoreFreeAt, m_Now) +
+      timeFor(bytesOf(Reply.m_Records), m_Options.m_StoreBytesPerSecond);
+  return m_StoreFreeAt - m_Now;
+}
+
 void StoreFleet::start(std::size_t Number) {
   Member &Started = m_Nodes[Number];
   StoreReplicaOptions Options;
@@ -148,7 +206,9 @@
   Options.m_UrgentPrefixes = {"target/"};
   Started.m_Replica = std::make_unique<StoreReplica>(m_Decoder, Options);
   ++Started.m_Start;
+  Started.m_Busy = false;
   Started.m_HeldAt.clear();
+  Started.m_AppliedAt.clear();
   Started.m_DepartureAt.clear();
   Started.m_TickAt.reset();
   Started.m_Silenced.clear();
@@ -199,8 +259,9 @@
 void StoreFleet::kill(std::size_t Number) {
   closeEnds(Number);
   m_Nodes[Number].m_Replica.reset();
-  m_Nodes[Number].m_Held.clear();
+  m_Nodes[Number].m_Inputs.clear();
   m_Nodes[Number].m_Frozen = false;
+  m_Nodes[Number].m_Busy = false;
 }
 
 void StoreFleet::losePower(std::size_t Number) {
@@ -214,8 +275,7 @@
 
 void StoreFleet::thaw(std::size_t Number) {
   m_Nodes[Number].m_Frozen = false;
-  for (const auto &Run : std::exchange(m_Nodes[Number].m_Held, {}))
-    Run();
+  handleInputs(Number);
 }
 
 void StoreFleet::cutFromStore(std::size_t Number) {
@@ -248,12 +308,32 @@
   std::mt19937_64 Random(m_Options.m_Seed);
   while (Value.size() < m_Options.m_ConfigurationBytes)
     Value += std::to_string(Random()) + ",";
+  Value += m_Routes;
   const Revision New = m_Store.put("configuration", Value, m_Now);
   m_PublishedAt.emplace(New, m_Now);
+  m_Versions.emplace(New, m_Version);
   announce();
   return New;
 }
 
+Revision StoreFleet::publishMoreRoutes(std::size_t Routes) {
+  constexpr std::string_view Letters = "abcdefghijklmnopqrstuvwxyz012345";
+  const auto DrawName = [&] {
+    std::string Name;
+    for (std::uint64_t Bits = m_Random(); Name.size() < 8;
+         Bits /= Letters.size())
+      Name += Letters[Bits % Letters.size()];
+    return Name;
+  };
+  for (std::size_t Count = 0; Count < Routes; ++Count)
+    m_Routes += R"({"name":"r-)" + DrawName() +
+                R"(","host":"jepu9.example","prefix":"/)" + DrawName() +
+                R"(/","kind":"idempotent","timeout-ms":3000,)" +
+                R"("target-latency-ms":1000,"priority":1,)" +
+                R"("service":"wuno96b","max-attempts":2},)";
+  return publish();
+}
+
 void StoreFleet::announce() {
   wakeWatchers(ReadConsistency::Linearizable);
   at(m_Now + m_Options.m_Staleness,
@@ -303,7 +383,8 @@
   if (m_Nodes[Number].m_CutFromStore ||
       m_Nodes[Number].m_Silenced.contains(Reply.m_Call))
     return;
-  const Duration Delay = StoreDelay / 2 + transfer(Number, Reply.m_Records);
+  const Duration Delay = StoreDelay / 2 + sendReply(Reply) +
+                         transferBytes(Number, bytesOf(Reply.m_Records));
   m_Nodes[Number].m_Arriving.insert(Reply.m_Call);
   deliver(Number, Start, Delay,
           [this, Number, Reply = std::move(Reply)](StoreReplica &Replica) {
@@ -423,8 +504,12 @@
   if (m_Nodes[Number].m_CutFromNodes || m_Nodes[Other.m_Node].m_CutFromNodes)
     return;
   Duration Delay = LinkDelay;
+  std::size_t Bytes = 0;
   if (const auto *Push = std::get_if<RecordsPush>(&Command.m_Message))
-    Delay += transfer(Other.m_Node, Push->m_Records);
+    Bytes = bytesOf(Push->m_Records);
+  if (const auto *Notice = std::get_if<RevisionNotice>(&Command.m_Message))
+    Bytes = bytesOf(Notice->m_Changes.m_Patches);
+  Delay += sendBytes(Number, Bytes) + transferBytes(Other.m_Node, Bytes);
   deliver(Other.m_Node, m_Nodes[Other.m_Node].m_Start, Delay,
           [this, Other, Message = Command.m_Message](StoreReplica &Replica) {
             if (m_Peers.contains(Other))
@@ -435,7 +520,9 @@
 void StoreFleet::perform(std::size_t /*Number*/,
                          const ApplyRecords & /*Command*/) {}
 
-void StoreFleet::perform(std::size_t /*Number*/, const Event & /*Command*/) {}
+void StoreFleet::perform(std::size_t /*Number*/, const Event &Command) {
+  m_LostFeeds += Command.m_Id == EventId::FeedLost ? 1 : 0;
+}
 
 std::optional<Duration> StoreFleet::lag(std::size_t Number,
                                         Revision Searched) const {
@@ -460,6 +547,20 @@
   return Worst;
 }
 
+std::optional<Duration>
+StoreFleet::worstApplicationLag(Revision Searched) const {
+  Duration Worst{0};
+  for (const Member &Each : m_Nodes) {
+    if (Each.m_Replica == nullptr)
+      continue;
+    const auto Applied = Each.m_AppliedAt.lower_bound(m_Versions.at(Searched));
+    if (Applied == Each.m_AppliedAt.end())
+      return std::nullopt;
+    Worst = std::max(Worst, Applied->second - m_PublishedAt.at(Searched));
+  }
+  return Worst;
+}
+
 std::optional<Duration>
 StoreFleet::worstDepartureLag(Revision Searched,
                               const std::set<std::size_t> &Except) const {
--- a/tests/contract/store_fleet.h
+++ b/tests/contract/store_fleet.h
@@ -38,9 +38,14 @@
   core::MachineLimits m_Machine{};
   /// Size of a configuration's value.
   std::size_t m_ConfigurationBytes = 0;
-  /// Rate at which each machine receives and reads replies and messages; 0 if
-  /// it takes no time.
+  /// Rate at which each machine sends messages, and receives and reads replies
+  /// and messages; 0 if it takes no time.
   std::size_t m_BytesPerSecond = 0;
+  /// Rate at which the store sends its replies to all nodes together; 0 if it
+  /// takes no time.
+  std::size_t m_StoreBytesPerSecond = 0;
+  /// Time for which a machine is occupied by decoding one configuration.
+  Duration m_DecodeTime{0};
 };
 
 /// A fleet; node `I` is next to target `I`, in availability zone `I modulo
@@ -71,6 +76,9 @@
   void drain(std::size_t Node);
   /// Writes a new configuration version. \returns its revision.
   Revision publish();
+  /// Writes a new configuration version with further routes. \returns its
+  /// revision.
+  Revision publishMoreRoutes(std::size_t Routes);
   /// Marks a target as draining. \returns its revision.
   Revision drainTarget(std::size_t Node);
   /// Removes the entry of a target. \returns the revision of the removal.
@@ -89,6 +97,11 @@
   /// nothing if one of them does not hold the revision.
   std::optional<Duration>
   worstLag(Revision Searched, const std::set<std::size_t> &Except = {}) const;
+  /// \returns the longest time after which a node that runs applied a published
+  /// configuration or a newer one; nothing if one of them has not.
+  std::optional<Duration> worstApplicationLag(Revision Searched) const;
+  /// \returns the number of feeds that followers lost.
+  std::size_t lostFeeds() const { return m_LostFeeds; }
   /// \returns the longest time after which a node that runs and is not excepted
   /// sent nothing more to a target that `drainTarget` marked; nothing if one of
   /// them still does.
@@ -110,15 +123,22 @@
   std::string zoneOf(std::size_t Node) const;
 
 private:
+  /// An event for one start of a node.
+  struct Input {
+    std::uint64_t m_Start = 0;
+    std::function<void(core::StoreReplica &)> m_Action;
+  };
   struct Member {
     std::unique_ptr<core::StoreReplica> m_Replica;
     /// Counts the starts; events of an earlier start are dropped.
     std::uint64_t m_Start = 0;
     bool m_Frozen = false;
+    /// Whether the node handles an event that takes time.
+    bool m_Busy = false;
     bool m_CutFromStore = false;
     bool m_CutFromNodes = false;
-    /// Events that wait for the end of a freeze.
-    std::deque<std::function<void()>> m_Held;
+    /// Events that wait for the end of a freeze or of an earlier event.
+    std::deque<Input> m_Inputs;
     /// Calls without a reply.
     std::set<std::uint64_t> m_PendingCalls;
     /// Calls whose reply is being received.
@@ -127,10 +147,13 @@
     std::set<std::uint64_t> m_Silenced;
     std::optional<TimePoint> m_TickAt;
     std::map<Revision, TimePoint> m_HeldAt;
+    /// When the node applied each version of the configuration.
+    std::map<core::Version, TimePoint> m_AppliedAt;
     /// When the node learned of each departure.
     std::map<Revision, TimePoint> m_DepartureAt;
-    /// Until when earlier bytes occupy the machine's link.
+    /// Until when earlier bytes occupy the machine's link, by direction.
     TimePoint m_LinkFreeAt;
+    TimePoint m_SendingFreeAt;
     LinkId m_NextInbound = core::FirstInboundLink;
   };
   /// One end of a link.
@@ -162,11 +185,18 @@
   /// Runs an action on a node, unless it has ended or restarted since.
   void deliver(std::size_t Node, std::uint64_t Start, Duration Delay,
                std::function<void(core::StoreReplica &)> Action);
+  /// Handles the events that wait, until one of them takes time.
+  void handleInputs(std::size_t Node);
   void settle(std::size_t Node);
   void noteDepartures(std::size_t Node);
   /// \returns the time until a node has received records, behind earlier ones.
   Duration transfer(std::size_t Node,
                     const std::vector<core::StoreRecord> &Records);
+  Duration transferBytes(std::size_t Node, std::size_t Bytes);
+  /// \returns the time until a node has sent bytes, behind earlier ones.
+  Duration sendBytes(std::size_t Node, std::size_t Bytes);
+  /// \returns the time until the store has sent a reply, behind earlier ones.
+  Duration sendReply(const core::StoreReply &Reply);
   void reply(std::size_t Node, std::uint64_t Start, core::StoreReply Reply);
   /// Reports a call as failed at its timeout; a reply before it counts.
   void failAfter(std::size_t Node, std::uint64_t Call, Duration Timeout);
@@ -195,10 +225,16 @@
   std::map<LinkEnd, LinkEnd> m_Peers;
   std::vector<Watcher> m_Watchers;
   std::map<Revision, TimePoint> m_PublishedAt;
+  /// Versions of the configuration, by revision.
+  std::map<Revision, core::Version> m_Versions;
   /// Targets that leave, by revision.
   std::map<Revision, std::size_t> m_Departures;
   std::uint64_t m_Version = 0;
+  /// Routes added to the configuration.
+  std::string m_Routes;
+  TimePoint m_StoreFreeAt;
   double m_PricedCalls = 0;
+  std::size_t m_LostFeeds = 0;
 };
 
 } // namespace dandelionfall::test
