Send followers large changes as compressed patches, from one of their feeds

Callers saw requests at targets that had left, and routes that were not in force: a change above 64 KB of new bytes was read from the store by every node at once. 300 nodes and a configuration of 850 KB occupy the store's link of 1,000 Mbit/s for 2.7 s; the small replies that tell of departures wait behind that, and so does each later version, whose patch needs the one that is still being read.

A node keeps the patches that it made or received and passes them on. A follower lets one of its two feeds send patches and takes the other when that one fails; the choice differs between nodes. While a node is fed, a large record may take as long as a patch needs to reach all followers of a node before the store is asked.

Ruled out: longer time limits alone (the store's link stays full), and patches from both feeds (a publisher on 20 Mbit/s sends 40 of them for 0.9 s).

The fleet of the test now delivers messages of a link in order, so a small one waits behind a patch. contract.store_departures_test: 6 of 8 assertions failed (departures 2.1 to 2.9 s, versions 2.4 to 3.7 s; bound 2 s), now none.

--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -99,8 +99,6 @@
 
 class FollowRevisions;
 
-class PatchPiece;
-
 class RecordPatch;
 
 class RevisionNotice;
@@ -2348,8 +2346,9 @@
 std::ostream& operator<<(std::ostream& out, const RecordsPush& obj);
 
 typedef struct _FollowRevisions__isset {
-  _FollowRevisions__isset() : held(false) {}
+  _FollowRevisions__isset() : held(false), wants_patches(true) {}
   bool held :1;
+  bool wants_patches :1;
 } _FollowRevisions__isset;
 
 class FollowRevisions : public virtual ::apache::thrift::TBase {
@@ -2360,20 +2359,26 @@
   FollowRevisions& operator=(const FollowRevisions&) noexcept;
   FollowRevisions& operator=(FollowRevisions&&) noexcept;
   FollowRevisions() noexcept
-                  : held(0) {
+                  : held(0),
+                    wants_patches(true) {
   }
 
   virtual ~FollowRevisions() noexcept;
   int64_t held;
+  bool wants_patches;
 
   _FollowRevisions__isset __isset;
 
   void __set_held(const int64_t val);
 
+  void __set_wants_patches(const bool val);
+
   bool operator == (const FollowRevisions & rhs) const
   {
     if (!(held == rhs.held))
       return false;
+    if (!(wants_patches == rhs.wants_patches))
+      return false;
     return true;
   }
   bool operator != (const FollowRevisions &rhs) const {
@@ -2392,72 +2397,13 @@
 
 std::ostream& operator<<(std::ostream& out, const FollowRevisions& obj);
 
-typedef struct _PatchPiece__isset {
-  _PatchPiece__isset() : offset(false), length(false), bytes(false) {}
-  bool offset :1;
-  bool length :1;
-  bool bytes :1;
-} _PatchPiece__isset;
-
-class PatchPiece : public virtual ::apache::thrift::TBase {
- public:
-
-  PatchPiece(const PatchPiece&);
-  PatchPiece(PatchPiece&&) noexcept;
-  PatchPiece& operator=(const PatchPiece&);
-  PatchPiece& operator=(PatchPiece&&) noexcept;
-  PatchPiece() noexcept
-             : offset(0),
-               length(0),
-               bytes() {
-  }
-
-  virtual ~PatchPiece() noexcept;
-  int64_t offset;
-  int64_t length;
-  std::string bytes;
-
-  _PatchPiece__isset __isset;
-
-  void __set_offset(const int64_t val);
-
-  void __set_length(const int64_t val);
-
-  void __set_bytes(const std::string& val);
-
-  bool operator == (const PatchPiece & rhs) const
-  {
-    if (!(offset == rhs.offset))
-      return false;
-    if (!(length == rhs.length))
-      return false;
-    if (!(bytes == rhs.bytes))
-      return false;
-    return true;
-  }
-  bool operator != (const PatchPiece &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const PatchPiece & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(PatchPiece &a, PatchPiece &b);
-
-std::ostream& operator<<(std::ostream& out, const PatchPiece& obj);
-
 typedef struct _RecordPatch__isset {
-  _RecordPatch__isset() : key(false), revision(false), base(false), digest(false), pieces(false) {}
+  _RecordPatch__isset() : key(false), revision(false), base(false), digest(false), compressed(false) {}
   bool key :1;
   bool revision :1;
   bool base :1;
   bool digest :1;
-  bool pieces :1;
+  bool compressed :1;
 } _RecordPatch__isset;
 
 class RecordPatch : public virtual ::apache::thrift::TBase {
@@ -2471,7 +2417,8 @@
               : key(),
                 revision(0),
                 base(0),
-                digest(0) {
+                digest(0),
+                compressed() {
   }
 
   virtual ~RecordPatch() noexcept;
@@ -2479,7 +2426,7 @@
   int64_t revision;
   int64_t base;
   int64_t digest;
-  std::vector<PatchPiece>  pieces;
+  std::string compressed;
 
   _RecordPatch__isset __isset;
 
@@ -2491,7 +2438,7 @@
 
   void __set_digest(const int64_t val);
 
-  void __set_pieces(const std::vector<PatchPiece> & val);
+  void __set_compressed(const std::string& val);
 
   bool operator == (const RecordPatch & rhs) const
   {
@@ -2503,7 +2450,7 @@
       return false;
     if (!(digest == rhs.digest))
       return false;
-    if (!(pieces == rhs.pieces))
+    if (!(compressed == rhs.compressed))
       return false;
     return true;
   }
--- a/include/dandelionfall/core/control_message.h
+++ b/include/dandelionfall/core/control_message.h
@@ -136,6 +136,9 @@
 struct FollowRevisions {
   /// Revision up to which the sender holds all records; 0 if it holds none.
   Revision m_Held = 0;
+  /// Whether the receiver should send patches of large records, too. A follower
+  /// of several nodes lets one of them send these.
+  bool m_WantsPatches = true;
   friend bool operator==(const FollowRevisions &,
                          const FollowRevisions &) = default;
 };
@@ -144,7 +147,7 @@
 struct RecordPatch {
   std::string m_Key;
   Revision m_Revision = 0;
-  /// Revision of the older value.
+  /// Revision of the older value; 0 if the patch needs none.
   Revision m_Base = 0;
   ValuePatch m_Patch;
   friend bool operator==(const RecordPatch &, const RecordPatch &) = default;
@@ -154,7 +157,7 @@
 struct RecordChanges {
   /// Small records, in any order. They can be newer than the sender's revision.
   std::vector<StoreRecord> m_Records;
-  /// Large records of which the receiver probably has the older value.
+  /// Large records, from older values that the receiver probably has.
   std::vector<RecordPatch> m_Patches;
   /// Revisions of all large records that the sender holds, by key.
   std::map<std::string, Revision, std::less<>> m_Large;
--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace dandelionfall::core {
@@ -84,10 +85,11 @@
   /// \param Held revision of the sender.
   /// \returns whether anything but the revision changed.
   bool applyFeed(const RecordChanges &Changes, Revision Held, TimePoint Now);
-  /// \returns what a follower lacks: small records and removals, and large
-  /// records of whose values the older one is still stored.
+  /// \returns what a follower lacks: small records and removals, and patches of
+  /// large records.
   /// \param Known revision that the follower holds; 0 if it holds none.
-  RecordChanges changesFor(Revision Known) const;
+  /// \param WithPatches whether to include the patches.
+  RecordChanges changesFor(Revision Known, bool WithPatches = true) const;
   /// Removes and returns what was applied since the last call, each key's
   /// latest value.
   RecordChanges takeChanges();
@@ -145,6 +147,9 @@
   std::map<std::string, Revision, std::less<>> largeRevisions() const;
   std::optional<RecordPatch> patchFrom(const std::deque<StoreRecord> &Values,
                                        Revision Known) const;
+  std::optional<RecordPatch> patchOf(const StoreRecord &Newest,
+                                     const StoreRecord &Base) const;
+  const StoreRecord *baseOf(const RecordPatch &Patch) const;
   bool applyPatch(const RecordPatch &Patch, TimePoint Now);
   bool
   holdsAll(const std::map<std::string, Revision, std::less<>> &Large) const;
@@ -187,6 +192,10 @@
   std::map<std::string, StoreRecord, std::less<>> m_SmallChanges;
   /// Latest values of large records, oldest first, by key; bases of patches.
   std::map<std::string, std::deque<StoreRecord>, std::less<>> m_LargeValues;
+  /// Patches to the latest values of large records, by key and revision of the
+  /// base (0 if they need none); empty for those that exceed their limit.
+  mutable std::map<std::pair<std::string, Revision>, std::optional<RecordPatch>>
+      m_Patches;
   /// Revisions of the large records when changes were last taken.
   std::map<std::string, Revision, std::less<>> m_TakenLarge;
   /// Way on which the records being applied came, for events.
--- a/include/dandelionfall/core/value_patch.h
+++ b/include/dandelionfall/core/value_patch.h
@@ -8,29 +8,20 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace dandelionfall::core {
 
-/// Part of a value: bytes of the older value, then new bytes.
-struct PatchPiece {
-  /// Position of the copied bytes in the older value.
-  std::uint64_t m_Offset = 0;
-  std::uint64_t m_Length = 0;
-  /// New bytes that follow the copied ones.
-  std::string m_Bytes;
-  friend bool operator==(const PatchPiece &, const PatchPiece &) = default;
-};
-
 /// Difference between two values.
 struct ValuePatch {
   /// Digest of the newer value.
   std::uint64_t m_Digest = 0;
-  std::vector<PatchPiece> m_Pieces;
+  /// The newer value as a Zstandard frame whose dictionary is the older value.
+  std::string m_Compressed;
   friend bool operator==(const ValuePatch &, const ValuePatch &) = default;
 };
 
-/// Finds the parts that two values share, wherever they are.
+/// Finds the parts that a value shares with an older one or repeats itself.
+/// \param Older the older value; empty for a patch that needs none.
 /// \param MaxBytes limit of the patch's own size, in bytes.
 /// \returns the patch that turns \p Older into \p Newer; nothing if it would
 /// exceed the limit.
--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -1,5 +1,7 @@
 #include "core/registry/feed_follower.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -13,6 +15,11 @@
 
 } // namespace
 
+FeedFollower::FeedFollower(const std::string &OwnAddress, std::string OwnZone)
+    : m_Candidates(OwnAddress, std::move(OwnZone)),
+      m_PatchFeed(XXH3_64bits(OwnAddress.data(), OwnAddress.size()) %
+                  FollowedFeeds) {}
+
 FeedFollower::Slot *FeedFollower::findSlot(LinkId Link) {
   auto *Found =
       std::find_if(m_Slots.begin(), m_Slots.end(), [Link](const Slot &Each) {
@@ -29,6 +36,29 @@
   return std::min(HeardUntil, *Followed.m_ConfirmedAt + ConfirmationLimit);
 }
 
+bool FeedFollower::wantsPatches(std::size_t Index, TimePoint Now) const {
+  const Slot &Preferred = m_Slots[m_PatchFeed];
+  return Index == m_PatchFeed || !Preferred || !Preferred->m_IsComplete ||
+         Now >= reliableUntil(*Preferred);
+}
+
+void FeedFollower::askForPatches(TimePoint Now) {
+  for (std::size_t Index = 0; Index < m_Slots.size(); ++Index) {
+    Slot &Each = m_Slots[Index];
+    if (!Each || !Each->m_Opened)
+      continue;
+    const bool Wanted = wantsPatches(Index, Now);
+    if (Wanted != Each->m_WantsPatches)
+      sendFollow(*Each, Wanted);
+  }
+}
+
+void FeedFollower::sendFollow(Feed &Followed, bool WantsPatches) {
+  Followed.m_WantsPatches = WantsPatches;
+  m_Commands.emplace_back(
+      SendControl{Followed.m_Link, FollowRevisions{m_Held, WantsPatches}});
+}
+
 std::size_t FeedFollower::reliableFeeds(TimePoint Now) const {
   return static_cast<std::size_t>(
       std::count_if(m_Slots.begin(), m_Slots.end(), [Now](const Slot &Each) {
@@ -70,7 +100,8 @@
   Feed &Opened = **Found;
   Opened.m_Opened = true;
   Opened.m_NextFollowAt = Now + FollowInterval;
-  m_Commands.emplace_back(SendControl{Link, FollowRevisions{m_Held}});
+  const auto Index = static_cast<std::size_t>(Found - m_Slots.data());
+  sendFollow(Opened, wantsPatches(Index, Now));
   return true;
 }
 
@@ -100,6 +131,7 @@
   if (!std::exchange(Sender.m_ConfirmedAt, Now - Notice.m_ConfirmedAgo))
     report(EventId::FeedFollowed, Sender,
            "revision=" + std::to_string(Notice.m_Revision));
+  askForPatches(Now);
   return Address;
 }
 
@@ -197,10 +229,10 @@
            Now);
     } else if (Each->m_Opened && Now >= Each->m_NextFollowAt) {
       Each->m_NextFollowAt = Now + FollowInterval;
-      m_Commands.emplace_back(
-          SendControl{Each->m_Link, FollowRevisions{m_Held}});
+      sendFollow(*Each, Each->m_WantsPatches);
     }
   }
+  askForPatches(Now);
   review(Now);
   if (Now < m_NextOpenAt)
     return;
--- a/src/core/registry/feed_follower.h
+++ b/src/core/registry/feed_follower.h
@@ -22,8 +22,7 @@
 public:
   /// \param OwnAddress link address of this node.
   /// \param OwnZone availability zone of this node.
-  FeedFollower(std::string OwnAddress, std::string OwnZone)
-      : m_Candidates(std::move(OwnAddress), std::move(OwnZone)) {}
+  FeedFollower(const std::string &OwnAddress, std::string OwnZone);
 
   /// Replaces the nodes that can be followed.
   void onNodes(std::vector<NodeAddress> Nodes, TimePoint Now);
@@ -71,12 +70,18 @@
     Revision m_Revision = 0;
     /// Whether the last notice was complete.
     bool m_IsComplete = false;
+    /// Whether the node was last asked to send patches.
+    bool m_WantsPatches = true;
     TimePoint m_NextFollowAt;
   };
   using Slot = std::optional<Feed>;
 
   Slot *findSlot(LinkId Link);
   static TimePoint reliableUntil(const Feed &Followed);
+  bool wantsPatches(std::size_t Index, TimePoint Now) const;
+  /// Asks for patches where they are wanted now.
+  void askForPatches(TimePoint Now);
+  void sendFollow(Feed &Followed, bool WantsPatches);
   const NodeAddress *choose(std::size_t Index) const;
   void open(Slot &Free, const NodeAddress &Node, TimePoint Now);
   void close(Slot &Open);
@@ -87,6 +92,9 @@
 
   FeedCandidates m_Candidates;
   std::array<Slot, FollowedFeeds> m_Slots;
+  /// Index of the feed that sends patches while it is complete; it differs
+  /// between nodes, so that they share out the load.
+  std::size_t m_PatchFeed;
   /// Nodes that are not followed until a time.
   std::map<NodeAddress, TimePoint> m_AvoidedUntil;
   /// When the next feed may be opened.
--- a/src/core/registry/feed_publisher.cpp
+++ b/src/core/registry/feed_publisher.cpp
@@ -17,7 +17,8 @@
 
 } // namespace
 
-void FeedPublisher::onFollow(LinkId Link, const ConfirmedRevision &Own,
+void FeedPublisher::onFollow(LinkId Link, bool WantsPatches,
+                             const ConfirmedRevision &Own,
                              const RecordChanges &Lacking, TimePoint Now) {
   const auto Known = m_Followers.find(Link);
   const bool IsNew = Known == m_Followers.end();
@@ -32,6 +33,7 @@
   const bool IsSent = isConfirmed(Own, Now);
   Follower &Asking = m_Followers[Link];
   Asking.m_AskedAt = Now;
+  Asking.m_WantsPatches = WantsPatches;
   if (!IsSent) {
     m_NoticeOwed = true;
     return;
@@ -43,7 +45,10 @@
 
 void FeedPublisher::send(LinkId Link, const ConfirmedRevision &Own,
                          RecordChanges Changes, TimePoint Now) {
-  Changes.m_IsComplete = m_Followers.at(Link).m_IsComplete;
+  const Follower &Receiver = m_Followers.at(Link);
+  Changes.m_IsComplete = Receiver.m_IsComplete;
+  if (!Receiver.m_WantsPatches)
+    Changes.m_Patches.clear();
   m_Commands.emplace_back(SendControl{
       Link, RevisionNotice{Own.m_Revision, Own.m_Held, Now - *Own.m_ConfirmedAt,
                            false, std::move(Changes)}});
--- a/src/core/registry/feed_publisher.h
+++ b/src/core/registry/feed_publisher.h
@@ -24,9 +24,10 @@
 
   /// Accepts or refuses a follower, or renews an accepted one.
   /// \param Link the link on which the follower asked.
+  /// \param WantsPatches whether the follower is sent patches.
   /// \param Own the node's own revision.
   /// \param Lacking what the follower lacks.
-  void onFollow(LinkId Link, const ConfirmedRevision &Own,
+  void onFollow(LinkId Link, bool WantsPatches, const ConfirmedRevision &Own,
                 const RecordChanges &Lacking, TimePoint Now);
   /// Removes the follower on a closed link, if there is one.
   void onLinkClosed(LinkId Link);
@@ -51,6 +52,7 @@
     TimePoint m_AskedAt;
     /// Whether it was sent all small records that it lacked when it asked.
     bool m_IsComplete = false;
+    bool m_WantsPatches = true;
   };
 
   void send(LinkId Link, const ConfirmedRevision &Own, RecordChanges Changes,
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -39,6 +39,9 @@
 /// to transfer and parse a large record on a small machine. Later a new
 /// linearizable call reads it.
 constexpr Duration CatchUpDelay = std::chrono::milliseconds(400);
+/// The same for a node that others send all changes: to transfer a patch of the
+/// maximum size to each follower of a node.
+constexpr Duration FedCatchUpDelay = std::chrono::milliseconds(800);
 /// Delay after the first failed call; doubles with each further failure.
 constexpr Duration FirstRetryDelay = std::chrono::milliseconds(50);
 /// Maximum delay between two calls. Together with the call timeout it limits
@@ -77,7 +80,8 @@
 constexpr std::size_t MaxSmallRecordBytes = 2048;
 /// Limit of the size of a value, patched or not; above what stores accept.
 constexpr std::size_t MaxPatchedBytes = 4U << 20U;
-/// Maximum size of a patch. A change that takes more is read from the store.
+/// Maximum size of a patch, compressed. A change that takes more is read from
+/// the store by each node.
 constexpr std::size_t MaxPatchBytes = 65'536;
 /// Values of a large record kept as bases of patches: followed nodes read
 /// different versions of a quick succession.
--- a/src/core/registry/registry_feed.cpp
+++ b/src/core/registry/registry_feed.cpp
@@ -8,6 +8,13 @@
 
 using namespace registry;
 
+namespace {
+
+/// Older value of a patch that needs none.
+const StoreRecord NoBase{"", 0, std::make_shared<const std::string>()};
+
+} // namespace
+
 bool Registry::applyFeed(const RecordChanges &Changes, Revision Held,
                          TimePoint Now) {
   bool Changed = applyAhead(Changes.m_Records, "feed", Now);
@@ -30,15 +37,24 @@
   });
 }
 
-bool Registry::applyPatch(const RecordPatch &Patch, TimePoint Now) {
+const StoreRecord *Registry::baseOf(const RecordPatch &Patch) const {
+  if (Patch.m_Base == 0)
+    return &NoBase;
   const auto Values = m_LargeValues.find(Patch.m_Key);
-  if (Values == m_LargeValues.end() ||
-      Values->second.back().m_Revision >= Patch.m_Revision)
-    return false;
+  if (Values == m_LargeValues.end())
+    return nullptr;
   const auto Base = std::find_if(
       Values->second.begin(), Values->second.end(),
       [&](const StoreRecord &Each) { return Each.m_Revision == Patch.m_Base; });
-  if (Base == Values->second.end())
+  return Base == Values->second.end() ? nullptr : &*Base;
+}
+
+bool Registry::applyPatch(const RecordPatch &Patch, TimePoint Now) {
+  const auto Known = m_Records.find(Patch.m_Key);
+  if (Known != m_Records.end() && Known->second.m_Revision >= Patch.m_Revision)
+    return false;
+  const StoreRecord *Base = baseOf(Patch);
+  if (Base == nullptr)
     return false;
   auto Value = core::applyPatch(*Base->m_Value, Patch.m_Patch, MaxPatchedBytes);
   if (!Value) {
@@ -47,9 +63,13 @@
                                        " fault=a patch does not fit its base");
     return false;
   }
-  return applyRecord({Patch.m_Key, Patch.m_Revision,
-                      std::make_shared<const std::string>(std::move(*Value))},
-                     Now);
+  const bool Changed =
+      applyRecord({Patch.m_Key, Patch.m_Revision,
+                   std::make_shared<const std::string>(std::move(*Value))},
+                  Now);
+  // Passed on to followers that hold the same base.
+  m_Patches.emplace(std::pair(Patch.m_Key, Patch.m_Base), Patch);
+  return Changed;
 }
 
 void Registry::storeLarge(const StoreRecord &Record) {
@@ -57,6 +77,9 @@
   Values.push_back(Record);
   if (Values.size() > StoredLargeValues)
     Values.pop_front();
+  std::erase_if(m_Patches, [&](const auto &Each) {
+    return Each.first.first == Record.m_Key;
+  });
 }
 
 std::map<std::string, Revision, std::less<>> Registry::largeRevisions() const {
@@ -69,24 +92,34 @@
   return Result;
 }
 
+std::optional<RecordPatch> Registry::patchOf(const StoreRecord &Newest,
+                                             const StoreRecord &Base) const {
+  const auto Found = m_Patches.find({Newest.m_Key, Base.m_Revision});
+  if (Found != m_Patches.end())
+    return Found->second;
+  std::optional<RecordPatch> Result;
+  if (auto Patch = makePatch(*Base.m_Value, *Newest.m_Value, MaxPatchBytes))
+    Result = RecordPatch{Newest.m_Key, Newest.m_Revision, Base.m_Revision,
+                         std::move(*Patch)};
+  m_Patches.emplace(std::pair(Newest.m_Key, Base.m_Revision), Result);
+  return Result;
+}
+
 std::optional<RecordPatch>
 Registry::patchFrom(const std::deque<StoreRecord> &Values,
                     Revision Known) const {
-  const auto After = std::find_if(
-      Values.begin(), Values.end(),
-      [Known](const StoreRecord &Each) { return Each.m_Revision > Known; });
-  if (After == Values.begin() || After == Values.end())
-    return std::nullopt;
-  const StoreRecord &Base = *std::prev(After);
+  const StoreRecord *Base = &NoBase;
+  for (const StoreRecord &Each : Values) {
+    if (Each.m_Revision <= Known)
+      Base = &Each;
+  }
   const StoreRecord &Newest = Values.back();
-  auto Patch = makePatch(*Base.m_Value, *Newest.m_Value, MaxPatchBytes);
-  if (!Patch)
+  if (Base == &Newest)
     return std::nullopt;
-  return RecordPatch{Newest.m_Key, Newest.m_Revision, Base.m_Revision,
-                     std::move(*Patch)};
+  return patchOf(Newest, *Base);
 }
 
-RecordChanges Registry::changesFor(Revision Known) const {
+RecordChanges Registry::changesFor(Revision Known, bool WithPatches) const {
   RecordChanges Result;
   Result.m_Large = largeRevisions();
   Result.m_IsComplete = Known > 0 && Known >= m_RemovalHistoryStart;
@@ -95,6 +128,8 @@
   Result.m_Records = changesAfter(Known);
   std::erase_if(Result.m_Records,
                 [](const StoreRecord &Each) { return !isSmall(Each); });
+  if (!WithPatches)
+    return Result;
   for (const auto &[Key, Values] : m_LargeValues) {
     if (auto Patch = patchFrom(Values, Known))
       Result.m_Patches.push_back(std::move(*Patch));
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -142,6 +142,8 @@
   // A failed call is repeated after its own delay; a listing reads everything.
   if (!SeenAt || m_CatchingUp || m_Failures > 0 || !m_Watching)
     return std::nullopt;
+  if (m_Mode == WatchMode::Fed)
+    return *SeenAt + FedCatchUpDelay;
   return std::max(*SeenAt, m_CallAt.value_or(m_CalledAt)) + CatchUpDelay;
 }
 
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -179,8 +179,9 @@
   }
 
   void handle(LinkId Link, const FollowRevisions &Request, TimePoint Now) {
-    m_Publisher.onFollow(Link, ownRevision(Now),
-                         m_Registry.changesFor(Request.m_Held), Now);
+    m_Publisher.onFollow(
+        Link, Request.m_WantsPatches, ownRevision(Now),
+        m_Registry.changesFor(Request.m_Held, Request.m_WantsPatches), Now);
   }
 
   void handle(LinkId Link, const RevisionNotice &Notice, TimePoint Now) {
--- a/src/core/registry/value_patch.cpp
+++ b/src/core/registry/value_patch.cpp
@@ -1,58 +1,30 @@
 #include "dandelionfall/core/value_patch.h"
 
 #include <xxhash.h>
+#include <zstd.h>
 
-#include <array>
-#include <unordered_map>
+#include <algorithm>
+#include <bit>
+#include <memory>
+#include <new>
 
 namespace dandelionfall::core {
 
 namespace {
 
-/// Estimated size of a piece beside its bytes.
-constexpr std::size_t PieceBytes = 12;
+/// The fastest standard level; higher ones take several times as long for
+/// patches of nearly the same size.
+constexpr int CompressionLevel = 1;
 
 std::uint64_t digestOf(std::string_view Bytes) {
   return XXH3_64bits(Bytes.data(), Bytes.size());
 }
 
-/// Pseudo-random values of all bytes, for a rolling hash.
-constexpr std::array<std::uint64_t, 256> makeByteHashes() {
-  std::array<std::uint64_t, 256> Result{};
-  std::uint64_t State = 0x9e3779b97f4a7c15U;
-  for (std::uint64_t &Each : Result) {
-    // xorshift64
-    State ^= State << 13U;
-    State ^= State >> 7U;
-    State ^= State << 17U;
-    Each = State;
-  }
-  return Result;
-}
-
-constexpr std::array<std::uint64_t, 256> ByteHashes = makeByteHashes();
-
-// Splits a value where the hash of the last bytes has a pattern, so that equal
-// parts are split alike wherever they are.
-std::vector<std::string_view> split(std::string_view Value) {
-  constexpr std::size_t MinChunk = 32;
-  constexpr std::size_t MaxChunk = 512;
-  // One position in 64, in the highest bits, which depend on the most bytes.
-  constexpr std::uint64_t Pattern = std::uint64_t{63} << 58U;
-  std::vector<std::string_view> Result;
-  std::size_t Begin = 0;
-  std::uint64_t Hash = 0;
-  for (std::size_t Index = 0; Index < Value.size(); ++Index) {
-    Hash = (Hash << 1U) + ByteHashes[static_cast<unsigned char>(Value[Index])];
-    const std::size_t Length = Index + 1 - Begin;
-    if (Length < MinChunk || ((Hash & Pattern) != 0 && Length < MaxChunk))
-      continue;
-    Result.push_back(Value.substr(Begin, Length));
-    Begin = Index + 1;
-  }
-  if (Begin < Value.size())
-    Result.push_back(Value.substr(Begin));
-  return Result;
+/// The window must cover both values, so that all of the older one can be
+/// referred to.
+int windowLogFor(std::size_t Bytes) {
+  constexpr int MinWindowLog = 10;
+  return std::max(MinWindowLog, static_cast<int>(std::bit_width(Bytes)));
 }
 
 } // namespace
@@ -60,51 +32,49 @@
 std::optional<ValuePatch> makePatch(std::string_view Older,
                                     std::string_view Newer,
                                     std::size_t MaxBytes) {
-  std::unordered_map<std::string_view, std::size_t> Offsets;
-  for (const std::string_view Chunk : split(Older))
-    Offsets.emplace(Chunk,
-                    static_cast<std::size_t>(Chunk.data() - Older.data()));
+  const std::unique_ptr<ZSTD_CCtx, decltype(&ZSTD_freeCCtx)> Context(
+      ZSTD_createCCtx(), &ZSTD_freeCCtx);
+  if (Context == nullptr)
+    throw std::bad_alloc();
+  ZSTD_CCtx_setParameter(Context.get(), ZSTD_c_compressionLevel,
+                         CompressionLevel);
+  ZSTD_CCtx_setParameter(Context.get(), ZSTD_c_windowLog,
+                         windowLogFor(Older.size() + Newer.size()));
+  ZSTD_CCtx_refPrefix(Context.get(), Older.data(), Older.size());
   ValuePatch Result;
+  Result.m_Compressed.resize(
+      std::min(MaxBytes, ZSTD_compressBound(Newer.size())));
+  const std::size_t Size =
+      ZSTD_compress2(Context.get(), Result.m_Compressed.data(),
+                     Result.m_Compressed.size(), Newer.data(), Newer.size());
+  // The only failure left is an output that exceeds its limit.
+  if (ZSTD_isError(Size) != 0)
+    return std::nullopt;
+  Result.m_Compressed.resize(Size);
+  Result.m_Compressed.shrink_to_fit();
   Result.m_Digest = digestOf(Newer);
-  std::size_t Bytes = 0;
-  for (const std::string_view Chunk : split(Newer)) {
-    PatchPiece *Last =
-        Result.m_Pieces.empty() ? nullptr : &Result.m_Pieces.back();
-    // Extends the last copy even if an equal part stands elsewhere, too.
-    if (Last != nullptr && Last->m_Bytes.empty() &&
-        Older.substr(Last->m_Offset + Last->m_Length).starts_with(Chunk)) {
-      Last->m_Length += Chunk.size();
-      continue;
-    }
-    const auto Found = Offsets.find(Chunk);
-    if (Found != Offsets.end()) {
-      Result.m_Pieces.push_back({Found->second, Chunk.size(), {}});
-    } else {
-      if (Last == nullptr)
-        Last = &Result.m_Pieces.emplace_back();
-      Last->m_Bytes += Chunk;
-      Bytes += Chunk.size();
-    }
-    if (Bytes + PieceBytes * Result.m_Pieces.size() > MaxBytes)
-      return std::nullopt;
-  }
   return Result;
 }
 
 std::optional<std::string> applyPatch(std::string_view Older,
                                       const ValuePatch &Patch,
                                       std::size_t MaxBytes) {
-  std::string Result;
-  for (const PatchPiece &Piece : Patch.m_Pieces) {
-    if (Piece.m_Offset > Older.size() ||
-        Piece.m_Length > Older.size() - Piece.m_Offset)
-      return std::nullopt;
-    Result += Older.substr(Piece.m_Offset, Piece.m_Length);
-    Result += Piece.m_Bytes;
-    if (Result.size() > MaxBytes)
-      return std::nullopt;
-  }
-  if (digestOf(Result) != Patch.m_Digest)
+  const unsigned long long Size = ZSTD_getFrameContentSize(
+      Patch.m_Compressed.data(), Patch.m_Compressed.size());
+  // Values that mean "unknown" and "no frame" are above any limit.
+  if (Size > MaxBytes)
+    return std::nullopt;
+  const std::unique_ptr<ZSTD_DCtx, decltype(&ZSTD_freeDCtx)> Context(
+      ZSTD_createDCtx(), &ZSTD_freeDCtx);
+  if (Context == nullptr)
+    throw std::bad_alloc();
+  ZSTD_DCtx_refPrefix(Context.get(), Older.data(), Older.size());
+  std::string Result(static_cast<std::size_t>(Size), '\0');
+  const std::size_t Written =
+      ZSTD_decompressDCtx(Context.get(), Result.data(), Result.size(),
+                          Patch.m_Compressed.data(), Patch.m_Compressed.size());
+  if (ZSTD_isError(Written) != 0 || Written != Result.size() ||
+      digestOf(Result) != Patch.m_Digest)
     return std::nullopt;
   return Result;
 }
--- a/src/net/wire_control.cpp
+++ b/src/net/wire_control.cpp
@@ -56,25 +56,15 @@
   Result.revision = toSigned(Patch.m_Revision);
   Result.base = toSigned(Patch.m_Base);
   Result.digest = toSigned(Patch.m_Patch.m_Digest);
-  for (const core::PatchPiece &Piece : Patch.m_Patch.m_Pieces) {
-    wire::PatchPiece &Written = Result.pieces.emplace_back();
-    Written.offset = toSigned(Piece.m_Offset);
-    Written.length = toSigned(Piece.m_Length);
-    Written.bytes = Piece.m_Bytes;
-  }
+  Result.compressed = Patch.m_Patch.m_Compressed;
   return Result;
 }
 
 core::RecordPatch fromWirePatch(wire::RecordPatch &Patch) {
-  core::RecordPatch Result{std::move(Patch.key),
-                           toUnsigned(Patch.revision),
-                           toUnsigned(Patch.base),
-                           {toUnsigned(Patch.digest), {}}};
-  for (wire::PatchPiece &Piece : Patch.pieces)
-    Result.m_Patch.m_Pieces.push_back({toUnsigned(Piece.offset),
-                                       toUnsigned(Piece.length),
-                                       std::move(Piece.bytes)});
-  return Result;
+  return {std::move(Patch.key),
+          toUnsigned(Patch.revision),
+          toUnsigned(Patch.base),
+          {toUnsigned(Patch.digest), std::move(Patch.compressed)}};
 }
 
 std::vector<core::StoreRecord>
@@ -181,6 +171,7 @@
   void operator()(const core::FollowRevisions &Message) {
     wire::FollowRevisions Value;
     Value.held = toSigned(Message.m_Held);
+    Value.wants_patches = Message.m_WantsPatches;
     m_Body.__set_follow_revisions(Value);
   }
 
@@ -280,7 +271,8 @@
 }
 
 core::ControlMessage readFollowRevisions(wire::Body &Body) {
-  return core::FollowRevisions{toUnsigned(Body.follow_revisions.held)};
+  return core::FollowRevisions{toUnsigned(Body.follow_revisions.held),
+                               Body.follow_revisions.wants_patches};
 }
 
 core::ControlMessage readRevisionNotice(wire::Body &Body) {
--- a/tests/contract/store_fleet.cpp
+++ b/tests/contract/store_fleet.cpp
@@ -157,10 +157,8 @@
 
 std::size_t bytesOf(const std::vector<core::RecordPatch> &Patches) {
   std::size_t Bytes = 0;
-  for (const core::RecordPatch &Patch : Patches) {
-    for (const core::PatchPiece &Piece : Patch.m_Patch.m_Pieces)
-      Bytes += Piece.m_Bytes.size();
-  }
+  for (const core::RecordPatch &Patch : Patches)
+    Bytes += Patch.m_Patch.m_Compressed.size();
   return Bytes;
 }
 
@@ -510,6 +508,10 @@
   if (const auto *Notice = std::get_if<RevisionNotice>(&Command.m_Message))
     Bytes = bytesOf(Notice->m_Changes.m_Patches);
   Delay += sendBytes(Number, Bytes) + transferBytes(Other.m_Node, Bytes);
+  // A message does not overtake an earlier one on the same link.
+  TimePoint &LastArrival = m_LastArrivals[Other];
+  LastArrival = std::max(LastArrival, m_Now + Delay);
+  Delay = LastArrival - m_Now;
   deliver(Other.m_Node, m_Nodes[Other.m_Node].m_Start, Delay,
           [this, Other, Message = Command.m_Message](StoreReplica &Replica) {
             if (m_Peers.contains(Other))
--- a/tests/contract/store_fleet.h
+++ b/tests/contract/store_fleet.h
@@ -223,6 +223,8 @@
   std::priority_queue<PendingEvent> m_Events;
   std::vector<Member> m_Nodes;
   std::map<LinkEnd, LinkEnd> m_Peers;
+  /// When the last message arrives at the end of a link.
+  std::map<LinkEnd, TimePoint> m_LastArrivals;
   std::vector<Watcher> m_Watchers;
   std::map<Revision, TimePoint> m_PublishedAt;
   /// Versions of the configuration, by revision.
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -130,6 +130,7 @@
       ControlGoAway{},
       FollowRevisions{},
       FollowRevisions{9},
+      FollowRevisions{9, false},
       RevisionNotice{
           ~std::uint64_t{0},
           8,
--- a/tests/unit/store_feeds_test.cpp
+++ b/tests/unit/store_feeds_test.cpp
@@ -61,7 +61,7 @@
 
 TEST_CASE("a publisher sends a newer revision at once and repeats it") {
   FeedPublisher Publisher(4);
-  Publisher.onFollow(1, {7, 7, Start}, {}, Start);
+  Publisher.onFollow(1, true, {7, 7, Start}, {}, Start);
   CHECK(takeNotices(Publisher) ==
         std::vector<RevisionNotice>{{7, 7, Duration{0}, false, {}}});
   const TimePoint Later = Start + milliseconds(10);
@@ -83,7 +83,7 @@
   const StoreRecord Newer{"servers/i-1", 9, nullptr};
   FeedPublisher Publisher(4);
   Publisher.onRevision({8, 8, Start}, {{Older}, {}, {}, false}, Start);
-  Publisher.onFollow(1, {8, 8, Start}, {{Newer}, {}, {}, false}, Start);
+  Publisher.onFollow(1, true, {8, 8, Start}, {{Newer}, {}, {}, false}, Start);
   CHECK(takeNotices(Publisher) ==
         std::vector<RevisionNotice>{
             {8, 8, Duration{0}, false, {{Newer}, {}, {}, false}}});
@@ -97,13 +97,13 @@
             {8, 8, Duration{0}, false, {{Newer}, {}, {}, false}}});
   Publisher.onRevision({8, 8, Late}, {}, Late);
   CHECK(takeNotices(Publisher).empty());
-  Publisher.onFollow(1, {8, 8, Late}, {{Newer}, {}, {}, false}, Late);
+  Publisher.onFollow(1, true, {8, 8, Late}, {{Newer}, {}, {}, false}, Late);
   CHECK(takeNotices(Publisher).size() == 1);
 }
 
 TEST_CASE("a publisher is silent while the store does not confirm") {
   FeedPublisher Publisher(4);
-  Publisher.onFollow(1, {7, 7, std::nullopt}, {}, Start);
+  Publisher.onFollow(1, true, {7, 7, std::nullopt}, {}, Start);
   CHECK(takeNotices(Publisher).empty());
   Publisher.onRevision({7, 7, Start}, {}, Start);
   CHECK(takeNotices(Publisher).size() == 1);
@@ -118,7 +118,7 @@
 TEST_CASE("a publisher refuses more followers than its machine carries") {
   FeedPublisher Publisher(2);
   for (LinkId Link = 1; Link <= 3; ++Link)
-    Publisher.onFollow(Link, {7, 7, Start}, {}, Start);
+    Publisher.onFollow(Link, true, {7, 7, Start}, {}, Start);
   const auto Notices = takeNotices(Publisher);
   REQUIRE(Notices.size() == 3);
   CHECK_FALSE(Notices[1].m_Refused);
@@ -128,9 +128,9 @@
 
 TEST_CASE("a publisher drops a follower that no longer asks") {
   FeedPublisher Publisher(4);
-  Publisher.onFollow(1, {7, 7, Start}, {}, Start);
-  Publisher.onFollow(2, {7, 7, Start}, {}, Start);
-  Publisher.onFollow(2, {7, 7, Start}, {}, Start + FollowInterval);
+  Publisher.onFollow(1, true, {7, 7, Start}, {}, Start);
+  Publisher.onFollow(2, true, {7, 7, Start}, {}, Start);
+  Publisher.onFollow(2, true, {7, 7, Start}, {}, Start + FollowInterval);
   Publisher.takeCommands();
   const TimePoint Late = Start + FollowTimeout;
   Publisher.onTick({7, 7, Late}, Late);
--- a/tests/unit/value_patch_test.cpp
+++ b/tests/unit/value_patch_test.cpp
@@ -31,11 +31,7 @@
         configuration(2001, 700, 11), configuration(1999, 1, 11), Older}) {
     const auto Patch = makePatch(Older, Newer, NoLimit);
     REQUIRE(Patch.has_value());
-    std::size_t Bytes = 0;
-    for (const PatchPiece &Each : Patch->m_Pieces)
-      Bytes += Each.m_Bytes.size();
-    CHECK(Bytes < 4000);
-    CHECK(Patch->m_Pieces.size() < 20);
+    CHECK(Patch->m_Compressed.size() < 400);
     CHECK(applyPatch(Older, *Patch, NoLimit) == Newer);
   }
 }
@@ -61,8 +57,23 @@
   }
 }
 
+TEST_CASE("a patch of a configuration with many more routes is far smaller "
+          "than these") {
+  const std::string Older = configuration(600, 0, 10);
+  const std::string Newer = configuration(2400, 0, 10);
+  for (const std::string &Base : {Older, std::string()}) {
+    const auto Patch = makePatch(Base, Newer, NoLimit);
+    REQUIRE(Patch.has_value());
+    CHECK(Patch->m_Compressed.size() < Newer.size() / 8);
+    CHECK(applyPatch(Base, *Patch, NoLimit) == Newer);
+  }
+}
+
 TEST_CASE("a patch that exceeds its limit is not made") {
-  const std::string Newer = configuration(2000, 0, 1);
+  std::mt19937_64 Random(7);
+  std::string Newer(300'000, '\0');
+  for (char &Each : Newer)
+    Each = static_cast<char>(Random());
   CHECK_FALSE(makePatch("", Newer, Newer.size() / 2).has_value());
   CHECK(makePatch("", Newer, 2 * Newer.size()).has_value());
 }
@@ -76,8 +87,14 @@
                   .has_value());
   CHECK_FALSE(applyPatch("", *Patch, NoLimit).has_value());
   CHECK_FALSE(applyPatch(Older, *Patch, Newer.size() - 1).has_value());
-  ValuePatch Endless{1, {{1, ~std::uint64_t{0}, "x"}}};
-  CHECK_FALSE(applyPatch(Older, Endless, NoLimit).has_value());
-  Endless.m_Pieces.assign(100'000, {0, Older.size(), ""});
-  CHECK_FALSE(applyPatch(Older, Endless, NoLimit).has_value());
+  ValuePatch Cut = *Patch;
+  Cut.m_Compressed.pop_back();
+  CHECK_FALSE(applyPatch(Older, Cut, NoLimit).has_value());
+  CHECK_FALSE(
+      applyPatch(Older, ValuePatch{1, "no frame"}, NoLimit).has_value());
+  CHECK_FALSE(applyPatch(Older, ValuePatch{}, NoLimit).has_value());
+  // A short frame that expands to more than the limit.
+  const auto Endless = makePatch("", std::string(2 * NoLimit, 'x'), NoLimit);
+  REQUIRE(Endless.has_value());
+  CHECK_FALSE(applyPatch("", *Endless, NoLimit).has_value());
 }
