Apply what else has arrived before a configuration is decoded, and only the newest

Callers saw requests at targets that had left: the control thread decodes each configuration of a series (13 ms for 2,000 routes, 130 ms on a tenth of a core) as it comes, and notices of departures wait behind all of them. Large records are kept as they come, passed on to followers, and decoded by the next tick, after the inputs that were ready before it; of several values only the newest is decoded.

--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -52,6 +52,10 @@
   std::uint16_t m_LinkPort = 0;
   /// Retries that all nodes together may add to the requests of a service.
   RetryAllowance m_Retries;
+  /// Whether large records are decoded by the next `onTick` instead of at once.
+  /// What arrives meanwhile is applied first, and of several values only the
+  /// latest is decoded.
+  bool m_DefersLargeRecords = false;
 };
 
 /// Holds the records of a store as of one revision and derives the
@@ -99,9 +103,9 @@
   /// an outage are retained until they have had time to write their entries
   /// again.
   void onStoreReachable(bool Reachable, TimePoint Now);
-  /// Removes lapsed targets that did not write their entry within the grace
-  /// period.
-  /// \returns whether a target was removed.
+  /// Decodes large records, and removes lapsed targets that did not write their
+  /// entry within the grace period.
+  /// \returns whether anything but the revision changed.
   bool onTick(TimePoint Now);
   /// \returns when `onTick` must be called next, if at all.
   std::optional<TimePoint> nextWakeUp() const;
@@ -157,6 +161,8 @@
   std::vector<StoreRecord> changesAfter(Revision Known) const;
   bool applyRecord(const StoreRecord &Record, TimePoint Now);
   bool remove(const std::string &Key, Revision At, TimePoint Now);
+  bool applyDecoded(const StoreRecord &Record, TimePoint Now);
+  bool decodeDeferred(TimePoint Now);
   bool applyTarget(const StoreRecord &Record, const TargetEntry &Entry,
                    TimePoint Now);
   bool applyPublished(std::shared_ptr<const PublishedConfiguration> Published);
@@ -192,6 +198,11 @@
   std::map<std::string, StoreRecord, std::less<>> m_SmallChanges;
   /// Latest values of large records, oldest first, by key; bases of patches.
   std::map<std::string, std::deque<StoreRecord>, std::less<>> m_LargeValues;
+  /// Large records that are not decoded yet, by key, and the ways on which they
+  /// came.
+  std::map<std::string, const char *, std::less<>> m_Deferred;
+  /// Since when there is a deferred record.
+  TimePoint m_DeferredSince;
   /// Patches to the latest values of large records, by key and revision of the
   /// base (0 if they need none); empty for those that exceed their limit.
   mutable std::map<std::pair<std::string, Revision>, std::optional<RecordPatch>>
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -149,6 +149,24 @@
   else
     storeLarge(Record);
   m_Removed.erase(Record.m_Key);
+  if (!m_Options.m_DefersLargeRecords || isSmall(Record))
+    return applyDecoded(Record, Now);
+  if (m_Deferred.empty())
+    m_DeferredSince = Now;
+  m_Deferred.insert_or_assign(Record.m_Key, m_Origin);
+  return false;
+}
+
+bool Registry::decodeDeferred(TimePoint Now) {
+  bool Changed = false;
+  for (const auto &[Key, Origin] : std::exchange(m_Deferred, {})) {
+    m_Origin = Origin;
+    Changed |= applyDecoded(m_Records.find(Key)->second, Now);
+  }
+  return Changed;
+}
+
+bool Registry::applyDecoded(const StoreRecord &Record, TimePoint Now) {
   DecodedRecord Decoded = m_Decoder.decode(Record);
   if (const auto *Entry = std::get_if<TargetEntry>(&Decoded))
     return applyTarget(Record, *Entry, Now);
@@ -218,6 +236,7 @@
     return false;
   if (Stored != m_Records.end())
     m_Records.erase(Stored);
+  m_Deferred.erase(Key);
   if (m_Removed.size() >= MaxRemovalHistory) {
     m_Removed.clear();
     m_RemovalHistoryStart = At;
@@ -273,19 +292,23 @@
 }
 
 bool Registry::onTick(TimePoint Now) {
+  const bool Decoded = decodeDeferred(Now);
   m_Origin = "timer";
-  return std::erase_if(m_Targets, [&](const auto &Each) {
-           const KnownTarget &Known = Each.second;
-           if (!Known.m_LapsedUntil || Now < *Known.m_LapsedUntil)
-             return false;
-           report(EventId::TargetRemoved,
-                  describeTarget(Known.m_Entry) +
-                      " cause=its entry lapsed and was not written again");
-           return true;
-         }) > 0;
+  const auto Removed = std::erase_if(m_Targets, [&](const auto &Each) {
+    const KnownTarget &Known = Each.second;
+    if (!Known.m_LapsedUntil || Now < *Known.m_LapsedUntil)
+      return false;
+    report(EventId::TargetRemoved,
+           describeTarget(Known.m_Entry) +
+               " cause=its entry lapsed and was not written again");
+    return true;
+  });
+  return Decoded || Removed > 0;
 }
 
 std::optional<TimePoint> Registry::nextWakeUp() const {
+  if (!m_Deferred.empty())
+    return m_DeferredSince;
   std::optional<TimePoint> Next;
   for (const auto &[Key, Known] : m_Targets) {
     if (Known.m_LapsedUntil && (!Next || *Known.m_LapsedUntil < *Next))
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -21,6 +21,11 @@
   return Others;
 }
 
+RegistryOptions withDeferral(RegistryOptions Options) {
+  Options.m_DefersLargeRecords = true;
+  return Options;
+}
+
 /// Links of pulls are numbered from here; those of feeds from 1.
 constexpr LinkId FirstPullLink = LinkId{1} << 62U;
 /// Calls of the prefix watches are numbered in steps of this, those of the
@@ -32,8 +37,8 @@
 class StoreReplica::Impl {
 public:
   Impl(const RecordDecoder &Decoder, const StoreReplicaOptions &Options)
-      : m_Registry(Decoder, Options.m_Registry), m_Reader(Options.m_RandomSeed),
-        m_Pull(otherSeeds(Options)),
+      : m_Registry(Decoder, withDeferral(Options.m_Registry)),
+        m_Reader(Options.m_RandomSeed), m_Pull(otherSeeds(Options)),
         m_Follower(Options.m_LinkAddress, Options.m_Zone),
         m_Publisher(Options.m_MaxFollowers) {
     for (const std::string &Prefix : Options.m_UrgentPrefixes)
