Don't take a node's own pause for the silence of the nodes that it follows

A control thread that decodes a large configuration, or that does not get the processor, reads no notices meanwhile. Its timer then found all feeds silent and the announced revision overdue: it dropped sound feeds, read the whole configuration from the store, and so made more of the work that had delayed it. A late timer now moves these limits by its delay, and gives each feed the time for one more notice, once in a silence. Ruled out: a longer silence limit, which delays the notice of each lost feed.

--- a/include/dandelionfall/core/missing_revisions.h
+++ b/include/dandelionfall/core/missing_revisions.h
@@ -40,6 +40,11 @@
       Highest = m_Seen.front().first;
     return Highest;
   }
+  /// Counts all revisions as seen later.
+  void postpone(Duration Delay) {
+    for (auto &[Seen, At] : m_Seen)
+      At += Delay;
+  }
   void clear() { m_Seen.clear(); }
   /// \returns when the oldest one was first seen.
   std::optional<TimePoint> oldestSeenAt() const {
--- a/include/dandelionfall/core/peer_pull.h
+++ b/include/dandelionfall/core/peer_pull.h
@@ -33,6 +33,9 @@
   /// Sets whether the store answers this node's calls; if it does, a pull is
   /// scheduled later.
   void setStoreAnswers(bool Answers);
+  /// Does not count a time for which this node was occupied or stood still as
+  /// time in which a revision could have arrived.
+  void onDelay(Duration Delay) { m_Missing.postpone(Delay); }
   /// Ends the pending pull.
   void onReply() {
     m_PullSentAt.reset();
--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -129,6 +129,9 @@
   /// watch does not bring it within `CatchUpDelay`, a new linearizable call
   /// reads it: the watch sees an old state or was lost.
   void onNewerRevision(Revision Seen, TimePoint Now);
+  /// Does not count a time for which this node was occupied or stood still as
+  /// time in which a revision could have arrived.
+  void onDelay(Duration Delay) { m_Missing.postpone(Delay); }
   /// Issues the next call if it is due.
   void onTick(TimePoint Now);
   /// \returns when `onTick` must be called next, if at all.
--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -30,10 +30,12 @@
 
 // A feed that has not answered yet is given the time of a silent one.
 TimePoint FeedFollower::reliableUntil(const Feed &Followed) {
-  const TimePoint HeardUntil = Followed.m_HeardAt + FeedSilenceLimit;
-  if (!Followed.m_ConfirmedAt)
-    return HeardUntil;
-  return std::min(HeardUntil, *Followed.m_ConfirmedAt + ConfirmationLimit);
+  TimePoint Until = Followed.m_HeardAt + FeedSilenceLimit;
+  if (Followed.m_ConfirmedAt)
+    Until = std::min(Until, *Followed.m_ConfirmedAt + ConfirmationLimit);
+  Until += Followed.m_NotListened;
+  return Followed.m_GraceUntil ? std::max(Until, *Followed.m_GraceUntil)
+                               : Until;
 }
 
 bool FeedFollower::wantsPatches(std::size_t Index, TimePoint Now) const {
@@ -125,6 +127,8 @@
     return Address;
   }
   Sender.m_HeardAt = Now;
+  Sender.m_NotListened = Duration{0};
+  Sender.m_GraceUntil.reset();
   Sender.m_Revision = Notice.m_Revision;
   Sender.m_IsComplete = Notice.m_Changes.m_IsComplete;
   m_Losses = 0;
@@ -216,6 +220,18 @@
   }
 }
 
+void FeedFollower::onDelay(Duration Delay, TimePoint Now) {
+  for (Slot &Each : m_Slots) {
+    if (!Each)
+      continue;
+    Each->m_NotListened += Delay;
+    // Granted once in a silence, so that a lost feed is noticed by a node that
+    // is always late.
+    if (!Each->m_GraceUntil)
+      Each->m_GraceUntil = Now + NoticeInterval + MaxTimerDelay;
+  }
+}
+
 void FeedFollower::onTick(TimePoint Now) {
   if (m_Stopped)
     return;
--- a/src/core/registry/feed_follower.h
+++ b/src/core/registry/feed_follower.h
@@ -38,6 +38,10 @@
                        TimePoint Now);
   /// Sets the revision up to which this node holds all records.
   void setHeld(Revision Held) { m_Held = Held; }
+  /// Does not count a time for which this node was occupied or stood still as
+  /// silence of the feeds.
+  /// \param Delay lower bound of that time.
+  void onDelay(Duration Delay, TimePoint Now);
   /// Opens missing feeds and closes those that can't be relied on.
   void onTick(TimePoint Now);
   /// Closes all feeds and opens no more.
@@ -64,6 +68,11 @@
     bool m_Opened = false;
     /// When the last notice arrived; at first, when the feed was requested.
     TimePoint m_HeardAt;
+    /// Time since the last notice for which this node was not listening, at
+    /// least.
+    Duration m_NotListened{0};
+    /// End of the time for a notice after this node was not listening.
+    std::optional<TimePoint> m_GraceUntil;
     /// When the store confirmed the revision of the last notice; empty before
     /// the first notice.
     std::optional<TimePoint> m_ConfirmedAt;
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -90,6 +90,8 @@
 constexpr Duration NoticeInterval = std::chrono::milliseconds(250);
 /// Time without a notice after which a feed counts as lost.
 constexpr Duration FeedSilenceLimit = std::chrono::milliseconds(700);
+/// Delay of a timer from which a node was occupied or stood still.
+constexpr Duration MaxTimerDelay = std::chrono::milliseconds(50);
 /// Age of the store's last confirmation from which a revision is not relied on.
 /// The publisher's calls are at most a watch and an interval apart, and its
 /// notices one more interval; the rest is for a slow store or node.
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -97,6 +97,7 @@
   }
 
   void onTick(TimePoint Now) {
+    excuseDelay(Now);
     if (m_StartEnds && Now >= *m_StartEnds)
       m_StartEnds.reset();
     m_Reader.onTick(Now);
@@ -156,6 +157,16 @@
             std::max(m_Reader.confirmedAt(), Announced.m_ConfirmedAt)};
   }
 
+  // Whatever arrived while this node was occupied is still to be handled.
+  void excuseDelay(TimePoint Now) {
+    const std::optional<TimePoint> Due = nextWakeUp();
+    if (!Due || Now - *Due < MaxTimerDelay)
+      return;
+    m_Follower.onDelay(Now - *Due, Now);
+    m_Reader.onDelay(Now - *Due);
+    m_Pull.onDelay(Now - *Due);
+  }
+
   // At most one pull is open at a time.
   void pullFrom(const std::string &Address) {
     if (m_PullLink != 0)
