List the records instead of watching them while large ones change faster than they are read

Callers were served by an old configuration: a watch returns each version written since, so a reader that is behind reads all of a series, takes longer for it, and is further behind.

A reply that holds a large value and its replacement, or exceeds the limit, is followed by a listing, which has the latest values only, until a listing finds no new one. A reply that is too large shows that the store answers. A follower that receives a patch whose base it does not hold asks that node at once for what it lacks, and a pending linearizable call is replaced only after the time that its reply may take.

Weighed: op/config read by its key, which needs a second position beside the watch's.

--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -89,6 +89,10 @@
   /// \param Held revision of the sender.
   /// \returns whether anything but the revision changed.
   bool applyFeed(const RecordChanges &Changes, Revision Held, TimePoint Now);
+  /// \param Large revisions by key.
+  /// \returns whether all these records, or newer ones, are held.
+  bool
+  holdsAll(const std::map<std::string, Revision, std::less<>> &Large) const;
   /// \returns what a follower lacks: small records and removals, and patches of
   /// large records.
   /// \param Known revision that the follower holds; 0 if it holds none.
@@ -155,8 +159,6 @@
                                      const StoreRecord &Base) const;
   const StoreRecord *baseOf(const RecordPatch &Patch) const;
   bool applyPatch(const RecordPatch &Patch, TimePoint Now);
-  bool
-  holdsAll(const std::map<std::string, Revision, std::less<>> &Large) const;
   bool applyEach(const std::vector<StoreRecord> &Changes, TimePoint Now);
   std::vector<StoreRecord> changesAfter(Revision Known) const;
   bool applyRecord(const StoreRecord &Record, TimePoint Now);
--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -71,6 +71,7 @@
 enum class StoreOutcome : std::uint8_t {
   Answered,
   HistoryCompacted, ///< The store no longer holds changes that old.
+  TooLarge,         ///< The reply exceeds the driver's limit.
   Failed,           ///< Refused, disconnected, timed out or unreadable.
 };
 
@@ -109,7 +110,10 @@
     std::variant<ListRecords, WatchRecords, AbandonCall, RecordsRead,
                  RecordsChanged, StoreReachability, Event>;
 
-/// State machine that reads a store; performs no I/O itself. Not thread-safe.
+/// State machine that reads a store; performs no I/O itself. A watch returns
+/// each value written since, also those that were replaced; while large records
+/// change faster than they are read, the records are listed instead. Not
+/// thread-safe.
 class StoreReader {
 public:
   /// \param Seed seed of the random jitter between calls.
@@ -187,6 +191,9 @@
   bool m_CatchingUp = false;
   /// Whether the call being issued asks for a reply without a wait.
   bool m_AnswerAtOnce = false;
+  /// Whether the records are listed instead of watched, since large ones change
+  /// faster than they are read.
+  bool m_ListsInstead = false;
   /// Whether all records were listed and changes are being watched.
   bool m_Watching = false;
   /// Revision up to which all changes were received.
--- a/include/dandelionfall/net/http_client.h
+++ b/include/dandelionfall/net/http_client.h
@@ -32,6 +32,9 @@
   ExchangeOutcome m_Outcome = ExchangeOutcome::NotSent;
   core::HttpResponsePtr m_Response;
   std::string m_Detail;
+  /// Whether the exchange failed because the response exceeds
+  /// `HttpClientOptions::m_MaxBodyBytes`.
+  bool m_TooLarge = false;
 };
 
 /// Address, limits and protocol options of a client.
--- a/src/app/node/registry_driver.cpp
+++ b/src/app/node/registry_driver.cpp
@@ -224,6 +224,8 @@
       } else {
         Reply.m_Call = Call;
         Reply.m_Fault = Result.m_Detail;
+        if (Result.m_TooLarge)
+          Reply.m_Outcome = core::StoreOutcome::TooLarge;
       }
       m_Replica.onStoreReply(std::move(Reply), Now);
     });
--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -55,6 +55,14 @@
   }
 }
 
+void FeedFollower::askAgain(LinkId Link, TimePoint Now) {
+  Slot *Found = findSlot(Link);
+  if (Found == nullptr || Now < (*Found)->m_NextAskAt)
+    return;
+  (*Found)->m_NextAskAt = Now + NoticeInterval;
+  sendFollow(**Found, true);
+}
+
 void FeedFollower::sendFollow(Feed &Followed, bool WantsPatches) {
   Followed.m_WantsPatches = WantsPatches;
   m_Commands.emplace_back(
--- a/src/core/registry/feed_follower.h
+++ b/src/core/registry/feed_follower.h
@@ -36,6 +36,9 @@
   /// to no feed.
   std::string onNotice(LinkId Link, const RevisionNotice &Notice,
                        TimePoint Now);
+  /// Asks a followed node for what this node lacks: a patch did not fit. At
+  /// most once in a notice interval.
+  void askAgain(LinkId Link, TimePoint Now);
   /// Sets the revision up to which this node holds all records.
   void setHeld(Revision Held) { m_Held = Held; }
   /// Does not count a time for which this node was occupied or stood still as
@@ -81,6 +84,8 @@
     bool m_IsComplete = false;
     /// Whether the node was last asked to send patches.
     bool m_WantsPatches = true;
+    /// When the node may be asked again before its next regular turn.
+    TimePoint m_NextAskAt;
     TimePoint m_NextFollowAt;
   };
   using Slot = std::optional<Feed>;
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace dandelionfall::core {
@@ -47,6 +49,27 @@
   return Bytes;
 }
 
+bool isLarge(const StoreRecord &Record) {
+  return Record.m_Value != nullptr &&
+         Record.m_Value->size() > MaxSmallRecordBytes;
+}
+
+/// \returns whether a reply has a large value that a later one replaces.
+bool hasReplacedLarge(const std::vector<StoreRecord> &Records) {
+  std::set<std::string_view> Keys;
+  return std::any_of(Records.begin(), Records.end(),
+                     [&Keys](const StoreRecord &Each) {
+                       return isLarge(Each) && !Keys.insert(Each.m_Key).second;
+                     });
+}
+
+bool hasLargeAfter(const std::vector<StoreRecord> &Records, Revision Known) {
+  return std::any_of(Records.begin(), Records.end(),
+                     [Known](const StoreRecord &Each) {
+                       return isLarge(Each) && Each.m_Revision > Known;
+                     });
+}
+
 } // namespace
 
 const char *nameOf(WatchMode Mode) { return rowOf(Mode).m_Name; }
@@ -84,7 +107,7 @@
   m_CalledAt = Now;
   ++m_LastCall;
   m_LastWatch.reset();
-  if (m_Watching) {
+  if (m_Watching && !m_ListsInstead) {
     m_LastWatch = makeWatch();
     m_LastConsistency = m_LastWatch->m_Consistency;
     m_Commands.emplace_back(*m_LastWatch);
@@ -140,11 +163,15 @@
 std::optional<TimePoint> StoreReader::catchUpAt() const {
   const std::optional<TimePoint> SeenAt = m_Missing.oldestSeenAt();
   // A failed call is repeated after its own delay; a listing reads everything.
-  if (!SeenAt || m_CatchingUp || m_Failures > 0 || !m_Watching)
+  if (!SeenAt || m_CatchingUp || m_Failures > 0 || !m_Watching ||
+      m_ListsInstead)
     return std::nullopt;
   if (m_Mode == WatchMode::Fed)
     return *SeenAt + FedCatchUpDelay;
-  return std::max(*SeenAt, m_CallAt.value_or(m_CalledAt)) + CatchUpDelay;
+  const bool IsCurrent =
+      m_CallPending && m_LastConsistency == ReadConsistency::Linearizable;
+  return std::max(*SeenAt, m_CallAt.value_or(m_CalledAt)) +
+         (IsCurrent ? FedCatchUpDelay : CatchUpDelay);
 }
 
 void StoreReader::setKnownRevision(Revision Known) {
@@ -166,7 +193,8 @@
   if (!m_CallPending || Reply.m_Call != m_LastCall)
     return;
   m_CallPending = false;
-  if (Reply.m_Outcome == StoreOutcome::Failed)
+  const bool IsTooLarge = Reply.m_Outcome == StoreOutcome::TooLarge;
+  if (Reply.m_Outcome == StoreOutcome::Failed || (IsTooLarge && !m_LastWatch))
     return onFailure(Reply, Now);
   m_Failures = 0;
   setReachable(true, "");
@@ -187,7 +215,13 @@
     m_NextPageAfter.clear();
     return issueCall(Now);
   }
-  if (m_Watching)
+  if (IsTooLarge) {
+    // The same watch would return more each time.
+    m_ListsInstead = true;
+    m_Watching = false;
+    return issueCall(Now);
+  }
+  if (m_LastWatch)
     return onChanges(std::move(Reply), Now);
   onPage(std::move(Reply), Now);
 }
@@ -208,19 +242,30 @@
     return issueCall(Now);
   m_NextPageAfter.clear();
   m_Watching = true;
+  m_ListsInstead =
+      m_ListsInstead && hasLargeAfter(m_ListedRecords, m_KnownRevision);
   if (m_FirstPageAsOf >= m_KnownRevision) {
     setKnownRevision(m_FirstPageAsOf);
     m_Commands.emplace_back(
         RecordsRead{std::exchange(m_ListedRecords, {}), m_FirstPageAsOf});
   }
   m_ListedRecords.clear();
-  issueCall(Now);
+  if (!m_ListsInstead)
+    return issueCall(Now);
+  if (!needsNoCall())
+    m_CallAt = Now + MinWatchInterval;
 }
 
 void StoreReader::onChanges(StoreReply Reply, TimePoint Now) {
   if (Reply.m_AsOf > m_KnownRevision) {
     reportCaughtUp(Reply, Now);
     setKnownRevision(Reply.m_AsOf);
+    if (!needsNoCall() && hasReplacedLarge(Reply.m_Records)) {
+      m_Commands.emplace_back(
+          RecordsChanged{std::move(Reply.m_Records), Reply.m_AsOf});
+      m_ListsInstead = true;
+      return issueCall(Now);
+    }
     m_Commands.emplace_back(
         RecordsChanged{std::move(Reply.m_Records), Reply.m_AsOf});
     if (!needsNoCall())
@@ -268,7 +313,10 @@
   if (AsOf <= m_KnownRevision)
     return;
   setKnownRevision(AsOf);
+  if (m_ListsInstead && m_Mode != WatchMode::Fed)
+    return;
   m_Watching = true;
+  m_ListsInstead = false;
   m_ListedRecords.clear();
   m_NextPageAfter.clear();
   if (m_Mode == WatchMode::Fed && !m_Missing.oldestSeenAt())
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -207,6 +207,11 @@
     updateOutage(Now);
     if (m_Registry.applyFeed(Notice.m_Changes, Notice.m_Held, Now))
       onRecords(Now);
+    if (!Notice.m_Changes.m_Patches.empty() &&
+        !m_Registry.holdsAll(Notice.m_Changes.m_Large)) {
+      m_Follower.setHeld(m_Registry.revision());
+      m_Follower.askAgain(Link, Now);
+    }
     m_Reader.onPeerRecords(m_Registry.revision(), Now);
     m_Pull.onPeerRevision(Notice.m_Held, Address, m_Registry.revision(), Now);
     m_Reader.onNewerRevision(Notice.m_Revision, Now);
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -32,6 +32,11 @@
   return Status < FirstFinal;
 }
 
+bool exceedsLimit(const Parser &Response, const HttpClientOptions &Options) {
+  const auto Length = Response.content_length();
+  return Length.has_value() && *Length > Options.m_MaxBodyBytes;
+}
+
 // Checks a response header before the body is read.
 std::optional<std::string> findFault(const Parser &Response, bool IsHead,
                                      const HttpClientOptions &Options) {
@@ -43,8 +48,7 @@
   if (Response.need_eof() && !Options.m_AllowCloseDelimited)
     return "the response has no stated length";
   // Beast does not check a stated length against the body limit.
-  const auto Length = Response.content_length();
-  if (Length.has_value() && *Length > Options.m_MaxBodyBytes)
+  if (exceedsLimit(Response, Options))
     return "the response is larger than " +
            std::to_string(Options.m_MaxBodyBytes) + " bytes";
   return std::nullopt;
@@ -177,7 +181,8 @@
     return failRead(Code);
   if (auto Fault =
           findFault(*m_Parser, m_Exchange->m_IsHead, m_Owner->m_Options))
-    return finish({ExchangeOutcome::Malformed, nullptr, std::move(*Fault)},
+    return finish({ExchangeOutcome::Malformed, nullptr, std::move(*Fault),
+                   exceedsLimit(*m_Parser, m_Owner->m_Options)},
                   false);
   if (isInformational(m_Parser->get().result_int()))
     return read();
@@ -275,7 +280,9 @@
 }
 
 void HttpClient::Impl::Connection::failRead(error_code Code) {
-  finish({classifyReadError(Code), nullptr, "read: " + Code.message()}, false);
+  finish({classifyReadError(Code), nullptr, "read: " + Code.message(),
+          Code == http::error::body_limit},
+         false);
 }
 
 ExchangeOutcome
--- a/tests/contract/store_fleet.cpp
+++ b/tests/contract/store_fleet.cpp
@@ -14,6 +14,8 @@
 constexpr Duration LinkDelay = milliseconds(1);
 /// Time after which the driver gives up to connect to a node that is silent.
 constexpr Duration ConnectTimeout = std::chrono::seconds(1);
+/// Values in the longest reply that a node accepts, 4 MiB of base64.
+constexpr std::size_t MaxReplyBytes = 3U << 20U;
 constexpr std::uint16_t LinkPort = 7620;
 constexpr double SerializablePrice = 0.1;
 
@@ -381,6 +383,11 @@
   if (m_Nodes[Number].m_CutFromStore ||
       m_Nodes[Number].m_Silenced.contains(Reply.m_Call))
     return;
+  // The head of a reply states its length.
+  if (bytesOf(Reply.m_Records) > MaxReplyBytes) {
+    Reply.m_Outcome = StoreOutcome::TooLarge;
+    Reply.m_Records.clear();
+  }
   const Duration Delay = StoreDelay / 2 + sendReply(Reply) +
                          transferBytes(Number, bytesOf(Reply.m_Records));
   m_Nodes[Number].m_Arriving.insert(Reply.m_Call);
