Reject, during a planned stop, what may not be finished before the process is killed

Callers on open connections saw requests taken late in the grace time, passed on, and cut without an answer at its end, among them some that must not be repeated: nothing compared a request's deadline with the end of the grace time, which the settings did not name. [stop] grace_s does, and a request whose deadline (or its route's time-out) lies behind the end, less 250 ms for the last writes, is rejected at once and truly as not run. linger_ms is at most half of the grace time.

Weighed: a shorter deadline for the target, which gives a caller a failure that may have run where a rejection can be tried again elsewhere.

--- a/include/dandelionfall/app/settings.h
+++ b/include/dandelionfall/app/settings.h
@@ -68,8 +68,11 @@
   /// the machine can bear.
   core::MachineLimits m_Machine{};
   /// [stop] linger_ms: time for which a planned stop continues to serve
-  /// callers.
+  /// callers; at most half of the grace time if that is known.
   std::uint32_t m_LingerMs = 0;
+  /// [stop] grace_s: time from the request to stop until the process is killed;
+  /// 0 if it is not known.
+  core::Duration m_Grace{0};
   /// [log] level: debug, info, warning or error.
   std::string m_LogLevel = "info";
   /// [log] trace_requests: whether the timeline records an event for each step
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -21,6 +21,9 @@
 // Interval at which a planned stop checks whether the responses to callers are
 // written.
 constexpr std::chrono::milliseconds DrainPollInterval{20};
+// Time before the end of the grace time at which all calls must be finished,
+// for the last responses to be written and the process to end.
+constexpr core::Duration EndMargin = std::chrono::milliseconds(250);
 // Interval between checks for silent links of other nodes.
 constexpr std::chrono::seconds SilentLinkInterval{1};
 // Maximum body size even if the configuration allows more. Complete bodies are
@@ -276,10 +279,17 @@
   if (m_Draining)
     return;
   m_Draining = true;
-  m_Gate.startDrain(monotonicNow());
+  const TimePoint Now = monotonicNow();
+  m_Gate.startDrain(Now);
   m_Server->disableKeepAlive();
-  m_DrainTimer.expires_after(
-      std::chrono::milliseconds(m_Board.m_Settings.m_LingerMs));
+  const core::Duration Grace = m_Board.m_Settings.m_Grace;
+  core::Duration Linger =
+      std::chrono::milliseconds(m_Board.m_Settings.m_LingerMs);
+  if (Grace > core::Duration{0}) {
+    m_Ingress.startDrain(Now + Grace - EndMargin);
+    Linger = std::min(Linger, Grace / 2);
+  }
+  m_DrainTimer.expires_after(Linger);
   m_DrainTimer.async_wait([this](boost::system::error_code Code) {
     if (!Code)
       stopAcceptingCalls();
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -228,7 +228,17 @@
 
 constexpr std::uint32_t MaxLingerMs = 600'000;
 
+constexpr double MaxGraceS = 3600;
+
+void setGrace(Settings &Result, const IniEntry &Entry,
+              const IniSource &Source) {
+  const std::chrono::duration<double> Seconds(
+      core::parseNumber(Entry, Source, 0.0, MaxGraceS));
+  Result.m_Grace = std::chrono::duration_cast<core::Duration>(Seconds);
+}
+
 constexpr KeyHandler<Settings> StopKeys[] = {
+    {"grace_s", setGrace},
     {"linger_ms", setNumber<&Settings::m_LingerMs, 0, MaxLingerMs>},
 };
 
--- a/src/core/ingress.cpp
+++ b/src/core/ingress.cpp
@@ -121,6 +121,8 @@
   m_Impl->m_Calls.open(Call, std::move(Request), CallerDeadline, CallerId, Now);
 }
 
+void Ingress::startDrain(TimePoint End) { m_Impl->m_Calls.setEnd(End); }
+
 void Ingress::onCallerDisconnected(CallId Call, TimePoint Now) {
   m_Impl->m_Calls.abandon(Call, Now);
 }
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -62,6 +62,9 @@
   if (Chosen.m_Timeout > Duration{0})
     Allowed = std::min(Allowed, Chosen.m_Timeout);
   Entry.m_Deadline = Now + Allowed;
+  if (m_End && Entry.m_Deadline + View.m_Profile.m_AnswerGrace > *m_End)
+    return reject(Id, CallerId, CallOutcome::NotRun,
+                  "the node stops before the request's deadline");
   Entry.m_MaxTargetAttempts =
       Chosen.m_MaxAttempts > 0 ? std::min(Chosen.m_MaxAttempts, MaxGatesPerCall)
                                : 1 + MaxRetries;
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -33,6 +33,9 @@
         m_ReturnSpread(Options.m_Seed) {}
 
   void setStepEvents(bool Enabled) { m_StepEvents = Enabled; }
+  /// Rejects all later calls whose deadline is after a time, since their
+  /// requests might be cut off while they run.
+  void setEnd(TimePoint End) { m_End = End; }
   /// Opens a call for a caller's request.
   /// \param CallerId id that the caller gave the request, for the log.
   void open(CallId Id, HttpRequestPtr Request,
@@ -123,6 +126,8 @@
   SplitChoice m_Splits;
   ReturnSpread m_ReturnSpread;
   bool m_StepEvents = true;
+  /// When the process ends, if it is known.
+  std::optional<TimePoint> m_End;
   AttemptNumber m_LastAttempt = 0;
   std::map<CallId, Call> m_Calls;
   std::unordered_map<AttemptNumber, Attempt> m_Attempts;
--- a/tests/unit/ingress_calls_test.cpp
+++ b/tests/unit/ingress_calls_test.cpp
@@ -365,3 +365,23 @@
     CHECK(Test.outcome(1) == CallOutcome::Unknown);
   }
 }
+
+TEST_CASE("a planned stop rejects a call that might outlast the process") {
+  IngressFixture Test;
+  Test.configure({});
+  Test.m_Ingress.startDrain(Test.m_Now + 3s);
+  const Duration Grace = Profile{}.m_AnswerGrace;
+  Test.call(1, "POST", 3s - Grace);
+  CHECK(Test.m_Dispatches.size() == 1);
+  for (const char *Method : {"POST", "GET"}) {
+    Test.call(2, Method, 3s - Grace + 1ms);
+    CHECK(Test.m_Dispatches.size() == 1);
+    REQUIRE(Test.m_Answers.contains(2));
+    CHECK(Test.m_Answers.at(2).m_Outcome == CallOutcome::NotRun);
+    Test.m_Answers.erase(2);
+  }
+  Test.advance(1s);
+  Test.call(3, "POST", 2s - Grace + 1ms);
+  CHECK(Test.m_Dispatches.size() == 1);
+  CHECK(Test.m_Answers.at(3).m_Outcome == CallOutcome::NotRun);
+}
--- a/tests/unit/store_reader_fixture.h
+++ b/tests/unit/store_reader_fixture.h
@@ -41,6 +41,15 @@
     m_Reader.onReply(std::move(Reply), m_Now);
   }
 
+  void replyWith(std::vector<StoreRecord> Records, Revision AsOf) {
+    StoreReply Reply;
+    Reply.m_Call = m_Reader.calls();
+    Reply.m_Outcome = StoreOutcome::Answered;
+    Reply.m_Records = std::move(Records);
+    Reply.m_AsOf = AsOf;
+    m_Reader.onReply(std::move(Reply), m_Now);
+  }
+
   std::vector<WatchRecords> takeWatches() {
     return select<WatchRecords>(m_Reader.takeCommands());
   }
