--- a/tests/unit/store_catch_up_test.cpp
+++ b/tests/unit/store_catch_up_test.cpp
@@ -251,7 +251,7 @@
   World.m_Now += seconds(20);
   World.m_Reader.onNewerRevision(9, World.m_Now);
   REQUIRE(World.m_Reader.nextWakeUp() == World.m_Now + FedCatchUpDelay);
-  World.m_Now += CatchUpDelay;
+  World.m_Now += FedCatchUpDelay;
   World.m_Reader.onTick(World.m_Now);
   Watches = World.takeWatches();
   REQUIRE(Watches.size() == 1);
