--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -232,6 +232,9 @@
 
 void setGrace(Settings &Result, const IniEntry &Entry,
               const IniSource &Source) {
+  // A settings template leaves the value empty if the platform states none.
+  if (Entry.m_Value.empty())
+    return;
   const std::chrono::duration<double> Seconds(
       core::parseNumber(Entry, Source, 0.0, MaxGraceS));
   Result.m_Grace = std::chrono::duration_cast<core::Duration>(Seconds);
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -192,6 +192,17 @@
         core::RetryAllowance{0.2, 60, std::chrono::seconds(10)});
 }
 
+TEST_CASE("a grace time that the platform does not state is not known") {
+  for (const char *Value : {"", "0"}) {
+    app::Settings Result;
+    const auto Faults = app::checkSettings(
+        std::string("[stop]\ngrace_s = ") + Value + "\n", "node.ini", Result);
+    for (const core::Error &Each : Faults)
+      CHECK(std::string(Each.what()).find("grace_s") == std::string::npos);
+    CHECK(Result.m_Grace == core::Duration{0});
+  }
+}
+
 TEST_CASE("each fault of the settings names file, line, fault and remedy") {
   for (const EditCase &Case : EditCases) {
     CAPTURE(std::string(Case.m_Name));
