Let a fed node catch up again after a listing, and limit what a pause excuses

unit.store_catch_up_test (a fed node that listed once catches up again) and unit.store_feeds_test (a node that is always late notices a lost feed).

--- a/include/dandelionfall/core/missing_revisions.h
+++ b/include/dandelionfall/core/missing_revisions.h
@@ -5,6 +5,7 @@
 
 #include "dandelionfall/core/published.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 #include <optional>
@@ -20,6 +21,8 @@
   /// \param Own the revision of this node.
   void add(Revision Seen, Revision Own, TimePoint Now) {
     removeUpTo(Own);
+    if (m_Seen.empty())
+      m_Postponed = Duration{0};
     if (Seen <= (m_Seen.empty() ? Own : m_Seen.back().first))
       return;
     if (m_Seen.size() < MaxEntries)
@@ -40,8 +43,11 @@
       Highest = m_Seen.front().first;
     return Highest;
   }
-  /// Counts all revisions as seen later.
+  /// Counts all revisions as seen later, by `MaxPostponement` in all until none
+  /// is missing.
   void postpone(Duration Delay) {
+    Delay = std::min(Delay, MaxPostponement - m_Postponed);
+    m_Postponed += Delay;
     for (auto &[Seen, At] : m_Seen)
       At += Delay;
   }
@@ -57,8 +63,11 @@
 
 private:
   static constexpr std::size_t MaxEntries = 64;
+  /// A node that is always late must still notice what it lacks.
+  static constexpr Duration MaxPostponement = std::chrono::seconds(1);
   /// Ascending by revision and by time.
   std::deque<std::pair<Revision, TimePoint>> m_Seen;
+  Duration m_Postponed{0};
 };
 
 } // namespace dandelionfall::core
--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -166,6 +166,7 @@
   void onPage(StoreReply Reply, TimePoint Now);
   void onChanges(StoreReply Reply, TimePoint Now);
   void reportCaughtUp(const StoreReply &Reply, TimePoint Now);
+  void reportFailure(const StoreReply &Reply, TimePoint Now);
   void onFailure(const StoreReply &Reply, TimePoint Now);
   void setReachable(bool Reachable, const std::string &Cause);
 
--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -232,9 +232,9 @@
   for (Slot &Each : m_Slots) {
     if (!Each)
       continue;
-    Each->m_NotListened += Delay;
-    // Granted once in a silence, so that a lost feed is noticed by a node that
-    // is always late.
+    // Both are limited, so that a node that is always late notices a lost feed.
+    Each->m_NotListened =
+        std::min(Each->m_NotListened + Delay, MaxExcusedSilence);
     if (!Each->m_GraceUntil)
       Each->m_GraceUntil = Now + NoticeInterval + MaxTimerDelay;
   }
--- a/src/core/registry/feed_follower.h
+++ b/src/core/registry/feed_follower.h
@@ -72,7 +72,7 @@
     /// When the last notice arrived; at first, when the feed was requested.
     TimePoint m_HeardAt;
     /// Time since the last notice for which this node was not listening, at
-    /// least.
+    /// least; at most `MaxExcusedSilence`.
     Duration m_NotListened{0};
     /// End of the time for a notice after this node was not listening.
     std::optional<TimePoint> m_GraceUntil;
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -92,6 +92,8 @@
 constexpr Duration FeedSilenceLimit = std::chrono::milliseconds(700);
 /// Delay of a timer from which a node was occupied or stood still.
 constexpr Duration MaxTimerDelay = std::chrono::milliseconds(50);
+/// Maximum silence of a feed that a node attributes to its own pauses.
+constexpr Duration MaxExcusedSilence = std::chrono::seconds(1);
 /// Age of the store's last confirmation from which a revision is not relied on.
 /// The publisher's calls are at most a watch and an interval apart, and its
 /// notices one more interval; the rest is for a slow store or node.
--- a/src/core/registry/registry_feed.cpp
+++ b/src/core/registry/registry_feed.cpp
@@ -68,7 +68,10 @@
                    std::make_shared<const std::string>(std::move(*Value))},
                   Now);
   // Passed on to followers that hold the same base.
-  m_Patches.emplace(std::pair(Patch.m_Key, Patch.m_Base), Patch);
+  const auto Values = m_LargeValues.find(Patch.m_Key);
+  if (Values != m_LargeValues.end() &&
+      Values->second.back().m_Revision == Patch.m_Revision)
+    m_Patches.emplace(std::pair(Patch.m_Key, Patch.m_Base), Patch);
   return Changed;
 }
 
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -93,6 +93,7 @@
 }
 
 void StoreReader::endCall() {
+  m_ListsInstead = false;
   m_CallAt.reset();
   m_LastWatch.reset();
   if (std::exchange(m_CallPending, false))
@@ -217,6 +218,7 @@
   }
   if (IsTooLarge) {
     // The same watch would return more each time.
+    reportFailure(Reply, Now);
     m_ListsInstead = true;
     m_Watching = false;
     return issueCall(Now);
@@ -242,8 +244,8 @@
     return issueCall(Now);
   m_NextPageAfter.clear();
   m_Watching = true;
-  m_ListsInstead =
-      m_ListsInstead && hasLargeAfter(m_ListedRecords, m_KnownRevision);
+  m_ListsInstead = m_ListsInstead && !needsNoCall() &&
+                   hasLargeAfter(m_ListedRecords, m_KnownRevision);
   if (m_FirstPageAsOf >= m_KnownRevision) {
     setKnownRevision(m_FirstPageAsOf);
     m_Commands.emplace_back(
@@ -252,8 +254,7 @@
   m_ListedRecords.clear();
   if (!m_ListsInstead)
     return issueCall(Now);
-  if (!needsNoCall())
-    m_CallAt = Now + MinWatchInterval;
+  m_CallAt = Now + MinWatchInterval;
 }
 
 void StoreReader::onChanges(StoreReply Reply, TimePoint Now) {
@@ -294,16 +295,20 @@
                 " bytes=" + std::to_string(bytesOf(Reply.m_Records))});
 }
 
+void StoreReader::reportFailure(const StoreReply &Reply, TimePoint Now) {
+  m_Commands.emplace_back(
+      Event{EventId::StoreCallFailed,
+            std::string("mode=") + nameOf(m_Mode) +
+                " known_revision=" + std::to_string(m_KnownRevision) +
+                " elapsed_us=" + std::to_string((Now - m_CalledAt).count()) +
+                " failures=" + std::to_string(m_Failures) +
+                " cause=" + Reply.m_Fault});
+}
+
 void StoreReader::onFailure(const StoreReply &Reply, TimePoint Now) {
   ++m_Failures;
   if (m_Failures <= MaxLoggedFailures)
-    m_Commands.emplace_back(
-        Event{EventId::StoreCallFailed,
-              std::string("mode=") + nameOf(m_Mode) +
-                  " known_revision=" + std::to_string(m_KnownRevision) +
-                  " elapsed_us=" + std::to_string((Now - m_CalledAt).count()) +
-                  " failures=" + std::to_string(m_Failures) +
-                  " cause=" + Reply.m_Fault});
+    reportFailure(Reply, Now);
   if (m_Failures >= UnreachableAfterFailures)
     setReachable(false, Reply.m_Fault);
   m_CallAt = Now + retryDelay(m_Failures, m_Random);
--- a/tests/unit/store_catch_up_test.cpp
+++ b/tests/unit/store_catch_up_test.cpp
@@ -324,3 +324,24 @@
   World.replyWith({Large(12)}, 13);
   CHECK(World.takeWatches().back().m_After == 13);
 }
+
+TEST_CASE("a fed node that listed once catches up again") {
+  ReaderFixture World;
+  World.follow();
+  World.m_Reader.setMode(WatchMode::Fed, World.m_Now);
+  World.m_Reader.takeCommands();
+  for (const Revision Announced : {Revision{8}, Revision{12}}) {
+    World.m_Reader.onNewerRevision(Announced, World.m_Now);
+    World.m_Now += FedCatchUpDelay;
+    World.m_Reader.onTick(World.m_Now);
+    CHECK(World.takeWatches().size() == 1);
+    World.reply(0, StoreOutcome::TooLarge);
+    CHECK(select<ListRecords>(World.m_Reader.takeCommands()).size() == 1);
+    World.replyWith({{"configuration", Announced,
+                      std::make_shared<const std::string>(100'000, 'x')}},
+                    Announced);
+    World.m_Reader.takeCommands();
+    World.m_Reader.onTick(World.m_Now + seconds(20));
+    CHECK(World.m_Reader.takeCommands().empty());
+  }
+}
--- a/tests/unit/store_feeds_test.cpp
+++ b/tests/unit/store_feeds_test.cpp
@@ -240,3 +240,39 @@
         maxFollowers({0.5, 1, 512, 8192, 200}));
   CHECK(maxFollowers({0.001, 1, 16, 64, 0.01}) == 4);
 }
+
+TEST_CASE("a node that is always late notices a lost feed") {
+  FollowerFixture World;
+  World.notify(1, 7, Duration{0});
+  const TimePoint Lost = World.m_Now;
+  while (World.m_Follower.reliableFeeds(World.m_Now) > 0) {
+    REQUIRE(World.m_Now - Lost < 2 * MaxExcusedSilence + FeedSilenceLimit);
+    World.m_Now += milliseconds(200);
+    World.m_Follower.onDelay(milliseconds(200), World.m_Now);
+    World.m_Follower.onTick(World.m_Now);
+  }
+}
+
+TEST_CASE(
+    "a follower is sent patches by one feed, by the other if it is lost") {
+  FollowerFixture World;
+  const auto Complete = [&](LinkId Link) {
+    World.m_Follower.onNotice(
+        Link, {7, 7, Duration{0}, false, {{}, {}, {}, true}}, World.m_Now);
+  };
+  std::map<LinkId, bool> Wants = {{1, true}, {2, true}};
+  const auto Note = [&] {
+    for (const SendControl &Each :
+         select<SendControl>(World.m_Follower.takeCommands()))
+      Wants[Each.m_Link] =
+          std::get<FollowRevisions>(Each.m_Message).m_WantsPatches;
+  };
+  Complete(1);
+  Complete(2);
+  Note();
+  CHECK(Wants.at(1) != Wants.at(2));
+  const LinkId Sender = Wants.at(1) ? 1 : 2;
+  World.m_Follower.onLinkClosed(Sender, World.m_Now);
+  Note();
+  CHECK(Wants.at(3 - Sender));
+}
