Take patches from the feed that has them if the other one is late

Nodes of two zones can let each other send patches; each then waited for the other until it asked the store after 0.8 s. A follower to which one feed announces a large record that the other does not send within 150 ms now lets that one send, from then on.

--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -63,6 +63,14 @@
   sendFollow(**Found, true);
 }
 
+void FeedFollower::takePatchesFrom(LinkId Link, TimePoint Now) {
+  Slot *Found = findSlot(Link);
+  if (Found == nullptr)
+    return;
+  m_PatchFeed = static_cast<std::size_t>(Found - m_Slots.data());
+  askForPatches(Now);
+}
+
 void FeedFollower::sendFollow(Feed &Followed, bool WantsPatches) {
   Followed.m_WantsPatches = WantsPatches;
   m_Commands.emplace_back(
--- a/src/core/registry/feed_follower.h
+++ b/src/core/registry/feed_follower.h
@@ -39,6 +39,9 @@
   /// Asks a followed node for what this node lacks: a patch did not fit. At
   /// most once in a notice interval.
   void askAgain(LinkId Link, TimePoint Now);
+  /// Lets another feed send patches from now on: it has a record that the one
+  /// which sends them does not have yet.
+  void takePatchesFrom(LinkId Link, TimePoint Now);
   /// Sets the revision up to which this node holds all records.
   void setHeld(Revision Held) { m_Held = Held; }
   /// Does not count a time for which this node was occupied or stood still as
@@ -106,8 +109,8 @@
 
   FeedCandidates m_Candidates;
   std::array<Slot, FollowedFeeds> m_Slots;
-  /// Index of the feed that sends patches while it is complete; it differs
-  /// between nodes, so that they share out the load.
+  /// Index of the feed that sends patches while it is complete. At first it
+  /// differs between nodes, so that they share out the load.
   std::size_t m_PatchFeed;
   /// Nodes that are not followed until a time.
   std::map<NodeAddress, TimePoint> m_AvoidedUntil;
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -83,6 +83,10 @@
 /// Maximum size of a patch, compressed. A change that takes more is read from
 /// the store by each node.
 constexpr std::size_t MaxPatchBytes = 65'536;
+/// Time for the feed that sends patches to bring a record that another feed has
+/// announced, before that one is asked for it. Followed nodes can follow each
+/// other, directly or not.
+constexpr Duration PatchDelay = std::chrono::milliseconds(150);
 /// Values of a large record kept as bases of patches: followed nodes read
 /// different versions of a quick succession.
 constexpr std::size_t StoredLargeValues = 4;
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -105,6 +105,7 @@
       Each.onTick(Now);
     if (m_Registry.onTick(Now))
       onRecords(Now);
+    checkExpected(Now);
     m_Follower.onTick(Now);
     m_Publisher.onTick(ownRevision(Now), Now);
     if (const auto Peer = m_Pull.takeDuePeer(m_Registry.revision(), Now))
@@ -121,6 +122,8 @@
       if (Each)
         Next = Next ? std::min(*Next, *Each) : *Each;
     }
+    if (m_Expected)
+      Next = Next ? std::min(*Next, m_Expected->m_Until) : m_Expected->m_Until;
     for (const PrefixWatch &Watch : m_UrgentWatches) {
       if (const auto At = Watch.nextWakeUp())
         Next = Next ? std::min(*Next, *At) : *At;
@@ -147,6 +150,13 @@
   std::vector<PrefixWatch> m_UrgentWatches;
 
 private:
+  /// Large records that a feed announced and another one should send.
+  struct ExpectedLarge {
+    LinkId m_Link = 0;
+    std::map<std::string, Revision, std::less<>> m_Large;
+    TimePoint m_Until;
+  };
+
   // A node that follows others passes on what they announce. With the latest
   // confirmation goes the highest revision, which is at least the confirmed
   // one.
@@ -207,16 +217,35 @@
     updateOutage(Now);
     if (m_Registry.applyFeed(Notice.m_Changes, Notice.m_Held, Now))
       onRecords(Now);
-    if (!Notice.m_Changes.m_Patches.empty() &&
-        !m_Registry.holdsAll(Notice.m_Changes.m_Large)) {
-      m_Follower.setHeld(m_Registry.revision());
-      m_Follower.askAgain(Link, Now);
-    }
+    expectLarge(Link, Notice.m_Changes, Now);
     m_Reader.onPeerRecords(m_Registry.revision(), Now);
     m_Pull.onPeerRevision(Notice.m_Held, Address, m_Registry.revision(), Now);
     m_Reader.onNewerRevision(Notice.m_Revision, Now);
   }
 
+  // A patch that did not fit is replaced at once; one that another feed should
+  // send is waited for.
+  void expectLarge(LinkId Link, const RecordChanges &Changes, TimePoint Now) {
+    if (m_Registry.holdsAll(Changes.m_Large))
+      return;
+    if (!Changes.m_Patches.empty()) {
+      m_Follower.setHeld(m_Registry.revision());
+      m_Follower.askAgain(Link, Now);
+    } else if (!m_Expected) {
+      m_Expected = {Link, Changes.m_Large, Now + PatchDelay};
+    }
+  }
+
+  void checkExpected(TimePoint Now) {
+    if (!m_Expected || Now < m_Expected->m_Until)
+      return;
+    const ExpectedLarge Expected = *std::exchange(m_Expected, std::nullopt);
+    if (m_Registry.holdsAll(Expected.m_Large))
+      return;
+    m_Follower.setHeld(m_Registry.revision());
+    m_Follower.takePatchesFrom(Expected.m_Link, Now);
+  }
+
   // A store that confirms revisions to other nodes is not away, whatever
   // becomes of this node's calls. Must run before records are applied: whether
   // a removal is a lapse depends on it.
@@ -333,6 +362,7 @@
   std::optional<TimePoint> m_StartEnds;
   /// Whether the store answers neither this node nor one that it follows.
   bool m_StoreIsAway = false;
+  std::optional<ExpectedLarge> m_Expected;
   /// Link of the pending pull; 0 if there is none.
   LinkId m_PullLink = 0;
   std::uint64_t m_Pulls = 0;
--- a/tests/contract/store_departures_test.cpp
+++ b/tests/contract/store_departures_test.cpp
@@ -109,6 +109,26 @@
     CHECK(Fleet.worstLag(Version).value_or(Duration::max()) < Bound);
 }
 
+TEST_CASE("followers receive a changed configuration without asking the "
+          "store") {
+  for (const std::uint64_t Seed : {1U, 2U}) {
+    CAPTURE(Seed);
+    StoreFleetOptions Options = smallMachines(milliseconds(800), Seed);
+    Options.m_ConfigurationBytes = 100'000;
+    Options.m_Nodes = 195;
+    Options.m_Zones = 3;
+    StoreFleet Fleet(Options);
+    Fleet.startAll();
+    Fleet.run(Settle);
+    const std::size_t Before = Fleet.catchUps();
+    for (int Count = 0; Count < 3; ++Count) {
+      Fleet.publish();
+      Fleet.run(seconds(2));
+    }
+    CHECK(Fleet.catchUps() == Before);
+  }
+}
+
 TEST_CASE("a removed target is left in time by nodes whose own calls to the "
           "store fail") {
   for (const std::uint64_t Seed : {1U, 2U, 3U, 4U}) {
--- a/tests/contract/store_fleet.cpp
+++ b/tests/contract/store_fleet.cpp
@@ -531,6 +531,7 @@
 
 void StoreFleet::perform(std::size_t /*Number*/, const Event &Command) {
   m_LostFeeds += Command.m_Id == EventId::FeedLost ? 1 : 0;
+  m_CatchUps += Command.m_Id == EventId::FollowerBehind ? 1 : 0;
 }
 
 std::optional<Duration> StoreFleet::lag(std::size_t Number,
--- a/tests/contract/store_fleet.h
+++ b/tests/contract/store_fleet.h
@@ -102,6 +102,8 @@
   std::optional<Duration> worstApplicationLag(Revision Searched) const;
   /// \returns the number of feeds that followers lost.
   std::size_t lostFeeds() const { return m_LostFeeds; }
+  /// \returns how often followers asked the store for what others announced.
+  std::size_t catchUps() const { return m_CatchUps; }
   /// \returns the longest time after which a node that runs and is not excepted
   /// sent nothing more to a target that `drainTarget` marked; nothing if one of
   /// them still does.
@@ -237,6 +239,7 @@
   TimePoint m_StoreFreeAt;
   double m_PricedCalls = 0;
   std::size_t m_LostFeeds = 0;
+  std::size_t m_CatchUps = 0;
 };
 
 } // namespace dandelionfall::test
