--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -63,6 +63,14 @@
   sendFollow(**Found, true);
 }
 
+void FeedFollower::takePatchesFrom(LinkId Link, TimePoint Now) {
+  Slot *Found = findSlot(Link);
+  if (Found == nullptr)
+    return;
+  m_PatchFeed = static_cast<std::size_t>(Found - m_Slots.data());
+  askForPatches(Now);
+}
+
 void FeedFollower::sendFollow(Feed &Followed, bool WantsPatches) {
   Followed.m_WantsPatches = WantsPatches;
   m_Commands.emplace_back(
@@ -232,9 +240,9 @@
   for (Slot &Each : m_Slots) {
     if (!Each)
       continue;
-    Each->m_NotListened += Delay;
-    // Granted once in a silence, so that a lost feed is noticed by a node that
-    // is always late.
+    // Both are limited, so that a node that is always late notices a lost feed.
+    Each->m_NotListened =
+        std::min(Each->m_NotListened + Delay, MaxExcusedSilence);
     if (!Each->m_GraceUntil)
       Each->m_GraceUntil = Now + NoticeInterval + MaxTimerDelay;
   }
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -83,6 +83,10 @@
 /// Maximum size of a patch, compressed. A change that takes more is read from
 /// the store by each node.
 constexpr std::size_t MaxPatchBytes = 65'536;
+/// Time for the feed that sends patches to bring a record that another feed has
+/// announced, before that one is asked for it. Followed nodes can follow each
+/// other, directly or not.
+constexpr Duration PatchDelay = std::chrono::milliseconds(150);
 /// Values of a large record kept as bases of patches: followed nodes read
 /// different versions of a quick succession.
 constexpr std::size_t StoredLargeValues = 4;
@@ -92,6 +96,8 @@
 constexpr Duration FeedSilenceLimit = std::chrono::milliseconds(700);
 /// Delay of a timer from which a node was occupied or stood still.
 constexpr Duration MaxTimerDelay = std::chrono::milliseconds(50);
+/// Maximum silence of a feed that a node attributes to its own pauses.
+constexpr Duration MaxExcusedSilence = std::chrono::seconds(1);
 /// Age of the store's last confirmation from which a revision is not relied on.
 /// The publisher's calls are at most a watch and an interval apart, and its
 /// notices one more interval; the rest is for a slow store or node.
