--- a/tests/contract/store_fleet.cpp
+++ b/tests/contract/store_fleet.cpp
@@ -119,7 +119,7 @@
 }
 
 void StoreFleet::noteDepartures(std::size_t Number) {
-  if (m_Departures.empty())
+  if (m_Nodes[Number].m_DepartureAt.size() == m_Departures.size())
     return;
   std::set<std::string> Used;
   for (const NodeAddress &Each : m_Nodes[Number].m_Replica->registry().nodes())
