--- a/tests/contract/store_fleet.cpp
+++ b/tests/contract/store_fleet.cpp
@@ -19,10 +19,6 @@
 constexpr std::uint16_t LinkPort = 7620;
 constexpr double SerializablePrice = 0.1;
 
-std::string targetKey(std::size_t Node) {
-  return "target/" + std::to_string(Node);
-}
-
 } // namespace
 
 StoreFleet::StoreFleet(StoreFleetOptions Options)
@@ -118,25 +114,6 @@
           });
 }
 
-void StoreFleet::noteDepartures(std::size_t Number) {
-  if (m_Nodes[Number].m_DepartureAt.size() == m_Departures.size())
-    return;
-  std::set<std::string> Used;
-  for (const NodeAddress &Each : m_Nodes[Number].m_Replica->registry().nodes())
-    Used.insert(Each.m_Address);
-  for (const auto &[Searched, Target] : m_Departures) {
-    if (!Used.contains(addressOf(Target)))
-      m_Nodes[Number].m_DepartureAt.emplace(Searched, m_Now);
-  }
-}
-
-bool StoreFleet::usesTarget(std::size_t Number, std::size_t Target) const {
-  const auto Nodes = m_Nodes[Number].m_Replica->registry().nodes();
-  return std::any_of(Nodes.begin(), Nodes.end(), [&](const NodeAddress &Each) {
-    return Each.m_Address == addressOf(Target);
-  });
-}
-
 namespace {
 
 // Connections share a link, so a large message holds up no small one.
@@ -302,69 +279,6 @@
   settle(Number);
 }
 
-Revision StoreFleet::publish() {
-  // The same routes but for a few bytes, as when operators change one of many.
-  std::string Value = std::to_string(++m_Version) + " ";
-  std::mt19937_64 Random(m_Options.m_Seed);
-  while (Value.size() < m_Options.m_ConfigurationBytes)
-    Value += std::to_string(Random()) + ",";
-  Value += m_Routes;
-  const Revision New = m_Store.put("configuration", Value, m_Now);
-  m_PublishedAt.emplace(New, m_Now);
-  m_Versions.emplace(New, m_Version);
-  announce();
-  return New;
-}
-
-Revision StoreFleet::publishMoreRoutes(std::size_t Routes) {
-  constexpr std::string_view Letters = "abcdefghijklmnopqrstuvwxyz012345";
-  const auto DrawName = [&] {
-    std::string Name;
-    for (std::uint64_t Bits = m_Random(); Name.size() < 8;
-         Bits /= Letters.size())
-      Name += Letters[Bits % Letters.size()];
-    return Name;
-  };
-  for (std::size_t Count = 0; Count < Routes; ++Count)
-    m_Routes += R"({"name":"r-)" + DrawName() +
-                R"(","host":"jepu9.example","prefix":"/)" + DrawName() +
-                R"(/","kind":"idempotent","timeout-ms":3000,)" +
-                R"("target-latency-ms":1000,"priority":1,)" +
-                R"("service":"wuno96b","max-attempts":2},)";
-  return publish();
-}
-
-void StoreFleet::announce() {
-  wakeWatchers(ReadConsistency::Linearizable);
-  at(m_Now + m_Options.m_Staleness,
-     [this] { wakeWatchers(ReadConsistency::Serializable); });
-}
-
-Revision StoreFleet::drainTarget(std::size_t Number) {
-  const Revision New = m_Store.put(
-      targetKey(Number),
-      "desk " + addressOf(Number) + " " + zoneOf(Number) + " draining", m_Now);
-  m_PublishedAt.emplace(New, m_Now);
-  m_Departures.emplace(New, Number);
-  announce();
-  return New;
-}
-
-Revision StoreFleet::removeTarget(std::size_t Number) {
-  const Revision New = m_Store.remove(targetKey(Number), m_Now);
-  m_PublishedAt.emplace(New, m_Now);
-  m_Departures.emplace(New, Number);
-  announce();
-  return New;
-}
-
-void StoreFleet::listTarget(std::size_t Number) {
-  m_Store.put(targetKey(Number),
-              "desk " + addressOf(Number) + " " + zoneOf(Number) + " ready",
-              m_Now);
-  announce();
-}
-
 void StoreFleet::wakeWatchers(ReadConsistency Consistency) {
   std::vector<Watcher> Answered;
   std::erase_if(m_Watchers, [&](const Watcher &Each) {
@@ -534,78 +448,4 @@
   m_CatchUps += Command.m_Id == EventId::FollowerBehind ? 1 : 0;
 }
 
-std::optional<Duration> StoreFleet::lag(std::size_t Number,
-                                        Revision Searched) const {
-  const auto Held = m_Nodes[Number].m_HeldAt.lower_bound(Searched);
-  if (Held == m_Nodes[Number].m_HeldAt.end())
-    return std::nullopt;
-  return Held->second - m_PublishedAt.at(Searched);
-}
-
-std::optional<Duration>
-StoreFleet::worstLag(Revision Searched,
-                     const std::set<std::size_t> &Except) const {
-  Duration Worst{0};
-  for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number) {
-    if (m_Nodes[Number].m_Replica == nullptr || Except.contains(Number))
-      continue;
-    const std::optional<Duration> Each = lag(Number, Searched);
-    if (!Each)
-      return std::nullopt;
-    Worst = std::max(Worst, *Each);
-  }
-  return Worst;
-}
-
-std::optional<Duration>
-StoreFleet::worstApplicationLag(Revision Searched) const {
-  Duration Worst{0};
-  for (const Member &Each : m_Nodes) {
-    if (Each.m_Replica == nullptr)
-      continue;
-    const auto Applied = Each.m_AppliedAt.lower_bound(m_Versions.at(Searched));
-    if (Applied == Each.m_AppliedAt.end())
-      return std::nullopt;
-    Worst = std::max(Worst, Applied->second - m_PublishedAt.at(Searched));
-  }
-  return Worst;
-}
-
-std::optional<Duration>
-StoreFleet::worstDepartureLag(Revision Searched,
-                              const std::set<std::size_t> &Except) const {
-  Duration Worst{0};
-  for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number) {
-    const Member &Each = m_Nodes[Number];
-    if (Each.m_Replica == nullptr || Except.contains(Number))
-      continue;
-    const auto Known = Each.m_DepartureAt.find(Searched);
-    if (Known == Each.m_DepartureAt.end())
-      return std::nullopt;
-    Worst = std::max(Worst, Known->second - m_PublishedAt.at(Searched));
-  }
-  return Worst;
-}
-
-std::set<std::size_t> StoreFleet::sourcesOf(std::size_t Number) const {
-  std::set<std::size_t> Result;
-  for (const auto &[Own, Other] : m_Peers) {
-    if (Own.m_Node == Number && Own.m_Link < FirstInboundLink)
-      Result.insert(Other.m_Node);
-  }
-  return Result;
-}
-
-std::size_t StoreFleet::count(WatchMode Mode) const {
-  return static_cast<std::size_t>(
-      std::count_if(m_Nodes.begin(), m_Nodes.end(), [&](const Member &Each) {
-        return Each.m_Replica != nullptr && Each.m_Replica->mode() == Mode;
-      }));
-}
-
-bool StoreFleet::isReady(std::size_t Number) const {
-  return m_Nodes[Number].m_Replica != nullptr &&
-         m_Nodes[Number].m_Replica->registry().configuration() != nullptr;
-}
-
 } // namespace dandelionfall::test
