Log replies of the store that are dropped since their revision is below the known one

On-call could not tell a store that counts its revisions anew from one that publishes nothing: both answer every call, and no event said that an answer was dropped. Event 716 names the known revision and the answer's. The status names the version of the configuration in force and how long ago the store confirmed the state held (configuration_version, confirmed_ago_s).

The number of fields in the test of the status line rises by these two.

--- a/include/dandelionfall/app/status_report.h
+++ b/include/dandelionfall/app/status_report.h
@@ -39,6 +39,11 @@
   std::string m_WatchMode;
   /// Number of nodes that follow this one.
   std::uint32_t m_Followers = 0;
+  /// Version of the operators' configuration in force; 0 before the first.
+  std::uint64_t m_ConfigurationVersion = 0;
+  /// Seconds since a shared store confirmed the state in force, to this node or
+  /// one that it follows; -1 if it did not.
+  double m_ConfirmedAgoS = -1;
   /// Limits of the machine from the settings; 0 where none is stated.
   double m_ProcessorShare = 0;
   std::uint32_t m_Cores = 0;
--- a/include/dandelionfall/core/distribution.h
+++ b/include/dandelionfall/core/distribution.h
@@ -101,6 +101,11 @@
   std::string m_WatchMode;
   /// Number of nodes that follow this one.
   std::uint32_t m_Followers = 0;
+  /// Version of the operators' configuration in force; 0 before the first.
+  Version m_ConfigurationVersion = 0;
+  /// Time since a shared store confirmed the state in force, to this node or
+  /// one that it follows.
+  std::optional<Duration> m_ConfirmedAgo;
 };
 
 /// Decision logic of configuration distribution. It does no I/O: inputs arrive
--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -74,6 +74,7 @@
   FollowerCaughtUp = 713,
   ControlThreadBusy = 714,
   ControlTimerLate = 715,
+  StoreReplyDropped = 716,
 };
 
 /// Description of an event number.
--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -167,6 +167,7 @@
   void onChanges(StoreReply Reply, TimePoint Now);
   void reportCaughtUp(const StoreReply &Reply, TimePoint Now);
   void reportFailure(const StoreReply &Reply, TimePoint Now);
+  void reportDropped(Revision AsOf);
   void onFailure(const StoreReply &Reply, TimePoint Now);
   void setReachable(bool Reachable, const std::string &Cause);
 
@@ -210,6 +211,8 @@
   bool m_PageWasStale = false;
   /// Consecutive failed calls.
   unsigned m_Failures = 0;
+  /// Consecutive replies that were below the known revision.
+  unsigned m_Dropped = 0;
   bool m_Reachable = true;
 };
 
--- a/include/dandelionfall/core/store_replica.h
+++ b/include/dandelionfall/core/store_replica.h
@@ -92,6 +92,9 @@
   WatchMode mode() const;
   /// \returns the number of calls to the store since the start.
   std::uint64_t calls() const;
+  /// \returns when the store last confirmed the state that is held, to this
+  /// node or one that it follows, if ever.
+  std::optional<TimePoint> confirmedAt(TimePoint Now) const;
   /// \returns the number of nodes that follow this one.
   std::size_t followers() const;
   /// Removes and returns the commands collected since the last call.
--- a/src/app/node/operator_pages.cpp
+++ b/src/app/node/operator_pages.cpp
@@ -47,6 +47,10 @@
   Report.m_OpenCalls = Board.m_Load.m_OpenCalls.load();
   Report.m_WatchMode = Distribution.m_WatchMode;
   Report.m_Followers = Distribution.m_Followers;
+  Report.m_ConfigurationVersion = Distribution.m_ConfigurationVersion;
+  if (Distribution.m_ConfirmedAgo)
+    Report.m_ConfirmedAgoS =
+        std::chrono::duration<double>(*Distribution.m_ConfirmedAgo).count();
   const core::MachineLimits &Machine = Board.m_Settings.m_Machine;
   Report.m_ProcessorShare = Machine.m_ProcessorShare;
   Report.m_Cores = Machine.m_Cores;
--- a/src/app/node/registry_driver.cpp
+++ b/src/app/node/registry_driver.cpp
@@ -96,6 +96,10 @@
     Result.m_SourceCalls = m_Replica.calls();
     Result.m_WatchMode = core::nameOf(m_Replica.mode());
     Result.m_Followers = static_cast<std::uint32_t>(m_Replica.followers());
+    Result.m_ConfigurationVersion = m_Replica.registry().version();
+    const TimePoint Now = monotonicNow();
+    if (const auto ConfirmedAt = m_Replica.confirmedAt(Now))
+      Result.m_ConfirmedAgo = Now - *ConfirmedAt;
     return Result;
   }
 
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -148,6 +148,10 @@
               "waited."},
     EventInfo{EventId::ControlTimerLate, "control-timer-late", Severity::Info,
               "The control thread came late to a timer."},
+    EventInfo{EventId::StoreReplyDropped, "store-reply-dropped",
+              Severity::Warning,
+              "The store answered as of a revision below the known one; only "
+              "the first of such replies in a row are logged."},
 };
 
 static_assert(std::is_sorted(Catalogue.begin(), Catalogue.end(),
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -39,7 +39,7 @@
   return Modes[static_cast<std::size_t>(Mode)];
 }
 
-/// Failures in a row that are logged.
+/// Failures, or dropped replies, in a row that are logged.
 constexpr unsigned MaxLoggedFailures = 4;
 
 std::size_t bytesOf(const std::vector<StoreRecord> &Records) {
@@ -246,7 +246,10 @@
   m_Watching = true;
   m_ListsInstead = m_ListsInstead && !needsNoCall() &&
                    hasLargeAfter(m_ListedRecords, m_KnownRevision);
-  if (m_FirstPageAsOf >= m_KnownRevision) {
+  if (m_FirstPageAsOf < m_KnownRevision) {
+    reportDropped(m_FirstPageAsOf);
+  } else {
+    m_Dropped = 0;
     setKnownRevision(m_FirstPageAsOf);
     m_Commands.emplace_back(
         RecordsRead{std::exchange(m_ListedRecords, {}), m_FirstPageAsOf});
@@ -258,7 +261,11 @@
 }
 
 void StoreReader::onChanges(StoreReply Reply, TimePoint Now) {
+  if (m_LastConsistency == ReadConsistency::Linearizable &&
+      Reply.m_AsOf < m_KnownRevision)
+    reportDropped(Reply.m_AsOf);
   if (Reply.m_AsOf > m_KnownRevision) {
+    m_Dropped = 0;
     reportCaughtUp(Reply, Now);
     setKnownRevision(Reply.m_AsOf);
     if (!needsNoCall() && hasReplacedLarge(Reply.m_Records)) {
@@ -295,6 +302,16 @@
                 " bytes=" + std::to_string(bytesOf(Reply.m_Records))});
 }
 
+void StoreReader::reportDropped(Revision AsOf) {
+  if (++m_Dropped > MaxLoggedFailures)
+    return;
+  m_Commands.emplace_back(Event{
+      EventId::StoreReplyDropped,
+      std::string("mode=") + nameOf(m_Mode) + " known_revision=" +
+          std::to_string(m_KnownRevision) + " as_of=" + std::to_string(AsOf) +
+          " calls=" + std::to_string(m_LastCall)});
+}
+
 void StoreReader::reportFailure(const StoreReply &Reply, TimePoint Now) {
   m_Commands.emplace_back(
       Event{EventId::StoreCallFailed,
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -149,14 +149,6 @@
   FeedPublisher m_Publisher;
   std::vector<PrefixWatch> m_UrgentWatches;
 
-private:
-  /// Large records that a feed announced and another one should send.
-  struct ExpectedLarge {
-    LinkId m_Link = 0;
-    std::map<std::string, Revision, std::less<>> m_Large;
-    TimePoint m_Until;
-  };
-
   // A node that follows others passes on what they announce. With the latest
   // confirmation goes the highest revision, which is at least the confirmed
   // one.
@@ -167,6 +159,14 @@
             std::max(m_Reader.confirmedAt(), Announced.m_ConfirmedAt)};
   }
 
+private:
+  /// Large records that a feed announced and another one should send.
+  struct ExpectedLarge {
+    LinkId m_Link = 0;
+    std::map<std::string, Revision, std::less<>> m_Large;
+    TimePoint m_Until;
+  };
+
   // Whatever arrived while this node was occupied is still to be handled.
   void excuseDelay(TimePoint Now) {
     const std::optional<TimePoint> Due = nextWakeUp();
@@ -412,6 +412,10 @@
 
 std::uint64_t StoreReplica::calls() const { return m_Impl->calls(); }
 
+std::optional<TimePoint> StoreReplica::confirmedAt(TimePoint Now) const {
+  return m_Impl->ownRevision(Now).m_ConfirmedAt;
+}
+
 std::size_t StoreReplica::followers() const {
   return m_Impl->m_Publisher.followers();
 }
--- a/tests/unit/status_report_test.cpp
+++ b/tests/unit/status_report_test.cpp
@@ -32,6 +32,8 @@
           .m_OpenCalls = 5,
           .m_WatchMode = "publishing",
           .m_Followers = 3,
+          .m_ConfigurationVersion = 17,
+          .m_ConfirmedAgoS = 0.25,
           .m_ProcessorShare = 0.1,
           .m_Cores = 1,
           .m_MemoryMb = 160,
@@ -65,7 +67,7 @@
   CHECK(Line.find(" held=8/fedcba9876543210 ") != std::string::npos);
   CHECK(Line.find(" open_calls=5 ") != std::string::npos);
   CHECK(Line.find(" link_mbps=20.5\n") != std::string::npos);
-  constexpr int Fields = 25;
+  constexpr int Fields = 27;
   CHECK(std::count(Line.begin(), Line.end(), '=') == Fields);
   CHECK(std::count(Line.begin(), Line.end(), ' ') == Fields - 1);
 }
--- a/tests/unit/store_reader_test.cpp
+++ b/tests/unit/store_reader_test.cpp
@@ -103,6 +103,23 @@
   CHECK(World.take<RecordsRead>().empty());
 }
 
+TEST_CASE("replies below the known revision are reported") {
+  for (const StoreOutcome Outcome :
+       {StoreOutcome::HistoryCompacted, StoreOutcome::Answered}) {
+    Fixture World;
+    World.reply(StoreOutcome::Answered, {}, 7);
+    World.m_Reader.takeCommands();
+    if (Outcome == StoreOutcome::HistoryCompacted)
+      World.reply(Outcome, {}, 0);
+    World.reply(StoreOutcome::Answered, {}, 3);
+    const auto Events = World.take<Event>();
+    REQUIRE(Events.size() == 1);
+    CHECK(Events[0].m_Id == EventId::StoreReplyDropped);
+    CHECK(Events[0].m_Detail.find("known_revision=7 as_of=3") !=
+          std::string::npos);
+  }
+}
+
 TEST_CASE("an unresponsive store is called with backoff and reported") {
   Fixture World;
   Duration Longest{0};
