--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -5712,6 +5712,11 @@
 void RecordsPush::__set_records(const std::vector<StoreRecord> & val) {
   this->records = val;
 }
+
+void RecordsPush::__set_retained(const StoreRecord& val) {
+  this->retained = val;
+__isset.retained = true;
+}
 std::ostream& operator<<(std::ostream& out, const RecordsPush& obj)
 {
   obj.printTo(out);
@@ -5776,6 +5781,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->retained.read(iprot);
+          this->__isset.retained = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5813,6 +5826,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.retained) {
+    xfer += oprot->writeFieldBegin("retained", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->retained.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5823,6 +5841,7 @@
   swap(a.as_of, b.as_of);
   swap(a.whole, b.whole);
   swap(a.records, b.records);
+  swap(a.retained, b.retained);
   swap(a.__isset, b.__isset);
 }
 
@@ -5830,18 +5849,21 @@
   as_of = other214.as_of;
   whole = other214.whole;
   records = other214.records;
+  retained = other214.retained;
   __isset = other214.__isset;
 }
 RecordsPush::RecordsPush(RecordsPush&& other215) noexcept {
   as_of = other215.as_of;
   whole = other215.whole;
   records = std::move(other215.records);
+  retained = std::move(other215.retained);
   __isset = other215.__isset;
 }
 RecordsPush& RecordsPush::operator=(const RecordsPush& other216) {
   as_of = other216.as_of;
   whole = other216.whole;
   records = other216.records;
+  retained = other216.retained;
   __isset = other216.__isset;
   return *this;
 }
@@ -5849,6 +5871,7 @@
   as_of = other217.as_of;
   whole = other217.whole;
   records = std::move(other217.records);
+  retained = std::move(other217.retained);
   __isset = other217.__isset;
   return *this;
 }
@@ -5858,6 +5881,7 @@
   out << "as_of=" << to_string(as_of);
   out << ", " << "whole=" << to_string(whole);
   out << ", " << "records=" << to_string(records);
+  out << ", " << "retained="; (__isset.retained ? (out << to_string(retained)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5873,6 +5897,10 @@
 void FollowRevisions::__set_wants_patches(const bool val) {
   this->wants_patches = val;
 }
+
+void FollowRevisions::__set_retained(const int64_t val) {
+  this->retained = val;
+}
 std::ostream& operator<<(std::ostream& out, const FollowRevisions& obj)
 {
   obj.printTo(out);
@@ -5917,6 +5945,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retained);
+          this->__isset.retained = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5942,6 +5978,10 @@
   xfer += oprot->writeBool(this->wants_patches);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("retained", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->retained);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5951,28 +5991,33 @@
   using ::std::swap;
   swap(a.held, b.held);
   swap(a.wants_patches, b.wants_patches);
+  swap(a.retained, b.retained);
   swap(a.__isset, b.__isset);
 }
 
 FollowRevisions::FollowRevisions(const FollowRevisions& other218) noexcept {
   held = other218.held;
   wants_patches = other218.wants_patches;
+  retained = other218.retained;
   __isset = other218.__isset;
 }
 FollowRevisions::FollowRevisions(FollowRevisions&& other219) noexcept {
   held = other219.held;
   wants_patches = other219.wants_patches;
+  retained = other219.retained;
   __isset = other219.__isset;
 }
 FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other220) noexcept {
   held = other220.held;
   wants_patches = other220.wants_patches;
+  retained = other220.retained;
   __isset = other220.__isset;
   return *this;
 }
 FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other221) noexcept {
   held = other221.held;
   wants_patches = other221.wants_patches;
+  retained = other221.retained;
   __isset = other221.__isset;
   return *this;
 }
@@ -5981,6 +6026,7 @@
   out << "FollowRevisions(";
   out << "held=" << to_string(held);
   out << ", " << "wants_patches=" << to_string(wants_patches);
+  out << ", " << "retained=" << to_string(retained);
   out << ")";
 }
 
@@ -6209,6 +6255,10 @@
 void RevisionNotice::__set_complete(const bool val) {
   this->complete = val;
 }
+
+void RevisionNotice::__set_retained(const int64_t val) {
+  this->retained = val;
+}
 std::ostream& operator<<(std::ostream& out, const RevisionNotice& obj)
 {
   obj.printTo(out);
@@ -6340,6 +6390,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retained);
+          this->__isset.retained = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6414,6 +6472,10 @@
   xfer += oprot->writeBool(this->complete);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("retained", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->retained);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6429,6 +6491,7 @@
   swap(a.patches, b.patches);
   swap(a.large, b.large);
   swap(a.complete, b.complete);
+  swap(a.retained, b.retained);
   swap(a.__isset, b.__isset);
 }
 
@@ -6441,6 +6504,7 @@
   patches = other246.patches;
   large = other246.large;
   complete = other246.complete;
+  retained = other246.retained;
   __isset = other246.__isset;
 }
 RevisionNotice::RevisionNotice(RevisionNotice&& other247) noexcept {
@@ -6452,6 +6516,7 @@
   patches = std::move(other247.patches);
   large = std::move(other247.large);
   complete = other247.complete;
+  retained = other247.retained;
   __isset = other247.__isset;
 }
 RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other248) {
@@ -6463,6 +6528,7 @@
   patches = other248.patches;
   large = other248.large;
   complete = other248.complete;
+  retained = other248.retained;
   __isset = other248.__isset;
   return *this;
 }
@@ -6475,6 +6541,7 @@
   patches = std::move(other249.patches);
   large = std::move(other249.large);
   complete = other249.complete;
+  retained = other249.retained;
   __isset = other249.__isset;
   return *this;
 }
@@ -6489,6 +6556,7 @@
   out << ", " << "patches=" << to_string(patches);
   out << ", " << "large=" << to_string(large);
   out << ", " << "complete=" << to_string(complete);
+  out << ", " << "retained=" << to_string(retained);
   out << ")";
 }
 
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -2288,10 +2288,11 @@
 std::ostream& operator<<(std::ostream& out, const RecordsPull& obj);
 
 typedef struct _RecordsPush__isset {
-  _RecordsPush__isset() : as_of(false), whole(false), records(false) {}
+  _RecordsPush__isset() : as_of(false), whole(false), records(false), retained(false) {}
   bool as_of :1;
   bool whole :1;
   bool records :1;
+  bool retained :1;
 } _RecordsPush__isset;
 
 class RecordsPush : public virtual ::apache::thrift::TBase {
@@ -2310,6 +2311,7 @@
   int64_t as_of;
   bool whole;
   std::vector<StoreRecord>  records;
+  StoreRecord retained;
 
   _RecordsPush__isset __isset;
 
@@ -2319,6 +2321,8 @@
 
   void __set_records(const std::vector<StoreRecord> & val);
 
+  void __set_retained(const StoreRecord& val);
+
   bool operator == (const RecordsPush & rhs) const
   {
     if (!(as_of == rhs.as_of))
@@ -2327,6 +2331,10 @@
       return false;
     if (!(records == rhs.records))
       return false;
+    if (__isset.retained != rhs.__isset.retained)
+      return false;
+    else if (__isset.retained && !(retained == rhs.retained))
+      return false;
     return true;
   }
   bool operator != (const RecordsPush &rhs) const {
@@ -2346,9 +2354,10 @@
 std::ostream& operator<<(std::ostream& out, const RecordsPush& obj);
 
 typedef struct _FollowRevisions__isset {
-  _FollowRevisions__isset() : held(false), wants_patches(true) {}
+  _FollowRevisions__isset() : held(false), wants_patches(true), retained(true) {}
   bool held :1;
   bool wants_patches :1;
+  bool retained :1;
 } _FollowRevisions__isset;
 
 class FollowRevisions : public virtual ::apache::thrift::TBase {
@@ -2360,12 +2369,14 @@
   FollowRevisions& operator=(FollowRevisions&&) noexcept;
   FollowRevisions() noexcept
                   : held(0),
-                    wants_patches(true) {
+                    wants_patches(true),
+                    retained(0LL) {
   }
 
   virtual ~FollowRevisions() noexcept;
   int64_t held;
   bool wants_patches;
+  int64_t retained;
 
   _FollowRevisions__isset __isset;
 
@@ -2373,12 +2384,16 @@
 
   void __set_wants_patches(const bool val);
 
+  void __set_retained(const int64_t val);
+
   bool operator == (const FollowRevisions & rhs) const
   {
     if (!(held == rhs.held))
       return false;
     if (!(wants_patches == rhs.wants_patches))
       return false;
+    if (!(retained == rhs.retained))
+      return false;
     return true;
   }
   bool operator != (const FollowRevisions &rhs) const {
@@ -2471,7 +2486,7 @@
 std::ostream& operator<<(std::ostream& out, const RecordPatch& obj);
 
 typedef struct _RevisionNotice__isset {
-  _RevisionNotice__isset() : revision(false), held(false), confirmed_ago_us(true), refused(false), records(false), patches(false), large(false), complete(false) {}
+  _RevisionNotice__isset() : revision(false), held(false), confirmed_ago_us(true), refused(false), records(false), patches(false), large(false), complete(false), retained(true) {}
   bool revision :1;
   bool held :1;
   bool confirmed_ago_us :1;
@@ -2480,6 +2495,7 @@
   bool patches :1;
   bool large :1;
   bool complete :1;
+  bool retained :1;
 } _RevisionNotice__isset;
 
 class RevisionNotice : public virtual ::apache::thrift::TBase {
@@ -2494,7 +2510,8 @@
                    held(0),
                    confirmed_ago_us(-1LL),
                    refused(0),
-                   complete(0) {
+                   complete(0),
+                   retained(0LL) {
   }
 
   virtual ~RevisionNotice() noexcept;
@@ -2506,6 +2523,7 @@
   std::vector<RecordPatch>  patches;
   std::map<std::string, int64_t>  large;
   bool complete;
+  int64_t retained;
 
   _RevisionNotice__isset __isset;
 
@@ -2525,6 +2543,8 @@
 
   void __set_complete(const bool val);
 
+  void __set_retained(const int64_t val);
+
   bool operator == (const RevisionNotice & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -2543,6 +2563,8 @@
       return false;
     if (!(complete == rhs.complete))
       return false;
+    if (!(retained == rhs.retained))
+      return false;
     return true;
   }
   bool operator != (const RevisionNotice &rhs) const {
--- a/include/dandelionfall/core/control_message.h
+++ b/include/dandelionfall/core/control_message.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -128,6 +129,8 @@
   /// changed since the requested revision.
   bool m_IsFull = false;
   std::vector<StoreRecord> m_Records;
+  /// Configuration that the sender has in force and the store has lost.
+  std::optional<StoreRecord> m_Retained = std::nullopt;
 };
 
 /// Asks the receiver to send a `RevisionNotice` now, on each later revision and
@@ -139,6 +142,9 @@
   /// Whether the receiver should send patches of large records, too. A follower
   /// of several nodes lets one of them send these.
   bool m_WantsPatches = true;
+  /// Version of the configuration that the sender has in force and the store
+  /// has lost; 0 if there is none.
+  Version m_Retained = 0;
   friend bool operator==(const FollowRevisions &,
                          const FollowRevisions &) = default;
 };
@@ -181,6 +187,9 @@
   bool m_Refused = false;
   /// What changed since the last notice.
   RecordChanges m_Changes;
+  /// Version of the configuration that the sender has in force and the store
+  /// has lost; 0 if there is none. Sent in reply to a `RecordsPull`.
+  Version m_Retained = 0;
   friend bool operator==(const RevisionNotice &,
                          const RevisionNotice &) = default;
 };
--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -75,6 +75,8 @@
   ControlThreadBusy = 714,
   ControlTimerLate = 715,
   StoreReplyDropped = 716,
+  StoreHistoryReplaced = 717,
+  RecordRetained = 718,
 };
 
 /// Description of an event number.
--- a/include/dandelionfall/core/peer_pull.h
+++ b/include/dandelionfall/core/peer_pull.h
@@ -41,6 +41,8 @@
     m_PullSentAt.reset();
     m_PullNotBefore.reset();
   }
+  /// \returns the newest revision seen that is missing; 0 if there is none.
+  Revision newest() const { return m_Missing.newest(); }
   /// \param OwnRevision the node's own revision.
   /// \returns the address of the peer to pull from now, if any.
   std::optional<std::string> takeDuePeer(Revision OwnRevision, TimePoint Now);
--- a/include/dandelionfall/core/published.h
+++ b/include/dandelionfall/core/published.h
@@ -8,6 +8,7 @@
 #define DANDELIONFALL_CORE_PUBLISHED_H
 
 #include "dandelionfall/core/configuration.h"
+#include "dandelionfall/core/revision.h"
 #include "dandelionfall/core/time.h"
 
 #include <cstdint>
@@ -18,9 +19,6 @@
 
 namespace dandelionfall::core {
 
-/// Counter that a store increments with each change of any value.
-using Revision = std::uint64_t;
-
 /// A stored value, or a notice of its removal.
 struct StoreRecord {
   std::string m_Key;
@@ -51,6 +49,8 @@
   Duration m_ColdRemaining{0};
   /// Start of the target, in ms since the Unix epoch; 0 if not given.
   std::int64_t m_StartedAtMs = 0;
+  /// Counts what the target wrote since its start; 0 if not given.
+  std::uint64_t m_Sequence = 0;
   friend bool operator==(const TargetEntry &, const TargetEntry &) = default;
 };
 
--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -60,7 +60,14 @@
 
 /// Holds the records of a store as of one revision and derives the
 /// configuration from them. The revision and the version of the configuration
-/// never decrease. Not thread-safe.
+/// never decrease.
+///
+/// If the store begins another history, because it came back from an older copy
+/// or counts its revisions anew, the records of the new history replace the
+/// others. Kept are a higher version of the configuration, until the store has
+/// it again; for `LapseGrace` the targets and the availability zones taken out
+/// that the new history lacks; and for `DepartureMemory` which targets have
+/// left, so that their older entries are not used again. Not thread-safe.
 class Registry {
 public:
   /// \param Decoder decodes the records; must outlive this object.
@@ -72,6 +79,25 @@
   /// \returns whether anything but the revision changed.
   bool replaceAll(const std::vector<StoreRecord> &Records, Revision AsOf,
                   TimePoint Now);
+  /// \returns whether a listing can't be of the history of the records held,
+  /// although its revision is not lower.
+  /// \param Listed all records of the store.
+  /// \param HeldBefore revision that this registry held when the listing was
+  /// requested.
+  bool contradicts(const std::vector<StoreRecord> &Listed,
+                   Revision HeldBefore) const;
+  /// \returns the small record that was written last, up to the revision held.
+  std::optional<StoreRecord> newestSmallRecord() const;
+  /// \returns the key of the configuration in force; empty before the first.
+  const std::string &configurationKey() const { return m_InForce.m_Key; }
+  /// \returns the configuration in force if the store has lost it.
+  const std::optional<StoreRecord> &retained() const { return m_Retained; }
+  /// \returns the version of the retained configuration; 0 if there is none.
+  Version retainedVersion() const { return m_Retained ? version() : 0; }
+  /// Applies a configuration that another node has in force and the store has
+  /// lost, if its version is higher.
+  /// \returns whether it is in force now.
+  bool applyRetained(const StoreRecord &Record);
   /// Applies the changes up to a later revision. An earlier or equal revision
   /// is ignored.
   /// \returns whether anything but the revision changed.
@@ -107,8 +133,9 @@
   /// an outage are retained until they have had time to write their entries
   /// again.
   void onStoreReachable(bool Reachable, TimePoint Now);
-  /// Decodes large records, and removes lapsed targets that did not write their
-  /// entry within the grace period.
+  /// Decodes large records, and removes what a later history of the store, or
+  /// an outage, has left without a record and was not written again within the
+  /// grace period.
   /// \returns whether anything but the revision changed.
   bool onTick(TimePoint Now);
   /// \returns when `onTick` must be called next, if at all.
@@ -139,6 +166,21 @@
   std::vector<Event> takeEvents();
 
 private:
+  /// An availability zone that is out of service.
+  struct KnownZoneOut {
+    std::string m_Zone;
+    Revision m_Revision = 0;
+    /// Set if a later history of the store lacks the record: end of the grace
+    /// period for writing it again.
+    std::optional<TimePoint> m_LapsedUntil;
+  };
+  /// What is remembered of a target that has left.
+  struct Departure {
+    std::int64_t m_StartedAtMs = 0;
+    std::uint64_t m_Sequence = 0;
+    Revision m_Revision = 0;
+    TimePoint m_At;
+  };
   /// A target and the state derived from its records.
   struct KnownTarget {
     TargetEntry m_Entry;
@@ -167,7 +209,13 @@
   bool decodeDeferred(TimePoint Now);
   bool applyTarget(const StoreRecord &Record, const TargetEntry &Entry,
                    TimePoint Now);
-  bool applyPublished(std::shared_ptr<const PublishedConfiguration> Published);
+  bool applyPublished(const StoreRecord &Record,
+                      std::shared_ptr<const PublishedConfiguration> Published);
+  bool refuseVersion(const StoreRecord &Record, Version Offered);
+  bool isOutdated(const StoreRecord &Record, const TargetEntry &Entry) const;
+  void noteDeparture(const std::string &Key, const KnownTarget &Left,
+                     TimePoint Now);
+  void beginHistory(Revision AsOf, TimePoint Now);
   std::optional<TimePoint> lapseGraceEnd(TimePoint Now) const;
   std::vector<const KnownTarget *> usableTargets() const;
   Target makeTarget(const KnownTarget &Known) const;
@@ -193,7 +241,13 @@
   TargetsByKey m_Targets;
   /// Availability zones that are out of service, by the key of the record that
   /// takes them out.
-  std::map<std::string, std::string, std::less<>> m_ZonesOut;
+  std::map<std::string, KnownZoneOut, std::less<>> m_ZonesOut;
+  /// Record of the configuration in force.
+  StoreRecord m_InForce;
+  /// The same if the store has lost it.
+  std::optional<StoreRecord> m_Retained;
+  /// Targets that have left or are about to, by key.
+  std::map<std::string, Departure, std::less<>> m_Departures;
   bool m_StoreReachable = true;
   std::optional<TimePoint> m_ReachableSince;
   /// Small changes not yet taken, by key.
--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -7,6 +7,7 @@
 #include "dandelionfall/core/event.h"
 #include "dandelionfall/core/missing_revisions.h"
 #include "dandelionfall/core/published.h"
+#include "dandelionfall/core/store_history.h"
 
 #include <cstdint>
 #include <optional>
@@ -25,7 +26,7 @@
   Serializable,
 };
 
-/// Requests one page of all records.
+/// Requests one page of all records, or of those below a prefix.
 struct ListRecords {
   std::uint64_t m_Call = 0;
   /// Key after which the page begins; empty for the first page.
@@ -33,13 +34,15 @@
   /// Time without a byte of the reply after which the driver abandons the call.
   Duration m_Timeout{0};
   ReadConsistency m_Consistency = ReadConsistency::Linearizable;
+  /// Prefix of the listed keys; empty for all.
+  std::string m_Prefix;
   friend bool operator==(const ListRecords &, const ListRecords &) = default;
 };
 
-/// Requests the changes after a revision (long poll).
+/// Requests the changes after a counter of the store (long poll).
 struct WatchRecords {
   std::uint64_t m_Call = 0;
-  Revision m_After = 0;
+  StoreCounter m_After = 0;
   /// How long the store may wait for a change before it answers.
   Duration m_Wait{0};
   /// Time without a byte of the reply after which the driver abandons the call.
@@ -79,11 +82,15 @@
 struct StoreReply {
   std::uint64_t m_Call = 0;
   StoreOutcome m_Outcome = StoreOutcome::Failed;
+  /// Records with the store's counters as their revisions.
   std::vector<StoreRecord> m_Records;
-  /// Revision of the store when it answered.
-  Revision m_AsOf = 0;
+  /// Counter of the store when it answered.
+  StoreCounter m_AsOf = 0;
   /// Whether further pages follow.
   bool m_HasMore = false;
+  /// Number that rises each time the store is restored from a copy; empty if
+  /// the store states none.
+  std::optional<std::uint64_t> m_Era;
   /// Reason of a failure.
   std::string m_Fault;
 };
@@ -92,6 +99,8 @@
 struct RecordsRead {
   std::vector<StoreRecord> m_Records;
   Revision m_AsOf = 0;
+  /// Revision that this node held when it asked for them.
+  Revision m_HeldBefore = 0;
 };
 
 /// Reports the records changed since the last report.
@@ -112,7 +121,14 @@
 
 /// State machine that reads a store; performs no I/O itself. A watch returns
 /// each value written since, also those that were replaced; while large records
-/// change faster than they are read, the records are listed instead. Not
+/// change faster than they are read, the records are listed instead.
+///
+/// A store that comes back from an older copy, or counts its revisions anew,
+/// begins another history; its records are listed anew and replace those of
+/// the earlier one. This is the case if the store states another era, if a
+/// linearizable listing is below a revision that was known before the call, or
+/// if a record that this node holds is not as the store has it. After a failed
+/// call one record is compared, unless the store states its era. Not
 /// thread-safe.
 class StoreReader {
 public:
@@ -129,6 +145,25 @@
   /// Sets how the store is watched. A pending watch that is less current than
   /// the mode demands is replaced at once.
   void setMode(WatchMode Mode, TimePoint Now);
+  /// Handles the observation that another node follows a later history of the
+  /// store, and lists the records soon.
+  void onLaterHistory(HistoryNumber Found, TimePoint Now);
+  /// Handles a listing that contradicts the records held: the store has begun
+  /// another history.
+  /// \returns the listing as one of that history.
+  RecordsRead restart(RecordsRead Contradicting);
+  /// Lists the records if the store has disproved a revision.
+  /// \param Claimed revision that another node claims to hold.
+  /// \returns whether it has; the claim is then of an earlier history.
+  bool checkClaim(Revision Claimed, TimePoint Now);
+  /// Sets the record that is compared with the store's after a failed call: the
+  /// small one that was written last of those held.
+  void setEvidence(std::optional<StoreRecord> Held);
+  /// Sets the key that no complete listing lacks; empty for none.
+  void setRequiredKey(const std::string &Key) { m_RequiredKey = Key; }
+  /// \returns whether a call has failed since the store was last known to
+  /// continue the history.
+  bool isUnverified() const { return m_IsUnverified; }
   /// Handles the observation that the store has reached a revision. If the own
   /// watch does not bring it within `CatchUpDelay`, a new linearizable call
   /// reads it: the watch sees an old state or was lost.
@@ -150,24 +185,38 @@
   bool isReachable() const { return m_Reachable; }
   /// \returns the number of calls issued since the start.
   std::uint64_t calls() const { return m_LastCall; }
+  /// \returns the history of the store that is followed.
+  const StoreHistory &history() const { return m_History; }
   /// \returns the commands collected since the last call.
   std::vector<StoreReaderCommand> takeCommands();
 
 private:
+  /// Purpose of the pending call.
+  enum class Purpose : std::uint8_t { List, Watch, CompareRecord };
+
   bool needsNoCall() const;
   void endCall();
   void issueCall(TimePoint Now);
   void replaceCall(TimePoint Now);
+  Purpose nextPurpose() const;
   WatchRecords makeWatch() const;
+  void startListing(TimePoint Now);
+  bool continuesHistory(const StoreReply &Reply, TimePoint Now);
+  void onAnswer(TimePoint ConfirmedAt);
+  void onCompared(const StoreReply &Reply, TimePoint Now);
+  void finishListing(const StoreReply &Last, TimePoint Now);
+  bool provesNextHistory() const;
+  void listSuspected(const StoreReply &Reply, TimePoint Now);
+  void reportHistory(const char *Cause, StoreCounter AsOf);
   std::optional<TimePoint> catchUpAt() const;
   void setKnownRevision(Revision Known);
   void catchUp(TimePoint Now);
-  void dropDisproved(Revision AsOf);
+  void dropDisproved(StoreCounter AsOf);
   void onPage(StoreReply Reply, TimePoint Now);
   void onChanges(StoreReply Reply, TimePoint Now);
   void reportCaughtUp(const StoreReply &Reply, TimePoint Now);
   void reportFailure(const StoreReply &Reply, TimePoint Now);
-  void reportDropped(Revision AsOf);
+  void reportDropped(const StoreReply &Reply);
   void onFailure(const StoreReply &Reply, TimePoint Now);
   void setReachable(bool Reachable, const std::string &Cause);
 
@@ -177,6 +226,7 @@
   std::uint64_t m_LastCall = 0;
   /// Whether the last call has no reply yet.
   bool m_CallPending = false;
+  Purpose m_Purpose = Purpose::List;
   /// When the next call is issued; empty while a call is pending.
   std::optional<TimePoint> m_CallAt;
   WatchMode m_Mode = WatchMode::Alone;
@@ -200,18 +250,37 @@
   bool m_Watching = false;
   /// Revision up to which all changes were received.
   Revision m_KnownRevision = 0;
+  StoreHistory m_History;
+  /// When the present history was found, if it replaced another one.
+  std::optional<TimePoint> m_ReplacedAt;
+  /// Revision that was known when the last call, or the first page of a
+  /// listing, was requested.
+  Revision m_KnownAtCall = 0;
+  /// Small record that was read last; compared with the store's after a failed
+  /// call.
+  std::optional<StoreRecord> m_Evidence;
+  /// Key that no complete listing lacks; empty for none.
+  std::string m_RequiredKey;
+  /// Whether a call has failed since the store was last known to continue the
+  /// history.
+  bool m_IsUnverified = false;
+  /// Disproved revision that another node holds: a listing that is below it,
+  /// too, is of another history.
+  std::optional<Revision> m_CheckedClaim;
   /// Records of the pages received so far by an unfinished listing.
   std::vector<StoreRecord> m_ListedRecords;
   /// Key after which the next page begins.
   std::string m_NextPageAfter;
-  /// Revision of the first page. Pages are no consistent snapshot, so the watch
-  /// starts from this revision.
-  Revision m_FirstPageAsOf = 0;
+  /// Counter of the first page. Pages are no consistent snapshot, so the watch
+  /// starts from there.
+  StoreCounter m_FirstPageAsOf = 0;
+  /// When the first page arrived.
+  TimePoint m_FirstPageAt;
   /// Whether the next page is read again, because it was older than the first.
   bool m_PageWasStale = false;
   /// Consecutive failed calls.
   unsigned m_Failures = 0;
-  /// Consecutive replies that were below the known revision.
+  /// Consecutive replies that did not continue the known history.
   unsigned m_Dropped = 0;
   bool m_Reachable = true;
 };
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -62,14 +62,15 @@
 // A record without a value is a tombstone: the key was removed.
 struct StoreRecord { 1: string key, 2: i64 revision, 3: optional binary value }
 struct RecordsPull { 1: i64 have }
-struct RecordsPush { 1: i64 as_of, 2: bool whole, 3: list<StoreRecord> records }
-struct FollowRevisions { 1: i64 held, 2: bool wants_patches = true }
+struct RecordsPush { 1: i64 as_of, 2: bool whole, 3: list<StoreRecord> records, 4: optional StoreRecord retained }
+struct FollowRevisions { 1: i64 held, 2: bool wants_patches = true, 3: i64 retained = 0 }
 // The time is -1 if the store has not confirmed the revision.
 // Field 5 was a list of pieces in earlier versions.
 struct RecordPatch { 1: string key, 2: i64 revision, 3: i64 base, 4: i64 digest, 6: binary compressed }
 struct RevisionNotice {
   1: i64 revision, 2: i64 held, 3: i64 confirmed_ago_us = -1, 4: bool refused, 5: list<StoreRecord> records,
-  6: list<RecordPatch> patches, 7: map<string, i64> large, 8: bool complete
+  6: list<RecordPatch> patches, 7: map<string, i64> large, 8: bool complete,
+  9: i64 retained = 0
 }
 
 union Body {
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -150,8 +150,15 @@
               "The control thread came late to a timer."},
     EventInfo{EventId::StoreReplyDropped, "store-reply-dropped",
               Severity::Warning,
-              "The store answered as of a revision below the known one; only "
-              "the first of such replies in a row are logged."},
+              "A reply of the store does not continue the known history; the "
+              "records are listed. Only the first in a row are logged."},
+    EventInfo{EventId::StoreHistoryReplaced, "store-history-replaced",
+              Severity::Warning,
+              "The store came back from an older copy, or counts its revisions "
+              "anew; its records replace those of the earlier history."},
+    EventInfo{EventId::RecordRetained, "record-retained", Severity::Warning,
+              "The store has lost a record that is in force; it stays in force "
+              "until it is written again or a grace period ends."},
 };
 
 static_assert(std::is_sorted(Catalogue.begin(), Catalogue.end(),
--- a/src/core/registry/call_backoff.cpp
+++ b/src/core/registry/call_backoff.cpp
@@ -16,4 +16,9 @@
   return Duration(Jitter(Random));
 }
 
+Duration spreadDelay(Duration Spread, std::mt19937_64 &Random) {
+  std::uniform_int_distribution<Duration::rep> Jitter(0, Spread.count());
+  return Duration(Jitter(Random));
+}
+
 } // namespace dandelionfall::core::registry
--- a/src/core/registry/call_backoff.h
+++ b/src/core/registry/call_backoff.h
@@ -15,6 +15,10 @@
 /// \returns the delay before the next call.
 Duration retryDelay(unsigned Failures, std::mt19937_64 &Random);
 
+/// \param Spread time over which the calls of many nodes are spread.
+/// \returns a random delay of at most that time.
+Duration spreadDelay(Duration Spread, std::mt19937_64 &Random);
+
 } // namespace dandelionfall::core::registry
 
 #endif // DANDELIONFALL_SRC_CORE_REGISTRY_CALL_BACKOFF_H
--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -73,8 +73,8 @@
 
 void FeedFollower::sendFollow(Feed &Followed, bool WantsPatches) {
   Followed.m_WantsPatches = WantsPatches;
-  m_Commands.emplace_back(
-      SendControl{Followed.m_Link, FollowRevisions{m_Held, WantsPatches}});
+  m_Commands.emplace_back(SendControl{
+      Followed.m_Link, FollowRevisions{m_Held, WantsPatches, m_Retained}});
 }
 
 std::size_t FeedFollower::reliableFeeds(TimePoint Now) const {
--- a/src/core/registry/feed_follower.h
+++ b/src/core/registry/feed_follower.h
@@ -42,8 +42,12 @@
   /// Lets another feed send patches from now on: it has a record that the one
   /// which sends them does not have yet.
   void takePatchesFrom(LinkId Link, TimePoint Now);
-  /// Sets the revision up to which this node holds all records.
-  void setHeld(Revision Held) { m_Held = Held; }
+  /// Sets the revision up to which this node holds all records, and the version
+  /// of the configuration that it retains; 0 if there is none.
+  void setHeld(Revision Held, Version Retained) {
+    m_Held = Held;
+    m_Retained = Retained;
+  }
   /// Does not count a time for which this node was occupied or stood still as
   /// silence of the feeds.
   /// \param Delay lower bound of that time.
@@ -121,6 +125,7 @@
   std::optional<TimePoint> m_NextReviewAt;
   LinkId m_LastLink = 0;
   Revision m_Held = 0;
+  Version m_Retained = 0;
   bool m_Stopped = false;
   std::vector<FeedCommand> m_Commands;
 };
--- a/src/core/registry/feed_publisher.cpp
+++ b/src/core/registry/feed_publisher.cpp
@@ -51,12 +51,12 @@
     Changes.m_Patches.clear();
   m_Commands.emplace_back(SendControl{
       Link, RevisionNotice{Own.m_Revision, Own.m_Held, Now - *Own.m_ConfirmedAt,
-                           false, std::move(Changes)}});
+                           false, std::move(Changes), Own.m_Retained}});
 }
 
 void FeedPublisher::refuse(LinkId Link) {
   m_Commands.emplace_back(
-      SendControl{Link, RevisionNotice{0, 0, NeverCalled, true, {}}});
+      SendControl{Link, RevisionNotice{0, 0, NeverCalled, true, {}, 0}});
   m_Commands.emplace_back(CloseControlLink{Link});
 }
 
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -47,11 +47,20 @@
 /// Maximum delay between two calls. Together with the call timeout it limits
 /// how late the recovery of the store is detected.
 constexpr Duration MaxRetryDelay = std::chrono::milliseconds(800);
+/// Time after which no serializable call sees a history of the store that
+/// another one has replaced.
+constexpr Duration MaxStaleness = std::chrono::seconds(10);
+/// Time over which the nodes that learn of a later history of the store from
+/// others list its records.
+constexpr Duration HistoryListingSpread = std::chrono::milliseconds(400);
 /// Consecutive failed calls after which the store counts as unreachable.
 constexpr unsigned UnreachableAfterFailures = 2;
 /// Time after the recovery of the store within which running targets write
 /// their lapsed entries again.
 constexpr Duration LapseGrace = std::chrono::seconds(2);
+/// Time for which a target that has left is remembered. A copy from which a
+/// store is restored is seconds old.
+constexpr Duration DepartureMemory = std::chrono::minutes(1);
 
 /// Time for the response of a target that stops at the deadline to arrive. A
 /// request aborted sooner is indistinguishable from a broken connection.
@@ -72,6 +81,10 @@
 /// Time until the next seed is tried; a seed that no longer exists may not even
 /// refuse the connection.
 constexpr Duration SeedPullInterval = std::chrono::milliseconds(400);
+/// Nodes that a node asks for what they have in force when it starts.
+constexpr std::size_t InquiredNodes = 2;
+/// Time for them to reply. Short compared with the time for which callers wait.
+constexpr Duration StartInquiryTime = std::chrono::milliseconds(300);
 /// Time limit for the reply of a peer.
 constexpr Duration PeerPullTimeout = std::chrono::milliseconds(1000);
 
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -51,6 +51,8 @@
     return false;
   if (m_Revision == 0)
     m_RemovalHistoryStart = AsOf;
+  else if (historyOf(AsOf) > historyOf(m_Revision))
+    beginHistory(AsOf, Now);
   m_Revision = AsOf;
   std::set<std::string_view> Present;
   for (const StoreRecord &Record : Records)
@@ -83,20 +85,25 @@
 }
 
 bool Registry::applyPush(const RecordsPush &Push, TimePoint Now) {
-  if (Push.m_AsOf <= m_Revision)
-    return false;
   m_Origin = "peer";
+  const bool Retained = Push.m_Retained && applyRetained(*Push.m_Retained);
+  // Changes of another history don't follow on the records held.
+  if (Push.m_AsOf <= m_Revision ||
+      (!Push.m_IsFull && historyOf(Push.m_AsOf) != historyOf(m_Revision)))
+    return Retained;
   report(EventId::RecordsFromPeer,
-         "revision=" + std::to_string(Push.m_AsOf) +
-             " known=" + std::to_string(m_Revision) +
+         "revision=" + formatRevision(Push.m_AsOf) +
+             " known=" + formatRevision(m_Revision) +
              " records=" + std::to_string(Push.m_Records.size()));
-  return Push.m_IsFull ? replaceRecords(Push.m_Records, Push.m_AsOf, Now)
-                       : applyChanges(Push.m_Records, Push.m_AsOf, Now);
+  const bool Changed = Push.m_IsFull
+                           ? replaceRecords(Push.m_Records, Push.m_AsOf, Now)
+                           : applyChanges(Push.m_Records, Push.m_AsOf, Now);
+  return Changed || Retained;
 }
 
 RecordsPush Registry::makePush(Revision PeerRevision) const {
   const bool IsFull = PeerRevision < m_RemovalHistoryStart || PeerRevision == 0;
-  RecordsPush Result{m_Revision, IsFull, {}};
+  RecordsPush Result{m_Revision, IsFull, {}, m_Retained};
   if (!IsFull) {
     Result.m_Records = changesAfter(PeerRevision);
     return Result;
@@ -172,16 +179,20 @@
     return applyTarget(Record, *Entry, Now);
   if (auto *Published =
           std::get_if<std::shared_ptr<const PublishedConfiguration>>(&Decoded))
-    return applyPublished(std::move(*Published));
+    return applyPublished(Record, std::move(*Published));
   if (const auto *ZoneOut = std::get_if<ZoneOutRecord>(&Decoded)) {
-    m_ZonesOut.insert_or_assign(Record.m_Key, ZoneOut->m_Zone);
-    report(EventId::ZoneTakenOut, "zone=" + ZoneOut->m_Zone + " revision=" +
-                                      std::to_string(Record.m_Revision));
+    const bool IsNew = !m_ZonesOut.contains(Record.m_Key);
+    m_ZonesOut.insert_or_assign(
+        Record.m_Key,
+        KnownZoneOut{ZoneOut->m_Zone, Record.m_Revision, std::nullopt});
+    if (IsNew)
+      report(EventId::ZoneTakenOut, "zone=" + ZoneOut->m_Zone + " revision=" +
+                                        formatRevision(Record.m_Revision));
     return true;
   }
   if (const auto *Unreadable = std::get_if<UnreadableRecord>(&Decoded))
     report(EventId::RecordRefused, "key=" + Record.m_Key + " revision=" +
-                                       std::to_string(Record.m_Revision) +
+                                       formatRevision(Record.m_Revision) +
                                        " fault=" + Unreadable->m_Fault);
   // A target whose entry was overwritten by an unreadable record stays
   // unchanged until its next valid entry or its removal.
@@ -190,6 +201,8 @@
 
 bool Registry::applyTarget(const StoreRecord &Record, const TargetEntry &Entry,
                            TimePoint Now) {
+  if (isOutdated(Record, Entry))
+    return false;
   KnownTarget Updated{Entry, Record.m_Revision, std::nullopt, std::nullopt};
   if (Entry.m_ColdRemaining > Duration{0})
     Updated.m_ColdUntil = Now + Entry.m_ColdRemaining;
@@ -201,30 +214,31 @@
   if (IsNew)
     report(EventId::TargetListed,
            describeTarget(Entry) +
-               " revision=" + std::to_string(Record.m_Revision) +
+               " revision=" + formatRevision(Record.m_Revision) +
                " cold_us=" + std::to_string(Entry.m_ColdRemaining.count()));
   if (StartsDraining)
     report(EventId::TargetDraining, describeTarget(Entry) + " revision=" +
-                                        std::to_string(Record.m_Revision));
+                                        formatRevision(Record.m_Revision));
+  if (Entry.m_Draining)
+    noteDeparture(Record.m_Key, Updated, Now);
   m_Targets.insert_or_assign(Record.m_Key, std::move(Updated));
   return true;
 }
 
 bool Registry::applyPublished(
+    const StoreRecord &Record,
     std::shared_ptr<const PublishedConfiguration> Published) {
-  if (Published->m_Version <= version()) {
-    report(EventId::ConfigurationRefused,
-           "version=" + std::to_string(Published->m_Version) + " in_force=" +
-               std::to_string(version()) + " fault=the version is not newer");
-    return false;
-  }
+  if (Published->m_Version <= version())
+    return refuseVersion(Record, Published->m_Version);
+  m_InForce = Record;
+  m_Retained.reset();
   m_Published = std::move(Published);
   Configuration Routes;
   Routes.m_SplitRoutes = m_Published->m_Routes;
   m_RouteIndex = makeRouteIndex(Routes);
   report(EventId::ConfigurationApplied,
          "version=" + std::to_string(m_Published->m_Version) +
-             " revision=" + std::to_string(m_Revision) +
+             " revision=" + formatRevision(m_Revision) +
              " routes=" + std::to_string(m_Published->m_Routes->size()));
   return true;
 }
@@ -248,8 +262,15 @@
   m_SmallChanges.insert_or_assign(Key, StoreRecord{Key, At, nullptr});
   const auto Zone = m_ZonesOut.find(Key);
   if (Zone != m_ZonesOut.end()) {
+    if (historyOf(At) > historyOf(Zone->second.m_Revision)) {
+      Zone->second.m_LapsedUntil = Now + LapseGrace;
+      report(EventId::RecordRetained,
+             "key=" + Key + " revision=" + formatRevision(At) +
+                 " kept_us=" + std::to_string(LapseGrace.count()));
+      return false;
+    }
     report(EventId::ZoneTakenBack,
-           "zone=" + Zone->second + " revision=" + std::to_string(m_Revision));
+           "zone=" + Zone->second.m_Zone + " revision=" + formatRevision(At));
     m_ZonesOut.erase(Zone);
     return true;
   }
@@ -257,17 +278,20 @@
   if (Known == m_Targets.end())
     return false;
   KnownTarget &Removed = Known->second;
-  const std::optional<TimePoint> GraceEnd = lapseGraceEnd(Now);
+  const bool IsLost = historyOf(At) > historyOf(Removed.m_Revision);
+  const std::optional<TimePoint> GraceEnd =
+      IsLost ? Now + LapseGrace : lapseGraceEnd(Now);
   if (GraceEnd && !Removed.m_Entry.m_Draining) {
     Removed.m_LapsedUntil = GraceEnd;
     report(EventId::TargetLapsed,
            describeTarget(Removed.m_Entry) +
-               " revision=" + std::to_string(m_Revision) +
+               " revision=" + formatRevision(m_Revision) +
                " kept_us=" + std::to_string((*GraceEnd - Now).count()));
     return false;
   }
   report(EventId::TargetRemoved, describeTarget(Removed.m_Entry) +
-                                     " revision=" + std::to_string(m_Revision));
+                                     " revision=" + formatRevision(m_Revision));
+  noteDeparture(Key, Removed, Now);
   m_Targets.erase(Known);
   return true;
 }
@@ -294,26 +318,41 @@
 bool Registry::onTick(TimePoint Now) {
   const bool Decoded = decodeDeferred(Now);
   m_Origin = "timer";
+  const auto IsOver = [Now](const auto &Known) {
+    return Known.m_LapsedUntil && Now >= *Known.m_LapsedUntil;
+  };
   const auto Removed = std::erase_if(m_Targets, [&](const auto &Each) {
-    const KnownTarget &Known = Each.second;
-    if (!Known.m_LapsedUntil || Now < *Known.m_LapsedUntil)
+    if (!IsOver(Each.second))
       return false;
     report(EventId::TargetRemoved,
-           describeTarget(Known.m_Entry) +
+           describeTarget(Each.second.m_Entry) +
                " cause=its entry lapsed and was not written again");
+    noteDeparture(Each.first, Each.second, Now);
     return true;
   });
-  return Decoded || Removed > 0;
+  const auto TakenBack = std::erase_if(m_ZonesOut, [&](const auto &Each) {
+    if (!IsOver(Each.second))
+      return false;
+    report(EventId::ZoneTakenBack,
+           "zone=" + Each.second.m_Zone +
+               " cause=its record was lost and not written again");
+    return true;
+  });
+  return Decoded || Removed > 0 || TakenBack > 0;
 }
 
 std::optional<TimePoint> Registry::nextWakeUp() const {
   if (!m_Deferred.empty())
     return m_DeferredSince;
   std::optional<TimePoint> Next;
-  for (const auto &[Key, Known] : m_Targets) {
+  const auto Include = [&Next](const auto &Known) {
     if (Known.m_LapsedUntil && (!Next || *Known.m_LapsedUntil < *Next))
       Next = Known.m_LapsedUntil;
-  }
+  };
+  for (const auto &[Key, Known] : m_Targets)
+    Include(Known);
+  for (const auto &[Key, Known] : m_ZonesOut)
+    Include(Known);
   return Next;
 }
 
@@ -419,10 +458,10 @@
                                 Zone{New.m_Zone, "", ZoneState::In});
     Found->second->m_Targets.push_back(std::move(New));
   }
-  for (const auto &[Key, ZoneName] : m_ZonesOut)
+  for (const auto &[Key, Known] : m_ZonesOut)
     Result->m_Zones.insert_or_assign(
-        ZoneName,
-        Zone{ZoneName, Result->m_Zones[ZoneName].m_Region, ZoneState::Out});
+        Known.m_Zone, Zone{Known.m_Zone, Result->m_Zones[Known.m_Zone].m_Region,
+                           ZoneState::Out});
   for (auto &[Name, New] : Services)
     Result->m_Services.emplace(std::string(Name), std::move(New));
   Result->m_SplitRoutes = m_Published->m_Routes;
--- a/src/core/registry/registry_feed.cpp
+++ b/src/core/registry/registry_feed.cpp
@@ -21,7 +21,7 @@
   for (const RecordPatch &Each : Changes.m_Patches)
     Changed |= applyPatch(Each, Now);
   if (Changes.m_IsComplete && Held > m_Revision && m_Revision > 0 &&
-      holdsAll(Changes.m_Large))
+      historyOf(Held) == historyOf(m_Revision) && holdsAll(Changes.m_Large))
     m_Revision = Held;
   return Changed;
 }
@@ -59,7 +59,7 @@
   auto Value = core::applyPatch(*Base->m_Value, Patch.m_Patch, MaxPatchedBytes);
   if (!Value) {
     report(EventId::RecordRefused, "key=" + Patch.m_Key + " revision=" +
-                                       std::to_string(Patch.m_Revision) +
+                                       formatRevision(Patch.m_Revision) +
                                        " fault=a patch does not fit its base");
     return false;
   }
--- /dev/null
+++ b/src/core/registry/registry_history.cpp
@@ -0,0 +1,117 @@
+#include "core/registry/limits.h"
+#include "dandelionfall/core/registry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionfall::core {
+
+using namespace registry;
+
+bool Registry::contradicts(const std::vector<StoreRecord> &Listed,
+                           Revision HeldBefore) const {
+  if (HeldBefore == 0)
+    return false;
+  return std::any_of(
+      Listed.begin(), Listed.end(), [&](const StoreRecord &Each) {
+        if (Each.m_Revision > HeldBefore ||
+            historyOf(Each.m_Revision) != historyOf(HeldBefore))
+          return false;
+        const auto Known = m_Records.find(Each.m_Key);
+        if (Known != m_Records.end())
+          return Known->second.m_Revision <= HeldBefore &&
+                 !(Known->second == Each);
+        const auto Removed = m_Removed.find(Each.m_Key);
+        return Removed == m_Removed.end() || Removed->second <= HeldBefore;
+      });
+}
+
+std::optional<StoreRecord> Registry::newestSmallRecord() const {
+  const StoreRecord *Newest = nullptr;
+  for (const auto &[Key, Record] : m_Records) {
+    if (isSmall(Record) && Record.m_Revision <= m_Revision &&
+        (Newest == nullptr || Newest->m_Revision < Record.m_Revision))
+      Newest = &Record;
+  }
+  if (Newest == nullptr)
+    return std::nullopt;
+  return *Newest;
+}
+
+// Revisions of the earlier history can't tell followers what they lack.
+void Registry::beginHistory(Revision AsOf, TimePoint Now) {
+  m_RemovalHistoryStart = AsOf;
+  m_Removed.clear();
+  std::erase_if(m_Departures, [Now](const auto &Each) {
+    return Now >= Each.second.m_At + DepartureMemory;
+  });
+}
+
+// A record that is back in a later history is as old as the copy that the store
+// was restored from.
+bool Registry::isOutdated(const StoreRecord &Record,
+                          const TargetEntry &Entry) const {
+  const auto Found = m_Departures.find(Record.m_Key);
+  if (Found == m_Departures.end())
+    return false;
+  const Departure &Left = Found->second;
+  return historyOf(Record.m_Revision) > historyOf(Left.m_Revision) &&
+         Left.m_StartedAtMs == Entry.m_StartedAtMs &&
+         Entry.m_Sequence <= Left.m_Sequence;
+}
+
+void Registry::noteDeparture(const std::string &Key, const KnownTarget &Left,
+                             TimePoint Now) {
+  if (m_Departures.size() >= MaxRemovalHistory)
+    std::erase_if(m_Departures, [Now](const auto &Each) {
+      return Now >= Each.second.m_At + DepartureMemory;
+    });
+  if (m_Departures.size() >= MaxRemovalHistory)
+    m_Departures.erase(
+        std::min_element(m_Departures.begin(), m_Departures.end(),
+                         [](const auto &First, const auto &Second) {
+                           return First.second.m_At < Second.second.m_At;
+                         }));
+  m_Departures.insert_or_assign(Key, Departure{Left.m_Entry.m_StartedAtMs,
+                                               Left.m_Entry.m_Sequence,
+                                               Left.m_Revision, Now});
+}
+
+bool Registry::refuseVersion(const StoreRecord &Record, Version Offered) {
+  const bool IsLater =
+      historyOf(Record.m_Revision) > historyOf(m_InForce.m_Revision);
+  if (Offered == version() && (IsLater || m_Retained)) {
+    m_InForce = Record;
+    m_Retained.reset();
+    return false;
+  }
+  if (IsLater) {
+    m_Retained = m_InForce;
+    report(EventId::RecordRetained,
+           "key=" + Record.m_Key + " version=" + std::to_string(version()) +
+               " offered=" + std::to_string(Offered) +
+               " revision=" + formatRevision(Record.m_Revision) +
+               " until=the store has this version or a higher one");
+    return false;
+  }
+  report(EventId::ConfigurationRefused,
+         "version=" + std::to_string(Offered) + " in_force=" +
+             std::to_string(version()) + " fault=the version is not newer");
+  return false;
+}
+
+bool Registry::applyRetained(const StoreRecord &Record) {
+  if (Record.m_Value == nullptr)
+    return false;
+  DecodedRecord Decoded = m_Decoder.decode(Record);
+  auto *Published =
+      std::get_if<std::shared_ptr<const PublishedConfiguration>>(&Decoded);
+  if (Published == nullptr || (*Published)->m_Version <= version())
+    return false;
+  m_Origin = "peer";
+  applyPublished(Record, std::move(*Published));
+  m_Retained = Record;
+  return true;
+}
+
+} // namespace dandelionfall::core
--- a/src/core/registry/revision_feed.h
+++ b/src/core/registry/revision_feed.h
@@ -20,6 +20,9 @@
   /// Revision up to which the node itself holds all records.
   Revision m_Held = 0;
   std::optional<TimePoint> m_ConfirmedAt;
+  /// Version of the configuration that the node has in force and the store has
+  /// lost; 0 if there is none.
+  Version m_Retained = 0;
   friend bool operator==(const ConfirmedRevision &,
                          const ConfirmedRevision &) = default;
 };
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -79,12 +79,29 @@
 WatchRecords StoreReader::makeWatch() const {
   const bool IsTold =
       m_Mode == WatchMode::Following || m_Mode == WatchMode::Fed;
-  const ModeRow &Row =
-      rowOf(m_CatchingUp && IsTold ? WatchMode::Alone : m_Mode);
+  const bool MayBeOutdated =
+      m_ReplacedAt && m_CalledAt < *m_ReplacedAt + MaxStaleness;
+  const ModeRow &Row = rowOf(
+      (m_CatchingUp || MayBeOutdated) && IsTold ? WatchMode::Alone : m_Mode);
   const Duration Wait =
       m_AnswerAtOnce || m_Failures > 0 ? Duration{0} : Row.m_Wait;
-  return {m_LastCall,         m_KnownRevision,   Wait,
-          Wait + CallTimeout, Row.m_Consistency, ""};
+  return {m_LastCall,
+          m_History.counterIn(m_KnownRevision),
+          Wait,
+          Wait + CallTimeout,
+          Row.m_Consistency,
+          ""};
+}
+
+// A store that was away for a moment may have come back from an older copy and
+// have passed the known revision since.
+StoreReader::Purpose StoreReader::nextPurpose() const {
+  if (!m_Watching || m_ListsInstead)
+    return Purpose::List;
+  if (m_IsUnverified && m_Evidence && !m_History.hasEra() &&
+      makeWatch().m_Consistency == ReadConsistency::Linearizable)
+    return Purpose::CompareRecord;
+  return Purpose::Watch;
 }
 
 bool StoreReader::needsNoCall() const {
@@ -108,19 +125,40 @@
   m_CalledAt = Now;
   ++m_LastCall;
   m_LastWatch.reset();
-  if (m_Watching && !m_ListsInstead) {
+  m_Purpose = nextPurpose();
+  if (m_NextPageAfter.empty())
+    m_KnownAtCall = m_KnownRevision;
+  if (m_Purpose == Purpose::Watch) {
     m_LastWatch = makeWatch();
     m_LastConsistency = m_LastWatch->m_Consistency;
     m_Commands.emplace_back(*m_LastWatch);
     return;
   }
+  if (m_Purpose == Purpose::CompareRecord) {
+    m_LastConsistency = ReadConsistency::Linearizable;
+    m_Commands.emplace_back(ListRecords{m_LastCall, "", CallTimeout,
+                                        m_LastConsistency, m_Evidence->m_Key});
+    return;
+  }
   // A later page may be read serializably, since its revision shows whether it
-  // is at least as new as the first one.
-  m_LastConsistency = m_NextPageAfter.empty() || m_PageWasStale
-                          ? ReadConsistency::Linearizable
-                          : ReadConsistency::Serializable;
-  m_Commands.emplace_back(
-      ListRecords{m_LastCall, m_NextPageAfter, CallTimeout, m_LastConsistency});
+  // is at least as new as the first one. Right after the counter went back such
+  // a state can be of the earlier history.
+  m_LastConsistency =
+      m_NextPageAfter.empty() || m_PageWasStale || provesNextHistory()
+          ? ReadConsistency::Linearizable
+          : ReadConsistency::Serializable;
+  m_Commands.emplace_back(ListRecords{m_LastCall, m_NextPageAfter, CallTimeout,
+                                      m_LastConsistency, ""});
+}
+
+void StoreReader::startListing(TimePoint Now) {
+  m_Watching = false;
+  m_ListsInstead = false;
+  m_ListedRecords.clear();
+  m_NextPageAfter.clear();
+  if (std::exchange(m_CallPending, false))
+    m_Commands.emplace_back(AbandonCall{m_LastCall});
+  issueCall(Now);
 }
 
 void StoreReader::replaceCall(TimePoint Now) {
@@ -155,9 +193,9 @@
 
 // A linearizable reply is as of a moment after any revision seen before its
 // call.
-void StoreReader::dropDisproved(Revision AsOf) {
+void StoreReader::dropDisproved(StoreCounter AsOf) {
   const Revision Highest = m_Missing.removeSeenUntil(m_CalledAt);
-  if (Highest > AsOf)
+  if (Highest > m_History.revisionOf(AsOf))
     m_DisprovedRevision = Highest;
 }
 
@@ -185,8 +223,8 @@
   m_Commands.emplace_back(
       Event{EventId::FollowerBehind,
             std::string("mode=") + nameOf(m_Mode) +
-                " known_revision=" + std::to_string(m_KnownRevision) +
-                " seen=" + std::to_string(m_Missing.newest())});
+                " known_revision=" + formatRevision(m_KnownRevision) +
+                " seen=" + formatRevision(m_Missing.newest())});
   replaceCall(Now);
 }
 
@@ -197,40 +235,96 @@
   const bool IsTooLarge = Reply.m_Outcome == StoreOutcome::TooLarge;
   if (Reply.m_Outcome == StoreOutcome::Failed || (IsTooLarge && !m_LastWatch))
     return onFailure(Reply, Now);
-  m_Failures = 0;
-  setReachable(true, "");
-  const bool IsLinearizable =
-      m_LastConsistency == ReadConsistency::Linearizable;
-  if (IsLinearizable)
-    m_ConfirmedAt = Now;
-  if (IsLinearizable && m_LastWatch)
-    m_CatchingUp = false;
-  if (IsLinearizable && Reply.m_Outcome == StoreOutcome::Answered)
-    dropDisproved(Reply.m_AsOf);
+  if (!continuesHistory(Reply, Now))
+    return;
   if (Reply.m_Outcome == StoreOutcome::HistoryCompacted) {
+    m_Failures = 0;
     // A replica of the store that lags behind can refuse a serializable watch
     // after every listing.
-    m_CatchingUp = !IsLinearizable;
-    m_Watching = false;
-    m_ListedRecords.clear();
-    m_NextPageAfter.clear();
-    return issueCall(Now);
+    m_CatchingUp = m_LastConsistency != ReadConsistency::Linearizable;
+    return startListing(Now);
   }
   if (IsTooLarge) {
     // The same watch would return more each time.
+    onAnswer(Now);
+    if (m_LastConsistency == ReadConsistency::Linearizable)
+      m_CatchingUp = false;
     reportFailure(Reply, Now);
     m_ListsInstead = true;
     m_Watching = false;
     return issueCall(Now);
   }
-  if (m_LastWatch)
+  if (m_Purpose == Purpose::Watch)
     return onChanges(std::move(Reply), Now);
+  if (m_Purpose == Purpose::CompareRecord)
+    return onCompared(Reply, Now);
   onPage(std::move(Reply), Now);
 }
 
+void StoreReader::onAnswer(TimePoint ConfirmedAt) {
+  m_Failures = 0;
+  setReachable(true, "");
+  if (m_LastConsistency == ReadConsistency::Linearizable ||
+      m_Purpose == Purpose::List)
+    m_ConfirmedAt = ConfirmedAt;
+}
+
+bool StoreReader::continuesHistory(const StoreReply &Reply, TimePoint Now) {
+  const bool IsCurrent = m_LastConsistency == ReadConsistency::Linearizable;
+  const StoreHistory::Relation Found = m_History.onEra(Reply.m_Era, IsCurrent);
+  if (Found == StoreHistory::Relation::Same)
+    return true;
+  if (Found == StoreHistory::Relation::Earlier) {
+    reportDropped(Reply);
+    m_CatchingUp = true;
+    m_PageWasStale = m_Purpose == Purpose::List;
+    m_CallAt = Now + retryDelay(m_Dropped, m_Random);
+    return false;
+  }
+  reportHistory("era", Reply.m_AsOf);
+  if (m_Purpose == Purpose::List && m_NextPageAfter.empty() &&
+      Reply.m_Outcome == StoreOutcome::Answered)
+    return true;
+  startListing(Now);
+  return false;
+}
+
+void StoreReader::onCompared(const StoreReply &Reply, TimePoint Now) {
+  const bool IsHeld =
+      Reply.m_AsOf >= m_History.counterIn(m_KnownAtCall) &&
+      std::any_of(Reply.m_Records.begin(), Reply.m_Records.end(),
+                  [&](const StoreRecord &Each) {
+                    return Each.m_Key == m_Evidence->m_Key &&
+                           m_History.revisionOf(Each.m_Revision) ==
+                               m_Evidence->m_Revision &&
+                           Each.m_Value != nullptr &&
+                           *Each.m_Value == *m_Evidence->m_Value;
+                  });
+  if (!IsHeld)
+    return listSuspected(Reply, Now);
+  onAnswer(Now);
+  m_IsUnverified = false;
+  issueCall(Now);
+}
+
+// Either the record has been written or removed since, or the store has begun
+// another history; a listing shows which.
+void StoreReader::listSuspected(const StoreReply &Reply, TimePoint Now) {
+  reportDropped(Reply);
+  m_Watching = false;
+  m_ListedRecords.clear();
+  m_NextPageAfter.clear();
+  if (m_Dropped <= 1)
+    return issueCall(Now);
+  m_CallAt = Now + retryDelay(m_Dropped, m_Random);
+}
+
 void StoreReader::onPage(StoreReply Reply, TimePoint Now) {
-  if (m_NextPageAfter.empty())
+  if (m_NextPageAfter.empty()) {
     m_FirstPageAsOf = Reply.m_AsOf;
+    m_FirstPageAt = Now;
+    dropDisproved(Reply.m_AsOf);
+  }
   m_PageWasStale = Reply.m_AsOf < m_FirstPageAsOf;
   if (m_PageWasStale)
     return issueCall(Now);
@@ -243,16 +337,47 @@
   if (More)
     return issueCall(Now);
   m_NextPageAfter.clear();
+  finishListing(Reply, Now);
+}
+
+bool StoreReader::provesNextHistory() const {
+  return m_FirstPageAsOf < m_History.counterIn(m_KnownAtCall) ||
+         (m_CheckedClaim &&
+          m_FirstPageAsOf < m_History.counterIn(*m_CheckedClaim));
+}
+
+void StoreReader::finishListing(const StoreReply &Last, TimePoint Now) {
+  const bool IsComplete =
+      m_RequiredKey.empty() ||
+      std::any_of(m_ListedRecords.begin(), m_ListedRecords.end(),
+                  [this](const StoreRecord &Each) {
+                    return Each.m_Key == m_RequiredKey;
+                  });
+  if (!IsComplete) {
+    // A store that has just returned may not have loaded its records yet.
+    m_ListedRecords.clear();
+    StoreReply Partial;
+    Partial.m_AsOf = Last.m_AsOf;
+    Partial.m_Fault = "a listing without " + m_RequiredKey;
+    return onFailure(Partial, Now);
+  }
+  onAnswer(m_FirstPageAt);
   m_Watching = true;
+  m_IsUnverified = false;
+  if (provesNextHistory()) {
+    m_History.startNext();
+    reportHistory("counter", m_FirstPageAsOf);
+  }
+  m_CheckedClaim.reset();
+  const Revision AsOf = m_History.revisionOf(m_FirstPageAsOf);
+  for (StoreRecord &Each : m_ListedRecords)
+    Each.m_Revision = m_History.revisionOf(Each.m_Revision);
   m_ListsInstead = m_ListsInstead && !needsNoCall() &&
                    hasLargeAfter(m_ListedRecords, m_KnownRevision);
-  if (m_FirstPageAsOf < m_KnownRevision) {
-    reportDropped(m_FirstPageAsOf);
-  } else {
-    m_Dropped = 0;
-    setKnownRevision(m_FirstPageAsOf);
+  if (AsOf >= m_KnownRevision) {
+    setKnownRevision(AsOf);
     m_Commands.emplace_back(
-        RecordsRead{std::exchange(m_ListedRecords, {}), m_FirstPageAsOf});
+        RecordsRead{std::exchange(m_ListedRecords, {}), AsOf, m_KnownAtCall});
   }
   m_ListedRecords.clear();
   if (!m_ListsInstead)
@@ -261,21 +386,26 @@
 }
 
 void StoreReader::onChanges(StoreReply Reply, TimePoint Now) {
-  if (m_LastConsistency == ReadConsistency::Linearizable &&
-      Reply.m_AsOf < m_KnownRevision)
-    reportDropped(Reply.m_AsOf);
-  if (Reply.m_AsOf > m_KnownRevision) {
+  if (m_LastConsistency == ReadConsistency::Linearizable) {
+    if (Reply.m_AsOf < m_LastWatch->m_After)
+      return listSuspected(Reply, Now);
+    m_CatchingUp = false;
     m_Dropped = 0;
+    dropDisproved(Reply.m_AsOf);
+  }
+  onAnswer(Now);
+  const Revision AsOf = m_History.revisionOf(Reply.m_AsOf);
+  for (StoreRecord &Each : Reply.m_Records)
+    Each.m_Revision = m_History.revisionOf(Each.m_Revision);
+  if (AsOf > m_KnownRevision) {
     reportCaughtUp(Reply, Now);
-    setKnownRevision(Reply.m_AsOf);
+    setKnownRevision(AsOf);
     if (!needsNoCall() && hasReplacedLarge(Reply.m_Records)) {
-      m_Commands.emplace_back(
-          RecordsChanged{std::move(Reply.m_Records), Reply.m_AsOf});
+      m_Commands.emplace_back(RecordsChanged{std::move(Reply.m_Records), AsOf});
       m_ListsInstead = true;
       return issueCall(Now);
     }
-    m_Commands.emplace_back(
-        RecordsChanged{std::move(Reply.m_Records), Reply.m_AsOf});
+    m_Commands.emplace_back(RecordsChanged{std::move(Reply.m_Records), AsOf});
     if (!needsNoCall())
       m_CallAt = Now + rowOf(m_Mode).m_Interval;
     return;
@@ -289,34 +419,91 @@
   issueCall(Now);
 }
 
+RecordsRead StoreReader::restart(RecordsRead Contradicting) {
+  const StoreCounter AsOf = counterOf(Contradicting.m_AsOf);
+  m_History.startNext();
+  reportHistory("record", AsOf);
+  for (StoreRecord &Each : Contradicting.m_Records)
+    Each.m_Revision = m_History.revisionOf(counterOf(Each.m_Revision));
+  Contradicting.m_AsOf = m_History.revisionOf(AsOf);
+  setKnownRevision(Contradicting.m_AsOf);
+  return Contradicting;
+}
+
+void StoreReader::onLaterHistory(HistoryNumber Found, TimePoint Now) {
+  const HistoryNumber Before = m_History.number();
+  if (!m_History.follow(Found))
+    return;
+  m_Commands.emplace_back(
+      Event{EventId::StoreHistoryReplaced,
+            "history=" + std::to_string(Found) +
+                " previous=" + std::to_string(Before) + " cause=node" +
+                " known_revision=" + formatRevision(m_KnownRevision)});
+  m_ReplacedAt = Now;
+  endCall();
+  m_Watching = false;
+  m_ListedRecords.clear();
+  m_NextPageAfter.clear();
+  // Many nodes learn of it at the same time.
+  m_CallAt = Now + spreadDelay(HistoryListingSpread, m_Random);
+}
+
+bool StoreReader::checkClaim(Revision Claimed, TimePoint Now) {
+  if (!m_Watching || historyOf(Claimed) != m_History.number() ||
+      Claimed > m_DisprovedRevision || Claimed <= m_KnownRevision)
+    return false;
+  m_CheckedClaim = Claimed;
+  startListing(Now);
+  return true;
+}
+
+void StoreReader::setEvidence(std::optional<StoreRecord> Held) {
+  // The pending call compares the previous one.
+  if (!m_CallPending || m_Purpose != Purpose::CompareRecord)
+    m_Evidence = std::move(Held);
+}
+
 void StoreReader::reportCaughtUp(const StoreReply &Reply, TimePoint Now) {
   const std::optional<TimePoint> SeenAt = m_Missing.oldestSeenAt();
   if (!SeenAt || m_LastConsistency != ReadConsistency::Linearizable)
     return;
   m_Commands.emplace_back(
       Event{EventId::FollowerCaughtUp,
-            "revision=" + std::to_string(Reply.m_AsOf) +
+            "revision=" + formatRevision(m_History.revisionOf(Reply.m_AsOf)) +
                 " missing_us=" + std::to_string((Now - *SeenAt).count()) +
                 " elapsed_us=" + std::to_string((Now - m_CalledAt).count()) +
                 " records=" + std::to_string(Reply.m_Records.size()) +
                 " bytes=" + std::to_string(bytesOf(Reply.m_Records))});
 }
 
-void StoreReader::reportDropped(Revision AsOf) {
+void StoreReader::reportDropped(const StoreReply &Reply) {
   if (++m_Dropped > MaxLoggedFailures)
     return;
-  m_Commands.emplace_back(Event{
-      EventId::StoreReplyDropped,
-      std::string("mode=") + nameOf(m_Mode) + " known_revision=" +
-          std::to_string(m_KnownRevision) + " as_of=" + std::to_string(AsOf) +
-          " calls=" + std::to_string(m_LastCall)});
+  m_Commands.emplace_back(
+      Event{EventId::StoreReplyDropped,
+            std::string("mode=") + nameOf(m_Mode) +
+                " known_revision=" + formatRevision(m_KnownRevision) +
+                " as_of=" + std::to_string(Reply.m_AsOf) +
+                " calls=" + std::to_string(m_LastCall)});
+}
+
+void StoreReader::reportHistory(const char *Cause, StoreCounter AsOf) {
+  if (m_KnownRevision == 0)
+    return;
+  m_ReplacedAt = m_CalledAt;
+  m_Commands.emplace_back(
+      Event{EventId::StoreHistoryReplaced,
+            "history=" + std::to_string(m_History.number()) + " previous=" +
+                std::to_string(historyOf(m_KnownRevision)) + " cause=" + Cause +
+                " known_revision=" + formatRevision(m_KnownRevision) +
+                " as_of=" + std::to_string(AsOf)});
 }
 
 void StoreReader::reportFailure(const StoreReply &Reply, TimePoint Now) {
   m_Commands.emplace_back(
       Event{EventId::StoreCallFailed,
             std::string("mode=") + nameOf(m_Mode) +
-                " known_revision=" + std::to_string(m_KnownRevision) +
+                " known_revision=" + formatRevision(m_KnownRevision) +
                 " elapsed_us=" + std::to_string((Now - m_CalledAt).count()) +
                 " failures=" + std::to_string(m_Failures) +
                 " cause=" + Reply.m_Fault});
@@ -324,6 +511,7 @@
 
 void StoreReader::onFailure(const StoreReply &Reply, TimePoint Now) {
   ++m_Failures;
+  m_IsUnverified = true;
   if (m_Failures <= MaxLoggedFailures)
     reportFailure(Reply, Now);
   if (m_Failures >= UnreachableAfterFailures)
@@ -334,8 +522,11 @@
 void StoreReader::onPeerRecords(Revision AsOf, TimePoint Now) {
   if (AsOf <= m_KnownRevision)
     return;
+  const bool IsLater = m_History.follow(historyOf(AsOf));
+  if (historyOf(AsOf) != m_History.number())
+    return;
   setKnownRevision(AsOf);
-  if (m_ListsInstead && m_Mode != WatchMode::Fed)
+  if (m_ListsInstead && m_Mode != WatchMode::Fed && !IsLater)
     return;
   m_Watching = true;
   m_ListsInstead = false;
@@ -357,7 +548,7 @@
   m_Commands.emplace_back(StoreReachability{Reachable});
   m_Commands.emplace_back(
       Event{Reachable ? EventId::SourceAvailable : EventId::SourceUnavailable,
-            "known_revision=" + std::to_string(m_KnownRevision) +
+            "known_revision=" + formatRevision(m_KnownRevision) +
                 " calls=" + std::to_string(m_LastCall) + " cause=" + Cause});
 }
 
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -3,6 +3,7 @@
 #include "core/registry/feed_follower.h"
 #include "core/registry/feed_publisher.h"
 #include "core/registry/prefix_watch.h"
+#include "core/registry/start_inquiry.h"
 #include "dandelionfall/core/peer_pull.h"
 
 #include <algorithm>
@@ -40,7 +41,8 @@
       : m_Registry(Decoder, withDeferral(Options.m_Registry)),
         m_Reader(Options.m_RandomSeed), m_Pull(otherSeeds(Options)),
         m_Follower(Options.m_LinkAddress, Options.m_Zone),
-        m_Publisher(Options.m_MaxFollowers) {
+        m_Publisher(Options.m_MaxFollowers),
+        m_Inquiry(Options.m_LinkAddress, Options.m_RandomSeed) {
     for (const std::string &Prefix : Options.m_UrgentPrefixes)
       m_UrgentWatches.emplace_back(
           Prefix, PrefixWatchCalls * (m_UrgentWatches.size() + 1),
@@ -60,20 +62,20 @@
     if (Watch == 0)
       m_Reader.onReply(std::move(Reply), Now);
     else
-      m_UrgentWatches.at(Watch - 1).onReply(std::move(Reply),
-                                            m_Registry.revision(), Now);
+      onUrgentReply(m_UrgentWatches.at(Watch - 1), std::move(Reply), Now);
     settle(Now);
   }
 
   void onLinkOpened(LinkId Link, TimePoint Now) {
-    if (!m_Follower.onLinkOpened(Link, Now) && Link == m_PullLink)
-      m_Commands.emplace_back(
-          SendControl{Link, RecordsPull{m_Registry.revision()}});
+    if (!m_Follower.onLinkOpened(Link, Now) &&
+        (Link == m_PullLink || m_Inquiry.isAsked(Link)))
+      askForRecords(Link);
     settle(Now);
   }
 
   void onLinkClosed(LinkId Link, TimePoint Now) {
     m_Follower.onLinkClosed(Link, Now);
+    m_Inquiry.onLinkClosed(Link);
     m_Publisher.onLinkClosed(Link);
     settle(Now);
   }
@@ -108,8 +110,7 @@
     checkExpected(Now);
     m_Follower.onTick(Now);
     m_Publisher.onTick(ownRevision(Now), Now);
-    if (const auto Peer = m_Pull.takeDuePeer(m_Registry.revision(), Now))
-      pullFrom(*Peer);
+    pullIfDue(Now);
     settle(Now);
   }
 
@@ -118,7 +119,7 @@
     for (const std::optional<TimePoint> &Each :
          {m_StartEnds, m_Reader.nextWakeUp(), m_Registry.nextWakeUp(),
           m_Pull.nextWakeUp(), m_Follower.nextWakeUp(),
-          m_Publisher.nextWakeUp()}) {
+          m_Publisher.nextWakeUp(), m_Inquiry.nextWakeUp()}) {
       if (Each)
         Next = Next ? std::min(*Next, *Each) : *Each;
     }
@@ -148,6 +149,7 @@
   FeedFollower m_Follower;
   FeedPublisher m_Publisher;
   std::vector<PrefixWatch> m_UrgentWatches;
+  StartInquiry m_Inquiry;
 
   // A node that follows others passes on what they announce. With the latest
   // confirmation goes the highest revision, which is at least the confirmed
@@ -156,7 +158,8 @@
     const ConfirmedRevision Announced = m_Follower.newest(Now);
     return {std::max(m_Registry.revision(), Announced.m_Revision),
             m_Registry.revision(),
-            std::max(m_Reader.confirmedAt(), Announced.m_ConfirmedAt)};
+            std::max(m_Reader.confirmedAt(), Announced.m_ConfirmedAt),
+            m_Registry.retainedVersion()};
   }
 
 private:
@@ -177,6 +180,34 @@
     m_Pull.onDelay(Now - *Due);
   }
 
+  StoreCounter heldCounter() const {
+    return m_Reader.history().counterIn(m_Registry.revision());
+  }
+
+  void onUrgentReply(PrefixWatch &Watch, StoreReply Reply, TimePoint Now) {
+    // The watch of all records finds that the store has begun another history.
+    if (!m_Reader.history().fits(Reply.m_Era))
+      Reply.m_Outcome = StoreOutcome::Failed;
+    Watch.onReply(std::move(Reply), heldCounter(), Now);
+  }
+
+  void askForRecords(LinkId Link) {
+    m_Commands.emplace_back(
+        SendControl{Link, RecordsPull{m_Registry.revision()}});
+  }
+
+  // A peer whose revision the store has disproved holds an earlier history.
+  void pullIfDue(TimePoint Now) {
+    const Revision Claimed = m_Pull.newest();
+    const auto Peer = m_Pull.takeDuePeer(m_Registry.revision(), Now);
+    if (!Peer)
+      return;
+    if (m_Reader.checkClaim(Claimed, Now))
+      m_Pull.onReply();
+    else
+      pullFrom(*Peer);
+  }
+
   // At most one pull is open at a time.
   void pullFrom(const std::string &Address) {
     if (m_PullLink != 0)
@@ -195,25 +226,43 @@
   }
 
   void handle(LinkId Link, const RecordsPush &Push, TimePoint Now) {
-    m_Commands.emplace_back(CloseControlLink{Link});
-    if (Link == m_PullLink)
+    if (Link == m_PullLink) {
+      m_Commands.emplace_back(CloseControlLink{Link});
       m_PullLink = 0;
-    m_Pull.onReply();
+      m_Pull.onReply();
+    }
+    m_Inquiry.onReply(Link);
     if (m_Registry.applyPush(Push, Now))
       onRecords(Now);
     m_Reader.onPeerRecords(m_Registry.revision(), Now);
   }
 
+  // The store has lost a configuration that another node has in force.
+  void requestRetained(LinkId Link, Version Retained, TimePoint Now) {
+    if (Retained <= m_Registry.version() || Now < m_NextRetainedRequestAt)
+      return;
+    m_NextRetainedRequestAt = Now + PeerPullTimeout;
+    askForRecords(Link);
+  }
+
   void handle(LinkId Link, const FollowRevisions &Request, TimePoint Now) {
+    m_Reader.onLaterHistory(historyOf(Request.m_Held), Now);
+    requestRetained(Link, Request.m_Retained, Now);
     m_Publisher.onFollow(
         Link, Request.m_WantsPatches, ownRevision(Now),
         m_Registry.changesFor(Request.m_Held, Request.m_WantsPatches), Now);
   }
 
   void handle(LinkId Link, const RevisionNotice &Notice, TimePoint Now) {
+    // It says nothing of the present history; its sender will follow that.
+    if (!Notice.m_Refused &&
+        historyOf(Notice.m_Revision) < m_Reader.history().number())
+      return;
     const std::string Address = m_Follower.onNotice(Link, Notice, Now);
     if (Address.empty())
       return;
+    m_Reader.onLaterHistory(historyOf(Notice.m_Revision), Now);
+    requestRetained(Link, Notice.m_Retained, Now);
     updateOutage(Now);
     if (m_Registry.applyFeed(Notice.m_Changes, Notice.m_Held, Now))
       onRecords(Now);
@@ -229,7 +278,7 @@
     if (m_Registry.holdsAll(Changes.m_Large))
       return;
     if (!Changes.m_Patches.empty()) {
-      m_Follower.setHeld(m_Registry.revision());
+      updateHeld();
       m_Follower.askAgain(Link, Now);
     } else if (!m_Expected) {
       m_Expected = {Link, Changes.m_Large, Now + PatchDelay};
@@ -242,7 +291,7 @@
     const ExpectedLarge Expected = *std::exchange(m_Expected, std::nullopt);
     if (m_Registry.holdsAll(Expected.m_Large))
       return;
-    m_Follower.setHeld(m_Registry.revision());
+    updateHeld();
     m_Follower.takePatchesFrom(Expected.m_Link, Now);
   }
 
@@ -257,10 +306,18 @@
       m_Registry.onStoreReachable(!IsAway, Now);
   }
 
+  void updateHeld() {
+    m_Follower.setHeld(m_Registry.revision(), m_Registry.retainedVersion());
+  }
+
   void onRecords(TimePoint Now) {
     ConfigurationPtr Config = m_Registry.configuration();
-    if (Config != nullptr)
-      m_Commands.emplace_back(ApplyRecords{std::move(Config)});
+    if (Config != nullptr) {
+      m_Inquiry.start(m_Registry.nodes(), Now);
+      m_IsHeldBack = !m_Inquiry.isOver(Now);
+      if (!m_IsHeldBack)
+        m_Commands.emplace_back(ApplyRecords{std::move(Config)});
+    }
     m_Follower.onNodes(m_Registry.nodes(), Now);
   }
 
@@ -276,8 +333,11 @@
     }
     settleUrgentWatches(Now);
     updateOutage(Now);
+    updateEvidence();
+    if (m_IsHeldBack && m_Inquiry.isOver(Now))
+      onRecords(Now);
     m_Pull.setStoreAnswers(m_Reader.isAnswered());
-    m_Follower.setHeld(m_Registry.revision());
+    updateHeld();
     if (m_Publisher.followers() == 0)
       m_Registry.dropChanges();
     m_Publisher.onRevision(ownRevision(Now), m_Registry.takeChanges(), Now);
@@ -285,6 +345,15 @@
       m_Commands.emplace_back(Recorded);
     forward(m_Follower.takeCommands());
     forward(m_Publisher.takeCommands());
+    forward(m_Inquiry.takeCommands());
+  }
+
+  void updateEvidence() {
+    if (m_Reader.isUnverified() && m_EvidenceAsOf != m_Registry.revision()) {
+      m_EvidenceAsOf = m_Registry.revision();
+      m_Reader.setEvidence(m_Registry.newestSmallRecord());
+    }
+    m_Reader.setRequiredKey(m_Registry.configurationKey());
   }
 
   // A follower receives these records from the nodes that it follows.
@@ -292,9 +361,13 @@
     const WatchMode Mode = m_Reader.mode();
     const bool Active =
         (Mode == WatchMode::Publishing || Mode == WatchMode::Alone) &&
-        m_Registry.revision() > 0;
+        heldCounter() > 0;
+    const HistoryNumber Previous =
+        std::exchange(m_UrgentHistory, m_Reader.history().number());
     for (PrefixWatch &Each : m_UrgentWatches) {
-      Each.setActive(Active, m_Registry.revision(), Now);
+      if (Previous != m_UrgentHistory)
+        Each.setActive(false, 0, Now);
+      Each.setActive(Active, heldCounter(), Now);
       for (const PrefixWatchCommand &Command : Each.takeCommands())
         std::visit([&](const auto &Any) { perform(Any, Now); }, Command);
     }
@@ -321,7 +394,7 @@
         std::string("mode=") + nameOf(Mode) + " previous=" + nameOf(Previous) +
             " feeds=" + std::to_string(Feeds) +
             " followers=" + std::to_string(Followers) +
-            " revision=" + std::to_string(m_Registry.revision())});
+            " revision=" + formatRevision(m_Registry.revision())});
     m_Reader.setMode(Mode, Now);
   }
 
@@ -333,7 +406,11 @@
   }
 
   void perform(const RecordsRead &Command, TimePoint Now) {
-    if (m_Registry.replaceAll(Command.m_Records, Command.m_AsOf, Now))
+    const RecordsRead Read =
+        m_Registry.contradicts(Command.m_Records, Command.m_HeldBefore)
+            ? m_Reader.restart(Command)
+            : Command;
+    if (m_Registry.replaceAll(Read.m_Records, Read.m_AsOf, Now))
       onRecords(Now);
   }
 
@@ -342,7 +419,9 @@
       onRecords(Now);
   }
 
-  void perform(const std::vector<StoreRecord> &Urgent, TimePoint Now) {
+  void perform(std::vector<StoreRecord> Urgent, TimePoint Now) {
+    for (StoreRecord &Each : Urgent)
+      Each.m_Revision = m_Reader.history().revisionOf(Each.m_Revision);
     if (m_Registry.applyAhead(Urgent, "urgent-watch", Now))
       onRecords(Now);
   }
@@ -363,6 +442,14 @@
   /// Whether the store answers neither this node nor one that it follows.
   bool m_StoreIsAway = false;
   std::optional<ExpectedLarge> m_Expected;
+  /// Whether the configuration waits for the end of the inquiry.
+  bool m_IsHeldBack = false;
+  /// Revision of the registry when the reader's evidence was set.
+  std::optional<Revision> m_EvidenceAsOf;
+  /// History that the urgent watches follow.
+  HistoryNumber m_UrgentHistory = 0;
+  /// When the next retained configuration may be requested.
+  TimePoint m_NextRetainedRequestAt;
   /// Link of the pending pull; 0 if there is none.
   LinkId m_PullLink = 0;
   std::uint64_t m_Pulls = 0;
--- a/src/net/wire_control.cpp
+++ b/src/net/wire_control.cpp
@@ -36,17 +36,21 @@
   return Value < 0 ? core::NeverCalled : core::Duration(Value);
 }
 
+wire::StoreRecord recordToWire(const core::StoreRecord &Record) {
+  wire::StoreRecord Written;
+  Written.key = Record.m_Key;
+  Written.revision = toSigned(Record.m_Revision);
+  if (Record.m_Value != nullptr)
+    Written.__set_value(*Record.m_Value);
+  return Written;
+}
+
 std::vector<wire::StoreRecord>
 recordsToWire(const std::vector<core::StoreRecord> &Records) {
   std::vector<wire::StoreRecord> Result;
   Result.reserve(Records.size());
-  for (const core::StoreRecord &Record : Records) {
-    wire::StoreRecord &Written = Result.emplace_back();
-    Written.key = Record.m_Key;
-    Written.revision = toSigned(Record.m_Revision);
-    if (Record.m_Value != nullptr)
-      Written.__set_value(*Record.m_Value);
-  }
+  for (const core::StoreRecord &Record : Records)
+    Result.push_back(recordToWire(Record));
   return Result;
 }
 
@@ -67,18 +71,21 @@
           {toUnsigned(Patch.digest), std::move(Patch.compressed)}};
 }
 
+core::StoreRecord recordFromWire(wire::StoreRecord &Record) {
+  core::StoreRecord Read;
+  Read.m_Key = std::move(Record.key);
+  Read.m_Revision = toUnsigned(Record.revision);
+  if (Record.__isset.value)
+    Read.m_Value = std::make_shared<const std::string>(std::move(Record.value));
+  return Read;
+}
+
 std::vector<core::StoreRecord>
 recordsFromWire(std::vector<wire::StoreRecord> &Records) {
   std::vector<core::StoreRecord> Result;
   Result.reserve(Records.size());
-  for (wire::StoreRecord &Record : Records) {
-    core::StoreRecord &Read = Result.emplace_back();
-    Read.m_Key = std::move(Record.key);
-    Read.m_Revision = toUnsigned(Record.revision);
-    if (Record.__isset.value)
-      Read.m_Value =
-          std::make_shared<const std::string>(std::move(Record.value));
-  }
+  for (wire::StoreRecord &Record : Records)
+    Result.push_back(recordFromWire(Record));
   return Result;
 }
 
@@ -165,6 +172,8 @@
     Value.as_of = toSigned(Message.m_AsOf);
     Value.whole = Message.m_IsFull;
     Value.records = recordsToWire(Message.m_Records);
+    if (Message.m_Retained)
+      Value.__set_retained(recordToWire(*Message.m_Retained));
     m_Body.__isset.records_push = true;
   }
 
@@ -172,6 +181,7 @@
     wire::FollowRevisions Value;
     Value.held = toSigned(Message.m_Held);
     Value.wants_patches = Message.m_WantsPatches;
+    Value.retained = toSigned(Message.m_Retained);
     m_Body.__set_follow_revisions(Value);
   }
 
@@ -187,6 +197,7 @@
     for (const auto &[Key, Held] : Message.m_Changes.m_Large)
       Value.large.emplace(Key, toSigned(Held));
     Value.complete = Message.m_Changes.m_IsComplete;
+    Value.retained = toSigned(Message.m_Retained);
     m_Body.__set_revision_notice(Value);
   }
 
@@ -266,13 +277,17 @@
 
 core::ControlMessage readRecordsPush(wire::Body &Body) {
   wire::RecordsPush &Value = Body.records_push;
-  return core::RecordsPush{toUnsigned(Value.as_of), Value.whole,
+  core::RecordsPush Result{toUnsigned(Value.as_of), Value.whole,
                            recordsFromWire(Value.records)};
+  if (Value.__isset.retained)
+    Result.m_Retained = recordFromWire(Value.retained);
+  return Result;
 }
 
 core::ControlMessage readFollowRevisions(wire::Body &Body) {
   return core::FollowRevisions{toUnsigned(Body.follow_revisions.held),
-                               Body.follow_revisions.wants_patches};
+                               Body.follow_revisions.wants_patches,
+                               toUnsigned(Body.follow_revisions.retained)};
 }
 
 core::ControlMessage readRevisionNotice(wire::Body &Body) {
@@ -281,7 +296,8 @@
                               toUnsigned(Value.held),
                               elapsedFromWire(Value.confirmed_ago_us),
                               Value.refused,
-                              {}};
+                              {},
+                              toUnsigned(Value.retained)};
   Result.m_Changes.m_Records = recordsFromWire(Value.records);
   for (wire::RecordPatch &Patch : Value.patches)
     Result.m_Changes.m_Patches.push_back(fromWirePatch(Patch));
