Follow a store's histories: findings of the review

A reviewer that had not seen the work showed, in trials in virtual time: an inquiry that never ended and kept the control thread busy; serializable pages and watches of an earlier history taken for the present one; a restore missed if the compared record was not the last change; tombstones of the new history forgotten; feeds that count as complete across histories; back-off lost when watches fail but reads are answered (167 calls in 3 s, 9 expected); listings refused without a time limit; a second page taken for the first; eras in turn and repeated 410 called in a loop; grace periods that ended while the store was away. Not changed: a history number near the maximum, sent by a faulty node, can't be exceeded.

--- a/include/dandelionfall/app/status_report.h
+++ b/include/dandelionfall/app/status_report.h
@@ -41,6 +41,8 @@
   std::uint32_t m_Followers = 0;
   /// Version of the operators' configuration in force; 0 before the first.
   std::uint64_t m_ConfigurationVersion = 0;
+  /// Number of the shared store's history; the held version counts in it.
+  std::uint32_t m_StoreHistory = 0;
   /// Seconds since a shared store confirmed the state in force, to this node or
   /// one that it follows; -1 if it did not.
   double m_ConfirmedAgoS = -1;
--- a/include/dandelionfall/core/distribution.h
+++ b/include/dandelionfall/core/distribution.h
@@ -103,6 +103,8 @@
   std::uint32_t m_Followers = 0;
   /// Version of the operators' configuration in force; 0 before the first.
   Version m_ConfigurationVersion = 0;
+  /// Number of the shared store's history; the held version counts in it.
+  std::uint32_t m_StoreHistory = 0;
   /// Time since a shared store confirmed the state in force, to this node or
   /// one that it follows.
   std::optional<Duration> m_ConfirmedAgo;
--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -86,8 +86,8 @@
   /// requested.
   bool contradicts(const std::vector<StoreRecord> &Listed,
                    Revision HeldBefore) const;
-  /// \returns the small record that was written last, up to the revision held.
-  std::optional<StoreRecord> newestSmallRecord() const;
+  /// \returns the last change up to the revision held: a record or a removal.
+  StoreRecord newestChange() const;
   /// \returns the key of the configuration in force; empty before the first.
   const std::string &configurationKey() const { return m_InForce.m_Key; }
   /// \returns the configuration in force if the store has lost it.
@@ -178,7 +178,8 @@
   struct Departure {
     std::int64_t m_StartedAtMs = 0;
     std::uint64_t m_Sequence = 0;
-    Revision m_Revision = 0;
+    /// Revision as of which it had left.
+    Revision m_LeftAsOf = 0;
     TimePoint m_At;
   };
   /// A target and the state derived from its records.
@@ -212,9 +213,10 @@
   bool applyPublished(const StoreRecord &Record,
                       std::shared_ptr<const PublishedConfiguration> Published);
   bool refuseVersion(const StoreRecord &Record, Version Offered);
-  bool isOutdated(const StoreRecord &Record, const TargetEntry &Entry) const;
+  bool isOutdated(const StoreRecord &Record, const TargetEntry &Entry,
+                  TimePoint Now) const;
   void noteDeparture(const std::string &Key, const KnownTarget &Left,
-                     TimePoint Now);
+                     Revision AsOf, TimePoint Now);
   void beginHistory(Revision AsOf, TimePoint Now);
   std::optional<TimePoint> lapseGraceEnd(TimePoint Now) const;
   std::vector<const KnownTarget *> usableTargets() const;
--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -151,14 +151,14 @@
   /// Handles a listing that contradicts the records held: the store has begun
   /// another history.
   /// \returns the listing as one of that history.
-  RecordsRead restart(RecordsRead Contradicting);
+  RecordsRead restart(RecordsRead Contradicting, TimePoint Now);
   /// Lists the records if the store has disproved a revision.
   /// \param Claimed revision that another node claims to hold.
   /// \returns whether it has; the claim is then of an earlier history.
   bool checkClaim(Revision Claimed, TimePoint Now);
-  /// Sets the record that is compared with the store's after a failed call: the
-  /// small one that was written last of those held.
-  void setEvidence(std::optional<StoreRecord> Held);
+  /// Sets the last change held. After a failed call it is compared with the
+  /// store's; a removal, or a large record, is compared by a listing.
+  void setEvidence(StoreRecord Newest);
   /// Sets the key that no complete listing lacks; empty for none.
   void setRequiredKey(const std::string &Key) { m_RequiredKey = Key; }
   /// \returns whether a call has failed since the store was last known to
@@ -199,6 +199,7 @@
   void issueCall(TimePoint Now);
   void replaceCall(TimePoint Now);
   Purpose nextPurpose() const;
+  bool mayReadEarlierHistory() const;
   WatchRecords makeWatch() const;
   void startListing(TimePoint Now);
   bool continuesHistory(const StoreReply &Reply, TimePoint Now);
@@ -207,6 +208,8 @@
   void finishListing(const StoreReply &Last, TimePoint Now);
   bool provesNextHistory() const;
   void listSuspected(const StoreReply &Reply, TimePoint Now);
+  /// Lists the records, with a delay from the second time in a row.
+  void relist(unsigned Repetition, TimePoint Now);
   void reportHistory(const char *Cause, StoreCounter AsOf);
   std::optional<TimePoint> catchUpAt() const;
   void setKnownRevision(Revision Known);
@@ -256,8 +259,7 @@
   /// Revision that was known when the last call, or the first page of a
   /// listing, was requested.
   Revision m_KnownAtCall = 0;
-  /// Small record that was read last; compared with the store's after a failed
-  /// call.
+  /// Last change held; compared with the store's after a failed call.
   std::optional<StoreRecord> m_Evidence;
   /// Key that no complete listing lacks; empty for none.
   std::string m_RequiredKey;
@@ -280,6 +282,12 @@
   bool m_PageWasStale = false;
   /// Consecutive failed calls.
   unsigned m_Failures = 0;
+  /// Watches in a row for which the store had no history.
+  unsigned m_Compactions = 0;
+  /// Later eras in quick succession.
+  unsigned m_Replacements = 0;
+  /// Since when listings lack the required key.
+  std::optional<TimePoint> m_PartialSince;
   /// Consecutive replies that did not continue the known history.
   unsigned m_Dropped = 0;
   bool m_Reachable = true;
--- a/src/app/node/operator_pages.cpp
+++ b/src/app/node/operator_pages.cpp
@@ -48,6 +48,7 @@
   Report.m_WatchMode = Distribution.m_WatchMode;
   Report.m_Followers = Distribution.m_Followers;
   Report.m_ConfigurationVersion = Distribution.m_ConfigurationVersion;
+  Report.m_StoreHistory = Distribution.m_StoreHistory;
   if (Distribution.m_ConfirmedAgo)
     Report.m_ConfirmedAgoS =
         std::chrono::duration<double>(*Distribution.m_ConfirmedAgo).count();
--- a/src/app/node/registry_driver.cpp
+++ b/src/app/node/registry_driver.cpp
@@ -86,7 +86,9 @@
 
   core::DistributionStatus status() const {
     core::DistributionStatus Result;
-    Result.m_Held = {m_Replica.registry().revision(), 0};
+    const core::Revision Held = m_Replica.registry().revision();
+    Result.m_Held = {core::counterOf(Held), 0};
+    Result.m_StoreHistory = core::historyOf(Held);
     Result.m_Applied = Result.m_Held;
     Result.m_Ready = m_Board.m_Ready.load();
     const core::WatchMode Mode = m_Replica.mode();
@@ -137,8 +139,8 @@
     m_Board.m_Events.record(
         {core::EventId::ControlThreadBusy,
          std::string("input=") + Input +
-             " elapsed_us=" + std::to_string(Elapsed.count()) +
-             " revision=" + std::to_string(m_Replica.registry().revision())});
+             " elapsed_us=" + std::to_string(Elapsed.count()) + " revision=" +
+             core::formatRevision(m_Replica.registry().revision())});
   }
 
   void onTimer() {
--- a/src/app/status_report.cpp
+++ b/src/app/status_report.cpp
@@ -98,6 +98,7 @@
     makeField<&StatusReport::m_Followers>("followers", "followers"),
     makeField<&StatusReport::m_ConfigurationVersion>("configuration_version",
                                                      "configuration version"),
+    makeField<&StatusReport::m_StoreHistory>("store_history", "store history"),
     makeField<&StatusReport::m_ConfirmedAgoS>("confirmed_ago_s",
                                               "confirmed s ago"),
     makeField<&StatusReport::m_ProcessorShare>("processor_share",
--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -150,11 +150,33 @@
   m_Losses = 0;
   if (!std::exchange(Sender.m_ConfirmedAt, Now - Notice.m_ConfirmedAgo))
     report(EventId::FeedFollowed, Sender,
-           "revision=" + std::to_string(Notice.m_Revision));
+           "revision=" + formatRevision(Notice.m_Revision));
   askForPatches(Now);
   return Address;
 }
 
+void FeedFollower::onOutdatedNotice(LinkId Link, TimePoint Now) {
+  Slot *Found = findSlot(Link);
+  if (Found == nullptr)
+    return;
+  (*Found)->m_HeardAt = Now;
+  (*Found)->m_NotListened = Duration{0};
+  (*Found)->m_GraceUntil.reset();
+  (*Found)->m_IsComplete = false;
+}
+
+void FeedFollower::setHeld(Revision Held, Version Retained) {
+  const bool IsOther = historyOf(Held) != historyOf(m_Held);
+  m_Held = Held;
+  m_Retained = Retained;
+  if (!IsOther)
+    return;
+  for (Slot &Each : m_Slots) {
+    if (Each && Each->m_Opened)
+      sendFollow(*Each, Each->m_WantsPatches);
+  }
+}
+
 bool FeedFollower::isInFailingZone(const NodeAddress &Node) const {
   const auto Avoided = std::count_if(
       m_AvoidedUntil.begin(), m_AvoidedUntil.end(),
--- a/src/core/registry/feed_follower.h
+++ b/src/core/registry/feed_follower.h
@@ -36,6 +36,9 @@
   /// to no feed.
   std::string onNotice(LinkId Link, const RevisionNotice &Notice,
                        TimePoint Now);
+  /// Handles a notice of a history of the store that this node no longer
+  /// follows: its sender is there, and confirms nothing.
+  void onOutdatedNotice(LinkId Link, TimePoint Now);
   /// Asks a followed node for what this node lacks: a patch did not fit. At
   /// most once in a notice interval.
   void askAgain(LinkId Link, TimePoint Now);
@@ -43,11 +46,9 @@
   /// which sends them does not have yet.
   void takePatchesFrom(LinkId Link, TimePoint Now);
   /// Sets the revision up to which this node holds all records, and the version
-  /// of the configuration that it retains; 0 if there is none.
-  void setHeld(Revision Held, Version Retained) {
-    m_Held = Held;
-    m_Retained = Retained;
-  }
+  /// of the configuration that it retains; 0 if there is none. Followed nodes
+  /// are told at once of another history of the store.
+  void setHeld(Revision Held, Version Retained);
   /// Does not count a time for which this node was occupied or stood still as
   /// silence of the feeds.
   /// \param Delay lower bound of that time.
--- a/src/core/registry/feed_publisher.cpp
+++ b/src/core/registry/feed_publisher.cpp
@@ -20,6 +20,7 @@
 void FeedPublisher::onFollow(LinkId Link, bool WantsPatches,
                              const ConfirmedRevision &Own,
                              const RecordChanges &Lacking, TimePoint Now) {
+  noteHistory(Own);
   const auto Known = m_Followers.find(Link);
   const bool IsNew = Known == m_Followers.end();
   if (IsNew && (m_Draining || m_Followers.size() >= m_MaxFollowers))
@@ -60,10 +61,19 @@
   m_Commands.emplace_back(CloseControlLink{Link});
 }
 
+// What was sent of another history leaves open what a follower lacks.
+void FeedPublisher::noteHistory(const ConfirmedRevision &Own) {
+  if (std::exchange(m_History, historyOf(Own.m_Held)) == historyOf(Own.m_Held))
+    return;
+  for (auto &[Link, Each] : m_Followers)
+    Each.m_IsComplete = false;
+}
+
 void FeedPublisher::onLinkClosed(LinkId Link) { m_Followers.erase(Link); }
 
 void FeedPublisher::onRevision(const ConfirmedRevision &Own,
                                RecordChanges Changes, TimePoint Now) {
+  noteHistory(Own);
   m_Large = std::move(Changes.m_Large);
   if (m_Followers.empty()) {
     m_UnsentRecords.clear();
--- a/src/core/registry/feed_publisher.h
+++ b/src/core/registry/feed_publisher.h
@@ -58,10 +58,13 @@
   void send(LinkId Link, const ConfirmedRevision &Own, RecordChanges Changes,
             TimePoint Now);
   void refuse(LinkId Link);
+  void noteHistory(const ConfirmedRevision &Own);
   void sendToAll(const ConfirmedRevision &Own, TimePoint Now);
 
   std::size_t m_MaxFollowers;
   std::map<LinkId, Follower> m_Followers;
+  /// History of the store that the followers were told of.
+  HistoryNumber m_History = 0;
   Revision m_SentRevision = 0;
   Revision m_SentHeld = 0;
   /// Large records of the last changes.
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -50,6 +50,9 @@
 /// Time after which no serializable call sees a history of the store that
 /// another one has replaced.
 constexpr Duration MaxStaleness = std::chrono::seconds(10);
+/// Time for a store that has returned to load its records; until then a listing
+/// without a record that must be there is not taken.
+constexpr Duration PartialListingLimit = std::chrono::seconds(2);
 /// Time over which the nodes that learn of a later history of the store from
 /// others list its records.
 constexpr Duration HistoryListingSpread = std::chrono::milliseconds(400);
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -201,7 +201,7 @@
 
 bool Registry::applyTarget(const StoreRecord &Record, const TargetEntry &Entry,
                            TimePoint Now) {
-  if (isOutdated(Record, Entry))
+  if (isOutdated(Record, Entry, Now))
     return false;
   KnownTarget Updated{Entry, Record.m_Revision, std::nullopt, std::nullopt};
   if (Entry.m_ColdRemaining > Duration{0})
@@ -220,7 +220,7 @@
     report(EventId::TargetDraining, describeTarget(Entry) + " revision=" +
                                         formatRevision(Record.m_Revision));
   if (Entry.m_Draining)
-    noteDeparture(Record.m_Key, Updated, Now);
+    noteDeparture(Record.m_Key, Updated, Record.m_Revision, Now);
   m_Targets.insert_or_assign(Record.m_Key, std::move(Updated));
   return true;
 }
@@ -251,6 +251,13 @@
   if (Stored != m_Records.end())
     m_Records.erase(Stored);
   m_Deferred.erase(Key);
+  if (Key == m_InForce.m_Key && !m_Retained) {
+    m_Retained = m_InForce;
+    report(EventId::RecordRetained,
+           "key=" + Key + " version=" + std::to_string(version()) +
+               " revision=" + formatRevision(At) +
+               " until=the store has this version or a higher one");
+  }
   if (m_Removed.size() >= MaxRemovalHistory) {
     m_Removed.clear();
     m_RemovalHistoryStart = At;
@@ -291,7 +298,7 @@
   }
   report(EventId::TargetRemoved, describeTarget(Removed.m_Entry) +
                                      " revision=" + formatRevision(m_Revision));
-  noteDeparture(Key, Removed, Now);
+  noteDeparture(Key, Removed, At, Now);
   m_Targets.erase(Known);
   return true;
 }
@@ -309,17 +316,23 @@
   if (!Reachable)
     return;
   m_ReachableSince = Now;
-  for (auto &[Key, Known] : m_Targets) {
+  const auto Extend = [Now](auto &Known) {
     if (Known.m_LapsedUntil)
       Known.m_LapsedUntil = Now + LapseGrace;
-  }
+  };
+  for (auto &[Key, Known] : m_Targets)
+    Extend(Known);
+  for (auto &[Key, Known] : m_ZonesOut)
+    Extend(Known);
 }
 
 bool Registry::onTick(TimePoint Now) {
   const bool Decoded = decodeDeferred(Now);
   m_Origin = "timer";
-  const auto IsOver = [Now](const auto &Known) {
-    return Known.m_LapsedUntil && Now >= *Known.m_LapsedUntil;
+  // Nobody can write to a store that is away.
+  const auto IsOver = [&](const auto &Known) {
+    return m_StoreReachable && Known.m_LapsedUntil &&
+           Now >= *Known.m_LapsedUntil;
   };
   const auto Removed = std::erase_if(m_Targets, [&](const auto &Each) {
     if (!IsOver(Each.second))
@@ -327,7 +340,7 @@
     report(EventId::TargetRemoved,
            describeTarget(Each.second.m_Entry) +
                " cause=its entry lapsed and was not written again");
-    noteDeparture(Each.first, Each.second, Now);
+    noteDeparture(Each.first, Each.second, m_Revision, Now);
     return true;
   });
   const auto TakenBack = std::erase_if(m_ZonesOut, [&](const auto &Each) {
@@ -345,6 +358,8 @@
   if (!m_Deferred.empty())
     return m_DeferredSince;
   std::optional<TimePoint> Next;
+  if (!m_StoreReachable)
+    return Next;
   const auto Include = [&Next](const auto &Known) {
     if (Known.m_LapsedUntil && (!Next || *Known.m_LapsedUntil < *Next))
       Next = Known.m_LapsedUntil;
--- a/src/core/registry/registry_feed.cpp
+++ b/src/core/registry/registry_feed.cpp
@@ -125,7 +125,8 @@
 RecordChanges Registry::changesFor(Revision Known, bool WithPatches) const {
   RecordChanges Result;
   Result.m_Large = largeRevisions();
-  Result.m_IsComplete = Known > 0 && Known >= m_RemovalHistoryStart;
+  Result.m_IsComplete = Known > 0 && Known >= m_RemovalHistoryStart &&
+                        historyOf(Known) == historyOf(m_Revision);
   if (Known == 0)
     return Result;
   Result.m_Records = changesAfter(Known);
--- a/src/core/registry/registry_history.cpp
+++ b/src/core/registry/registry_history.cpp
@@ -26,22 +26,26 @@
       });
 }
 
-std::optional<StoreRecord> Registry::newestSmallRecord() const {
-  const StoreRecord *Newest = nullptr;
+StoreRecord Registry::newestChange() const {
+  StoreRecord Newest;
   for (const auto &[Key, Record] : m_Records) {
-    if (isSmall(Record) && Record.m_Revision <= m_Revision &&
-        (Newest == nullptr || Newest->m_Revision < Record.m_Revision))
-      Newest = &Record;
+    if (Record.m_Revision <= m_Revision &&
+        Newest.m_Revision < Record.m_Revision)
+      Newest = Record;
   }
-  if (Newest == nullptr)
-    return std::nullopt;
-  return *Newest;
+  for (const auto &[Key, At] : m_Removed) {
+    if (At <= m_Revision && Newest.m_Revision < At)
+      Newest = {Key, At, nullptr};
+  }
+  return Newest;
 }
 
 // Revisions of the earlier history can't tell followers what they lack.
 void Registry::beginHistory(Revision AsOf, TimePoint Now) {
   m_RemovalHistoryStart = AsOf;
-  m_Removed.clear();
+  std::erase_if(m_Removed, [AsOf](const auto &Each) {
+    return historyOf(Each.second) < historyOf(AsOf);
+  });
   std::erase_if(m_Departures, [Now](const auto &Each) {
     return Now >= Each.second.m_At + DepartureMemory;
   });
@@ -49,19 +53,20 @@
 
 // A record that is back in a later history is as old as the copy that the store
 // was restored from.
-bool Registry::isOutdated(const StoreRecord &Record,
-                          const TargetEntry &Entry) const {
+bool Registry::isOutdated(const StoreRecord &Record, const TargetEntry &Entry,
+                          TimePoint Now) const {
   const auto Found = m_Departures.find(Record.m_Key);
   if (Found == m_Departures.end())
     return false;
   const Departure &Left = Found->second;
-  return historyOf(Record.m_Revision) > historyOf(Left.m_Revision) &&
+  return Now < Left.m_At + DepartureMemory &&
+         historyOf(Record.m_Revision) > historyOf(Left.m_LeftAsOf) &&
          Left.m_StartedAtMs == Entry.m_StartedAtMs &&
          Entry.m_Sequence <= Left.m_Sequence;
 }
 
 void Registry::noteDeparture(const std::string &Key, const KnownTarget &Left,
-                             TimePoint Now) {
+                             Revision AsOf, TimePoint Now) {
   if (m_Departures.size() >= MaxRemovalHistory)
     std::erase_if(m_Departures, [Now](const auto &Each) {
       return Now >= Each.second.m_At + DepartureMemory;
@@ -72,9 +77,9 @@
                          [](const auto &First, const auto &Second) {
                            return First.second.m_At < Second.second.m_At;
                          }));
-  m_Departures.insert_or_assign(Key, Departure{Left.m_Entry.m_StartedAtMs,
-                                               Left.m_Entry.m_Sequence,
-                                               Left.m_Revision, Now});
+  m_Departures.insert_or_assign(Key,
+                                Departure{Left.m_Entry.m_StartedAtMs,
+                                          Left.m_Entry.m_Sequence, AsOf, Now});
 }
 
 bool Registry::refuseVersion(const StoreRecord &Record, Version Offered) {
--- a/src/core/registry/start_inquiry.cpp
+++ b/src/core/registry/start_inquiry.cpp
@@ -46,8 +46,12 @@
     askNext();
 }
 
-bool StartInquiry::isOver(TimePoint Now) const {
-  return m_EndsAt && (m_Asked.empty() || Now >= *m_EndsAt);
+void StartInquiry::onTick(TimePoint Now) {
+  if (!m_EndsAt || Now < *m_EndsAt)
+    return;
+  for (const LinkId Link : std::exchange(m_Asked, {}))
+    m_Commands.emplace_back(CloseControlLink{Link});
+  m_Candidates.clear();
 }
 
 std::optional<TimePoint> StartInquiry::nextWakeUp() const {
--- a/src/core/registry/start_inquiry.h
+++ b/src/core/registry/start_inquiry.h
@@ -33,9 +33,11 @@
   void onReply(LinkId Link);
   /// Handles a link that failed; another node is asked instead.
   void onLinkClosed(LinkId Link);
+  /// Ends the inquiry if it is time.
+  void onTick(TimePoint Now);
   /// \returns whether the asked nodes have replied, or are not waited for any
   /// longer.
-  bool isOver(TimePoint Now) const;
+  bool isOver() const { return m_EndsAt && m_Asked.empty(); }
   /// \returns when the inquiry ends at the latest; empty if it is over.
   std::optional<TimePoint> nextWakeUp() const;
   /// \returns the commands collected since the last call.
--- a/src/core/registry/store_history.cpp
+++ b/src/core/registry/store_history.cpp
@@ -6,7 +6,8 @@
 
 StoreHistory::Relation StoreHistory::onEra(std::optional<std::uint64_t> Era,
                                            bool IsCurrent) {
-  if (!Era || Era == m_Era)
+  // An old state can be of an earlier history.
+  if (!Era || Era == m_Era || (!m_Era && !IsCurrent))
     return Relation::Same;
   if (m_Era && *Era < *m_Era && !IsCurrent)
     return Relation::Earlier;
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -76,13 +76,17 @@
 
 void StoreReader::start(TimePoint Now) { issueCall(Now); }
 
+// A replica of the store that lags behind may not know the present history.
+bool StoreReader::mayReadEarlierHistory() const {
+  return m_ReplacedAt && m_CalledAt < *m_ReplacedAt + MaxStaleness;
+}
+
 WatchRecords StoreReader::makeWatch() const {
   const bool IsTold =
       m_Mode == WatchMode::Following || m_Mode == WatchMode::Fed;
-  const bool MayBeOutdated =
-      m_ReplacedAt && m_CalledAt < *m_ReplacedAt + MaxStaleness;
-  const ModeRow &Row = rowOf(
-      (m_CatchingUp || MayBeOutdated) && IsTold ? WatchMode::Alone : m_Mode);
+  const ModeRow &Row = rowOf((m_CatchingUp || mayReadEarlierHistory()) && IsTold
+                                 ? WatchMode::Alone
+                                 : m_Mode);
   const Duration Wait =
       m_AnswerAtOnce || m_Failures > 0 ? Duration{0} : Row.m_Wait;
   return {m_LastCall,
@@ -98,10 +102,14 @@
 StoreReader::Purpose StoreReader::nextPurpose() const {
   if (!m_Watching || m_ListsInstead)
     return Purpose::List;
-  if (m_IsUnverified && m_Evidence && !m_History.hasEra() &&
-      makeWatch().m_Consistency == ReadConsistency::Linearizable)
-    return Purpose::CompareRecord;
-  return Purpose::Watch;
+  if (!m_IsUnverified || !m_Evidence || m_History.hasEra() ||
+      makeWatch().m_Consistency != ReadConsistency::Linearizable)
+    return Purpose::Watch;
+  // What precedes the last change proves nothing, and a large record costs as
+  // much as a listing.
+  return m_Evidence->m_Value == nullptr || isLarge(*m_Evidence)
+             ? Purpose::List
+             : Purpose::CompareRecord;
 }
 
 bool StoreReader::needsNoCall() const {
@@ -143,10 +151,10 @@
   // A later page may be read serializably, since its revision shows whether it
   // is at least as new as the first one. Right after the counter went back such
   // a state can be of the earlier history.
-  m_LastConsistency =
-      m_NextPageAfter.empty() || m_PageWasStale || provesNextHistory()
-          ? ReadConsistency::Linearizable
-          : ReadConsistency::Serializable;
+  m_LastConsistency = m_NextPageAfter.empty() || m_PageWasStale ||
+                              provesNextHistory() || mayReadEarlierHistory()
+                          ? ReadConsistency::Linearizable
+                          : ReadConsistency::Serializable;
   m_Commands.emplace_back(ListRecords{m_LastCall, m_NextPageAfter, CallTimeout,
                                       m_LastConsistency, ""});
 }
@@ -242,7 +250,7 @@
     // A replica of the store that lags behind can refuse a serializable watch
     // after every listing.
     m_CatchingUp = m_LastConsistency != ReadConsistency::Linearizable;
-    return startListing(Now);
+    return relist(++m_Compactions, Now);
   }
   if (IsTooLarge) {
     // The same watch would return more each time.
@@ -281,11 +289,12 @@
     m_CallAt = Now + retryDelay(m_Dropped, m_Random);
     return false;
   }
+  m_Replacements = mayReadEarlierHistory() ? m_Replacements + 1 : 1;
   reportHistory("era", Reply.m_AsOf);
   if (m_Purpose == Purpose::List && m_NextPageAfter.empty() &&
       Reply.m_Outcome == StoreOutcome::Answered)
     return true;
-  startListing(Now);
+  relist(m_Replacements, Now);
   return false;
 }
 
@@ -302,7 +311,9 @@
                   });
   if (!IsHeld)
     return listSuspected(Reply, Now);
-  onAnswer(Now);
+  // The delay between failed calls stays until a watch is answered.
+  setReachable(true, "");
+  m_ConfirmedAt = Now;
   m_IsUnverified = false;
   issueCall(Now);
 }
@@ -311,12 +322,16 @@
 // another history; a listing shows which.
 void StoreReader::listSuspected(const StoreReply &Reply, TimePoint Now) {
   reportDropped(Reply);
+  relist(m_Dropped, Now);
+}
+
+void StoreReader::relist(unsigned Repetition, TimePoint Now) {
   m_Watching = false;
   m_ListedRecords.clear();
   m_NextPageAfter.clear();
-  if (m_Dropped <= 1)
+  if (Repetition <= 1)
     return issueCall(Now);
-  m_CallAt = Now + retryDelay(m_Dropped, m_Random);
+  m_CallAt = Now + retryDelay(Repetition, m_Random);
 }
 
 void StoreReader::onPage(StoreReply Reply, TimePoint Now) {
@@ -353,7 +368,11 @@
                   [this](const StoreRecord &Each) {
                     return Each.m_Key == m_RequiredKey;
                   });
-  if (!IsComplete) {
+  if (IsComplete)
+    m_PartialSince.reset();
+  else if (!m_PartialSince)
+    m_PartialSince = Now;
+  if (m_PartialSince && Now < *m_PartialSince + PartialListingLimit) {
     // A store that has just returned may not have loaded its records yet.
     m_ListedRecords.clear();
     StoreReply Partial;
@@ -391,8 +410,10 @@
       return listSuspected(Reply, Now);
     m_CatchingUp = false;
     m_Dropped = 0;
+    m_IsUnverified = m_IsUnverified && !m_History.hasEra();
     dropDisproved(Reply.m_AsOf);
   }
+  m_Compactions = 0;
   onAnswer(Now);
   const Revision AsOf = m_History.revisionOf(Reply.m_AsOf);
   for (StoreRecord &Each : Reply.m_Records)
@@ -419,7 +440,7 @@
   issueCall(Now);
 }
 
-RecordsRead StoreReader::restart(RecordsRead Contradicting) {
+RecordsRead StoreReader::restart(RecordsRead Contradicting, TimePoint Now) {
   const StoreCounter AsOf = counterOf(Contradicting.m_AsOf);
   m_History.startNext();
   reportHistory("record", AsOf);
@@ -427,6 +448,9 @@
     Each.m_Revision = m_History.revisionOf(counterOf(Each.m_Revision));
   Contradicting.m_AsOf = m_History.revisionOf(AsOf);
   setKnownRevision(Contradicting.m_AsOf);
+  if (m_CallPending && m_LastWatch &&
+      m_LastWatch->m_Consistency == ReadConsistency::Serializable)
+    replaceCall(Now);
   return Contradicting;
 }
 
@@ -457,10 +481,10 @@
   return true;
 }
 
-void StoreReader::setEvidence(std::optional<StoreRecord> Held) {
+void StoreReader::setEvidence(StoreRecord Newest) {
   // The pending call compares the previous one.
   if (!m_CallPending || m_Purpose != Purpose::CompareRecord)
-    m_Evidence = std::move(Held);
+    m_Evidence = std::move(Newest);
 }
 
 void StoreReader::reportCaughtUp(const StoreReply &Reply, TimePoint Now) {
@@ -526,6 +550,8 @@
   if (historyOf(AsOf) != m_History.number())
     return;
   setKnownRevision(AsOf);
+  if (IsLater)
+    m_ReplacedAt = Now;
   if (m_ListsInstead && m_Mode != WatchMode::Fed && !IsLater)
     return;
   m_Watching = true;
@@ -538,7 +564,8 @@
     return endCall();
   // Replaces the pending call; a watch from the older revision would return the
   // same changes again.
-  if (m_CallPending && m_Reachable)
+  const bool IsOutdated = IsLater || m_Purpose != Purpose::Watch;
+  if (m_CallPending && (m_Reachable || IsOutdated))
     issueCall(Now);
 }
 
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -108,6 +108,7 @@
     if (m_Registry.onTick(Now))
       onRecords(Now);
     checkExpected(Now);
+    m_Inquiry.onTick(Now);
     m_Follower.onTick(Now);
     m_Publisher.onTick(ownRevision(Now), Now);
     pullIfDue(Now);
@@ -226,6 +227,8 @@
   }
 
   void handle(LinkId Link, const RecordsPush &Push, TimePoint Now) {
+    if (historyOf(Push.m_AsOf) > MaxHistoryNumber)
+      return reportMalformed("push", Push.m_AsOf);
     if (Link == m_PullLink) {
       m_Commands.emplace_back(CloseControlLink{Link});
       m_PullLink = 0;
@@ -237,6 +240,13 @@
     m_Reader.onPeerRecords(m_Registry.revision(), Now);
   }
 
+  void reportMalformed(const char *Message, Revision Named) {
+    m_Commands.emplace_back(Event{EventId::RecordRefused,
+                                  std::string("message=") + Message +
+                                      " revision=" + std::to_string(Named) +
+                                      " fault=its revision names no history"});
+  }
+
   // The store has lost a configuration that another node has in force.
   void requestRetained(LinkId Link, Version Retained, TimePoint Now) {
     if (Retained <= m_Registry.version() || Now < m_NextRetainedRequestAt)
@@ -246,6 +256,8 @@
   }
 
   void handle(LinkId Link, const FollowRevisions &Request, TimePoint Now) {
+    if (historyOf(Request.m_Held) > MaxHistoryNumber)
+      return reportMalformed("request", Request.m_Held);
     m_Reader.onLaterHistory(historyOf(Request.m_Held), Now);
     requestRetained(Link, Request.m_Retained, Now);
     m_Publisher.onFollow(
@@ -254,10 +266,13 @@
   }
 
   void handle(LinkId Link, const RevisionNotice &Notice, TimePoint Now) {
+    if (historyOf(std::max(Notice.m_Revision, Notice.m_Held)) >
+        MaxHistoryNumber)
+      return reportMalformed("notice", Notice.m_Revision);
     // It says nothing of the present history; its sender will follow that.
     if (!Notice.m_Refused &&
         historyOf(Notice.m_Revision) < m_Reader.history().number())
-      return;
+      return m_Follower.onOutdatedNotice(Link, Now);
     const std::string Address = m_Follower.onNotice(Link, Notice, Now);
     if (Address.empty())
       return;
@@ -314,7 +329,7 @@
     ConfigurationPtr Config = m_Registry.configuration();
     if (Config != nullptr) {
       m_Inquiry.start(m_Registry.nodes(), Now);
-      m_IsHeldBack = !m_Inquiry.isOver(Now);
+      m_IsHeldBack = !m_Inquiry.isOver();
       if (!m_IsHeldBack)
         m_Commands.emplace_back(ApplyRecords{std::move(Config)});
     }
@@ -334,7 +349,7 @@
     settleUrgentWatches(Now);
     updateOutage(Now);
     updateEvidence();
-    if (m_IsHeldBack && m_Inquiry.isOver(Now))
+    if (m_IsHeldBack && m_Inquiry.isOver())
       onRecords(Now);
     m_Pull.setStoreAnswers(m_Reader.isAnswered());
     updateHeld();
@@ -351,7 +366,7 @@
   void updateEvidence() {
     if (m_Reader.isUnverified() && m_EvidenceAsOf != m_Registry.revision()) {
       m_EvidenceAsOf = m_Registry.revision();
-      m_Reader.setEvidence(m_Registry.newestSmallRecord());
+      m_Reader.setEvidence(m_Registry.newestChange());
     }
     m_Reader.setRequiredKey(m_Registry.configurationKey());
   }
@@ -408,7 +423,7 @@
   void perform(const RecordsRead &Command, TimePoint Now) {
     const RecordsRead Read =
         m_Registry.contradicts(Command.m_Records, Command.m_HeldBefore)
-            ? m_Reader.restart(Command)
+            ? m_Reader.restart(Command, Now)
             : Command;
     if (m_Registry.replaceAll(Read.m_Records, Read.m_AsOf, Now))
       onRecords(Now);
--- a/tests/unit/status_report_test.cpp
+++ b/tests/unit/status_report_test.cpp
@@ -33,6 +33,7 @@
           .m_WatchMode = "publishing",
           .m_Followers = 3,
           .m_ConfigurationVersion = 17,
+          .m_StoreHistory = 2,
           .m_ConfirmedAgoS = 0.25,
           .m_ProcessorShare = 0.1,
           .m_Cores = 1,
@@ -67,7 +68,7 @@
   CHECK(Line.find(" held=8/fedcba9876543210 ") != std::string::npos);
   CHECK(Line.find(" open_calls=5 ") != std::string::npos);
   CHECK(Line.find(" link_mbps=20.5\n") != std::string::npos);
-  constexpr int Fields = 27;
+  constexpr int Fields = 28;
   CHECK(std::count(Line.begin(), Line.end(), '=') == Fields);
   CHECK(std::count(Line.begin(), Line.end(), ' ') == Fields - 1);
 }
