--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -50,6 +50,8 @@
 /// Time after which no serializable call sees a history of the store that
 /// another one has replaced.
 constexpr Duration MaxStaleness = std::chrono::seconds(10);
+/// Failures of calls, or dropped replies, in a row that are logged.
+constexpr unsigned MaxLoggedFailures = 4;
 /// Time for a store that has returned to load its records; until then a listing
 /// without a record that must be there is not taken.
 constexpr Duration PartialListingLimit = std::chrono::seconds(2);
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -39,9 +39,6 @@
   return Modes[static_cast<std::size_t>(Mode)];
 }
 
-/// Failures, or dropped replies, in a row that are logged.
-constexpr unsigned MaxLoggedFailures = 4;
-
 std::size_t bytesOf(const std::vector<StoreRecord> &Records) {
   std::size_t Bytes = 0;
   for (const StoreRecord &Record : Records)
@@ -76,11 +73,6 @@
 
 void StoreReader::start(TimePoint Now) { issueCall(Now); }
 
-// A replica of the store that lags behind may not know the present history.
-bool StoreReader::mayReadEarlierHistory() const {
-  return m_ReplacedAt && m_CalledAt < *m_ReplacedAt + MaxStaleness;
-}
-
 WatchRecords StoreReader::makeWatch() const {
   const bool IsTold =
       m_Mode == WatchMode::Following || m_Mode == WatchMode::Fed;
@@ -277,63 +269,6 @@
     m_ConfirmedAt = ConfirmedAt;
 }
 
-bool StoreReader::continuesHistory(const StoreReply &Reply, TimePoint Now) {
-  const bool IsCurrent = m_LastConsistency == ReadConsistency::Linearizable;
-  const StoreHistory::Relation Found = m_History.onEra(Reply.m_Era, IsCurrent);
-  if (Found == StoreHistory::Relation::Same)
-    return true;
-  if (Found == StoreHistory::Relation::Earlier) {
-    reportDropped(Reply);
-    m_CatchingUp = true;
-    m_PageWasStale = m_Purpose == Purpose::List;
-    m_CallAt = Now + retryDelay(m_Dropped, m_Random);
-    return false;
-  }
-  m_Replacements = mayReadEarlierHistory() ? m_Replacements + 1 : 1;
-  reportHistory("era", Reply.m_AsOf);
-  if (m_Purpose == Purpose::List && m_NextPageAfter.empty() &&
-      Reply.m_Outcome == StoreOutcome::Answered)
-    return true;
-  relist(m_Replacements, Now);
-  return false;
-}
-
-void StoreReader::onCompared(const StoreReply &Reply, TimePoint Now) {
-  const bool IsHeld =
-      Reply.m_AsOf >= m_History.counterIn(m_KnownAtCall) &&
-      std::any_of(Reply.m_Records.begin(), Reply.m_Records.end(),
-                  [&](const StoreRecord &Each) {
-                    return Each.m_Key == m_Evidence->m_Key &&
-                           m_History.revisionOf(Each.m_Revision) ==
-                               m_Evidence->m_Revision &&
-                           Each.m_Value != nullptr &&
-                           *Each.m_Value == *m_Evidence->m_Value;
-                  });
-  if (!IsHeld)
-    return listSuspected(Reply, Now);
-  // The delay between failed calls stays until a watch is answered.
-  setReachable(true, "");
-  m_ConfirmedAt = Now;
-  m_IsUnverified = false;
-  issueCall(Now);
-}
-
-// Either the record has been written or removed since, or the store has begun
-// another history; a listing shows which.
-void StoreReader::listSuspected(const StoreReply &Reply, TimePoint Now) {
-  reportDropped(Reply);
-  relist(m_Dropped, Now);
-}
-
-void StoreReader::relist(unsigned Repetition, TimePoint Now) {
-  m_Watching = false;
-  m_ListedRecords.clear();
-  m_NextPageAfter.clear();
-  if (Repetition <= 1)
-    return issueCall(Now);
-  m_CallAt = Now + retryDelay(Repetition, m_Random);
-}
-
 void StoreReader::onPage(StoreReply Reply, TimePoint Now) {
   if (m_NextPageAfter.empty()) {
     m_FirstPageAsOf = Reply.m_AsOf;
@@ -355,12 +290,6 @@
   finishListing(Reply, Now);
 }
 
-bool StoreReader::provesNextHistory() const {
-  return m_FirstPageAsOf < m_History.counterIn(m_KnownAtCall) ||
-         (m_CheckedClaim &&
-          m_FirstPageAsOf < m_History.counterIn(*m_CheckedClaim));
-}
-
 void StoreReader::finishListing(const StoreReply &Last, TimePoint Now) {
   const bool IsComplete =
       m_RequiredKey.empty() ||
@@ -440,53 +369,6 @@
   issueCall(Now);
 }
 
-RecordsRead StoreReader::restart(RecordsRead Contradicting, TimePoint Now) {
-  const StoreCounter AsOf = counterOf(Contradicting.m_AsOf);
-  m_History.startNext();
-  reportHistory("record", AsOf);
-  for (StoreRecord &Each : Contradicting.m_Records)
-    Each.m_Revision = m_History.revisionOf(counterOf(Each.m_Revision));
-  Contradicting.m_AsOf = m_History.revisionOf(AsOf);
-  setKnownRevision(Contradicting.m_AsOf);
-  if (m_CallPending && m_LastWatch &&
-      m_LastWatch->m_Consistency == ReadConsistency::Serializable)
-    replaceCall(Now);
-  return Contradicting;
-}
-
-void StoreReader::onLaterHistory(HistoryNumber Found, TimePoint Now) {
-  const HistoryNumber Before = m_History.number();
-  if (!m_History.follow(Found))
-    return;
-  m_Commands.emplace_back(
-      Event{EventId::StoreHistoryReplaced,
-            "history=" + std::to_string(Found) +
-                " previous=" + std::to_string(Before) + " cause=node" +
-                " known_revision=" + formatRevision(m_KnownRevision)});
-  m_ReplacedAt = Now;
-  endCall();
-  m_Watching = false;
-  m_ListedRecords.clear();
-  m_NextPageAfter.clear();
-  // Many nodes learn of it at the same time.
-  m_CallAt = Now + spreadDelay(HistoryListingSpread, m_Random);
-}
-
-bool StoreReader::checkClaim(Revision Claimed, TimePoint Now) {
-  if (!m_Watching || historyOf(Claimed) != m_History.number() ||
-      Claimed > m_DisprovedRevision || Claimed <= m_KnownRevision)
-    return false;
-  m_CheckedClaim = Claimed;
-  startListing(Now);
-  return true;
-}
-
-void StoreReader::setEvidence(StoreRecord Newest) {
-  // The pending call compares the previous one.
-  if (!m_CallPending || m_Purpose != Purpose::CompareRecord)
-    m_Evidence = std::move(Newest);
-}
-
 void StoreReader::reportCaughtUp(const StoreReply &Reply, TimePoint Now) {
   const std::optional<TimePoint> SeenAt = m_Missing.oldestSeenAt();
   if (!SeenAt || m_LastConsistency != ReadConsistency::Linearizable)
@@ -500,29 +382,6 @@
                 " bytes=" + std::to_string(bytesOf(Reply.m_Records))});
 }
 
-void StoreReader::reportDropped(const StoreReply &Reply) {
-  if (++m_Dropped > MaxLoggedFailures)
-    return;
-  m_Commands.emplace_back(
-      Event{EventId::StoreReplyDropped,
-            std::string("mode=") + nameOf(m_Mode) +
-                " known_revision=" + formatRevision(m_KnownRevision) +
-                " as_of=" + std::to_string(Reply.m_AsOf) +
-                " calls=" + std::to_string(m_LastCall)});
-}
-
-void StoreReader::reportHistory(const char *Cause, StoreCounter AsOf) {
-  if (m_KnownRevision == 0)
-    return;
-  m_ReplacedAt = m_CalledAt;
-  m_Commands.emplace_back(
-      Event{EventId::StoreHistoryReplaced,
-            "history=" + std::to_string(m_History.number()) + " previous=" +
-                std::to_string(historyOf(m_KnownRevision)) + " cause=" + Cause +
-                " known_revision=" + formatRevision(m_KnownRevision) +
-                " as_of=" + std::to_string(AsOf)});
-}
-
 void StoreReader::reportFailure(const StoreReply &Reply, TimePoint Now) {
   m_Commands.emplace_back(
       Event{EventId::StoreCallFailed,
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -2,8 +2,8 @@
 
 #include "core/registry/feed_follower.h"
 #include "core/registry/feed_publisher.h"
-#include "core/registry/prefix_watch.h"
 #include "core/registry/start_inquiry.h"
+#include "core/registry/urgent_watches.h"
 #include "dandelionfall/core/peer_pull.h"
 
 #include <algorithm>
@@ -29,9 +29,6 @@
 
 /// Links of pulls are numbered from here; those of feeds from 1.
 constexpr LinkId FirstPullLink = LinkId{1} << 62U;
-/// Calls of the prefix watches are numbered in steps of this, those of the
-/// reader from 1.
-constexpr std::uint64_t PrefixWatchCalls = std::uint64_t{1} << 48U;
 
 } // namespace
 
@@ -42,12 +39,8 @@
         m_Reader(Options.m_RandomSeed), m_Pull(otherSeeds(Options)),
         m_Follower(Options.m_LinkAddress, Options.m_Zone),
         m_Publisher(Options.m_MaxFollowers),
-        m_Inquiry(Options.m_LinkAddress, Options.m_RandomSeed) {
-    for (const std::string &Prefix : Options.m_UrgentPrefixes)
-      m_UrgentWatches.emplace_back(
-          Prefix, PrefixWatchCalls * (m_UrgentWatches.size() + 1),
-          Options.m_RandomSeed);
-  }
+        m_UrgentWatches(Options.m_UrgentPrefixes, Options.m_RandomSeed),
+        m_Inquiry(Options.m_LinkAddress, Options.m_RandomSeed) {}
 
   void start(TimePoint Now) {
     m_StartEnds = Now + StartTime;
@@ -58,11 +51,11 @@
 
   void onStoreReply(StoreReply Reply, TimePoint Now) {
     updateOutage(Now);
-    const std::uint64_t Watch = Reply.m_Call / PrefixWatchCalls;
-    if (Watch == 0)
-      m_Reader.onReply(std::move(Reply), Now);
+    if (UrgentWatches::isOwn(Reply.m_Call))
+      m_UrgentWatches.onReply(std::move(Reply), m_Reader.history(),
+                              m_Registry.revision(), Now);
     else
-      onUrgentReply(m_UrgentWatches.at(Watch - 1), std::move(Reply), Now);
+      m_Reader.onReply(std::move(Reply), Now);
     settle(Now);
   }
 
@@ -103,8 +96,7 @@
     if (m_StartEnds && Now >= *m_StartEnds)
       m_StartEnds.reset();
     m_Reader.onTick(Now);
-    for (PrefixWatch &Each : m_UrgentWatches)
-      Each.onTick(Now);
+    m_UrgentWatches.onTick(Now);
     if (m_Registry.onTick(Now))
       onRecords(Now);
     checkExpected(Now);
@@ -120,24 +112,18 @@
     for (const std::optional<TimePoint> &Each :
          {m_StartEnds, m_Reader.nextWakeUp(), m_Registry.nextWakeUp(),
           m_Pull.nextWakeUp(), m_Follower.nextWakeUp(),
-          m_Publisher.nextWakeUp(), m_Inquiry.nextWakeUp()}) {
+          m_Publisher.nextWakeUp(), m_Inquiry.nextWakeUp(),
+          m_UrgentWatches.nextWakeUp()}) {
       if (Each)
         Next = Next ? std::min(*Next, *Each) : *Each;
     }
     if (m_Expected)
       Next = Next ? std::min(*Next, m_Expected->m_Until) : m_Expected->m_Until;
-    for (const PrefixWatch &Watch : m_UrgentWatches) {
-      if (const auto At = Watch.nextWakeUp())
-        Next = Next ? std::min(*Next, *At) : *At;
-    }
     return Next;
   }
 
   std::uint64_t calls() const {
-    std::uint64_t Calls = m_Reader.calls();
-    for (const PrefixWatch &Each : m_UrgentWatches)
-      Calls += Each.calls();
-    return Calls;
+    return m_Reader.calls() + m_UrgentWatches.calls();
   }
 
   std::vector<StoreReplicaCommand> takeCommands() {
@@ -149,7 +135,7 @@
   PeerPull m_Pull;
   FeedFollower m_Follower;
   FeedPublisher m_Publisher;
-  std::vector<PrefixWatch> m_UrgentWatches;
+  UrgentWatches m_UrgentWatches;
   StartInquiry m_Inquiry;
 
   // A node that follows others passes on what they announce. With the latest
@@ -181,17 +167,6 @@
     m_Pull.onDelay(Now - *Due);
   }
 
-  StoreCounter heldCounter() const {
-    return m_Reader.history().counterIn(m_Registry.revision());
-  }
-
-  void onUrgentReply(PrefixWatch &Watch, StoreReply Reply, TimePoint Now) {
-    // The watch of all records finds that the store has begun another history.
-    if (!m_Reader.history().fits(Reply.m_Era))
-      Reply.m_Outcome = StoreOutcome::Failed;
-    Watch.onReply(std::move(Reply), heldCounter(), Now);
-  }
-
   void askForRecords(LinkId Link) {
     m_Commands.emplace_back(
         SendControl{Link, RecordsPull{m_Registry.revision()}});
@@ -374,18 +349,11 @@
   // A follower receives these records from the nodes that it follows.
   void settleUrgentWatches(TimePoint Now) {
     const WatchMode Mode = m_Reader.mode();
-    const bool Active =
-        (Mode == WatchMode::Publishing || Mode == WatchMode::Alone) &&
-        heldCounter() > 0;
-    const HistoryNumber Previous =
-        std::exchange(m_UrgentHistory, m_Reader.history().number());
-    for (PrefixWatch &Each : m_UrgentWatches) {
-      if (Previous != m_UrgentHistory)
-        Each.setActive(false, 0, Now);
-      Each.setActive(Active, heldCounter(), Now);
-      for (const PrefixWatchCommand &Command : Each.takeCommands())
-        std::visit([&](const auto &Any) { perform(Any, Now); }, Command);
-    }
+    m_UrgentWatches.setActive(Mode == WatchMode::Publishing ||
+                                  Mode == WatchMode::Alone,
+                              m_Reader.history(), m_Registry.revision(), Now);
+    for (const PrefixWatchCommand &Command : m_UrgentWatches.takeCommands())
+      std::visit([&](const auto &Any) { perform(Any, Now); }, Command);
   }
 
   void updateMode(TimePoint Now) {
@@ -434,9 +402,7 @@
       onRecords(Now);
   }
 
-  void perform(std::vector<StoreRecord> Urgent, TimePoint Now) {
-    for (StoreRecord &Each : Urgent)
-      Each.m_Revision = m_Reader.history().revisionOf(Each.m_Revision);
+  void perform(const std::vector<StoreRecord> &Urgent, TimePoint Now) {
     if (m_Registry.applyAhead(Urgent, "urgent-watch", Now))
       onRecords(Now);
   }
@@ -461,8 +427,6 @@
   bool m_IsHeldBack = false;
   /// Revision of the registry when the reader's evidence was set.
   std::optional<Revision> m_EvidenceAsOf;
-  /// History that the urgent watches follow.
-  HistoryNumber m_UrgentHistory = 0;
   /// When the next retained configuration may be requested.
   TimePoint m_NextRetainedRequestAt;
   /// Link of the pending pull; 0 if there is none.
