Stand-in of the store: outages and what the store knows when it returns

A store that comes back with a lower revision could not be played: the stand-in only had a mode in which it responds 503. It can now end and start again (connections cut and refused meanwhile) with everything kept, without its history, at a far higher revision, with its revisions counted from 1 again, as of some revisions ago, or without records at first. It can refuse single hosts; each host has its own address of the store, since all nodes call it from the same one. What a watch beyond the newest revision gets can be chosen, and replies can state the store's era. Listings honour prefix and after, /kv-key returns one item, and calls are recorded. Targets count the entries that they write (seq).

A deployment that is closed also ends its store and targets, so that a process can play several in a row.

--- a/tests/system/store_deployment.py
+++ b/tests/system/store_deployment.py
@@ -20,16 +20,24 @@
 BUILD = pathlib.Path(os.environ.get("DANDELIONFALL_BUILD", ROOT / "build"))
 HOSTS = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
 CALLER, LINK, OPERATOR, TARGET = 18304, 18620, 18302, 18301
-STORE = ("127.0.0.10", 18309)
+# A host that is not part of a deployment at its start.
+SPARE_HOST = "127.0.0.14"
+STORE_CLIENTS, STORE_PORT = [*HOSTS, SPARE_HOST], 18309
 SERVICE = "desk"
 POLL_INTERVAL_S = 0.02
 # Bytes of a reply that are sent together.
 SENT_AT_ONCE = 16384
+PAGE_ITEMS = 500
 # Time within which a server notices that it should end.
 SERVE_POLL_S = 0.005
 STOP_SETTINGS = ["linger_ms = 1500"]
 
 
+def store_address(host):
+    """Returns the address under which a host reaches the store."""
+    return "127.0.1." + host.rpartition(".")[2], STORE_PORT
+
+
 class Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
 
@@ -60,13 +68,30 @@
 class Store:
     """The platform's store: records by key, a revision, and a mode in which it responds 503 to every request.
 
-    Serializable watches see the state of `staleness_s` ago. If `link_bytes_per_s` is set, each reply is sent at that rate.
+    Serializable watches see the state of `staleness_s` ago. Replies are sent at `link_bytes_per_s` if that is set.
+    `close` and `open` end and start its process; between them the `restore_` methods set what it knows when it returns.
+    Hosts in `refused_hosts` receive 503; each host has its own address of the store. A watch beyond the newest revision
+    is answered as `beyond` says: "gone" (410), "wait" (no events, after the wait) or "empty" (no events, at once). If
+    `era` is set, each reply states it. `calls` holds the time, the host, the path and the status of each call.
     """
 
-    def __init__(self):
+    def __init__(self, era=None):
         self.records, self.log, self.revision, self.available = {}, [], 1, True
         self.staleness_s, self.changed_at, self.serializable_calls = 0, {1: 0.0}, 0
         self.changed, self.link_bytes_per_s = threading.Condition(), None
+        # Records as of the revision after which the log begins.
+        self.base, self.base_revision = {}, 1
+        self.beyond, self.era, self.refused_hosts, self.loaded_at = "wait", era, set(), 0.0
+        self.calls, self.starts, self.servers = [], 0, []
+        self.open()
+
+    def open(self):
+        self.starts += 1
+        self.servers = [Server(store_address(host), self.make_handler(host, self.starts)) for host in STORE_CLIENTS]
+        for server in self.servers:
+            threading.Thread(target=server.serve_forever, args=(SERVE_POLL_S,), daemon=True).start()
+
+    def make_handler(self, host, start):
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -75,43 +100,111 @@
             def do_GET(self):
                 path, _, query = self.path.partition("?")
                 values = dict(urllib.parse.parse_qsl(query))
-                status, body = store.respond(path, values)
+                call = [time.monotonic(), host, path, None]
+                store.calls.append(call)
+                call[3], body = store.respond(path, values, host, start)
                 text = json.dumps(body).encode()
-                self.send_response(status)
+                self.send_response(call[3])
                 self.send_header("Content-Length", str(len(text)))
+                if store.era is not None:
+                    self.send_header("Store-Era", str(store.era))
                 self.end_headers()
-                for start in range(0, len(text), SENT_AT_ONCE):
-                    if start > 0 and store.link_bytes_per_s is not None:
+                for offset in range(0, len(text), SENT_AT_ONCE):
+                    if offset > 0 and store.link_bytes_per_s is not None:
                         time.sleep(SENT_AT_ONCE / store.link_bytes_per_s)
-                    self.wfile.write(text[start:start + SENT_AT_ONCE])
+                    self.wfile.write(text[offset:offset + SENT_AT_ONCE])
 
             def log_message(self, *_):
                 pass
 
-        self.server = Server(STORE, Handler)
-        threading.Thread(target=self.server.serve_forever, args=(SERVE_POLL_S,), daemon=True).start()
+        return Handler
+
+    def close(self):
+        """Cuts all connections; further ones are refused."""
+        for server in self.servers:
+            server.end()
+        with self.changed:
+            self.starts += 1
+            self.changed.notify_all()
 
-    def respond(self, path, values):
+    def restore_without_history(self):
+        self.base, self.base_revision, self.log = dict(self.records), self.revision, []
+
+    def restore_higher(self, added):
+        self.restore_without_history()
+        self.revision += added
+        self.base_revision, self.changed_at = self.revision, {self.revision: 0.0}
+
+    def restore_renumbered(self):
+        """Keeps the records, in the order of their changes, and counts the revisions from 1 again."""
+        kept = sorted(self.records.values(), key=lambda record: record["rev"])
+        self.base, self.base_revision = {}, 1
+        self.log = [{**record, "rev": 2 + index, "created": 2 + index} for index, record in enumerate(kept)]
+        self.begin_history(1 + len(kept))
+
+    def restore_copy(self, revisions):
+        """Returns to the state of some revisions ago; the revisions since then are handed out again."""
+        revision = max(self.revision - revisions, self.base_revision)
+        self.log = [event for event in self.log if event["rev"] <= revision]
+        self.begin_history(revision)
+
+    def begin_history(self, revision):
+        self.revision, self.changed_at, self.records = revision, {revision: 0.0}, dict(self.base)
+        for event in self.log:
+            if "tombstone" in event:
+                del self.records[event["key"]]
+            else:
+                self.records[event["key"]] = event
+        if self.era is not None:
+            self.era += 1
+
+    def restore_late(self, empty_s):
+        """Responds as a store at revision 1 without records for some time."""
+        self.loaded_at = time.monotonic() + empty_s
+
+    def loaded(self):
+        return time.monotonic() >= self.loaded_at
+
+    def respond(self, path, values, host, start):
         with self.changed:
-            if not self.available:
+            if not self.available or host in self.refused_hosts:
                 return 503, {}
+            if path == "/kv-key":
+                item = self.records.get(values["key"]) if self.loaded() else None
+                return (404, {}) if item is None else (200, {**item, "as-of": self.revision})
             if path == "/kv-range":
-                return 200, {"items": list(self.records.values()), "has-more": False, "as-of": self.revision}
-            after, stale = int(values["after"]), values.get("serializable") == "1"
-            prefix = values.get("prefix", "")
-            self.serializable_calls += stale
-            end = time.monotonic() + int(values["wait-ms"]) / 1000
-            while self.available and not self.events(prefix, after, stale) and time.monotonic() < end:
-                self.changed.wait(min(POLL_INTERVAL_S, max(end - time.monotonic(), 0)))
-            if not self.available:
+                return 200, self.page(values.get("prefix", ""), values.get("after", ""))
+            return self.watch(values, host, start)
+
+    def page(self, prefix, after):
+        records = self.records if self.loaded() else {}
+        keys = sorted(key for key in records if key.startswith(prefix) and key > after)
+        return {"items": [records[key] for key in keys[:PAGE_ITEMS]], "has-more": len(keys) > PAGE_ITEMS,
+                "as-of": self.visible(False)}
+
+    def watch(self, values, host, start):
+        after, stale, prefix = int(values["after"]), values.get("serializable") == "1", values.get("prefix", "")
+        self.serializable_calls += stale
+        end = time.monotonic() + int(values["wait-ms"]) / 1000
+        while True:
+            if not self.available or self.starts != start or host in self.refused_hosts:
                 return 503, {}
-            return 200, {"events": self.events(prefix, after, stale), "as-of": self.visible(stale)}
+            if self.loaded() and after < self.base_revision and self.base_revision > 1:
+                return 410, {}
+            is_beyond = after > self.visible(False)
+            if is_beyond and self.beyond == "gone":
+                return 410, {}
+            if self.events(prefix, after, stale) or time.monotonic() >= end or (is_beyond and self.beyond == "empty"):
+                return 200, {"events": self.events(prefix, after, stale), "as-of": self.visible(stale)}
+            self.changed.wait(min(POLL_INTERVAL_S, max(end - time.monotonic(), 0)))
 
     def events(self, prefix, after, stale):
         as_of = self.visible(stale)
         return [event for event in self.log if after < event["rev"] <= as_of and event["key"].startswith(prefix)]
 
     def visible(self, stale):
+        if not self.loaded():
+            return 1
         if not stale:
             return self.revision
         newest = time.monotonic() - self.staleness_s
@@ -125,7 +218,8 @@
         with self.changed:
             self.count_change()
             encoded = base64.b64encode(json.dumps(value).encode()).decode()
-            self.records[key] = {"key": key, "value": encoded, "rev": self.revision}
+            created = self.records[key]["created"] if key in self.records else self.revision
+            self.records[key] = {"key": key, "value": encoded, "rev": self.revision, "created": created, "lease": 0}
             self.log.append(self.records[key])
             self.changed.notify_all()
 
@@ -151,7 +245,7 @@
 
     def __init__(self, host, instance):
         self.host, self.instance, self.requests, self.arrivals, self.extra_headers = host, instance, [], [], {}
-        self.work_s, self.crash_marker, self.paths = 0, None, []
+        self.work_s, self.crash_marker, self.paths, self.sequence = 0, None, [], 0
         target = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -186,8 +280,10 @@
         threading.Thread(target=self.server.serve_forever, args=(SERVE_POLL_S,), daemon=True).start()
 
     def record(self, state="ready"):
+        """Returns the next entry that the target writes about itself."""
+        self.sequence += 1
         return {"service": SERVICE, "address": f"{self.host}:{TARGET}", "zone": "a", "version": "v1", "slots": 4,
-                "state": state, "cold-remaining-ms": 0, "seq": 1, "born": 1}
+                "state": state, "cold-remaining-ms": 0, "seq": self.sequence, "born": 1}
 
 
 def configuration(version, prefix="/a/"):
@@ -204,16 +300,16 @@
     return "\n".join([
         "[node]", f"host = {host}", "zone = a", f"caller_address = {host}:{CALLER}", f"link_address = {host}:{LINK}",
         f"operator_address = {host}:{OPERATOR}", "[target]", f"name = {host}", f"address = {host}:{TARGET}",
-        f"service = {SERVICE}", "[source]", "protocol = store", f"address = {STORE[0]}:{STORE[1]}", "[zones]",
-        "a = r", "[overlay]", "seeds = " + ", ".join(f"{seed}:{LINK}" for seed in seeds), "[retries]", "ratio = 0.2",
-        "slack = 60", "[stop]", *STOP_SETTINGS, ""])
+        f"service = {SERVICE}", "[source]", "protocol = store", "address = {}:{}".format(*store_address(host)),
+        "[zones]", "a = r", "[overlay]", "seeds = " + ", ".join(f"{seed}:{LINK}" for seed in seeds), "[retries]",
+        "ratio = 0.2", "slack = 60", "[stop]", *STOP_SETTINGS, ""])
 
 
 class Deployment:
     """A store, three targets, and a node next to each target."""
 
-    def __init__(self, directory):
-        self.store = Store()
+    def __init__(self, directory, era=None):
+        self.store = Store(era)
         self.targets = [Target(host, f"i-{index}") for index, host in enumerate(HOSTS)]
         for target in self.targets:
             self.store.put(f"servers/{target.instance}", target.record())
@@ -228,6 +324,9 @@
         for node in self.nodes:
             if node.alive():
                 node.kill()
+        self.store.close()
+        for target in self.targets:
+            target.server.end()
 
     @staticmethod
     def ready(host):
@@ -249,12 +348,12 @@
     """Calls at a constant rate, in turn at each of the hosts, until closed.
 
     `make_path` returns the path of a call from its number. `rejections` holds the time of each call that was rejected
-    and the time until its rejection.
+    and the time until its rejection; `missed` the time, host and status of each call that was not served.
     """
 
     def __init__(self, hosts, per_s, make_path=lambda _: "/a/x"):
         self.hosts, self.per_s, self.make_path, self.statuses, self.threads = hosts, per_s, make_path, [], []
-        self.rejections = []
+        self.rejections, self.missed = [], []
         self.stopped = threading.Event()
         self.pacer = threading.Thread(target=self.run, daemon=True)
         self.pacer.start()
@@ -273,6 +372,8 @@
         with contextlib.suppress(OSError, http.client.HTTPException):
             status = Deployment.call(host, self.make_path(number), {"Origin-Host": host, "Sent-At": str(sent_at)})[0]
         self.statuses.append((sent_at, status))
+        if status != 200:
+            self.missed.append((sent_at, host, status))
         if status == 503:
             self.rejections.append((sent_at, time.monotonic() - sent_at))
 
--- a/tests/system/store_node.py
+++ b/tests/system/store_node.py
@@ -8,10 +8,10 @@
 import time
 
 from fleet import FleetError, Process, wait_until
-from store_deployment import BUILD, HOSTS, SERVICE, Deployment, check, configuration, settings
+from store_deployment import BUILD, HOSTS, SERVICE, SPARE_HOST, Deployment, check, configuration, settings
 
 # A host unknown to the other nodes: its target is not in the store.
-NEW_HOST = "127.0.0.14"
+NEW_HOST = SPARE_HOST
 APPLY_TIMEOUT_S = 2
 STEP_TIMEOUT_S = 6
 # A node pulls from its first seed after 0.3 s.
