--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -131,6 +131,7 @@
       FollowRevisions{},
       FollowRevisions{9},
       FollowRevisions{9, false},
+      FollowRevisions{9, true, 17},
       RevisionNotice{
           ~std::uint64_t{0},
           8,
@@ -142,6 +143,12 @@
            {{"op/config", 9}},
            true}},
       RevisionNotice{7, 6, NeverCalled, true, {}},
+      RevisionNotice{7, 6, NeverCalled, false, {}, 17},
+      RecordsPush{7,
+                  true,
+                  {},
+                  StoreRecord{"op/config", 6,
+                              std::make_shared<const std::string>("value")}},
   };
   for (const ControlMessage &Message : Messages) {
     const std::string Frame = net::encodeFrame(Message, 1);
