--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -1,5 +1,7 @@
 #include "core/gate/engine.h"
 
+#include "dandelionfall/core/revision.h"
+
 #include <algorithm>
 #include <stdexcept>
 #include <utility>
@@ -101,7 +103,7 @@
   if (IsIn == WasIn)
     return;
   const std::string Detail =
-      "zone=" + m_Options.m_Zone + " version=" + std::to_string(version());
+      "zone=" + m_Options.m_Zone + " version=" + formatRevision(version());
   report(IsIn ? EventId::ZoneIn : EventId::ZoneOut, Detail);
   if (!IsIn) {
     m_ZoneOutSince = Now;
@@ -222,7 +224,7 @@
              " in_flight=" + std::to_string(m_Slots.size()) +
              " queued=" + std::to_string(m_Queue.size()) +
              " limit=" + std::to_string(capacity().m_Limit) +
-             " version=" + std::to_string(version()) +
+             " version=" + formatRevision(version()) +
              " retry_after_us=" + std::to_string(Cause.m_RetryAfter.count()));
 }
 
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -3,6 +3,7 @@
 #include "core/ingress/attempt_field.h"
 #include "core/ingress/idempotency.h"
 #include "core/ingress/limits.h"
+#include "dandelionfall/core/revision.h"
 
 #include <algorithm>
 #include <utility>
@@ -95,7 +96,7 @@
   m_Out.report(EventId::RequestNotServed,
                "caller_id=" + CallerId + " call=" + std::to_string(Id) +
                    " outcome=" + std::string(outcomeName(Outcome)) +
-                   " version=" + std::to_string(version()) +
+                   " version=" + formatRevision(version()) +
                    " cause=" + Detail);
 }
 
@@ -311,7 +312,7 @@
       " route=" + Ended.m_Kind + " service=" + Ended.m_Service +
       " elapsed_us=" + std::to_string((Now - Ended.m_OpenedAt).count()) +
       " late_us=" + std::to_string((Now - Ended.m_SoftDeadline).count()) +
-      " version=" + std::to_string(version()) + " tries=" + Ended.m_History;
+      " version=" + formatRevision(version()) + " tries=" + Ended.m_History;
   m_Out.report(eventOf(Outcome),
                Detail.empty() ? Fields : Fields + " cause=" + Detail);
   for (const AttemptNumber Number : Ended.m_OpenAttempts)
--- a/src/core/registry/store_reader_history.cpp
+++ b/src/core/registry/store_reader_history.cpp
@@ -48,8 +48,10 @@
                            Each.m_Value != nullptr &&
                            *Each.m_Value == *m_Evidence->m_Value;
                   });
+  // Either the record has been written or removed since, or the store has begun
+  // another history; a listing shows which.
   if (!IsHeld)
-    return listSuspected(Reply, Now);
+    return relist(++m_Dropped, Now);
   // The delay between failed calls stays until a watch is answered.
   setReachable(true, "");
   m_ConfirmedAt = Now;
@@ -57,8 +59,6 @@
   issueCall(Now);
 }
 
-// Either the record has been written or removed since, or the store has begun
-// another history; a listing shows which.
 void StoreReader::listSuspected(const StoreReply &Reply, TimePoint Now) {
   reportDropped(Reply);
   relist(m_Dropped, Now);
