Play returns of the store from older copies in the contract fleet

Found and fixed with it: a node that starts right after the return finds the later history, by its era, before its peers do.

--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -104,6 +104,9 @@
 RecordsPush Registry::makePush(Revision PeerRevision) const {
   const bool IsFull = PeerRevision < m_RemovalHistoryStart || PeerRevision == 0;
   RecordsPush Result{m_Revision, IsFull, {}, m_Retained};
+  // The peer has found a later history, which may lack this configuration.
+  if (historyOf(PeerRevision) > historyOf(m_Revision) && m_Published != nullptr)
+    Result.m_Retained = m_InForce;
   if (!IsFull) {
     Result.m_Records = changesAfter(PeerRevision);
     return Result;
--- a/tests/contract/store_emulation.cpp
+++ b/tests/contract/store_emulation.cpp
@@ -1,6 +1,7 @@
 #include "store_emulation.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <sstream>
@@ -22,7 +23,8 @@
   }
   TargetEntry Entry;
   std::string State;
-  Stream >> Entry.m_Service >> Entry.m_Address >> Entry.m_Zone >> State;
+  Stream >> Entry.m_Service >> Entry.m_Address >> Entry.m_Zone >> State >>
+      Entry.m_StartedAtMs >> Entry.m_Sequence;
   Entry.m_Instance = Record.m_Key;
   Entry.m_Draining = State == "draining";
   return Entry;
@@ -30,38 +32,76 @@
 
 Revision FleetStore::put(const std::string &Key, const std::string &Value,
                          TimePoint Now) {
-  const Revision New = m_Log.size() + 1;
+  const Revision New = newest() + 1;
   m_Log.push_back(
       {{Key, New, std::make_shared<const std::string>(Value)}, Now});
   return New;
 }
 
 Revision FleetStore::remove(const std::string &Key, TimePoint Now) {
-  const Revision New = m_Log.size() + 1;
+  const Revision New = newest() + 1;
   m_Log.push_back({{Key, New, nullptr}, Now});
   return New;
 }
 
+void FleetStore::restore(const RestoredCopy &Copy, TimePoint TakenAt,
+                         TimePoint Now) {
+  const TimePoint Until = TakenAt - Copy.m_Age;
+  std::erase_if(m_Log,
+                [Until](const Change &Each) { return Each.m_At > Until; });
+  for (std::size_t Lost = 0; Lost < Copy.m_LostRevisions && m_Log.size() > 1;
+       ++Lost)
+    m_Log.pop_back();
+  if (Copy.m_CountsAnew) {
+    std::vector<Change> Anew;
+    for (const auto &[Key, Record] : newestRecords())
+      Anew.push_back({{Key, Anew.size() + 1, Record.m_Value}, Until});
+    m_Log = std::move(Anew);
+  }
+  m_CompactedUpTo =
+      Copy.m_KeepsHistory && !Copy.m_CountsAnew ? m_CompactedUpTo : newest();
+  m_Beyond = Copy.m_Beyond;
+  m_LoadedAt = Now + Copy.m_EmptyFor;
+  if (m_Era)
+    ++*m_Era;
+}
+
+std::map<std::string, StoreRecord> FleetStore::newestRecords() const {
+  std::map<std::string, StoreRecord> Result;
+  for (const Change &Each : m_Log)
+    Result.insert_or_assign(Each.m_Record.m_Key, Each.m_Record);
+  std::erase_if(
+      Result, [](const auto &Each) { return Each.second.m_Value == nullptr; });
+  return Result;
+}
+
+std::shared_ptr<const std::string>
+FleetStore::value(const std::string &Key) const {
+  const auto Records = newestRecords();
+  const auto Found = Records.find(Key);
+  return Found == Records.end() ? nullptr : Found->second.m_Value;
+}
+
 Revision FleetStore::visible(ReadConsistency Consistency, TimePoint Now) const {
   if (Consistency == ReadConsistency::Linearizable)
-    return m_Log.size();
+    return newest();
   const auto First =
       std::find_if(m_Log.begin(), m_Log.end(), [&](const Change &Each) {
         return Each.m_At + m_Staleness > Now;
       });
-  return static_cast<Revision>(First - m_Log.begin());
+  return First == m_Log.begin() ? 0 : std::prev(First)->m_Record.m_Revision;
 }
 
-StoreReply FleetStore::list(const ListRecords &Call, TimePoint /*Now*/) const {
-  std::map<std::string, StoreRecord> Newest;
-  for (const Change &Each : m_Log)
-    Newest.insert_or_assign(Each.m_Record.m_Key, Each.m_Record);
+StoreReply FleetStore::list(const ListRecords &Call, TimePoint Now) const {
   StoreReply Result;
   Result.m_Call = Call.m_Call;
   Result.m_Outcome = StoreOutcome::Answered;
-  Result.m_AsOf = m_Log.size();
-  for (const auto &[Key, Record] : Newest) {
-    if (Record.m_Value != nullptr)
+  Result.m_AsOf = newest();
+  Result.m_Era = m_Era;
+  if (Now < m_LoadedAt)
+    return Result;
+  for (const auto &[Key, Record] : newestRecords()) {
+    if (Key.starts_with(Call.m_Prefix))
       Result.m_Records.push_back(Record);
   }
   return Result;
@@ -72,6 +112,13 @@
   Result.m_Call = Call.m_Call;
   Result.m_Outcome = StoreOutcome::Answered;
   Result.m_AsOf = visible(Call.m_Consistency, Now);
+  Result.m_Era = m_Era;
+  const bool IsBeyond =
+      Call.m_After > newest() && m_Beyond == WatchBeyond::Compacted;
+  if (Call.m_After < m_CompactedUpTo || IsBeyond) {
+    Result.m_Outcome = StoreOutcome::HistoryCompacted;
+    return Result;
+  }
   for (const Change &Each : m_Log) {
     if (Each.m_Record.m_Revision > Call.m_After &&
         Each.m_Record.m_Revision <= Result.m_AsOf &&
@@ -81,4 +128,11 @@
   return Result;
 }
 
+bool FleetStore::isDue(const WatchRecords &Call, TimePoint Now) const {
+  const StoreReply Reply = changes(Call, Now);
+  return Reply.m_Outcome != StoreOutcome::Answered ||
+         !Reply.m_Records.empty() ||
+         (Call.m_After > newest() && m_Beyond == WatchBeyond::Nothing);
+}
+
 } // namespace dandelionfall::test
--- a/tests/contract/store_emulation.h
+++ b/tests/contract/store_emulation.h
@@ -5,6 +5,9 @@
 #include "dandelionfall/core/registry.h"
 #include "dandelionfall/core/store_reader.h"
 
+#include <map>
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,10 +15,11 @@
 
 using core::Duration;
 using core::Revision;
+using core::StoreRecord;
 using core::TimePoint;
 
-/// Decodes the fleet's records: `SERVICE ADDRESS ZONE STATE` for a target, and
-/// a version number for the configuration.
+/// Decodes the fleet's records: `SERVICE ADDRESS ZONE STATE BORN SEQ` for a
+/// target, and a version number for the configuration.
 class FleetDecoder : public core::RecordDecoder {
 public:
   core::DecodedRecord decode(const core::StoreRecord &Record) const override;
@@ -26,6 +30,28 @@
   mutable std::size_t m_Configurations = 0;
 };
 
+/// What a store returns for a watch beyond its newest revision.
+enum class WatchBeyond : std::uint8_t {
+  Compacted, ///< The history is no longer available.
+  Waits,     ///< Waits for a revision that is higher still.
+  Nothing,   ///< Returns nothing, at once.
+};
+
+/// The copy from which a store comes back.
+struct RestoredCopy {
+  /// Age of the copy.
+  Duration m_Age{0};
+  /// Changes that the copy lacks besides those after its age.
+  std::size_t m_LostRevisions = 0;
+  /// Whether revisions are counted from 1 again.
+  bool m_CountsAnew = false;
+  /// Whether the changes before the copy can be watched.
+  bool m_KeepsHistory = true;
+  WatchBeyond m_Beyond = WatchBeyond::Compacted;
+  /// Time after the return for which listings are empty.
+  Duration m_EmptyFor{0};
+};
+
 /// A store whose serializable calls see an old state.
 class FleetStore {
 public:
@@ -39,15 +65,34 @@
   Revision visible(core::ReadConsistency Consistency, TimePoint Now) const;
   core::StoreReply list(const core::ListRecords &Call, TimePoint Now) const;
   core::StoreReply changes(const core::WatchRecords &Call, TimePoint Now) const;
+  /// \returns whether a watch is answered before its wait is over.
+  bool isDue(const core::WatchRecords &Call, TimePoint Now) const;
   Duration staleness() const { return m_Staleness; }
+  /// States the era in all replies.
+  void stateEra() { m_Era = 1; }
+  /// Goes back to an earlier state.
+  /// \param TakenAt moment from which the age of the copy counts.
+  void restore(const RestoredCopy &Copy, TimePoint TakenAt, TimePoint Now);
+  /// \returns the value of a record; null if there is none.
+  std::shared_ptr<const std::string> value(const std::string &Key) const;
 
 private:
+  Revision newest() const {
+    return m_Log.empty() ? 0 : m_Log.back().m_Record.m_Revision;
+  }
+  std::map<std::string, StoreRecord> newestRecords() const;
+
   struct Change {
-    core::StoreRecord m_Record;
+    StoreRecord m_Record;
     TimePoint m_At;
   };
   Duration m_Staleness;
   std::vector<Change> m_Log;
+  /// Changes up to this revision can't be watched.
+  Revision m_CompactedUpTo = 0;
+  WatchBeyond m_Beyond = WatchBeyond::Waits;
+  TimePoint m_LoadedAt;
+  std::optional<std::uint64_t> m_Era;
 };
 
 } // namespace dandelionfall::test
--- a/tests/contract/store_fleet.cpp
+++ b/tests/contract/store_fleet.cpp
@@ -23,7 +23,10 @@
 
 StoreFleet::StoreFleet(StoreFleetOptions Options)
     : m_Options(Options), m_Store(Options.m_Staleness),
-      m_Random(Options.m_Seed), m_Nodes(Options.m_Nodes) {
+      m_Random(Options.m_Seed), m_Nodes(Options.m_Nodes),
+      m_Targets(Options.m_Nodes) {
+  if (Options.m_StatesEra)
+    m_Store.stateEra();
   for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number)
     listTarget(Number);
   publish();
@@ -103,6 +106,7 @@
   Settled.m_HeldAt.emplace(Settled.m_Replica->registry().revision(), m_Now);
   Settled.m_AppliedAt.emplace(Settled.m_Replica->registry().version(), m_Now);
   noteDepartures(Number);
+  checkInvariants(Number);
   const std::optional<TimePoint> Due = Settled.m_Replica->nextWakeUp();
   if (!Due || (Settled.m_TickAt && *Settled.m_TickAt <= *Due))
     return;
@@ -187,6 +191,11 @@
   Started.m_HeldAt.clear();
   Started.m_AppliedAt.clear();
   Started.m_DepartureAt.clear();
+  Started.m_Version = Started.m_FirstVersion = 0;
+  Started.m_AppliedRevision = 0;
+  Started.m_StartedAt = m_Now;
+  Started.m_Used.clear();
+  Started.m_Left.clear();
   Started.m_TickAt.reset();
   Started.m_Silenced.clear();
   Started.m_PendingCalls.clear();
@@ -283,7 +292,7 @@
   std::vector<Watcher> Answered;
   std::erase_if(m_Watchers, [&](const Watcher &Each) {
     if (Each.m_Call.m_Consistency != Consistency ||
-        m_Store.changes(Each.m_Call, m_Now).m_Records.empty())
+        !m_Store.isDue(Each.m_Call, m_Now))
       return false;
     Answered.push_back(Each);
     return true;
@@ -328,6 +337,9 @@
 }
 
 void StoreFleet::perform(std::size_t Number, const ListRecords &Command) {
+  m_Nodes[Number].m_CallTimes.push_back(m_Now);
+  if (Command.m_Prefix.empty() && Command.m_After.empty())
+    m_Nodes[Number].m_ListingTimes.push_back(m_Now);
   m_PricedCalls += 1;
   Member &Caller = m_Nodes[Number];
   Caller.m_PendingCalls.insert(Command.m_Call);
@@ -336,11 +348,14 @@
   if (Caller.m_CutFromStore)
     return;
   at(m_Now + StoreDelay / 2, [this, Number, Start, Command] {
+    if (m_StoreIsAway)
+      return refuse(Number, Start, Command.m_Call);
     reply(Number, Start, m_Store.list(Command, m_Now));
   });
 }
 
 void StoreFleet::perform(std::size_t Number, const WatchRecords &Command) {
+  m_Nodes[Number].m_CallTimes.push_back(m_Now);
   m_PricedCalls += Command.m_Consistency == ReadConsistency::Linearizable
                        ? 1
                        : SerializablePrice;
@@ -351,6 +366,8 @@
   if (Caller.m_CutFromStore)
     return;
   at(m_Now + StoreDelay / 2, [this, Number, Start, Command] {
+    if (m_StoreIsAway)
+      return refuse(Number, Start, Command.m_Call);
     m_Watchers.push_back({Number, Start, Command});
     wakeWatchers(Command.m_Consistency);
   });
@@ -440,8 +457,16 @@
           });
 }
 
-void StoreFleet::perform(std::size_t /*Number*/,
-                         const ApplyRecords & /*Command*/) {}
+void StoreFleet::perform(std::size_t Number, const ApplyRecords &Command) {
+  Member &Applying = m_Nodes[Number];
+  const Revision Applied = Command.m_Configuration->m_Stamp.m_Version;
+  if (Applied < Applying.m_AppliedRevision)
+    m_Violations.push_back("node " + std::to_string(Number) +
+                           " applies an earlier revision");
+  Applying.m_AppliedRevision = Applied;
+  if (Applying.m_FirstVersion == 0)
+    Applying.m_FirstVersion = Applying.m_Replica->registry().version();
+}
 
 void StoreFleet::perform(std::size_t /*Number*/, const Event &Command) {
   m_LostFeeds += Command.m_Id == EventId::FeedLost ? 1 : 0;
--- a/tests/contract/store_fleet.h
+++ b/tests/contract/store_fleet.h
@@ -46,6 +46,8 @@
   std::size_t m_StoreBytesPerSecond = 0;
   /// Time for which a machine is occupied by decoding one configuration.
   Duration m_DecodeTime{0};
+  /// Whether the store states its era.
+  bool m_StatesEra = false;
 };
 
 /// A fleet; node `I` is next to target `I`, in availability zone `I modulo
@@ -85,6 +87,36 @@
   Revision removeTarget(std::size_t Node);
   /// Writes the entry of a target again.
   void listTarget(std::size_t Node);
+  /// The store refuses all calls, and comes back from a copy after a while.
+  /// What was written is written again: the configuration and the live targets
+  /// by their writers within 1.9 s of the return; entries of targets that have
+  /// left lapse again within 6 s.
+  void restoreStore(const RestoredCopy &Copy, Duration Away);
+  /// \returns the version published last.
+  core::Version newestVersion() const { return m_Version; }
+  /// \returns the longest time after which a node that runs and is not
+  /// excepted applied a version or a higher one; nothing if one of them has
+  /// not.
+  std::optional<Duration>
+  worstVersionLag(core::Version Searched,
+                  const std::set<std::size_t> &Except = {}) const;
+  /// \returns the version with which a node first took requests since its
+  /// start; 0 if it has not.
+  core::Version firstVersion(std::size_t Node) const {
+    return m_Nodes[Node].m_FirstVersion;
+  }
+  /// \returns the listings of all records that a node has requested since.
+  std::size_t listingsSince(std::size_t Node, TimePoint Since) const;
+  /// \returns the calls of a node since.
+  std::size_t callsSince(std::size_t Node, TimePoint Since) const;
+  /// \returns what broke an invariant at any node: a version that went back, a
+  /// target used again after it left, a live target dropped.
+  const std::vector<std::string> &violations() const { return m_Violations; }
+  /// \returns which nodes use a target again that had left before they
+  /// started.
+  const std::vector<std::string> &usedAfterStart() const {
+    return m_UsedAfterStart;
+  }
   /// \returns whether a node has a target in use.
   bool usesTarget(std::size_t Node, std::size_t Target) const;
   void run(Duration Length);
@@ -157,6 +189,15 @@
     TimePoint m_LinkFreeAt;
     TimePoint m_SendingFreeAt;
     LinkId m_NextInbound = core::FirstInboundLink;
+    core::Version m_Version = 0;
+    core::Version m_FirstVersion = 0;
+    TimePoint m_StartedAt;
+    Revision m_AppliedRevision = 0;
+    /// Live targets that are used, and targets not used after they left.
+    std::set<std::size_t> m_Used;
+    std::set<std::size_t> m_Left;
+    std::vector<TimePoint> m_CallTimes;
+    std::vector<TimePoint> m_ListingTimes;
   };
   /// One end of a link.
   struct LinkEnd {
@@ -182,6 +223,16 @@
     core::WatchRecords m_Call;
   };
 
+  enum class TargetPhase : std::uint8_t { Ready, Draining, Gone };
+  /// A target, as it knows itself.
+  struct LiveTarget {
+    TargetPhase m_Phase = TargetPhase::Ready;
+    std::uint64_t m_Sequence = 0;
+    std::string m_Value;
+    /// When it wrote that it leaves.
+    TimePoint m_LeftAt;
+  };
+
   static std::string addressOf(std::size_t Node);
   void at(TimePoint When, std::function<void()> Run);
   /// Runs an action on a node, unless it has ended or restarted since.
@@ -191,6 +242,11 @@
   void handleInputs(std::size_t Node);
   void settle(std::size_t Node);
   void noteDepartures(std::size_t Node);
+  void checkInvariants(std::size_t Node);
+  /// Writes a target's entry. \returns its revision.
+  Revision writeTarget(std::size_t Node, TargetPhase Phase);
+  void writeLostAgain();
+  void refuse(std::size_t Node, std::uint64_t Start, std::uint64_t Call);
   /// \returns the time until a node has received records, behind earlier ones.
   Duration transfer(std::size_t Node,
                     const std::vector<core::StoreRecord> &Records);
@@ -234,6 +290,14 @@
   /// Targets that leave, by revision.
   std::map<Revision, std::size_t> m_Departures;
   std::uint64_t m_Version = 0;
+  std::string m_Configuration;
+  std::map<core::Version, TimePoint> m_VersionAt;
+  std::vector<LiveTarget> m_Targets;
+  bool m_StoreIsAway = false;
+  /// Whether the store has been restored; invariants are checked from then.
+  bool m_WasRestored = false;
+  std::vector<std::string> m_Violations;
+  std::vector<std::string> m_UsedAfterStart;
   /// Routes added to the configuration.
   std::string m_Routes;
   TimePoint m_StoreFreeAt;
--- a/tests/contract/store_fleet_operator.cpp
+++ b/tests/contract/store_fleet_operator.cpp
@@ -23,9 +23,11 @@
   while (Value.size() < m_Options.m_ConfigurationBytes)
     Value += std::to_string(Random()) + ",";
   Value += m_Routes;
+  m_Configuration = Value;
+  m_VersionAt.emplace(m_Version, m_Now);
   const Revision New = m_Store.put("configuration", Value, m_Now);
-  m_PublishedAt.emplace(New, m_Now);
-  m_Versions.emplace(New, m_Version);
+  m_PublishedAt.insert_or_assign(New, m_Now);
+  m_Versions.insert_or_assign(New, m_Version);
   announce();
   return New;
 }
@@ -54,29 +56,95 @@
      [this] { wakeWatchers(ReadConsistency::Serializable); });
 }
 
-Revision StoreFleet::drainTarget(std::size_t Number) {
-  const Revision New = m_Store.put(
-      targetKey(Number),
-      "desk " + addressOf(Number) + " " + zoneOf(Number) + " draining", m_Now);
-  m_PublishedAt.emplace(New, m_Now);
-  m_Departures.emplace(New, Number);
+Revision StoreFleet::writeTarget(std::size_t Number, TargetPhase Phase) {
+  LiveTarget &Written = m_Targets[Number];
+  if (Phase != Written.m_Phase)
+    Written.m_LeftAt = m_Now;
+  Written.m_Phase = Phase;
+  const std::string State =
+      Phase == TargetPhase::Draining ? "draining" : "ready";
+  Written.m_Value = "desk " + addressOf(Number) + " " + zoneOf(Number) + " " +
+                    State + " 1 " + std::to_string(++Written.m_Sequence);
+  const Revision New = m_Store.put(targetKey(Number), Written.m_Value, m_Now);
   announce();
   return New;
 }
 
+Revision StoreFleet::drainTarget(std::size_t Number) {
+  const Revision New = writeTarget(Number, TargetPhase::Draining);
+  m_PublishedAt.insert_or_assign(New, m_Now);
+  m_Departures.insert_or_assign(New, Number);
+  return New;
+}
+
 Revision StoreFleet::removeTarget(std::size_t Number) {
+  m_Targets[Number].m_Phase = TargetPhase::Gone;
+  m_Targets[Number].m_LeftAt = m_Now;
   const Revision New = m_Store.remove(targetKey(Number), m_Now);
-  m_PublishedAt.emplace(New, m_Now);
-  m_Departures.emplace(New, Number);
+  m_PublishedAt.insert_or_assign(New, m_Now);
+  m_Departures.insert_or_assign(New, Number);
   announce();
   return New;
 }
 
 void StoreFleet::listTarget(std::size_t Number) {
-  m_Store.put(targetKey(Number),
-              "desk " + addressOf(Number) + " " + zoneOf(Number) + " ready",
-              m_Now);
-  announce();
+  writeTarget(Number, TargetPhase::Ready);
+}
+
+void StoreFleet::refuse(std::size_t Number, std::uint64_t Start,
+                        std::uint64_t Call) {
+  StoreReply Refused;
+  Refused.m_Call = Call;
+  Refused.m_Fault = "connect: Connection refused";
+  reply(Number, Start, std::move(Refused));
+}
+
+void StoreFleet::restoreStore(const RestoredCopy &Copy, Duration Away) {
+  m_StoreIsAway = true;
+  m_WasRestored = true;
+  for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number) {
+    if (m_Nodes[Number].m_Replica != nullptr)
+      checkInvariants(Number);
+  }
+  for (const Watcher &Each : std::exchange(m_Watchers, {}))
+    refuse(Each.m_Node, Each.m_Start, Each.m_Call.m_Call);
+  at(m_Now + Away, [this, Copy, TakenAt = m_Now] {
+    m_StoreIsAway = false;
+    m_Store.restore(Copy, TakenAt, m_Now);
+    writeLostAgain();
+  });
+}
+
+void StoreFleet::writeLostAgain() {
+  constexpr int RewriteMs = 1900;
+  constexpr int LapseMs = 6000;
+  const auto Within = [this](int LimitMs) {
+    return m_Now + std::chrono::milliseconds(
+                       m_Random() % static_cast<std::uint64_t>(LimitMs));
+  };
+  at(Within(RewriteMs), [this] {
+    const auto Held = m_Store.value("configuration");
+    if (m_StoreIsAway || (Held != nullptr && *Held == m_Configuration))
+      return;
+    m_Store.put("configuration", m_Configuration, m_Now);
+    announce();
+  });
+  for (std::size_t Number = 0; Number < m_Targets.size(); ++Number) {
+    const bool IsGone = m_Targets[Number].m_Phase == TargetPhase::Gone;
+    at(Within(IsGone ? LapseMs : RewriteMs), [this, Number] {
+      const auto Held = m_Store.value(targetKey(Number));
+      const LiveTarget &Known = m_Targets[Number];
+      if (m_StoreIsAway)
+        return;
+      if (Known.m_Phase != TargetPhase::Gone) {
+        if (Held == nullptr || *Held != Known.m_Value)
+          writeTarget(Number, Known.m_Phase);
+      } else if (Held != nullptr) {
+        m_Store.remove(targetKey(Number), m_Now);
+        announce();
+      }
+    });
+  }
 }
 
 } // namespace dandelionfall::test
--- a/tests/contract/store_fleet_results.cpp
+++ b/tests/contract/store_fleet_results.cpp
@@ -19,6 +19,73 @@
   }
 }
 
+void StoreFleet::checkInvariants(std::size_t Number) {
+  Member &Checked = m_Nodes[Number];
+  if (!m_WasRestored)
+    return;
+  const Registry &Held = Checked.m_Replica->registry();
+  const auto Report = [&](std::vector<std::string> &Reports,
+                          const std::string &What) {
+    Reports.push_back("node " + std::to_string(Number) + ": " + What + " at " +
+                      std::to_string(m_Now.time_since_epoch().count()) + " us");
+  };
+  if (Held.version() < Checked.m_Version)
+    Report(m_Violations, "version " + std::to_string(Held.version()) +
+                             " after " + std::to_string(Checked.m_Version));
+  Checked.m_Version = Held.version();
+  std::set<std::string> Used;
+  for (const NodeAddress &Each : Held.nodes())
+    Used.insert(Each.m_Address);
+  for (std::size_t Target = 0; Target < m_Targets.size(); ++Target) {
+    const bool IsUsed = Used.contains(addressOf(Target));
+    if (m_Targets[Target].m_Phase != TargetPhase::Ready) {
+      // A node that has just started holds nothing yet.
+      if (!IsUsed && Held.revision() > 0)
+        Checked.m_Left.insert(Target);
+      else if (IsUsed && Checked.m_Left.erase(Target) > 0)
+        Report(Checked.m_StartedAt < m_Targets[Target].m_LeftAt
+                   ? m_Violations
+                   : m_UsedAfterStart,
+               "target " + std::to_string(Target) + " is used again");
+      continue;
+    }
+    if (IsUsed)
+      Checked.m_Used.insert(Target);
+    else if (Checked.m_Used.erase(Target) > 0)
+      Report(m_Violations,
+             "live target " + std::to_string(Target) + " is dropped");
+  }
+}
+
+std::optional<Duration>
+StoreFleet::worstVersionLag(Version Searched,
+                            const std::set<std::size_t> &Except) const {
+  Duration Worst{0};
+  for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number) {
+    const Member &Each = m_Nodes[Number];
+    if (Each.m_Replica == nullptr || Except.contains(Number))
+      continue;
+    const auto Applied = Each.m_AppliedAt.lower_bound(Searched);
+    if (Applied == Each.m_AppliedAt.end())
+      return std::nullopt;
+    Worst = std::max(Worst, Applied->second - m_VersionAt.at(Searched));
+  }
+  return Worst;
+}
+
+std::size_t StoreFleet::listingsSince(std::size_t Number,
+                                      TimePoint Since) const {
+  const auto &Times = m_Nodes[Number].m_ListingTimes;
+  return static_cast<std::size_t>(
+      Times.end() - std::lower_bound(Times.begin(), Times.end(), Since));
+}
+
+std::size_t StoreFleet::callsSince(std::size_t Number, TimePoint Since) const {
+  const auto &Times = m_Nodes[Number].m_CallTimes;
+  return static_cast<std::size_t>(
+      Times.end() - std::lower_bound(Times.begin(), Times.end(), Since));
+}
+
 bool StoreFleet::usesTarget(std::size_t Number, std::size_t Target) const {
   const auto Nodes = m_Nodes[Number].m_Replica->registry().nodes();
   return std::any_of(Nodes.begin(), Nodes.end(), [&](const NodeAddress &Each) {
