--- a/tests/contract/store_restored_test.cpp
+++ b/tests/contract/store_restored_test.cpp
@@ -249,6 +249,46 @@
   });
 }
 
+TEST_CASE("a live target that the copy lacks is kept until it is written "
+          "again") {
+  forEachReturn([](StoreFleet &Fleet, const Return &Played) {
+    constexpr std::size_t Lost = 3;
+    Fleet.removeTarget(Lost);
+    Fleet.run(seconds(6));
+    Fleet.listTarget(Lost);
+    Fleet.run(seconds(2));
+    RestoredCopy Copy = Played.m_Copy;
+    Copy.m_Age = seconds(3);
+    Fleet.restoreStore(Copy, milliseconds(20));
+    Fleet.run(Settle);
+    for (std::size_t Node = 0; Node < Fleet.nodes(); ++Node)
+      CHECK(Fleet.usesTarget(Node, Lost));
+  });
+}
+
+TEST_CASE("a departure under a revision that is handed out again is known in "
+          "time") {
+  forEachReturn([](StoreFleet &Fleet, const Return &Played) {
+    for (int Count = 0; Count < 3; ++Count)
+      Fleet.publish();
+    Fleet.run(seconds(2));
+    RestoredCopy Copy = Played.m_Copy;
+    Copy.m_CountsAnew = false;
+    Copy.m_Age = Duration{0};
+    Copy.m_LostRevisions = 3;
+    Fleet.restoreStore(Copy, milliseconds(20));
+    Fleet.run(milliseconds(20));
+    Fleet.drainTarget(0);
+    for (int Count = 0; Count < 6; ++Count)
+      Fleet.publish();
+    Fleet.run(Bound);
+    for (std::size_t Node = 0; Node < Fleet.nodes(); ++Node)
+      CHECK_FALSE(Fleet.usesTarget(Node, 0));
+    Fleet.run(Settle);
+    CHECK(Fleet.worstVersionLag(Fleet.newestVersion()).has_value());
+  });
+}
+
 namespace {
 
 /// Plays restores mixed with kills, cuts, versions and departures.
