--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -5697,6 +5697,173 @@
 }
 
 
+TargetDeparture::~TargetDeparture() noexcept {
+}
+
+
+void TargetDeparture::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void TargetDeparture::__set_started_at_ms(const int64_t val) {
+  this->started_at_ms = val;
+}
+
+void TargetDeparture::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void TargetDeparture::__set_left_as_of(const int64_t val) {
+  this->left_as_of = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetDeparture& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetDeparture::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_at_ms);
+          this->__isset.started_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->left_as_of);
+          this->__isset.left_as_of = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetDeparture::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetDeparture");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started_at_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->started_at_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_as_of", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->left_as_of);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetDeparture &a, TargetDeparture &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.started_at_ms, b.started_at_ms);
+  swap(a.sequence, b.sequence);
+  swap(a.left_as_of, b.left_as_of);
+  swap(a.__isset, b.__isset);
+}
+
+TargetDeparture::TargetDeparture(const TargetDeparture& other208) {
+  key = other208.key;
+  started_at_ms = other208.started_at_ms;
+  sequence = other208.sequence;
+  left_as_of = other208.left_as_of;
+  __isset = other208.__isset;
+}
+TargetDeparture::TargetDeparture(TargetDeparture&& other209) noexcept {
+  key = std::move(other209.key);
+  started_at_ms = other209.started_at_ms;
+  sequence = other209.sequence;
+  left_as_of = other209.left_as_of;
+  __isset = other209.__isset;
+}
+TargetDeparture& TargetDeparture::operator=(const TargetDeparture& other210) {
+  key = other210.key;
+  started_at_ms = other210.started_at_ms;
+  sequence = other210.sequence;
+  left_as_of = other210.left_as_of;
+  __isset = other210.__isset;
+  return *this;
+}
+TargetDeparture& TargetDeparture::operator=(TargetDeparture&& other211) noexcept {
+  key = std::move(other211.key);
+  started_at_ms = other211.started_at_ms;
+  sequence = other211.sequence;
+  left_as_of = other211.left_as_of;
+  __isset = other211.__isset;
+  return *this;
+}
+void TargetDeparture::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetDeparture(";
+  out << "key=" << to_string(key);
+  out << ", " << "started_at_ms=" << to_string(started_at_ms);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "left_as_of=" << to_string(left_as_of);
+  out << ")";
+}
+
+
 RecordsPush::~RecordsPush() noexcept {
 }
 
@@ -5717,6 +5884,10 @@
   this->retained = val;
 __isset.retained = true;
 }
+
+void RecordsPush::__set_departures(const std::vector<TargetDeparture> & val) {
+  this->departures = val;
+}
 std::ostream& operator<<(std::ostream& out, const RecordsPush& obj)
 {
   obj.printTo(out);
@@ -5765,14 +5936,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size208;
-            ::apache::thrift::protocol::TType _etype211;
-            xfer += iprot->readListBegin(_etype211, _size208);
-            this->records.resize(_size208);
-            uint32_t _i212;
-            for (_i212 = 0; _i212 < _size208; ++_i212)
+            uint32_t _size212;
+            ::apache::thrift::protocol::TType _etype215;
+            xfer += iprot->readListBegin(_etype215, _size212);
+            this->records.resize(_size212);
+            uint32_t _i216;
+            for (_i216 = 0; _i216 < _size212; ++_i216)
             {
-              xfer += this->records[_i212].read(iprot);
+              xfer += this->records[_i216].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5789,6 +5960,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->departures.clear();
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->departures.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
+            {
+              xfer += this->departures[_i221].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.departures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5817,10 +6008,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoreRecord> ::const_iterator _iter213;
-    for (_iter213 = this->records.begin(); _iter213 != this->records.end(); ++_iter213)
+    std::vector<StoreRecord> ::const_iterator _iter222;
+    for (_iter222 = this->records.begin(); _iter222 != this->records.end(); ++_iter222)
     {
-      xfer += (*_iter213).write(oprot);
+      xfer += (*_iter222).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5831,6 +6022,18 @@
     xfer += this->retained.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
+    std::vector<TargetDeparture> ::const_iterator _iter223;
+    for (_iter223 = this->departures.begin(); _iter223 != this->departures.end(); ++_iter223)
+    {
+      xfer += (*_iter223).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5842,37 +6045,42 @@
   swap(a.whole, b.whole);
   swap(a.records, b.records);
   swap(a.retained, b.retained);
+  swap(a.departures, b.departures);
   swap(a.__isset, b.__isset);
 }
 
-RecordsPush::RecordsPush(const RecordsPush& other214) {
-  as_of = other214.as_of;
-  whole = other214.whole;
-  records = other214.records;
-  retained = other214.retained;
-  __isset = other214.__isset;
-}
-RecordsPush::RecordsPush(RecordsPush&& other215) noexcept {
-  as_of = other215.as_of;
-  whole = other215.whole;
-  records = std::move(other215.records);
-  retained = std::move(other215.retained);
-  __isset = other215.__isset;
-}
-RecordsPush& RecordsPush::operator=(const RecordsPush& other216) {
-  as_of = other216.as_of;
-  whole = other216.whole;
-  records = other216.records;
-  retained = other216.retained;
-  __isset = other216.__isset;
+RecordsPush::RecordsPush(const RecordsPush& other224) {
+  as_of = other224.as_of;
+  whole = other224.whole;
+  records = other224.records;
+  retained = other224.retained;
+  departures = other224.departures;
+  __isset = other224.__isset;
+}
+RecordsPush::RecordsPush(RecordsPush&& other225) noexcept {
+  as_of = other225.as_of;
+  whole = other225.whole;
+  records = std::move(other225.records);
+  retained = std::move(other225.retained);
+  departures = std::move(other225.departures);
+  __isset = other225.__isset;
+}
+RecordsPush& RecordsPush::operator=(const RecordsPush& other226) {
+  as_of = other226.as_of;
+  whole = other226.whole;
+  records = other226.records;
+  retained = other226.retained;
+  departures = other226.departures;
+  __isset = other226.__isset;
   return *this;
 }
-RecordsPush& RecordsPush::operator=(RecordsPush&& other217) noexcept {
-  as_of = other217.as_of;
-  whole = other217.whole;
-  records = std::move(other217.records);
-  retained = std::move(other217.retained);
-  __isset = other217.__isset;
+RecordsPush& RecordsPush::operator=(RecordsPush&& other227) noexcept {
+  as_of = other227.as_of;
+  whole = other227.whole;
+  records = std::move(other227.records);
+  retained = std::move(other227.retained);
+  departures = std::move(other227.departures);
+  __isset = other227.__isset;
   return *this;
 }
 void RecordsPush::printTo(std::ostream& out) const {
@@ -5882,6 +6090,7 @@
   out << ", " << "whole=" << to_string(whole);
   out << ", " << "records=" << to_string(records);
   out << ", " << "retained="; (__isset.retained ? (out << to_string(retained)) : (out << "<null>"));
+  out << ", " << "departures=" << to_string(departures);
   out << ")";
 }
 
@@ -5995,30 +6204,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FollowRevisions::FollowRevisions(const FollowRevisions& other218) noexcept {
-  held = other218.held;
-  wants_patches = other218.wants_patches;
-  retained = other218.retained;
-  __isset = other218.__isset;
+FollowRevisions::FollowRevisions(const FollowRevisions& other228) noexcept {
+  held = other228.held;
+  wants_patches = other228.wants_patches;
+  retained = other228.retained;
+  __isset = other228.__isset;
 }
-FollowRevisions::FollowRevisions(FollowRevisions&& other219) noexcept {
-  held = other219.held;
-  wants_patches = other219.wants_patches;
-  retained = other219.retained;
-  __isset = other219.__isset;
+FollowRevisions::FollowRevisions(FollowRevisions&& other229) noexcept {
+  held = other229.held;
+  wants_patches = other229.wants_patches;
+  retained = other229.retained;
+  __isset = other229.__isset;
 }
-FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other220) noexcept {
-  held = other220.held;
-  wants_patches = other220.wants_patches;
-  retained = other220.retained;
-  __isset = other220.__isset;
+FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other230) noexcept {
+  held = other230.held;
+  wants_patches = other230.wants_patches;
+  retained = other230.retained;
+  __isset = other230.__isset;
   return *this;
 }
-FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other221) noexcept {
-  held = other221.held;
-  wants_patches = other221.wants_patches;
-  retained = other221.retained;
-  __isset = other221.__isset;
+FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other231) noexcept {
+  held = other231.held;
+  wants_patches = other231.wants_patches;
+  retained = other231.retained;
+  __isset = other231.__isset;
   return *this;
 }
 void FollowRevisions::printTo(std::ostream& out) const {
@@ -6174,38 +6383,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordPatch::RecordPatch(const RecordPatch& other222) {
-  key = other222.key;
-  revision = other222.revision;
-  base = other222.base;
-  digest = other222.digest;
-  compressed = other222.compressed;
-  __isset = other222.__isset;
-}
-RecordPatch::RecordPatch(RecordPatch&& other223) noexcept {
-  key = std::move(other223.key);
-  revision = other223.revision;
-  base = other223.base;
-  digest = other223.digest;
-  compressed = std::move(other223.compressed);
-  __isset = other223.__isset;
-}
-RecordPatch& RecordPatch::operator=(const RecordPatch& other224) {
-  key = other224.key;
-  revision = other224.revision;
-  base = other224.base;
-  digest = other224.digest;
-  compressed = other224.compressed;
-  __isset = other224.__isset;
+RecordPatch::RecordPatch(const RecordPatch& other232) {
+  key = other232.key;
+  revision = other232.revision;
+  base = other232.base;
+  digest = other232.digest;
+  compressed = other232.compressed;
+  __isset = other232.__isset;
+}
+RecordPatch::RecordPatch(RecordPatch&& other233) noexcept {
+  key = std::move(other233.key);
+  revision = other233.revision;
+  base = other233.base;
+  digest = other233.digest;
+  compressed = std::move(other233.compressed);
+  __isset = other233.__isset;
+}
+RecordPatch& RecordPatch::operator=(const RecordPatch& other234) {
+  key = other234.key;
+  revision = other234.revision;
+  base = other234.base;
+  digest = other234.digest;
+  compressed = other234.compressed;
+  __isset = other234.__isset;
   return *this;
 }
-RecordPatch& RecordPatch::operator=(RecordPatch&& other225) noexcept {
-  key = std::move(other225.key);
-  revision = other225.revision;
-  base = other225.base;
-  digest = other225.digest;
-  compressed = std::move(other225.compressed);
-  __isset = other225.__isset;
+RecordPatch& RecordPatch::operator=(RecordPatch&& other235) noexcept {
+  key = std::move(other235.key);
+  revision = other235.revision;
+  base = other235.base;
+  digest = other235.digest;
+  compressed = std::move(other235.compressed);
+  __isset = other235.__isset;
   return *this;
 }
 void RecordPatch::printTo(std::ostream& out) const {
@@ -6323,14 +6532,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size226;
-            ::apache::thrift::protocol::TType _etype229;
-            xfer += iprot->readListBegin(_etype229, _size226);
-            this->records.resize(_size226);
-            uint32_t _i230;
-            for (_i230 = 0; _i230 < _size226; ++_i230)
+            uint32_t _size236;
+            ::apache::thrift::protocol::TType _etype239;
+            xfer += iprot->readListBegin(_etype239, _size236);
+            this->records.resize(_size236);
+            uint32_t _i240;
+            for (_i240 = 0; _i240 < _size236; ++_i240)
             {
-              xfer += this->records[_i230].read(iprot);
+              xfer += this->records[_i240].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6343,14 +6552,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->patches.clear();
-            uint32_t _size231;
-            ::apache::thrift::protocol::TType _etype234;
-            xfer += iprot->readListBegin(_etype234, _size231);
-            this->patches.resize(_size231);
-            uint32_t _i235;
-            for (_i235 = 0; _i235 < _size231; ++_i235)
+            uint32_t _size241;
+            ::apache::thrift::protocol::TType _etype244;
+            xfer += iprot->readListBegin(_etype244, _size241);
+            this->patches.resize(_size241);
+            uint32_t _i245;
+            for (_i245 = 0; _i245 < _size241; ++_i245)
             {
-              xfer += this->patches[_i235].read(iprot);
+              xfer += this->patches[_i245].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6363,17 +6572,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->large.clear();
-            uint32_t _size236;
-            ::apache::thrift::protocol::TType _ktype237;
-            ::apache::thrift::protocol::TType _vtype238;
-            xfer += iprot->readMapBegin(_ktype237, _vtype238, _size236);
-            uint32_t _i240;
-            for (_i240 = 0; _i240 < _size236; ++_i240)
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _ktype247;
+            ::apache::thrift::protocol::TType _vtype248;
+            xfer += iprot->readMapBegin(_ktype247, _vtype248, _size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
             {
-              std::string _key241;
-              xfer += iprot->readString(_key241);
-              int64_t& _val242 = this->large[_key241];
-              xfer += iprot->readI64(_val242);
+              std::string _key251;
+              xfer += iprot->readString(_key251);
+              int64_t& _val252 = this->large[_key251];
+              xfer += iprot->readI64(_val252);
             }
             xfer += iprot->readMapEnd();
           }
@@ -6434,10 +6643,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoreRecord> ::const_iterator _iter243;
-    for (_iter243 = this->records.begin(); _iter243 != this->records.end(); ++_iter243)
+    std::vector<StoreRecord> ::const_iterator _iter253;
+    for (_iter253 = this->records.begin(); _iter253 != this->records.end(); ++_iter253)
     {
-      xfer += (*_iter243).write(oprot);
+      xfer += (*_iter253).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6446,10 +6655,10 @@
   xfer += oprot->writeFieldBegin("patches", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->patches.size()));
-    std::vector<RecordPatch> ::const_iterator _iter244;
-    for (_iter244 = this->patches.begin(); _iter244 != this->patches.end(); ++_iter244)
+    std::vector<RecordPatch> ::const_iterator _iter254;
+    for (_iter254 = this->patches.begin(); _iter254 != this->patches.end(); ++_iter254)
     {
-      xfer += (*_iter244).write(oprot);
+      xfer += (*_iter254).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6458,11 +6667,11 @@
   xfer += oprot->writeFieldBegin("large", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->large.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter245;
-    for (_iter245 = this->large.begin(); _iter245 != this->large.end(); ++_iter245)
+    std::map<std::string, int64_t> ::const_iterator _iter255;
+    for (_iter255 = this->large.begin(); _iter255 != this->large.end(); ++_iter255)
     {
-      xfer += oprot->writeString(_iter245->first);
-      xfer += oprot->writeI64(_iter245->second);
+      xfer += oprot->writeString(_iter255->first);
+      xfer += oprot->writeI64(_iter255->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -6495,54 +6704,54 @@
   swap(a.__isset, b.__isset);
 }
 
-RevisionNotice::RevisionNotice(const RevisionNotice& other246) {
-  revision = other246.revision;
-  held = other246.held;
-  confirmed_ago_us = other246.confirmed_ago_us;
-  refused = other246.refused;
-  records = other246.records;
-  patches = other246.patches;
-  large = other246.large;
-  complete = other246.complete;
-  retained = other246.retained;
-  __isset = other246.__isset;
-}
-RevisionNotice::RevisionNotice(RevisionNotice&& other247) noexcept {
-  revision = other247.revision;
-  held = other247.held;
-  confirmed_ago_us = other247.confirmed_ago_us;
-  refused = other247.refused;
-  records = std::move(other247.records);
-  patches = std::move(other247.patches);
-  large = std::move(other247.large);
-  complete = other247.complete;
-  retained = other247.retained;
-  __isset = other247.__isset;
-}
-RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other248) {
-  revision = other248.revision;
-  held = other248.held;
-  confirmed_ago_us = other248.confirmed_ago_us;
-  refused = other248.refused;
-  records = other248.records;
-  patches = other248.patches;
-  large = other248.large;
-  complete = other248.complete;
-  retained = other248.retained;
-  __isset = other248.__isset;
+RevisionNotice::RevisionNotice(const RevisionNotice& other256) {
+  revision = other256.revision;
+  held = other256.held;
+  confirmed_ago_us = other256.confirmed_ago_us;
+  refused = other256.refused;
+  records = other256.records;
+  patches = other256.patches;
+  large = other256.large;
+  complete = other256.complete;
+  retained = other256.retained;
+  __isset = other256.__isset;
+}
+RevisionNotice::RevisionNotice(RevisionNotice&& other257) noexcept {
+  revision = other257.revision;
+  held = other257.held;
+  confirmed_ago_us = other257.confirmed_ago_us;
+  refused = other257.refused;
+  records = std::move(other257.records);
+  patches = std::move(other257.patches);
+  large = std::move(other257.large);
+  complete = other257.complete;
+  retained = other257.retained;
+  __isset = other257.__isset;
+}
+RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other258) {
+  revision = other258.revision;
+  held = other258.held;
+  confirmed_ago_us = other258.confirmed_ago_us;
+  refused = other258.refused;
+  records = other258.records;
+  patches = other258.patches;
+  large = other258.large;
+  complete = other258.complete;
+  retained = other258.retained;
+  __isset = other258.__isset;
   return *this;
 }
-RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other249) noexcept {
-  revision = other249.revision;
-  held = other249.held;
-  confirmed_ago_us = other249.confirmed_ago_us;
-  refused = other249.refused;
-  records = std::move(other249.records);
-  patches = std::move(other249.patches);
-  large = std::move(other249.large);
-  complete = other249.complete;
-  retained = other249.retained;
-  __isset = other249.__isset;
+RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other259) noexcept {
+  revision = other259.revision;
+  held = other259.held;
+  confirmed_ago_us = other259.confirmed_ago_us;
+  refused = other259.refused;
+  records = std::move(other259.records);
+  patches = std::move(other259.patches);
+  large = std::move(other259.large);
+  complete = other259.complete;
+  retained = other259.retained;
+  __isset = other259.__isset;
   return *this;
 }
 void RevisionNotice::printTo(std::ostream& out) const {
@@ -7132,126 +7341,126 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other250) {
-  traffic_hello = other250.traffic_hello;
-  traffic_welcome = other250.traffic_welcome;
-  dispatch = other250.dispatch;
-  answer = other250.answer;
-  refusal = other250.refusal;
-  failure = other250.failure;
-  inquiry = other250.inquiry;
-  inquiry_reply = other250.inquiry_reply;
-  settled = other250.settled;
-  cancel = other250.cancel;
-  traffic_ping = other250.traffic_ping;
-  traffic_pong = other250.traffic_pong;
-  traffic_go_away = other250.traffic_go_away;
-  crash_notice = other250.crash_notice;
-  leaving_notice = other250.leaving_notice;
-  control_hello = other250.control_hello;
-  announce = other250.announce;
-  pull = other250.pull;
-  change_records = other250.change_records;
-  snapshot_chunk = other250.snapshot_chunk;
-  held_ack = other250.held_ack;
-  heartbeat = other250.heartbeat;
-  control_go_away = other250.control_go_away;
-  records_pull = other250.records_pull;
-  records_push = other250.records_push;
-  follow_revisions = other250.follow_revisions;
-  revision_notice = other250.revision_notice;
-  __isset = other250.__isset;
-}
-Body::Body(Body&& other251) noexcept {
-  traffic_hello = std::move(other251.traffic_hello);
-  traffic_welcome = std::move(other251.traffic_welcome);
-  dispatch = std::move(other251.dispatch);
-  answer = std::move(other251.answer);
-  refusal = std::move(other251.refusal);
-  failure = std::move(other251.failure);
-  inquiry = std::move(other251.inquiry);
-  inquiry_reply = std::move(other251.inquiry_reply);
-  settled = std::move(other251.settled);
-  cancel = std::move(other251.cancel);
-  traffic_ping = std::move(other251.traffic_ping);
-  traffic_pong = std::move(other251.traffic_pong);
-  traffic_go_away = std::move(other251.traffic_go_away);
-  crash_notice = std::move(other251.crash_notice);
-  leaving_notice = std::move(other251.leaving_notice);
-  control_hello = std::move(other251.control_hello);
-  announce = std::move(other251.announce);
-  pull = std::move(other251.pull);
-  change_records = std::move(other251.change_records);
-  snapshot_chunk = std::move(other251.snapshot_chunk);
-  held_ack = std::move(other251.held_ack);
-  heartbeat = std::move(other251.heartbeat);
-  control_go_away = std::move(other251.control_go_away);
-  records_pull = std::move(other251.records_pull);
-  records_push = std::move(other251.records_push);
-  follow_revisions = std::move(other251.follow_revisions);
-  revision_notice = std::move(other251.revision_notice);
-  __isset = other251.__isset;
-}
-Body& Body::operator=(const Body& other252) {
-  traffic_hello = other252.traffic_hello;
-  traffic_welcome = other252.traffic_welcome;
-  dispatch = other252.dispatch;
-  answer = other252.answer;
-  refusal = other252.refusal;
-  failure = other252.failure;
-  inquiry = other252.inquiry;
-  inquiry_reply = other252.inquiry_reply;
-  settled = other252.settled;
-  cancel = other252.cancel;
-  traffic_ping = other252.traffic_ping;
-  traffic_pong = other252.traffic_pong;
-  traffic_go_away = other252.traffic_go_away;
-  crash_notice = other252.crash_notice;
-  leaving_notice = other252.leaving_notice;
-  control_hello = other252.control_hello;
-  announce = other252.announce;
-  pull = other252.pull;
-  change_records = other252.change_records;
-  snapshot_chunk = other252.snapshot_chunk;
-  held_ack = other252.held_ack;
-  heartbeat = other252.heartbeat;
-  control_go_away = other252.control_go_away;
-  records_pull = other252.records_pull;
-  records_push = other252.records_push;
-  follow_revisions = other252.follow_revisions;
-  revision_notice = other252.revision_notice;
-  __isset = other252.__isset;
+Body::Body(const Body& other260) {
+  traffic_hello = other260.traffic_hello;
+  traffic_welcome = other260.traffic_welcome;
+  dispatch = other260.dispatch;
+  answer = other260.answer;
+  refusal = other260.refusal;
+  failure = other260.failure;
+  inquiry = other260.inquiry;
+  inquiry_reply = other260.inquiry_reply;
+  settled = other260.settled;
+  cancel = other260.cancel;
+  traffic_ping = other260.traffic_ping;
+  traffic_pong = other260.traffic_pong;
+  traffic_go_away = other260.traffic_go_away;
+  crash_notice = other260.crash_notice;
+  leaving_notice = other260.leaving_notice;
+  control_hello = other260.control_hello;
+  announce = other260.announce;
+  pull = other260.pull;
+  change_records = other260.change_records;
+  snapshot_chunk = other260.snapshot_chunk;
+  held_ack = other260.held_ack;
+  heartbeat = other260.heartbeat;
+  control_go_away = other260.control_go_away;
+  records_pull = other260.records_pull;
+  records_push = other260.records_push;
+  follow_revisions = other260.follow_revisions;
+  revision_notice = other260.revision_notice;
+  __isset = other260.__isset;
+}
+Body::Body(Body&& other261) noexcept {
+  traffic_hello = std::move(other261.traffic_hello);
+  traffic_welcome = std::move(other261.traffic_welcome);
+  dispatch = std::move(other261.dispatch);
+  answer = std::move(other261.answer);
+  refusal = std::move(other261.refusal);
+  failure = std::move(other261.failure);
+  inquiry = std::move(other261.inquiry);
+  inquiry_reply = std::move(other261.inquiry_reply);
+  settled = std::move(other261.settled);
+  cancel = std::move(other261.cancel);
+  traffic_ping = std::move(other261.traffic_ping);
+  traffic_pong = std::move(other261.traffic_pong);
+  traffic_go_away = std::move(other261.traffic_go_away);
+  crash_notice = std::move(other261.crash_notice);
+  leaving_notice = std::move(other261.leaving_notice);
+  control_hello = std::move(other261.control_hello);
+  announce = std::move(other261.announce);
+  pull = std::move(other261.pull);
+  change_records = std::move(other261.change_records);
+  snapshot_chunk = std::move(other261.snapshot_chunk);
+  held_ack = std::move(other261.held_ack);
+  heartbeat = std::move(other261.heartbeat);
+  control_go_away = std::move(other261.control_go_away);
+  records_pull = std::move(other261.records_pull);
+  records_push = std::move(other261.records_push);
+  follow_revisions = std::move(other261.follow_revisions);
+  revision_notice = std::move(other261.revision_notice);
+  __isset = other261.__isset;
+}
+Body& Body::operator=(const Body& other262) {
+  traffic_hello = other262.traffic_hello;
+  traffic_welcome = other262.traffic_welcome;
+  dispatch = other262.dispatch;
+  answer = other262.answer;
+  refusal = other262.refusal;
+  failure = other262.failure;
+  inquiry = other262.inquiry;
+  inquiry_reply = other262.inquiry_reply;
+  settled = other262.settled;
+  cancel = other262.cancel;
+  traffic_ping = other262.traffic_ping;
+  traffic_pong = other262.traffic_pong;
+  traffic_go_away = other262.traffic_go_away;
+  crash_notice = other262.crash_notice;
+  leaving_notice = other262.leaving_notice;
+  control_hello = other262.control_hello;
+  announce = other262.announce;
+  pull = other262.pull;
+  change_records = other262.change_records;
+  snapshot_chunk = other262.snapshot_chunk;
+  held_ack = other262.held_ack;
+  heartbeat = other262.heartbeat;
+  control_go_away = other262.control_go_away;
+  records_pull = other262.records_pull;
+  records_push = other262.records_push;
+  follow_revisions = other262.follow_revisions;
+  revision_notice = other262.revision_notice;
+  __isset = other262.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other253) noexcept {
-  traffic_hello = std::move(other253.traffic_hello);
-  traffic_welcome = std::move(other253.traffic_welcome);
-  dispatch = std::move(other253.dispatch);
-  answer = std::move(other253.answer);
-  refusal = std::move(other253.refusal);
-  failure = std::move(other253.failure);
-  inquiry = std::move(other253.inquiry);
-  inquiry_reply = std::move(other253.inquiry_reply);
-  settled = std::move(other253.settled);
-  cancel = std::move(other253.cancel);
-  traffic_ping = std::move(other253.traffic_ping);
-  traffic_pong = std::move(other253.traffic_pong);
-  traffic_go_away = std::move(other253.traffic_go_away);
-  crash_notice = std::move(other253.crash_notice);
-  leaving_notice = std::move(other253.leaving_notice);
-  control_hello = std::move(other253.control_hello);
-  announce = std::move(other253.announce);
-  pull = std::move(other253.pull);
-  change_records = std::move(other253.change_records);
-  snapshot_chunk = std::move(other253.snapshot_chunk);
-  held_ack = std::move(other253.held_ack);
-  heartbeat = std::move(other253.heartbeat);
-  control_go_away = std::move(other253.control_go_away);
-  records_pull = std::move(other253.records_pull);
-  records_push = std::move(other253.records_push);
-  follow_revisions = std::move(other253.follow_revisions);
-  revision_notice = std::move(other253.revision_notice);
-  __isset = other253.__isset;
+Body& Body::operator=(Body&& other263) noexcept {
+  traffic_hello = std::move(other263.traffic_hello);
+  traffic_welcome = std::move(other263.traffic_welcome);
+  dispatch = std::move(other263.dispatch);
+  answer = std::move(other263.answer);
+  refusal = std::move(other263.refusal);
+  failure = std::move(other263.failure);
+  inquiry = std::move(other263.inquiry);
+  inquiry_reply = std::move(other263.inquiry_reply);
+  settled = std::move(other263.settled);
+  cancel = std::move(other263.cancel);
+  traffic_ping = std::move(other263.traffic_ping);
+  traffic_pong = std::move(other263.traffic_pong);
+  traffic_go_away = std::move(other263.traffic_go_away);
+  crash_notice = std::move(other263.crash_notice);
+  leaving_notice = std::move(other263.leaving_notice);
+  control_hello = std::move(other263.control_hello);
+  announce = std::move(other263.announce);
+  pull = std::move(other263.pull);
+  change_records = std::move(other263.change_records);
+  snapshot_chunk = std::move(other263.snapshot_chunk);
+  held_ack = std::move(other263.held_ack);
+  heartbeat = std::move(other263.heartbeat);
+  control_go_away = std::move(other263.control_go_away);
+  records_pull = std::move(other263.records_pull);
+  records_push = std::move(other263.records_push);
+  follow_revisions = std::move(other263.follow_revisions);
+  revision_notice = std::move(other263.revision_notice);
+  __isset = other263.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -7380,26 +7589,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other254) {
-  logical_time = other254.logical_time;
-  body = other254.body;
-  __isset = other254.__isset;
+Frame::Frame(const Frame& other264) {
+  logical_time = other264.logical_time;
+  body = other264.body;
+  __isset = other264.__isset;
 }
-Frame::Frame(Frame&& other255) noexcept {
-  logical_time = other255.logical_time;
-  body = std::move(other255.body);
-  __isset = other255.__isset;
+Frame::Frame(Frame&& other265) noexcept {
+  logical_time = other265.logical_time;
+  body = std::move(other265.body);
+  __isset = other265.__isset;
 }
-Frame& Frame::operator=(const Frame& other256) {
-  logical_time = other256.logical_time;
-  body = other256.body;
-  __isset = other256.__isset;
+Frame& Frame::operator=(const Frame& other266) {
+  logical_time = other266.logical_time;
+  body = other266.body;
+  __isset = other266.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other257) noexcept {
-  logical_time = other257.logical_time;
-  body = std::move(other257.body);
-  __isset = other257.__isset;
+Frame& Frame::operator=(Frame&& other267) noexcept {
+  logical_time = other267.logical_time;
+  body = std::move(other267.body);
+  __isset = other267.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -95,6 +95,8 @@
 
 class RecordsPull;
 
+class TargetDeparture;
+
 class RecordsPush;
 
 class FollowRevisions;
@@ -2287,12 +2289,79 @@
 
 std::ostream& operator<<(std::ostream& out, const RecordsPull& obj);
 
+typedef struct _TargetDeparture__isset {
+  _TargetDeparture__isset() : key(false), started_at_ms(false), sequence(false), left_as_of(false) {}
+  bool key :1;
+  bool started_at_ms :1;
+  bool sequence :1;
+  bool left_as_of :1;
+} _TargetDeparture__isset;
+
+class TargetDeparture : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetDeparture(const TargetDeparture&);
+  TargetDeparture(TargetDeparture&&) noexcept;
+  TargetDeparture& operator=(const TargetDeparture&);
+  TargetDeparture& operator=(TargetDeparture&&) noexcept;
+  TargetDeparture() noexcept
+                  : key(),
+                    started_at_ms(0),
+                    sequence(0),
+                    left_as_of(0) {
+  }
+
+  virtual ~TargetDeparture() noexcept;
+  std::string key;
+  int64_t started_at_ms;
+  int64_t sequence;
+  int64_t left_as_of;
+
+  _TargetDeparture__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_started_at_ms(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_left_as_of(const int64_t val);
+
+  bool operator == (const TargetDeparture & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(started_at_ms == rhs.started_at_ms))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(left_as_of == rhs.left_as_of))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetDeparture &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetDeparture & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetDeparture &a, TargetDeparture &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetDeparture& obj);
+
 typedef struct _RecordsPush__isset {
-  _RecordsPush__isset() : as_of(false), whole(false), records(false), retained(false) {}
+  _RecordsPush__isset() : as_of(false), whole(false), records(false), retained(false), departures(false) {}
   bool as_of :1;
   bool whole :1;
   bool records :1;
   bool retained :1;
+  bool departures :1;
 } _RecordsPush__isset;
 
 class RecordsPush : public virtual ::apache::thrift::TBase {
@@ -2312,6 +2381,7 @@
   bool whole;
   std::vector<StoreRecord>  records;
   StoreRecord retained;
+  std::vector<TargetDeparture>  departures;
 
   _RecordsPush__isset __isset;
 
@@ -2323,6 +2393,8 @@
 
   void __set_retained(const StoreRecord& val);
 
+  void __set_departures(const std::vector<TargetDeparture> & val);
+
   bool operator == (const RecordsPush & rhs) const
   {
     if (!(as_of == rhs.as_of))
@@ -2335,6 +2407,8 @@
       return false;
     else if (__isset.retained && !(retained == rhs.retained))
       return false;
+    if (!(departures == rhs.departures))
+      return false;
     return true;
   }
   bool operator != (const RecordsPush &rhs) const {
--- a/include/dandelionfall/core/control_message.h
+++ b/include/dandelionfall/core/control_message.h
@@ -122,6 +122,17 @@
   friend bool operator==(const RecordsPull &, const RecordsPull &) = default;
 };
 
+/// A target that has left, and what its last entry said.
+struct TargetDeparture {
+  std::string m_Key;
+  std::int64_t m_StartedAtMs = 0;
+  std::uint64_t m_Sequence = 0;
+  /// Revision as of which it had left.
+  Revision m_LeftAsOf = 0;
+  friend bool operator==(const TargetDeparture &,
+                         const TargetDeparture &) = default;
+};
+
 /// Records of a shared store at a revision.
 struct RecordsPush {
   Revision m_AsOf = 0;
@@ -131,6 +142,9 @@
   std::vector<StoreRecord> m_Records;
   /// Configuration that the sender has in force and the store has lost.
   std::optional<StoreRecord> m_Retained = std::nullopt;
+  /// Targets that left lately: the store may come back from a copy that has
+  /// them.
+  std::vector<TargetDeparture> m_Departures = {};
 };
 
 /// Asks the receiver to send a `RevisionNotice` now, on each later revision and
--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -155,7 +155,7 @@
   /// \param PeerRevision revision that the peer holds; 0 if it holds none.
   /// \returns the records that the peer lacks. All records are sent if the
   /// removals since its revision are no longer stored.
-  RecordsPush makePush(Revision PeerRevision) const;
+  RecordsPush makePush(Revision PeerRevision, TimePoint Now) const;
   /// \returns the configuration derived from the records, with the revision as
   /// its version; null until operators have published a configuration.
   ConfigurationPtr configuration() const;
@@ -218,6 +218,9 @@
   void noteDeparture(const std::string &Key, const KnownTarget &Left,
                      Revision AsOf, TimePoint Now);
   void beginHistory(Revision AsOf, TimePoint Now);
+  std::vector<TargetDeparture> recentDepartures(TimePoint Now) const;
+  bool applyDepartures(const std::vector<TargetDeparture> &Departures,
+                       TimePoint Now);
   std::optional<TimePoint> lapseGraceEnd(TimePoint Now) const;
   std::vector<const KnownTarget *> usableTargets() const;
   Target makeTarget(const KnownTarget &Known) const;
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -62,7 +62,11 @@
 // A record without a value is a tombstone: the key was removed.
 struct StoreRecord { 1: string key, 2: i64 revision, 3: optional binary value }
 struct RecordsPull { 1: i64 have }
-struct RecordsPush { 1: i64 as_of, 2: bool whole, 3: list<StoreRecord> records, 4: optional StoreRecord retained }
+struct TargetDeparture { 1: string key, 2: i64 started_at_ms, 3: i64 sequence, 4: i64 left_as_of }
+struct RecordsPush {
+  1: i64 as_of, 2: bool whole, 3: list<StoreRecord> records, 4: optional StoreRecord retained,
+  5: list<TargetDeparture> departures
+}
 struct FollowRevisions { 1: i64 held, 2: bool wants_patches = true, 3: i64 retained = 0 }
 // The time is -1 if the store has not confirmed the revision.
 // Field 5 was a list of pieces in earlier versions.
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -84,38 +84,6 @@
   return applyEach(Changes, Now);
 }
 
-bool Registry::applyPush(const RecordsPush &Push, TimePoint Now) {
-  m_Origin = "peer";
-  const bool Retained = Push.m_Retained && applyRetained(*Push.m_Retained);
-  // Changes of another history don't follow on the records held.
-  if (Push.m_AsOf <= m_Revision ||
-      (!Push.m_IsFull && historyOf(Push.m_AsOf) != historyOf(m_Revision)))
-    return Retained;
-  report(EventId::RecordsFromPeer,
-         "revision=" + formatRevision(Push.m_AsOf) +
-             " known=" + formatRevision(m_Revision) +
-             " records=" + std::to_string(Push.m_Records.size()));
-  const bool Changed = Push.m_IsFull
-                           ? replaceRecords(Push.m_Records, Push.m_AsOf, Now)
-                           : applyChanges(Push.m_Records, Push.m_AsOf, Now);
-  return Changed || Retained;
-}
-
-RecordsPush Registry::makePush(Revision PeerRevision) const {
-  const bool IsFull = PeerRevision < m_RemovalHistoryStart || PeerRevision == 0;
-  RecordsPush Result{m_Revision, IsFull, {}, m_Retained};
-  // The peer has read a copy that may lack the configuration in force.
-  if (historyOf(PeerRevision) > historyOf(m_Revision) && m_Published != nullptr)
-    Result.m_Retained = m_InForce;
-  if (!IsFull) {
-    Result.m_Records = changesAfter(PeerRevision);
-    return Result;
-  }
-  for (const auto &[Key, Record] : m_Records)
-    Result.m_Records.push_back(Record);
-  return Result;
-}
-
 std::vector<StoreRecord> Registry::changesAfter(Revision Known) const {
   std::vector<StoreRecord> Result;
   for (const auto &[Key, Record] : m_Records) {
--- a/src/core/registry/registry_history.cpp
+++ b/src/core/registry/registry_history.cpp
@@ -119,4 +119,67 @@
   return true;
 }
 
+std::vector<TargetDeparture> Registry::recentDepartures(TimePoint Now) const {
+  std::vector<TargetDeparture> Result;
+  for (const auto &[Key, Left] : m_Departures) {
+    if (Now < Left.m_At + DepartureMemory)
+      Result.push_back(
+          {Key, Left.m_StartedAtMs, Left.m_Sequence, Left.m_LeftAsOf});
+  }
+  return Result;
+}
+
+bool Registry::applyDepartures(const std::vector<TargetDeparture> &Departures,
+                               TimePoint Now) {
+  for (const TargetDeparture &Each : Departures)
+    m_Departures.try_emplace(
+        Each.m_Key,
+        Departure{Each.m_StartedAtMs, Each.m_Sequence, Each.m_LeftAsOf, Now});
+  if (Departures.empty())
+    return false;
+  const auto Removed = std::erase_if(m_Targets, [&](const auto &Each) {
+    const KnownTarget &Known = Each.second;
+    if (!isOutdated({Each.first, Known.m_Revision, nullptr}, Known.m_Entry,
+                    Now))
+      return false;
+    report(EventId::TargetRemoved,
+           "instance=" + Known.m_Entry.m_Instance +
+               " cause=another node knows that it left before its entry");
+    return true;
+  });
+  return Removed > 0;
+}
+
+bool Registry::applyPush(const RecordsPush &Push, TimePoint Now) {
+  m_Origin = "peer";
+  bool Changed = Push.m_Retained && applyRetained(*Push.m_Retained);
+  Changed |= applyDepartures(Push.m_Departures, Now);
+  // Changes of another history don't follow on the records held.
+  if (Push.m_AsOf <= m_Revision ||
+      (!Push.m_IsFull && historyOf(Push.m_AsOf) != historyOf(m_Revision)))
+    return Changed;
+  report(EventId::RecordsFromPeer,
+         "revision=" + formatRevision(Push.m_AsOf) +
+             " known=" + formatRevision(m_Revision) +
+             " records=" + std::to_string(Push.m_Records.size()));
+  Changed |= Push.m_IsFull ? replaceRecords(Push.m_Records, Push.m_AsOf, Now)
+                           : applyChanges(Push.m_Records, Push.m_AsOf, Now);
+  return Changed;
+}
+
+RecordsPush Registry::makePush(Revision PeerRevision, TimePoint Now) const {
+  const bool IsFull = PeerRevision < m_RemovalHistoryStart || PeerRevision == 0;
+  RecordsPush Result{m_Revision, IsFull, {}, m_Retained, recentDepartures(Now)};
+  // The peer has read a copy that may lack the configuration in force.
+  if (historyOf(PeerRevision) > historyOf(m_Revision) && m_Published != nullptr)
+    Result.m_Retained = m_InForce;
+  if (!IsFull) {
+    Result.m_Records = changesAfter(PeerRevision);
+    return Result;
+  }
+  for (const auto &[Key, Record] : m_Records)
+    Result.m_Records.push_back(Record);
+  return Result;
+}
+
 } // namespace dandelionfall::core
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -196,9 +196,9 @@
   template <typename Message>
   void handle(LinkId /*Link*/, const Message & /*Value*/, TimePoint /*Now*/) {}
 
-  void handle(LinkId Link, const RecordsPull &Pull, TimePoint /*Now*/) {
+  void handle(LinkId Link, const RecordsPull &Pull, TimePoint Now) {
     m_Commands.emplace_back(
-        SendControl{Link, m_Registry.makePush(Pull.m_Have)});
+        SendControl{Link, m_Registry.makePush(Pull.m_Have, Now)});
   }
 
   void handle(LinkId Link, const RecordsPush &Push, TimePoint Now) {
@@ -222,11 +222,16 @@
                                       " fault=its revision names no history"});
   }
 
-  // The store has lost a configuration that another node has in force.
-  void requestRetained(LinkId Link, Version Retained, TimePoint Now) {
-    if (Retained <= m_Registry.version() || Now < m_NextRetainedRequestAt)
+  // Asks a node at the other end of a link for a configuration that the store
+  // has lost, or for what the store does not tell this node.
+  void requestMissing(LinkId Link, Version Retained, Revision Held,
+                      TimePoint Now) {
+    const bool IsMissing =
+        Retained > m_Registry.version() ||
+        (Held > m_Registry.revision() && !m_Reader.isAnswered());
+    if (!IsMissing || Now < m_NextRequestAt)
       return;
-    m_NextRetainedRequestAt = Now + PeerPullTimeout;
+    m_NextRequestAt = Now + PeerPullTimeout;
     askForRecords(Link);
   }
 
@@ -234,7 +239,7 @@
     if (historyOf(Request.m_Held) > MaxHistoryNumber)
       return reportMalformed("request", Request.m_Held);
     m_Reader.onLaterHistory(historyOf(Request.m_Held), Now);
-    requestRetained(Link, Request.m_Retained, Now);
+    requestMissing(Link, Request.m_Retained, Request.m_Held, Now);
     m_Publisher.onFollow(
         Link, Request.m_WantsPatches, ownRevision(Now),
         m_Registry.changesFor(Request.m_Held, Request.m_WantsPatches), Now);
@@ -252,7 +257,7 @@
     if (Address.empty())
       return;
     m_Reader.onLaterHistory(historyOf(Notice.m_Revision), Now);
-    requestRetained(Link, Notice.m_Retained, Now);
+    requestMissing(Link, Notice.m_Retained, 0, Now);
     updateOutage(Now);
     if (m_Registry.applyFeed(Notice.m_Changes, Notice.m_Held, Now))
       onRecords(Now);
@@ -427,8 +432,8 @@
   bool m_IsHeldBack = false;
   /// Revision of the registry when the reader's evidence was set.
   std::optional<Revision> m_EvidenceAsOf;
-  /// When the next retained configuration may be requested.
-  TimePoint m_NextRetainedRequestAt;
+  /// When the next records may be requested on a link of a feed.
+  TimePoint m_NextRequestAt;
   /// Link of the pending pull; 0 if there is none.
   LinkId m_PullLink = 0;
   std::uint64_t m_Pulls = 0;
--- a/src/net/wire_control.cpp
+++ b/src/net/wire_control.cpp
@@ -174,6 +174,13 @@
     Value.records = recordsToWire(Message.m_Records);
     if (Message.m_Retained)
       Value.__set_retained(recordToWire(*Message.m_Retained));
+    for (const core::TargetDeparture &Each : Message.m_Departures) {
+      wire::TargetDeparture &Written = Value.departures.emplace_back();
+      Written.key = Each.m_Key;
+      Written.started_at_ms = Each.m_StartedAtMs;
+      Written.sequence = toSigned(Each.m_Sequence);
+      Written.left_as_of = toSigned(Each.m_LeftAsOf);
+    }
     m_Body.__isset.records_push = true;
   }
 
@@ -281,6 +288,10 @@
                            recordsFromWire(Value.records)};
   if (Value.__isset.retained)
     Result.m_Retained = recordFromWire(Value.retained);
+  for (wire::TargetDeparture &Each : Value.departures)
+    Result.m_Departures.push_back({std::move(Each.key), Each.started_at_ms,
+                                   toUnsigned(Each.sequence),
+                                   toUnsigned(Each.left_as_of)});
   return Result;
 }
 
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -148,7 +148,8 @@
                   true,
                   {},
                   StoreRecord{"op/config", 6,
-                              std::make_shared<const std::string>("value")}},
+                              std::make_shared<const std::string>("value")},
+                  {TargetDeparture{"servers/i-1", -1, 7, 5}}},
   };
   for (const ControlMessage &Message : Messages) {
     const std::string Frame = net::encodeFrame(Message, 1);
--- a/tests/unit/registry_history_test.cpp
+++ b/tests/unit/registry_history_test.cpp
@@ -89,7 +89,7 @@
   Started.m_Registry.replaceAll({configuration(at(3), 15)}, at(21),
                                 Started.m_Now);
   CHECK(Started.m_Registry.version() == 15);
-  Started.m_Registry.applyPush(World.m_Registry.makePush(at(21)),
+  Started.m_Registry.applyPush(World.m_Registry.makePush(at(21), World.m_Now),
                                Started.m_Now);
   CHECK(Started.m_Registry.version() == 17);
   CHECK(Started.m_Registry.retainedVersion() == 17);
@@ -110,7 +110,7 @@
   Node Started;
   Started.m_Registry.replaceAll({configuration(at(3), 15)}, at(21),
                                 Started.m_Now);
-  Started.m_Registry.applyPush(World.m_Registry.makePush(at(21)),
+  Started.m_Registry.applyPush(World.m_Registry.makePush(at(21), World.m_Now),
                                Started.m_Now);
   CHECK(Started.m_Registry.version() == 17);
   CHECK(Started.m_Registry.revision() == at(21));
@@ -177,6 +177,21 @@
   }
 }
 
+TEST_CASE("a node that has started is told which targets left before") {
+  Fixture World;
+  World.m_Registry.apply({{"servers/i-1", 362, nullptr}}, 362, World.m_Now);
+  Node Started;
+  Started.m_Registry.replaceAll(
+      {configuration(at(3), 17), target(at(4), "ready", 5)}, at(20),
+      Started.m_Now);
+  CHECK(Started.isUsed());
+  CHECK(Started.m_Registry.applyPush(
+      World.m_Registry.makePush(at(20), World.m_Now), Started.m_Now));
+  CHECK_FALSE(Started.isUsed());
+  Started.m_Registry.apply({target(at(21), "ready", 6)}, at(21), Started.m_Now);
+  CHECK(Started.isUsed());
+}
+
 TEST_CASE("a removal that arrived ahead of a listing is not reverted by it") {
   Fixture World;
   World.m_Registry.applyAhead({{"servers/i-1", at(23), nullptr}}, "feed",
