--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -5603,6 +5603,10 @@
 void RecordsPull::__set_have(const int64_t val) {
   this->have = val;
 }
+
+void RecordsPull::__set_in_force(const int64_t val) {
+  this->in_force = val;
+}
 std::ostream& operator<<(std::ostream& out, const RecordsPull& obj)
 {
   obj.printTo(out);
@@ -5639,6 +5643,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->in_force);
+          this->__isset.in_force = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5660,6 +5672,10 @@
   xfer += oprot->writeI64(this->have);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("in_force", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->in_force);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5668,24 +5684,29 @@
 void swap(RecordsPull &a, RecordsPull &b) {
   using ::std::swap;
   swap(a.have, b.have);
+  swap(a.in_force, b.in_force);
   swap(a.__isset, b.__isset);
 }
 
 RecordsPull::RecordsPull(const RecordsPull& other204) noexcept {
   have = other204.have;
+  in_force = other204.in_force;
   __isset = other204.__isset;
 }
 RecordsPull::RecordsPull(RecordsPull&& other205) noexcept {
   have = other205.have;
+  in_force = other205.in_force;
   __isset = other205.__isset;
 }
 RecordsPull& RecordsPull::operator=(const RecordsPull& other206) noexcept {
   have = other206.have;
+  in_force = other206.in_force;
   __isset = other206.__isset;
   return *this;
 }
 RecordsPull& RecordsPull::operator=(RecordsPull&& other207) noexcept {
   have = other207.have;
+  in_force = other207.in_force;
   __isset = other207.__isset;
   return *this;
 }
@@ -5693,6 +5714,7 @@
   using ::apache::thrift::to_string;
   out << "RecordsPull(";
   out << "have=" << to_string(have);
+  out << ", " << "in_force=" << to_string(in_force);
   out << ")";
 }
 
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -2245,8 +2245,9 @@
 std::ostream& operator<<(std::ostream& out, const StoreRecord& obj);
 
 typedef struct _RecordsPull__isset {
-  _RecordsPull__isset() : have(false) {}
+  _RecordsPull__isset() : have(false), in_force(true) {}
   bool have :1;
+  bool in_force :1;
 } _RecordsPull__isset;
 
 class RecordsPull : public virtual ::apache::thrift::TBase {
@@ -2257,20 +2258,26 @@
   RecordsPull& operator=(const RecordsPull&) noexcept;
   RecordsPull& operator=(RecordsPull&&) noexcept;
   RecordsPull() noexcept
-              : have(0) {
+              : have(0),
+                in_force(-1LL) {
   }
 
   virtual ~RecordsPull() noexcept;
   int64_t have;
+  int64_t in_force;
 
   _RecordsPull__isset __isset;
 
   void __set_have(const int64_t val);
 
+  void __set_in_force(const int64_t val);
+
   bool operator == (const RecordsPull & rhs) const
   {
     if (!(have == rhs.have))
       return false;
+    if (!(in_force == rhs.in_force))
+      return false;
     return true;
   }
   bool operator != (const RecordsPull &rhs) const {
--- a/include/dandelionfall/core/control_message.h
+++ b/include/dandelionfall/core/control_message.h
@@ -119,6 +119,9 @@
 /// revision.
 struct RecordsPull {
   Revision m_Have = 0;
+  /// Version of the configuration that the sender has in force; a higher one is
+  /// sent although the store may have lost it.
+  Version m_InForce = ~Version{0};
   friend bool operator==(const RecordsPull &, const RecordsPull &) = default;
 };
 
@@ -140,7 +143,8 @@
   /// changed since the requested revision.
   bool m_IsFull = false;
   std::vector<StoreRecord> m_Records;
-  /// Configuration that the sender has in force and the store has lost.
+  /// Configuration that the sender has in force, if it is not among the records
+  /// and the store has lost it, or the receiver has a lower version.
   std::optional<StoreRecord> m_Retained = std::nullopt;
   /// Targets that left lately: the store may come back from a copy that has
   /// them.
--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -152,10 +152,10 @@
   /// Applies the records of a peer if they are of a later revision.
   /// \returns whether anything but the revision changed.
   bool applyPush(const RecordsPush &Push, TimePoint Now);
-  /// \param PeerRevision revision that the peer holds; 0 if it holds none.
-  /// \returns the records that the peer lacks. All records are sent if the
-  /// removals since its revision are no longer stored.
-  RecordsPush makePush(Revision PeerRevision, TimePoint Now) const;
+  /// \returns the records that a peer lacks, and what it must not lose if the
+  /// store did. All records are sent if the removals since the peer's revision
+  /// are no longer stored; none if it holds a later one.
+  RecordsPush makePush(const RecordsPull &Pull, TimePoint Now) const;
   /// \returns the configuration derived from the records, with the revision as
   /// its version; null until operators have published a configuration.
   ConfigurationPtr configuration() const;
--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -158,7 +158,8 @@
   bool checkClaim(Revision Claimed, TimePoint Now);
   /// Sets the last change held. After a failed call it is compared with the
   /// store's; a removal, or a large record, is compared by a listing.
-  void setEvidence(StoreRecord Newest);
+  /// \param AsOf revision up to which all changes are held.
+  void setEvidence(StoreRecord Newest, Revision AsOf);
   /// Sets the key that no complete listing lacks; empty for none.
   void setRequiredKey(const std::string &Key) { m_RequiredKey = Key; }
   /// \returns whether a call has failed since the store was last known to
@@ -261,6 +262,10 @@
   Revision m_KnownAtCall = 0;
   /// Last change held; compared with the store's after a failed call.
   std::optional<StoreRecord> m_Evidence;
+  Revision m_EvidenceAsOf = 0;
+  /// The same when the pending comparison was requested.
+  StoreRecord m_Compared;
+  Revision m_ComparedAsOf = 0;
   /// Key that no complete listing lacks; empty for none.
   std::string m_RequiredKey;
   /// Whether a call has failed since the store was last known to continue the
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -61,7 +61,8 @@
 struct ControlGoAway {}
 // A record without a value is a tombstone: the key was removed.
 struct StoreRecord { 1: string key, 2: i64 revision, 3: optional binary value }
-struct RecordsPull { 1: i64 have }
+// The version is -1 if no configuration is wanted beside the records.
+struct RecordsPull { 1: i64 have, 2: i64 in_force = -1 }
 struct TargetDeparture { 1: string key, 2: i64 started_at_ms, 3: i64 sequence, 4: i64 left_as_of }
 struct RecordsPush {
   1: i64 as_of, 2: bool whole, 3: list<StoreRecord> records, 4: optional StoreRecord retained,
--- a/src/app/node/registry_driver.cpp
+++ b/src/app/node/registry_driver.cpp
@@ -52,6 +52,7 @@
   Options.m_Zones = Config.m_Zones;
   Options.m_Retries = Config.m_Retries;
   Options.m_LinkPort = net::parseEndpoint(Config.m_LinkAddress).port();
+  Options.m_DefersLargeRecords = true;
   return Options;
 }
 
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -114,6 +114,8 @@
 }
 
 bool Registry::applyRecord(const StoreRecord &Record, TimePoint Now) {
+  if (historyOf(Record.m_Revision) < historyOf(m_Revision))
+    return false;
   const auto Known = m_Records.find(Record.m_Key);
   if (Known != m_Records.end() && Known->second.m_Revision >= Record.m_Revision)
     return false;
@@ -192,6 +194,8 @@
                                         formatRevision(Record.m_Revision));
   if (Entry.m_Draining)
     noteDeparture(Record.m_Key, Updated, Record.m_Revision, Now);
+  else
+    m_Departures.erase(Record.m_Key);
   m_Targets.insert_or_assign(Record.m_Key, std::move(Updated));
   return true;
 }
@@ -215,6 +219,8 @@
 }
 
 bool Registry::remove(const std::string &Key, Revision At, TimePoint Now) {
+  if (historyOf(At) < historyOf(m_Revision))
+    return false;
   const auto Stored = m_Records.find(Key);
   // A peer may send a removal that a later entry has already superseded.
   if (Stored != m_Records.end() && Stored->second.m_Revision > At)
--- a/src/core/registry/registry_history.cpp
+++ b/src/core/registry/registry_history.cpp
@@ -61,7 +61,7 @@
   const Departure &Left = Found->second;
   return Now < Left.m_At + DepartureMemory &&
          historyOf(Record.m_Revision) > historyOf(Left.m_LeftAsOf) &&
-         Left.m_StartedAtMs == Entry.m_StartedAtMs &&
+         Left.m_StartedAtMs == Entry.m_StartedAtMs && Entry.m_Sequence > 0 &&
          Entry.m_Sequence <= Left.m_Sequence;
 }
 
@@ -131,10 +131,16 @@
 
 bool Registry::applyDepartures(const std::vector<TargetDeparture> &Departures,
                                TimePoint Now) {
-  for (const TargetDeparture &Each : Departures)
-    m_Departures.try_emplace(
+  for (const TargetDeparture &Each : Departures) {
+    const auto Known = m_Departures.find(Each.m_Key);
+    if (Known == m_Departures.end()
+            ? m_Departures.size() >= MaxRemovalHistory
+            : Known->second.m_LeftAsOf >= Each.m_LeftAsOf)
+      continue;
+    m_Departures.insert_or_assign(
         Each.m_Key,
         Departure{Each.m_StartedAtMs, Each.m_Sequence, Each.m_LeftAsOf, Now});
+  }
   if (Departures.empty())
     return false;
   const auto Removed = std::erase_if(m_Targets, [&](const auto &Each) {
@@ -167,14 +173,17 @@
   return Changed;
 }
 
-RecordsPush Registry::makePush(Revision PeerRevision, TimePoint Now) const {
-  const bool IsFull = PeerRevision < m_RemovalHistoryStart || PeerRevision == 0;
-  RecordsPush Result{m_Revision, IsFull, {}, m_Retained, recentDepartures(Now)};
-  // The peer has read a copy that may lack the configuration in force.
-  if (historyOf(PeerRevision) > historyOf(m_Revision) && m_Published != nullptr)
+RecordsPush Registry::makePush(const RecordsPull &Pull, TimePoint Now) const {
+  RecordsPush Result;
+  Result.m_Departures = recentDepartures(Now);
+  if (m_Retained || version() > Pull.m_InForce)
     Result.m_Retained = m_InForce;
-  if (!IsFull) {
-    Result.m_Records = changesAfter(PeerRevision);
+  if (Pull.m_Have > m_Revision)
+    return Result;
+  Result.m_AsOf = m_Revision;
+  Result.m_IsFull = Pull.m_Have < m_RemovalHistoryStart || Pull.m_Have == 0;
+  if (!Result.m_IsFull) {
+    Result.m_Records = changesAfter(Pull.m_Have);
     return Result;
   }
   for (const auto &[Key, Record] : m_Records)
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -135,9 +135,11 @@
     return;
   }
   if (m_Purpose == Purpose::CompareRecord) {
+    m_Compared = *m_Evidence;
+    m_ComparedAsOf = m_EvidenceAsOf;
     m_LastConsistency = ReadConsistency::Linearizable;
     m_Commands.emplace_back(ListRecords{m_LastCall, "", CallTimeout,
-                                        m_LastConsistency, m_Evidence->m_Key});
+                                        m_LastConsistency, m_Compared.m_Key});
     return;
   }
   // A later page may be read serializably, since its revision shows whether it
@@ -276,6 +278,8 @@
     dropDisproved(Reply.m_AsOf);
   }
   m_PageWasStale = Reply.m_AsOf < m_FirstPageAsOf;
+  if (m_PageWasStale && m_LastConsistency == ReadConsistency::Linearizable)
+    return listSuspected(Reply, Now);
   if (m_PageWasStale)
     return issueCall(Now);
   // An empty page that announces a further one would be requested forever.
@@ -343,6 +347,7 @@
     dropDisproved(Reply.m_AsOf);
   }
   m_Compactions = 0;
+  m_PartialSince.reset();
   onAnswer(Now);
   const Revision AsOf = m_History.revisionOf(Reply.m_AsOf);
   for (StoreRecord &Each : Reply.m_Records)
@@ -395,6 +400,11 @@
 void StoreReader::onFailure(const StoreReply &Reply, TimePoint Now) {
   ++m_Failures;
   m_IsUnverified = true;
+  // The next page may be of another history.
+  if (!m_History.hasEra()) {
+    m_ListedRecords.clear();
+    m_NextPageAfter.clear();
+  }
   if (m_Failures <= MaxLoggedFailures)
     reportFailure(Reply, Now);
   if (m_Failures >= UnreachableAfterFailures)
@@ -409,6 +419,7 @@
   if (historyOf(AsOf) != m_History.number())
     return;
   setKnownRevision(AsOf);
+  m_PartialSince.reset();
   if (IsLater)
     m_ReplacedAt = Now;
   if (m_ListsInstead && m_Mode != WatchMode::Fed && !IsLater)
@@ -423,9 +434,11 @@
     return endCall();
   // Replaces the pending call; a watch from the older revision would return the
   // same changes again.
-  const bool IsOutdated = IsLater || m_Purpose != Purpose::Watch;
-  if (m_CallPending && (m_Reachable || IsOutdated))
-    issueCall(Now);
+  const bool IsOutdated = IsLater || m_Purpose == Purpose::List;
+  if (!m_CallPending || !(m_Reachable || IsOutdated))
+    return;
+  m_Commands.emplace_back(AbandonCall{m_LastCall});
+  issueCall(Now);
 }
 
 void StoreReader::setReachable(bool Reachable, const std::string &Cause) {
--- a/src/core/registry/store_reader_history.cpp
+++ b/src/core/registry/store_reader_history.cpp
@@ -42,20 +42,17 @@
       Reply.m_AsOf >= m_History.counterIn(m_KnownAtCall) &&
       std::any_of(Reply.m_Records.begin(), Reply.m_Records.end(),
                   [&](const StoreRecord &Each) {
-                    return Each.m_Key == m_Evidence->m_Key &&
+                    return Each.m_Key == m_Compared.m_Key &&
                            m_History.revisionOf(Each.m_Revision) ==
-                               m_Evidence->m_Revision &&
+                               m_Compared.m_Revision &&
                            Each.m_Value != nullptr &&
-                           *Each.m_Value == *m_Evidence->m_Value;
+                           *Each.m_Value == *m_Compared.m_Value;
                   });
   // Either the record has been written or removed since, or the store has begun
   // another history; a listing shows which.
   if (!IsHeld)
     return relist(++m_Dropped, Now);
-  // The delay between failed calls stays until a watch is answered.
-  setReachable(true, "");
-  m_ConfirmedAt = Now;
-  m_IsUnverified = false;
+  m_IsUnverified = m_ComparedAsOf < m_KnownRevision;
   issueCall(Now);
 }
 
@@ -103,6 +100,7 @@
                 " previous=" + std::to_string(Before) + " cause=node" +
                 " known_revision=" + formatRevision(m_KnownRevision)});
   m_ReplacedAt = Now;
+  m_PartialSince.reset();
   endCall();
   m_Watching = false;
   m_ListedRecords.clear();
@@ -120,10 +118,9 @@
   return true;
 }
 
-void StoreReader::setEvidence(StoreRecord Newest) {
-  // The pending call compares the previous one.
-  if (!m_CallPending || m_Purpose != Purpose::CompareRecord)
-    m_Evidence = std::move(Newest);
+void StoreReader::setEvidence(StoreRecord Newest, Revision AsOf) {
+  m_Evidence = std::move(Newest);
+  m_EvidenceAsOf = AsOf;
 }
 
 void StoreReader::reportDropped(const StoreReply &Reply) {
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -22,11 +22,6 @@
   return Others;
 }
 
-RegistryOptions withDeferral(RegistryOptions Options) {
-  Options.m_DefersLargeRecords = true;
-  return Options;
-}
-
 /// Links of pulls are numbered from here; those of feeds from 1.
 constexpr LinkId FirstPullLink = LinkId{1} << 62U;
 
@@ -35,8 +30,8 @@
 class StoreReplica::Impl {
 public:
   Impl(const RecordDecoder &Decoder, const StoreReplicaOptions &Options)
-      : m_Registry(Decoder, withDeferral(Options.m_Registry)),
-        m_Reader(Options.m_RandomSeed), m_Pull(otherSeeds(Options)),
+      : m_Registry(Decoder, Options.m_Registry), m_Reader(Options.m_RandomSeed),
+        m_Pull(otherSeeds(Options)),
         m_Follower(Options.m_LinkAddress, Options.m_Zone),
         m_Publisher(Options.m_MaxFollowers),
         m_UrgentWatches(Options.m_UrgentPrefixes, Options.m_RandomSeed),
@@ -60,8 +55,9 @@
   }
 
   void onLinkOpened(LinkId Link, TimePoint Now) {
-    if (!m_Follower.onLinkOpened(Link, Now) &&
-        (Link == m_PullLink || m_Inquiry.isAsked(Link)))
+    if (m_Inquiry.isAsked(Link))
+      askForState(Link);
+    else if (!m_Follower.onLinkOpened(Link, Now) && Link == m_PullLink)
       askForRecords(Link);
     settle(Now);
   }
@@ -118,7 +114,7 @@
         Next = Next ? std::min(*Next, *Each) : *Each;
     }
     if (m_Expected)
-      Next = Next ? std::min(*Next, m_Expected->m_Until) : m_Expected->m_Until;
+      Next = std::min(Next.value_or(m_Expected->m_Until), m_Expected->m_Until);
     return Next;
   }
 
@@ -172,6 +168,15 @@
         SendControl{Link, RecordsPull{m_Registry.revision()}});
   }
 
+  // What other nodes have in force although the store may have lost it; the
+  // records come from the store.
+  void askForState(LinkId Link) {
+    const HistoryNumber History = historyOf(m_Registry.revision());
+    m_Commands.emplace_back(
+        SendControl{Link, RecordsPull{makeRevision(History, MaxStoreCounter),
+                                      m_Registry.version()}});
+  }
+
   // A peer whose revision the store has disproved holds an earlier history.
   void pullIfDue(TimePoint Now) {
     const Revision Claimed = m_Pull.newest();
@@ -197,13 +202,12 @@
   void handle(LinkId /*Link*/, const Message & /*Value*/, TimePoint /*Now*/) {}
 
   void handle(LinkId Link, const RecordsPull &Pull, TimePoint Now) {
-    m_Commands.emplace_back(
-        SendControl{Link, m_Registry.makePush(Pull.m_Have, Now)});
+    m_Commands.emplace_back(SendControl{Link, m_Registry.makePush(Pull, Now)});
   }
 
   void handle(LinkId Link, const RecordsPush &Push, TimePoint Now) {
-    if (historyOf(Push.m_AsOf) > MaxHistoryNumber)
-      return reportMalformed("push", Push.m_AsOf);
+    if (namesNoHistory(Push.m_AsOf))
+      return;
     if (Link == m_PullLink) {
       m_Commands.emplace_back(CloseControlLink{Link});
       m_PullLink = 0;
@@ -215,11 +219,13 @@
     m_Reader.onPeerRecords(m_Registry.revision(), Now);
   }
 
-  void reportMalformed(const char *Message, Revision Named) {
-    m_Commands.emplace_back(Event{EventId::RecordRefused,
-                                  std::string("message=") + Message +
-                                      " revision=" + std::to_string(Named) +
-                                      " fault=its revision names no history"});
+  bool namesNoHistory(Revision Named) {
+    if (historyOf(Named) <= MaxHistoryNumber)
+      return false;
+    m_Commands.emplace_back(
+        Event{EventId::RecordRefused, "revision=" + std::to_string(Named) +
+                                          " fault=a node names no history"});
+    return true;
   }
 
   // Asks a node at the other end of a link for a configuration that the store
@@ -236,8 +242,8 @@
   }
 
   void handle(LinkId Link, const FollowRevisions &Request, TimePoint Now) {
-    if (historyOf(Request.m_Held) > MaxHistoryNumber)
-      return reportMalformed("request", Request.m_Held);
+    if (namesNoHistory(Request.m_Held))
+      return;
     m_Reader.onLaterHistory(historyOf(Request.m_Held), Now);
     requestMissing(Link, Request.m_Retained, Request.m_Held, Now);
     m_Publisher.onFollow(
@@ -246,9 +252,8 @@
   }
 
   void handle(LinkId Link, const RevisionNotice &Notice, TimePoint Now) {
-    if (historyOf(std::max(Notice.m_Revision, Notice.m_Held)) >
-        MaxHistoryNumber)
-      return reportMalformed("notice", Notice.m_Revision);
+    if (namesNoHistory(std::max(Notice.m_Revision, Notice.m_Held)))
+      return;
     // It says nothing of the present history; its sender will follow that.
     if (!Notice.m_Refused &&
         historyOf(Notice.m_Revision) < m_Reader.history().number())
@@ -290,9 +295,8 @@
     m_Follower.takePatchesFrom(Expected.m_Link, Now);
   }
 
-  // A store that confirms revisions to other nodes is not away, whatever
-  // becomes of this node's calls. Must run before records are applied: whether
-  // a removal is a lapse depends on it.
+  // A store that confirms revisions to other nodes is not away. Must run before
+  // records are applied: whether a removal is a lapse depends on it.
   void updateOutage(TimePoint Now) {
     const std::optional<TimePoint> Confirmed = ownRevision(Now).m_ConfirmedAt;
     const bool IsAway = !m_Reader.isReachable() &&
@@ -346,7 +350,7 @@
   void updateEvidence() {
     if (m_Reader.isUnverified() && m_EvidenceAsOf != m_Registry.revision()) {
       m_EvidenceAsOf = m_Registry.revision();
-      m_Reader.setEvidence(m_Registry.newestChange());
+      m_Reader.setEvidence(m_Registry.newestChange(), m_Registry.revision());
     }
     m_Reader.setRequiredKey(m_Registry.configurationKey());
   }
--- a/src/net/wire_control.cpp
+++ b/src/net/wire_control.cpp
@@ -164,6 +164,7 @@
 
   void operator()(const core::RecordsPull &Message) {
     m_Body.records_pull.have = toSigned(Message.m_Have);
+    m_Body.records_pull.in_force = toSigned(Message.m_InForce);
     m_Body.__isset.records_pull = true;
   }
 
@@ -279,7 +280,8 @@
 }
 
 core::ControlMessage readRecordsPull(wire::Body &Body) {
-  return core::RecordsPull{toUnsigned(Body.records_pull.have)};
+  return core::RecordsPull{toUnsigned(Body.records_pull.have),
+                           toUnsigned(Body.records_pull.in_force)};
 }
 
 core::ControlMessage readRecordsPush(wire::Body &Body) {
--- a/tests/contract/store_fleet.cpp
+++ b/tests/contract/store_fleet.cpp
@@ -180,6 +180,7 @@
   Member &Started = m_Nodes[Number];
   StoreReplicaOptions Options;
   Options.m_Registry.m_LinkPort = LinkPort;
+  Options.m_Registry.m_DefersLargeRecords = true;
   Options.m_LinkAddress = addressOf(Number);
   Options.m_Zone = zoneOf(Number);
   Options.m_RandomSeed = m_Random();
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -128,6 +128,8 @@
       HeldAck{Stream::Configuration, {3, 4}},
       Heartbeat{9, {1, 2}, {3, 4}, {5, 6}},
       ControlGoAway{},
+      RecordsPull{9},
+      RecordsPull{9, 17},
       FollowRevisions{},
       FollowRevisions{9},
       FollowRevisions{9, false},
--- a/tests/unit/registry_history_test.cpp
+++ b/tests/unit/registry_history_test.cpp
@@ -77,6 +77,9 @@
   return makeRevision(1, Counter);
 }
 
+/// What a started node that has read version 15 asks.
+core::RecordsPull askedAtStart() { return {at(core::MaxStoreCounter), 15}; }
+
 } // namespace
 
 TEST_CASE("a version that the store has lost stays in force and is passed on") {
@@ -89,8 +92,8 @@
   Started.m_Registry.replaceAll({configuration(at(3), 15)}, at(21),
                                 Started.m_Now);
   CHECK(Started.m_Registry.version() == 15);
-  Started.m_Registry.applyPush(World.m_Registry.makePush(at(21), World.m_Now),
-                               Started.m_Now);
+  Started.m_Registry.applyPush(
+      World.m_Registry.makePush(askedAtStart(), World.m_Now), Started.m_Now);
   CHECK(Started.m_Registry.version() == 17);
   CHECK(Started.m_Registry.retainedVersion() == 17);
   SUBCASE("until the store has it again") {
@@ -110,12 +113,24 @@
   Node Started;
   Started.m_Registry.replaceAll({configuration(at(3), 15)}, at(21),
                                 Started.m_Now);
-  Started.m_Registry.applyPush(World.m_Registry.makePush(at(21), World.m_Now),
-                               Started.m_Now);
+  Started.m_Registry.applyPush(
+      World.m_Registry.makePush(askedAtStart(), World.m_Now), Started.m_Now);
   CHECK(Started.m_Registry.version() == 17);
   CHECK(Started.m_Registry.revision() == at(21));
 }
 
+TEST_CASE("a started node is sent no records that the store has") {
+  const Fixture World;
+  const core::RecordsPush Push = World.m_Registry.makePush(
+      {makeRevision(0, core::MaxStoreCounter), 17}, World.m_Now);
+  CHECK(Push.m_Records.empty());
+  CHECK_FALSE(Push.m_Retained.has_value());
+  Node Started;
+  Started.m_Registry.replaceAll({configuration(300, 17)}, 350, Started.m_Now);
+  CHECK_FALSE(Started.m_Registry.applyPush(Push, Started.m_Now));
+  CHECK(Started.m_Registry.revision() == 350);
+}
+
 TEST_CASE("a target that a later history lacks has time to write its entry") {
   Fixture World;
   World.m_Registry.replaceAll({configuration(at(3), 17)}, at(20), World.m_Now);
@@ -186,12 +201,23 @@
       Started.m_Now);
   CHECK(Started.isUsed());
   CHECK(Started.m_Registry.applyPush(
-      World.m_Registry.makePush(at(20), World.m_Now), Started.m_Now));
+      World.m_Registry.makePush(askedAtStart(), World.m_Now), Started.m_Now));
   CHECK_FALSE(Started.isUsed());
   Started.m_Registry.apply({target(at(21), "ready", 6)}, at(21), Started.m_Now);
   CHECK(Started.isUsed());
 }
 
+TEST_CASE("records of an earlier history are not taken") {
+  Fixture World;
+  World.m_Registry.replaceAll({configuration(at(3), 17)}, at(20), World.m_Now);
+  World.m_Registry.onTick(World.m_Now + LapseGrace);
+  World.m_Registry.applyAhead(
+      {target(362, "ready", 6), record("op/evacuate/z", 363, "{}")}, "feed",
+      World.m_Now);
+  CHECK(World.targets().empty());
+  CHECK_FALSE(World.isZoneOut());
+}
+
 TEST_CASE("a removal that arrived ahead of a listing is not reverted by it") {
   Fixture World;
   World.m_Registry.applyAhead({{"servers/i-1", at(23), nullptr}}, "feed",
--- a/tests/unit/registry_test.cpp
+++ b/tests/unit/registry_test.cpp
@@ -193,7 +193,7 @@
     CAPTURE(PeerRevision);
     Fixture Peer;
     const core::RecordsPush Push =
-        World.m_Registry.makePush(PeerRevision, World.m_Now);
+        World.m_Registry.makePush({PeerRevision}, World.m_Now);
     CHECK(Push.m_IsFull == (PeerRevision == 0));
     CHECK(Peer.m_Registry.applyPush(Push, Peer.m_Now));
     CHECK(Peer.m_Registry.revision() == 12);
--- a/tests/unit/store_history_test.cpp
+++ b/tests/unit/store_history_test.cpp
@@ -106,7 +106,7 @@
 
 TEST_CASE("after a failed call the last change is compared with the store's") {
   Fixture World;
-  World.m_Reader.setEvidence(record("a", 7));
+  World.m_Reader.setEvidence(record("a", 7), 7);
   World.fail();
   const auto Compared = World.take<core::ListRecords>();
   REQUIRE(Compared.size() == 1);
@@ -128,7 +128,7 @@
        {core::StoreRecord{"a", 7, nullptr},
         record("a", 7, std::string(100'000, 'x'))}) {
     Fixture World;
-    World.m_Reader.setEvidence(Newest);
+    World.m_Reader.setEvidence(Newest, 7);
     World.fail();
     const auto Next = World.take<core::ListRecords>();
     REQUIRE(Next.size() == 1);
@@ -139,7 +139,7 @@
 TEST_CASE("watches that fail beside answered reads are repeated with growing "
           "delays") {
   Fixture World;
-  World.m_Reader.setEvidence(record("a", 7));
+  World.m_Reader.setEvidence(record("a", 7), 7);
   const std::uint64_t Before = World.m_Reader.calls();
   while (World.m_Now < Start + seconds(3)) {
     World.fail();
@@ -148,6 +148,46 @@
   CHECK(World.m_Reader.calls() - Before < 30);
 }
 
+TEST_CASE("a record that is unchanged confirms no revision") {
+  Fixture World;
+  World.m_Reader.setEvidence(record("a", 7), 7);
+  const auto Confirmed = World.m_Reader.confirmedAt();
+  for (int Count = 0; Count < 5; ++Count) {
+    World.fail();
+    World.replyWith({record("a", 7)}, 12);
+  }
+  CHECK(World.m_Reader.confirmedAt() == Confirmed);
+}
+
+TEST_CASE("a listing that a failure interrupts begins again") {
+  for (const bool Fails : {true, false}) {
+    CAPTURE(Fails);
+    Fixture World;
+    World.reply(0, core::StoreOutcome::HistoryCompacted);
+    core::StoreReply First;
+    First.m_Call = World.m_Reader.calls();
+    First.m_Outcome = core::StoreOutcome::Answered;
+    First.m_Records = {record("a", 5)};
+    First.m_AsOf = 100;
+    First.m_HasMore = true;
+    World.m_Reader.onReply(First, World.m_Now);
+    if (Fails) {
+      World.fail();
+      const auto Next = World.take<core::ListRecords>();
+      REQUIRE(Next.size() == 1);
+      CHECK(Next[0].m_After.empty());
+      continue;
+    }
+    // The second page, twice, and then a first one.
+    for (int Count = 0; Count < 3; ++Count)
+      World.replyWith({record("b", 20)}, 30);
+    const auto Read = World.take<core::RecordsRead>();
+    REQUIRE(Read.size() == 1);
+    CHECK(Read[0].m_AsOf == 30);
+    CHECK(Read[0].m_Records.size() == 1);
+  }
+}
+
 TEST_CASE("a store that returns without its records is waited for") {
   Fixture World;
   World.m_Reader.setRequiredKey("configuration");
