--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -168,8 +168,6 @@
         SendControl{Link, RecordsPull{m_Registry.revision()}});
   }
 
-  // What other nodes have in force although the store may have lost it; the
-  // records come from the store.
   void askForState(LinkId Link) {
     const HistoryNumber History = historyOf(m_Registry.revision());
     m_Commands.emplace_back(
--- a/tests/unit/registry_history_test.cpp
+++ b/tests/unit/registry_history_test.cpp
@@ -231,7 +231,7 @@
 
 TEST_CASE("a listing that can't follow on the records held contradicts them") {
   Fixture World;
-  const auto Contradicts = [&](std::vector<core::StoreRecord> Listed) {
+  const auto Contradicts = [&](const std::vector<core::StoreRecord> &Listed) {
     return World.m_Registry.contradicts(Listed, 361);
   };
   CHECK_FALSE(Contradicts({configuration(300, 17), target(310, "ready", 5)}));
--- a/tests/unit/store_history_test.cpp
+++ b/tests/unit/store_history_test.cpp
@@ -8,7 +8,6 @@
 
 using namespace dandelionfall;
 using namespace dandelionfall::test;
-using core::registry::MaxRetryDelay;
 using core::registry::PartialListingLimit;
 using core::registry::StartInquiry;
 using core::registry::StartInquiryTime;
