Do not compare a record between two pages of a listing

If the last change became a small record while a listing of several pages was under way, the next call compared it, and the rest of the listing was taken for a whole one later. Found when reading the diff; the test fails without the condition (the next call names the record's key).

--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -92,7 +92,7 @@
 // A store that was away for a moment may have come back from an older copy and
 // have passed the known revision since.
 StoreReader::Purpose StoreReader::nextPurpose() const {
-  if (!m_Watching || m_ListsInstead)
+  if (!m_Watching || m_ListsInstead || !m_NextPageAfter.empty())
     return Purpose::List;
   if (!m_IsUnverified || !m_Evidence || m_History.hasEra() ||
       makeWatch().m_Consistency != ReadConsistency::Linearizable)
--- a/tests/unit/store_history_test.cpp
+++ b/tests/unit/store_history_test.cpp
@@ -187,6 +187,25 @@
   }
 }
 
+TEST_CASE("a listing goes on although its evidence changes") {
+  Fixture World;
+  World.m_Reader.setEvidence({"a", 7, nullptr}, 7);
+  World.fail();
+  World.take<core::ListRecords>();
+  World.m_Reader.setEvidence(record("a", 7), 7);
+  core::StoreReply First;
+  First.m_Call = World.m_Reader.calls();
+  First.m_Outcome = core::StoreOutcome::Answered;
+  First.m_Records = {record("a", 5)};
+  First.m_AsOf = 9;
+  First.m_HasMore = true;
+  World.m_Reader.onReply(First, World.m_Now);
+  const auto Next = World.take<core::ListRecords>();
+  REQUIRE(Next.size() == 1);
+  CHECK(Next[0].m_After == "a");
+  CHECK(Next[0].m_Prefix.empty());
+}
+
 TEST_CASE("a store that returns without its records is waited for") {
   Fixture World;
   World.m_Reader.setRequiredKey("configuration");
