--- a/tests/unit/store_history_test.cpp
+++ b/tests/unit/store_history_test.cpp
@@ -187,6 +187,21 @@
   }
 }
 
+TEST_CASE("a node lists once when another one follows a later history") {
+  Fixture World;
+  World.m_Reader.onLaterHistory(3, World.m_Now);
+  World.m_Reader.onLaterHistory(3, World.m_Now);
+  CHECK(World.take<core::ListRecords>().empty());
+  REQUIRE(World.m_Reader.nextWakeUp().has_value());
+  World.m_Now = *World.m_Reader.nextWakeUp();
+  World.m_Reader.onTick(World.m_Now);
+  CHECK(World.take<core::ListRecords>().size() == 1);
+  World.replyWith({record("a", 2)}, 5);
+  const auto Read = World.take<core::RecordsRead>();
+  REQUIRE(Read.size() == 1);
+  CHECK(Read[0].m_AsOf == core::makeRevision(3, 5));
+}
+
 TEST_CASE("a listing goes on although its evidence changes") {
   Fixture World;
   World.m_Reader.setEvidence({"a", 7, nullptr}, 7);
