--- a/src/core/registry/feed_follower.h
+++ b/src/core/registry/feed_follower.h
@@ -47,7 +47,7 @@
   void takePatchesFrom(LinkId Link, TimePoint Now);
   /// Sets the revision up to which this node holds all records, and the version
   /// of the configuration that it retains; 0 if there is none. Followed nodes
-  /// are told at once of another history of the store.
+  /// are notified at once of another history of the store.
   void setHeld(Revision Held, Version Retained);
   /// Does not count a time for which this node was occupied or stood still as
   /// silence of the feeds.
--- a/src/core/registry/feed_publisher.h
+++ b/src/core/registry/feed_publisher.h
@@ -63,7 +63,7 @@
 
   std::size_t m_MaxFollowers;
   std::map<LinkId, Follower> m_Followers;
-  /// History of the store that the followers were told of.
+  /// History of the store that was last announced to the followers.
   HistoryNumber m_History = 0;
   Revision m_SentRevision = 0;
   Revision m_SentHeld = 0;
