Wait for the log line of a refusal; lock the machine in tests with the store

Cause: a node sends the response to the caller and writes the log line of the refusal after it. The test read the log right after the response, so it could come first.

A line that never comes still fails.

Besides: Deployment takes the same lock as the fleets with fixed ports. Two of these tests at once, of two clones, failed with 'Address already in use'.

--- a/tests/system/store_deployment.py
+++ b/tests/system/store_deployment.py
@@ -4,6 +4,7 @@
 """
 import base64
 import contextlib
+import fcntl
 import http.client
 import http.server
 import json
@@ -14,7 +15,7 @@
 import time
 import urllib.parse
 
-from fleet import Process, http_call
+from fleet import LOCK_FILE, Process, http_call
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BUILD = pathlib.Path(os.environ.get("DANDELIONFALL_BUILD", ROOT / "build"))
@@ -309,6 +310,8 @@
     """A store, three targets, and a node next to each target."""
 
     def __init__(self, directory, era=None):
+        self.lock = open(LOCK_FILE, "w", encoding="ascii")  # pylint: disable=consider-using-with
+        fcntl.flock(self.lock, fcntl.LOCK_EX)
         self.store = Store(era)
         self.targets = [Target(host, f"i-{index}") for index, host in enumerate(HOSTS)]
         for target in self.targets:
@@ -327,6 +330,7 @@
         self.store.close()
         for target in self.targets:
             target.server.end()
+        self.lock.close()
 
     @staticmethod
     def ready(host):
--- a/tests/system/store_node.py
+++ b/tests/system/store_node.py
@@ -90,13 +90,19 @@
         status = deployment.call(NEW_HOST, "/new/x")[0]
         passed &= check(status == expected_status, f"a new node with {len(seeds)} seeds and no store: status {status}")
         if expected_status == 503:
-            line = next((text for text in node.log.read_text().splitlines() if "event=408" in text), "")
+            # The line is written after the response has been sent.
+            line = wait_until(lambda node=node: refusal_line(node), STEP_TIMEOUT_S, "the refusal is logged")
             passed &= check("caller_id=1f" in line, "the log line of the refusal contains the caller's id")
         node.kill()
     deployment.store.set_available(True)
     return passed
 
 
+def refusal_line(node):
+    lines = node.log.read_text().splitlines(keepends=True)
+    return next((text for text in lines if "event=408" in text and text.endswith("\n")), "")
+
+
 def check_draining(deployment):
     draining = deployment.targets[0]
     deployment.store.put(f"servers/{draining.instance}", draining.record("draining"))
