Send a follower patches from values that it states it holds

Cause: a follower that has listed a version which the nodes it follows skipped holds a revision, but none of their values up to it. They choose the base of a patch by the revision alone, so the patch does not fit, and asking again brings the same patch. And a feed that already sends patches was not asked again by takePatchesFrom, so the node read the store after FedCatchUpDelay.

Change: FollowRevisions names the values that the sender holds of the large records it lacks (field 4). The followed node makes the patch from one of these, or sends the whole value. A feed is asked again also if it sends patches already, at most once in a notice interval; an announced record is asked for until it has arrived. The logic moves from store_replica to patch_requests.

Nodes of earlier versions ignore the new field and go on as before.

--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -6132,6 +6132,10 @@
 void FollowRevisions::__set_retained(const int64_t val) {
   this->retained = val;
 }
+
+void FollowRevisions::__set_bases(const std::map<std::string, std::vector<int64_t> > & val) {
+  this->bases = val;
+}
 std::ostream& operator<<(std::ostream& out, const FollowRevisions& obj)
 {
   obj.printTo(out);
@@ -6184,6 +6188,41 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->bases.clear();
+            uint32_t _size228;
+            ::apache::thrift::protocol::TType _ktype229;
+            ::apache::thrift::protocol::TType _vtype230;
+            xfer += iprot->readMapBegin(_ktype229, _vtype230, _size228);
+            uint32_t _i232;
+            for (_i232 = 0; _i232 < _size228; ++_i232)
+            {
+              std::string _key233;
+              xfer += iprot->readString(_key233);
+              std::vector<int64_t> & _val234 = this->bases[_key233];
+              {
+                _val234.clear();
+                uint32_t _size235;
+                ::apache::thrift::protocol::TType _etype238;
+                xfer += iprot->readListBegin(_etype238, _size235);
+                _val234.resize(_size235);
+                uint32_t _i239;
+                for (_i239 = 0; _i239 < _size235; ++_i239)
+                {
+                  xfer += iprot->readI64(_val234[_i239]);
+                }
+                xfer += iprot->readListEnd();
+              }
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.bases = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6213,6 +6252,27 @@
   xfer += oprot->writeI64(this->retained);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("bases", ::apache::thrift::protocol::T_MAP, 4);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->bases.size()));
+    std::map<std::string, std::vector<int64_t> > ::const_iterator _iter240;
+    for (_iter240 = this->bases.begin(); _iter240 != this->bases.end(); ++_iter240)
+    {
+      xfer += oprot->writeString(_iter240->first);
+      {
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter240->second.size()));
+        std::vector<int64_t> ::const_iterator _iter241;
+        for (_iter241 = _iter240->second.begin(); _iter241 != _iter240->second.end(); ++_iter241)
+        {
+          xfer += oprot->writeI64((*_iter241));
+        }
+        xfer += oprot->writeListEnd();
+      }
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6223,33 +6283,38 @@
   swap(a.held, b.held);
   swap(a.wants_patches, b.wants_patches);
   swap(a.retained, b.retained);
+  swap(a.bases, b.bases);
   swap(a.__isset, b.__isset);
 }
 
-FollowRevisions::FollowRevisions(const FollowRevisions& other228) noexcept {
-  held = other228.held;
-  wants_patches = other228.wants_patches;
-  retained = other228.retained;
-  __isset = other228.__isset;
-}
-FollowRevisions::FollowRevisions(FollowRevisions&& other229) noexcept {
-  held = other229.held;
-  wants_patches = other229.wants_patches;
-  retained = other229.retained;
-  __isset = other229.__isset;
-}
-FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other230) noexcept {
-  held = other230.held;
-  wants_patches = other230.wants_patches;
-  retained = other230.retained;
-  __isset = other230.__isset;
+FollowRevisions::FollowRevisions(const FollowRevisions& other242) {
+  held = other242.held;
+  wants_patches = other242.wants_patches;
+  retained = other242.retained;
+  bases = other242.bases;
+  __isset = other242.__isset;
+}
+FollowRevisions::FollowRevisions(FollowRevisions&& other243) noexcept {
+  held = other243.held;
+  wants_patches = other243.wants_patches;
+  retained = other243.retained;
+  bases = std::move(other243.bases);
+  __isset = other243.__isset;
+}
+FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other244) {
+  held = other244.held;
+  wants_patches = other244.wants_patches;
+  retained = other244.retained;
+  bases = other244.bases;
+  __isset = other244.__isset;
   return *this;
 }
-FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other231) noexcept {
-  held = other231.held;
-  wants_patches = other231.wants_patches;
-  retained = other231.retained;
-  __isset = other231.__isset;
+FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other245) noexcept {
+  held = other245.held;
+  wants_patches = other245.wants_patches;
+  retained = other245.retained;
+  bases = std::move(other245.bases);
+  __isset = other245.__isset;
   return *this;
 }
 void FollowRevisions::printTo(std::ostream& out) const {
@@ -6258,6 +6323,7 @@
   out << "held=" << to_string(held);
   out << ", " << "wants_patches=" << to_string(wants_patches);
   out << ", " << "retained=" << to_string(retained);
+  out << ", " << "bases=" << to_string(bases);
   out << ")";
 }
 
@@ -6405,38 +6471,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordPatch::RecordPatch(const RecordPatch& other232) {
-  key = other232.key;
-  revision = other232.revision;
-  base = other232.base;
-  digest = other232.digest;
-  compressed = other232.compressed;
-  __isset = other232.__isset;
-}
-RecordPatch::RecordPatch(RecordPatch&& other233) noexcept {
-  key = std::move(other233.key);
-  revision = other233.revision;
-  base = other233.base;
-  digest = other233.digest;
-  compressed = std::move(other233.compressed);
-  __isset = other233.__isset;
-}
-RecordPatch& RecordPatch::operator=(const RecordPatch& other234) {
-  key = other234.key;
-  revision = other234.revision;
-  base = other234.base;
-  digest = other234.digest;
-  compressed = other234.compressed;
-  __isset = other234.__isset;
+RecordPatch::RecordPatch(const RecordPatch& other246) {
+  key = other246.key;
+  revision = other246.revision;
+  base = other246.base;
+  digest = other246.digest;
+  compressed = other246.compressed;
+  __isset = other246.__isset;
+}
+RecordPatch::RecordPatch(RecordPatch&& other247) noexcept {
+  key = std::move(other247.key);
+  revision = other247.revision;
+  base = other247.base;
+  digest = other247.digest;
+  compressed = std::move(other247.compressed);
+  __isset = other247.__isset;
+}
+RecordPatch& RecordPatch::operator=(const RecordPatch& other248) {
+  key = other248.key;
+  revision = other248.revision;
+  base = other248.base;
+  digest = other248.digest;
+  compressed = other248.compressed;
+  __isset = other248.__isset;
   return *this;
 }
-RecordPatch& RecordPatch::operator=(RecordPatch&& other235) noexcept {
-  key = std::move(other235.key);
-  revision = other235.revision;
-  base = other235.base;
-  digest = other235.digest;
-  compressed = std::move(other235.compressed);
-  __isset = other235.__isset;
+RecordPatch& RecordPatch::operator=(RecordPatch&& other249) noexcept {
+  key = std::move(other249.key);
+  revision = other249.revision;
+  base = other249.base;
+  digest = other249.digest;
+  compressed = std::move(other249.compressed);
+  __isset = other249.__isset;
   return *this;
 }
 void RecordPatch::printTo(std::ostream& out) const {
@@ -6554,14 +6620,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size236;
-            ::apache::thrift::protocol::TType _etype239;
-            xfer += iprot->readListBegin(_etype239, _size236);
-            this->records.resize(_size236);
-            uint32_t _i240;
-            for (_i240 = 0; _i240 < _size236; ++_i240)
+            uint32_t _size250;
+            ::apache::thrift::protocol::TType _etype253;
+            xfer += iprot->readListBegin(_etype253, _size250);
+            this->records.resize(_size250);
+            uint32_t _i254;
+            for (_i254 = 0; _i254 < _size250; ++_i254)
             {
-              xfer += this->records[_i240].read(iprot);
+              xfer += this->records[_i254].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6574,14 +6640,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->patches.clear();
-            uint32_t _size241;
-            ::apache::thrift::protocol::TType _etype244;
-            xfer += iprot->readListBegin(_etype244, _size241);
-            this->patches.resize(_size241);
-            uint32_t _i245;
-            for (_i245 = 0; _i245 < _size241; ++_i245)
+            uint32_t _size255;
+            ::apache::thrift::protocol::TType _etype258;
+            xfer += iprot->readListBegin(_etype258, _size255);
+            this->patches.resize(_size255);
+            uint32_t _i259;
+            for (_i259 = 0; _i259 < _size255; ++_i259)
             {
-              xfer += this->patches[_i245].read(iprot);
+              xfer += this->patches[_i259].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6594,17 +6660,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->large.clear();
-            uint32_t _size246;
-            ::apache::thrift::protocol::TType _ktype247;
-            ::apache::thrift::protocol::TType _vtype248;
-            xfer += iprot->readMapBegin(_ktype247, _vtype248, _size246);
-            uint32_t _i250;
-            for (_i250 = 0; _i250 < _size246; ++_i250)
+            uint32_t _size260;
+            ::apache::thrift::protocol::TType _ktype261;
+            ::apache::thrift::protocol::TType _vtype262;
+            xfer += iprot->readMapBegin(_ktype261, _vtype262, _size260);
+            uint32_t _i264;
+            for (_i264 = 0; _i264 < _size260; ++_i264)
             {
-              std::string _key251;
-              xfer += iprot->readString(_key251);
-              int64_t& _val252 = this->large[_key251];
-              xfer += iprot->readI64(_val252);
+              std::string _key265;
+              xfer += iprot->readString(_key265);
+              int64_t& _val266 = this->large[_key265];
+              xfer += iprot->readI64(_val266);
             }
             xfer += iprot->readMapEnd();
           }
@@ -6665,10 +6731,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoreRecord> ::const_iterator _iter253;
-    for (_iter253 = this->records.begin(); _iter253 != this->records.end(); ++_iter253)
+    std::vector<StoreRecord> ::const_iterator _iter267;
+    for (_iter267 = this->records.begin(); _iter267 != this->records.end(); ++_iter267)
     {
-      xfer += (*_iter253).write(oprot);
+      xfer += (*_iter267).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6677,10 +6743,10 @@
   xfer += oprot->writeFieldBegin("patches", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->patches.size()));
-    std::vector<RecordPatch> ::const_iterator _iter254;
-    for (_iter254 = this->patches.begin(); _iter254 != this->patches.end(); ++_iter254)
+    std::vector<RecordPatch> ::const_iterator _iter268;
+    for (_iter268 = this->patches.begin(); _iter268 != this->patches.end(); ++_iter268)
     {
-      xfer += (*_iter254).write(oprot);
+      xfer += (*_iter268).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6689,11 +6755,11 @@
   xfer += oprot->writeFieldBegin("large", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->large.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter255;
-    for (_iter255 = this->large.begin(); _iter255 != this->large.end(); ++_iter255)
+    std::map<std::string, int64_t> ::const_iterator _iter269;
+    for (_iter269 = this->large.begin(); _iter269 != this->large.end(); ++_iter269)
     {
-      xfer += oprot->writeString(_iter255->first);
-      xfer += oprot->writeI64(_iter255->second);
+      xfer += oprot->writeString(_iter269->first);
+      xfer += oprot->writeI64(_iter269->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -6726,54 +6792,54 @@
   swap(a.__isset, b.__isset);
 }
 
-RevisionNotice::RevisionNotice(const RevisionNotice& other256) {
-  revision = other256.revision;
-  held = other256.held;
-  confirmed_ago_us = other256.confirmed_ago_us;
-  refused = other256.refused;
-  records = other256.records;
-  patches = other256.patches;
-  large = other256.large;
-  complete = other256.complete;
-  retained = other256.retained;
-  __isset = other256.__isset;
-}
-RevisionNotice::RevisionNotice(RevisionNotice&& other257) noexcept {
-  revision = other257.revision;
-  held = other257.held;
-  confirmed_ago_us = other257.confirmed_ago_us;
-  refused = other257.refused;
-  records = std::move(other257.records);
-  patches = std::move(other257.patches);
-  large = std::move(other257.large);
-  complete = other257.complete;
-  retained = other257.retained;
-  __isset = other257.__isset;
-}
-RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other258) {
-  revision = other258.revision;
-  held = other258.held;
-  confirmed_ago_us = other258.confirmed_ago_us;
-  refused = other258.refused;
-  records = other258.records;
-  patches = other258.patches;
-  large = other258.large;
-  complete = other258.complete;
-  retained = other258.retained;
-  __isset = other258.__isset;
+RevisionNotice::RevisionNotice(const RevisionNotice& other270) {
+  revision = other270.revision;
+  held = other270.held;
+  confirmed_ago_us = other270.confirmed_ago_us;
+  refused = other270.refused;
+  records = other270.records;
+  patches = other270.patches;
+  large = other270.large;
+  complete = other270.complete;
+  retained = other270.retained;
+  __isset = other270.__isset;
+}
+RevisionNotice::RevisionNotice(RevisionNotice&& other271) noexcept {
+  revision = other271.revision;
+  held = other271.held;
+  confirmed_ago_us = other271.confirmed_ago_us;
+  refused = other271.refused;
+  records = std::move(other271.records);
+  patches = std::move(other271.patches);
+  large = std::move(other271.large);
+  complete = other271.complete;
+  retained = other271.retained;
+  __isset = other271.__isset;
+}
+RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other272) {
+  revision = other272.revision;
+  held = other272.held;
+  confirmed_ago_us = other272.confirmed_ago_us;
+  refused = other272.refused;
+  records = other272.records;
+  patches = other272.patches;
+  large = other272.large;
+  complete = other272.complete;
+  retained = other272.retained;
+  __isset = other272.__isset;
   return *this;
 }
-RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other259) noexcept {
-  revision = other259.revision;
-  held = other259.held;
-  confirmed_ago_us = other259.confirmed_ago_us;
-  refused = other259.refused;
-  records = std::move(other259.records);
-  patches = std::move(other259.patches);
-  large = std::move(other259.large);
-  complete = other259.complete;
-  retained = other259.retained;
-  __isset = other259.__isset;
+RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other273) noexcept {
+  revision = other273.revision;
+  held = other273.held;
+  confirmed_ago_us = other273.confirmed_ago_us;
+  refused = other273.refused;
+  records = std::move(other273.records);
+  patches = std::move(other273.patches);
+  large = std::move(other273.large);
+  complete = other273.complete;
+  retained = other273.retained;
+  __isset = other273.__isset;
   return *this;
 }
 void RevisionNotice::printTo(std::ostream& out) const {
@@ -7363,126 +7429,126 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other260) {
-  traffic_hello = other260.traffic_hello;
-  traffic_welcome = other260.traffic_welcome;
-  dispatch = other260.dispatch;
-  answer = other260.answer;
-  refusal = other260.refusal;
-  failure = other260.failure;
-  inquiry = other260.inquiry;
-  inquiry_reply = other260.inquiry_reply;
-  settled = other260.settled;
-  cancel = other260.cancel;
-  traffic_ping = other260.traffic_ping;
-  traffic_pong = other260.traffic_pong;
-  traffic_go_away = other260.traffic_go_away;
-  crash_notice = other260.crash_notice;
-  leaving_notice = other260.leaving_notice;
-  control_hello = other260.control_hello;
-  announce = other260.announce;
-  pull = other260.pull;
-  change_records = other260.change_records;
-  snapshot_chunk = other260.snapshot_chunk;
-  held_ack = other260.held_ack;
-  heartbeat = other260.heartbeat;
-  control_go_away = other260.control_go_away;
-  records_pull = other260.records_pull;
-  records_push = other260.records_push;
-  follow_revisions = other260.follow_revisions;
-  revision_notice = other260.revision_notice;
-  __isset = other260.__isset;
-}
-Body::Body(Body&& other261) noexcept {
-  traffic_hello = std::move(other261.traffic_hello);
-  traffic_welcome = std::move(other261.traffic_welcome);
-  dispatch = std::move(other261.dispatch);
-  answer = std::move(other261.answer);
-  refusal = std::move(other261.refusal);
-  failure = std::move(other261.failure);
-  inquiry = std::move(other261.inquiry);
-  inquiry_reply = std::move(other261.inquiry_reply);
-  settled = std::move(other261.settled);
-  cancel = std::move(other261.cancel);
-  traffic_ping = std::move(other261.traffic_ping);
-  traffic_pong = std::move(other261.traffic_pong);
-  traffic_go_away = std::move(other261.traffic_go_away);
-  crash_notice = std::move(other261.crash_notice);
-  leaving_notice = std::move(other261.leaving_notice);
-  control_hello = std::move(other261.control_hello);
-  announce = std::move(other261.announce);
-  pull = std::move(other261.pull);
-  change_records = std::move(other261.change_records);
-  snapshot_chunk = std::move(other261.snapshot_chunk);
-  held_ack = std::move(other261.held_ack);
-  heartbeat = std::move(other261.heartbeat);
-  control_go_away = std::move(other261.control_go_away);
-  records_pull = std::move(other261.records_pull);
-  records_push = std::move(other261.records_push);
-  follow_revisions = std::move(other261.follow_revisions);
-  revision_notice = std::move(other261.revision_notice);
-  __isset = other261.__isset;
-}
-Body& Body::operator=(const Body& other262) {
-  traffic_hello = other262.traffic_hello;
-  traffic_welcome = other262.traffic_welcome;
-  dispatch = other262.dispatch;
-  answer = other262.answer;
-  refusal = other262.refusal;
-  failure = other262.failure;
-  inquiry = other262.inquiry;
-  inquiry_reply = other262.inquiry_reply;
-  settled = other262.settled;
-  cancel = other262.cancel;
-  traffic_ping = other262.traffic_ping;
-  traffic_pong = other262.traffic_pong;
-  traffic_go_away = other262.traffic_go_away;
-  crash_notice = other262.crash_notice;
-  leaving_notice = other262.leaving_notice;
-  control_hello = other262.control_hello;
-  announce = other262.announce;
-  pull = other262.pull;
-  change_records = other262.change_records;
-  snapshot_chunk = other262.snapshot_chunk;
-  held_ack = other262.held_ack;
-  heartbeat = other262.heartbeat;
-  control_go_away = other262.control_go_away;
-  records_pull = other262.records_pull;
-  records_push = other262.records_push;
-  follow_revisions = other262.follow_revisions;
-  revision_notice = other262.revision_notice;
-  __isset = other262.__isset;
+Body::Body(const Body& other274) {
+  traffic_hello = other274.traffic_hello;
+  traffic_welcome = other274.traffic_welcome;
+  dispatch = other274.dispatch;
+  answer = other274.answer;
+  refusal = other274.refusal;
+  failure = other274.failure;
+  inquiry = other274.inquiry;
+  inquiry_reply = other274.inquiry_reply;
+  settled = other274.settled;
+  cancel = other274.cancel;
+  traffic_ping = other274.traffic_ping;
+  traffic_pong = other274.traffic_pong;
+  traffic_go_away = other274.traffic_go_away;
+  crash_notice = other274.crash_notice;
+  leaving_notice = other274.leaving_notice;
+  control_hello = other274.control_hello;
+  announce = other274.announce;
+  pull = other274.pull;
+  change_records = other274.change_records;
+  snapshot_chunk = other274.snapshot_chunk;
+  held_ack = other274.held_ack;
+  heartbeat = other274.heartbeat;
+  control_go_away = other274.control_go_away;
+  records_pull = other274.records_pull;
+  records_push = other274.records_push;
+  follow_revisions = other274.follow_revisions;
+  revision_notice = other274.revision_notice;
+  __isset = other274.__isset;
+}
+Body::Body(Body&& other275) noexcept {
+  traffic_hello = std::move(other275.traffic_hello);
+  traffic_welcome = std::move(other275.traffic_welcome);
+  dispatch = std::move(other275.dispatch);
+  answer = std::move(other275.answer);
+  refusal = std::move(other275.refusal);
+  failure = std::move(other275.failure);
+  inquiry = std::move(other275.inquiry);
+  inquiry_reply = std::move(other275.inquiry_reply);
+  settled = std::move(other275.settled);
+  cancel = std::move(other275.cancel);
+  traffic_ping = std::move(other275.traffic_ping);
+  traffic_pong = std::move(other275.traffic_pong);
+  traffic_go_away = std::move(other275.traffic_go_away);
+  crash_notice = std::move(other275.crash_notice);
+  leaving_notice = std::move(other275.leaving_notice);
+  control_hello = std::move(other275.control_hello);
+  announce = std::move(other275.announce);
+  pull = std::move(other275.pull);
+  change_records = std::move(other275.change_records);
+  snapshot_chunk = std::move(other275.snapshot_chunk);
+  held_ack = std::move(other275.held_ack);
+  heartbeat = std::move(other275.heartbeat);
+  control_go_away = std::move(other275.control_go_away);
+  records_pull = std::move(other275.records_pull);
+  records_push = std::move(other275.records_push);
+  follow_revisions = std::move(other275.follow_revisions);
+  revision_notice = std::move(other275.revision_notice);
+  __isset = other275.__isset;
+}
+Body& Body::operator=(const Body& other276) {
+  traffic_hello = other276.traffic_hello;
+  traffic_welcome = other276.traffic_welcome;
+  dispatch = other276.dispatch;
+  answer = other276.answer;
+  refusal = other276.refusal;
+  failure = other276.failure;
+  inquiry = other276.inquiry;
+  inquiry_reply = other276.inquiry_reply;
+  settled = other276.settled;
+  cancel = other276.cancel;
+  traffic_ping = other276.traffic_ping;
+  traffic_pong = other276.traffic_pong;
+  traffic_go_away = other276.traffic_go_away;
+  crash_notice = other276.crash_notice;
+  leaving_notice = other276.leaving_notice;
+  control_hello = other276.control_hello;
+  announce = other276.announce;
+  pull = other276.pull;
+  change_records = other276.change_records;
+  snapshot_chunk = other276.snapshot_chunk;
+  held_ack = other276.held_ack;
+  heartbeat = other276.heartbeat;
+  control_go_away = other276.control_go_away;
+  records_pull = other276.records_pull;
+  records_push = other276.records_push;
+  follow_revisions = other276.follow_revisions;
+  revision_notice = other276.revision_notice;
+  __isset = other276.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other263) noexcept {
-  traffic_hello = std::move(other263.traffic_hello);
-  traffic_welcome = std::move(other263.traffic_welcome);
-  dispatch = std::move(other263.dispatch);
-  answer = std::move(other263.answer);
-  refusal = std::move(other263.refusal);
-  failure = std::move(other263.failure);
-  inquiry = std::move(other263.inquiry);
-  inquiry_reply = std::move(other263.inquiry_reply);
-  settled = std::move(other263.settled);
-  cancel = std::move(other263.cancel);
-  traffic_ping = std::move(other263.traffic_ping);
-  traffic_pong = std::move(other263.traffic_pong);
-  traffic_go_away = std::move(other263.traffic_go_away);
-  crash_notice = std::move(other263.crash_notice);
-  leaving_notice = std::move(other263.leaving_notice);
-  control_hello = std::move(other263.control_hello);
-  announce = std::move(other263.announce);
-  pull = std::move(other263.pull);
-  change_records = std::move(other263.change_records);
-  snapshot_chunk = std::move(other263.snapshot_chunk);
-  held_ack = std::move(other263.held_ack);
-  heartbeat = std::move(other263.heartbeat);
-  control_go_away = std::move(other263.control_go_away);
-  records_pull = std::move(other263.records_pull);
-  records_push = std::move(other263.records_push);
-  follow_revisions = std::move(other263.follow_revisions);
-  revision_notice = std::move(other263.revision_notice);
-  __isset = other263.__isset;
+Body& Body::operator=(Body&& other277) noexcept {
+  traffic_hello = std::move(other277.traffic_hello);
+  traffic_welcome = std::move(other277.traffic_welcome);
+  dispatch = std::move(other277.dispatch);
+  answer = std::move(other277.answer);
+  refusal = std::move(other277.refusal);
+  failure = std::move(other277.failure);
+  inquiry = std::move(other277.inquiry);
+  inquiry_reply = std::move(other277.inquiry_reply);
+  settled = std::move(other277.settled);
+  cancel = std::move(other277.cancel);
+  traffic_ping = std::move(other277.traffic_ping);
+  traffic_pong = std::move(other277.traffic_pong);
+  traffic_go_away = std::move(other277.traffic_go_away);
+  crash_notice = std::move(other277.crash_notice);
+  leaving_notice = std::move(other277.leaving_notice);
+  control_hello = std::move(other277.control_hello);
+  announce = std::move(other277.announce);
+  pull = std::move(other277.pull);
+  change_records = std::move(other277.change_records);
+  snapshot_chunk = std::move(other277.snapshot_chunk);
+  held_ack = std::move(other277.held_ack);
+  heartbeat = std::move(other277.heartbeat);
+  control_go_away = std::move(other277.control_go_away);
+  records_pull = std::move(other277.records_pull);
+  records_push = std::move(other277.records_push);
+  follow_revisions = std::move(other277.follow_revisions);
+  revision_notice = std::move(other277.revision_notice);
+  __isset = other277.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -7611,26 +7677,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other264) {
-  logical_time = other264.logical_time;
-  body = other264.body;
-  __isset = other264.__isset;
+Frame::Frame(const Frame& other278) {
+  logical_time = other278.logical_time;
+  body = other278.body;
+  __isset = other278.__isset;
 }
-Frame::Frame(Frame&& other265) noexcept {
-  logical_time = other265.logical_time;
-  body = std::move(other265.body);
-  __isset = other265.__isset;
+Frame::Frame(Frame&& other279) noexcept {
+  logical_time = other279.logical_time;
+  body = std::move(other279.body);
+  __isset = other279.__isset;
 }
-Frame& Frame::operator=(const Frame& other266) {
-  logical_time = other266.logical_time;
-  body = other266.body;
-  __isset = other266.__isset;
+Frame& Frame::operator=(const Frame& other280) {
+  logical_time = other280.logical_time;
+  body = other280.body;
+  __isset = other280.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other267) noexcept {
-  logical_time = other267.logical_time;
-  body = std::move(other267.body);
-  __isset = other267.__isset;
+Frame& Frame::operator=(Frame&& other281) noexcept {
+  logical_time = other281.logical_time;
+  body = std::move(other281.body);
+  __isset = other281.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -2435,18 +2435,19 @@
 std::ostream& operator<<(std::ostream& out, const RecordsPush& obj);
 
 typedef struct _FollowRevisions__isset {
-  _FollowRevisions__isset() : held(false), wants_patches(true), retained(true) {}
+  _FollowRevisions__isset() : held(false), wants_patches(true), retained(true), bases(false) {}
   bool held :1;
   bool wants_patches :1;
   bool retained :1;
+  bool bases :1;
 } _FollowRevisions__isset;
 
 class FollowRevisions : public virtual ::apache::thrift::TBase {
  public:
 
-  FollowRevisions(const FollowRevisions&) noexcept;
+  FollowRevisions(const FollowRevisions&);
   FollowRevisions(FollowRevisions&&) noexcept;
-  FollowRevisions& operator=(const FollowRevisions&) noexcept;
+  FollowRevisions& operator=(const FollowRevisions&);
   FollowRevisions& operator=(FollowRevisions&&) noexcept;
   FollowRevisions() noexcept
                   : held(0),
@@ -2458,6 +2459,7 @@
   int64_t held;
   bool wants_patches;
   int64_t retained;
+  std::map<std::string, std::vector<int64_t> >  bases;
 
   _FollowRevisions__isset __isset;
 
@@ -2467,6 +2469,8 @@
 
   void __set_retained(const int64_t val);
 
+  void __set_bases(const std::map<std::string, std::vector<int64_t> > & val);
+
   bool operator == (const FollowRevisions & rhs) const
   {
     if (!(held == rhs.held))
@@ -2475,6 +2479,8 @@
       return false;
     if (!(retained == rhs.retained))
       return false;
+    if (!(bases == rhs.bases))
+      return false;
     return true;
   }
   bool operator != (const FollowRevisions &rhs) const {
--- a/include/dandelionfall/core/control_message.h
+++ b/include/dandelionfall/core/control_message.h
@@ -151,6 +151,10 @@
   std::vector<TargetDeparture> m_Departures = {};
 };
 
+/// Revisions of large records, by key.
+using LargeRevisions =
+    std::map<std::string, std::vector<Revision>, std::less<>>;
+
 /// Asks the receiver to send a `RevisionNotice` now, on each later revision and
 /// at regular intervals. Repeated while the sender follows; a receiver that has
 /// not seen it for a while stops sending.
@@ -163,6 +167,9 @@
   /// Version of the configuration that the sender has in force and the store
   /// has lost; 0 if there is none.
   Version m_Retained = 0;
+  /// Values that the sender holds of those large records whose newest one it
+  /// lacks. A patch from any other value does not fit.
+  LargeRevisions m_Bases = {};
   friend bool operator==(const FollowRevisions &,
                          const FollowRevisions &) = default;
 };
--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -119,11 +119,19 @@
   /// \returns whether all these records, or newer ones, are held.
   bool
   holdsAll(const std::map<std::string, Revision, std::less<>> &Large) const;
+  /// \param Large revisions by key.
+  /// \returns the values that are held of those records whose given revision is
+  /// missing.
+  LargeRevisions
+  basesOf(const std::map<std::string, Revision, std::less<>> &Large) const;
   /// \returns what a follower lacks: small records and removals, and patches of
   /// large records.
   /// \param Known revision that the follower holds; 0 if it holds none.
   /// \param WithPatches whether to include the patches.
-  RecordChanges changesFor(Revision Known, bool WithPatches = true) const;
+  /// \param Bases values that the follower holds of some large records; of
+  /// others, those up to the known revision are assumed.
+  RecordChanges changesFor(Revision Known, bool WithPatches = true,
+                           const LargeRevisions &Bases = {}) const;
   /// Removes and returns what was applied since the last call, each key's
   /// latest value.
   RecordChanges takeChanges();
@@ -197,7 +205,7 @@
   void storeLarge(const StoreRecord &Record);
   std::map<std::string, Revision, std::less<>> largeRevisions() const;
   std::optional<RecordPatch> patchFrom(const std::deque<StoreRecord> &Values,
-                                       Revision Known) const;
+                                       const StoreRecord &Base) const;
   std::optional<RecordPatch> patchOf(const StoreRecord &Newest,
                                      const StoreRecord &Base) const;
   const StoreRecord *baseOf(const RecordPatch &Patch) const;
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -68,7 +68,9 @@
   1: i64 as_of, 2: bool whole, 3: list<StoreRecord> records, 4: optional StoreRecord retained,
   5: list<TargetDeparture> departures
 }
-struct FollowRevisions { 1: i64 held, 2: bool wants_patches = true, 3: i64 retained = 0 }
+struct FollowRevisions {
+  1: i64 held, 2: bool wants_patches = true, 3: i64 retained = 0, 4: map<string, list<i64>> bases
+}
 // The time is -1 if the store has not confirmed the revision.
 // Field 5 was a list of pieces in earlier versions.
 struct RecordPatch { 1: string key, 2: i64 revision, 3: i64 base, 4: i64 digest, 6: binary compressed }
--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -55,26 +55,33 @@
   }
 }
 
-void FeedFollower::askAgain(LinkId Link, TimePoint Now) {
+bool FeedFollower::askAgain(LinkId Link, const LargeRevisions &Bases,
+                            TimePoint Now) {
   Slot *Found = findSlot(Link);
-  if (Found == nullptr || Now < (*Found)->m_NextAskAt)
-    return;
+  if (Found == nullptr)
+    return true;
+  if (Now < (*Found)->m_NextAskAt)
+    return false;
   (*Found)->m_NextAskAt = Now + NoticeInterval;
-  sendFollow(**Found, true);
+  sendFollow(**Found, true, Bases);
+  return true;
 }
 
-void FeedFollower::takePatchesFrom(LinkId Link, TimePoint Now) {
-  Slot *Found = findSlot(Link);
-  if (Found == nullptr)
-    return;
-  m_PatchFeed = static_cast<std::size_t>(Found - m_Slots.data());
+bool FeedFollower::takePatchesFrom(LinkId Link, const LargeRevisions &Bases,
+                                   TimePoint Now) {
+  if (const Slot *Found = findSlot(Link))
+    m_PatchFeed = static_cast<std::size_t>(Found - m_Slots.data());
+  const bool IsAsked = askAgain(Link, Bases, Now);
   askForPatches(Now);
+  return IsAsked;
 }
 
-void FeedFollower::sendFollow(Feed &Followed, bool WantsPatches) {
+void FeedFollower::sendFollow(Feed &Followed, bool WantsPatches,
+                              const LargeRevisions &Bases) {
   Followed.m_WantsPatches = WantsPatches;
-  m_Commands.emplace_back(SendControl{
-      Followed.m_Link, FollowRevisions{m_Held, WantsPatches, m_Retained}});
+  m_Commands.emplace_back(
+      SendControl{Followed.m_Link,
+                  FollowRevisions{m_Held, WantsPatches, m_Retained, Bases}});
 }
 
 std::size_t FeedFollower::reliableFeeds(TimePoint Now) const {
--- a/src/core/registry/feed_follower.h
+++ b/src/core/registry/feed_follower.h
@@ -39,12 +39,14 @@
   /// Handles a notice of a history of the store that this node no longer
   /// follows: its sender is there, and confirms nothing.
   void onOutdatedNotice(LinkId Link, TimePoint Now);
-  /// Asks a followed node for what this node lacks: a patch did not fit. At
-  /// most once in a notice interval.
-  void askAgain(LinkId Link, TimePoint Now);
-  /// Lets another feed send patches from now on: it has a record that the one
-  /// which sends them does not have yet.
-  void takePatchesFrom(LinkId Link, TimePoint Now);
+  /// Asks a followed node for what this node lacks, at most once in a notice
+  /// interval: a patch did not fit.
+  /// \param Bases values from which patches fit.
+  /// \returns false if the node was asked too short a time ago.
+  bool askAgain(LinkId Link, const LargeRevisions &Bases, TimePoint Now);
+  /// Does the same, and lets that feed send patches from now on: it has a
+  /// record that the one which sends them does not have yet.
+  bool takePatchesFrom(LinkId Link, const LargeRevisions &Bases, TimePoint Now);
   /// Sets the revision up to which this node holds all records, and the version
   /// of the configuration that it retains; 0 if there is none. Followed nodes
   /// are notified at once of another history of the store.
@@ -103,7 +105,8 @@
   bool wantsPatches(std::size_t Index, TimePoint Now) const;
   /// Asks for patches where they are wanted now.
   void askForPatches(TimePoint Now);
-  void sendFollow(Feed &Followed, bool WantsPatches);
+  void sendFollow(Feed &Followed, bool WantsPatches,
+                  const LargeRevisions &Bases = {});
   const NodeAddress *choose(std::size_t Index) const;
   void open(Slot &Free, const NodeAddress &Node, TimePoint Now);
   void close(Slot &Open);
--- a/src/core/registry/registry_feed.cpp
+++ b/src/core/registry/registry_feed.cpp
@@ -13,6 +13,27 @@
 /// Older value of a patch that needs none.
 const StoreRecord NoBase{"", 0, std::make_shared<const std::string>()};
 
+template <typename Predicate>
+const StoreRecord &findBase(const std::deque<StoreRecord> &Values,
+                            Predicate IsHeld) {
+  const auto Found = std::find_if(
+      Values.rbegin(), Values.rend(),
+      [&](const StoreRecord &Each) { return IsHeld(Each.m_Revision); });
+  return Found == Values.rend() ? NoBase : *Found;
+}
+
+const StoreRecord &newestUpTo(const std::deque<StoreRecord> &Values,
+                              Revision Known) {
+  return findBase(Values, [Known](Revision At) { return At <= Known; });
+}
+
+const StoreRecord &newestOf(const std::deque<StoreRecord> &Values,
+                            const std::vector<Revision> &Held) {
+  return findBase(Values, [&Held](Revision At) {
+    return std::find(Held.begin(), Held.end(), At) != Held.end();
+  });
+}
+
 } // namespace
 
 bool Registry::applyFeed(const RecordChanges &Changes, Revision Held,
@@ -37,6 +58,22 @@
   });
 }
 
+LargeRevisions Registry::basesOf(
+    const std::map<std::string, Revision, std::less<>> &Large) const {
+  LargeRevisions Result;
+  for (const auto &[Key, Newest] : Large) {
+    if (holdsAll({{Key, Newest}}))
+      continue;
+    std::vector<Revision> &Held = Result[Key];
+    const auto Values = m_LargeValues.find(Key);
+    if (Values == m_LargeValues.end())
+      continue;
+    for (const StoreRecord &Each : Values->second)
+      Held.push_back(Each.m_Revision);
+  }
+  return Result;
+}
+
 const StoreRecord *Registry::baseOf(const RecordPatch &Patch) const {
   if (Patch.m_Base == 0)
     return &NoBase;
@@ -110,19 +147,14 @@
 
 std::optional<RecordPatch>
 Registry::patchFrom(const std::deque<StoreRecord> &Values,
-                    Revision Known) const {
-  const StoreRecord *Base = &NoBase;
-  for (const StoreRecord &Each : Values) {
-    if (Each.m_Revision <= Known)
-      Base = &Each;
-  }
-  const StoreRecord &Newest = Values.back();
-  if (Base == &Newest)
+                    const StoreRecord &Base) const {
+  if (&Base == &Values.back())
     return std::nullopt;
-  return patchOf(Newest, *Base);
+  return patchOf(Values.back(), Base);
 }
 
-RecordChanges Registry::changesFor(Revision Known, bool WithPatches) const {
+RecordChanges Registry::changesFor(Revision Known, bool WithPatches,
+                                   const LargeRevisions &Bases) const {
   RecordChanges Result;
   Result.m_Large = largeRevisions();
   Result.m_IsComplete = Known > 0 && Known >= m_RemovalHistoryStart &&
@@ -135,7 +167,11 @@
   if (!WithPatches)
     return Result;
   for (const auto &[Key, Values] : m_LargeValues) {
-    if (auto Patch = patchFrom(Values, Known))
+    const auto Held = Bases.find(Key);
+    const StoreRecord &Base = Held == Bases.end()
+                                  ? newestUpTo(Values, Known)
+                                  : newestOf(Values, Held->second);
+    if (auto Patch = patchFrom(Values, Base))
       Result.m_Patches.push_back(std::move(*Patch));
   }
   return Result;
@@ -150,7 +186,8 @@
     const auto Taken = m_TakenLarge.find(Key);
     if (Taken == m_TakenLarge.end() || Taken->second >= Newest)
       continue;
-    if (auto Patch = patchFrom(m_LargeValues.at(Key), Taken->second))
+    const std::deque<StoreRecord> &Values = m_LargeValues.at(Key);
+    if (auto Patch = patchFrom(Values, newestUpTo(Values, Taken->second)))
       Result.m_Patches.push_back(std::move(*Patch));
   }
   m_TakenLarge = Result.m_Large;
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -2,6 +2,7 @@
 
 #include "core/registry/feed_follower.h"
 #include "core/registry/feed_publisher.h"
+#include "core/registry/patch_requests.h"
 #include "core/registry/start_inquiry.h"
 #include "core/registry/urgent_watches.h"
 #include "dandelionfall/core/peer_pull.h"
@@ -35,7 +36,8 @@
         m_Follower(Options.m_LinkAddress, Options.m_Zone),
         m_Publisher(Options.m_MaxFollowers),
         m_UrgentWatches(Options.m_UrgentPrefixes, Options.m_RandomSeed),
-        m_Inquiry(Options.m_LinkAddress, Options.m_RandomSeed) {}
+        m_Inquiry(Options.m_LinkAddress, Options.m_RandomSeed),
+        m_PatchRequests(m_Registry, m_Follower) {}
 
   void start(TimePoint Now) {
     m_StartEnds = Now + StartTime;
@@ -95,7 +97,7 @@
     m_UrgentWatches.onTick(Now);
     if (m_Registry.onTick(Now))
       onRecords(Now);
-    checkExpected(Now);
+    m_PatchRequests.onTick(Now);
     m_Inquiry.onTick(Now);
     m_Follower.onTick(Now);
     m_Publisher.onTick(ownRevision(Now), Now);
@@ -109,12 +111,10 @@
          {m_StartEnds, m_Reader.nextWakeUp(), m_Registry.nextWakeUp(),
           m_Pull.nextWakeUp(), m_Follower.nextWakeUp(),
           m_Publisher.nextWakeUp(), m_Inquiry.nextWakeUp(),
-          m_UrgentWatches.nextWakeUp()}) {
+          m_UrgentWatches.nextWakeUp(), m_PatchRequests.nextWakeUp()}) {
       if (Each)
         Next = Next ? std::min(*Next, *Each) : *Each;
     }
-    if (m_Expected)
-      Next = std::min(Next.value_or(m_Expected->m_Until), m_Expected->m_Until);
     return Next;
   }
 
@@ -133,6 +133,7 @@
   FeedPublisher m_Publisher;
   UrgentWatches m_UrgentWatches;
   StartInquiry m_Inquiry;
+  PatchRequests m_PatchRequests;
 
   // A node that follows others passes on what they announce. With the latest
   // confirmation goes the highest revision, which is at least the confirmed
@@ -146,13 +147,6 @@
   }
 
 private:
-  /// Large records that a feed announced and another one should send.
-  struct ExpectedLarge {
-    LinkId m_Link = 0;
-    std::map<std::string, Revision, std::less<>> m_Large;
-    TimePoint m_Until;
-  };
-
   // Whatever arrived while this node was occupied is still to be handled.
   void excuseDelay(TimePoint Now) {
     const std::optional<TimePoint> Due = nextWakeUp();
@@ -244,9 +238,11 @@
       return;
     m_Reader.onLaterHistory(historyOf(Request.m_Held), Now);
     requestMissing(Link, Request.m_Retained, Request.m_Held, Now);
-    m_Publisher.onFollow(
-        Link, Request.m_WantsPatches, ownRevision(Now),
-        m_Registry.changesFor(Request.m_Held, Request.m_WantsPatches), Now);
+    m_Publisher.onFollow(Link, Request.m_WantsPatches, ownRevision(Now),
+                         m_Registry.changesFor(Request.m_Held,
+                                               Request.m_WantsPatches,
+                                               Request.m_Bases),
+                         Now);
   }
 
   void handle(LinkId Link, const RevisionNotice &Notice, TimePoint Now) {
@@ -264,35 +260,12 @@
     updateOutage(Now);
     if (m_Registry.applyFeed(Notice.m_Changes, Notice.m_Held, Now))
       onRecords(Now);
-    expectLarge(Link, Notice.m_Changes, Now);
+    m_PatchRequests.onChanges(Link, Notice.m_Changes, Now);
     m_Reader.onPeerRecords(m_Registry.revision(), Now);
     m_Pull.onPeerRevision(Notice.m_Held, Address, m_Registry.revision(), Now);
     m_Reader.onNewerRevision(Notice.m_Revision, Now);
   }
 
-  // A patch that did not fit is replaced at once; one that another feed should
-  // send is waited for.
-  void expectLarge(LinkId Link, const RecordChanges &Changes, TimePoint Now) {
-    if (m_Registry.holdsAll(Changes.m_Large))
-      return;
-    if (!Changes.m_Patches.empty()) {
-      updateHeld();
-      m_Follower.askAgain(Link, Now);
-    } else if (!m_Expected) {
-      m_Expected = {Link, Changes.m_Large, Now + PatchDelay};
-    }
-  }
-
-  void checkExpected(TimePoint Now) {
-    if (!m_Expected || Now < m_Expected->m_Until)
-      return;
-    const ExpectedLarge Expected = *std::exchange(m_Expected, std::nullopt);
-    if (m_Registry.holdsAll(Expected.m_Large))
-      return;
-    updateHeld();
-    m_Follower.takePatchesFrom(Expected.m_Link, Now);
-  }
-
   // A store that confirms revisions to other nodes is not away. Must run before
   // records are applied: whether a removal is a lapse depends on it.
   void updateOutage(TimePoint Now) {
@@ -429,7 +402,6 @@
   std::optional<TimePoint> m_StartEnds;
   /// Whether the store answers neither this node nor one that it follows.
   bool m_StoreIsAway = false;
-  std::optional<ExpectedLarge> m_Expected;
   /// Whether the configuration waits for the end of the inquiry.
   bool m_IsHeldBack = false;
   /// Revision of the registry when the reader's evidence was set.
--- a/src/net/wire_control.cpp
+++ b/src/net/wire_control.cpp
@@ -2,6 +2,8 @@
 #include "net/wire_readers.h"
 #include "net/wire_values.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace dandelionfall::net {
@@ -190,6 +192,9 @@
     Value.held = toSigned(Message.m_Held);
     Value.wants_patches = Message.m_WantsPatches;
     Value.retained = toSigned(Message.m_Retained);
+    for (const auto &[Key, Held] : Message.m_Bases)
+      std::transform(Held.begin(), Held.end(),
+                     std::back_inserter(Value.bases[Key]), toSigned);
     m_Body.__set_follow_revisions(Value);
   }
 
@@ -298,9 +303,13 @@
 }
 
 core::ControlMessage readFollowRevisions(wire::Body &Body) {
-  return core::FollowRevisions{toUnsigned(Body.follow_revisions.held),
-                               Body.follow_revisions.wants_patches,
-                               toUnsigned(Body.follow_revisions.retained)};
+  const wire::FollowRevisions &Value = Body.follow_revisions;
+  core::FollowRevisions Result{toUnsigned(Value.held), Value.wants_patches,
+                               toUnsigned(Value.retained)};
+  for (const auto &[Key, Held] : Value.bases)
+    std::transform(Held.begin(), Held.end(),
+                   std::back_inserter(Result.m_Bases[Key]), toUnsigned);
+  return Result;
 }
 
 core::ControlMessage readRevisionNotice(wire::Body &Body) {
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -134,6 +134,7 @@
       FollowRevisions{9},
       FollowRevisions{9, false},
       FollowRevisions{9, true, 17},
+      FollowRevisions{9, true, 0, {{"op/config", {5, 7}}, {"other", {}}}},
       RevisionNotice{
           ~std::uint64_t{0},
           8,
--- a/tests/unit/registry_feed_test.cpp
+++ b/tests/unit/registry_feed_test.cpp
@@ -125,3 +125,31 @@
   CHECK_FALSE(Sender.m_Registry.changesFor(4).m_IsComplete);
   CHECK_FALSE(Sender.m_Registry.changesFor(0).m_IsComplete);
 }
+
+TEST_CASE("a follower is sent a patch from a value that it holds") {
+  Node Sender;
+  Sender.m_Registry.apply({configuration(6, 2)}, 6, Now);
+  Sender.m_Registry.apply({configuration(8, 4)}, 8, Now);
+  Node Follower;
+  // The sender skipped this one.
+  Follower.m_Registry.apply({configuration(7, 3)}, 7, Now);
+  const RecordChanges Assumed = Sender.m_Registry.changesFor(7);
+  CHECK(Assumed.m_Patches.at(0).m_Base == 6);
+  Follower.m_Registry.applyFeed(Assumed, 8, Now);
+  CHECK(Follower.version() == 3);
+  const LargeRevisions Bases = Follower.m_Registry.basesOf(Assumed.m_Large);
+  const RecordChanges Stated = Sender.m_Registry.changesFor(7, true, Bases);
+  CHECK(Stated.m_Patches.at(0).m_Base == 1);
+  Follower.m_Registry.applyFeed(Stated, 8, Now);
+  CHECK(Follower.version() == 4);
+  CHECK(Follower.m_Registry.basesOf(Assumed.m_Large).empty());
+  SUBCASE("or the whole value if they have none in common") {
+    const RecordChanges Whole =
+        Sender.m_Registry.changesFor(7, true, {{"configuration", {7}}});
+    CHECK(Whole.m_Patches.at(0).m_Base == 0);
+    Node Other;
+    Other.m_Registry.apply({configuration(7, 3)}, 7, Now);
+    Other.m_Registry.applyFeed(Whole, 8, Now);
+    CHECK(Other.version() == 4);
+  }
+}
--- a/tests/unit/store_feeds_test.cpp
+++ b/tests/unit/store_feeds_test.cpp
@@ -276,3 +276,26 @@
   Note();
   CHECK(Wants.at(3 - Sender));
 }
+
+TEST_CASE(
+    "a feed that sends patches already is asked again for one that fits") {
+  FollowerFixture World;
+  const LargeRevisions Bases = {{"configuration", {5, 7}}};
+  World.m_Follower.takeCommands();
+  const auto Asks = [&] {
+    std::size_t Count = 0;
+    for (const SendControl &Each :
+         select<SendControl>(World.m_Follower.takeCommands()))
+      Count += std::get<FollowRevisions>(Each.m_Message).m_Bases == Bases;
+    return Count;
+  };
+  for (const LinkId Link : {1U, 2U}) {
+    CHECK(World.m_Follower.takePatchesFrom(Link, Bases, World.m_Now));
+    CHECK(Asks() == 1);
+    CHECK_FALSE(World.m_Follower.takePatchesFrom(Link, Bases, World.m_Now));
+    CHECK(Asks() == 0);
+  }
+  World.m_Now += NoticeInterval;
+  CHECK(World.m_Follower.takePatchesFrom(2, Bases, World.m_Now));
+  CHECK(Asks() == 1);
+}
