Send the next patches once a follower has received the last ones

Change: a follower states how many notices with patches it has received; the followed node sends it no further patches before it has received the earlier ones, and then one from what it holds to the newest value. Small records and notices go out at once as before. A follower that does not state it (an earlier version) is sent all patches as before.

--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -6136,6 +6136,10 @@
 void FollowRevisions::__set_bases(const std::map<std::string, std::vector<int64_t> > & val) {
   this->bases = val;
 }
+
+void FollowRevisions::__set_received_patches(const int64_t val) {
+  this->received_patches = val;
+}
 std::ostream& operator<<(std::ostream& out, const FollowRevisions& obj)
 {
   obj.printTo(out);
@@ -6223,6 +6227,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->received_patches);
+          this->__isset.received_patches = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6273,6 +6285,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("received_patches", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->received_patches);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6284,6 +6300,7 @@
   swap(a.wants_patches, b.wants_patches);
   swap(a.retained, b.retained);
   swap(a.bases, b.bases);
+  swap(a.received_patches, b.received_patches);
   swap(a.__isset, b.__isset);
 }
 
@@ -6292,6 +6309,7 @@
   wants_patches = other242.wants_patches;
   retained = other242.retained;
   bases = other242.bases;
+  received_patches = other242.received_patches;
   __isset = other242.__isset;
 }
 FollowRevisions::FollowRevisions(FollowRevisions&& other243) noexcept {
@@ -6299,6 +6317,7 @@
   wants_patches = other243.wants_patches;
   retained = other243.retained;
   bases = std::move(other243.bases);
+  received_patches = other243.received_patches;
   __isset = other243.__isset;
 }
 FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other244) {
@@ -6306,6 +6325,7 @@
   wants_patches = other244.wants_patches;
   retained = other244.retained;
   bases = other244.bases;
+  received_patches = other244.received_patches;
   __isset = other244.__isset;
   return *this;
 }
@@ -6314,6 +6334,7 @@
   wants_patches = other245.wants_patches;
   retained = other245.retained;
   bases = std::move(other245.bases);
+  received_patches = other245.received_patches;
   __isset = other245.__isset;
   return *this;
 }
@@ -6324,6 +6345,7 @@
   out << ", " << "wants_patches=" << to_string(wants_patches);
   out << ", " << "retained=" << to_string(retained);
   out << ", " << "bases=" << to_string(bases);
+  out << ", " << "received_patches=" << to_string(received_patches);
   out << ")";
 }
 
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -2435,11 +2435,12 @@
 std::ostream& operator<<(std::ostream& out, const RecordsPush& obj);
 
 typedef struct _FollowRevisions__isset {
-  _FollowRevisions__isset() : held(false), wants_patches(true), retained(true), bases(false) {}
+  _FollowRevisions__isset() : held(false), wants_patches(true), retained(true), bases(false), received_patches(true) {}
   bool held :1;
   bool wants_patches :1;
   bool retained :1;
   bool bases :1;
+  bool received_patches :1;
 } _FollowRevisions__isset;
 
 class FollowRevisions : public virtual ::apache::thrift::TBase {
@@ -2452,7 +2453,8 @@
   FollowRevisions() noexcept
                   : held(0),
                     wants_patches(true),
-                    retained(0LL) {
+                    retained(0LL),
+                    received_patches(-1LL) {
   }
 
   virtual ~FollowRevisions() noexcept;
@@ -2460,6 +2462,7 @@
   bool wants_patches;
   int64_t retained;
   std::map<std::string, std::vector<int64_t> >  bases;
+  int64_t received_patches;
 
   _FollowRevisions__isset __isset;
 
@@ -2471,6 +2474,8 @@
 
   void __set_bases(const std::map<std::string, std::vector<int64_t> > & val);
 
+  void __set_received_patches(const int64_t val);
+
   bool operator == (const FollowRevisions & rhs) const
   {
     if (!(held == rhs.held))
@@ -2481,6 +2486,8 @@
       return false;
     if (!(bases == rhs.bases))
       return false;
+    if (!(received_patches == rhs.received_patches))
+      return false;
     return true;
   }
   bool operator != (const FollowRevisions &rhs) const {
--- a/include/dandelionfall/core/control_message.h
+++ b/include/dandelionfall/core/control_message.h
@@ -167,9 +167,13 @@
   /// Version of the configuration that the sender has in force and the store
   /// has lost; 0 if there is none.
   Version m_Retained = 0;
-  /// Values that the sender holds of those large records whose newest one it
-  /// lacks. A patch from any other value does not fit.
+  /// Values that the sender holds of large records. A patch of one of these
+  /// records fits only if it is made from such a value.
   LargeRevisions m_Bases = {};
+  /// Notices with patches that the sender has received on this link; the next
+  /// patches are sent once it has received all earlier ones. Empty if it does
+  /// not count them.
+  std::optional<std::uint64_t> m_ReceivedPatches = std::nullopt;
   friend bool operator==(const FollowRevisions &,
                          const FollowRevisions &) = default;
 };
--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -120,8 +120,7 @@
   bool
   holdsAll(const std::map<std::string, Revision, std::less<>> &Large) const;
   /// \param Large revisions by key.
-  /// \returns the values that are held of those records whose given revision is
-  /// missing.
+  /// \returns which values of these records are held.
   LargeRevisions
   basesOf(const std::map<std::string, Revision, std::less<>> &Large) const;
   /// \returns what a follower lacks: small records and removals, and patches of
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -69,7 +69,8 @@
   5: list<TargetDeparture> departures
 }
 struct FollowRevisions {
-  1: i64 held, 2: bool wants_patches = true, 3: i64 retained = 0, 4: map<string, list<i64>> bases
+  1: i64 held, 2: bool wants_patches = true, 3: i64 retained = 0, 4: map<string, list<i64>> bases,
+  5: i64 received_patches = -1
 }
 // The time is -1 if the store has not confirmed the revision.
 // Field 5 was a list of pieces in earlier versions.
--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -76,12 +76,17 @@
   return IsAsked;
 }
 
+void FeedFollower::confirmPatches(LinkId Link, const LargeRevisions &Bases) {
+  if (Slot *Found = findSlot(Link))
+    sendFollow(**Found, (*Found)->m_WantsPatches, Bases);
+}
+
 void FeedFollower::sendFollow(Feed &Followed, bool WantsPatches,
                               const LargeRevisions &Bases) {
   Followed.m_WantsPatches = WantsPatches;
-  m_Commands.emplace_back(
-      SendControl{Followed.m_Link,
-                  FollowRevisions{m_Held, WantsPatches, m_Retained, Bases}});
+  m_Commands.emplace_back(SendControl{
+      Followed.m_Link, FollowRevisions{m_Held, WantsPatches, m_Retained, Bases,
+                                       Followed.m_ReceivedPatches}});
 }
 
 std::size_t FeedFollower::reliableFeeds(TimePoint Now) const {
@@ -149,6 +154,7 @@
     onTick(Now);
     return Address;
   }
+  Sender.m_ReceivedPatches += Notice.m_Changes.m_Patches.empty() ? 0 : 1;
   Sender.m_HeardAt = Now;
   Sender.m_NotListened = Duration{0};
   Sender.m_GraceUntil.reset();
@@ -162,7 +168,8 @@
   return Address;
 }
 
-void FeedFollower::onOutdatedNotice(LinkId Link, TimePoint Now) {
+void FeedFollower::onOutdatedNotice(LinkId Link, const RevisionNotice &Notice,
+                                    TimePoint Now) {
   Slot *Found = findSlot(Link);
   if (Found == nullptr)
     return;
@@ -170,6 +177,10 @@
   (*Found)->m_NotListened = Duration{0};
   (*Found)->m_GraceUntil.reset();
   (*Found)->m_IsComplete = false;
+  if (Notice.m_Changes.m_Patches.empty())
+    return;
+  ++(*Found)->m_ReceivedPatches;
+  sendFollow(**Found, (*Found)->m_WantsPatches);
 }
 
 void FeedFollower::setHeld(Revision Held, Version Retained) {
--- a/src/core/registry/feed_follower.h
+++ b/src/core/registry/feed_follower.h
@@ -38,7 +38,8 @@
                        TimePoint Now);
   /// Handles a notice of a history of the store that this node no longer
   /// follows: its sender is there, and confirms nothing.
-  void onOutdatedNotice(LinkId Link, TimePoint Now);
+  void onOutdatedNotice(LinkId Link, const RevisionNotice &Notice,
+                        TimePoint Now);
   /// Asks a followed node for what this node lacks, at most once in a notice
   /// interval: a patch did not fit.
   /// \param Bases values from which patches fit.
@@ -47,6 +48,8 @@
   /// Does the same, and lets that feed send patches from now on: it has a
   /// record that the one which sends them does not have yet.
   bool takePatchesFrom(LinkId Link, const LargeRevisions &Bases, TimePoint Now);
+  /// Confirms patches, so that the followed node sends the next ones.
+  void confirmPatches(LinkId Link, const LargeRevisions &Bases);
   /// Sets the revision up to which this node holds all records, and the version
   /// of the configuration that it retains; 0 if there is none. Followed nodes
   /// are notified at once of another history of the store.
@@ -92,6 +95,8 @@
     Revision m_Revision = 0;
     /// Whether the last notice was complete.
     bool m_IsComplete = false;
+    /// Notices with patches that have arrived.
+    std::uint64_t m_ReceivedPatches = 0;
     /// Whether the node was last asked to send patches.
     bool m_WantsPatches = true;
     /// When the node may be asked again before its next regular turn.
--- a/src/core/registry/feed_publisher.cpp
+++ b/src/core/registry/feed_publisher.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-void FeedPublisher::onFollow(LinkId Link, bool WantsPatches,
+void FeedPublisher::onFollow(LinkId Link, const FollowRevisions &Request,
                              const ConfirmedRevision &Own,
                              const RecordChanges &Lacking, TimePoint Now) {
   noteHistory(Own);
@@ -34,7 +34,9 @@
   const bool IsSent = isConfirmed(Own, Now);
   Follower &Asking = m_Followers[Link];
   Asking.m_AskedAt = Now;
-  Asking.m_WantsPatches = WantsPatches;
+  Asking.m_WantsPatches = Request.m_WantsPatches;
+  Asking.m_ConfirmsPatches = Request.m_ReceivedPatches.has_value();
+  Asking.m_ReceivedPatches = Request.m_ReceivedPatches.value_or(0);
   if (!IsSent) {
     m_NoticeOwed = true;
     return;
@@ -46,10 +48,15 @@
 
 void FeedPublisher::send(LinkId Link, const ConfirmedRevision &Own,
                          RecordChanges Changes, TimePoint Now) {
-  const Follower &Receiver = m_Followers.at(Link);
+  Follower &Receiver = m_Followers.at(Link);
   Changes.m_IsComplete = Receiver.m_IsComplete;
-  if (!Receiver.m_WantsPatches)
+  // Otherwise the patches of a quick succession queue up on the link, each for
+  // a value that the next one replaces.
+  const bool IsPending = Receiver.m_ConfirmsPatches &&
+                         Receiver.m_ReceivedPatches < Receiver.m_SentPatches;
+  if (!Receiver.m_WantsPatches || IsPending)
     Changes.m_Patches.clear();
+  Receiver.m_SentPatches += Changes.m_Patches.empty() ? 0 : 1;
   m_Commands.emplace_back(SendControl{
       Link, RevisionNotice{Own.m_Revision, Own.m_Held, Now - *Own.m_ConfirmedAt,
                            false, std::move(Changes), Own.m_Retained}});
--- a/src/core/registry/feed_publisher.h
+++ b/src/core/registry/feed_publisher.h
@@ -24,11 +24,12 @@
 
   /// Accepts or refuses a follower, or renews an accepted one.
   /// \param Link the link on which the follower asked.
-  /// \param WantsPatches whether the follower is sent patches.
+  /// \param Request what it asked for.
   /// \param Own the node's own revision.
   /// \param Lacking what the follower lacks.
-  void onFollow(LinkId Link, bool WantsPatches, const ConfirmedRevision &Own,
-                const RecordChanges &Lacking, TimePoint Now);
+  void onFollow(LinkId Link, const FollowRevisions &Request,
+                const ConfirmedRevision &Own, const RecordChanges &Lacking,
+                TimePoint Now);
   /// Removes the follower on a closed link, if there is one.
   void onLinkClosed(LinkId Link);
   /// Sends the revision to all followers if it is newer than the last one sent,
@@ -53,6 +54,11 @@
     /// Whether it was sent all small records that it lacked when it asked.
     bool m_IsComplete = false;
     bool m_WantsPatches = true;
+    /// Whether it states which patches it has received.
+    bool m_ConfirmsPatches = false;
+    /// Notices with patches that it was sent, and that it has received.
+    std::uint64_t m_SentPatches = 0;
+    std::uint64_t m_ReceivedPatches = 0;
   };
 
   void send(LinkId Link, const ConfirmedRevision &Own, RecordChanges Changes,
--- a/src/core/registry/patch_requests.cpp
+++ b/src/core/registry/patch_requests.cpp
@@ -6,11 +6,14 @@
 
 void PatchRequests::onChanges(LinkId Link, const RecordChanges &Changes,
                               TimePoint Now) {
-  if (m_Registry.holdsAll(Changes.m_Large))
+  const bool HoldsAll = m_Registry.holdsAll(Changes.m_Large);
+  if (HoldsAll && Changes.m_Patches.empty())
     return;
   m_Follower.setHeld(m_Registry.revision(), m_Registry.retainedVersion());
-  if (!Changes.m_Patches.empty() &&
-      m_Follower.askAgain(Link, m_Registry.basesOf(Changes.m_Large), Now))
+  const LargeRevisions Bases = m_Registry.basesOf(Changes.m_Large);
+  if (HoldsAll)
+    return m_Follower.confirmPatches(Link, Bases);
+  if (!Changes.m_Patches.empty() && m_Follower.askAgain(Link, Bases, Now))
     return;
   const TimePoint Until = m_Expected ? m_Expected->m_Until : Now + PatchDelay;
   m_Expected = {Link, Changes.m_Large, Until};
@@ -19,8 +22,8 @@
 void PatchRequests::onTick(TimePoint Now) {
   if (!m_Expected || Now < m_Expected->m_Until)
     return;
-  const LargeRevisions Bases = m_Registry.basesOf(m_Expected->m_Large);
-  if (!Bases.empty()) {
+  if (!m_Registry.holdsAll(m_Expected->m_Large)) {
+    const LargeRevisions Bases = m_Registry.basesOf(m_Expected->m_Large);
     m_Follower.setHeld(m_Registry.revision(), m_Registry.retainedVersion());
     if (!m_Follower.takePatchesFrom(m_Expected->m_Link, Bases, Now)) {
       m_Expected->m_Until = Now + PatchDelay;
--- a/src/core/registry/registry_feed.cpp
+++ b/src/core/registry/registry_feed.cpp
@@ -62,8 +62,6 @@
     const std::map<std::string, Revision, std::less<>> &Large) const {
   LargeRevisions Result;
   for (const auto &[Key, Newest] : Large) {
-    if (holdsAll({{Key, Newest}}))
-      continue;
     std::vector<Revision> &Held = Result[Key];
     const auto Values = m_LargeValues.find(Key);
     if (Values == m_LargeValues.end())
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -238,7 +238,7 @@
       return;
     m_Reader.onLaterHistory(historyOf(Request.m_Held), Now);
     requestMissing(Link, Request.m_Retained, Request.m_Held, Now);
-    m_Publisher.onFollow(Link, Request.m_WantsPatches, ownRevision(Now),
+    m_Publisher.onFollow(Link, Request, ownRevision(Now),
                          m_Registry.changesFor(Request.m_Held,
                                                Request.m_WantsPatches,
                                                Request.m_Bases),
@@ -251,7 +251,7 @@
     // It says nothing of the present history; its sender will follow that.
     if (!Notice.m_Refused &&
         historyOf(Notice.m_Revision) < m_Reader.history().number())
-      return m_Follower.onOutdatedNotice(Link, Now);
+      return m_Follower.onOutdatedNotice(Link, Notice, Now);
     const std::string Address = m_Follower.onNotice(Link, Notice, Now);
     if (Address.empty())
       return;
--- a/src/net/wire_control.cpp
+++ b/src/net/wire_control.cpp
@@ -195,6 +195,8 @@
     for (const auto &[Key, Held] : Message.m_Bases)
       std::transform(Held.begin(), Held.end(),
                      std::back_inserter(Value.bases[Key]), toSigned);
+    if (Message.m_ReceivedPatches)
+      Value.received_patches = toSigned(*Message.m_ReceivedPatches);
     m_Body.__set_follow_revisions(Value);
   }
 
@@ -309,6 +311,8 @@
   for (const auto &[Key, Held] : Value.bases)
     std::transform(Held.begin(), Held.end(),
                    std::back_inserter(Result.m_Bases[Key]), toUnsigned);
+  if (Value.received_patches >= 0)
+    Result.m_ReceivedPatches = toUnsigned(Value.received_patches);
   return Result;
 }
 
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -135,6 +135,8 @@
       FollowRevisions{9, false},
       FollowRevisions{9, true, 17},
       FollowRevisions{9, true, 0, {{"op/config", {5, 7}}, {"other", {}}}},
+      FollowRevisions{9, true, 0, {}, 0},
+      FollowRevisions{9, true, 0, {}, 3},
       RevisionNotice{
           ~std::uint64_t{0},
           8,
--- a/tests/unit/registry_feed_test.cpp
+++ b/tests/unit/registry_feed_test.cpp
@@ -142,7 +142,8 @@
   CHECK(Stated.m_Patches.at(0).m_Base == 1);
   Follower.m_Registry.applyFeed(Stated, 8, Now);
   CHECK(Follower.version() == 4);
-  CHECK(Follower.m_Registry.basesOf(Assumed.m_Large).empty());
+  CHECK(Follower.m_Registry.basesOf(Assumed.m_Large).at("configuration") ==
+        std::vector<Revision>{1, 7, 8});
   SUBCASE("or the whole value if they have none in common") {
     const RecordChanges Whole =
         Sender.m_Registry.changesFor(7, true, {{"configuration", {7}}});
--- a/tests/unit/store_feeds_test.cpp
+++ b/tests/unit/store_feeds_test.cpp
@@ -61,7 +61,7 @@
 
 TEST_CASE("a publisher sends a newer revision at once and repeats it") {
   FeedPublisher Publisher(4);
-  Publisher.onFollow(1, true, {7, 7, Start}, {}, Start);
+  Publisher.onFollow(1, FollowRevisions{}, {7, 7, Start}, {}, Start);
   CHECK(takeNotices(Publisher) ==
         std::vector<RevisionNotice>{{7, 7, Duration{0}, false, {}}});
   const TimePoint Later = Start + milliseconds(10);
@@ -83,7 +83,8 @@
   const StoreRecord Newer{"servers/i-1", 9, nullptr};
   FeedPublisher Publisher(4);
   Publisher.onRevision({8, 8, Start}, {{Older}, {}, {}, false}, Start);
-  Publisher.onFollow(1, true, {8, 8, Start}, {{Newer}, {}, {}, false}, Start);
+  Publisher.onFollow(1, FollowRevisions{}, {8, 8, Start},
+                     {{Newer}, {}, {}, false}, Start);
   CHECK(takeNotices(Publisher) ==
         std::vector<RevisionNotice>{
             {8, 8, Duration{0}, false, {{Newer}, {}, {}, false}}});
@@ -97,13 +98,14 @@
             {8, 8, Duration{0}, false, {{Newer}, {}, {}, false}}});
   Publisher.onRevision({8, 8, Late}, {}, Late);
   CHECK(takeNotices(Publisher).empty());
-  Publisher.onFollow(1, true, {8, 8, Late}, {{Newer}, {}, {}, false}, Late);
+  Publisher.onFollow(1, FollowRevisions{}, {8, 8, Late},
+                     {{Newer}, {}, {}, false}, Late);
   CHECK(takeNotices(Publisher).size() == 1);
 }
 
 TEST_CASE("a publisher is silent while the store does not confirm") {
   FeedPublisher Publisher(4);
-  Publisher.onFollow(1, true, {7, 7, std::nullopt}, {}, Start);
+  Publisher.onFollow(1, FollowRevisions{}, {7, 7, std::nullopt}, {}, Start);
   CHECK(takeNotices(Publisher).empty());
   Publisher.onRevision({7, 7, Start}, {}, Start);
   CHECK(takeNotices(Publisher).size() == 1);
@@ -118,7 +120,7 @@
 TEST_CASE("a publisher refuses more followers than its machine carries") {
   FeedPublisher Publisher(2);
   for (LinkId Link = 1; Link <= 3; ++Link)
-    Publisher.onFollow(Link, true, {7, 7, Start}, {}, Start);
+    Publisher.onFollow(Link, FollowRevisions{}, {7, 7, Start}, {}, Start);
   const auto Notices = takeNotices(Publisher);
   REQUIRE(Notices.size() == 3);
   CHECK_FALSE(Notices[1].m_Refused);
@@ -128,9 +130,10 @@
 
 TEST_CASE("a publisher drops a follower that no longer asks") {
   FeedPublisher Publisher(4);
-  Publisher.onFollow(1, true, {7, 7, Start}, {}, Start);
-  Publisher.onFollow(2, true, {7, 7, Start}, {}, Start);
-  Publisher.onFollow(2, true, {7, 7, Start}, {}, Start + FollowInterval);
+  Publisher.onFollow(1, FollowRevisions{}, {7, 7, Start}, {}, Start);
+  Publisher.onFollow(2, FollowRevisions{}, {7, 7, Start}, {}, Start);
+  Publisher.onFollow(2, FollowRevisions{}, {7, 7, Start}, {},
+                     Start + FollowInterval);
   Publisher.takeCommands();
   const TimePoint Late = Start + FollowTimeout;
   Publisher.onTick({7, 7, Late}, Late);
@@ -299,3 +302,51 @@
   CHECK(World.m_Follower.takePatchesFrom(2, Bases, World.m_Now));
   CHECK(Asks() == 1);
 }
+
+TEST_CASE("the next patches wait until the follower has received the last") {
+  const RecordPatch Patch{"configuration", 8, 7, {}};
+  const auto Patched = [&](FeedPublisher &Publisher) {
+    std::size_t Count = 0;
+    for (const RevisionNotice &Each : takeNotices(Publisher))
+      Count += Each.m_Changes.m_Patches.size();
+    return Count;
+  };
+  FeedPublisher Publisher(4);
+  FollowRevisions Request;
+  Request.m_ReceivedPatches = 0;
+  Publisher.onFollow(1, Request, {7, 7, Start}, {}, Start);
+  // It does not state what it has received.
+  Publisher.onFollow(2, FollowRevisions{}, {7, 7, Start}, {}, Start);
+  Publisher.onRevision({8, 8, Start}, {{}, {Patch}, {}, true}, Start);
+  CHECK(Patched(Publisher) == 2);
+  Publisher.onRevision({9, 9, Start}, {{}, {Patch}, {}, true}, Start);
+  CHECK(Patched(Publisher) == 1);
+  Publisher.onFollow(1, Request, {9, 9, Start}, {{}, {Patch}, {}, true}, Start);
+  CHECK(Patched(Publisher) == 0);
+  Request.m_ReceivedPatches = 1;
+  Publisher.onFollow(1, Request, {9, 9, Start}, {{}, {Patch}, {}, true}, Start);
+  CHECK(Patched(Publisher) == 1);
+}
+
+TEST_CASE("a follower states which patches it has received") {
+  FollowerFixture World;
+  World.m_Follower.takeCommands();
+  const auto Received = [&] {
+    const auto Sent = select<SendControl>(World.m_Follower.takeCommands());
+    REQUIRE(!Sent.empty());
+    return std::get<FollowRevisions>(Sent.back().m_Message).m_ReceivedPatches;
+  };
+  const RevisionNotice Notice{
+      7,
+      7,
+      Duration{0},
+      false,
+      {{}, {RecordPatch{"configuration", 7, 6, {}}}, {}, true}};
+  World.m_Follower.onNotice(1, Notice, World.m_Now);
+  World.m_Follower.confirmPatches(1, {});
+  CHECK(Received() == 1);
+  World.m_Follower.onOutdatedNotice(1, Notice, World.m_Now);
+  CHECK(Received() == 2);
+  World.m_Follower.confirmPatches(2, {});
+  CHECK(Received() == 0);
+}
