Answer messages that HTTP can't carry; let no request end a process

What callers saw: a TRACE request with a body ended the node beside the backend that was to run it (SIGABRT), and, the route being idempotent, the next node as well; all requests these had passed on were closed without an answer.

Cause: Beast throws standard exceptions for values it can't write or hold, on the threads that run all requests, and nothing caught them. Beside prepare_payload() for TRACE with content, the tests found: a trailer field over 65,533 bytes, of a caller or of a target (the header limit does not cover trailers, the buffer is 144 KB), the same in a header where the platform's max-header-bytes is larger, and a status over 999 or a long field from another node. Ruled out by reading: the store's replies and records (caught where they are decoded), number parsing (from_chars, SimpleAtod), stated lengths of bodies (checked before they are reserved).

Change: - TRACE with Content-Length above 0 or Transfer-Encoding gets 400 before its body is read, event 600. RFC 9110, 9.3.8: a client must not send content in TRACE, and backends differ in what they do with it, so one clear answer at the door serves the caller best. TRACE without content is passed on as before. - The parsers of both directions report a field they can't hold as an error: 431 to a caller, a malformed response of a target. - The conversions throw a typed error. A request that can't be written is not sent: outcome Unsendable, 400 to its caller, no evidence about the target, no try elsewhere. A response that can't be written, or has no final status, becomes 502: its request has run. Both are event 409. - Decoding a frame turns any standard exception into a malformed message, and the hand-over of a link to the control thread uses error codes. - Both threads have one handler for what still escapes: event 106 names the thread, type and text, then the process stops as planned and ends with 70, at the latest after [stop] grace_s (10 s without). It does not go on, because what the handler left half done is unknown and could run a request twice; a planned stop still answers the other callers. The remaining handlers run, and commands can be performed again after an exception.

Not run: contract tests, the deploy build; no test lets a thread of a whole node throw (runContext has its own test).

--- a/include/dandelionfall/app/node.h
+++ b/include/dandelionfall/app/node.h
@@ -12,7 +12,8 @@
 
 /// Runs a node until all admitted requests have finished after SIGTERM or
 /// SIGINT, or until a second signal. Then ends the process without returning,
-/// with exit code 0 after a planned stop and 10 after a second signal.
+/// with exit code 0 after a planned stop, 10 after a second signal, and 70 if a
+/// handler of one of its threads has thrown an exception.
 /// \param Config the node's settings, already checked.
 /// \param SettingsFile the file that they were read from; read again on SIGHUP.
 /// \throws Error of kind AddressInUse before anything is started.
--- a/include/dandelionfall/core/gate.h
+++ b/include/dandelionfall/core/gate.h
@@ -147,6 +147,10 @@
   /// \param RetryAfter when the target asks for a retry; 0 if it doesn't say.
   void onTargetRefused(const RequestId &Id, bool IsOtherTarget,
                        Duration RetryAfter, TimePoint Now);
+  /// Handles a request that HTTP can't carry to the target.
+  /// \param Response the caller's response; it says nothing about the target.
+  void onUnsendable(const RequestId &Id, HttpResponsePtr Response,
+                    TimePoint Now);
   /// Handles the outcome of a `CheckTarget` command.
   /// \param Refused whether the target refused the connection: it has ended.
   void onTargetCheck(bool Refused, TimePoint Now);
--- a/include/dandelionfall/net/http_client.h
+++ b/include/dandelionfall/net/http_client.h
@@ -18,13 +18,14 @@
 
 /// How an exchange ended.
 enum class ExchangeOutcome : std::uint8_t {
-  Answered,  ///< A complete response was received.
-  NotSent,   ///< No byte of the request was written.
-  Reset,     ///< The connection broke after bytes were written.
-  TimedOut,  ///< No complete response was received in time.
-  Malformed, ///< The response violated the protocol, exceeded a limit, or was
-             ///< not delimited by a length or chunked coding.
-  Cancelled, ///< Cancelled by the owner after bytes were written.
+  Answered,   ///< A complete response was received.
+  NotSent,    ///< No byte of the request was written.
+  Reset,      ///< The connection broke after bytes were written.
+  TimedOut,   ///< No complete response was received in time.
+  Malformed,  ///< The response violated the protocol, exceeded a limit, or was
+              ///< not delimited by a length or chunked coding.
+  Cancelled,  ///< Cancelled by the owner after bytes were written.
+  Unsendable, ///< HTTP can't carry the request; no byte was written.
 };
 
 /// Result of an exchange; m_Response is null unless the outcome is Answered.
--- a/include/dandelionfall/net/http_server.h
+++ b/include/dandelionfall/net/http_server.h
@@ -42,6 +42,8 @@
   /// A malformed, oversized or late request was rejected; \p Fault is the text
   /// of the error response.
   std::function<void(const std::string &Fault)> m_Rejected;
+  /// HTTP can't carry the owner's response, so the caller gets status 502.
+  std::function<void(core::CallId, const std::string &Fault)> m_Unsendable;
 };
 
 /// HTTP/1.1 server. Not thread-safe: all calls must be made on the single
--- a/src/app/node/node.cpp
+++ b/src/app/node/node.cpp
@@ -1,5 +1,6 @@
 #include "dandelionfall/app/node.h"
 
+#include "app/node/context_runner.h"
 #include "app/node/control_driver.h"
 #include "app/node/operator_pages.h"
 #include "app/node/registry_driver.h"
@@ -12,6 +13,9 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -29,6 +33,9 @@
 
 // Exit code after a second signal during a planned stop.
 constexpr int ImmediateStopExitCode = 10;
+// Time for the planned stop after a thread's failure, unless the settings state
+// a grace time. The failure may have lost what the stop waits for.
+constexpr core::Duration FailedStopTime = std::chrono::seconds(10);
 
 core::Incarnation drawIncarnation() {
   std::random_device Device;
@@ -46,7 +53,8 @@
   Node(const Settings &Config, const std::string &SettingsFile)
       : m_Board(Config, drawIncarnation()),
         m_Signals(m_ControlContext, SIGTERM, SIGINT),
-        m_HangUpSignal(m_ControlContext, SIGHUP), m_SettingsFile(SettingsFile),
+        m_HangUpSignal(m_ControlContext, SIGHUP),
+        m_FailedStopTimer(m_ControlContext), m_SettingsFile(SettingsFile),
         m_Control(makeControlPlane()),
         m_Traffic(m_TrafficContext, m_Board, trafficHandlers()),
         m_Listener(m_TrafficContext, Config.m_LinkAddress,
@@ -63,12 +71,15 @@
     waitForSignal();
     waitForHangUp();
     const auto TrafficWork = boost::asio::make_work_guard(m_TrafficContext);
-    std::thread TrafficThread([this] { m_TrafficContext.run(); });
-    m_Control->start();
+    std::thread TrafficThread(
+        [this] { runThread("traffic", m_TrafficContext); });
+    boost::asio::post(m_ControlContext, [this] { m_Control->start(); });
     const auto ControlWork = boost::asio::make_work_guard(m_ControlContext);
-    m_ControlContext.run();
+    runThread("control", m_ControlContext);
     m_TrafficContext.stop();
     TrafficThread.join();
+    if (m_ThreadFailed)
+      return core::describe(core::ErrorKind::Internal).m_ExitCode;
     if (m_StoppedImmediately)
       return ImmediateStopExitCode;
     m_Board.m_Events.record({core::EventId::DrainFinished, ""});
@@ -86,6 +97,32 @@
     return Handlers;
   }
 
+  void runThread(const std::string &Name, boost::asio::io_context &Context) {
+    runContext(Context, [this, &Name](const std::string &Thrown) {
+      m_Board.m_Events.record(
+          {core::EventId::ThreadFailed,
+           "thread=" + Name + " thrown=\"" + Thrown + "\""});
+      boost::asio::post(m_ControlContext, [this] { stopAfterFailure(); });
+    });
+  }
+
+  // What the handler has left half done is unknown, and could run a request
+  // twice. A planned stop still answers the other callers.
+  void stopAfterFailure() {
+    if (m_ThreadFailed)
+      return;
+    m_ThreadFailed = true;
+    const core::Duration Grace = m_Board.m_Settings.m_Grace;
+    m_FailedStopTimer.expires_after(Grace > core::Duration{0} ? Grace
+                                                              : FailedStopTime);
+    m_FailedStopTimer.async_wait([this](boost::system::error_code Code) {
+      if (!Code)
+        stopImmediately();
+    });
+    if (!m_Board.m_Draining.load())
+      startDrain();
+  }
+
   void startOperatorServer() {
     net::HttpServerOptions Options;
     Options.m_Address = m_Board.m_Settings.m_OperatorAddress;
@@ -95,6 +132,10 @@
       m_OperatorServer->respond(
           Call, makeOperatorPage(*Request, m_Board, m_Control->status()));
     };
+    Handlers.m_Unsendable = [this](core::CallId, const std::string &Fault) {
+      m_Board.m_Events.record({core::EventId::MessageUnsendable,
+                               "operator_page fault=\"" + Fault + "\""});
+    };
     m_OperatorServer.emplace(m_ControlContext, Options, std::move(Handlers));
   }
 
@@ -108,11 +149,33 @@
       return m_Traffic.onInboundLink(std::move(Socket));
     // A socket can't change its context, so the connection's handle is moved to
     // a new socket in the control thread's context.
-    const auto Protocol = Socket.local_endpoint().protocol();
-    const auto Handle = Socket.release();
-    boost::asio::post(m_ControlContext, [this, Protocol, Handle] {
-      m_Control->onInboundLink(tcp::socket(m_ControlContext, Protocol, Handle));
-    });
+    boost::system::error_code Code;
+    const auto Local = Socket.local_endpoint(Code);
+    if (Code)
+      return reportLostLink(Code);
+    const auto Handle = Socket.release(Code);
+    if (Code)
+      return reportLostLink(Code);
+    boost::asio::post(m_ControlContext,
+                      [this, Protocol = Local.protocol(), Handle] {
+                        adoptControlLink(Protocol, Handle);
+                      });
+  }
+
+  void adoptControlLink(const tcp &Protocol, int Handle) {
+    tcp::socket Socket(m_ControlContext);
+    boost::system::error_code Code;
+    Socket.assign(Protocol, Handle, Code);
+    if (Code) {
+      ::close(Handle);
+      return reportLostLink(Code);
+    }
+    m_Control->onInboundLink(std::move(Socket));
+  }
+
+  void reportLostLink(boost::system::error_code Code) {
+    m_Board.m_Events.record({core::EventId::ControlLinkClosed,
+                             "inbound=yes cause=\"" + Code.message() + "\""});
   }
 
   void waitForSignal() {
@@ -172,8 +235,8 @@
   void startDrain() {
     m_Board.m_Draining.store(true);
     m_Board.m_Events.record({core::EventId::DrainStarted, ""});
-    m_Control->startDrain();
     boost::asio::post(m_TrafficContext, [this] { m_Traffic.startDrain(); });
+    m_Control->startDrain();
   }
 
   boost::asio::io_context m_ControlContext{1};
@@ -181,12 +244,14 @@
   Blackboard m_Board;
   boost::asio::signal_set m_Signals;
   boost::asio::signal_set m_HangUpSignal;
+  boost::asio::steady_timer m_FailedStopTimer;
   const std::string m_SettingsFile;
   std::unique_ptr<ControlPlane> m_Control;
   TrafficDriver m_Traffic;
   net::LinkListener m_Listener;
   std::optional<net::HttpServer> m_OperatorServer;
   bool m_StoppedImmediately = false;
+  bool m_ThreadFailed = false;
 };
 
 } // namespace
--- a/src/app/node/traffic_commands.cpp
+++ b/src/app/node/traffic_commands.cpp
@@ -22,6 +22,7 @@
 core::TargetFailure failureOf(net::ExchangeOutcome End) {
   switch (End) {
   case net::ExchangeOutcome::NotSent:
+  case net::ExchangeOutcome::Unsendable:
     return core::TargetFailure::NotSent;
   case net::ExchangeOutcome::TimedOut:
     return core::TargetFailure::TimedOut;
@@ -253,6 +254,8 @@
   if (Result.m_Outcome == net::ExchangeOutcome::Answered) {
     m_Board.m_Metrics.observe(Timing::TargetService, Now - StartedAt);
     onTargetResponse(Started, Result.m_Response, Now);
+  } else if (Result.m_Outcome == net::ExchangeOutcome::Unsendable) {
+    onUnsendable(Started.m_Id, Result.m_Detail, Now);
   } else {
     m_Gate.onTargetFailure(Started.m_Id, failureOf(Result.m_Outcome),
                            Result.m_Detail, Now);
@@ -260,6 +263,21 @@
   performCommands();
 }
 
+// Any other gate would fail as well, so the request is not tried elsewhere.
+void TrafficDriver::Impl::onUnsendable(const core::RequestId &Id,
+                                       const std::string &Fault,
+                                       TimePoint Now) {
+  constexpr std::uint32_t BadRequest = 400;
+  m_Board.m_Events.record(
+      {core::EventId::MessageUnsendable,
+       "request=" + core::toString(Id) + " fault=\"" + Fault + "\""});
+  core::HttpResponse Response{BadRequest,
+                              {{"Content-Type", "text/plain"}},
+                              "the request " + Fault + "\n"};
+  m_Gate.onUnsendable(
+      Id, std::make_shared<const core::HttpResponse>(std::move(Response)), Now);
+}
+
 void TrafficDriver::Impl::onTargetResponse(
     const core::StartTarget &Started, const core::HttpResponsePtr &Response,
     TimePoint Now) {
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -119,6 +119,12 @@
   ServerHandlers.m_Rejected = [this](const std::string &Fault) {
     reportCallerError(Fault);
   };
+  ServerHandlers.m_Unsendable = [this](core::CallId Call,
+                                       const std::string &Fault) {
+    m_Board.m_Events.record(
+        {core::EventId::MessageUnsendable,
+         "call=" + std::to_string(Call) + " fault=\"" + Fault + "\""});
+  };
   m_Server.emplace(m_Context, Options, std::move(ServerHandlers));
 }
 
@@ -339,6 +345,20 @@
   if (m_Performing)
     return;
   m_Performing = true;
+  try {
+    performPending();
+  } catch (...) {
+    m_Performing = false;
+    throw;
+  }
+  m_Performing = false;
+  m_Timer.arm(m_Ingress.nextWakeUp());
+  m_Timer.arm(m_Gate.nextWakeUp());
+  publishLoad();
+  finishDrainIfDone();
+}
+
+void TrafficDriver::Impl::performPending() {
   const bool StepEvents = m_Board.m_StepEvents.load(std::memory_order_relaxed);
   m_Ingress.setStepEvents(StepEvents);
   m_Gate.setStepEvents(StepEvents);
@@ -354,11 +374,6 @@
     for (const core::GateCommand &Command : FromGate)
       performGate(Command);
   }
-  m_Performing = false;
-  m_Timer.arm(m_Ingress.nextWakeUp());
-  m_Timer.arm(m_Gate.nextWakeUp());
-  publishLoad();
-  finishDrainIfDone();
 }
 
 void TrafficDriver::Impl::spreadEvidence() {
--- a/src/app/node/traffic_driver_impl.h
+++ b/src/app/node/traffic_driver_impl.h
@@ -56,6 +56,7 @@
   void closeSilentLinks();
 
   void performCommands();
+  void performPending();
   void spreadEvidence();
   void spreadLeavingTargets();
   void publishLoad();
@@ -82,6 +83,8 @@
   void openLocalLink(LinkId Link);
   void onTargetResult(const core::StartTarget &Started, TimePoint StartedAt,
                       const net::HttpResult &Result);
+  void onUnsendable(const core::RequestId &Id, const std::string &Fault,
+                    TimePoint Now);
   void onTargetResponse(const core::StartTarget &Started,
                         const core::HttpResponsePtr &Response, TimePoint Now);
   void recordStatement(const core::StartTarget &Started,
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -21,6 +21,9 @@
               "The settings were read again on SIGHUP."},
     EventInfo{EventId::SettingsRefused, "settings-refused", Severity::Error,
               "The settings have a fault; the previous settings stay active."},
+    EventInfo{EventId::ThreadFailed, "thread-failed", Severity::Error,
+              "A handler of a thread threw an exception; the process stops as "
+              "planned, with exit code 70."},
     EventInfo{EventId::ConfigurationHeld, "configuration-held", Severity::Info,
               "A version is stored and validated, but not yet applied."},
     EventInfo{EventId::ConfigurationApplied, "configuration-applied",
@@ -72,6 +75,11 @@
     EventInfo{EventId::RequestNotServed, "request-not-served", Severity::Info,
               "A caller was notified that its request did not run.",
               /*m_IsPerRequest=*/true},
+    EventInfo{EventId::MessageUnsendable, "message-unsendable",
+              Severity::Warning,
+              "HTTP can't carry a request or response; its caller got an error "
+              "response.",
+              /*m_IsPerRequest=*/true},
     EventInfo{
         EventId::RequestFinished, "request-finished", Severity::Debug,
         "A gate received the target's complete response, or none will arrive."},
--- a/src/core/gate.cpp
+++ b/src/core/gate.cpp
@@ -50,6 +50,11 @@
   m_Impl->onTargetRefused(Id, IsOtherTarget, RetryAfter, Now);
 }
 
+void Gate::onUnsendable(const RequestId &Id, HttpResponsePtr Response,
+                        TimePoint Now) {
+  m_Impl->onUnsendable(Id, std::move(Response), Now);
+}
+
 void Gate::onTargetStatement(const RequestId &Id,
                              const TargetStatement &Statement, TimePoint Now) {
   m_Impl->onTargetStatement(Id, Statement, Now);
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -67,6 +67,8 @@
                        const std::string &Detail, TimePoint Now);
   void onTargetRefused(const RequestId &Id, bool IsOtherTarget,
                        Duration RetryAfter, TimePoint Now);
+  void onUnsendable(const RequestId &Id, HttpResponsePtr Response,
+                    TimePoint Now);
   void onTargetStatement(const RequestId &Id, const TargetStatement &Statement,
                          TimePoint Now);
   void onTargetCheck(bool Refused, TimePoint Now);
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -194,6 +194,19 @@
   advance(Now);
 }
 
+void Engine::onUnsendable(const RequestId &Id, HttpResponsePtr Response,
+                          TimePoint Now) {
+  updateSleepGuard(Now);
+  m_Slots.release(Id);
+  updateIdleSince(Now);
+  if (m_Ledger.lookUp(Id) == RequestState::Running) {
+    m_Ledger.finish(Id, std::move(Response));
+    sendResult(Id);
+  }
+  expire(Now);
+  advance(Now);
+}
+
 void Engine::onTargetStatement(const RequestId &Id,
                                const TargetStatement &Statement,
                                TimePoint Now) {
--- a/src/net/codec.cpp
+++ b/src/net/codec.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/endian/conversion.hpp>
 
+#include <exception>
 #include <memory>
 
 namespace dandelionfall::net {
@@ -15,7 +16,6 @@
 namespace {
 
 using apache::thrift::TConfiguration;
-using apache::thrift::TException;
 using apache::thrift::protocol::TCompactProtocolT;
 using apache::thrift::transport::TMemoryBuffer;
 using Protocol = TCompactProtocolT<TMemoryBuffer>;
@@ -102,7 +102,9 @@
       Result.m_Message = std::move(Control);
       return Result;
     }
-  } catch (const TException &Fault) {
+  } catch (const core::Error &) {
+    throw;
+  } catch (const std::exception &Fault) {
     throwMalformed(std::string("frame cannot be decoded: ") + Fault.what());
   }
   throwMalformed("frame contains no known message");
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,3 +1,4 @@
+#include "dandelionfall/core/error.h"
 #include "net/http_client_connection.h"
 
 #include <boost/asio/post.hpp>
@@ -21,12 +22,18 @@
                                   Callback Done) {
   Exchange Next;
   Next.m_Id = ++m_LastId;
-  Next.m_Request = std::make_shared<const BeastRequest>(
-      toBeast(Request, m_Options.m_Address));
   Next.m_Deadline = Clock::now() + Timeout;
   Next.m_Idempotent = Idempotent;
   Next.m_IsHead = Request.m_Method == "HEAD";
   Next.m_Done = std::move(Done);
+  try {
+    Next.m_Request = std::make_shared<const BeastRequest>(
+        toBeast(Request, m_Options.m_Address));
+  } catch (const core::Error &Fault) {
+    postResult(std::move(Next),
+               {ExchangeOutcome::Unsendable, nullptr, Fault.fault()});
+    return m_LastId;
+  }
   m_Queue.push_back(std::move(Next));
   startQueued();
   return m_LastId;
@@ -101,9 +108,14 @@
 }
 
 void HttpClient::Impl::postNotSent(Exchange Ended, const std::string &Detail) {
+  postResult(std::move(Ended), {ExchangeOutcome::NotSent, nullptr, Detail});
+}
+
+void HttpClient::Impl::postResult(Exchange Ended, HttpResult Result) {
   auto Shared = std::make_shared<Exchange>(std::move(Ended));
-  boost::asio::post(m_Context, [Self = shared_from_this(), Shared, Detail] {
-    Self->finish(*Shared, {ExchangeOutcome::NotSent, nullptr, Detail});
+  boost::asio::post(m_Context, [Self = shared_from_this(), Shared,
+                                Result = std::move(Result)] {
+    Self->finish(*Shared, Result);
   });
 }
 
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -18,7 +18,6 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 using boost::system::error_code;
-using Parser = http::response_parser<http::string_body>;
 
 /// Safety margin before the server's keep-alive timeout within which an idle
 /// connection is not reused, because the server's FIN may already be in flight.
@@ -32,13 +31,15 @@
   return Status < FirstFinal;
 }
 
-bool exceedsLimit(const Parser &Response, const HttpClientOptions &Options) {
+bool exceedsLimit(const ResponseParser &Response,
+                  const HttpClientOptions &Options) {
   const auto Length = Response.content_length();
   return Length.has_value() && *Length > Options.m_MaxBodyBytes;
 }
 
 // Checks a response header before the body is read.
-std::optional<std::string> findFault(const Parser &Response, bool IsHead,
+std::optional<std::string> findFault(const ResponseParser &Response,
+                                     bool IsHead,
                                      const HttpClientOptions &Options) {
   if (Response.get().result() == http::status::switching_protocols)
     return "the response switches protocols";
--- a/src/net/http_client_connection.h
+++ b/src/net/http_client_connection.h
@@ -3,10 +3,10 @@
 #ifndef DANDELIONFALL_SRC_NET_HTTP_CLIENT_CONNECTION_H
 #define DANDELIONFALL_SRC_NET_HTTP_CLIENT_CONNECTION_H
 
+#include "net/guarded_parser.h"
 #include "net/http_client_pool.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <optional>
 #include <string>
@@ -46,8 +46,6 @@
 
 private:
   using Clock = std::chrono::steady_clock;
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void onConnected(boost::system::error_code Code);
   void startTimer(Clock::time_point Deadline, ExchangeOutcome Outcome);
@@ -69,7 +67,7 @@
   boost::asio::ip::tcp::socket m_Socket;
   boost::asio::steady_timer m_Timer;
   boost::beast::flat_buffer m_Buffer{MaxUnparsedBytes};
-  std::optional<Parser> m_Parser;
+  std::optional<ResponseParser> m_Parser;
   std::optional<Exchange> m_Exchange;
   Clock::time_point m_LastResponse;
   /// Idle time after which the server closes the connection, as stated in its
--- a/src/net/http_client_pool.h
+++ b/src/net/http_client_pool.h
@@ -52,6 +52,7 @@
   void armQueueTimer();
   void expireQueued();
   void postNotSent(Exchange Ended, const std::string &Detail);
+  void postResult(Exchange Ended, HttpResult Result);
   void finish(Exchange &Ended, const HttpResult &Result);
 
   boost::asio::io_context &m_Context;
--- a/src/net/http_conversion.cpp
+++ b/src/net/http_conversion.cpp
@@ -1,9 +1,12 @@
 #include "net/http_conversion.h"
 
+#include "dandelionfall/core/error.h"
+
 #include <boost/beast/http/rfc7230.hpp>
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <utility>
 
 namespace dandelionfall::net {
@@ -13,6 +16,7 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned HttpVersion = 11;
+constexpr std::uint32_t FirstFinalStatus = 200;
 
 // Hop-by-hop fields, and fields that are not copied because toBeast sets them
 // (Host, Content-Length) or the server has handled them (Expect).
@@ -46,6 +50,21 @@
   return Status != NoContent && Status != NotModified;
 }
 
+[[noreturn]] void throwUnsendable(const std::string &Fault) {
+  throw core::Error(core::ErrorKind::MalformedMessage,
+                    "can't be written as HTTP: " + Fault,
+                    "correct the sender of the message");
+}
+
+// Beast throws standard exceptions for values that it can't write.
+template <typename Function> auto convert(Function Make) {
+  try {
+    return Make();
+  } catch (const std::exception &Fault) {
+    throwUnsendable(Fault.what());
+  }
+}
+
 } // namespace
 
 std::vector<core::HttpField> endToEndFields(const http::fields &Fields) {
@@ -81,32 +100,39 @@
 
 BeastRequest toBeast(const core::HttpRequest &Request,
                      const std::string &DefaultHost) {
-  BeastRequest Message;
-  Message.version(HttpVersion);
-  Message.method_string(Request.m_Method);
-  Message.target(Request.m_Path);
-  for (const core::HttpField &Field : Request.m_Fields)
-    Message.insert(Field.m_Name, Field.m_Value);
-  Message.set(http::field::host,
-              Request.m_HostName.empty() ? DefaultHost : Request.m_HostName);
-  Message.body() = Request.m_Body;
-  Message.prepare_payload();
-  return Message;
+  return convert([&] {
+    BeastRequest Message;
+    Message.version(HttpVersion);
+    Message.method_string(Request.m_Method);
+    Message.target(Request.m_Path);
+    for (const core::HttpField &Field : Request.m_Fields)
+      Message.insert(Field.m_Name, Field.m_Value);
+    Message.set(http::field::host,
+                Request.m_HostName.empty() ? DefaultHost : Request.m_HostName);
+    Message.body() = Request.m_Body;
+    Message.prepare_payload();
+    return Message;
+  });
 }
 
 BeastResponse toBeast(const core::HttpResponse &Response, bool IsHead,
                       bool KeepAlive) {
-  BeastResponse Message;
-  Message.version(HttpVersion);
-  Message.result(Response.m_Status);
-  for (const core::HttpField &Field : Response.m_Fields)
-    Message.insert(Field.m_Name, Field.m_Value);
-  if (!IsHead && allowsBody(Response.m_Status)) {
-    Message.body() = Response.m_Body;
-    Message.prepare_payload();
-  }
-  Message.keep_alive(KeepAlive);
-  return Message;
+  // An informational status would not end the exchange.
+  if (Response.m_Status < FirstFinalStatus)
+    throwUnsendable("status " + std::to_string(Response.m_Status));
+  return convert([&] {
+    BeastResponse Message;
+    Message.version(HttpVersion);
+    Message.result(Response.m_Status);
+    for (const core::HttpField &Field : Response.m_Fields)
+      Message.insert(Field.m_Name, Field.m_Value);
+    if (!IsHead && allowsBody(Response.m_Status)) {
+      Message.body() = Response.m_Body;
+      Message.prepare_payload();
+    }
+    Message.keep_alive(KeepAlive);
+    return Message;
+  });
 }
 
 } // namespace dandelionfall::net
--- a/src/net/http_conversion.h
+++ b/src/net/http_conversion.h
@@ -40,6 +40,7 @@
 
 /// Makes a request to send, with a Content-Length for its body.
 /// \param DefaultHost Host field of a request without a host name.
+/// \throws Error of kind MalformedMessage if HTTP can't carry the request.
 BeastRequest toBeast(const core::HttpRequest &Request,
                      const std::string &DefaultHost);
 
@@ -47,6 +48,8 @@
 /// \param IsHead whether the request's method was HEAD; its response has no
 /// body.
 /// \param KeepAlive whether the connection stays open after the response.
+/// \throws Error of kind MalformedMessage if HTTP can't carry the response, or
+/// its status is not final.
 BeastResponse toBeast(const core::HttpResponse &Response, bool IsHead,
                       bool KeepAlive);
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,15 +2,15 @@
 
 #include "dandelionfall/core/error.h"
 #include "dandelionfall/net/address.h"
+#include "net/guarded_parser.h"
 #include "net/http_conversion.h"
+#include "net/request_check.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <optional>
@@ -54,26 +54,6 @@
          Code != http::error::partial_message;
 }
 
-// Finds faults that the parser accepts but other HTTP implementations may
-// interpret differently (request smuggling), and requests to switch protocols.
-std::optional<std::string> findFault(const BeastRequest &Request) {
-  if (Request.version() >= 11 && Request.count(http::field::host) != 1)
-    return "a request needs exactly one Host field";
-  if (Request.target().empty() || Request.target().front() != '/')
-    return "the request target must begin with '/'";
-  if (Request.count(http::field::content_length) > 1 ||
-      Request.count(http::field::transfer_encoding) > 1)
-    return "Content-Length and Transfer-Encoding may occur once";
-  if (Request.count(http::field::transfer_encoding) > 0 &&
-      !boost::beast::iequals(Request[http::field::transfer_encoding],
-                             "chunked"))
-    return "only the transfer coding chunked is known";
-  if (Request.count(http::field::upgrade) > 0 ||
-      Request.method() == http::verb::connect)
-    return "protocols can't be switched here";
-  return std::nullopt;
-}
-
 } // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
@@ -137,7 +117,7 @@
     m_State = State::Writing;
     m_Deadline = Clock::now() + WriteTimeout;
     m_CloseAfterWrite = Close || m_Owner->m_KeepAliveDisabled || !m_KeepAlive;
-    m_Response.emplace(toBeast(Response, m_IsHead, !m_CloseAfterWrite));
+    m_Response.emplace(convert(Response));
     http::async_write(
         m_Socket, *m_Response,
         [Self = shared_from_this()](error_code Code, std::size_t) {
@@ -184,6 +164,18 @@
     Closed
   };
 
+  BeastResponse convert(const core::HttpResponse &Response) {
+    try {
+      return toBeast(Response, m_IsHead, !m_CloseAfterWrite);
+    } catch (const core::Error &Fault) {
+      if (m_Owner->m_Handlers.m_Unsendable)
+        m_Owner->m_Handlers.m_Unsendable(m_Call, Fault.fault());
+      return toBeast(makeTextResponse(http::status::bad_gateway,
+                                      "the response " + Fault.fault()),
+                     m_IsHead, !m_CloseAfterWrite);
+    }
+  }
+
   void readHeader() {
     if (m_State != State::Idle)
       return;
@@ -301,7 +293,7 @@
   std::shared_ptr<Impl> m_Owner;
   tcp::socket m_Socket;
   boost::beast::flat_buffer m_Buffer;
-  std::optional<http::request_parser<http::string_body>> m_Parser;
+  std::optional<RequestParser> m_Parser;
   std::optional<BeastResponse> m_Response;
   Clock::time_point m_Deadline;
   core::CallId m_Call = 0;
--- a/tests/system/node_edges.py
+++ b/tests/system/node_edges.py
@@ -36,6 +36,23 @@
     return passed & check(status == 200, f"largest body: status {status}")
 
 
+def check_trace_with_body(fleet):
+    """TRACE with a body, with a length or in chunks, is refused; no process ends."""
+    before = count_runs(fleet)
+    passed = True
+    for node in fleet.nodes:
+        for body in (b"hello", iter([b"hello"])):
+            try:
+                status = http_call(node.caller_address, "TRACE", "/slotboard/a", body=body)[0]
+            except (OSError, http.client.HTTPException) as error:
+                status = error
+            passed &= check(status == 400, f"TRACE with a body: status {status}")
+    passed &= check(all(node.process.alive() for node in fleet.nodes), "TRACE with a body: all nodes run")
+    passed &= check(count_runs(fleet) == before, "TRACE with a body: no target ran it")
+    status, _, _ = http_call(fleet.nodes[0].caller_address, "GET", "/slotboard/a")
+    return passed & check(status == 200, f"after TRACE: status {status}")
+
+
 def call_in_background(node):
     def call():
         try:
@@ -90,6 +107,7 @@
     with Fleet(services=["slotboard"]) as fleet:
         fleet.wait_ready()
         passed = check_large_body(fleet)
+        passed &= check_trace_with_body(fleet)
         passed &= check_reload(fleet)
         passed &= check_second_start(fleet)
         passed &= check_second_signal(fleet)
--- a/tests/unit/gate_harness.h
+++ b/tests/unit/gate_harness.h
@@ -128,6 +128,13 @@
     collect();
   }
 
+  void unsendable(std::uint64_t Sequence) {
+    auto Response = std::make_shared<HttpResponse>();
+    Response->m_Status = 400;
+    m_Gate.onUnsendable(id(Sequence), Response, m_Now);
+    collect();
+  }
+
   void check(bool Refused) {
     m_Gate.onTargetCheck(Refused, m_Now);
     collect();
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -362,3 +362,31 @@
     CHECK(Test.m_Client->connections() == 0);
   }
 }
+
+TEST_CASE("a request that can't be written as HTTP fails alone") {
+  Fixture Test;
+  Test.m_ResponseBytes = CompleteResponse;
+  Test.m_Body = "hello";
+  Test.send(true, WaitLimit, "TRACE");
+  CHECK_FALSE(Test.m_Results.back().has_value());
+  const net::HttpResult Trace = Test.lastResult();
+  CHECK(Trace.m_Outcome == ExchangeOutcome::Unsendable);
+  CHECK(Trace.m_Response == nullptr);
+  CHECK_FALSE(Trace.m_Detail.empty());
+  Test.m_Fields = {{"Name", std::string(70'000, 'v')}};
+  Test.send(true);
+  CHECK(Test.lastResult().m_Outcome == ExchangeOutcome::Unsendable);
+  Test.m_Fields.clear();
+  Test.send(true);
+  CHECK(Test.lastResult().m_Outcome == ExchangeOutcome::Answered);
+  CHECK(Test.m_Requests == 1);
+}
+
+TEST_CASE("a trailer longer than the HTTP library can hold is malformed") {
+  Fixture Test;
+  Test.m_ResponseBytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                         "\r\n0\r\nX: " +
+                         std::string(70'000, 'x') + "\r\n\r\n";
+  Test.send();
+  CHECK(Test.lastResult().m_Outcome == ExchangeOutcome::Malformed);
+}
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -136,6 +136,17 @@
        "431"},
       {"large body",
        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n", "413"},
+      {"trace with a body",
+       "TRACE / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello", "400"},
+      {"trace with chunks",
+       "TRACE / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "5\r\nhello\r\n0\r\n\r\n",
+       "400"},
+      {"large trailer",
+       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "0\r\nX: " +
+           std::string(70'000, 'x') + "\r\n\r\n",
+       "431"},
       {"upgrade",
        "GET / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
        "400"},
@@ -228,3 +239,53 @@
     CHECK_FALSE(Fault.remedy().empty());
   }
 }
+
+TEST_CASE("a field longer than the HTTP library can hold gets a 431 response") {
+  net::HttpServerOptions Options;
+  Options.m_MaxHeaderBytes = 200'000;
+  Fixture Test(Options);
+  Test.send("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(70'000, 'x') +
+            "\r\n\r\n");
+  const std::string Reply =
+      Test.receive([](const std::string &) { return false; });
+  CHECK(Reply.find("HTTP/1.1 431") == 0);
+  CHECK(Test.m_Requests.empty());
+}
+
+TEST_CASE("a trace request without content is passed on") {
+  for (const char *Length : {"", "Content-Length: 0\r\n"}) {
+    Fixture Test;
+    Test.send(std::string("TRACE /a HTTP/1.1\r\nHost: x\r\n") + Length +
+              "\r\n");
+    CHECK(endsWithBody(Test.receive(endsWithBody)));
+    REQUIRE(Test.m_Requests.size() == 1);
+    CHECK(Test.m_Requests[0]->m_Method == "TRACE");
+  }
+}
+
+TEST_CASE("a response that can't be written as HTTP becomes a 502 response") {
+  const std::vector<core::HttpResponse> Responses = {
+      {0, {}, ""},
+      {99, {}, "body"},
+      {100, {}, "body"},
+      {101, {}, ""},
+      {1000, {}, ""},
+      {200, {{std::string(70'000, 'n'), "v"}}, ""},
+      {200, {{"Name", std::string(70'000, 'v')}}, ""}};
+  for (const core::HttpResponse &Each : Responses) {
+    CAPTURE(Each.m_Status);
+    Fixture Test;
+    Test.m_AutoRespond = false;
+    Test.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    Test.runUntil([&] { return !Test.m_Requests.empty(); });
+    Test.m_Server->respond(Test.m_LastCall, Each);
+    const auto IsComplete = [](const std::string &Text) {
+      return Text.find("\r\n\r\n") != std::string::npos;
+    };
+    CHECK(Test.receive(IsComplete).find("HTTP/1.1 502") == 0);
+    CHECK_FALSE(Test.m_Closed);
+    Test.m_AutoRespond = true;
+    Test.send("GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(endsWithBody(Test.receive(endsWithBody)));
+  }
+}
