Select the route of a prefix of any length

Cause: the lookup tried every end of a segment of the path, from 256 bytes down. The limit bounded the work that a long path causes. The product's own configuration was checked for it, the platform's was not.

Change: one search finds the entry that sorts last before the path. All prefixes that begin the path also begin that entry, and each entry of the index knows the next shorter one. No source has a limit any more.

The runner of properties moves to a header.

--- a/include/dandelionfall/core/configuration.h
+++ b/include/dandelionfall/core/configuration.h
@@ -193,6 +193,9 @@
   std::string_view m_PathPrefix;
   const Service *m_Service = nullptr;
   const Route *m_Route = nullptr;
+  /// Number of entries back to the longest other prefix of the same host that
+  /// begins this one; 0 if there is none.
+  std::size_t m_ToShorter = 0;
 };
 
 /// Routes sorted by host name, then by path prefix.
@@ -228,16 +231,15 @@
   const Route *m_Route = nullptr;
 };
 
-/// Maximum length of a route's path prefix in bytes.
-inline constexpr std::size_t MaxPathPrefixBytes = 256;
-
 /// Builds the index of a configuration's routes.
 /// \param Config the configuration; its services must outlive the index.
 /// \returns the index, sorted.
 RouteIndex makeRouteIndex(const Configuration &Config);
 
 /// Finds the route with the longest matching path prefix; routes that match the
-/// host name take precedence over routes without one.
+/// host name take precedence over routes without one. The time grows with the
+/// logarithm of the number of routes and with the prefixes that begin one
+/// another, but not with the number of slashes in the path.
 /// \param Config the applied version; the result points into it. If it has no
 /// index, one is built for this call only, which is slow.
 /// \param HostName the caller's Host header; case and port are ignored.
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -1,6 +1,7 @@
 #include "dandelionfall/core/configuration.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace dandelionfall::core {
@@ -13,34 +14,58 @@
   return {Entry.m_HostName, Entry.m_PathPrefix};
 }
 
-const RouteIndexEntry *findExact(const RouteIndex &Index, const RouteKey &Key) {
-  const auto Found = std::lower_bound(
-      Index.begin(), Index.end(), Key,
-      [](const RouteIndexEntry &Entry, const RouteKey &SearchKey) {
-        return makeRouteKey(Entry) < SearchKey;
-      });
-  return Found != Index.end() && makeRouteKey(*Found) == Key ? &*Found
-                                                             : nullptr;
+std::size_t countCommonBytes(std::string_view Left, std::string_view Right) {
+  const auto Ends =
+      std::mismatch(Left.begin(), Left.end(), Right.begin(), Right.end());
+  return static_cast<std::size_t>(Ends.first - Left.begin());
+}
+
+// A prefix must end at the end of the path, before a slash or after one.
+bool endsSegment(std::string_view Prefix, std::string_view Path) {
+  return !Prefix.empty() &&
+         (Prefix.size() == Path.size() || Prefix.back() == '/' ||
+          Path[Prefix.size()] == '/');
 }
 
-// A prefix must end at the end of the path, before a slash or after one. The
-// longest prefix is tested first; the maximum length bounds the work that a
-// caller can cause with a long path.
+// Sets the distance of each entry of a sorted index to the longest shorter
+// prefix.
+void linkShorterPrefixes(RouteIndex &Index) {
+  std::vector<std::size_t> Beginnings;
+  for (std::size_t Position = 0; Position < Index.size(); ++Position) {
+    RouteIndexEntry &Entry = Index[Position];
+    const auto Begins = [&](const RouteIndexEntry &Shorter) {
+      return Shorter.m_HostName == Entry.m_HostName &&
+             Entry.m_PathPrefix.starts_with(Shorter.m_PathPrefix);
+    };
+    while (!Beginnings.empty() && !Begins(Index[Beginnings.back()]))
+      Beginnings.pop_back();
+    if (!Beginnings.empty())
+      Entry.m_ToShorter = Position - Beginnings.back();
+    Beginnings.push_back(Position);
+  }
+}
+
+// The prefixes that begin a path also begin the entry that sorts last before
+// the path, so the search follows the path once, however long it is.
 const RouteIndexEntry *findLongestPrefix(const RouteIndex &Index,
                                          std::string_view HostName,
                                          std::string_view Path) {
-  for (std::size_t Length = std::min(Path.size(), MaxPathPrefixBytes);
-       Length > 0; --Length) {
-    const bool EndsSegment =
-        Length == Path.size() || Path[Length] == '/' || Path[Length - 1] == '/';
-    if (!EndsSegment)
-      continue;
-    const RouteIndexEntry *Found =
-        findExact(Index, {HostName, Path.substr(0, Length)});
-    if (Found != nullptr)
-      return Found;
+  const auto Next = std::upper_bound(
+      Index.begin(), Index.end(), RouteKey{HostName, Path},
+      [](const RouteKey &SearchKey, const RouteIndexEntry &Entry) {
+        return SearchKey < makeRouteKey(Entry);
+      });
+  if (Next == Index.begin() || std::prev(Next)->m_HostName != HostName)
+    return nullptr;
+  const RouteIndexEntry *Entry = &*std::prev(Next);
+  const std::size_t Common = countCommonBytes(Entry->m_PathPrefix, Path);
+  while (Entry->m_PathPrefix.size() > Common ||
+         !endsSegment(Entry->m_PathPrefix, Path)) {
+    if (Entry->m_ToShorter == 0)
+      return nullptr;
+    Entry -= Entry->m_ToShorter;
   }
-  return nullptr;
+  return Entry;
 }
 
 // A colon before the closing bracket is part of an IPv6 address, not of the
@@ -88,17 +113,18 @@
   for (const auto &[Name, ServicePtr] : Config.m_Services) {
     for (const Route &Each : ServicePtr->m_Routes)
       Index.push_back(
-          {Each.m_HostName, Each.m_PathPrefix, ServicePtr.get(), &Each});
+          {Each.m_HostName, Each.m_PathPrefix, ServicePtr.get(), &Each, 0});
   }
   if (Config.m_SplitRoutes != nullptr) {
     for (const Route &Each : *Config.m_SplitRoutes)
-      Index.push_back({Each.m_HostName, Each.m_PathPrefix, nullptr, &Each});
+      Index.push_back({Each.m_HostName, Each.m_PathPrefix, nullptr, &Each, 0});
   }
   std::stable_sort(
       Index.begin(), Index.end(),
       [](const RouteIndexEntry &Left, const RouteIndexEntry &Right) {
         return makeRouteKey(Left) < makeRouteKey(Right);
       });
+  linkShorterPrefixes(Index);
   return Index;
 }
 
--- a/src/core/configuration_parts.cpp
+++ b/src/core/configuration_parts.cpp
@@ -138,12 +138,10 @@
   const bool HasPlainCharacters =
       std::all_of(Path.begin(), Path.end(), isVisibleCharacter) &&
       Path.find_first_of("?#") == std::string::npos;
-  if (!Path.starts_with('/') || !HasPlainCharacters ||
-      Path.size() > MaxPathPrefixBytes)
+  if (!Path.starts_with('/') || !HasPlainCharacters)
     Faults.push_back(Source.makeFault(
         "'" + Path + "' is not a valid path prefix",
-        "start it with '/', without spaces, '?' and '#', at most 256 bytes",
-        Section.m_Line));
+        "start it with '/', without spaces, '?' and '#'", Section.m_Line));
 }
 
 // Parses the sections of a part; invalid INI text adds a single fault.
--- a/tests/unit/configuration_property_test.cpp
+++ b/tests/unit/configuration_property_test.cpp
@@ -1,32 +1,16 @@
 #include "configuration_sample.h"
+#include "property_check.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include <iostream>
 #include <string>
 
 using namespace dandelionfall::core;
+using dandelionfall::holds;
 
 namespace {
 
-constexpr std::uint64_t Seed = 20'260'801;
-
-// Uses a fixed seed for reproducible results; rc::check seeds from the clock.
-template <typename Property>
-bool holds(const std::string &Description, int Runs, Property Checked) {
-  rc::detail::TestMetadata Metadata;
-  Metadata.description = Description;
-  rc::detail::TestParams Params;
-  Params.seed = Seed;
-  Params.maxSuccess = Runs;
-  const auto Result =
-      rc::detail::checkTestable(std::move(Checked), Metadata, Params);
-  rc::detail::printResultMessage(Result, std::cerr);
-  std::cerr << "\n";
-  return Result.template is<rc::detail::SuccessResult>();
-}
-
 std::string drawName() {
   return *rc::gen::nonEmpty(rc::gen::container<std::string>(
       rc::gen::elementOf(std::string("abcXYZ019-_."))));
--- a/tests/unit/configuration_route_test.cpp
+++ b/tests/unit/configuration_route_test.cpp
@@ -75,3 +75,17 @@
   CHECK(findRoute(WithoutIndex, "", "/board/slots/7").m_Service ==
         WithoutIndex.m_Services.at("board").get());
 }
+
+TEST_CASE("a published prefix of any length selects its route") {
+  const std::string Long = "/board/" + std::string(5000, 'x');
+  const PartMap Parts = makeParts({
+      {"profiles", "[profile board]\n"},
+      {"service/board", "[service board]\nprofile = board\n[route /board]\n"},
+      {"service/long",
+       "[service long]\nprofile = board\n[route " + Long + "]\n"},
+  });
+  const ConfigurationPtr Config =
+      buildConfiguration(makeManifest(1, Parts), Parts);
+  CHECK(findRoute(*Config, "", Long + "/7").m_Service->m_Name == "long");
+  CHECK(findRoute(*Config, "", Long + "y").m_Service->m_Name == "board");
+}
