Drop the values of a large record when the record goes

Cause: Registry kept up to four values of each large key as bases of patches, and the patches, and never dropped them: not on removal (by the store, a listing, another history, a feed, a peer), and not when a small value replaced a large one. In the latter case followers were also sent the outdated value as a patch, and the small record was decoded twice if the large one was still to be decoded. Besides, four values were kept of records of any writer, although only configurations profit from patches.

Ruled out: records that are deferred and gone.

Older values are kept of configurations only; of any other record the newest value is kept, which m_Records shares. Revisions of all large records present are still stated to followers, which therefore hold the same records as before.

--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -202,6 +202,11 @@
 
   static bool isSmall(const StoreRecord &Record);
   void storeLarge(const StoreRecord &Record);
+  /// Forgets the values, and patches, of a key that has no large record now.
+  void dropLarge(const std::string &Key);
+  /// Forgets the values of a large record but the newest, and the patches.
+  void dropOlderValues(const std::string &Key);
+  void dropPatches(const std::string &Key);
   std::map<std::string, Revision, std::less<>> largeRevisions() const;
   std::optional<RecordPatch> patchFrom(const std::deque<StoreRecord> &Values,
                                        const StoreRecord &Base) const;
@@ -265,6 +270,7 @@
   /// Small changes not yet taken, by key.
   std::map<std::string, StoreRecord, std::less<>> m_SmallChanges;
   /// Latest values of large records, oldest first, by key; bases of patches.
+  /// Several of a configuration, one of any other record.
   std::map<std::string, std::deque<StoreRecord>, std::less<>> m_LargeValues;
   /// Large records that are not decoded yet, by key, and the ways on which they
   /// came.
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -124,10 +124,12 @@
   if (Removed != m_Removed.end() && Removed->second >= Record.m_Revision)
     return false;
   m_Records.insert_or_assign(Record.m_Key, Record);
-  if (isSmall(Record))
+  if (isSmall(Record)) {
     m_SmallChanges.insert_or_assign(Record.m_Key, Record);
-  else
+    dropLarge(Record.m_Key);
+  } else {
     storeLarge(Record);
+  }
   m_Removed.erase(Record.m_Key);
   if (!m_Options.m_DefersLargeRecords || isSmall(Record))
     return applyDecoded(Record, Now);
@@ -148,10 +150,15 @@
 
 bool Registry::applyDecoded(const StoreRecord &Record, TimePoint Now) {
   DecodedRecord Decoded = m_Decoder.decode(Record);
+  using PublishedPtr = std::shared_ptr<const PublishedConfiguration>;
+  // Anyone can write the other records, each of a size like that of a
+  // configuration.
+  if (!std::holds_alternative<PublishedPtr>(Decoded) &&
+      Record.m_Key != m_InForce.m_Key)
+    dropOlderValues(Record.m_Key);
   if (const auto *Entry = std::get_if<TargetEntry>(&Decoded))
     return applyTarget(Record, *Entry, Now);
-  if (auto *Published =
-          std::get_if<std::shared_ptr<const PublishedConfiguration>>(&Decoded))
+  if (auto *Published = std::get_if<PublishedPtr>(&Decoded))
     return applyPublished(Record, std::move(*Published));
   if (const auto *ZoneOut = std::get_if<ZoneOutRecord>(&Decoded)) {
     const bool IsNew = !m_ZonesOut.contains(Record.m_Key);
@@ -227,7 +234,7 @@
     return false;
   if (Stored != m_Records.end())
     m_Records.erase(Stored);
-  m_Deferred.erase(Key);
+  dropLarge(Key);
   if (Key == m_InForce.m_Key && !m_Retained) {
     m_Retained = m_InForce;
     report(EventId::RecordRetained,
--- a/src/core/registry/registry_feed.cpp
+++ b/src/core/registry/registry_feed.cpp
@@ -105,31 +105,12 @@
   // Passed on to followers that hold the same base.
   const auto Values = m_LargeValues.find(Patch.m_Key);
   if (Values != m_LargeValues.end() &&
-      Values->second.back().m_Revision == Patch.m_Revision)
+      Values->second.back().m_Revision == Patch.m_Revision &&
+      baseOf(Patch) != nullptr)
     m_Patches.emplace(std::pair(Patch.m_Key, Patch.m_Base), Patch);
   return Changed;
 }
 
-void Registry::storeLarge(const StoreRecord &Record) {
-  std::deque<StoreRecord> &Values = m_LargeValues[Record.m_Key];
-  Values.push_back(Record);
-  if (Values.size() > StoredLargeValues)
-    Values.pop_front();
-  std::erase_if(m_Patches, [&](const auto &Each) {
-    return Each.first.first == Record.m_Key;
-  });
-}
-
-std::map<std::string, Revision, std::less<>> Registry::largeRevisions() const {
-  std::map<std::string, Revision, std::less<>> Result;
-  for (const auto &[Key, Values] : m_LargeValues) {
-    const auto Known = m_Records.find(Key);
-    if (Known != m_Records.end())
-      Result.emplace(Key, Known->second.m_Revision);
-  }
-  return Result;
-}
-
 std::optional<RecordPatch> Registry::patchOf(const StoreRecord &Newest,
                                              const StoreRecord &Base) const {
   const auto Found = m_Patches.find({Newest.m_Key, Base.m_Revision});
@@ -197,9 +178,4 @@
   m_TakenLarge = largeRevisions();
 }
 
-bool Registry::isSmall(const StoreRecord &Record) {
-  return Record.m_Value == nullptr ||
-         Record.m_Value->size() <= MaxSmallRecordBytes;
-}
-
 } // namespace dandelionfall::core
