Let no entry without a named service hide a target at its address

Cause: Registry::usableTargets picked one entry an address by its start before configuration() looked at the service.

Change: an entry whose service the configuration names goes before one whose service it does not; among equals the start decides as before. An entry without a named service that is alone at its address still tells where a node is.

Before: the new case of registry_test found 0 targets instead of 1.

--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -356,10 +356,17 @@
 }
 
 // Of several targets with the same address only the one that started last can
-// still be running.
+// still be running. An entry whose service is not named can be of another
+// writer.
 std::vector<const Registry::KnownTarget *> Registry::usableTargets() const {
-  const auto Order = [](const KnownTarget &Known) {
-    return std::tuple(Known.m_Entry.m_StartedAtMs, Known.m_Revision);
+  std::set<std::string_view> Named;
+  if (m_Published != nullptr) {
+    for (const PublishedService &Each : m_Published->m_Services)
+      Named.insert(Each.m_Name);
+  }
+  const auto Order = [&Named](const KnownTarget &Known) {
+    return std::tuple(Named.contains(Known.m_Entry.m_Service),
+                      Known.m_Entry.m_StartedAtMs, Known.m_Revision);
   };
   std::map<std::string_view, const KnownTarget *> ByAddress;
   for (const auto &[Key, Known] : m_Targets) {
--- a/tests/unit/registry_test.cpp
+++ b/tests/unit/registry_test.cpp
@@ -139,6 +139,20 @@
   CHECK(World.targets().front().m_Name == "i-0");
 }
 
+TEST_CASE("an entry without a named service hides no target at its address") {
+  Fixture World;
+  std::string Foreign = targetJson("10.1.0.8:8301", "ready", 0, 2);
+  Foreign.replace(Foreign.find("desk"), 4, "else");
+  World.m_Registry.apply({record("servers/i-0", 11, Foreign)}, 11, World.m_Now);
+  REQUIRE(World.targets().size() == 1);
+  CHECK(World.targets().front().m_Name == "i-1");
+  SUBCASE("its node remains known once the target has left") {
+    World.m_Registry.apply({{"servers/i-1", 12, nullptr}}, 12, World.m_Now);
+    CHECK(World.targets().empty());
+    CHECK(World.m_Registry.nodes().size() == 1);
+  }
+}
+
 TEST_CASE("the end of an announced cold start is measured on the local clock") {
   Fixture World;
   CHECK(World.m_Registry.apply(
