Contract tests: open calls, late replies and zones across a restore

The fleet gains listings in pages, a restore that leaves watches open, replies that take longer than later ones, replies that arrive after their call was abandoned, and availability zones that operators take out and back and write again after a restore. The kinds of return moved from store_restored_test.cpp to store_returns.h, unchanged.

--- a/tests/contract/store_emulation.cpp
+++ b/tests/contract/store_emulation.cpp
@@ -21,6 +21,8 @@
     Result->m_Services.push_back({"desk", 100, Duration{0}, 0});
     return std::shared_ptr<const PublishedConfiguration>(Result);
   }
+  if (Record.m_Key.starts_with("zone/"))
+    return ZoneOutRecord{*Record.m_Value};
   TargetEntry Entry;
   std::string State;
   Stream >> Entry.m_Service >> Entry.m_Address >> Entry.m_Zone >> State >>
@@ -101,8 +103,13 @@
   if (Now < m_LoadedAt)
     return Result;
   for (const auto &[Key, Record] : newestRecords()) {
-    if (Key.starts_with(Call.m_Prefix))
-      Result.m_Records.push_back(Record);
+    if (!Key.starts_with(Call.m_Prefix) || Key <= Call.m_After)
+      continue;
+    Result.m_HasMore =
+        m_PageRecords > 0 && Result.m_Records.size() == m_PageRecords;
+    if (Result.m_HasMore)
+      break;
+    Result.m_Records.push_back(Record);
   }
   return Result;
 }
--- a/tests/contract/store_emulation.h
+++ b/tests/contract/store_emulation.h
@@ -19,7 +19,8 @@
 using core::TimePoint;
 
 /// Decodes the fleet's records: `SERVICE ADDRESS ZONE STATE BORN SEQ` for a
-/// target, and a version number for the configuration.
+/// target, a version number for the configuration, and `zone/NAME` with the
+/// name of an availability zone taken out.
 class FleetDecoder : public core::RecordDecoder {
 public:
   core::DecodedRecord decode(const core::StoreRecord &Record) const override;
@@ -50,6 +51,8 @@
   WatchBeyond m_Beyond = WatchBeyond::Compacted;
   /// Time after the return for which listings are empty.
   Duration m_EmptyFor{0};
+  /// Whether watches stay open during the return, and are answered later.
+  bool m_KeepsWatches = false;
 };
 
 /// A store whose serializable calls see an old state.
@@ -70,6 +73,9 @@
   Duration staleness() const { return m_Staleness; }
   /// States the era in all replies.
   void stateEra() { m_Era = 1; }
+  /// Returns listings in pages.
+  /// \param Records records of a page; 0 for one page.
+  void setPageSize(std::size_t Records) { m_PageRecords = Records; }
   /// Goes back to an earlier state.
   /// \param TakenAt moment from which the age of the copy counts.
   void restore(const RestoredCopy &Copy, TimePoint TakenAt, TimePoint Now);
@@ -93,6 +99,7 @@
   WatchBeyond m_Beyond = WatchBeyond::Waits;
   TimePoint m_LoadedAt;
   std::optional<std::uint64_t> m_Era;
+  std::size_t m_PageRecords = 0;
 };
 
 } // namespace dandelionfall::test
--- a/tests/contract/store_fleet.cpp
+++ b/tests/contract/store_fleet.cpp
@@ -27,6 +27,7 @@
       m_Targets(Options.m_Nodes) {
   if (Options.m_StatesEra)
     m_Store.stateEra();
+  m_Store.setPageSize(Options.m_PageRecords);
   for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number)
     listTarget(Number);
   publish();
@@ -197,6 +198,7 @@
   Started.m_StartedAt = m_Now;
   Started.m_Used.clear();
   Started.m_Left.clear();
+  Started.m_ZonesOut.clear();
   Started.m_TickAt.reset();
   Started.m_Silenced.clear();
   Started.m_PendingCalls.clear();
@@ -313,12 +315,17 @@
     Reply.m_Records.clear();
   }
   const Duration Delay = StoreDelay / 2 + sendReply(Reply) +
-                         transferBytes(Number, bytesOf(Reply.m_Records));
+                         transferBytes(Number, bytesOf(Reply.m_Records)) +
+                         m_Nodes[Number].m_SlowReplies;
   m_Nodes[Number].m_Arriving.insert(Reply.m_Call);
+  // What is underway when its call is abandoned still arrives.
+  const bool IsExpected = m_Nodes[Number].m_PendingCalls.contains(Reply.m_Call);
   deliver(Number, Start, Delay,
-          [this, Number, Reply = std::move(Reply)](StoreReplica &Replica) {
+          [this, Number, IsExpected,
+           Reply = std::move(Reply)](StoreReplica &Replica) {
             m_Nodes[Number].m_Arriving.erase(Reply.m_Call);
-            if (m_Nodes[Number].m_PendingCalls.erase(Reply.m_Call) > 0)
+            m_Nodes[Number].m_PendingCalls.erase(Reply.m_Call);
+            if (IsExpected)
               Replica.onStoreReply(Reply, m_Now);
           });
 }
@@ -465,6 +472,7 @@
     m_Violations.push_back("node " + std::to_string(Number) +
                            " applies an earlier revision");
   Applying.m_AppliedRevision = Applied;
+  noteZones(Number, *Command.m_Configuration);
   if (Applying.m_FirstVersion == 0)
     Applying.m_FirstVersion = Applying.m_Replica->registry().version();
 }
--- a/tests/contract/store_fleet.h
+++ b/tests/contract/store_fleet.h
@@ -48,6 +48,8 @@
   Duration m_DecodeTime{0};
   /// Whether the store states its era.
   bool m_StatesEra = false;
+  /// Records of one page of a listing; 0 for one page.
+  std::size_t m_PageRecords = 0;
 };
 
 /// A fleet; node `I` is next to target `I`, in availability zone `I modulo
@@ -72,6 +74,9 @@
   void reconnectToStore(std::size_t Node);
   /// The pending calls of the node never get a reply; later ones do.
   void silencePendingCalls(std::size_t Node);
+  /// Sets the time that replies sent to the node from now on take besides;
+  /// later ones can overtake them.
+  void slowReplies(std::size_t Node, Duration Longer);
   /// Nothing passes between the node and any other node.
   void cutFromNodes(std::size_t Node);
   /// Asks the node to hand over to others before a planned stop.
@@ -87,10 +92,19 @@
   Revision removeTarget(std::size_t Node);
   /// Writes the entry of a target again.
   void listTarget(std::size_t Node);
+  /// Takes an availability zone out of service. \returns its revision.
+  Revision takeOutZone(std::size_t Zone);
+  /// Takes an availability zone back into service. \returns the revision.
+  Revision takeBackZone(std::size_t Zone);
+  /// \returns whether a zone is out of service in what a node has in force.
+  bool isOut(std::size_t Node, std::size_t Zone) const;
+  /// \returns the nodes that run and have a zone in service.
+  std::set<std::size_t> nodesWith(std::size_t Zone) const;
   /// The store refuses all calls, and comes back from a copy after a while.
   /// What was written is written again: the configuration and the live targets
-  /// by their writers within 1.9 s of the return; entries of targets that have
-  /// left lapse again within 6 s.
+  /// by their writers within 1.9 s of the return, zones taken out or back by
+  /// the operators within the same time; entries of targets that have left
+  /// lapse again within 6 s.
   void restoreStore(const RestoredCopy &Copy, Duration Away);
   /// \returns the version published last.
   core::Version newestVersion() const { return m_Version; }
@@ -110,7 +124,8 @@
   /// \returns the calls of a node since.
   std::size_t callsSince(std::size_t Node, TimePoint Since) const;
   /// \returns what broke an invariant at any node: a version that went back, a
-  /// target used again after it left, a live target dropped.
+  /// target used again after it left, a live target dropped, a zone that is
+  /// out used again.
   const std::vector<std::string> &violations() const { return m_Violations; }
   /// \returns which nodes use a target again that had left before they
   /// started.
@@ -196,6 +211,10 @@
     /// Live targets that are used, and targets not used after they left.
     std::set<std::size_t> m_Used;
     std::set<std::size_t> m_Left;
+    /// Zones out of service in what is in force.
+    std::set<std::string> m_ZonesOut;
+    /// Time that replies of the store take besides.
+    Duration m_SlowReplies{0};
     std::vector<TimePoint> m_CallTimes;
     std::vector<TimePoint> m_ListingTimes;
   };
@@ -246,6 +265,8 @@
   /// Writes a target's entry. \returns its revision.
   Revision writeTarget(std::size_t Node, TargetPhase Phase);
   void writeLostAgain();
+  void writeZonesAgain();
+  void noteZones(std::size_t Node, const core::Configuration &Applied);
   void refuse(std::size_t Node, std::uint64_t Start, std::uint64_t Call);
   /// \returns the time until a node has received records, behind earlier ones.
   Duration transfer(std::size_t Node,
@@ -293,6 +314,10 @@
   std::string m_Configuration;
   std::map<core::Version, TimePoint> m_VersionAt;
   std::vector<LiveTarget> m_Targets;
+  /// Zones that the operators have taken out of service.
+  std::set<std::size_t> m_ZonesOut;
+  /// When they last took each zone back.
+  std::map<std::size_t, TimePoint> m_ZonesBackAt;
   bool m_StoreIsAway = false;
   /// Whether the store has been restored; invariants are checked from then.
   bool m_WasRestored = false;
--- a/tests/contract/store_fleet_operator.cpp
+++ b/tests/contract/store_fleet_operator.cpp
@@ -106,12 +106,17 @@
     if (m_Nodes[Number].m_Replica != nullptr)
       checkInvariants(Number);
   }
-  for (const Watcher &Each : std::exchange(m_Watchers, {}))
-    refuse(Each.m_Node, Each.m_Start, Each.m_Call.m_Call);
+  if (!Copy.m_KeepsWatches) {
+    for (const Watcher &Each : std::exchange(m_Watchers, {}))
+      refuse(Each.m_Node, Each.m_Start, Each.m_Call.m_Call);
+  }
   at(m_Now + Away, [this, Copy, TakenAt = m_Now] {
     m_StoreIsAway = false;
     m_Store.restore(Copy, TakenAt, m_Now);
+    if (Copy.m_KeepsWatches)
+      announce();
     writeLostAgain();
+    writeZonesAgain();
   });
 }
 
--- a/tests/contract/store_restored_test.cpp
+++ b/tests/contract/store_restored_test.cpp
@@ -1,10 +1,8 @@
 // A store that comes back from an older copy, or counts its revisions anew.
-#include "store_fleet.h"
+#include "store_returns.h"
 
 #include <doctest/doctest.h>
 
-#include <array>
-
 using namespace dandelionfall;
 using namespace dandelionfall::test;
 using std::chrono::milliseconds;
@@ -23,55 +21,6 @@
 constexpr std::size_t MaxListings = 3;
 constexpr std::size_t MaxCalls = 24;
 
-/// A copy, and how the store behaves.
-struct Return {
-  const char *m_Name;
-  RestoredCopy m_Copy;
-  bool m_StatesEra;
-};
-
-RestoredCopy copyOf(Duration Age, WatchBeyond Beyond, bool KeepsHistory) {
-  RestoredCopy Result;
-  Result.m_Age = Age;
-  Result.m_Beyond = Beyond;
-  Result.m_KeepsHistory = KeepsHistory;
-  return Result;
-}
-
-RestoredCopy countedAnew(WatchBeyond Beyond) {
-  RestoredCopy Result;
-  Result.m_CountsAnew = true;
-  Result.m_Beyond = Beyond;
-  return Result;
-}
-
-const std::array Returns = {
-    Return{"older, 410", copyOf(seconds(3), WatchBeyond::Compacted, true),
-           false},
-    Return{"older, waits", copyOf(seconds(3), WatchBeyond::Waits, true), false},
-    Return{"older, nothing", copyOf(seconds(3), WatchBeyond::Nothing, true),
-           false},
-    Return{"older, no history",
-           copyOf(seconds(3), WatchBeyond::Compacted, false), false},
-    Return{"older, era", copyOf(seconds(3), WatchBeyond::Compacted, true),
-           true},
-    Return{"older, waits, era", copyOf(seconds(3), WatchBeyond::Waits, true),
-           true},
-    Return{"anew, 410", countedAnew(WatchBeyond::Compacted), false},
-    Return{"anew, waits", countedAnew(WatchBeyond::Waits), false},
-    Return{"anew, nothing", countedAnew(WatchBeyond::Nothing), false},
-    Return{"anew, era", countedAnew(WatchBeyond::Compacted), true},
-};
-
-StoreFleetOptions fleetFor(const Return &Played, std::uint64_t Seed) {
-  StoreFleetOptions Options;
-  Options.m_Seed = Seed;
-  Options.m_StatesEra = Played.m_StatesEra;
-  Options.m_Staleness = milliseconds(Seed % 2 == 0 ? 0 : 800);
-  Options.m_TrafficInterval = milliseconds(Seed % 3 == 0 ? 50 : 0);
-  return Options;
-}
-
 void checkViolations(const StoreFleet &Fleet) {
   for (const std::string &Each : Fleet.violations())
     FAIL_CHECK(Each);
