Count repeated listings in quick succession only

Found by reading in a second review: the counts of dropped replies and of watches without history were reset by a watch only. A node that others send all changes makes none, so what happened weeks apart counted as "in a row": its later listings began up to 0.8 s late.

Cause: both counters had no notion of time. A good listing can't reset them: where the store refuses each watch after a good listing, listings would follow each other without a delay (unit test "repeated listings in a row are delayed", which passes before and after).

Change: Repetitions counts an occurrence as the first again 10 s after the one before; a compared record that the store still has resets the dropped replies, too. Events of dropped replies are limited in number the same way.

store_repetition_test: of occurrences one minute apart, the second and later ones had no listing at once (6 of the checks in 2 cases fail); after: none fails. The 60 other cases of unit tests named store_* pass.

--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -7,6 +7,7 @@
 #include "dandelionfall/core/event.h"
 #include "dandelionfall/core/missing_revisions.h"
 #include "dandelionfall/core/published.h"
+#include "dandelionfall/core/repetitions.h"
 #include "dandelionfall/core/store_history.h"
 
 #include <cstdint>
@@ -220,7 +221,8 @@
   void onChanges(StoreReply Reply, TimePoint Now);
   void reportCaughtUp(const StoreReply &Reply, TimePoint Now);
   void reportFailure(const StoreReply &Reply, TimePoint Now);
-  void reportDropped(const StoreReply &Reply);
+  /// \returns how many replies were dropped in succession.
+  unsigned reportDropped(const StoreReply &Reply, TimePoint Now);
   void onFailure(const StoreReply &Reply, TimePoint Now);
   void setReachable(bool Reachable, const std::string &Cause);
 
@@ -287,14 +289,15 @@
   bool m_PageWasStale = false;
   /// Consecutive failed calls.
   unsigned m_Failures = 0;
-  /// Watches in a row for which the store had no history.
-  unsigned m_Compactions = 0;
+  /// Watches for which the store had no history. A listing ends no such
+  /// succession, since the next watch can be refused, too.
+  Repetitions m_Compactions;
   /// Later eras in quick succession.
   unsigned m_Replacements = 0;
   /// Since when listings lack the required key.
   std::optional<TimePoint> m_PartialSince;
-  /// Consecutive replies that did not continue the known history.
-  unsigned m_Dropped = 0;
+  /// Replies that did not continue the known history.
+  Repetitions m_Dropped;
   bool m_Reachable = true;
 };
 
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -244,7 +244,7 @@
     // A replica of the store that lags behind can refuse a serializable watch
     // after every listing.
     m_CatchingUp = m_LastConsistency != ReadConsistency::Linearizable;
-    return relist(++m_Compactions, Now);
+    return relist(m_Compactions.add(Now), Now);
   }
   if (IsTooLarge) {
     // The same watch would return more each time.
@@ -342,11 +342,11 @@
     if (Reply.m_AsOf < m_LastWatch->m_After)
       return listSuspected(Reply, Now);
     m_CatchingUp = false;
-    m_Dropped = 0;
+    m_Dropped.reset();
     m_IsUnverified = m_IsUnverified && !m_History.hasEra();
     dropDisproved(Reply.m_AsOf);
   }
-  m_Compactions = 0;
+  m_Compactions.reset();
   m_PartialSince.reset();
   onAnswer(Now);
   const Revision AsOf = m_History.revisionOf(Reply.m_AsOf);
--- a/src/core/registry/store_reader_history.cpp
+++ b/src/core/registry/store_reader_history.cpp
@@ -22,10 +22,10 @@
   if (Found == StoreHistory::Relation::Same)
     return true;
   if (Found == StoreHistory::Relation::Earlier) {
-    reportDropped(Reply);
+    const unsigned Repetition = reportDropped(Reply, Now);
     m_CatchingUp = true;
     m_PageWasStale = m_Purpose == Purpose::List;
-    m_CallAt = Now + retryDelay(m_Dropped, m_Random);
+    m_CallAt = Now + retryDelay(Repetition, m_Random);
     return false;
   }
   m_Replacements = mayReadEarlierHistory() ? m_Replacements + 1 : 1;
@@ -51,14 +51,14 @@
   // Either the record has been written or removed since, or the store has begun
   // another history; a listing shows which.
   if (!IsHeld)
-    return relist(++m_Dropped, Now);
+    return relist(m_Dropped.add(Now), Now);
+  m_Dropped.reset();
   m_IsUnverified = m_ComparedAsOf < m_KnownRevision;
   issueCall(Now);
 }
 
 void StoreReader::listSuspected(const StoreReply &Reply, TimePoint Now) {
-  reportDropped(Reply);
-  relist(m_Dropped, Now);
+  relist(reportDropped(Reply, Now), Now);
 }
 
 void StoreReader::relist(unsigned Repetition, TimePoint Now) {
@@ -123,15 +123,17 @@
   m_EvidenceAsOf = AsOf;
 }
 
-void StoreReader::reportDropped(const StoreReply &Reply) {
-  if (++m_Dropped > MaxLoggedFailures)
-    return;
+unsigned StoreReader::reportDropped(const StoreReply &Reply, TimePoint Now) {
+  const unsigned Repetition = m_Dropped.add(Now);
+  if (Repetition > MaxLoggedFailures)
+    return Repetition;
   m_Commands.emplace_back(
       Event{EventId::StoreReplyDropped,
             std::string("mode=") + nameOf(m_Mode) +
                 " known_revision=" + formatRevision(m_KnownRevision) +
                 " as_of=" + std::to_string(Reply.m_AsOf) +
                 " calls=" + std::to_string(m_LastCall)});
+  return Repetition;
 }
 
 void StoreReader::reportHistory(const char *Cause, StoreCounter AsOf) {
