Ask the next follower once one has sent nothing of use

A follower that had nothing delayed one that had by a second, and until its next message.

Ruled out: a limit for each link alone; all followers would then send the same large records at once.

Change: RecordRequests keeps the latest claim of each link. One request is open at a time, until its reply, the end of the link or a second have passed; then the next link whose claim is still missing is asked. Each link is asked at most once a second, as before.

record_requests_test, before: 3 of 3 subcases of "a follower that has nothing does not delay one that has" fail; after: none. The two other cases ("what one follower has sent is requested of no other", "asked once in a while") pass before and after. All 451 unit tests pass. A follower that answers nothing and keeps its link open still delays the next one by a second.

--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -3,6 +3,7 @@
 #include "core/registry/feed_follower.h"
 #include "core/registry/feed_publisher.h"
 #include "core/registry/patch_requests.h"
+#include "core/registry/record_requests.h"
 #include "core/registry/start_inquiry.h"
 #include "core/registry/urgent_watches.h"
 #include "dandelionfall/core/peer_pull.h"
@@ -67,6 +68,7 @@
   void onLinkClosed(LinkId Link, TimePoint Now) {
     m_Follower.onLinkClosed(Link, Now);
     m_Inquiry.onLinkClosed(Link);
+    m_RecordRequests.onLinkClosed(Link);
     m_Publisher.onLinkClosed(Link);
     settle(Now);
   }
@@ -111,7 +113,8 @@
          {m_StartEnds, m_Reader.nextWakeUp(), m_Registry.nextWakeUp(),
           m_Pull.nextWakeUp(), m_Follower.nextWakeUp(),
           m_Publisher.nextWakeUp(), m_Inquiry.nextWakeUp(),
-          m_UrgentWatches.nextWakeUp(), m_PatchRequests.nextWakeUp()}) {
+          m_UrgentWatches.nextWakeUp(), m_PatchRequests.nextWakeUp(),
+          m_RecordRequests.nextWakeUp()}) {
       if (Each)
         Next = Next ? std::min(*Next, *Each) : *Each;
     }
@@ -134,6 +137,7 @@
   UrgentWatches m_UrgentWatches;
   StartInquiry m_Inquiry;
   PatchRequests m_PatchRequests;
+  RecordRequests m_RecordRequests;
 
   // A node that follows others passes on what they announce. With the latest
   // confirmation goes the highest revision, which is at least the confirmed
@@ -206,6 +210,7 @@
       m_Pull.onReply();
     }
     m_Inquiry.onReply(Link);
+    m_RecordRequests.onReply(Link);
     if (m_Registry.applyPush(Push, Now))
       onRecords(Now);
     m_Reader.onPeerRecords(m_Registry.revision(), Now);
@@ -222,22 +227,20 @@
 
   // Asks a node at the other end of a link for a configuration that the store
   // has lost, or for what the store does not tell this node.
-  void requestMissing(LinkId Link, Version Retained, Revision Held,
-                      TimePoint Now) {
-    const bool IsMissing =
-        Retained > m_Registry.version() ||
-        (Held > m_Registry.revision() && !m_Reader.isAnswered());
-    if (!IsMissing || Now < m_NextRequestAt)
-      return;
-    m_NextRequestAt = Now + PeerPullTimeout;
-    askForRecords(Link);
+  void requestMissing(TimePoint Now) {
+    const auto IsMissing = [this](const RecordClaim &Claim) {
+      return Claim.m_Retained > m_Registry.version() ||
+             (Claim.m_Held > m_Registry.revision() && !m_Reader.isAnswered());
+    };
+    if (const auto Link = m_RecordRequests.takeDue(IsMissing, Now))
+      askForRecords(*Link);
   }
 
   void handle(LinkId Link, const FollowRevisions &Request, TimePoint Now) {
     if (namesNoHistory(Request.m_Held))
       return;
     m_Reader.onLaterHistory(historyOf(Request.m_Held), Now);
-    requestMissing(Link, Request.m_Retained, Request.m_Held, Now);
+    m_RecordRequests.onClaim(Link, {Request.m_Retained, Request.m_Held});
     m_Publisher.onFollow(Link, Request, ownRevision(Now),
                          m_Registry.changesFor(Request.m_Held,
                                                Request.m_WantsPatches,
@@ -256,7 +259,7 @@
     if (Address.empty())
       return;
     m_Reader.onLaterHistory(historyOf(Notice.m_Revision), Now);
-    requestMissing(Link, Notice.m_Retained, 0, Now);
+    m_RecordRequests.onClaim(Link, {Notice.m_Retained, 0});
     updateOutage(Now);
     if (m_Registry.applyFeed(Notice.m_Changes, Notice.m_Held, Now))
       onRecords(Now);
@@ -304,6 +307,7 @@
     settleUrgentWatches(Now);
     updateOutage(Now);
     updateEvidence();
+    requestMissing(Now);
     if (m_IsHeldBack && m_Inquiry.isOver())
       onRecords(Now);
     m_Pull.setStoreAnswers(m_Reader.isAnswered());
@@ -406,8 +410,6 @@
   bool m_IsHeldBack = false;
   /// Revision of the registry when the reader's evidence was set.
   std::optional<Revision> m_EvidenceAsOf;
-  /// When the next records may be requested on a link of a feed.
-  TimePoint m_NextRequestAt;
   /// Link of the pending pull; 0 if there is none.
   LinkId m_PullLink = 0;
   std::uint64_t m_Pulls = 0;
