Bound the memory that bodies of requests take together

Cause: HttpServer reads each body whole, and nothing bounds the bytes of all requests together. Each body is copied on its way: to set the calling service, to make the target's request, to make Beast's message, into frames.

Ruled out: a limit for one body (exists, 8 MiB; 60 of them are 480 MB) and one on connections (small requests would be rejected with the large ones).

Change: core::ByteBudget reserves bytes within fixed totals, with a share of its own for small reservations and first come, first served for those that wait. Callers' bodies may take 30 % of [machine] memory_mb, those of other nodes for the target 15 %, each counted twice for the copy on its way. The server doesn't read a body until its bytes are reserved; after 2 s or half of the caller's deadline it answers 503, not run, and discards up to one body so that the caller can read it. Chunked bodies reserve in steps and hold none while they wait for the next. Reserved bytes are tied to the request object. A gate without room refuses a request from another node. Three of the copies are dropped. Status and metrics show bytes held, the limit and the refusals.

Changed tests: withCallerService is now setCallerService, which changes the request in place, so its test compares requests rather than pointers; the line of a status report has three more fields. Both are as strict as before.

Not bounded yet: responses, frames for a peer that doesn't read, the input buffers of links. The time that a body waits isn't taken off the caller's deadline.

--- a/include/dandelionfall/app/metrics.h
+++ b/include/dandelionfall/app/metrics.h
@@ -28,6 +28,7 @@
   TrafficBytesSent,
   TrafficBytesReceived,
   SourceCalls,
+  BodiesRefused,
 };
 
 /// Values that can rise and fall.
@@ -39,6 +40,9 @@
   TargetInFlight,
   TargetLimit,
   TargetQueued,
+  BodyHeldBytes,
+  BodyLimitBytes,
+  BodiesWaiting,
 };
 
 /// Durations whose distribution is recorded.
--- a/include/dandelionfall/app/status_report.h
+++ b/include/dandelionfall/app/status_report.h
@@ -52,6 +52,11 @@
   std::uint32_t m_MemoryMb = 0;
   std::uint32_t m_Descriptors = 0;
   double m_LinkMbps = 0;
+  /// Memory reserved for the bodies of requests, its limit, and the number of
+  /// requests that were refused for want of it.
+  std::uint64_t m_BodyHeldBytes = 0;
+  std::uint64_t m_BodyLimitBytes = 0;
+  std::uint64_t m_BodiesRefused = 0;
   friend bool operator==(const StatusReport &, const StatusReport &) = default;
 };
 
--- a/include/dandelionfall/core/machine_limits.h
+++ b/include/dandelionfall/core/machine_limits.h
@@ -3,6 +3,8 @@
 #ifndef DANDELIONFALL_CORE_MACHINE_LIMITS_H
 #define DANDELIONFALL_CORE_MACHINE_LIMITS_H
 
+#include "dandelionfall/core/byte_budget.h"
+
 #include <cstddef>
 #include <cstdint>
 
@@ -27,6 +29,13 @@
 /// descriptors carries, and at least a few.
 std::size_t maxFollowers(const MachineLimits &Limits);
 
+/// \returns the limits of the bytes that the bodies of all callers' requests
+/// may take together, with the copies on their way: a share of the memory.
+ByteBudgetLimits callerBodyLimits(const MachineLimits &Limits);
+
+/// \returns the same for the requests that arrive from other nodes.
+ByteBudgetLimits gateBodyLimits(const MachineLimits &Limits);
+
 } // namespace dandelionfall::core
 
 #endif // DANDELIONFALL_CORE_MACHINE_LIMITS_H
--- a/include/dandelionfall/core/traffic_message.h
+++ b/include/dandelionfall/core/traffic_message.h
@@ -88,6 +88,9 @@
   bool m_AsSuspect = false;
   /// Whether the ingress may send the request once more after it has run.
   bool m_Repeatable = false;
+  /// Set by the receiving node if it has no memory for the body: the gate
+  /// refuses the request. Not transferred.
+  bool m_NoRoom = false;
   friend bool operator==(const Dispatch &, const Dispatch &) = default;
 };
 
--- a/include/dandelionfall/net/http_client.h
+++ b/include/dandelionfall/net/http_client.h
@@ -94,7 +94,7 @@
   /// \param Idempotent whether any idle connection can be reused, or only one
   /// below HttpClientOptions::m_MaxIdleNonIdempotent.
   /// \param Done called once, never from within this call.
-  ExchangeId send(const core::HttpRequest &Request, core::Duration Timeout,
+  ExchangeId send(core::HttpRequest Request, core::Duration Timeout,
                   bool Idempotent, Callback Done);
 
   /// Cancels an exchange; its callback is still called.
--- a/include/dandelionfall/net/http_server.h
+++ b/include/dandelionfall/net/http_server.h
@@ -4,6 +4,7 @@
 #ifndef DANDELIONFALL_NET_HTTP_SERVER_H
 #define DANDELIONFALL_NET_HTTP_SERVER_H
 
+#include "dandelionfall/core/byte_budget.h"
 #include "dandelionfall/core/http_message.h"
 #include "dandelionfall/core/identity.h"
 
@@ -30,18 +31,30 @@
   std::chrono::milliseconds m_RequestTimeout{10'000};
   /// Time after which a connection without a request is closed.
   std::chrono::milliseconds m_IdleTimeout{60'000};
+  /// Bounds what the bodies of all requests hold together, from before they are
+  /// read until the request objects are destroyed. A connection is not read
+  /// while its body waits for room. Null if there is no such bound.
+  std::shared_ptr<core::ByteBudget> m_BodyBudget;
 };
 
 /// Callbacks of a server to its owner.
 struct HttpServerHandlers {
   /// A complete, well-formed request; the owner calls respond() once for it.
-  std::function<void(core::CallId, core::HttpRequestPtr)> m_Request;
+  std::function<void(core::CallId, std::shared_ptr<core::HttpRequest>)>
+      m_Request;
   /// The caller disconnected before the response; a later response is
   /// discarded.
   std::function<void(core::CallId)> m_CallerDisconnected;
   /// A malformed, oversized or late request was rejected; \p Fault is the text
   /// of the error response.
   std::function<void(const std::string &Fault)> m_Rejected;
+  /// \returns the time for which the body of a request, of which only the
+  /// header is set, may wait for room. Needed with a budget.
+  std::function<std::chrono::milliseconds(const core::HttpRequest &)>
+      m_MaxRoomWait;
+  /// \returns the response to such a request if there was no room in that time.
+  /// Needed with a budget.
+  std::function<core::HttpResponse(const core::HttpRequest &)> m_NoRoom;
 };
 
 /// HTTP/1.1 server. Not thread-safe: all calls must be made on the single
@@ -58,7 +71,7 @@
 
   /// Sends the response to a request; has no effect if the caller has
   /// disconnected.
-  void respond(core::CallId Call, const core::HttpResponse &Response);
+  void respond(core::CallId Call, core::HttpResponse Response);
 
   /// Replaces the limits for later requests.
   void setLimits(std::uint32_t MaxHeaderBytes, std::uint64_t MaxBodyBytes,
--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -55,6 +55,8 @@
               "Bytes received on traffic links."},
     MetricRow{"dandelionfall_source_calls_total",
               "Calls to the platform's configuration service."},
+    MetricRow{"dandelionfall_body_refused_total",
+              "Requests refused because there was no memory for the body."},
 };
 
 // In the order of Gauge.
@@ -69,6 +71,12 @@
               "Requests that the target may run at once."},
     MetricRow{"dandelionfall_target_queued",
               "Requests that wait for the target."},
+    MetricRow{"dandelionfall_body_held_bytes",
+              "Memory reserved for the bodies of requests."},
+    MetricRow{"dandelionfall_body_limit_bytes",
+              "Memory that may be reserved for the bodies of requests."},
+    MetricRow{"dandelionfall_body_waiting",
+              "Callers' requests that wait for memory for the body."},
 };
 
 // In the order of Timing.
--- a/src/app/node/blackboard.h
+++ b/src/app/node/blackboard.h
@@ -7,6 +7,7 @@
 #include "dandelionfall/app/event_recorder.h"
 #include "dandelionfall/app/metrics.h"
 #include "dandelionfall/app/settings.h"
+#include "dandelionfall/core/byte_budget.h"
 #include "dandelionfall/core/configuration.h"
 #include "dandelionfall/core/host_list.h"
 #include "dandelionfall/core/http_dialect.h"
@@ -49,7 +50,10 @@
 struct Blackboard {
   Blackboard(const Settings &Config, core::Incarnation Start)
       : m_Settings(Config), m_Dialect(dialectOf(Config.m_SourceProtocol)),
-        m_Incarnation(Start),
+        m_Incarnation(Start), m_CallerBodies(core::ByteBudget::create(
+                                  core::callerBodyLimits(Config.m_Machine))),
+        m_GateBodies(
+            core::ByteBudget::create(core::gateBodyLimits(Config.m_Machine))),
         m_Events(Config.m_Host, m_Clock, Config.m_TraceRequests),
         m_StepEvents(areStepEventsEnabled(Config)) {}
 
@@ -57,6 +61,10 @@
   /// HTTP field names used by callers and targets.
   const core::HttpDialect &m_Dialect;
   const core::Incarnation m_Incarnation;
+  /// Bodies from callers, and from other nodes for the target; used by the
+  /// traffic thread.
+  const std::shared_ptr<core::ByteBudget> m_CallerBodies;
+  const std::shared_ptr<core::ByteBudget> m_GateBodies;
   /// Safe for concurrent use by several threads.
   LogicalClock m_Clock;
   EventRecorder m_Events;
--- a/src/app/node/caller_response.cpp
+++ b/src/app/node/caller_response.cpp
@@ -149,18 +149,15 @@
   return {};
 }
 
-core::HttpRequestPtr withCallerService(const core::HttpDialect &Dialect,
-                                       core::HttpRequestPtr Request,
-                                       const std::string &Service) {
+void setCallerService(const core::HttpDialect &Dialect,
+                      core::HttpRequest &Request, const std::string &Service) {
   const std::string_view Name = Dialect.m_CallerServiceField;
   if (Name.empty())
-    return Request;
-  core::HttpRequest Result = *Request;
-  std::erase_if(Result.m_Fields, [Name](const core::HttpField &Field) {
+    return;
+  std::erase_if(Request.m_Fields, [Name](const core::HttpField &Field) {
     return isNamed(Field, Name);
   });
-  Result.m_Fields.push_back({std::string(Name), Service});
-  return std::make_shared<const core::HttpRequest>(std::move(Result));
+  Request.m_Fields.push_back({std::string(Name), Service});
 }
 
 ResponseClass classifyResponse(const core::HttpDialect &Dialect,
--- a/src/app/node/caller_response.h
+++ b/src/app/node/caller_response.h
@@ -45,13 +45,11 @@
 
 /// Sets the field for the calling service, which only a node can set; values
 /// from the caller are removed.
+/// It has no effect if the dialect has no such field.
 /// \param Request the caller's request.
 /// \param Service the service of the local target of the ingress node.
-/// \returns the changed request, or `Request` itself if the dialect has no such
-/// field.
-core::HttpRequestPtr withCallerService(const core::HttpDialect &Dialect,
-                                       core::HttpRequestPtr Request,
-                                       const std::string &Service);
+void setCallerService(const core::HttpDialect &Dialect,
+                      core::HttpRequest &Request, const std::string &Service);
 
 /// How a target's response is to be treated.
 enum class ResponseClass : std::uint8_t {
--- a/src/app/node/operator_pages.cpp
+++ b/src/app/node/operator_pages.cpp
@@ -24,6 +24,14 @@
   return Result;
 }
 
+std::uint64_t heldBytes(const Blackboard &Board) {
+  return Board.m_CallerBodies->held() + Board.m_GateBodies->held();
+}
+
+std::uint64_t limitBytes(const Blackboard &Board) {
+  return Board.m_CallerBodies->limit() + Board.m_GateBodies->limit();
+}
+
 StatusReport makeReport(const Blackboard &Board,
                         const core::DistributionStatus &Distribution) {
   StatusReport Report;
@@ -58,6 +66,9 @@
   Report.m_MemoryMb = Machine.m_MemoryMb;
   Report.m_Descriptors = Machine.m_Descriptors;
   Report.m_LinkMbps = Machine.m_LinkMbps;
+  Report.m_BodyHeldBytes = heldBytes(Board);
+  Report.m_BodyLimitBytes = limitBytes(Board);
+  Report.m_BodiesRefused = Board.m_Metrics.count(Counter::BodiesRefused);
   return Report;
 }
 
@@ -86,6 +97,10 @@
   Values.set(Gauge::TargetInFlight, Board.m_Load.m_InFlight.load());
   Values.set(Gauge::TargetLimit, Board.m_Load.m_Limit.load());
   Values.set(Gauge::TargetQueued, Board.m_Load.m_Queued.load());
+  Values.set(Gauge::BodyHeldBytes, static_cast<double>(heldBytes(Board)));
+  Values.set(Gauge::BodyLimitBytes, static_cast<double>(limitBytes(Board)));
+  Values.set(Gauge::BodiesWaiting,
+             static_cast<double>(Board.m_CallerBodies->waiting()));
   return makePage(StatusOk, "text/plain; version=0.0.4",
                   Values.prometheusText());
 }
--- a/src/app/node/traffic_commands.cpp
+++ b/src/app/node/traffic_commands.cpp
@@ -235,14 +235,14 @@
     return m_Gate.onTargetFailure(Command.m_Id, core::TargetFailure::NotSent,
                                   "the node has no target", Now);
   const core::Duration Remaining = Command.m_Deadline - Now;
-  m_Exchanges[Command.m_Id] =
-      m_Target->send(makeTargetRequest(m_Board.m_Dialect, *Command.m_Request,
-                                       Remaining, Command.m_Target),
-                     Remaining + ExchangeGrace, Command.m_Idempotent,
-                     [this, Started = withoutRequest(Command),
-                      Now](const net::HttpResult &Result) {
-                       onTargetResult(Started, Now, Result);
-                     });
+  m_Exchanges[Command.m_Id] = m_Target->send(
+      makeTargetRequest(m_Board.m_Dialect, *Command.m_Request, Remaining,
+                        Command.m_Target),
+      Remaining + ExchangeGrace, Command.m_Idempotent,
+      [this, Started = withoutRequest(Command), Now,
+       Reserved = Command.m_Request](const net::HttpResult &Result) {
+        onTargetResult(Started, Now, Result);
+      });
 }
 
 void TrafficDriver::Impl::onTargetResult(const core::StartTarget &Started,
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -18,6 +18,10 @@
 // `Retry-After` for callers that are refused before the first version is
 // applied or during a planned stop.
 constexpr core::Duration NotReadyRetryAfter = std::chrono::seconds(1);
+// Maximum time for which a body waits for room, and `Retry-After` for callers
+// that are refused then.
+constexpr std::chrono::milliseconds MaxRoomWait{2000};
+constexpr core::Duration NoRoomRetryAfter = std::chrono::seconds(1);
 // Interval at which a planned stop checks whether the responses to callers are
 // written.
 constexpr std::chrono::milliseconds DrainPollInterval{20};
@@ -109,13 +113,24 @@
   net::HttpServerOptions Options;
   Options.m_Address = m_Board.m_Settings.m_CallerAddress;
   net::HttpServerHandlers ServerHandlers;
-  ServerHandlers.m_Request = [this](core::CallId Call,
-                                    core::HttpRequestPtr Request) {
-    onCall(Call, std::move(Request));
-  };
+  ServerHandlers.m_Request =
+      [this](core::CallId Call, std::shared_ptr<core::HttpRequest> Request) {
+        onCall(Call, std::move(Request));
+      };
   ServerHandlers.m_CallerDisconnected = [this](core::CallId Call) {
     onCallerDisconnected(Call);
   };
+  Options.m_BodyBudget = m_Board.m_CallerBodies;
+  ServerHandlers.m_MaxRoomWait = [this](const core::HttpRequest &Header) {
+    const auto Deadline = parseCallerDeadline(m_Board.m_Dialect, Header);
+    return Deadline ? std::min(std::chrono::ceil<std::chrono::milliseconds>(
+                                   *Deadline / 2),
+                               MaxRoomWait)
+                    : MaxRoomWait;
+  };
+  ServerHandlers.m_NoRoom = [this](const core::HttpRequest &Header) {
+    return refuseForRoom(Header);
+  };
   ServerHandlers.m_Rejected = [this](const std::string &Fault) {
     reportCallerError(Fault);
   };
@@ -154,8 +169,36 @@
       ToMs(Limits->m_IdleTimeout) + IdleMargin);
 }
 
+core::HttpResponse
+TrafficDriver::Impl::refuseForRoom(const core::HttpRequest &Header) {
+  const char *Cause = "the node has no memory for the body";
+  m_Board.m_Metrics.add(Counter::BodiesRefused);
+  m_Board.m_Metrics.add(Counter::CallsNotRun);
+  m_Board.m_Events.record(
+      {core::EventId::RequestNotServed,
+       "caller_id=" + callerIdOf(m_Board.m_Dialect, Header) +
+           " outcome=not-run cause=\"" + Cause + "\""});
+  return makeCallerResponse(
+      m_Board.m_Dialect, core::AnswerCaller{0, core::CallOutcome::NotRun,
+                                            nullptr, NoRoomRetryAfter, Cause});
+}
+
+void TrafficDriver::Impl::reserveBody(core::Dispatch &Message) {
+  if (Message.m_Request == nullptr || Message.m_Request->m_Body.empty())
+    return;
+  auto Reserved = m_Board.m_GateBodies->tryReserve(
+      core::bodyCost(Message.m_Request->m_Body.size()));
+  if (Reserved.bytes() > 0) {
+    Message.m_Request =
+        core::tie(std::move(Message.m_Request), std::move(Reserved));
+    return;
+  }
+  m_Board.m_Metrics.add(Counter::BodiesRefused);
+  Message.m_NoRoom = true;
+}
+
 void TrafficDriver::Impl::onCall(core::CallId Call,
-                                 core::HttpRequestPtr Request) {
+                                 std::shared_ptr<core::HttpRequest> Request) {
   const TimePoint Now = monotonicNow();
   m_CallStarts.emplace(Call, Now);
   if (!m_Board.m_Ready.load() || m_RefusesCalls) {
@@ -173,8 +216,8 @@
     return;
   const auto Deadline = parseCallerDeadline(m_Board.m_Dialect, *Request);
   const std::string CallerId = callerIdOf(m_Board.m_Dialect, *Request);
-  Request = withCallerService(m_Board.m_Dialect, std::move(Request),
-                              m_Board.m_Settings.m_TargetService);
+  setCallerService(m_Board.m_Dialect, *Request,
+                   m_Board.m_Settings.m_TargetService);
   m_Ingress.onCall(Call, std::move(Request), Deadline, Now, CallerId);
   performCommands();
 }
@@ -233,9 +276,9 @@
                         Bytes.size() + net::FrameHeaderBytes);
   // Throws core::Error for a malformed frame. The caller of this handler, the
   // link, catches it and closes itself.
-  const net::DecodedFrame Frame = net::decodeFrame(Bytes);
+  net::DecodedFrame Frame = net::decodeFrame(Bytes);
   m_Board.m_Clock.merge(Frame.m_LogicalTime);
-  const auto *Message = std::get_if<core::TrafficMessage>(&Frame.m_Message);
+  auto *Message = std::get_if<core::TrafficMessage>(&Frame.m_Message);
   if (Message == nullptr)
     throw core::Error(core::ErrorKind::MalformedMessage,
                       "control message on a traffic link",
@@ -244,6 +287,8 @@
   if (Inbound) {
     if (const auto *Hello = std::get_if<core::TrafficHello>(Message))
       m_InboundHosts[Link] = Hello->m_Host;
+    if (auto *Dispatch = std::get_if<core::Dispatch>(Message))
+      reserveBody(*Dispatch);
     m_LinkWatch.onFrame(Link, Now);
     m_Gate.onMessage(Link, *Message, Now);
   } else {
--- a/src/app/node/traffic_driver_impl.h
+++ b/src/app/node/traffic_driver_impl.h
@@ -39,7 +39,12 @@
   using LinkPtr = std::shared_ptr<net::Link>;
 
   void startServer();
-  void onCall(core::CallId Call, core::HttpRequestPtr Request);
+  void onCall(core::CallId Call, std::shared_ptr<core::HttpRequest> Request);
+  /// \returns the response to a request whose body is not read for want of
+  /// memory.
+  core::HttpResponse refuseForRoom(const core::HttpRequest &Header);
+  /// Reserves the bytes of a request from another node, or marks it.
+  void reserveBody(core::Dispatch &Message);
   bool refuseIfBodyTooLarge(core::CallId Call,
                             const core::HttpRequest &Request);
   /// \param CallerId the caller's id of the request; empty if it is unknown.
--- a/src/app/status_report.cpp
+++ b/src/app/status_report.cpp
@@ -107,6 +107,12 @@
     makeField<&StatusReport::m_MemoryMb>("memory_mb", "memory MB"),
     makeField<&StatusReport::m_Descriptors>("descriptors", "descriptors"),
     makeField<&StatusReport::m_LinkMbps>("link_mbps", "link Mbit/s"),
+    makeField<&StatusReport::m_BodyHeldBytes>("body_held_bytes",
+                                              "body bytes held"),
+    makeField<&StatusReport::m_BodyLimitBytes>("body_limit_bytes",
+                                               "body bytes limit"),
+    makeField<&StatusReport::m_BodiesRefused>("bodies_refused",
+                                              "bodies refused"),
 };
 
 } // namespace
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -144,6 +144,9 @@
     return RefusalCause{RefusalReason::TargetDown, Pause};
   if (m_Ledger.entryCount(Message.m_Id.m_Ingress) >= MaxEntriesPerIngress)
     return RefusalCause{RefusalReason::QueueFull, Duration{0}};
+  if (Message.m_NoRoom)
+    return RefusalCause{RefusalReason::QueueFull,
+                        estimate(Message.m_Kind, Now).m_Mean};
   return std::nullopt;
 }
 
--- a/src/core/registry/machine_limits.cpp
+++ b/src/core/registry/machine_limits.cpp
@@ -17,10 +17,28 @@
 constexpr double NoticeBytes = 150;
 constexpr double BitsPerByte = 8;
 constexpr double BitsPerMegabit = 1e6;
+/// Shares of the memory that large and small bodies may take. The rest is for
+/// the configuration, headers, buffers of links and responses.
+constexpr double CallerBodyShare = 0.3;
+constexpr double GateBodyShare = 0.15;
+/// Share of each budget that is kept for small bodies.
+constexpr double SmallShare = 0.15;
+constexpr double BytesPerMegabyte = 1e6;
+/// Memory if nothing is stated.
+constexpr std::uint32_t DefaultMemoryMb = 1024;
+constexpr std::size_t MaxSmallBytes = 128U << 10U;
 constexpr double MinFollowers = 4;
 /// Upper limit, and the value if nothing is stated.
 constexpr double DefaultFollowers = 64;
 
+ByteBudgetLimits bodyLimits(const MachineLimits &Limits, double Share) {
+  const double Bytes =
+      Share * BytesPerMegabyte *
+      (Limits.m_MemoryMb > 0 ? Limits.m_MemoryMb : DefaultMemoryMb);
+  return {static_cast<std::size_t>((1 - SmallShare) * Bytes),
+          static_cast<std::size_t>(SmallShare * Bytes), MaxSmallBytes};
+}
+
 } // namespace
 
 std::size_t maxFollowers(const MachineLimits &Limits) {
@@ -40,4 +58,12 @@
   return static_cast<std::size_t>(std::max(Followers, MinFollowers));
 }
 
+ByteBudgetLimits callerBodyLimits(const MachineLimits &Limits) {
+  return bodyLimits(Limits, CallerBodyShare);
+}
+
+ByteBudgetLimits gateBodyLimits(const MachineLimits &Limits) {
+  return bodyLimits(Limits, GateBodyShare);
+}
+
 } // namespace dandelionfall::core
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,16 +16,16 @@
 
 } // namespace
 
-ExchangeId HttpClient::Impl::send(const core::HttpRequest &Request,
+ExchangeId HttpClient::Impl::send(core::HttpRequest Request,
                                   core::Duration Timeout, bool Idempotent,
                                   Callback Done) {
   Exchange Next;
   Next.m_Id = ++m_LastId;
-  Next.m_Request = std::make_shared<const BeastRequest>(
-      toBeast(Request, m_Options.m_Address));
   Next.m_Deadline = Clock::now() + Timeout;
   Next.m_Idempotent = Idempotent;
   Next.m_IsHead = Request.m_Method == "HEAD";
+  Next.m_Request = std::make_shared<const BeastRequest>(
+      toBeast(std::move(Request), m_Options.m_Address));
   Next.m_Done = std::move(Done);
   m_Queue.push_back(std::move(Next));
   startQueued();
@@ -201,10 +201,9 @@
 
 HttpClient::~HttpClient() { m_Impl->stop(); }
 
-ExchangeId HttpClient::send(const core::HttpRequest &Request,
-                            core::Duration Timeout, bool Idempotent,
-                            Callback Done) {
-  return m_Impl->send(Request, Timeout, Idempotent, std::move(Done));
+ExchangeId HttpClient::send(core::HttpRequest Request, core::Duration Timeout,
+                            bool Idempotent, Callback Done) {
+  return m_Impl->send(std::move(Request), Timeout, Idempotent, std::move(Done));
 }
 
 void HttpClient::cancel(ExchangeId Id) { m_Impl->cancel(Id); }
--- a/src/net/http_client_pool.h
+++ b/src/net/http_client_pool.h
@@ -39,7 +39,7 @@
     Callback m_Done;
   };
 
-  ExchangeId send(const core::HttpRequest &Request, core::Duration Timeout,
+  ExchangeId send(core::HttpRequest Request, core::Duration Timeout,
                   bool Idempotent, Callback Done);
   void cancel(ExchangeId Id);
   void stop();
--- a/src/net/http_conversion.cpp
+++ b/src/net/http_conversion.cpp
@@ -61,14 +61,14 @@
   return Result;
 }
 
-core::HttpRequestPtr fromBeast(BeastRequest Message) {
+std::shared_ptr<core::HttpRequest> fromBeast(BeastRequest Message) {
   core::HttpRequest Result;
   Result.m_Method = toString(Message.method_string());
   Result.m_Path = toString(Message.target());
   Result.m_HostName = toString(Message[http::field::host]);
   Result.m_Fields = endToEndFields(Message);
   Result.m_Body = std::move(Message.body());
-  return std::make_shared<const core::HttpRequest>(std::move(Result));
+  return std::make_shared<core::HttpRequest>(std::move(Result));
 }
 
 core::HttpResponsePtr fromBeast(BeastResponse Message) {
@@ -79,7 +79,7 @@
   return std::make_shared<const core::HttpResponse>(std::move(Result));
 }
 
-BeastRequest toBeast(const core::HttpRequest &Request,
+BeastRequest toBeast(core::HttpRequest Request,
                      const std::string &DefaultHost) {
   BeastRequest Message;
   Message.version(HttpVersion);
@@ -89,12 +89,12 @@
     Message.insert(Field.m_Name, Field.m_Value);
   Message.set(http::field::host,
               Request.m_HostName.empty() ? DefaultHost : Request.m_HostName);
-  Message.body() = Request.m_Body;
+  Message.body() = std::move(Request.m_Body);
   Message.prepare_payload();
   return Message;
 }
 
-BeastResponse toBeast(const core::HttpResponse &Response, bool IsHead,
+BeastResponse toBeast(core::HttpResponse Response, bool IsHead,
                       bool KeepAlive) {
   BeastResponse Message;
   Message.version(HttpVersion);
@@ -102,7 +102,7 @@
   for (const core::HttpField &Field : Response.m_Fields)
     Message.insert(Field.m_Name, Field.m_Value);
   if (!IsHead && allowsBody(Response.m_Status)) {
-    Message.body() = Response.m_Body;
+    Message.body() = std::move(Response.m_Body);
     Message.prepare_payload();
   }
   Message.keep_alive(KeepAlive);
--- a/src/net/http_conversion.h
+++ b/src/net/http_conversion.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -33,22 +34,20 @@
 endToEndFields(const boost::beast::http::fields &Fields);
 
 /// Converts a received request; the Host field becomes m_HostName.
-core::HttpRequestPtr fromBeast(BeastRequest Message);
+std::shared_ptr<core::HttpRequest> fromBeast(BeastRequest Message);
 
 /// Converts a received response.
 core::HttpResponsePtr fromBeast(BeastResponse Message);
 
 /// Makes a request to send, with a Content-Length for its body.
 /// \param DefaultHost Host field of a request without a host name.
-BeastRequest toBeast(const core::HttpRequest &Request,
-                     const std::string &DefaultHost);
+BeastRequest toBeast(core::HttpRequest Request, const std::string &DefaultHost);
 
 /// Makes a response to send.
 /// \param IsHead whether the request's method was HEAD; its response has no
 /// body.
 /// \param KeepAlive whether the connection stays open after the response.
-BeastResponse toBeast(const core::HttpResponse &Response, bool IsHead,
-                      bool KeepAlive);
+BeastResponse toBeast(core::HttpResponse Response, bool IsHead, bool KeepAlive);
 
 } // namespace dandelionfall::net
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,10 +1,10 @@
-#include "dandelionfall/net/http_server.h"
+#include "net/http_server_impl.h"
 
 #include "dandelionfall/core/error.h"
 #include "dandelionfall/net/address.h"
+#include "net/body_room.h"
 #include "net/http_conversion.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
@@ -13,8 +13,8 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <optional>
-#include <unordered_map>
 #include <utility>
 
 namespace dandelionfall::net {
@@ -29,6 +29,10 @@
 constexpr std::chrono::milliseconds SweepInterval{250};
 constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 constexpr std::chrono::seconds WriteTimeout{30};
+/// Time in which the rest of a rejected request is discarded, so that its
+/// caller can read the response.
+constexpr std::chrono::seconds DiscardTimeout{5};
+constexpr std::size_t DiscardBytes = 1U << 16U;
 constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
 core::HttpResponse makeTextResponse(http::status Status, std::string Text) {
@@ -76,42 +80,14 @@
 
 } // namespace
 
-class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
-public:
-  Impl(boost::asio::io_context &Context, HttpServerOptions Options,
-       HttpServerHandlers Handlers);
-
-  void start();
-  void stop();
-  void startDrain();
-  void respond(core::CallId Call, const core::HttpResponse &Response);
-
-  class Session;
-  using SessionPtr = std::shared_ptr<Session>;
-
-  void accept();
-  void onAccepted(error_code Code, tcp::socket Socket);
-  void sweep();
-
-  tcp::acceptor m_Acceptor;
-  boost::asio::steady_timer m_AcceptTimer;
-  boost::asio::steady_timer m_SweepTimer;
-  HttpServerOptions m_Options;
-  HttpServerHandlers m_Handlers;
-  std::unordered_map<Session *, SessionPtr> m_Sessions;
-  std::unordered_map<core::CallId, SessionPtr> m_Unanswered;
-  core::CallId m_LastCall = 0;
-  std::size_t m_BusyCount = 0;
-  bool m_KeepAliveDisabled = false;
-};
-
 /// One connection: reads a request, waits for the owner's response, writes it,
 /// and repeats.
 class HttpServer::Impl::Session
     : public std::enable_shared_from_this<HttpServer::Impl::Session> {
 public:
   Session(std::shared_ptr<Impl> Owner, tcp::socket Socket)
-      : m_Owner(std::move(Owner)), m_Socket(std::move(Socket)) {
+      : m_Owner(std::move(Owner)), m_Socket(std::move(Socket)),
+        m_Room(m_Owner->m_Options.m_BodyBudget, m_Socket.get_executor()) {
     error_code Ignored;
     m_Socket.set_option(tcp::no_delay(true), Ignored);
   }
@@ -133,11 +109,12 @@
                         });
   }
 
-  void respond(const core::HttpResponse &Response, bool Close) {
+  void respond(core::HttpResponse Response, bool Close) {
     m_State = State::Writing;
     m_Deadline = Clock::now() + WriteTimeout;
     m_CloseAfterWrite = Close || m_Owner->m_KeepAliveDisabled || !m_KeepAlive;
-    m_Response.emplace(toBeast(Response, m_IsHead, !m_CloseAfterWrite));
+    m_Response.emplace(
+        toBeast(std::move(Response), m_IsHead, !m_CloseAfterWrite));
     http::async_write(
         m_Socket, *m_Response,
         [Self = shared_from_this()](error_code Code, std::size_t) {
@@ -151,6 +128,7 @@
     const State Old = std::exchange(m_State, State::Closed);
     error_code Ignored;
     m_Socket.close(Ignored);
+    m_Room.cancel();
     if (Old == State::AwaitingResponse) {
       m_Owner->m_Unanswered.erase(m_Call);
       if (m_Owner->m_Handlers.m_CallerDisconnected)
@@ -164,6 +142,8 @@
   void closeIfExpired(Clock::time_point Now) {
     if (m_State == State::AwaitingResponse || Now < m_Deadline)
       return;
+    if (m_State == State::AwaitingRoom)
+      return rejectForRoom();
     if (m_State == State::Reading)
       return reject(http::status::request_timeout,
                     "the request did not come in time");
@@ -179,8 +159,10 @@
   enum class State : std::uint8_t {
     Idle,
     Reading,
+    AwaitingRoom,
     AwaitingResponse,
     Writing,
+    Discarding,
     Closed
   };
 
@@ -205,6 +187,43 @@
       return reject(http::status::bad_request, *Fault);
     if (m_Parser->is_done())
       return deliverRequest();
+    reserveRoom(m_Room.bytesForStart(m_Parser->content_length()),
+                &Session::startBody);
+  }
+
+  // Goes on with the next step once the bytes are reserved; the connection is
+  // not read until then.
+  void reserveRoom(std::size_t Bytes, void (Session::*Next)()) {
+    const BodyRoom::State Room = m_Room.reserve(
+        Bytes, [Self = shared_from_this(), Next] { Self->onRoom(Next); });
+    if (Room == BodyRoom::State::Reserved)
+      return (this->*Next)();
+    if (Room == BodyRoom::State::NeverFits)
+      return rejectForRoom();
+    m_State = State::AwaitingRoom;
+    m_ReadDeadline = m_Deadline;
+    m_Deadline =
+        std::min(m_Deadline, Clock::now() + m_Owner->m_Handlers.m_MaxRoomWait(
+                                                *fromBeast(m_Parser->get())));
+  }
+
+  void onRoom(void (Session::*Next)()) {
+    if (m_State != State::AwaitingRoom)
+      return m_Room.cancel();
+    m_State = State::Reading;
+    m_Deadline = m_ReadDeadline;
+    (this->*Next)();
+  }
+
+  void rejectForRoom() {
+    m_Room.cancel();
+    ++m_Owner->m_BusyCount;
+    m_IsHead = false;
+    m_BytesToDiscard = m_Owner->m_Options.m_MaxBodyBytes;
+    respond(m_Owner->m_Handlers.m_NoRoom(*fromBeast(m_Parser->get())), true);
+  }
+
+  void startBody() {
     if (boost::beast::iequals(m_Parser->get()[http::field::expect],
                               "100-continue"))
       return sendContinue();
@@ -222,6 +241,43 @@
   }
 
   void readBody() {
+    if (m_Parser->content_length() || !m_Room.isBounded())
+      return readRest();
+    http::async_read_some(
+        m_Socket, m_Buffer, *m_Parser,
+        [Self = shared_from_this()](error_code Code, std::size_t) {
+          Self->onSomeBody(Code);
+        });
+  }
+
+  // A body of unknown size counts as a small one first, and then as one of the
+  // maximum size until it is complete.
+  void onSomeBody(error_code Code) {
+    if (m_State != State::Reading)
+      return;
+    if (Code)
+      return onReadError(Code);
+    if (m_Room.hasRoomFor(m_Parser->get().body().size()))
+      return m_Parser->is_done() ? deliverRequest() : readBody();
+    const std::uint64_t Limit = maxBodySize();
+    reserveRoom(m_Room.bytesForMore(Limit), &Session::readMore);
+  }
+
+  // The limit can have been lowered since the body began.
+  std::uint64_t maxBodySize() const {
+    return std::max<std::uint64_t>(m_Owner->m_Options.m_MaxBodyBytes,
+                                   m_Parser->get().body().size());
+  }
+
+  void readMore() {
+    const std::uint64_t Limit = maxBodySize();
+    if (!m_Room.hasRoomFor(Limit) || m_Parser->is_done())
+      return onSomeBody({});
+    m_Parser->get().body().reserve(Limit);
+    readRest();
+  }
+
+  void readRest() {
     http::async_read(m_Socket, m_Buffer, *m_Parser,
                      [Self = shared_from_this()](error_code Code, std::size_t) {
                        if (Self->m_State != State::Reading)
@@ -257,7 +313,7 @@
     m_Owner->m_Unanswered.emplace(m_Call, shared_from_this());
     auto Request = fromBeast(m_Parser->release());
     watchForDisconnect();
-    m_Owner->m_Handlers.m_Request(m_Call, std::move(Request));
+    m_Owner->m_Handlers.m_Request(m_Call, m_Room.handOver(std::move(Request)));
   }
 
   // The wait of an earlier request can still be pending; one is enough.
@@ -291,20 +347,44 @@
     if (Code || m_CloseAfterWrite) {
       error_code Ignored;
       m_Socket.shutdown(tcp::socket::shutdown_send, Ignored);
-      return close();
+      if (Code || m_BytesToDiscard == 0)
+        return close();
+      --m_Owner->m_BusyCount;
+      m_State = State::Discarding;
+      m_Deadline = Clock::now() + DiscardTimeout;
+      return discardRest();
     }
     --m_Owner->m_BusyCount;
     m_Response.reset();
     waitForRequest();
   }
 
+  // The connection would be reset if it were closed with unread bytes, and the
+  // caller would lose the response.
+  void discardRest() {
+    m_Buffer.clear();
+    m_Socket.async_read_some(
+        m_Buffer.prepare(std::min(m_Buffer.max_size(), DiscardBytes)),
+        [Self = shared_from_this()](error_code Code, std::size_t Count) {
+          if (Self->m_State != State::Discarding)
+            return;
+          if (Code || Count > Self->m_BytesToDiscard)
+            return Self->close();
+          Self->m_BytesToDiscard -= Count;
+          Self->discardRest();
+        });
+  }
+
   std::shared_ptr<Impl> m_Owner;
   tcp::socket m_Socket;
+  BodyRoom m_Room;
   boost::beast::flat_buffer m_Buffer;
   std::optional<http::request_parser<http::string_body>> m_Parser;
   std::optional<BeastResponse> m_Response;
   Clock::time_point m_Deadline;
+  Clock::time_point m_ReadDeadline;
   core::CallId m_Call = 0;
+  std::uint64_t m_BytesToDiscard = 0;
   State m_State = State::Idle;
   bool m_KeepAlive = true;
   bool m_IsHead = false;
@@ -343,14 +423,13 @@
     Each->closeIfIdle();
 }
 
-void HttpServer::Impl::respond(core::CallId Call,
-                               const core::HttpResponse &Response) {
+void HttpServer::Impl::respond(core::CallId Call, core::HttpResponse Response) {
   const auto Found = m_Unanswered.find(Call);
   if (Found == m_Unanswered.end())
     return;
   const SessionPtr Waiting = Found->second;
   m_Unanswered.erase(Found);
-  Waiting->respond(Response, false);
+  Waiting->respond(std::move(Response), false);
 }
 
 void HttpServer::Impl::accept() {
@@ -390,40 +469,4 @@
   });
 }
 
-HttpServer::HttpServer(boost::asio::io_context &Context,
-                       HttpServerOptions Options, HttpServerHandlers Handlers)
-    : m_Impl(std::make_shared<Impl>(Context, std::move(Options),
-                                    std::move(Handlers))) {
-  m_Impl->start();
-}
-
-HttpServer::~HttpServer() { m_Impl->stop(); }
-
-void HttpServer::respond(core::CallId Call,
-                         const core::HttpResponse &Response) {
-  m_Impl->respond(Call, Response);
-}
-
-void HttpServer::startDrain() { m_Impl->startDrain(); }
-
-void HttpServer::disableKeepAlive() { m_Impl->m_KeepAliveDisabled = true; }
-
-void HttpServer::setLimits(std::uint32_t MaxHeaderBytes,
-                           std::uint64_t MaxBodyBytes,
-                           std::chrono::milliseconds RequestTimeout,
-                           std::chrono::milliseconds IdleTimeout) {
-  HttpServerOptions &Options = m_Impl->m_Options;
-  Options.m_MaxHeaderBytes = MaxHeaderBytes;
-  Options.m_MaxBodyBytes = MaxBodyBytes;
-  Options.m_RequestTimeout = RequestTimeout;
-  Options.m_IdleTimeout = IdleTimeout;
-}
-
-std::string HttpServer::address() const {
-  const tcp::endpoint Local = m_Impl->m_Acceptor.local_endpoint();
-  return Local.address().to_string() + ":" + std::to_string(Local.port());
-}
-
-std::size_t HttpServer::busyConnections() const { return m_Impl->m_BusyCount; }
-
 } // namespace dandelionfall::net
--- /dev/null
+++ b/src/net/http_server_interface.cpp
@@ -0,0 +1,43 @@
+#include "net/http_server_impl.h"
+
+#include <utility>
+
+namespace dandelionfall::net {
+
+HttpServer::HttpServer(boost::asio::io_context &Context,
+                       HttpServerOptions Options, HttpServerHandlers Handlers)
+    : m_Impl(std::make_shared<Impl>(Context, std::move(Options),
+                                    std::move(Handlers))) {
+  m_Impl->start();
+}
+
+HttpServer::~HttpServer() { m_Impl->stop(); }
+
+void HttpServer::respond(core::CallId Call, core::HttpResponse Response) {
+  m_Impl->respond(Call, std::move(Response));
+}
+
+void HttpServer::startDrain() { m_Impl->startDrain(); }
+
+void HttpServer::disableKeepAlive() { m_Impl->m_KeepAliveDisabled = true; }
+
+void HttpServer::setLimits(std::uint32_t MaxHeaderBytes,
+                           std::uint64_t MaxBodyBytes,
+                           std::chrono::milliseconds RequestTimeout,
+                           std::chrono::milliseconds IdleTimeout) {
+  HttpServerOptions &Options = m_Impl->m_Options;
+  Options.m_MaxHeaderBytes = MaxHeaderBytes;
+  Options.m_MaxBodyBytes = MaxBodyBytes;
+  Options.m_RequestTimeout = RequestTimeout;
+  Options.m_IdleTimeout = IdleTimeout;
+}
+
+std::string HttpServer::address() const {
+  const boost::asio::ip::tcp::endpoint Local =
+      m_Impl->m_Acceptor.local_endpoint();
+  return Local.address().to_string() + ":" + std::to_string(Local.port());
+}
+
+std::size_t HttpServer::busyConnections() const { return m_Impl->m_BusyCount; }
+
+} // namespace dandelionfall::net
--- a/tests/system/store_deployment.py
+++ b/tests/system/store_deployment.py
@@ -32,6 +32,7 @@
 # Time within which a server notices that it should end.
 SERVE_POLL_S = 0.005
 STOP_SETTINGS = ["linger_ms = 1500"]
+MACHINE_SETTINGS = []
 
 
 def store_address(host):
@@ -252,6 +253,10 @@
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def do_POST(self):
+                self.rfile.read(int(self.headers["Content-Length"]))
+                self.do_GET()
+
             def do_GET(self):
                 target.arrivals.append(time.monotonic())
                 target.requests.append(dict(self.headers))
@@ -303,7 +308,7 @@
         f"operator_address = {host}:{OPERATOR}", "[target]", f"name = {host}", f"address = {host}:{TARGET}",
         f"service = {SERVICE}", "[source]", "protocol = store", "address = {}:{}".format(*store_address(host)),
         "[zones]", "a = r", "[overlay]", "seeds = " + ", ".join(f"{seed}:{LINK}" for seed in seeds), "[retries]",
-        "ratio = 0.2", "slack = 60", "[stop]", *STOP_SETTINGS, ""])
+        "ratio = 0.2", "slack = 60", "[stop]", *STOP_SETTINGS, "[machine]", *MACHINE_SETTINGS, ""])
 
 
 class Deployment:
--- a/tests/unit/caller_response_test.cpp
+++ b/tests/unit/caller_response_test.cpp
@@ -222,13 +222,13 @@
 TEST_CASE("only the node sets the calling service of a request") {
   core::HttpRequest Request;
   Request.m_Fields = {{"caller-service", "forged"}, {"X", "1"}};
-  const auto Original = std::make_shared<const core::HttpRequest>(Request);
-  const auto Sent =
-      app::withCallerService(platform::httpDialect(), Original, "slotboard");
-  CHECK(Sent->m_Fields == std::vector<core::HttpField>{
-                              {"X", "1"}, {"Caller-Service", "slotboard"}});
-  CHECK(app::withCallerService(core::defaultDialect(), Original, "x") ==
-        Original);
+  core::HttpRequest Sent = Request;
+  app::setCallerService(platform::httpDialect(), Sent, "slotboard");
+  CHECK(Sent.m_Fields == std::vector<core::HttpField>{
+                             {"X", "1"}, {"Caller-Service", "slotboard"}});
+  core::HttpRequest Unchanged = Request;
+  app::setCallerService(core::defaultDialect(), Unchanged, "x");
+  CHECK(Unchanged == Request);
 }
 
 TEST_CASE("a target's request names the expected instance") {
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -228,3 +228,128 @@
     CHECK_FALSE(Fault.remedy().empty());
   }
 }
+
+namespace {
+
+constexpr core::ByteBudgetLimits RoomLimits{
+    .m_LargeTotal = 4096, .m_SmallTotal = 128, .m_MaxSmall = 64};
+
+/// Refuses requests without room at once if `MaxWait` is 0.
+net::HttpServerHandlers withRoom(net::HttpServerHandlers Handlers,
+                                 std::chrono::milliseconds MaxWait) {
+  Handlers.m_MaxRoomWait = [MaxWait](const core::HttpRequest &) {
+    return MaxWait;
+  };
+  Handlers.m_NoRoom = [](const core::HttpRequest &Header) {
+    return core::HttpResponse{503, {}, "no room for " + Header.m_Path};
+  };
+  return Handlers;
+}
+
+/// A server with a budget for bodies that leaves requests unanswered.
+struct RoomFixture {
+  explicit RoomFixture(std::chrono::milliseconds MaxWait) {
+    net::HttpServerOptions Options;
+    Options.m_Address = "127.0.0.1:0";
+    Options.m_BodyBudget = m_Budget;
+    net::HttpServerHandlers Handlers;
+    Handlers.m_Request = [this](core::CallId, core::HttpRequestPtr Request) {
+      m_Requests.push_back(std::move(Request));
+    };
+    m_Server.emplace(m_Context, Options,
+                     withRoom(std::move(Handlers), MaxWait));
+    m_Socket.connect(net::parseEndpoint(m_Server->address()));
+  }
+
+  void send(const std::string &Bytes) {
+    boost::asio::write(m_Socket, boost::asio::buffer(Bytes));
+  }
+
+  void runUntil(const std::function<bool()> &Done) {
+    const auto Limit = std::chrono::steady_clock::now() + WaitLimit;
+    while (!Done() && std::chrono::steady_clock::now() < Limit)
+      m_Context.run_for(std::chrono::milliseconds(5));
+  }
+
+  std::shared_ptr<core::ByteBudget> m_Budget =
+      core::ByteBudget::create(RoomLimits);
+  boost::asio::io_context m_Context;
+  std::vector<core::HttpRequestPtr> m_Requests;
+  std::optional<net::HttpServer> m_Server;
+  tcp::socket m_Socket{m_Context};
+};
+
+std::string post(std::size_t Length) {
+  return "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+         std::to_string(Length) + "\r\n\r\n" + std::string(Length, 'b');
+}
+
+} // namespace
+
+TEST_CASE("a body is read once there is room, which its request then holds") {
+  RoomFixture Test(WaitLimit);
+  auto Other = Test.m_Budget->tryReserve(4000);
+  Test.send(post(1000));
+  Test.runUntil([&] { return Test.m_Budget->waiting() == 1; });
+  CHECK(Test.m_Budget->waiting() == 1);
+  CHECK(Test.m_Requests.empty());
+  Other.release();
+  Test.runUntil([&] { return !Test.m_Requests.empty(); });
+  REQUIRE(Test.m_Requests.size() == 1);
+  CHECK(Test.m_Requests[0]->m_Body.size() == 1000);
+  CHECK(Test.m_Budget->held() == 2000);
+  Test.m_Requests.clear();
+  CHECK(Test.m_Budget->held() == 0);
+}
+
+TEST_CASE("a request without room in time gets the owner's response") {
+  RoomFixture Test(std::chrono::milliseconds(1));
+  const auto Other = Test.m_Budget->tryReserve(4000);
+  Test.send(post(1000));
+  Test.m_Socket.non_blocking(true);
+  std::string Reply;
+  bool Closed = false;
+  Test.runUntil([&] {
+    char Buffer[1024];
+    boost::system::error_code Code;
+    Reply.append(Buffer,
+                 Test.m_Socket.read_some(boost::asio::buffer(Buffer), Code));
+    Closed = Code == boost::asio::error::eof;
+    return Closed;
+  });
+  CHECK(Closed);
+  CHECK(Reply.starts_with("HTTP/1.1 503"));
+  CHECK(Reply.ends_with("no room for /a"));
+  CHECK(Test.m_Requests.empty());
+  CHECK(Test.m_Budget->waiting() == 0);
+}
+
+TEST_CASE("a chunked body reserves more as it grows and keeps its size") {
+  net::HttpServerOptions Options;
+  RoomFixture Test(WaitLimit);
+  Test.m_Server->setLimits(Options.m_MaxHeaderBytes, 2000,
+                           Options.m_RequestTimeout, Options.m_IdleTimeout);
+  // The new limits hold for the connections opened after it.
+  tcp::socket Later(Test.m_Context);
+  Later.connect(net::parseEndpoint(Test.m_Server->address()));
+  const std::string Chunk = "64\r\n" + std::string(100, 'c') + "\r\n";
+  std::string Bytes =
+      "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int Count = 0; Count < 9; ++Count)
+    Bytes += Chunk;
+  boost::asio::write(Later, boost::asio::buffer(Bytes + "0\r\n\r\n"));
+  Test.runUntil([&] { return !Test.m_Requests.empty(); });
+  REQUIRE(Test.m_Requests.size() == 1);
+  CHECK(Test.m_Requests[0]->m_Body.size() == 900);
+  CHECK(Test.m_Budget->held() == 1800);
+}
+
+TEST_CASE("a connection that closes while it waits leaves no waiter") {
+  RoomFixture Test(std::chrono::milliseconds(1));
+  const auto Other = Test.m_Budget->tryReserve(4000);
+  Test.send(post(1000));
+  Test.runUntil([&] { return Test.m_Budget->waiting() == 1; });
+  Test.m_Server.reset();
+  CHECK(Test.m_Budget->waiting() == 0);
+  CHECK(Test.m_Budget->held() == 4000);
+}
--- a/tests/unit/status_report_test.cpp
+++ b/tests/unit/status_report_test.cpp
@@ -39,7 +39,10 @@
           .m_Cores = 1,
           .m_MemoryMb = 160,
           .m_Descriptors = 4100,
-          .m_LinkMbps = 20.5};
+          .m_LinkMbps = 20.5,
+          .m_BodyHeldBytes = 1'000'000,
+          .m_BodyLimitBytes = 72'000'000,
+          .m_BodiesRefused = 12};
 }
 
 } // namespace
@@ -67,8 +70,9 @@
   CHECK(Line.starts_with("host=host-1 zone=sindos "));
   CHECK(Line.find(" held=8/fedcba9876543210 ") != std::string::npos);
   CHECK(Line.find(" open_calls=5 ") != std::string::npos);
-  CHECK(Line.find(" link_mbps=20.5\n") != std::string::npos);
-  constexpr int Fields = 28;
+  CHECK(Line.find(" link_mbps=20.5 ") != std::string::npos);
+  CHECK(Line.find(" bodies_refused=12\n") != std::string::npos);
+  constexpr int Fields = 31;
   CHECK(std::count(Line.begin(), Line.end(), '=') == Fields);
   CHECK(std::count(Line.begin(), Line.end(), ' ') == Fields - 1);
 }
