--- a/tests/unit/gate_bounds_test.cpp
+++ b/tests/unit/gate_bounds_test.cpp
@@ -63,3 +63,16 @@
     Harness.hello(Rounds + Number, 2, Rounds + Number);
   CHECK(Harness.sent<TrafficWelcome>().size() == gate::MaxLinks - 10);
 }
+
+TEST_CASE("a request without memory for its body is refused and never starts") {
+  GateHarness Harness;
+  Harness.hello(1, 1);
+  Dispatch Message = GateHarness::makeDispatch(1);
+  Message.m_NoRoom = true;
+  Harness.message(1, Message);
+  REQUIRE(Harness.sent<Refusal>().size() == 1);
+  CHECK(Harness.sent<Refusal>()[0].second.m_Reason == RefusalReason::QueueFull);
+  CHECK(Harness.starts(1) == 0);
+  Harness.dispatch(1, 2);
+  CHECK(Harness.starts(2) == 1);
+}
