--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-ExchangeId HttpClient::Impl::send(const core::HttpRequest &Request,
+ExchangeId HttpClient::Impl::send(core::HttpRequest Request,
                                   core::Duration Timeout, bool Idempotent,
                                   Callback Done) {
   Exchange Next;
@@ -25,6 +25,8 @@
   Next.m_Deadline = Clock::now() + Timeout;
   Next.m_Idempotent = Idempotent;
   Next.m_IsHead = Request.m_Method == "HEAD";
+  Next.m_Request = std::make_shared<const BeastRequest>(
+      toBeast(std::move(Request), m_Options.m_Address));
   Next.m_Done = std::move(Done);
   try {
     Next.m_Request = std::make_shared<const BeastRequest>(
@@ -213,10 +215,9 @@
 
 HttpClient::~HttpClient() { m_Impl->stop(); }
 
-ExchangeId HttpClient::send(const core::HttpRequest &Request,
-                            core::Duration Timeout, bool Idempotent,
-                            Callback Done) {
-  return m_Impl->send(Request, Timeout, Idempotent, std::move(Done));
+ExchangeId HttpClient::send(core::HttpRequest Request, core::Duration Timeout,
+                            bool Idempotent, Callback Done) {
+  return m_Impl->send(std::move(Request), Timeout, Idempotent, std::move(Done));
 }
 
 void HttpClient::cancel(ExchangeId Id) { m_Impl->cancel(Id); }
