Confirm useless patches rarely; rely on answered calls only in a planned stop

- A follower that is ahead of the node it follows (a newer value, a removal, a small value) confirmed each patch at once, and was sent the same one again, at link speed.
A node now sends no patch older than what a follower states, followers state removals and small values too, and patches that brought nothing are confirmed at most once in a notice interval.
The same for a patch that did not fit while its record came from elsewhere, whose confirmation was lost for up to 4 s.
- A patch of an earlier history was confirmed at once, without end until the follower had listed the new one; it is counted only, and confirmed with the next regular request.
- A publisher without a confirmation of the store sent up to eight patches of a record at once; of several it now sends none, and followers ask for one.
- Planned stop: calls that callers left, that were not answered by their deadline, or failed at once counted as times of answers, or not at all.
Only answers without a server error count now; a call that ended without its answer after longer than the others makes the time unknown. 4096 kinds instead of 512, one is dropped at the limit instead of all.
The oldest open call is searched only if the deadline lies behind the end.

--- a/include/dandelionfall/core/control_message.h
+++ b/include/dandelionfall/core/control_message.h
@@ -167,8 +167,9 @@
   /// Version of the configuration that the sender has in force and the store
   /// has lost; 0 if there is none.
   Version m_Retained = 0;
-  /// Values that the sender holds of large records. A patch of one of these
-  /// records fits only if it is made from such a value.
+  /// Values that the sender holds of large records, or the revision at which
+  /// such a record became small or was removed. A patch of one of these records
+  /// fits only if it is made from such a value, and is newer than all of them.
   LargeRevisions m_Bases = {};
   /// Notices with patches that the sender has received on this link; the next
   /// patches are sent once it has received all earlier ones. Empty if it does
--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -120,7 +120,8 @@
   bool
   holdsAll(const std::map<std::string, Revision, std::less<>> &Large) const;
   /// \param Large revisions by key.
-  /// \returns which values of these records are held.
+  /// \returns which values of these records are held; of a small or removed
+  /// one, the revision of that.
   LargeRevisions
   basesOf(const std::map<std::string, Revision, std::less<>> &Large) const;
   /// \returns what a follower lacks: small records and removals, and patches of
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -63,9 +63,13 @@
   if (Chosen.m_Timeout > Duration{0})
     Allowed = std::min(Allowed, Chosen.m_Timeout);
   Entry.m_Kind = Chosen.m_HostName + Chosen.m_PathPrefix;
-  const auto Deadline = m_PlannedEnd.limitDeadline(
-      Entry.m_Kind, Now + Allowed, View.m_Profile.m_AnswerGrace,
-      oldestOpen(Entry.m_Kind, Now), Now);
+  const Duration AnswerGrace = View.m_Profile.m_AnswerGrace;
+  const TimePoint Due = Now + Allowed;
+  const Duration Oldest = m_PlannedEnd.isBefore(Due + AnswerGrace)
+                              ? oldestOpen(Entry.m_Kind, Now)
+                              : Duration{0};
+  const auto Deadline =
+      m_PlannedEnd.limitDeadline(Entry.m_Kind, Due, AnswerGrace, Oldest, Now);
   if (!Deadline)
     return reject(Id, CallerId, CallOutcome::NotRun,
                   "the node stops before the request's deadline");
@@ -128,6 +132,7 @@
   const Call Closed = std::move(Found->second);
   m_Calls.erase(Found);
   m_Deadlines.erase(Id);
+  m_PlannedEnd.recordUnanswered(Closed.m_Kind, Now - Closed.m_OpenedAt);
   for (const AttemptNumber Number : Closed.m_OpenAttempts)
     detach(m_Attempts.at(Number), Closed.m_Deadline, Now);
   m_Out.report(EventId::RequestSettled,
@@ -294,8 +299,7 @@
   m_Calls.erase(Found);
   m_Deadlines.erase(Id);
   Duration RetryAfter{0};
-  if (Outcome != CallOutcome::NotRun)
-    m_PlannedEnd.recordElapsed(Ended.m_Kind, Now - Ended.m_OpenedAt);
+  recordElapsed(Ended, Outcome, Response.get(), Now);
   if (Outcome == CallOutcome::NotRun) {
     RetryAfter = Ended.m_RetryAfter;
     if (RetryAfter == Duration{0})
@@ -397,9 +401,19 @@
   return Found == m_Calls.end() ? nullptr : &Found->second;
 }
 
+// Answers with a server error come sooner or later than others.
+void CallTable::recordElapsed(const Call &Ended, CallOutcome Outcome,
+                              const HttpResponse *Response, TimePoint Now) {
+  constexpr std::uint32_t FirstServerError = 500;
+  const Duration Elapsed = Now - Ended.m_OpenedAt;
+  if (Outcome == CallOutcome::Unknown)
+    m_PlannedEnd.recordUnanswered(Ended.m_Kind, Elapsed);
+  else if (Outcome == CallOutcome::Answered &&
+           Response->m_Status < FirstServerError)
+    m_PlannedEnd.recordAnswer(Ended.m_Kind, Elapsed);
+}
+
 Duration CallTable::oldestOpen(const std::string &Kind, TimePoint Now) const {
-  if (!m_PlannedEnd.isSet())
-    return Duration{0};
   // Ordered by the start of the calls.
   const auto Found =
       std::find_if(m_Calls.begin(), m_Calls.end(), [&Kind](const auto &Each) {
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -108,6 +108,8 @@
 
   Attempt *findSent(const RequestId &Id, const GatePeer &Peer);
   Call *findCall(CallId Id);
+  void recordElapsed(const Call &Ended, CallOutcome Outcome,
+                     const HttpResponse *Response, TimePoint Now);
   Duration oldestOpen(const std::string &Kind, TimePoint Now) const;
   void recordGateReply(const Attempt &Ended, LinkId Link, const Capacity &Load,
                        TimePoint Now);
--- a/src/core/ingress/planned_end.cpp
+++ b/src/core/ingress/planned_end.cpp
@@ -4,22 +4,32 @@
 
 namespace dandelionfall::core::ingress {
 
-void PlannedEnd::recordElapsed(const std::string &Kind, Duration Elapsed) {
+PlannedEnd::Longest &PlannedEnd::findOrAdd(const std::string &Kind) {
   if (m_ByKind.size() >= MaxKinds && !m_ByKind.contains(Kind))
-    m_ByKind.clear();
-  Longest &Times = m_ByKind[Kind];
+    m_ByKind.erase(m_ByKind.begin());
+  return m_ByKind[Kind];
+}
+
+void PlannedEnd::recordAnswer(const std::string &Kind, Duration Elapsed) {
+  Longest &Times = findOrAdd(Kind);
   if (Times.m_Calls == WindowCalls)
     Times = {0, Duration{0}, Times.m_Current, true};
   ++Times.m_Calls;
   Times.m_Current = std::max(Times.m_Current, Elapsed);
 }
 
+void PlannedEnd::recordUnanswered(const std::string &Kind, Duration Elapsed) {
+  Longest &Times = findOrAdd(Kind);
+  if (Elapsed > std::max(Times.m_Current, Times.m_Previous))
+    Times.m_Current = Duration::max();
+}
+
 std::optional<TimePoint> PlannedEnd::limitDeadline(const std::string &Kind,
                                                    TimePoint Deadline,
                                                    Duration AnswerGrace,
                                                    Duration OldestOpen,
                                                    TimePoint Now) const {
-  if (!m_End || Deadline + AnswerGrace <= *m_End)
+  if (!isBefore(Deadline + AnswerGrace))
     return Deadline;
   const auto Found = m_ByKind.find(Kind);
   if (Found == m_ByKind.end())
@@ -30,7 +40,7 @@
   const TimePoint Latest = *m_End - AnswerGrace;
   const Duration Expected =
       std::max({Times.m_Current, Times.m_Previous, OldestOpen});
-  if (Now + Expected > Latest)
+  if (Expected > Latest - Now)
     return std::nullopt;
   return Latest;
 }
--- a/src/core/ingress/planned_end.h
+++ b/src/core/ingress/planned_end.h
@@ -19,11 +19,15 @@
 public:
   /// Sets when the process ends.
   void set(TimePoint End) { m_End = End; }
-  /// \returns whether it is known when the process ends.
-  bool isSet() const { return m_End.has_value(); }
-  /// Records the time from the start of a call to its end.
+  /// \returns whether the process ends before a time.
+  bool isBefore(TimePoint Time) const { return m_End && *m_End < Time; }
+  /// Records a call that was answered without a server error.
   /// \param Kind kind of the call.
-  void recordElapsed(const std::string &Kind, Duration Elapsed);
+  /// \param Elapsed time from its start to the answer.
+  void recordAnswer(const std::string &Kind, Duration Elapsed);
+  /// Records a call that ended before its answer came. If it took longer than
+  /// the others, the time of an answer is not known.
+  void recordUnanswered(const std::string &Kind, Duration Elapsed);
   /// Decides on a new call.
   /// \param Deadline time by which its answer is due.
   /// \param AnswerGrace time for an answer that is late.
@@ -35,15 +39,16 @@
   limitDeadline(const std::string &Kind, TimePoint Deadline,
                 Duration AnswerGrace, Duration OldestOpen, TimePoint Now) const;
 
-  /// Calls over which the longest time is taken, twice at most: the next call
-  /// takes longer than all of N earlier ones with a chance of 1 in N + 1.
+  /// Calls over which the longest time is taken, twice at most: of calls that
+  /// are alike, the next takes longer than all of N earlier ones with a chance
+  /// of 1 in N + 1.
   static constexpr std::size_t WindowCalls = 64;
   /// Calls that must have ended before their times are relied on.
   static constexpr std::size_t MinCalls = 32;
 
 private:
   /// Limit on distinct kinds, which bounds the memory.
-  static constexpr std::size_t MaxKinds = 512;
+  static constexpr std::size_t MaxKinds = 4096;
 
   /// Longest times of the calls in this window and in the one before.
   struct Longest {
@@ -53,6 +58,8 @@
     bool m_HasPrevious = false;
   };
 
+  Longest &findOrAdd(const std::string &Kind);
+
   std::optional<TimePoint> m_End;
   std::unordered_map<std::string, Longest> m_ByKind;
 };
--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -177,10 +177,7 @@
   (*Found)->m_NotListened = Duration{0};
   (*Found)->m_GraceUntil.reset();
   (*Found)->m_IsComplete = false;
-  if (Notice.m_Changes.m_Patches.empty())
-    return;
-  ++(*Found)->m_ReceivedPatches;
-  sendFollow(**Found, (*Found)->m_WantsPatches);
+  (*Found)->m_ReceivedPatches += Notice.m_Changes.m_Patches.empty() ? 0 : 1;
 }
 
 void FeedFollower::setHeld(Revision Held, Version Retained) {
--- a/src/core/registry/feed_publisher.cpp
+++ b/src/core/registry/feed_publisher.cpp
@@ -93,7 +93,7 @@
       Unsent = std::move(Each);
   }
   for (RecordPatch &Each : Changes.m_Patches)
-    m_UnsentPatches.push_back(std::move(Each));
+    addUnsent(std::move(Each));
   // Followers read what they lack themselves.
   if (m_UnsentPatches.size() > MaxUnsentPatches)
     m_UnsentPatches.clear();
@@ -104,6 +104,17 @@
     sendToAll(Own, Now);
 }
 
+// Of several patches of a record most are for values that the last one
+// replaces. Followers ask for one from what they hold.
+void FeedPublisher::addUnsent(RecordPatch Patch) {
+  const auto Dropped =
+      std::erase_if(m_UnsentPatches, [&](const RecordPatch &Each) {
+        return Each.m_Key == Patch.m_Key;
+      });
+  if (Dropped == 0)
+    m_UnsentPatches.push_back(std::move(Patch));
+}
+
 void FeedPublisher::sendToAll(const ConfirmedRevision &Own, TimePoint Now) {
   m_SentRevision = Own.m_Revision;
   m_SentHeld = Own.m_Held;
--- a/src/core/registry/feed_publisher.h
+++ b/src/core/registry/feed_publisher.h
@@ -63,6 +63,7 @@
 
   void send(LinkId Link, const ConfirmedRevision &Own, RecordChanges Changes,
             TimePoint Now);
+  void addUnsent(RecordPatch Patch);
   void refuse(LinkId Link);
   void noteHistory(const ConfirmedRevision &Own);
   void sendToAll(const ConfirmedRevision &Own, TimePoint Now);
--- a/src/core/registry/patch_requests.h
+++ b/src/core/registry/patch_requests.h
@@ -26,7 +26,9 @@
 
   /// Handles a notice whose changes have been applied.
   /// \param Link the link of the feed.
-  void onChanges(LinkId Link, const RecordChanges &Changes, TimePoint Now);
+  /// \param WasMissing whether a large record that it names was missing before.
+  void onChanges(LinkId Link, const RecordChanges &Changes, bool WasMissing,
+                 TimePoint Now);
   /// Asks for what has not arrived in time.
   void onTick(TimePoint Now);
   /// \returns when `onTick` must be called next, if at all.
@@ -40,9 +42,19 @@
     TimePoint m_Until;
   };
 
+  /// Patches that were of no use, to be confirmed later: an answer at once
+  /// could bring them again without end.
+  struct Unconfirmed {
+    std::map<std::string, Revision, std::less<>> m_Large;
+    TimePoint m_At;
+  };
+
+  void confirmDue(TimePoint Now);
+
   const Registry &m_Registry;
   FeedFollower &m_Follower;
   std::optional<Expected> m_Expected;
+  std::map<LinkId, Unconfirmed> m_Unconfirmed;
 };
 
 } // namespace dandelionfall::core::registry
--- a/src/core/registry/registry_feed.cpp
+++ b/src/core/registry/registry_feed.cpp
@@ -29,6 +29,10 @@
 
 const StoreRecord &newestOf(const std::deque<StoreRecord> &Values,
                             const std::vector<Revision> &Held) {
+  const Revision Newest = Values.back().m_Revision;
+  if (std::any_of(Held.begin(), Held.end(),
+                  [Newest](Revision At) { return At >= Newest; }))
+    return Values.back();
   return findBase(Values, [&Held](Revision At) {
     return std::find(Held.begin(), Held.end(), At) != Held.end();
   });
@@ -64,10 +68,18 @@
   for (const auto &[Key, Newest] : Large) {
     std::vector<Revision> &Held = Result[Key];
     const auto Values = m_LargeValues.find(Key);
-    if (Values == m_LargeValues.end())
+    if (Values != m_LargeValues.end()) {
+      for (const StoreRecord &Each : Values->second)
+        Held.push_back(Each.m_Revision);
       continue;
-    for (const StoreRecord &Each : Values->second)
-      Held.push_back(Each.m_Revision);
+    }
+    // A newer removal or small value, so that no older large one is sent.
+    const auto Known = m_Records.find(Key);
+    const auto Removed = m_Removed.find(Key);
+    if (Known != m_Records.end())
+      Held.push_back(Known->second.m_Revision);
+    else if (Removed != m_Removed.end())
+      Held.push_back(Removed->second);
   }
   return Result;
 }
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -261,9 +261,10 @@
     m_Reader.onLaterHistory(historyOf(Notice.m_Revision), Now);
     m_RecordRequests.onClaim(Link, {Notice.m_Retained, 0});
     updateOutage(Now);
+    const bool WasMissing = !m_Registry.holdsAll(Notice.m_Changes.m_Large);
     if (m_Registry.applyFeed(Notice.m_Changes, Notice.m_Held, Now))
       onRecords(Now);
-    m_PatchRequests.onChanges(Link, Notice.m_Changes, Now);
+    m_PatchRequests.onChanges(Link, Notice.m_Changes, WasMissing, Now);
     m_Reader.onPeerRecords(m_Registry.revision(), Now);
     m_Pull.onPeerRevision(Notice.m_Held, Address, m_Registry.revision(), Now);
     m_Reader.onNewerRevision(Notice.m_Revision, Now);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -25,12 +25,10 @@
   Next.m_Deadline = Clock::now() + Timeout;
   Next.m_Idempotent = Idempotent;
   Next.m_IsHead = Request.m_Method == "HEAD";
-  Next.m_Request = std::make_shared<const BeastRequest>(
-      toBeast(std::move(Request), m_Options.m_Address));
   Next.m_Done = std::move(Done);
   try {
     Next.m_Request = std::make_shared<const BeastRequest>(
-        toBeast(Request, m_Options.m_Address));
+        toBeast(std::move(Request), m_Options.m_Address));
   } catch (const core::Error &Fault) {
     postResult(std::move(Next),
                {ExchangeOutcome::Unsendable, nullptr, Fault.fault()});
--- a/tests/unit/ingress_calls_test.cpp
+++ b/tests/unit/ingress_calls_test.cpp
@@ -439,6 +439,24 @@
   IngressFixture Test;
   Test.configure({});
   SUBCASE("a few are not enough") { playCalls(Test, 31, 1ms); }
+  SUBCASE("a caller left before its answer") {
+    playCalls(Test, 64, 1ms);
+    Test.call(2, "POST", 9s);
+    Test.advance(2ms);
+    Test.m_Ingress.onCallerDisconnected(2, Test.m_Now);
+  }
+  SUBCASE("one was not answered by its deadline") {
+    playCalls(Test, 64, 1ms);
+    Test.call(2, "POST", 500ms);
+    Test.advance(1s);
+    CHECK(Test.outcome(2) == CallOutcome::Unknown);
+  }
+  SUBCASE("failures are no answers") {
+    for (CallId Id = 100; Id < 164; ++Id) {
+      Test.call(Id, "POST", 9s);
+      Test.fail(ReceivedDispatch(Test.m_Dispatches.back()));
+    }
+  }
   SUBCASE("one took longer") {
     playCalls(Test, 63, 1ms);
     playCalls(Test, 1, 3s);
--- a/tests/unit/registry_feed_test.cpp
+++ b/tests/unit/registry_feed_test.cpp
@@ -154,3 +154,24 @@
     CHECK(Other.version() == 4);
   }
 }
+
+TEST_CASE("a follower that is ahead is sent no patch") {
+  Node Sender;
+  Sender.m_Registry.apply({configuration(6, 2)}, 6, Now);
+  Sender.m_Registry.apply({configuration(8, 4)}, 8, Now);
+  Node Follower;
+  SUBCASE("by a newer value") {
+    Follower.m_Registry.apply({configuration(9, 5)}, 9, Now);
+  }
+  SUBCASE("by a removal") {
+    Follower.m_Registry.apply({{"configuration", 9, nullptr}}, 9, Now);
+  }
+  SUBCASE("by a small value") {
+    Follower.m_Registry.apply(
+        {{"configuration", 9, std::make_shared<const std::string>("5 ")}}, 9,
+        Now);
+  }
+  const RecordChanges Sent = Sender.m_Registry.changesFor(5);
+  const LargeRevisions Bases = Follower.m_Registry.basesOf(Sent.m_Large);
+  CHECK(Sender.m_Registry.changesFor(5, true, Bases).m_Patches.empty());
+}
--- a/tests/unit/store_feeds_test.cpp
+++ b/tests/unit/store_feeds_test.cpp
@@ -346,7 +346,25 @@
   World.m_Follower.confirmPatches(1, {});
   CHECK(Received() == 1);
   World.m_Follower.onOutdatedNotice(1, Notice, World.m_Now);
+  CHECK(World.m_Follower.takeCommands().empty());
+  World.m_Follower.confirmPatches(1, {});
   CHECK(Received() == 2);
   World.m_Follower.confirmPatches(2, {});
   CHECK(Received() == 0);
 }
+
+TEST_CASE("several patches of a record that wait are left to be asked for") {
+  FeedPublisher Publisher(4);
+  Publisher.onFollow(1, FollowRevisions{}, {7, 7, std::nullopt}, {}, Start);
+  for (const Revision At : {8U, 9U})
+    Publisher.onRevision({At, At, std::nullopt},
+                         {{}, {RecordPatch{"a", At, At - 1, {}}}, {}, true},
+                         Start);
+  Publisher.onRevision({9, 9, std::nullopt},
+                       {{}, {RecordPatch{"b", 9, 8, {}}}, {}, true}, Start);
+  Publisher.onRevision({9, 9, Start}, {}, Start);
+  const std::vector<RevisionNotice> Sent = takeNotices(Publisher);
+  REQUIRE(Sent.size() == 1);
+  REQUIRE(Sent[0].m_Changes.m_Patches.size() == 1);
+  CHECK(Sent[0].m_Changes.m_Patches[0].m_Key == "b");
+}
