--- a/src/app/node/traffic_commands.cpp
+++ b/src/app/node/traffic_commands.cpp
@@ -263,7 +263,8 @@
   performCommands();
 }
 
-// Any other gate would fail as well, so the request is not tried elsewhere.
+// Answers the caller itself: a retry at another gate would fail to encode the
+// request in the same way.
 void TrafficDriver::Impl::onUnsendable(const core::RequestId &Id,
                                        const std::string &Fault,
                                        TimePoint Now) {
