--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -1618,6 +1618,11 @@
   this->repeatable = val;
 __isset.repeatable = true;
 }
+
+void Dispatch::__set_team(const std::string& val) {
+  this->team = val;
+__isset.team = true;
+}
 std::ostream& operator<<(std::ostream& out, const Dispatch& obj)
 {
   obj.printTo(out);
@@ -1766,6 +1771,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1846,6 +1859,11 @@
     xfer += oprot->writeBool(this->repeatable);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.team) {
+    xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 16);
+    xfer += oprot->writeString(this->team);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1868,6 +1886,7 @@
   swap(a.stated_rate, b.stated_rate);
   swap(a.as_suspect, b.as_suspect);
   swap(a.repeatable, b.repeatable);
+  swap(a.team, b.team);
   swap(a.__isset, b.__isset);
 }
 
@@ -1887,6 +1906,7 @@
   stated_rate = other52.stated_rate;
   as_suspect = other52.as_suspect;
   repeatable = other52.repeatable;
+  team = other52.team;
   __isset = other52.__isset;
 }
 Dispatch::Dispatch(Dispatch&& other53) noexcept {
@@ -1905,6 +1925,7 @@
   stated_rate = other53.stated_rate;
   as_suspect = other53.as_suspect;
   repeatable = other53.repeatable;
+  team = std::move(other53.team);
   __isset = other53.__isset;
 }
 Dispatch& Dispatch::operator=(const Dispatch& other54) {
@@ -1923,6 +1944,7 @@
   stated_rate = other54.stated_rate;
   as_suspect = other54.as_suspect;
   repeatable = other54.repeatable;
+  team = other54.team;
   __isset = other54.__isset;
   return *this;
 }
@@ -1942,6 +1964,7 @@
   stated_rate = other55.stated_rate;
   as_suspect = other55.as_suspect;
   repeatable = other55.repeatable;
+  team = std::move(other55.team);
   __isset = other55.__isset;
   return *this;
 }
@@ -1963,6 +1986,7 @@
   out << ", " << "stated_rate="; (__isset.stated_rate ? (out << to_string(stated_rate)) : (out << "<null>"));
   out << ", " << "as_suspect="; (__isset.as_suspect ? (out << to_string(as_suspect)) : (out << "<null>"));
   out << ", " << "repeatable="; (__isset.repeatable ? (out << to_string(repeatable)) : (out << "<null>"));
+  out << ", " << "team="; (__isset.team ? (out << to_string(team)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3879,6 +3903,362 @@
 }
 
 
+CreditRequest::~CreditRequest() noexcept {
+}
+
+
+void CreditRequest::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void CreditRequest::__set_team(const std::string& val) {
+  this->team = val;
+}
+
+void CreditRequest::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+
+void CreditRequest::__set_returned(const int32_t val) {
+  this->returned = val;
+}
+std::ostream& operator<<(std::ostream& out, const CreditRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CreditRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->returned);
+          this->__isset.returned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CreditRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CreditRequest");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->returned);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CreditRequest &a, CreditRequest &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.team, b.team);
+  swap(a.wanted, b.wanted);
+  swap(a.returned, b.returned);
+  swap(a.__isset, b.__isset);
+}
+
+CreditRequest::CreditRequest(const CreditRequest& other136) {
+  sequence = other136.sequence;
+  team = other136.team;
+  wanted = other136.wanted;
+  returned = other136.returned;
+  __isset = other136.__isset;
+}
+CreditRequest::CreditRequest(CreditRequest&& other137) noexcept {
+  sequence = other137.sequence;
+  team = std::move(other137.team);
+  wanted = other137.wanted;
+  returned = other137.returned;
+  __isset = other137.__isset;
+}
+CreditRequest& CreditRequest::operator=(const CreditRequest& other138) {
+  sequence = other138.sequence;
+  team = other138.team;
+  wanted = other138.wanted;
+  returned = other138.returned;
+  __isset = other138.__isset;
+  return *this;
+}
+CreditRequest& CreditRequest::operator=(CreditRequest&& other139) noexcept {
+  sequence = other139.sequence;
+  team = std::move(other139.team);
+  wanted = other139.wanted;
+  returned = other139.returned;
+  __isset = other139.__isset;
+  return *this;
+}
+void CreditRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CreditRequest(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "team=" << to_string(team);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "returned=" << to_string(returned);
+  out << ")";
+}
+
+
+CreditGrant::~CreditGrant() noexcept {
+}
+
+
+void CreditGrant::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void CreditGrant::__set_team(const std::string& val) {
+  this->team = val;
+}
+
+void CreditGrant::__set_granted(const int32_t val) {
+  this->granted = val;
+}
+
+void CreditGrant::__set_lease_us(const int64_t val) {
+  this->lease_us = val;
+}
+
+void CreditGrant::__set_retry_after_us(const int64_t val) {
+  this->retry_after_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const CreditGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CreditGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lease_us);
+          this->__isset.lease_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after_us);
+          this->__isset.retry_after_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CreditGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CreditGrant");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lease_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->lease_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_after_us", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->retry_after_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CreditGrant &a, CreditGrant &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.team, b.team);
+  swap(a.granted, b.granted);
+  swap(a.lease_us, b.lease_us);
+  swap(a.retry_after_us, b.retry_after_us);
+  swap(a.__isset, b.__isset);
+}
+
+CreditGrant::CreditGrant(const CreditGrant& other140) {
+  sequence = other140.sequence;
+  team = other140.team;
+  granted = other140.granted;
+  lease_us = other140.lease_us;
+  retry_after_us = other140.retry_after_us;
+  __isset = other140.__isset;
+}
+CreditGrant::CreditGrant(CreditGrant&& other141) noexcept {
+  sequence = other141.sequence;
+  team = std::move(other141.team);
+  granted = other141.granted;
+  lease_us = other141.lease_us;
+  retry_after_us = other141.retry_after_us;
+  __isset = other141.__isset;
+}
+CreditGrant& CreditGrant::operator=(const CreditGrant& other142) {
+  sequence = other142.sequence;
+  team = other142.team;
+  granted = other142.granted;
+  lease_us = other142.lease_us;
+  retry_after_us = other142.retry_after_us;
+  __isset = other142.__isset;
+  return *this;
+}
+CreditGrant& CreditGrant::operator=(CreditGrant&& other143) noexcept {
+  sequence = other143.sequence;
+  team = std::move(other143.team);
+  granted = other143.granted;
+  lease_us = other143.lease_us;
+  retry_after_us = other143.retry_after_us;
+  __isset = other143.__isset;
+  return *this;
+}
+void CreditGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CreditGrant(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "team=" << to_string(team);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "lease_us=" << to_string(lease_us);
+  out << ", " << "retry_after_us=" << to_string(retry_after_us);
+  out << ")";
+}
+
+
 ControlHello::~ControlHello() noexcept {
 }
 
@@ -4056,46 +4436,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlHello::ControlHello(const ControlHello& other136) {
-  host = other136.host;
-  zone = other136.zone;
-  incarnation = other136.incarnation;
-  address = other136.address;
-  held = other136.held;
-  applied = other136.applied;
-  host_list = other136.host_list;
-  __isset = other136.__isset;
+ControlHello::ControlHello(const ControlHello& other144) {
+  host = other144.host;
+  zone = other144.zone;
+  incarnation = other144.incarnation;
+  address = other144.address;
+  held = other144.held;
+  applied = other144.applied;
+  host_list = other144.host_list;
+  __isset = other144.__isset;
 }
-ControlHello::ControlHello(ControlHello&& other137) noexcept {
-  host = std::move(other137.host);
-  zone = std::move(other137.zone);
-  incarnation = std::move(other137.incarnation);
-  address = std::move(other137.address);
-  held = std::move(other137.held);
-  applied = std::move(other137.applied);
-  host_list = std::move(other137.host_list);
-  __isset = other137.__isset;
+ControlHello::ControlHello(ControlHello&& other145) noexcept {
+  host = std::move(other145.host);
+  zone = std::move(other145.zone);
+  incarnation = std::move(other145.incarnation);
+  address = std::move(other145.address);
+  held = std::move(other145.held);
+  applied = std::move(other145.applied);
+  host_list = std::move(other145.host_list);
+  __isset = other145.__isset;
 }
-ControlHello& ControlHello::operator=(const ControlHello& other138) {
-  host = other138.host;
-  zone = other138.zone;
-  incarnation = other138.incarnation;
-  address = other138.address;
-  held = other138.held;
-  applied = other138.applied;
-  host_list = other138.host_list;
-  __isset = other138.__isset;
+ControlHello& ControlHello::operator=(const ControlHello& other146) {
+  host = other146.host;
+  zone = other146.zone;
+  incarnation = other146.incarnation;
+  address = other146.address;
+  held = other146.held;
+  applied = other146.applied;
+  host_list = other146.host_list;
+  __isset = other146.__isset;
   return *this;
 }
-ControlHello& ControlHello::operator=(ControlHello&& other139) noexcept {
-  host = std::move(other139.host);
-  zone = std::move(other139.zone);
-  incarnation = std::move(other139.incarnation);
-  address = std::move(other139.address);
-  held = std::move(other139.held);
-  applied = std::move(other139.applied);
-  host_list = std::move(other139.host_list);
-  __isset = other139.__isset;
+ControlHello& ControlHello::operator=(ControlHello&& other147) noexcept {
+  host = std::move(other147.host);
+  zone = std::move(other147.zone);
+  incarnation = std::move(other147.incarnation);
+  address = std::move(other147.address);
+  held = std::move(other147.held);
+  applied = std::move(other147.applied);
+  host_list = std::move(other147.host_list);
+  __isset = other147.__isset;
   return *this;
 }
 void ControlHello::printTo(std::ostream& out) const {
@@ -4204,26 +4584,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Announce::Announce(const Announce& other140) noexcept {
-  stream = other140.stream;
-  held = other140.held;
-  __isset = other140.__isset;
+Announce::Announce(const Announce& other148) noexcept {
+  stream = other148.stream;
+  held = other148.held;
+  __isset = other148.__isset;
 }
-Announce::Announce(Announce&& other141) noexcept {
-  stream = other141.stream;
-  held = std::move(other141.held);
-  __isset = other141.__isset;
+Announce::Announce(Announce&& other149) noexcept {
+  stream = other149.stream;
+  held = std::move(other149.held);
+  __isset = other149.__isset;
 }
-Announce& Announce::operator=(const Announce& other142) noexcept {
-  stream = other142.stream;
-  held = other142.held;
-  __isset = other142.__isset;
+Announce& Announce::operator=(const Announce& other150) noexcept {
+  stream = other150.stream;
+  held = other150.held;
+  __isset = other150.__isset;
   return *this;
 }
-Announce& Announce::operator=(Announce&& other143) noexcept {
-  stream = other143.stream;
-  held = std::move(other143.held);
-  __isset = other143.__isset;
+Announce& Announce::operator=(Announce&& other151) noexcept {
+  stream = other151.stream;
+  held = std::move(other151.held);
+  __isset = other151.__isset;
   return *this;
 }
 void Announce::printTo(std::ostream& out) const {
@@ -4327,26 +4707,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Pull::Pull(const Pull& other144) noexcept {
-  stream = other144.stream;
-  have = other144.have;
-  __isset = other144.__isset;
+Pull::Pull(const Pull& other152) noexcept {
+  stream = other152.stream;
+  have = other152.have;
+  __isset = other152.__isset;
 }
-Pull::Pull(Pull&& other145) noexcept {
-  stream = other145.stream;
-  have = std::move(other145.have);
-  __isset = other145.__isset;
+Pull::Pull(Pull&& other153) noexcept {
+  stream = other153.stream;
+  have = std::move(other153.have);
+  __isset = other153.__isset;
 }
-Pull& Pull::operator=(const Pull& other146) noexcept {
-  stream = other146.stream;
-  have = other146.have;
-  __isset = other146.__isset;
+Pull& Pull::operator=(const Pull& other154) noexcept {
+  stream = other154.stream;
+  have = other154.have;
+  __isset = other154.__isset;
   return *this;
 }
-Pull& Pull::operator=(Pull&& other147) noexcept {
-  stream = other147.stream;
-  have = std::move(other147.have);
-  __isset = other147.__isset;
+Pull& Pull::operator=(Pull&& other155) noexcept {
+  stream = other155.stream;
+  have = std::move(other155.have);
+  __isset = other155.__isset;
   return *this;
 }
 void Pull::printTo(std::ostream& out) const {
@@ -4450,26 +4830,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Part::Part(const Part& other148) {
-  name = other148.name;
-  text = other148.text;
-  __isset = other148.__isset;
+Part::Part(const Part& other156) {
+  name = other156.name;
+  text = other156.text;
+  __isset = other156.__isset;
 }
-Part::Part(Part&& other149) noexcept {
-  name = std::move(other149.name);
-  text = std::move(other149.text);
-  __isset = other149.__isset;
+Part::Part(Part&& other157) noexcept {
+  name = std::move(other157.name);
+  text = std::move(other157.text);
+  __isset = other157.__isset;
 }
-Part& Part::operator=(const Part& other150) {
-  name = other150.name;
-  text = other150.text;
-  __isset = other150.__isset;
+Part& Part::operator=(const Part& other158) {
+  name = other158.name;
+  text = other158.text;
+  __isset = other158.__isset;
   return *this;
 }
-Part& Part::operator=(Part&& other151) noexcept {
-  name = std::move(other151.name);
-  text = std::move(other151.text);
-  __isset = other151.__isset;
+Part& Part::operator=(Part&& other159) noexcept {
+  name = std::move(other159.name);
+  text = std::move(other159.text);
+  __isset = other159.__isset;
   return *this;
 }
 void Part::printTo(std::ostream& out) const {
@@ -4548,14 +4928,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size152;
-            ::apache::thrift::protocol::TType _etype155;
-            xfer += iprot->readListBegin(_etype155, _size152);
-            this->changed.resize(_size152);
-            uint32_t _i156;
-            for (_i156 = 0; _i156 < _size152; ++_i156)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->changed.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += this->changed[_i156].read(iprot);
+              xfer += this->changed[_i164].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4568,14 +4948,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _etype160;
-            xfer += iprot->readListBegin(_etype160, _size157);
-            this->removed.resize(_size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->removed.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
             {
-              xfer += iprot->readString(this->removed[_i161]);
+              xfer += iprot->readString(this->removed[_i169]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4612,10 +4992,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<Part> ::const_iterator _iter162;
-    for (_iter162 = this->changed.begin(); _iter162 != this->changed.end(); ++_iter162)
+    std::vector<Part> ::const_iterator _iter170;
+    for (_iter170 = this->changed.begin(); _iter170 != this->changed.end(); ++_iter170)
     {
-      xfer += (*_iter162).write(oprot);
+      xfer += (*_iter170).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4624,10 +5004,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter163;
-    for (_iter163 = this->removed.begin(); _iter163 != this->removed.end(); ++_iter163)
+    std::vector<std::string> ::const_iterator _iter171;
+    for (_iter171 = this->removed.begin(); _iter171 != this->removed.end(); ++_iter171)
     {
-      xfer += oprot->writeString((*_iter163));
+      xfer += oprot->writeString((*_iter171));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4647,34 +5027,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeRecord::ChangeRecord(const ChangeRecord& other164) {
-  base = other164.base;
-  stamp = other164.stamp;
-  changed = other164.changed;
-  removed = other164.removed;
-  __isset = other164.__isset;
-}
-ChangeRecord::ChangeRecord(ChangeRecord&& other165) noexcept {
-  base = std::move(other165.base);
-  stamp = std::move(other165.stamp);
-  changed = std::move(other165.changed);
-  removed = std::move(other165.removed);
-  __isset = other165.__isset;
-}
-ChangeRecord& ChangeRecord::operator=(const ChangeRecord& other166) {
-  base = other166.base;
-  stamp = other166.stamp;
-  changed = other166.changed;
-  removed = other166.removed;
-  __isset = other166.__isset;
+ChangeRecord::ChangeRecord(const ChangeRecord& other172) {
+  base = other172.base;
+  stamp = other172.stamp;
+  changed = other172.changed;
+  removed = other172.removed;
+  __isset = other172.__isset;
+}
+ChangeRecord::ChangeRecord(ChangeRecord&& other173) noexcept {
+  base = std::move(other173.base);
+  stamp = std::move(other173.stamp);
+  changed = std::move(other173.changed);
+  removed = std::move(other173.removed);
+  __isset = other173.__isset;
+}
+ChangeRecord& ChangeRecord::operator=(const ChangeRecord& other174) {
+  base = other174.base;
+  stamp = other174.stamp;
+  changed = other174.changed;
+  removed = other174.removed;
+  __isset = other174.__isset;
   return *this;
 }
-ChangeRecord& ChangeRecord::operator=(ChangeRecord&& other167) noexcept {
-  base = std::move(other167.base);
-  stamp = std::move(other167.stamp);
-  changed = std::move(other167.changed);
-  removed = std::move(other167.removed);
-  __isset = other167.__isset;
+ChangeRecord& ChangeRecord::operator=(ChangeRecord&& other175) noexcept {
+  base = std::move(other175.base);
+  stamp = std::move(other175.stamp);
+  changed = std::move(other175.changed);
+  removed = std::move(other175.removed);
+  __isset = other175.__isset;
   return *this;
 }
 void ChangeRecord::printTo(std::ostream& out) const {
@@ -4739,14 +5119,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->records.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->records.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->records[_i172].read(iprot);
+              xfer += this->records[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4779,10 +5159,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<ChangeRecord> ::const_iterator _iter173;
-    for (_iter173 = this->records.begin(); _iter173 != this->records.end(); ++_iter173)
+    std::vector<ChangeRecord> ::const_iterator _iter181;
+    for (_iter181 = this->records.begin(); _iter181 != this->records.end(); ++_iter181)
     {
-      xfer += (*_iter173).write(oprot);
+      xfer += (*_iter181).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4800,26 +5180,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeRecords::ChangeRecords(const ChangeRecords& other174) {
-  stream = other174.stream;
-  records = other174.records;
-  __isset = other174.__isset;
+ChangeRecords::ChangeRecords(const ChangeRecords& other182) {
+  stream = other182.stream;
+  records = other182.records;
+  __isset = other182.__isset;
 }
-ChangeRecords::ChangeRecords(ChangeRecords&& other175) noexcept {
-  stream = other175.stream;
-  records = std::move(other175.records);
-  __isset = other175.__isset;
+ChangeRecords::ChangeRecords(ChangeRecords&& other183) noexcept {
+  stream = other183.stream;
+  records = std::move(other183.records);
+  __isset = other183.__isset;
 }
-ChangeRecords& ChangeRecords::operator=(const ChangeRecords& other176) {
-  stream = other176.stream;
-  records = other176.records;
-  __isset = other176.__isset;
+ChangeRecords& ChangeRecords::operator=(const ChangeRecords& other184) {
+  stream = other184.stream;
+  records = other184.records;
+  __isset = other184.__isset;
   return *this;
 }
-ChangeRecords& ChangeRecords::operator=(ChangeRecords&& other177) noexcept {
-  stream = other177.stream;
-  records = std::move(other177.records);
-  __isset = other177.__isset;
+ChangeRecords& ChangeRecords::operator=(ChangeRecords&& other185) noexcept {
+  stream = other185.stream;
+  records = std::move(other185.records);
+  __isset = other185.__isset;
   return *this;
 }
 void ChangeRecords::printTo(std::ostream& out) const {
@@ -4918,14 +5298,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->parts.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->parts.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              xfer += this->parts[_i182].read(iprot);
+              xfer += this->parts[_i190].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4970,10 +5350,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<Part> ::const_iterator _iter183;
-    for (_iter183 = this->parts.begin(); _iter183 != this->parts.end(); ++_iter183)
+    std::vector<Part> ::const_iterator _iter191;
+    for (_iter191 = this->parts.begin(); _iter191 != this->parts.end(); ++_iter191)
     {
-      xfer += (*_iter183).write(oprot);
+      xfer += (*_iter191).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4994,38 +5374,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other184) {
-  stream = other184.stream;
-  stamp = other184.stamp;
-  index = other184.index;
-  count = other184.count;
-  parts = other184.parts;
-  __isset = other184.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other192) {
+  stream = other192.stream;
+  stamp = other192.stamp;
+  index = other192.index;
+  count = other192.count;
+  parts = other192.parts;
+  __isset = other192.__isset;
 }
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other185) noexcept {
-  stream = other185.stream;
-  stamp = std::move(other185.stamp);
-  index = other185.index;
-  count = other185.count;
-  parts = std::move(other185.parts);
-  __isset = other185.__isset;
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other193) noexcept {
+  stream = other193.stream;
+  stamp = std::move(other193.stamp);
+  index = other193.index;
+  count = other193.count;
+  parts = std::move(other193.parts);
+  __isset = other193.__isset;
 }
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other186) {
-  stream = other186.stream;
-  stamp = other186.stamp;
-  index = other186.index;
-  count = other186.count;
-  parts = other186.parts;
-  __isset = other186.__isset;
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other194) {
+  stream = other194.stream;
+  stamp = other194.stamp;
+  index = other194.index;
+  count = other194.count;
+  parts = other194.parts;
+  __isset = other194.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other187) noexcept {
-  stream = other187.stream;
-  stamp = std::move(other187.stamp);
-  index = other187.index;
-  count = other187.count;
-  parts = std::move(other187.parts);
-  __isset = other187.__isset;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other195) noexcept {
+  stream = other195.stream;
+  stamp = std::move(other195.stamp);
+  index = other195.index;
+  count = other195.count;
+  parts = std::move(other195.parts);
+  __isset = other195.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -5132,26 +5512,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HeldAck::HeldAck(const HeldAck& other188) noexcept {
-  stream = other188.stream;
-  held = other188.held;
-  __isset = other188.__isset;
+HeldAck::HeldAck(const HeldAck& other196) noexcept {
+  stream = other196.stream;
+  held = other196.held;
+  __isset = other196.__isset;
 }
-HeldAck::HeldAck(HeldAck&& other189) noexcept {
-  stream = other189.stream;
-  held = std::move(other189.held);
-  __isset = other189.__isset;
+HeldAck::HeldAck(HeldAck&& other197) noexcept {
+  stream = other197.stream;
+  held = std::move(other197.held);
+  __isset = other197.__isset;
 }
-HeldAck& HeldAck::operator=(const HeldAck& other190) noexcept {
-  stream = other190.stream;
-  held = other190.held;
-  __isset = other190.__isset;
+HeldAck& HeldAck::operator=(const HeldAck& other198) noexcept {
+  stream = other198.stream;
+  held = other198.held;
+  __isset = other198.__isset;
   return *this;
 }
-HeldAck& HeldAck::operator=(HeldAck&& other191) noexcept {
-  stream = other191.stream;
-  held = std::move(other191.held);
-  __isset = other191.__isset;
+HeldAck& HeldAck::operator=(HeldAck&& other199) noexcept {
+  stream = other199.stream;
+  held = std::move(other199.held);
+  __isset = other199.__isset;
   return *this;
 }
 void HeldAck::printTo(std::ostream& out) const {
@@ -5323,42 +5703,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other192) noexcept {
-  sequence = other192.sequence;
-  held = other192.held;
-  applied = other192.applied;
-  host_list = other192.host_list;
-  source_tried_ago_us = other192.source_tried_ago_us;
-  source_reached_ago_us = other192.source_reached_ago_us;
-  __isset = other192.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other200) noexcept {
+  sequence = other200.sequence;
+  held = other200.held;
+  applied = other200.applied;
+  host_list = other200.host_list;
+  source_tried_ago_us = other200.source_tried_ago_us;
+  source_reached_ago_us = other200.source_reached_ago_us;
+  __isset = other200.__isset;
 }
-Heartbeat::Heartbeat(Heartbeat&& other193) noexcept {
-  sequence = other193.sequence;
-  held = std::move(other193.held);
-  applied = std::move(other193.applied);
-  host_list = std::move(other193.host_list);
-  source_tried_ago_us = other193.source_tried_ago_us;
-  source_reached_ago_us = other193.source_reached_ago_us;
-  __isset = other193.__isset;
+Heartbeat::Heartbeat(Heartbeat&& other201) noexcept {
+  sequence = other201.sequence;
+  held = std::move(other201.held);
+  applied = std::move(other201.applied);
+  host_list = std::move(other201.host_list);
+  source_tried_ago_us = other201.source_tried_ago_us;
+  source_reached_ago_us = other201.source_reached_ago_us;
+  __isset = other201.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other194) noexcept {
-  sequence = other194.sequence;
-  held = other194.held;
-  applied = other194.applied;
-  host_list = other194.host_list;
-  source_tried_ago_us = other194.source_tried_ago_us;
-  source_reached_ago_us = other194.source_reached_ago_us;
-  __isset = other194.__isset;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other202) noexcept {
+  sequence = other202.sequence;
+  held = other202.held;
+  applied = other202.applied;
+  host_list = other202.host_list;
+  source_tried_ago_us = other202.source_tried_ago_us;
+  source_reached_ago_us = other202.source_reached_ago_us;
+  __isset = other202.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other195) noexcept {
-  sequence = other195.sequence;
-  held = std::move(other195.held);
-  applied = std::move(other195.applied);
-  host_list = std::move(other195.host_list);
-  source_tried_ago_us = other195.source_tried_ago_us;
-  source_reached_ago_us = other195.source_reached_ago_us;
-  __isset = other195.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other203) noexcept {
+  sequence = other203.sequence;
+  held = std::move(other203.held);
+  applied = std::move(other203.applied);
+  host_list = std::move(other203.host_list);
+  source_tried_ago_us = other203.source_tried_ago_us;
+  source_reached_ago_us = other203.source_reached_ago_us;
+  __isset = other203.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -5428,18 +5808,18 @@
   (void) b;
 }
 
-ControlGoAway::ControlGoAway(const ControlGoAway& other196) noexcept {
-  (void) other196;
+ControlGoAway::ControlGoAway(const ControlGoAway& other204) noexcept {
+  (void) other204;
 }
-ControlGoAway::ControlGoAway(ControlGoAway&& other197) noexcept {
-  (void) other197;
+ControlGoAway::ControlGoAway(ControlGoAway&& other205) noexcept {
+  (void) other205;
 }
-ControlGoAway& ControlGoAway::operator=(const ControlGoAway& other198) noexcept {
-  (void) other198;
+ControlGoAway& ControlGoAway::operator=(const ControlGoAway& other206) noexcept {
+  (void) other206;
   return *this;
 }
-ControlGoAway& ControlGoAway::operator=(ControlGoAway&& other199) noexcept {
-  (void) other199;
+ControlGoAway& ControlGoAway::operator=(ControlGoAway&& other207) noexcept {
+  (void) other207;
   return *this;
 }
 void ControlGoAway::printTo(std::ostream& out) const {
@@ -5560,30 +5940,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreRecord::StoreRecord(const StoreRecord& other200) {
-  key = other200.key;
-  revision = other200.revision;
-  value = other200.value;
-  __isset = other200.__isset;
+StoreRecord::StoreRecord(const StoreRecord& other208) {
+  key = other208.key;
+  revision = other208.revision;
+  value = other208.value;
+  __isset = other208.__isset;
 }
-StoreRecord::StoreRecord(StoreRecord&& other201) noexcept {
-  key = std::move(other201.key);
-  revision = other201.revision;
-  value = std::move(other201.value);
-  __isset = other201.__isset;
+StoreRecord::StoreRecord(StoreRecord&& other209) noexcept {
+  key = std::move(other209.key);
+  revision = other209.revision;
+  value = std::move(other209.value);
+  __isset = other209.__isset;
 }
-StoreRecord& StoreRecord::operator=(const StoreRecord& other202) {
-  key = other202.key;
-  revision = other202.revision;
-  value = other202.value;
-  __isset = other202.__isset;
+StoreRecord& StoreRecord::operator=(const StoreRecord& other210) {
+  key = other210.key;
+  revision = other210.revision;
+  value = other210.value;
+  __isset = other210.__isset;
   return *this;
 }
-StoreRecord& StoreRecord::operator=(StoreRecord&& other203) noexcept {
-  key = std::move(other203.key);
-  revision = other203.revision;
-  value = std::move(other203.value);
-  __isset = other203.__isset;
+StoreRecord& StoreRecord::operator=(StoreRecord&& other211) noexcept {
+  key = std::move(other211.key);
+  revision = other211.revision;
+  value = std::move(other211.value);
+  __isset = other211.__isset;
   return *this;
 }
 void StoreRecord::printTo(std::ostream& out) const {
@@ -5688,26 +6068,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordsPull::RecordsPull(const RecordsPull& other204) noexcept {
-  have = other204.have;
-  in_force = other204.in_force;
-  __isset = other204.__isset;
+RecordsPull::RecordsPull(const RecordsPull& other212) noexcept {
+  have = other212.have;
+  in_force = other212.in_force;
+  __isset = other212.__isset;
 }
-RecordsPull::RecordsPull(RecordsPull&& other205) noexcept {
-  have = other205.have;
-  in_force = other205.in_force;
-  __isset = other205.__isset;
+RecordsPull::RecordsPull(RecordsPull&& other213) noexcept {
+  have = other213.have;
+  in_force = other213.in_force;
+  __isset = other213.__isset;
 }
-RecordsPull& RecordsPull::operator=(const RecordsPull& other206) noexcept {
-  have = other206.have;
-  in_force = other206.in_force;
-  __isset = other206.__isset;
+RecordsPull& RecordsPull::operator=(const RecordsPull& other214) noexcept {
+  have = other214.have;
+  in_force = other214.in_force;
+  __isset = other214.__isset;
   return *this;
 }
-RecordsPull& RecordsPull::operator=(RecordsPull&& other207) noexcept {
-  have = other207.have;
-  in_force = other207.in_force;
-  __isset = other207.__isset;
+RecordsPull& RecordsPull::operator=(RecordsPull&& other215) noexcept {
+  have = other215.have;
+  in_force = other215.in_force;
+  __isset = other215.__isset;
   return *this;
 }
 void RecordsPull::printTo(std::ostream& out) const {
@@ -5845,34 +6225,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetDeparture::TargetDeparture(const TargetDeparture& other208) {
-  key = other208.key;
-  started_at_ms = other208.started_at_ms;
-  sequence = other208.sequence;
-  left_as_of = other208.left_as_of;
-  __isset = other208.__isset;
-}
-TargetDeparture::TargetDeparture(TargetDeparture&& other209) noexcept {
-  key = std::move(other209.key);
-  started_at_ms = other209.started_at_ms;
-  sequence = other209.sequence;
-  left_as_of = other209.left_as_of;
-  __isset = other209.__isset;
-}
-TargetDeparture& TargetDeparture::operator=(const TargetDeparture& other210) {
-  key = other210.key;
-  started_at_ms = other210.started_at_ms;
-  sequence = other210.sequence;
-  left_as_of = other210.left_as_of;
-  __isset = other210.__isset;
+TargetDeparture::TargetDeparture(const TargetDeparture& other216) {
+  key = other216.key;
+  started_at_ms = other216.started_at_ms;
+  sequence = other216.sequence;
+  left_as_of = other216.left_as_of;
+  __isset = other216.__isset;
+}
+TargetDeparture::TargetDeparture(TargetDeparture&& other217) noexcept {
+  key = std::move(other217.key);
+  started_at_ms = other217.started_at_ms;
+  sequence = other217.sequence;
+  left_as_of = other217.left_as_of;
+  __isset = other217.__isset;
+}
+TargetDeparture& TargetDeparture::operator=(const TargetDeparture& other218) {
+  key = other218.key;
+  started_at_ms = other218.started_at_ms;
+  sequence = other218.sequence;
+  left_as_of = other218.left_as_of;
+  __isset = other218.__isset;
   return *this;
 }
-TargetDeparture& TargetDeparture::operator=(TargetDeparture&& other211) noexcept {
-  key = std::move(other211.key);
-  started_at_ms = other211.started_at_ms;
-  sequence = other211.sequence;
-  left_as_of = other211.left_as_of;
-  __isset = other211.__isset;
+TargetDeparture& TargetDeparture::operator=(TargetDeparture&& other219) noexcept {
+  key = std::move(other219.key);
+  started_at_ms = other219.started_at_ms;
+  sequence = other219.sequence;
+  left_as_of = other219.left_as_of;
+  __isset = other219.__isset;
   return *this;
 }
 void TargetDeparture::printTo(std::ostream& out) const {
@@ -5958,14 +6338,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size212;
-            ::apache::thrift::protocol::TType _etype215;
-            xfer += iprot->readListBegin(_etype215, _size212);
-            this->records.resize(_size212);
-            uint32_t _i216;
-            for (_i216 = 0; _i216 < _size212; ++_i216)
+            uint32_t _size220;
+            ::apache::thrift::protocol::TType _etype223;
+            xfer += iprot->readListBegin(_etype223, _size220);
+            this->records.resize(_size220);
+            uint32_t _i224;
+            for (_i224 = 0; _i224 < _size220; ++_i224)
             {
-              xfer += this->records[_i216].read(iprot);
+              xfer += this->records[_i224].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5986,14 +6366,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departures.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->departures.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
+            uint32_t _size225;
+            ::apache::thrift::protocol::TType _etype228;
+            xfer += iprot->readListBegin(_etype228, _size225);
+            this->departures.resize(_size225);
+            uint32_t _i229;
+            for (_i229 = 0; _i229 < _size225; ++_i229)
             {
-              xfer += this->departures[_i221].read(iprot);
+              xfer += this->departures[_i229].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6030,10 +6410,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoreRecord> ::const_iterator _iter222;
-    for (_iter222 = this->records.begin(); _iter222 != this->records.end(); ++_iter222)
+    std::vector<StoreRecord> ::const_iterator _iter230;
+    for (_iter230 = this->records.begin(); _iter230 != this->records.end(); ++_iter230)
     {
-      xfer += (*_iter222).write(oprot);
+      xfer += (*_iter230).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6047,10 +6427,10 @@
   xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
-    std::vector<TargetDeparture> ::const_iterator _iter223;
-    for (_iter223 = this->departures.begin(); _iter223 != this->departures.end(); ++_iter223)
+    std::vector<TargetDeparture> ::const_iterator _iter231;
+    for (_iter231 = this->departures.begin(); _iter231 != this->departures.end(); ++_iter231)
     {
-      xfer += (*_iter223).write(oprot);
+      xfer += (*_iter231).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6071,38 +6451,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordsPush::RecordsPush(const RecordsPush& other224) {
-  as_of = other224.as_of;
-  whole = other224.whole;
-  records = other224.records;
-  retained = other224.retained;
-  departures = other224.departures;
-  __isset = other224.__isset;
-}
-RecordsPush::RecordsPush(RecordsPush&& other225) noexcept {
-  as_of = other225.as_of;
-  whole = other225.whole;
-  records = std::move(other225.records);
-  retained = std::move(other225.retained);
-  departures = std::move(other225.departures);
-  __isset = other225.__isset;
-}
-RecordsPush& RecordsPush::operator=(const RecordsPush& other226) {
-  as_of = other226.as_of;
-  whole = other226.whole;
-  records = other226.records;
-  retained = other226.retained;
-  departures = other226.departures;
-  __isset = other226.__isset;
+RecordsPush::RecordsPush(const RecordsPush& other232) {
+  as_of = other232.as_of;
+  whole = other232.whole;
+  records = other232.records;
+  retained = other232.retained;
+  departures = other232.departures;
+  __isset = other232.__isset;
+}
+RecordsPush::RecordsPush(RecordsPush&& other233) noexcept {
+  as_of = other233.as_of;
+  whole = other233.whole;
+  records = std::move(other233.records);
+  retained = std::move(other233.retained);
+  departures = std::move(other233.departures);
+  __isset = other233.__isset;
+}
+RecordsPush& RecordsPush::operator=(const RecordsPush& other234) {
+  as_of = other234.as_of;
+  whole = other234.whole;
+  records = other234.records;
+  retained = other234.retained;
+  departures = other234.departures;
+  __isset = other234.__isset;
   return *this;
 }
-RecordsPush& RecordsPush::operator=(RecordsPush&& other227) noexcept {
-  as_of = other227.as_of;
-  whole = other227.whole;
-  records = std::move(other227.records);
-  retained = std::move(other227.retained);
-  departures = std::move(other227.departures);
-  __isset = other227.__isset;
+RecordsPush& RecordsPush::operator=(RecordsPush&& other235) noexcept {
+  as_of = other235.as_of;
+  whole = other235.whole;
+  records = std::move(other235.records);
+  retained = std::move(other235.retained);
+  departures = std::move(other235.departures);
+  __isset = other235.__isset;
   return *this;
 }
 void RecordsPush::printTo(std::ostream& out) const {
@@ -6196,26 +6576,26 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->bases.clear();
-            uint32_t _size228;
-            ::apache::thrift::protocol::TType _ktype229;
-            ::apache::thrift::protocol::TType _vtype230;
-            xfer += iprot->readMapBegin(_ktype229, _vtype230, _size228);
-            uint32_t _i232;
-            for (_i232 = 0; _i232 < _size228; ++_i232)
+            uint32_t _size236;
+            ::apache::thrift::protocol::TType _ktype237;
+            ::apache::thrift::protocol::TType _vtype238;
+            xfer += iprot->readMapBegin(_ktype237, _vtype238, _size236);
+            uint32_t _i240;
+            for (_i240 = 0; _i240 < _size236; ++_i240)
             {
-              std::string _key233;
-              xfer += iprot->readString(_key233);
-              std::vector<int64_t> & _val234 = this->bases[_key233];
+              std::string _key241;
+              xfer += iprot->readString(_key241);
+              std::vector<int64_t> & _val242 = this->bases[_key241];
               {
-                _val234.clear();
-                uint32_t _size235;
-                ::apache::thrift::protocol::TType _etype238;
-                xfer += iprot->readListBegin(_etype238, _size235);
-                _val234.resize(_size235);
-                uint32_t _i239;
-                for (_i239 = 0; _i239 < _size235; ++_i239)
+                _val242.clear();
+                uint32_t _size243;
+                ::apache::thrift::protocol::TType _etype246;
+                xfer += iprot->readListBegin(_etype246, _size243);
+                _val242.resize(_size243);
+                uint32_t _i247;
+                for (_i247 = 0; _i247 < _size243; ++_i247)
                 {
-                  xfer += iprot->readI64(_val234[_i239]);
+                  xfer += iprot->readI64(_val242[_i247]);
                 }
                 xfer += iprot->readListEnd();
               }
@@ -6267,16 +6647,16 @@
   xfer += oprot->writeFieldBegin("bases", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->bases.size()));
-    std::map<std::string, std::vector<int64_t> > ::const_iterator _iter240;
-    for (_iter240 = this->bases.begin(); _iter240 != this->bases.end(); ++_iter240)
+    std::map<std::string, std::vector<int64_t> > ::const_iterator _iter248;
+    for (_iter248 = this->bases.begin(); _iter248 != this->bases.end(); ++_iter248)
     {
-      xfer += oprot->writeString(_iter240->first);
+      xfer += oprot->writeString(_iter248->first);
       {
-        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter240->second.size()));
-        std::vector<int64_t> ::const_iterator _iter241;
-        for (_iter241 = _iter240->second.begin(); _iter241 != _iter240->second.end(); ++_iter241)
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter248->second.size()));
+        std::vector<int64_t> ::const_iterator _iter249;
+        for (_iter249 = _iter248->second.begin(); _iter249 != _iter248->second.end(); ++_iter249)
         {
-          xfer += oprot->writeI64((*_iter241));
+          xfer += oprot->writeI64((*_iter249));
         }
         xfer += oprot->writeListEnd();
       }
@@ -6304,38 +6684,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FollowRevisions::FollowRevisions(const FollowRevisions& other242) {
-  held = other242.held;
-  wants_patches = other242.wants_patches;
-  retained = other242.retained;
-  bases = other242.bases;
-  received_patches = other242.received_patches;
-  __isset = other242.__isset;
-}
-FollowRevisions::FollowRevisions(FollowRevisions&& other243) noexcept {
-  held = other243.held;
-  wants_patches = other243.wants_patches;
-  retained = other243.retained;
-  bases = std::move(other243.bases);
-  received_patches = other243.received_patches;
-  __isset = other243.__isset;
-}
-FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other244) {
-  held = other244.held;
-  wants_patches = other244.wants_patches;
-  retained = other244.retained;
-  bases = other244.bases;
-  received_patches = other244.received_patches;
-  __isset = other244.__isset;
+FollowRevisions::FollowRevisions(const FollowRevisions& other250) {
+  held = other250.held;
+  wants_patches = other250.wants_patches;
+  retained = other250.retained;
+  bases = other250.bases;
+  received_patches = other250.received_patches;
+  __isset = other250.__isset;
+}
+FollowRevisions::FollowRevisions(FollowRevisions&& other251) noexcept {
+  held = other251.held;
+  wants_patches = other251.wants_patches;
+  retained = other251.retained;
+  bases = std::move(other251.bases);
+  received_patches = other251.received_patches;
+  __isset = other251.__isset;
+}
+FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other252) {
+  held = other252.held;
+  wants_patches = other252.wants_patches;
+  retained = other252.retained;
+  bases = other252.bases;
+  received_patches = other252.received_patches;
+  __isset = other252.__isset;
   return *this;
 }
-FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other245) noexcept {
-  held = other245.held;
-  wants_patches = other245.wants_patches;
-  retained = other245.retained;
-  bases = std::move(other245.bases);
-  received_patches = other245.received_patches;
-  __isset = other245.__isset;
+FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other253) noexcept {
+  held = other253.held;
+  wants_patches = other253.wants_patches;
+  retained = other253.retained;
+  bases = std::move(other253.bases);
+  received_patches = other253.received_patches;
+  __isset = other253.__isset;
   return *this;
 }
 void FollowRevisions::printTo(std::ostream& out) const {
@@ -6493,38 +6873,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordPatch::RecordPatch(const RecordPatch& other246) {
-  key = other246.key;
-  revision = other246.revision;
-  base = other246.base;
-  digest = other246.digest;
-  compressed = other246.compressed;
-  __isset = other246.__isset;
-}
-RecordPatch::RecordPatch(RecordPatch&& other247) noexcept {
-  key = std::move(other247.key);
-  revision = other247.revision;
-  base = other247.base;
-  digest = other247.digest;
-  compressed = std::move(other247.compressed);
-  __isset = other247.__isset;
-}
-RecordPatch& RecordPatch::operator=(const RecordPatch& other248) {
-  key = other248.key;
-  revision = other248.revision;
-  base = other248.base;
-  digest = other248.digest;
-  compressed = other248.compressed;
-  __isset = other248.__isset;
+RecordPatch::RecordPatch(const RecordPatch& other254) {
+  key = other254.key;
+  revision = other254.revision;
+  base = other254.base;
+  digest = other254.digest;
+  compressed = other254.compressed;
+  __isset = other254.__isset;
+}
+RecordPatch::RecordPatch(RecordPatch&& other255) noexcept {
+  key = std::move(other255.key);
+  revision = other255.revision;
+  base = other255.base;
+  digest = other255.digest;
+  compressed = std::move(other255.compressed);
+  __isset = other255.__isset;
+}
+RecordPatch& RecordPatch::operator=(const RecordPatch& other256) {
+  key = other256.key;
+  revision = other256.revision;
+  base = other256.base;
+  digest = other256.digest;
+  compressed = other256.compressed;
+  __isset = other256.__isset;
   return *this;
 }
-RecordPatch& RecordPatch::operator=(RecordPatch&& other249) noexcept {
-  key = std::move(other249.key);
-  revision = other249.revision;
-  base = other249.base;
-  digest = other249.digest;
-  compressed = std::move(other249.compressed);
-  __isset = other249.__isset;
+RecordPatch& RecordPatch::operator=(RecordPatch&& other257) noexcept {
+  key = std::move(other257.key);
+  revision = other257.revision;
+  base = other257.base;
+  digest = other257.digest;
+  compressed = std::move(other257.compressed);
+  __isset = other257.__isset;
   return *this;
 }
 void RecordPatch::printTo(std::ostream& out) const {
@@ -6578,6 +6958,15 @@
 void RevisionNotice::__set_retained(const int64_t val) {
   this->retained = val;
 }
+
+void RevisionNotice::__set_proved_ago_us(const int64_t val) {
+  this->proved_ago_us = val;
+}
+
+void RevisionNotice::__set_probe(const int64_t val) {
+  this->probe = val;
+__isset.probe = true;
+}
 std::ostream& operator<<(std::ostream& out, const RevisionNotice& obj)
 {
   obj.printTo(out);
@@ -6642,14 +7031,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size250;
-            ::apache::thrift::protocol::TType _etype253;
-            xfer += iprot->readListBegin(_etype253, _size250);
-            this->records.resize(_size250);
-            uint32_t _i254;
-            for (_i254 = 0; _i254 < _size250; ++_i254)
+            uint32_t _size258;
+            ::apache::thrift::protocol::TType _etype261;
+            xfer += iprot->readListBegin(_etype261, _size258);
+            this->records.resize(_size258);
+            uint32_t _i262;
+            for (_i262 = 0; _i262 < _size258; ++_i262)
             {
-              xfer += this->records[_i254].read(iprot);
+              xfer += this->records[_i262].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6662,14 +7051,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->patches.clear();
-            uint32_t _size255;
-            ::apache::thrift::protocol::TType _etype258;
-            xfer += iprot->readListBegin(_etype258, _size255);
-            this->patches.resize(_size255);
-            uint32_t _i259;
-            for (_i259 = 0; _i259 < _size255; ++_i259)
+            uint32_t _size263;
+            ::apache::thrift::protocol::TType _etype266;
+            xfer += iprot->readListBegin(_etype266, _size263);
+            this->patches.resize(_size263);
+            uint32_t _i267;
+            for (_i267 = 0; _i267 < _size263; ++_i267)
             {
-              xfer += this->patches[_i259].read(iprot);
+              xfer += this->patches[_i267].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6682,17 +7071,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->large.clear();
-            uint32_t _size260;
-            ::apache::thrift::protocol::TType _ktype261;
-            ::apache::thrift::protocol::TType _vtype262;
-            xfer += iprot->readMapBegin(_ktype261, _vtype262, _size260);
-            uint32_t _i264;
-            for (_i264 = 0; _i264 < _size260; ++_i264)
+            uint32_t _size268;
+            ::apache::thrift::protocol::TType _ktype269;
+            ::apache::thrift::protocol::TType _vtype270;
+            xfer += iprot->readMapBegin(_ktype269, _vtype270, _size268);
+            uint32_t _i272;
+            for (_i272 = 0; _i272 < _size268; ++_i272)
             {
-              std::string _key265;
-              xfer += iprot->readString(_key265);
-              int64_t& _val266 = this->large[_key265];
-              xfer += iprot->readI64(_val266);
+              std::string _key273;
+              xfer += iprot->readString(_key273);
+              int64_t& _val274 = this->large[_key273];
+              xfer += iprot->readI64(_val274);
             }
             xfer += iprot->readMapEnd();
           }
@@ -6717,6 +7106,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proved_ago_us);
+          this->__isset.proved_ago_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->probe);
+          this->__isset.probe = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6753,10 +7158,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoreRecord> ::const_iterator _iter267;
-    for (_iter267 = this->records.begin(); _iter267 != this->records.end(); ++_iter267)
+    std::vector<StoreRecord> ::const_iterator _iter275;
+    for (_iter275 = this->records.begin(); _iter275 != this->records.end(); ++_iter275)
     {
-      xfer += (*_iter267).write(oprot);
+      xfer += (*_iter275).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6765,10 +7170,10 @@
   xfer += oprot->writeFieldBegin("patches", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->patches.size()));
-    std::vector<RecordPatch> ::const_iterator _iter268;
-    for (_iter268 = this->patches.begin(); _iter268 != this->patches.end(); ++_iter268)
+    std::vector<RecordPatch> ::const_iterator _iter276;
+    for (_iter276 = this->patches.begin(); _iter276 != this->patches.end(); ++_iter276)
     {
-      xfer += (*_iter268).write(oprot);
+      xfer += (*_iter276).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6777,11 +7182,11 @@
   xfer += oprot->writeFieldBegin("large", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->large.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter269;
-    for (_iter269 = this->large.begin(); _iter269 != this->large.end(); ++_iter269)
+    std::map<std::string, int64_t> ::const_iterator _iter277;
+    for (_iter277 = this->large.begin(); _iter277 != this->large.end(); ++_iter277)
     {
-      xfer += oprot->writeString(_iter269->first);
-      xfer += oprot->writeI64(_iter269->second);
+      xfer += oprot->writeString(_iter277->first);
+      xfer += oprot->writeI64(_iter277->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -6795,6 +7200,15 @@
   xfer += oprot->writeI64(this->retained);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("proved_ago_us", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->proved_ago_us);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.probe) {
+    xfer += oprot->writeFieldBegin("probe", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->probe);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6811,57 +7225,67 @@
   swap(a.large, b.large);
   swap(a.complete, b.complete);
   swap(a.retained, b.retained);
+  swap(a.proved_ago_us, b.proved_ago_us);
+  swap(a.probe, b.probe);
   swap(a.__isset, b.__isset);
 }
 
-RevisionNotice::RevisionNotice(const RevisionNotice& other270) {
-  revision = other270.revision;
-  held = other270.held;
-  confirmed_ago_us = other270.confirmed_ago_us;
-  refused = other270.refused;
-  records = other270.records;
-  patches = other270.patches;
-  large = other270.large;
-  complete = other270.complete;
-  retained = other270.retained;
-  __isset = other270.__isset;
-}
-RevisionNotice::RevisionNotice(RevisionNotice&& other271) noexcept {
-  revision = other271.revision;
-  held = other271.held;
-  confirmed_ago_us = other271.confirmed_ago_us;
-  refused = other271.refused;
-  records = std::move(other271.records);
-  patches = std::move(other271.patches);
-  large = std::move(other271.large);
-  complete = other271.complete;
-  retained = other271.retained;
-  __isset = other271.__isset;
-}
-RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other272) {
-  revision = other272.revision;
-  held = other272.held;
-  confirmed_ago_us = other272.confirmed_ago_us;
-  refused = other272.refused;
-  records = other272.records;
-  patches = other272.patches;
-  large = other272.large;
-  complete = other272.complete;
-  retained = other272.retained;
-  __isset = other272.__isset;
+RevisionNotice::RevisionNotice(const RevisionNotice& other278) {
+  revision = other278.revision;
+  held = other278.held;
+  confirmed_ago_us = other278.confirmed_ago_us;
+  refused = other278.refused;
+  records = other278.records;
+  patches = other278.patches;
+  large = other278.large;
+  complete = other278.complete;
+  retained = other278.retained;
+  proved_ago_us = other278.proved_ago_us;
+  probe = other278.probe;
+  __isset = other278.__isset;
+}
+RevisionNotice::RevisionNotice(RevisionNotice&& other279) noexcept {
+  revision = other279.revision;
+  held = other279.held;
+  confirmed_ago_us = other279.confirmed_ago_us;
+  refused = other279.refused;
+  records = std::move(other279.records);
+  patches = std::move(other279.patches);
+  large = std::move(other279.large);
+  complete = other279.complete;
+  retained = other279.retained;
+  proved_ago_us = other279.proved_ago_us;
+  probe = other279.probe;
+  __isset = other279.__isset;
+}
+RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other280) {
+  revision = other280.revision;
+  held = other280.held;
+  confirmed_ago_us = other280.confirmed_ago_us;
+  refused = other280.refused;
+  records = other280.records;
+  patches = other280.patches;
+  large = other280.large;
+  complete = other280.complete;
+  retained = other280.retained;
+  proved_ago_us = other280.proved_ago_us;
+  probe = other280.probe;
+  __isset = other280.__isset;
   return *this;
 }
-RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other273) noexcept {
-  revision = other273.revision;
-  held = other273.held;
-  confirmed_ago_us = other273.confirmed_ago_us;
-  refused = other273.refused;
-  records = std::move(other273.records);
-  patches = std::move(other273.patches);
-  large = std::move(other273.large);
-  complete = other273.complete;
-  retained = other273.retained;
-  __isset = other273.__isset;
+RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other281) noexcept {
+  revision = other281.revision;
+  held = other281.held;
+  confirmed_ago_us = other281.confirmed_ago_us;
+  refused = other281.refused;
+  records = std::move(other281.records);
+  patches = std::move(other281.patches);
+  large = std::move(other281.large);
+  complete = other281.complete;
+  retained = other281.retained;
+  proved_ago_us = other281.proved_ago_us;
+  probe = other281.probe;
+  __isset = other281.__isset;
   return *this;
 }
 void RevisionNotice::printTo(std::ostream& out) const {
@@ -6876,6 +7300,109 @@
   out << ", " << "large=" << to_string(large);
   out << ", " << "complete=" << to_string(complete);
   out << ", " << "retained=" << to_string(retained);
+  out << ", " << "proved_ago_us=" << to_string(proved_ago_us);
+  out << ", " << "probe="; (__isset.probe ? (out << to_string(probe)) : (out << "<null>"));
+  out << ")";
+}
+
+
+FreshnessProbe::~FreshnessProbe() noexcept {
+}
+
+
+void FreshnessProbe::__set_number(const int64_t val) {
+  this->number = val;
+}
+std::ostream& operator<<(std::ostream& out, const FreshnessProbe& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FreshnessProbe::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FreshnessProbe::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FreshnessProbe");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FreshnessProbe &a, FreshnessProbe &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.__isset, b.__isset);
+}
+
+FreshnessProbe::FreshnessProbe(const FreshnessProbe& other282) noexcept {
+  number = other282.number;
+  __isset = other282.__isset;
+}
+FreshnessProbe::FreshnessProbe(FreshnessProbe&& other283) noexcept {
+  number = other283.number;
+  __isset = other283.__isset;
+}
+FreshnessProbe& FreshnessProbe::operator=(const FreshnessProbe& other284) noexcept {
+  number = other284.number;
+  __isset = other284.__isset;
+  return *this;
+}
+FreshnessProbe& FreshnessProbe::operator=(FreshnessProbe&& other285) noexcept {
+  number = other285.number;
+  __isset = other285.__isset;
+  return *this;
+}
+void FreshnessProbe::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FreshnessProbe(";
+  out << "number=" << to_string(number);
   out << ")";
 }
 
@@ -6959,6 +7486,16 @@
 __isset.leaving_notice = true;
 }
 
+void Body::__set_credit_request(const CreditRequest& val) {
+  this->credit_request = val;
+__isset.credit_request = true;
+}
+
+void Body::__set_credit_grant(const CreditGrant& val) {
+  this->credit_grant = val;
+__isset.credit_grant = true;
+}
+
 void Body::__set_control_hello(const ControlHello& val) {
   this->control_hello = val;
 __isset.control_hello = true;
@@ -7018,6 +7555,11 @@
   this->revision_notice = val;
 __isset.revision_notice = true;
 }
+
+void Body::__set_freshness_probe(const FreshnessProbe& val) {
+  this->freshness_probe = val;
+__isset.freshness_probe = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -7166,6 +7708,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->credit_request.read(iprot);
+          this->__isset.credit_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->credit_grant.read(iprot);
+          this->__isset.credit_grant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 20:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->control_hello.read(iprot);
@@ -7262,6 +7820,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 32:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->freshness_probe.read(iprot);
+          this->__isset.freshness_probe = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7354,6 +7920,16 @@
     xfer += this->leaving_notice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.credit_request) {
+    xfer += oprot->writeFieldBegin("credit_request", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->credit_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.credit_grant) {
+    xfer += oprot->writeFieldBegin("credit_grant", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->credit_grant.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.control_hello) {
     xfer += oprot->writeFieldBegin("control_hello", ::apache::thrift::protocol::T_STRUCT, 20);
     xfer += this->control_hello.write(oprot);
@@ -7414,6 +7990,11 @@
     xfer += this->revision_notice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.freshness_probe) {
+    xfer += oprot->writeFieldBegin("freshness_probe", ::apache::thrift::protocol::T_STRUCT, 32);
+    xfer += this->freshness_probe.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7436,6 +8017,8 @@
   swap(a.traffic_go_away, b.traffic_go_away);
   swap(a.crash_notice, b.crash_notice);
   swap(a.leaving_notice, b.leaving_notice);
+  swap(a.credit_request, b.credit_request);
+  swap(a.credit_grant, b.credit_grant);
   swap(a.control_hello, b.control_hello);
   swap(a.announce, b.announce);
   swap(a.pull, b.pull);
@@ -7448,129 +8031,142 @@
   swap(a.records_push, b.records_push);
   swap(a.follow_revisions, b.follow_revisions);
   swap(a.revision_notice, b.revision_notice);
+  swap(a.freshness_probe, b.freshness_probe);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other274) {
-  traffic_hello = other274.traffic_hello;
-  traffic_welcome = other274.traffic_welcome;
-  dispatch = other274.dispatch;
-  answer = other274.answer;
-  refusal = other274.refusal;
-  failure = other274.failure;
-  inquiry = other274.inquiry;
-  inquiry_reply = other274.inquiry_reply;
-  settled = other274.settled;
-  cancel = other274.cancel;
-  traffic_ping = other274.traffic_ping;
-  traffic_pong = other274.traffic_pong;
-  traffic_go_away = other274.traffic_go_away;
-  crash_notice = other274.crash_notice;
-  leaving_notice = other274.leaving_notice;
-  control_hello = other274.control_hello;
-  announce = other274.announce;
-  pull = other274.pull;
-  change_records = other274.change_records;
-  snapshot_chunk = other274.snapshot_chunk;
-  held_ack = other274.held_ack;
-  heartbeat = other274.heartbeat;
-  control_go_away = other274.control_go_away;
-  records_pull = other274.records_pull;
-  records_push = other274.records_push;
-  follow_revisions = other274.follow_revisions;
-  revision_notice = other274.revision_notice;
-  __isset = other274.__isset;
-}
-Body::Body(Body&& other275) noexcept {
-  traffic_hello = std::move(other275.traffic_hello);
-  traffic_welcome = std::move(other275.traffic_welcome);
-  dispatch = std::move(other275.dispatch);
-  answer = std::move(other275.answer);
-  refusal = std::move(other275.refusal);
-  failure = std::move(other275.failure);
-  inquiry = std::move(other275.inquiry);
-  inquiry_reply = std::move(other275.inquiry_reply);
-  settled = std::move(other275.settled);
-  cancel = std::move(other275.cancel);
-  traffic_ping = std::move(other275.traffic_ping);
-  traffic_pong = std::move(other275.traffic_pong);
-  traffic_go_away = std::move(other275.traffic_go_away);
-  crash_notice = std::move(other275.crash_notice);
-  leaving_notice = std::move(other275.leaving_notice);
-  control_hello = std::move(other275.control_hello);
-  announce = std::move(other275.announce);
-  pull = std::move(other275.pull);
-  change_records = std::move(other275.change_records);
-  snapshot_chunk = std::move(other275.snapshot_chunk);
-  held_ack = std::move(other275.held_ack);
-  heartbeat = std::move(other275.heartbeat);
-  control_go_away = std::move(other275.control_go_away);
-  records_pull = std::move(other275.records_pull);
-  records_push = std::move(other275.records_push);
-  follow_revisions = std::move(other275.follow_revisions);
-  revision_notice = std::move(other275.revision_notice);
-  __isset = other275.__isset;
-}
-Body& Body::operator=(const Body& other276) {
-  traffic_hello = other276.traffic_hello;
-  traffic_welcome = other276.traffic_welcome;
-  dispatch = other276.dispatch;
-  answer = other276.answer;
-  refusal = other276.refusal;
-  failure = other276.failure;
-  inquiry = other276.inquiry;
-  inquiry_reply = other276.inquiry_reply;
-  settled = other276.settled;
-  cancel = other276.cancel;
-  traffic_ping = other276.traffic_ping;
-  traffic_pong = other276.traffic_pong;
-  traffic_go_away = other276.traffic_go_away;
-  crash_notice = other276.crash_notice;
-  leaving_notice = other276.leaving_notice;
-  control_hello = other276.control_hello;
-  announce = other276.announce;
-  pull = other276.pull;
-  change_records = other276.change_records;
-  snapshot_chunk = other276.snapshot_chunk;
-  held_ack = other276.held_ack;
-  heartbeat = other276.heartbeat;
-  control_go_away = other276.control_go_away;
-  records_pull = other276.records_pull;
-  records_push = other276.records_push;
-  follow_revisions = other276.follow_revisions;
-  revision_notice = other276.revision_notice;
-  __isset = other276.__isset;
+Body::Body(const Body& other286) {
+  traffic_hello = other286.traffic_hello;
+  traffic_welcome = other286.traffic_welcome;
+  dispatch = other286.dispatch;
+  answer = other286.answer;
+  refusal = other286.refusal;
+  failure = other286.failure;
+  inquiry = other286.inquiry;
+  inquiry_reply = other286.inquiry_reply;
+  settled = other286.settled;
+  cancel = other286.cancel;
+  traffic_ping = other286.traffic_ping;
+  traffic_pong = other286.traffic_pong;
+  traffic_go_away = other286.traffic_go_away;
+  crash_notice = other286.crash_notice;
+  leaving_notice = other286.leaving_notice;
+  credit_request = other286.credit_request;
+  credit_grant = other286.credit_grant;
+  control_hello = other286.control_hello;
+  announce = other286.announce;
+  pull = other286.pull;
+  change_records = other286.change_records;
+  snapshot_chunk = other286.snapshot_chunk;
+  held_ack = other286.held_ack;
+  heartbeat = other286.heartbeat;
+  control_go_away = other286.control_go_away;
+  records_pull = other286.records_pull;
+  records_push = other286.records_push;
+  follow_revisions = other286.follow_revisions;
+  revision_notice = other286.revision_notice;
+  freshness_probe = other286.freshness_probe;
+  __isset = other286.__isset;
+}
+Body::Body(Body&& other287) noexcept {
+  traffic_hello = std::move(other287.traffic_hello);
+  traffic_welcome = std::move(other287.traffic_welcome);
+  dispatch = std::move(other287.dispatch);
+  answer = std::move(other287.answer);
+  refusal = std::move(other287.refusal);
+  failure = std::move(other287.failure);
+  inquiry = std::move(other287.inquiry);
+  inquiry_reply = std::move(other287.inquiry_reply);
+  settled = std::move(other287.settled);
+  cancel = std::move(other287.cancel);
+  traffic_ping = std::move(other287.traffic_ping);
+  traffic_pong = std::move(other287.traffic_pong);
+  traffic_go_away = std::move(other287.traffic_go_away);
+  crash_notice = std::move(other287.crash_notice);
+  leaving_notice = std::move(other287.leaving_notice);
+  credit_request = std::move(other287.credit_request);
+  credit_grant = std::move(other287.credit_grant);
+  control_hello = std::move(other287.control_hello);
+  announce = std::move(other287.announce);
+  pull = std::move(other287.pull);
+  change_records = std::move(other287.change_records);
+  snapshot_chunk = std::move(other287.snapshot_chunk);
+  held_ack = std::move(other287.held_ack);
+  heartbeat = std::move(other287.heartbeat);
+  control_go_away = std::move(other287.control_go_away);
+  records_pull = std::move(other287.records_pull);
+  records_push = std::move(other287.records_push);
+  follow_revisions = std::move(other287.follow_revisions);
+  revision_notice = std::move(other287.revision_notice);
+  freshness_probe = std::move(other287.freshness_probe);
+  __isset = other287.__isset;
+}
+Body& Body::operator=(const Body& other288) {
+  traffic_hello = other288.traffic_hello;
+  traffic_welcome = other288.traffic_welcome;
+  dispatch = other288.dispatch;
+  answer = other288.answer;
+  refusal = other288.refusal;
+  failure = other288.failure;
+  inquiry = other288.inquiry;
+  inquiry_reply = other288.inquiry_reply;
+  settled = other288.settled;
+  cancel = other288.cancel;
+  traffic_ping = other288.traffic_ping;
+  traffic_pong = other288.traffic_pong;
+  traffic_go_away = other288.traffic_go_away;
+  crash_notice = other288.crash_notice;
+  leaving_notice = other288.leaving_notice;
+  credit_request = other288.credit_request;
+  credit_grant = other288.credit_grant;
+  control_hello = other288.control_hello;
+  announce = other288.announce;
+  pull = other288.pull;
+  change_records = other288.change_records;
+  snapshot_chunk = other288.snapshot_chunk;
+  held_ack = other288.held_ack;
+  heartbeat = other288.heartbeat;
+  control_go_away = other288.control_go_away;
+  records_pull = other288.records_pull;
+  records_push = other288.records_push;
+  follow_revisions = other288.follow_revisions;
+  revision_notice = other288.revision_notice;
+  freshness_probe = other288.freshness_probe;
+  __isset = other288.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other277) noexcept {
-  traffic_hello = std::move(other277.traffic_hello);
-  traffic_welcome = std::move(other277.traffic_welcome);
-  dispatch = std::move(other277.dispatch);
-  answer = std::move(other277.answer);
-  refusal = std::move(other277.refusal);
-  failure = std::move(other277.failure);
-  inquiry = std::move(other277.inquiry);
-  inquiry_reply = std::move(other277.inquiry_reply);
-  settled = std::move(other277.settled);
-  cancel = std::move(other277.cancel);
-  traffic_ping = std::move(other277.traffic_ping);
-  traffic_pong = std::move(other277.traffic_pong);
-  traffic_go_away = std::move(other277.traffic_go_away);
-  crash_notice = std::move(other277.crash_notice);
-  leaving_notice = std::move(other277.leaving_notice);
-  control_hello = std::move(other277.control_hello);
-  announce = std::move(other277.announce);
-  pull = std::move(other277.pull);
-  change_records = std::move(other277.change_records);
-  snapshot_chunk = std::move(other277.snapshot_chunk);
-  held_ack = std::move(other277.held_ack);
-  heartbeat = std::move(other277.heartbeat);
-  control_go_away = std::move(other277.control_go_away);
-  records_pull = std::move(other277.records_pull);
-  records_push = std::move(other277.records_push);
-  follow_revisions = std::move(other277.follow_revisions);
-  revision_notice = std::move(other277.revision_notice);
-  __isset = other277.__isset;
+Body& Body::operator=(Body&& other289) noexcept {
+  traffic_hello = std::move(other289.traffic_hello);
+  traffic_welcome = std::move(other289.traffic_welcome);
+  dispatch = std::move(other289.dispatch);
+  answer = std::move(other289.answer);
+  refusal = std::move(other289.refusal);
+  failure = std::move(other289.failure);
+  inquiry = std::move(other289.inquiry);
+  inquiry_reply = std::move(other289.inquiry_reply);
+  settled = std::move(other289.settled);
+  cancel = std::move(other289.cancel);
+  traffic_ping = std::move(other289.traffic_ping);
+  traffic_pong = std::move(other289.traffic_pong);
+  traffic_go_away = std::move(other289.traffic_go_away);
+  crash_notice = std::move(other289.crash_notice);
+  leaving_notice = std::move(other289.leaving_notice);
+  credit_request = std::move(other289.credit_request);
+  credit_grant = std::move(other289.credit_grant);
+  control_hello = std::move(other289.control_hello);
+  announce = std::move(other289.announce);
+  pull = std::move(other289.pull);
+  change_records = std::move(other289.change_records);
+  snapshot_chunk = std::move(other289.snapshot_chunk);
+  held_ack = std::move(other289.held_ack);
+  heartbeat = std::move(other289.heartbeat);
+  control_go_away = std::move(other289.control_go_away);
+  records_pull = std::move(other289.records_pull);
+  records_push = std::move(other289.records_push);
+  follow_revisions = std::move(other289.follow_revisions);
+  revision_notice = std::move(other289.revision_notice);
+  freshness_probe = std::move(other289.freshness_probe);
+  __isset = other289.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -7591,6 +8187,8 @@
   out << ", " << "traffic_go_away="; (__isset.traffic_go_away ? (out << to_string(traffic_go_away)) : (out << "<null>"));
   out << ", " << "crash_notice="; (__isset.crash_notice ? (out << to_string(crash_notice)) : (out << "<null>"));
   out << ", " << "leaving_notice="; (__isset.leaving_notice ? (out << to_string(leaving_notice)) : (out << "<null>"));
+  out << ", " << "credit_request="; (__isset.credit_request ? (out << to_string(credit_request)) : (out << "<null>"));
+  out << ", " << "credit_grant="; (__isset.credit_grant ? (out << to_string(credit_grant)) : (out << "<null>"));
   out << ", " << "control_hello="; (__isset.control_hello ? (out << to_string(control_hello)) : (out << "<null>"));
   out << ", " << "announce="; (__isset.announce ? (out << to_string(announce)) : (out << "<null>"));
   out << ", " << "pull="; (__isset.pull ? (out << to_string(pull)) : (out << "<null>"));
@@ -7603,6 +8201,7 @@
   out << ", " << "records_push="; (__isset.records_push ? (out << to_string(records_push)) : (out << "<null>"));
   out << ", " << "follow_revisions="; (__isset.follow_revisions ? (out << to_string(follow_revisions)) : (out << "<null>"));
   out << ", " << "revision_notice="; (__isset.revision_notice ? (out << to_string(revision_notice)) : (out << "<null>"));
+  out << ", " << "freshness_probe="; (__isset.freshness_probe ? (out << to_string(freshness_probe)) : (out << "<null>"));
   out << ")";
 }
 
@@ -7699,26 +8298,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other278) {
-  logical_time = other278.logical_time;
-  body = other278.body;
-  __isset = other278.__isset;
+Frame::Frame(const Frame& other290) {
+  logical_time = other290.logical_time;
+  body = other290.body;
+  __isset = other290.__isset;
 }
-Frame::Frame(Frame&& other279) noexcept {
-  logical_time = other279.logical_time;
-  body = std::move(other279.body);
-  __isset = other279.__isset;
+Frame::Frame(Frame&& other291) noexcept {
+  logical_time = other291.logical_time;
+  body = std::move(other291.body);
+  __isset = other291.__isset;
 }
-Frame& Frame::operator=(const Frame& other280) {
-  logical_time = other280.logical_time;
-  body = other280.body;
-  __isset = other280.__isset;
+Frame& Frame::operator=(const Frame& other292) {
+  logical_time = other292.logical_time;
+  body = other292.body;
+  __isset = other292.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other281) noexcept {
-  logical_time = other281.logical_time;
-  body = std::move(other281.body);
-  __isset = other281.__isset;
+Frame& Frame::operator=(Frame&& other293) noexcept {
+  logical_time = other293.logical_time;
+  body = std::move(other293.body);
+  __isset = other293.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -71,6 +71,10 @@
 
 class LeavingNotice;
 
+class CreditRequest;
+
+class CreditGrant;
+
 class ControlHello;
 
 class Announce;
@@ -105,6 +109,8 @@
 
 class RevisionNotice;
 
+class FreshnessProbe;
+
 class Body;
 
 class Frame;
@@ -712,7 +718,7 @@
 std::ostream& operator<<(std::ostream& out, const TrafficWelcome& obj);
 
 typedef struct _Dispatch__isset {
-  _Dispatch__isset() : id(false), epoch(false), gate(false), remaining_us(false), version(false), service_name(false), target_name(false), idempotent(false), request(false), kind(false), priority(false), wanted_in_us(false), stated_rate(false), as_suspect(false), repeatable(false) {}
+  _Dispatch__isset() : id(false), epoch(false), gate(false), remaining_us(false), version(false), service_name(false), target_name(false), idempotent(false), request(false), kind(false), priority(false), wanted_in_us(false), stated_rate(false), as_suspect(false), repeatable(false), team(false) {}
   bool id :1;
   bool epoch :1;
   bool gate :1;
@@ -728,6 +734,7 @@
   bool stated_rate :1;
   bool as_suspect :1;
   bool repeatable :1;
+  bool team :1;
 } _Dispatch__isset;
 
 class Dispatch : public virtual ::apache::thrift::TBase {
@@ -749,7 +756,8 @@
              wanted_in_us(0),
              stated_rate(0),
              as_suspect(0),
-             repeatable(0) {
+             repeatable(0),
+             team() {
   }
 
   virtual ~Dispatch() noexcept;
@@ -768,6 +776,7 @@
   double stated_rate;
   bool as_suspect;
   bool repeatable;
+  std::string team;
 
   _Dispatch__isset __isset;
 
@@ -801,6 +810,8 @@
 
   void __set_repeatable(const bool val);
 
+  void __set_team(const std::string& val);
+
   bool operator == (const Dispatch & rhs) const
   {
     if (!(id == rhs.id))
@@ -839,6 +850,10 @@
       return false;
     else if (__isset.repeatable && !(repeatable == rhs.repeatable))
       return false;
+    if (__isset.team != rhs.__isset.team)
+      return false;
+    else if (__isset.team && !(team == rhs.team))
+      return false;
     return true;
   }
   bool operator != (const Dispatch &rhs) const {
@@ -1601,6 +1616,145 @@
 
 std::ostream& operator<<(std::ostream& out, const LeavingNotice& obj);
 
+typedef struct _CreditRequest__isset {
+  _CreditRequest__isset() : sequence(false), team(false), wanted(false), returned(false) {}
+  bool sequence :1;
+  bool team :1;
+  bool wanted :1;
+  bool returned :1;
+} _CreditRequest__isset;
+
+class CreditRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  CreditRequest(const CreditRequest&);
+  CreditRequest(CreditRequest&&) noexcept;
+  CreditRequest& operator=(const CreditRequest&);
+  CreditRequest& operator=(CreditRequest&&) noexcept;
+  CreditRequest() noexcept
+                : sequence(0),
+                  team(),
+                  wanted(0),
+                  returned(0) {
+  }
+
+  virtual ~CreditRequest() noexcept;
+  int64_t sequence;
+  std::string team;
+  int32_t wanted;
+  int32_t returned;
+
+  _CreditRequest__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_team(const std::string& val);
+
+  void __set_wanted(const int32_t val);
+
+  void __set_returned(const int32_t val);
+
+  bool operator == (const CreditRequest & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(team == rhs.team))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    if (!(returned == rhs.returned))
+      return false;
+    return true;
+  }
+  bool operator != (const CreditRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CreditRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CreditRequest &a, CreditRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const CreditRequest& obj);
+
+typedef struct _CreditGrant__isset {
+  _CreditGrant__isset() : sequence(false), team(false), granted(false), lease_us(false), retry_after_us(false) {}
+  bool sequence :1;
+  bool team :1;
+  bool granted :1;
+  bool lease_us :1;
+  bool retry_after_us :1;
+} _CreditGrant__isset;
+
+class CreditGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  CreditGrant(const CreditGrant&);
+  CreditGrant(CreditGrant&&) noexcept;
+  CreditGrant& operator=(const CreditGrant&);
+  CreditGrant& operator=(CreditGrant&&) noexcept;
+  CreditGrant() noexcept
+              : sequence(0),
+                team(),
+                granted(0),
+                lease_us(0),
+                retry_after_us(0) {
+  }
+
+  virtual ~CreditGrant() noexcept;
+  int64_t sequence;
+  std::string team;
+  int32_t granted;
+  int64_t lease_us;
+  int64_t retry_after_us;
+
+  _CreditGrant__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_team(const std::string& val);
+
+  void __set_granted(const int32_t val);
+
+  void __set_lease_us(const int64_t val);
+
+  void __set_retry_after_us(const int64_t val);
+
+  bool operator == (const CreditGrant & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(team == rhs.team))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(lease_us == rhs.lease_us))
+      return false;
+    if (!(retry_after_us == rhs.retry_after_us))
+      return false;
+    return true;
+  }
+  bool operator != (const CreditGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CreditGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CreditGrant &a, CreditGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const CreditGrant& obj);
+
 typedef struct _ControlHello__isset {
   _ControlHello__isset() : host(false), zone(false), incarnation(false), address(false), held(false), applied(false), host_list(false) {}
   bool host :1;
@@ -2580,7 +2734,7 @@
 std::ostream& operator<<(std::ostream& out, const RecordPatch& obj);
 
 typedef struct _RevisionNotice__isset {
-  _RevisionNotice__isset() : revision(false), held(false), confirmed_ago_us(true), refused(false), records(false), patches(false), large(false), complete(false), retained(true) {}
+  _RevisionNotice__isset() : revision(false), held(false), confirmed_ago_us(true), refused(false), records(false), patches(false), large(false), complete(false), retained(true), proved_ago_us(true), probe(false) {}
   bool revision :1;
   bool held :1;
   bool confirmed_ago_us :1;
@@ -2590,6 +2744,8 @@
   bool large :1;
   bool complete :1;
   bool retained :1;
+  bool proved_ago_us :1;
+  bool probe :1;
 } _RevisionNotice__isset;
 
 class RevisionNotice : public virtual ::apache::thrift::TBase {
@@ -2605,7 +2761,9 @@
                    confirmed_ago_us(-1LL),
                    refused(0),
                    complete(0),
-                   retained(0LL) {
+                   retained(0LL),
+                   proved_ago_us(-1LL),
+                   probe(0) {
   }
 
   virtual ~RevisionNotice() noexcept;
@@ -2618,6 +2776,8 @@
   std::map<std::string, int64_t>  large;
   bool complete;
   int64_t retained;
+  int64_t proved_ago_us;
+  int64_t probe;
 
   _RevisionNotice__isset __isset;
 
@@ -2639,6 +2799,10 @@
 
   void __set_retained(const int64_t val);
 
+  void __set_proved_ago_us(const int64_t val);
+
+  void __set_probe(const int64_t val);
+
   bool operator == (const RevisionNotice & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -2659,6 +2823,12 @@
       return false;
     if (!(retained == rhs.retained))
       return false;
+    if (!(proved_ago_us == rhs.proved_ago_us))
+      return false;
+    if (__isset.probe != rhs.__isset.probe)
+      return false;
+    else if (__isset.probe && !(probe == rhs.probe))
+      return false;
     return true;
   }
   bool operator != (const RevisionNotice &rhs) const {
@@ -2677,8 +2847,53 @@
 
 std::ostream& operator<<(std::ostream& out, const RevisionNotice& obj);
 
+typedef struct _FreshnessProbe__isset {
+  _FreshnessProbe__isset() : number(false) {}
+  bool number :1;
+} _FreshnessProbe__isset;
+
+class FreshnessProbe : public virtual ::apache::thrift::TBase {
+ public:
+
+  FreshnessProbe(const FreshnessProbe&) noexcept;
+  FreshnessProbe(FreshnessProbe&&) noexcept;
+  FreshnessProbe& operator=(const FreshnessProbe&) noexcept;
+  FreshnessProbe& operator=(FreshnessProbe&&) noexcept;
+  FreshnessProbe() noexcept
+                 : number(0) {
+  }
+
+  virtual ~FreshnessProbe() noexcept;
+  int64_t number;
+
+  _FreshnessProbe__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  bool operator == (const FreshnessProbe & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    return true;
+  }
+  bool operator != (const FreshnessProbe &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FreshnessProbe & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FreshnessProbe &a, FreshnessProbe &b);
+
+std::ostream& operator<<(std::ostream& out, const FreshnessProbe& obj);
+
 typedef struct _Body__isset {
-  _Body__isset() : traffic_hello(false), traffic_welcome(false), dispatch(false), answer(false), refusal(false), failure(false), inquiry(false), inquiry_reply(false), settled(false), cancel(false), traffic_ping(false), traffic_pong(false), traffic_go_away(false), crash_notice(false), leaving_notice(false), control_hello(false), announce(false), pull(false), change_records(false), snapshot_chunk(false), held_ack(false), heartbeat(false), control_go_away(false), records_pull(false), records_push(false), follow_revisions(false), revision_notice(false) {}
+  _Body__isset() : traffic_hello(false), traffic_welcome(false), dispatch(false), answer(false), refusal(false), failure(false), inquiry(false), inquiry_reply(false), settled(false), cancel(false), traffic_ping(false), traffic_pong(false), traffic_go_away(false), crash_notice(false), leaving_notice(false), credit_request(false), credit_grant(false), control_hello(false), announce(false), pull(false), change_records(false), snapshot_chunk(false), held_ack(false), heartbeat(false), control_go_away(false), records_pull(false), records_push(false), follow_revisions(false), revision_notice(false), freshness_probe(false) {}
   bool traffic_hello :1;
   bool traffic_welcome :1;
   bool dispatch :1;
@@ -2694,6 +2909,8 @@
   bool traffic_go_away :1;
   bool crash_notice :1;
   bool leaving_notice :1;
+  bool credit_request :1;
+  bool credit_grant :1;
   bool control_hello :1;
   bool announce :1;
   bool pull :1;
@@ -2706,6 +2923,7 @@
   bool records_push :1;
   bool follow_revisions :1;
   bool revision_notice :1;
+  bool freshness_probe :1;
 } _Body__isset;
 
 class Body : public virtual ::apache::thrift::TBase {
@@ -2734,6 +2952,8 @@
   TrafficGoAway traffic_go_away;
   CrashNotice crash_notice;
   LeavingNotice leaving_notice;
+  CreditRequest credit_request;
+  CreditGrant credit_grant;
   ControlHello control_hello;
   Announce announce;
   Pull pull;
@@ -2746,6 +2966,7 @@
   RecordsPush records_push;
   FollowRevisions follow_revisions;
   RevisionNotice revision_notice;
+  FreshnessProbe freshness_probe;
 
   _Body__isset __isset;
 
@@ -2779,6 +3000,10 @@
 
   void __set_leaving_notice(const LeavingNotice& val);
 
+  void __set_credit_request(const CreditRequest& val);
+
+  void __set_credit_grant(const CreditGrant& val);
+
   void __set_control_hello(const ControlHello& val);
 
   void __set_announce(const Announce& val);
@@ -2803,6 +3028,8 @@
 
   void __set_revision_notice(const RevisionNotice& val);
 
+  void __set_freshness_probe(const FreshnessProbe& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.traffic_hello != rhs.__isset.traffic_hello)
@@ -2865,6 +3092,14 @@
       return false;
     else if (__isset.leaving_notice && !(leaving_notice == rhs.leaving_notice))
       return false;
+    if (__isset.credit_request != rhs.__isset.credit_request)
+      return false;
+    else if (__isset.credit_request && !(credit_request == rhs.credit_request))
+      return false;
+    if (__isset.credit_grant != rhs.__isset.credit_grant)
+      return false;
+    else if (__isset.credit_grant && !(credit_grant == rhs.credit_grant))
+      return false;
     if (__isset.control_hello != rhs.__isset.control_hello)
       return false;
     else if (__isset.control_hello && !(control_hello == rhs.control_hello))
@@ -2913,6 +3148,10 @@
       return false;
     else if (__isset.revision_notice && !(revision_notice == rhs.revision_notice))
       return false;
+    if (__isset.freshness_probe != rhs.__isset.freshness_probe)
+      return false;
+    else if (__isset.freshness_probe && !(freshness_probe == rhs.freshness_probe))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/include/dandelionfall/app/metrics.h
+++ b/include/dandelionfall/app/metrics.h
@@ -29,6 +29,8 @@
   TrafficBytesReceived,
   SourceCalls,
   BodiesRefused,
+  CallsUnknownKey,
+  CallsOverQuota,
 };
 
 /// Values that can rise and fall.
--- a/include/dandelionfall/app/settings.h
+++ b/include/dandelionfall/app/settings.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,6 +65,12 @@
   /// [retries] ratio, slack, window_s: retries that all nodes together may add
   /// to a service's requests, if the source is a store.
   core::RetryAllowance m_Retries{};
+  /// [revocation] max_age_ms: age of the proof that the configuration is the
+  /// newest up to which callers' keys are accepted; unset if they need none.
+  std::optional<core::Duration> m_MaxProofAge{};
+  /// [quota] window_s, overage, slack: by how much all nodes together may
+  /// exceed the quota of a team.
+  core::QuotaTolerance m_Quota{};
   /// [machine] processor_share, cores, memory_mb, descriptors, link_mbps: what
   /// the machine can bear.
   core::MachineLimits m_Machine{};
--- a/include/dandelionfall/core/configuration.h
+++ b/include/dandelionfall/core/configuration.h
@@ -7,6 +7,7 @@
 #ifndef DANDELIONFALL_CORE_CONFIGURATION_H
 #define DANDELIONFALL_CORE_CONFIGURATION_H
 
+#include "dandelionfall/core/team.h"
 #include "dandelionfall/core/time.h"
 
 #include <cstddef>
@@ -115,6 +116,8 @@
   /// Services among which the requests are divided; empty if the route is
   /// defined in the part of a single service.
   std::vector<WeightedService> m_Split{};
+  /// Whether callers need no key, even if the configuration has teams.
+  bool m_Public = false;
   friend bool operator==(const Route &, const Route &) = default;
 };
 
@@ -212,6 +215,8 @@
   std::shared_ptr<const std::vector<Route>> m_SplitRoutes;
   /// Limits of the port for callers, if the configuration sets them.
   std::optional<CallerLimits> m_CallerLimits;
+  /// Teams; null if callers need no keys.
+  std::shared_ptr<const TeamTable> m_Teams;
   /// Result of makeRouteIndex for the services and the split routes.
   RouteIndex m_Routes;
 };
--- a/include/dandelionfall/core/control_message.h
+++ b/include/dandelionfall/core/control_message.h
@@ -220,15 +220,30 @@
   /// Version of the configuration that the sender has in force and the store
   /// has lost; 0 if there is none. Sent in reply to a `RecordsPull`.
   Version m_Retained = 0;
+  /// Upper bound of the time since `m_Revision` was proved to be the newest
+  /// one; `NeverCalled` if it was not.
+  Duration m_ProvedAgo = NeverCalled;
+  /// The latest `FreshnessProbe` of the receiver; it was received before the
+  /// notice was sent.
+  std::optional<std::int64_t> m_Probe = std::nullopt;
   friend bool operator==(const RevisionNotice &,
                          const RevisionNotice &) = default;
 };
 
+/// Lets a follower bound the age of the next notices: they repeat its number,
+/// so they were sent after it.
+struct FreshnessProbe {
+  /// Meaningful only to the sender.
+  std::int64_t m_Number = 0;
+  friend bool operator==(const FreshnessProbe &,
+                         const FreshnessProbe &) = default;
+};
+
 /// Any message on a control link.
 using ControlMessage =
     std::variant<ControlHello, Announce, Pull, ChangeRecords, SnapshotChunk,
                  HeldAck, Heartbeat, ControlGoAway, RecordsPull, RecordsPush,
-                 FollowRevisions, RevisionNotice>;
+                 FollowRevisions, RevisionNotice, FreshnessProbe>;
 
 } // namespace dandelionfall::core
 
--- a/include/dandelionfall/core/gate.h
+++ b/include/dandelionfall/core/gate.h
@@ -39,6 +39,8 @@
   HttpRequestPtr m_Request;
   /// Name of the target that the request is addressed to.
   std::string m_Target;
+  /// Team whose key the caller sent; empty if there is none.
+  std::string m_Team{};
   friend bool operator==(const StartTarget &, const StartTarget &) = default;
 };
 
--- a/include/dandelionfall/core/http_dialect.h
+++ b/include/dandelionfall/core/http_dialect.h
@@ -20,6 +20,10 @@
   std::string_view m_InstanceField;
   /// In a request to a target: the service local to the ingress node.
   std::string_view m_CallerServiceField;
+  /// In a caller's request: the key of its team.
+  std::string_view m_KeyField;
+  /// In a request to a target: the team whose key the caller sent.
+  std::string_view m_TeamField;
   /// In a response of a target: the request was not executed.
   std::string_view m_NotRunField;
   /// In a response of a target: proves that the target itself created it; every
--- a/include/dandelionfall/core/ingress.h
+++ b/include/dandelionfall/core/ingress.h
@@ -5,6 +5,7 @@
 #define DANDELIONFALL_CORE_INGRESS_H
 
 #include "dandelionfall/core/event.h"
+#include "dandelionfall/core/freshness.h"
 #include "dandelionfall/core/gate.h"
 #include "dandelionfall/core/host_list.h"
 #include "dandelionfall/core/traffic_message.h"
@@ -20,10 +21,13 @@
 
 /// Outcome of a call.
 enum class CallOutcome : std::uint8_t {
-  Answered, ///< The target's complete response.
-  NotRun,   ///< The request did not run and never will.
-  Unknown,  ///< The request may have run.
-  NoRoute,  ///< No route matches; no attempt was made.
+  Answered,   ///< The target's complete response.
+  NotRun,     ///< The request did not run and never will.
+  Unknown,    ///< The request may have run.
+  NoRoute,    ///< No route matches; no attempt was made.
+  UnknownKey, ///< No team holds the caller's key; no attempt was made.
+  OverQuota,  ///< The quota of the caller's team is used up; the request did
+              ///< not run and never will.
 };
 
 /// Opens a link to a gate. The driver reports `onLinkOpened` or `onLinkClosed`
@@ -76,6 +80,10 @@
   /// Targets that stated that they are leaving, shared with the gate of the
   /// node; the ingress has its own if null.
   std::shared_ptr<LeavingTargets> m_LeavingTargets{};
+  /// Age of the proof that the configuration is the newest up to which keys are
+  /// accepted, so that a withdrawn key is out of force after this time at
+  /// nodes that are cut off, too. Unset if keys need no proof.
+  std::optional<Duration> m_MaxProofAge{};
 };
 
 /// Decision logic of an ingress. Not thread-safe.
@@ -101,9 +109,13 @@
   /// \param CallerDeadline time allowed by the caller, if it gave one.
   /// \param Now the current time.
   /// \param CallerId id that the caller gave the request, for the log.
+  /// \param Key key that the caller sent, which the request itself must not
+  /// contain; empty if it sent none.
   void onCall(CallId Call, HttpRequestPtr Request,
               std::optional<Duration> CallerDeadline, TimePoint Now,
-              const std::string &CallerId = "");
+              const std::string &CallerId = "", const std::string &Key = "");
+  /// Adds a proof that a configuration was the newest one.
+  void onFreshness(const FreshnessProof &Proof);
   /// Announces the end of the process. From now on, calls whose deadline is
   /// later are rejected unless the latest calls of their kind were answered in
   /// less than the time left; the others are finished by then.
--- a/include/dandelionfall/core/published.h
+++ b/include/dandelionfall/core/published.h
@@ -74,6 +74,8 @@
   std::vector<PublishedService> m_Services;
   /// Limits on requests from callers.
   CallerLimits m_Limits;
+  /// Null if callers need no keys.
+  std::shared_ptr<const TeamTable> m_Teams;
 };
 
 /// Takes an availability zone out of service while the record exists: the zone
--- a/include/dandelionfall/core/traffic_message.h
+++ b/include/dandelionfall/core/traffic_message.h
@@ -88,6 +88,8 @@
   bool m_AsSuspect = false;
   /// Whether the ingress may send the request once more after it has run.
   bool m_Repeatable = false;
+  /// Team whose key the caller sent; empty if the route needs none.
+  std::string m_Team{};
   /// Set by the receiving node if it has no memory for the body: the gate
   /// refuses the request. Not transferred.
   bool m_NoRoom = false;
@@ -229,11 +231,38 @@
                          const LeavingNotice &) = default;
 };
 
+/// Asks the gate's node, as one of the accountants of a team, for credit of its
+/// quota: for each credit one request may run.
+struct CreditRequest {
+  /// Ascending number on the link; the reply repeats it.
+  std::uint64_t m_Sequence = 0;
+  std::string m_Team;
+  std::uint32_t m_Wanted = 0;
+  /// Credits of an earlier grant that this ingress has not used and never will.
+  std::uint32_t m_Returned = 0;
+  friend bool operator==(const CreditRequest &,
+                         const CreditRequest &) = default;
+};
+
+/// Reply to a `CreditRequest`.
+struct CreditGrant {
+  std::uint64_t m_Sequence = 0;
+  std::string m_Team;
+  /// Credits granted; fewer than wanted if no more are left.
+  std::uint32_t m_Granted = 0;
+  /// Time for which they may be used, counted from when they were asked for.
+  Duration m_Lease{0};
+  /// Time after which further credit is expected; 0 if there is more now.
+  Duration m_RetryAfter{0};
+  friend bool operator==(const CreditGrant &, const CreditGrant &) = default;
+};
+
 /// Any message on a traffic link.
 using TrafficMessage =
     std::variant<TrafficHello, TrafficWelcome, Dispatch, Answer, Refusal,
                  Failure, Inquiry, InquiryReply, Settled, Cancel, TrafficPing,
-                 TrafficPong, TrafficGoAway, CrashNotice, LeavingNotice>;
+                 TrafficPong, TrafficGoAway, CrashNotice, LeavingNotice,
+                 CreditRequest, CreditGrant>;
 
 } // namespace dandelionfall::core
 
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -20,7 +20,7 @@
   1: RequestId id, 2: i64 epoch, 3: Incarnation gate, 4: i64 remaining_us, 5: i64 version,
   6: string service_name, 7: string target_name, 8: bool idempotent, 9: HttpRequest request,
   10: string kind, 11: i32 priority, 12: i64 wanted_in_us, 13: optional double stated_rate,
-  14: optional bool as_suspect, 15: optional bool repeatable
+  14: optional bool as_suspect, 15: optional bool repeatable, 16: optional string team
 }
 struct Answer { 1: RequestId id, 2: HttpResponse response, 3: Capacity capacity, 4: TargetStatement statement }
 struct Refusal {
@@ -41,6 +41,8 @@
 struct CrashNotice { 1: list<CrashEvidence> evidence }
 struct TargetInstance { 1: string name, 2: i64 started_at_ms }
 struct LeavingNotice { 1: list<TargetInstance> targets }
+struct CreditRequest { 1: i64 sequence, 2: string team, 3: i32 wanted, 4: i32 returned }
+struct CreditGrant { 1: i64 sequence, 2: string team, 3: i32 granted, 4: i64 lease_us, 5: i64 retry_after_us }
 
 struct ControlHello {
   1: string host, 2: string zone, 3: Incarnation incarnation, 4: string address,
@@ -78,8 +80,9 @@
 struct RevisionNotice {
   1: i64 revision, 2: i64 held, 3: i64 confirmed_ago_us = -1, 4: bool refused, 5: list<StoreRecord> records,
   6: list<RecordPatch> patches, 7: map<string, i64> large, 8: bool complete,
-  9: i64 retained = 0
+  9: i64 retained = 0, 10: i64 proved_ago_us = -1, 11: optional i64 probe
 }
+struct FreshnessProbe { 1: i64 number }
 
 union Body {
   1: TrafficHello traffic_hello
@@ -97,6 +100,8 @@
   13: TrafficGoAway traffic_go_away
   14: CrashNotice crash_notice
   15: LeavingNotice leaving_notice
+  16: CreditRequest credit_request
+  17: CreditGrant credit_grant
   20: ControlHello control_hello
   21: Announce announce
   22: Pull pull
@@ -109,6 +114,7 @@
   29: RecordsPush records_push
   30: FollowRevisions follow_revisions
   31: RevisionNotice revision_notice
+  32: FreshnessProbe freshness_probe
 }
 
 // The logical time gives the events of all processes a common order.
--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -57,6 +57,10 @@
               "Calls to the platform's configuration service."},
     MetricRow{"dandelionfall_body_refused_total",
               "Requests refused because there was no memory for the body."},
+    MetricRow{"dandelionfall_calls_unknown_key_total",
+              "Calls whose key no team holds."},
+    MetricRow{"dandelionfall_calls_over_quota_total",
+              "Calls beyond the quota of their team."},
 };
 
 // In the order of Gauge.
--- a/src/app/node/blackboard.h
+++ b/src/app/node/blackboard.h
@@ -9,6 +9,7 @@
 #include "dandelionfall/app/settings.h"
 #include "dandelionfall/core/byte_budget.h"
 #include "dandelionfall/core/configuration.h"
+#include "dandelionfall/core/freshness.h"
 #include "dandelionfall/core/host_list.h"
 #include "dandelionfall/core/http_dialect.h"
 #include "dandelionfall/core/identity.h"
@@ -72,6 +73,9 @@
   /// Written by the control thread.
   std::atomic<core::ConfigurationPtr> m_Configuration;
   std::atomic<core::HostListPtr> m_Hosts;
+  /// Latest proof that a configuration was the newest; written after that
+  /// configuration.
+  std::atomic<std::shared_ptr<const core::FreshnessProof>> m_Proof;
   std::atomic<bool> m_Ready{false};
   std::atomic<bool> m_Draining{false};
   std::atomic<bool> m_StepEvents;
--- a/src/app/node/caller_response.cpp
+++ b/src/app/node/caller_response.cpp
@@ -25,6 +25,8 @@
 constexpr std::array Outcomes = {
     OutcomeRow{core::CallOutcome::NotRun, 503, "not-run"},
     OutcomeRow{core::CallOutcome::Unknown, 504, "unknown"},
+    OutcomeRow{core::CallOutcome::UnknownKey, 401, "unknown-key"},
+    OutcomeRow{core::CallOutcome::OverQuota, 429, "not-run"},
     OutcomeRow{core::CallOutcome::NoRoute, 404, "no-route"},
 };
 
@@ -94,6 +96,8 @@
   Response.m_Fields.push_back({"Content-Type", "text/plain"});
   Response.m_Fields.push_back(
       {std::string(Dialect.m_OutcomeField), std::string(Row.m_Name)});
+  if (Result.m_Outcome == core::CallOutcome::UnknownKey)
+    Response.m_Fields.push_back({"WWW-Authenticate", "ApiKey"});
   if (Result.m_RetryAfter > core::Duration::zero())
     addRetryAfter(Dialect, Response, Result.m_RetryAfter);
   Response.m_Body = std::string(Row.m_Name) + ": " + Result.m_Detail + "\n";
@@ -160,6 +164,22 @@
   Request.m_Fields.push_back({std::string(Name), Service});
 }
 
+std::string takeKey(const core::HttpDialect &Dialect,
+                    core::HttpRequest &Request) {
+  std::string Key;
+  std::size_t Keys = 0;
+  std::erase_if(Request.m_Fields, [&](core::HttpField &Field) {
+    if (isNamed(Field, Dialect.m_TeamField))
+      return true;
+    if (!isNamed(Field, Dialect.m_KeyField))
+      return false;
+    ++Keys;
+    Key = std::move(Field.m_Value);
+    return true;
+  });
+  return Keys == 1 ? Key : "";
+}
+
 ResponseClass classifyResponse(const core::HttpDialect &Dialect,
                                const core::HttpResponse &Response,
                                bool Idempotent) {
@@ -220,17 +240,21 @@
 core::HttpRequest makeTargetRequest(const core::HttpDialect &Dialect,
                                     const core::HttpRequest &Request,
                                     core::Duration Remaining,
-                                    const std::string &Target) {
+                                    const std::string &Target,
+                                    const std::string &Team) {
   core::HttpRequest Result = Request;
-  std::erase_if(Result.m_Fields, [&Dialect](const core::HttpField &Field) {
+  std::erase_if(Result.m_Fields, [&](const core::HttpField &Field) {
     return isNamed(Field, Dialect.m_DeadlineField) ||
-           isNamed(Field, Dialect.m_InstanceField);
+           isNamed(Field, Dialect.m_InstanceField) ||
+           (!Team.empty() && isNamed(Field, Dialect.m_TeamField));
   });
   const auto Ms = std::chrono::floor<milliseconds>(Remaining).count();
   Result.m_Fields.push_back({std::string(Dialect.m_DeadlineField),
                              std::to_string(std::max<std::int64_t>(Ms, 1))});
   if (!Dialect.m_InstanceField.empty())
     Result.m_Fields.push_back({std::string(Dialect.m_InstanceField), Target});
+  if (!Team.empty() && !Dialect.m_TeamField.empty())
+    Result.m_Fields.push_back({std::string(Dialect.m_TeamField), Team});
   return Result;
 }
 
--- a/src/app/node/caller_response.h
+++ b/src/app/node/caller_response.h
@@ -80,12 +80,20 @@
 /// \param Request the caller's request.
 /// \param Remaining the time until the deadline.
 /// \param Target the name of the target that should run it.
+/// \param Team the team whose key the caller sent; empty if there is none.
 /// \returns the request with the deadline field set to the remaining time, at
 /// least 1 ms, and the target's name if the dialect has a field for it.
 core::HttpRequest makeTargetRequest(const core::HttpDialect &Dialect,
                                     const core::HttpRequest &Request,
                                     core::Duration Remaining,
-                                    const std::string &Target);
+                                    const std::string &Target,
+                                    const std::string &Team = "");
+
+/// Removes the key of a team from a caller's request, and the name of a team,
+/// which only nodes set.
+/// \returns the key; empty if there is none, or more than one.
+std::string takeKey(const core::HttpDialect &Dialect,
+                    core::HttpRequest &Request);
 
 } // namespace dandelionfall::app
 
--- a/src/app/node/traffic_commands.cpp
+++ b/src/app/node/traffic_commands.cpp
@@ -62,6 +62,10 @@
     return Counter::CallsNotRun;
   case core::CallOutcome::Unknown:
     return Counter::CallsUnknown;
+  case core::CallOutcome::UnknownKey:
+    return Counter::CallsUnknownKey;
+  case core::CallOutcome::OverQuota:
+    return Counter::CallsOverQuota;
   case core::CallOutcome::NoRoute:
     break;
   }
@@ -238,7 +242,7 @@
   const core::Duration Remaining = Command.m_Deadline - Now;
   m_Exchanges[Command.m_Id] = m_Target->send(
       makeTargetRequest(m_Board.m_Dialect, *Command.m_Request, Remaining,
-                        Command.m_Target),
+                        Command.m_Target, Command.m_Team),
       Remaining + ExchangeGrace, Command.m_Idempotent,
       [this, Started = withoutRequest(Command), Now,
        Reserved = Command.m_Request](const net::HttpResult &Result) {
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -51,6 +51,7 @@
   Options.m_Seed = Board.m_Incarnation.m_Low;
   Options.m_Quarantine = Evidence;
   Options.m_LeavingTargets = LeavingTargets;
+  Options.m_MaxProofAge = Board.m_Settings.m_MaxProofAge;
   return Options;
 }
 
@@ -224,10 +225,23 @@
   const std::string CallerId = callerIdOf(m_Board.m_Dialect, *Request);
   setCallerService(m_Board.m_Dialect, *Request,
                    m_Board.m_Settings.m_TargetService);
-  m_Ingress.onCall(Call, std::move(Request), Deadline, Now, CallerId);
+  std::string Key;
+  if (m_Configuration != nullptr && m_Configuration->m_Teams != nullptr) {
+    Key = takeKey(m_Board.m_Dialect, *Request);
+    refreshProof();
+  }
+  m_Ingress.onCall(Call, std::move(Request), Deadline, Now, CallerId, Key);
   performCommands();
 }
 
+void TrafficDriver::Impl::refreshProof() {
+  const auto Latest = m_Board.m_Proof.load();
+  if (Latest == nullptr || Latest == m_Proof)
+    return;
+  m_Proof = Latest;
+  m_Ingress.onFreshness(*Latest);
+}
+
 bool TrafficDriver::Impl::refuseIfBodyTooLarge(
     core::CallId Call, const core::HttpRequest &Request) {
   if (m_Configuration == nullptr)
--- a/src/app/node/traffic_driver_impl.h
+++ b/src/app/node/traffic_driver_impl.h
@@ -65,6 +65,8 @@
   void spreadEvidence();
   void spreadLeavingTargets();
   void publishLoad();
+  /// Passes the latest proof of the control thread to the ingress.
+  void refreshProof();
   std::string peerAddressOf(LinkId Inbound) const;
 
   // One overload for each command type. Ingress and gate share some types but
@@ -100,6 +102,7 @@
   Blackboard &m_Board;
   TrafficDriverHandlers m_Handlers;
   core::ConfigurationPtr m_Configuration;
+  std::shared_ptr<const core::FreshnessProof> m_Proof;
   std::shared_ptr<core::Quarantine> m_Quarantine;
   std::shared_ptr<core::LeavingTargets> m_LeavingTargets;
   core::Ingress m_Ingress;
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -192,6 +192,45 @@
     {"window_s", setRetryWindow},
 };
 
+constexpr std::uint32_t MaxProofAgeMs = 3'600'000;
+constexpr double MaxQuotaWindowS = 3600;
+constexpr double MaxQuotaSlack = 1'000'000;
+
+void setProofAge(Settings &Result, const IniEntry &Entry,
+                 const IniSource &Source) {
+  Result.m_MaxProofAge = std::chrono::milliseconds(
+      core::parseNumber<std::uint32_t>(Entry, Source, 1, MaxProofAgeMs));
+}
+
+void setQuotaWindow(Settings &Result, const IniEntry &Entry,
+                    const IniSource &Source) {
+  constexpr double MinQuotaWindowS = 0.1;
+  const std::chrono::duration<double> Seconds(
+      core::parseNumber(Entry, Source, MinQuotaWindowS, MaxQuotaWindowS));
+  Result.m_Quota.m_Window = std::chrono::duration_cast<core::Duration>(Seconds);
+}
+
+void setQuotaOverage(Settings &Result, const IniEntry &Entry,
+                     const IniSource &Source) {
+  Result.m_Quota.m_Overage = core::parseNumber(Entry, Source, 0.0, 1.0);
+}
+
+void setQuotaSlack(Settings &Result, const IniEntry &Entry,
+                   const IniSource &Source) {
+  Result.m_Quota.m_Slack = core::parseNumber(Entry, Source, 0.0, MaxQuotaSlack);
+}
+
+constexpr KeyHandler<Settings> RevocationKeys[] = {
+    {"max_age_ms", setProofAge},
+};
+constexpr std::string_view RequiredRevocationKeys[] = {"max_age_ms"};
+
+constexpr KeyHandler<Settings> QuotaKeys[] = {
+    {"window_s", setQuotaWindow},
+    {"overage", setQuotaOverage},
+    {"slack", setQuotaSlack},
+};
+
 constexpr double MaxLinkMbps = 1'000'000;
 constexpr std::uint32_t MaxCores = 4096;
 constexpr std::uint32_t MaxMemoryMb = 1U << 24U;
@@ -290,6 +329,8 @@
     {"overlay", false, {}, readSection<OverlayKeys>},
     {"zones", false, {}, readZones},
     {"retries", false, {}, readSection<RetryKeys>},
+    {"revocation", false, RequiredRevocationKeys, readSection<RevocationKeys>},
+    {"quota", false, {}, readSection<QuotaKeys>},
     {"machine", false, {}, readSection<MachineKeys>},
     {"stop", false, {}, readSection<StopKeys>},
     {"log", false, {}, readSection<LogKeys>},
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -246,6 +246,7 @@
   Entry.m_AsSuspect = Message.m_AsSuspect;
   Entry.m_Repeatable = Message.m_Repeatable;
   Entry.m_Target = m_Instance;
+  Entry.m_Team = Message.m_Team;
   Entry.m_Arrival = ++m_Arrivals;
   Entry.m_Request = Message.m_Request;
   m_Queue.push({Message.m_Id, Deadline, Entry.m_Arrival,
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -331,9 +331,10 @@
   m_ColdRate.recordStart(Now);
   m_StatedRate.recordStart(Now);
   m_IdleSince.reset();
-  m_Commands.emplace_back(
-      StartTarget{Next.m_Id, Next.m_Deadline, Idempotent, std::move(Request),
-                  m_Ledger.find(Next.m_Id)->m_Target.m_Name});
+  m_Commands.emplace_back(StartTarget{Next.m_Id, Next.m_Deadline, Idempotent,
+                                      std::move(Request),
+                                      m_Ledger.find(Next.m_Id)->m_Target.m_Name,
+                                      m_Ledger.find(Next.m_Id)->m_Team});
   if (m_StepEvents)
     report(EventId::RequestStarted,
            "request=" + toString(Next.m_Id) + " target=" + m_Options.m_Target +
--- a/src/core/gate/ledger.h
+++ b/src/core/gate/ledger.h
@@ -43,6 +43,8 @@
   bool m_Repeatable = false;
   /// The target that the request is addressed to.
   TargetInstance m_Target;
+  /// Team whose key the caller sent; empty if there is none.
+  std::string m_Team{};
   /// Ascending number of the admission; part of the queue's order.
   std::uint64_t m_Arrival = 0;
   /// Null once it was sent to the target.
--- a/src/core/ingress.cpp
+++ b/src/core/ingress.cpp
@@ -116,9 +116,14 @@
 
 void Ingress::onCall(CallId Call, HttpRequestPtr Request,
                      std::optional<Duration> CallerDeadline, TimePoint Now,
-                     const std::string &CallerId) {
+                     const std::string &CallerId, const std::string &Key) {
   m_Impl->m_Calls.expire(Now);
-  m_Impl->m_Calls.open(Call, std::move(Request), CallerDeadline, CallerId, Now);
+  m_Impl->m_Calls.open(Call, std::move(Request), CallerDeadline,
+                       {CallerId, Key}, Now);
+}
+
+void Ingress::onFreshness(const FreshnessProof &Proof) {
+  m_Impl->m_Calls.addProof(Proof);
 }
 
 void Ingress::startDrain(TimePoint End) { m_Impl->m_Calls.setEnd(End); }
--- a/src/core/ingress/call_records.h
+++ b/src/core/ingress/call_records.h
@@ -34,6 +34,14 @@
   bool m_Hedged = false;
 };
 
+/// Who sent a request.
+struct CallerIdentity {
+  /// Id that the caller gave the request, for the log; empty if none.
+  const std::string &m_Id;
+  /// Key of the caller's team; empty if none.
+  const std::string &m_Key;
+};
+
 /// A caller's request that has no final response yet.
 struct Call {
   CallId m_Id = 0;
@@ -60,6 +68,8 @@
   std::string m_Kind;
   std::uint32_t m_Priority = 0;
   TimePoint m_SoftDeadline;
+  /// Team of the caller; empty if the route needs none.
+  std::string m_Team;
   /// Time after which another attempt is made for a repeatable request.
   Duration m_AttemptTimeout{0};
   /// Complete response with a server error; returned if no other attempt
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -3,6 +3,7 @@
 #include "core/ingress/attempt_field.h"
 #include "core/ingress/idempotency.h"
 #include "core/ingress/limits.h"
+#include "core/ingress/team_guard.h"
 #include "dandelionfall/core/revision.h"
 
 #include <algorithm>
@@ -15,8 +16,9 @@
 constexpr char QuarantinedFault[] = "targets ended whenever they ran it";
 
 std::string_view outcomeName(CallOutcome Outcome) {
-  constexpr std::string_view Names[] = {"answered", "not-run", "unknown",
-                                        "no-route"};
+  constexpr std::string_view Names[] = {"answered",    "not-run",
+                                        "unknown",     "no-route",
+                                        "unknown-key", "over-quota"};
   return Names[static_cast<std::size_t>(Outcome)];
 }
 
@@ -24,8 +26,9 @@
 // each id: many answers must not suppress the lines of a few failures.
 EventId eventOf(CallOutcome Outcome) {
   constexpr EventId Events[] = {
-      EventId::RequestSettled, EventId::RequestNotServed,
-      EventId::OutcomeUnknown, EventId::RequestNotServed};
+      EventId::RequestSettled,   EventId::RequestNotServed,
+      EventId::OutcomeUnknown,   EventId::RequestNotServed,
+      EventId::RequestNotServed, EventId::RequestNotServed};
   return Events[static_cast<std::size_t>(Outcome)];
 }
 
@@ -35,7 +38,8 @@
 
 void CallTable::open(CallId Id, HttpRequestPtr Request,
                      std::optional<Duration> CallerDeadline,
-                     const std::string &CallerId, TimePoint Now) {
+                     const CallerIdentity &Caller, TimePoint Now) {
+  const std::string &CallerId = Caller.m_Id;
   const Configuration *Config = m_Services.configuration();
   if (Config == nullptr)
     return reject(Id, CallerId, CallOutcome::NotRun,
@@ -45,6 +49,12 @@
   if (Match.m_Route == nullptr)
     return reject(Id, CallerId, CallOutcome::NoRoute,
                   "no route fits the request");
+  const TeamDecision Owner =
+      identifyTeam(*Config, *Match.m_Route, Caller.m_Key, m_Freshness.age(Now),
+                   m_Options.m_MaxProofAge);
+  if (Owner.m_Rejection)
+    return reject(Id, CallerId, *Owner.m_Rejection, Owner.m_Cause,
+                  Owner.m_RetryAfter);
   if (const auto Remaining = quarantineOf(*Request, Now))
     return reject(Id, CallerId, CallOutcome::NotRun, QuarantinedFault,
                   *Remaining);
@@ -78,7 +88,9 @@
       Chosen.m_MaxAttempts > 0 ? std::min(Chosen.m_MaxAttempts, MaxGatesPerCall)
                                : 1 + MaxRetries;
   Entry.m_AnswerGrace = View.m_Profile.m_AnswerGrace;
-  Entry.m_Priority = Chosen.m_Priority;
+  Entry.m_Priority = combinedPriority(Owner.m_Team, Chosen);
+  if (Owner.m_Team != nullptr)
+    Entry.m_Team = Owner.m_Team->m_Name;
   Entry.m_SoftDeadline = Chosen.m_TargetLatency > Duration{0}
                              ? Now + Chosen.m_TargetLatency
                              : Entry.m_Deadline;
@@ -97,7 +109,7 @@
 void CallTable::reject(CallId Id, const std::string &CallerId,
                        CallOutcome Outcome, const std::string &Detail,
                        Duration RetryAfter) {
-  if (Outcome != CallOutcome::NotRun)
+  if (Outcome != CallOutcome::NotRun && Outcome != CallOutcome::OverQuota)
     RetryAfter = Duration{0};
   m_Out.answer({Id, Outcome, nullptr, RetryAfter, Detail});
   m_Out.report(EventId::RequestNotServed,
@@ -195,6 +207,7 @@
   Message.m_Idempotent = Entry.m_Idempotent;
   Message.m_Kind = Entry.m_Kind;
   Message.m_Priority = Entry.m_Priority;
+  Message.m_Team = Entry.m_Team;
   if (Entry.m_SoftDeadline < Entry.m_Deadline)
     Message.m_SoftDeadlineIn = Entry.m_SoftDeadline - Now;
   if (Peer.m_StatedBy == Current.m_Target)
@@ -319,6 +332,7 @@
       " request=" + toString(RequestId{m_Options.m_Incarnation, Last}) +
       " outcome=" + std::string(outcomeName(Outcome)) +
       " route=" + Ended.m_Kind + " service=" + Ended.m_Service +
+      (Ended.m_Team.empty() ? "" : " team=" + Ended.m_Team) +
       " elapsed_us=" + std::to_string((Now - Ended.m_OpenedAt).count()) +
       " late_us=" + std::to_string((Now - Ended.m_SoftDeadline).count()) +
       " version=" + formatRevision(version()) + " tries=" + Ended.m_History;
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -13,6 +13,7 @@
 #include "core/ingress/service_table.h"
 #include "core/ingress/split_choice.h"
 #include "core/ingress/timer_queue.h"
+#include "dandelionfall/core/freshness.h"
 
 #include <map>
 #include <optional>
@@ -38,10 +39,11 @@
   /// off while they run are rejected, the others are ended before.
   void setEnd(TimePoint End) { m_PlannedEnd.set(End); }
   /// Opens a call for a caller's request.
-  /// \param CallerId id that the caller gave the request, for the log.
   void open(CallId Id, HttpRequestPtr Request,
-            std::optional<Duration> CallerDeadline, const std::string &CallerId,
-            TimePoint Now);
+            std::optional<Duration> CallerDeadline,
+            const CallerIdentity &Caller, TimePoint Now);
+  /// Adds a proof that a configuration was the newest one.
+  void addProof(const FreshnessProof &Proof) { m_Freshness.add(Proof); }
   /// Abandons a call whose caller has disconnected.
   void abandon(CallId Id, TimePoint Now);
   /// Moves requests that wait for a gate which the new version excludes.
@@ -132,6 +134,7 @@
   ReturnSpread m_ReturnSpread;
   bool m_StepEvents = true;
   PlannedEnd m_PlannedEnd;
+  Freshness m_Freshness;
   AttemptNumber m_LastAttempt = 0;
   std::map<CallId, Call> m_Calls;
   std::unordered_map<AttemptNumber, Attempt> m_Attempts;
--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -228,6 +228,7 @@
 }
 
 void CallTable::onConfiguration(TimePoint Now) {
+  m_Freshness.setApplied(version());
   std::vector<AttemptNumber> Affected;
   for (const auto &[Id, Entry] : m_Calls) {
     for (const AttemptNumber Number : Entry.m_OpenAttempts) {
--- a/src/core/registry/registry.cpp
+++ b/src/core/registry/registry.cpp
@@ -472,6 +472,7 @@
     Result->m_Services.emplace(std::string(Name), std::move(New));
   Result->m_SplitRoutes = m_Published->m_Routes;
   Result->m_CallerLimits = m_Published->m_Limits;
+  Result->m_Teams = m_Published->m_Teams;
   Result->m_Routes = m_RouteIndex;
   return Result;
 }
--- a/src/net/wire_control.cpp
+++ b/src/net/wire_control.cpp
@@ -213,9 +213,18 @@
       Value.large.emplace(Key, toSigned(Held));
     Value.complete = Message.m_Changes.m_IsComplete;
     Value.retained = toSigned(Message.m_Retained);
+    Value.proved_ago_us = elapsedToWire(Message.m_ProvedAgo);
+    if (Message.m_Probe)
+      Value.__set_probe(*Message.m_Probe);
     m_Body.__set_revision_notice(Value);
   }
 
+  void operator()(const core::FreshnessProbe &Message) {
+    wire::FreshnessProbe Value;
+    Value.number = Message.m_Number;
+    m_Body.__set_freshness_probe(Value);
+  }
+
   void operator()(const core::ControlGoAway & /*Message*/) {
     m_Body.__set_control_go_away({});
   }
@@ -330,9 +339,16 @@
   for (const auto &[Key, Held] : Value.large)
     Result.m_Changes.m_Large.emplace(Key, toUnsigned(Held));
   Result.m_Changes.m_IsComplete = Value.complete;
+  Result.m_ProvedAgo = elapsedFromWire(Value.proved_ago_us);
+  if (Value.__isset.probe)
+    Result.m_Probe = Value.probe;
   return Result;
 }
 
+core::ControlMessage readFreshnessProbe(wire::Body &Body) {
+  return core::FreshnessProbe{Body.freshness_probe.number};
+}
+
 constexpr MessageReader<core::ControlMessage> Readers[] = {
     {[](const wire::Body &Body) { return Body.__isset.heartbeat; },
      readHeartbeat},
@@ -356,6 +372,8 @@
      readFollowRevisions},
     {[](const wire::Body &Body) { return Body.__isset.revision_notice; },
      readRevisionNotice},
+    {[](const wire::Body &Body) { return Body.__isset.freshness_probe; },
+     readFreshnessProbe},
 };
 
 } // namespace
--- a/src/net/wire_traffic.cpp
+++ b/src/net/wire_traffic.cpp
@@ -164,6 +164,8 @@
       Value.__set_as_suspect(true);
     if (Message.m_Repeatable)
       Value.__set_repeatable(true);
+    if (!Message.m_Team.empty())
+      Value.__set_team(Message.m_Team);
     if (Message.m_Request != nullptr)
       Value.request = toWire(*Message.m_Request);
     m_Body.__isset.dispatch = true;
@@ -262,6 +264,25 @@
     m_Body.__set_leaving_notice(Value);
   }
 
+  void operator()(const core::CreditRequest &Message) {
+    wire::CreditRequest Value;
+    Value.sequence = toSigned(Message.m_Sequence);
+    Value.team = Message.m_Team;
+    Value.wanted = static_cast<std::int32_t>(Message.m_Wanted);
+    Value.returned = static_cast<std::int32_t>(Message.m_Returned);
+    m_Body.__set_credit_request(Value);
+  }
+
+  void operator()(const core::CreditGrant &Message) {
+    wire::CreditGrant Value;
+    Value.sequence = toSigned(Message.m_Sequence);
+    Value.team = Message.m_Team;
+    Value.granted = static_cast<std::int32_t>(Message.m_Granted);
+    Value.lease_us = Message.m_Lease.count();
+    Value.retry_after_us = Message.m_RetryAfter.count();
+    m_Body.__set_credit_grant(Value);
+  }
+
 private:
   wire::Body &m_Body;
 };
@@ -292,6 +313,8 @@
     Result.m_StatedRate = rateFromWire(Value.stated_rate);
   Result.m_AsSuspect = Value.__isset.as_suspect && Value.as_suspect;
   Result.m_Repeatable = Value.__isset.repeatable && Value.repeatable;
+  if (Value.__isset.team)
+    Result.m_Team = std::move(Value.team);
   return Result;
 }
 
@@ -372,6 +395,21 @@
   return Result;
 }
 
+core::TrafficMessage readCreditRequest(wire::Body &Body) {
+  wire::CreditRequest &Value = Body.credit_request;
+  return core::CreditRequest{toUnsigned(Value.sequence), std::move(Value.team),
+                             countFromWire(Value.wanted),
+                             countFromWire(Value.returned)};
+}
+
+core::TrafficMessage readCreditGrant(wire::Body &Body) {
+  wire::CreditGrant &Value = Body.credit_grant;
+  return core::CreditGrant{toUnsigned(Value.sequence), std::move(Value.team),
+                           countFromWire(Value.granted),
+                           Duration(Value.lease_us),
+                           Duration(Value.retry_after_us)};
+}
+
 constexpr MessageReader<core::TrafficMessage> Readers[] = {
     {[](const wire::Body &Body) { return Body.__isset.dispatch; },
      readDispatch},
@@ -397,6 +435,10 @@
      readCrashNotice},
     {[](const wire::Body &Body) { return Body.__isset.leaving_notice; },
      readLeavingNotice},
+    {[](const wire::Body &Body) { return Body.__isset.credit_request; },
+     readCreditRequest},
+    {[](const wire::Body &Body) { return Body.__isset.credit_grant; },
+     readCreditGrant},
 };
 
 } // namespace
