--- a/src/core/configuration_manifest.cpp
+++ b/src/core/configuration_manifest.cpp
@@ -41,7 +41,7 @@
 bool isPartName(std::string_view Name) {
   if (Name.starts_with(ServicePrefix))
     return isName(Name.substr(ServicePrefix.size()));
-  return Name == ZonesPart || Name == ProfilesPart;
+  return Name == ZonesPart || Name == ProfilesPart || Name == TeamsPart;
 }
 
 // The length is checked because a truncated digest would be accepted as a
@@ -60,7 +60,7 @@
     if (!isPartName(Entry.m_Key))
       Faults.push_back(Source.makeFault(
           "unknown part '" + Entry.m_Key + "'",
-          "name parts zones, profiles or service/NAME", Entry.m_Line));
+          "name parts zones, profiles, teams or service/NAME", Entry.m_Line));
     try {
       List.m_Parts.emplace(Entry.m_Key, parseDigest(Entry, Source));
     } catch (const Error &Fault) {
--- a/src/core/configuration_parts.cpp
+++ b/src/core/configuration_parts.cpp
@@ -1,6 +1,10 @@
 #include "configuration_parts.h"
 
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+
 #include <algorithm>
+#include <limits>
 
 namespace dandelionfall::core {
 
@@ -47,6 +51,8 @@
     {"never", Idempotency::Never},
 };
 
+constexpr NamedValue<bool> Booleans[] = {{"true", true}, {"false", false}};
+
 constexpr KeyHandler<Zone> ZoneKeys[] = {
     {"region", setName<Zone, &Zone::m_Region>},
     {"state",
@@ -96,6 +102,40 @@
      [](Route &Target, const IniEntry &Entry, const IniSource &Source) {
        Target.m_Idempotency = parseNamedValue(Entry, Source, Idempotencies);
      }},
+    {"public",
+     [](Route &Target, const IniEntry &Entry, const IniSource &Source) {
+       Target.m_Public = parseNamedValue(Entry, Source, Booleans);
+     }},
+};
+
+constexpr double MaxQuotaValue = 1e9;
+
+template <double TeamQuota::*Member>
+void setQuota(TeamDefinition &Target, const IniEntry &Entry,
+              const IniSource &Source) {
+  Target.m_Team.m_Quota.*Member =
+      parseNumber(Entry, Source, 0.0, MaxQuotaValue);
+}
+
+// Faults don't quote the value, which holds keys.
+void setKeys(TeamDefinition &Target, const IniEntry &Entry,
+             const IniSource & /*Source*/) {
+  boost::algorithm::split(Target.m_Keys, Entry.m_Value,
+                          [](char Character) { return Character == ','; });
+  for (std::string &Key : Target.m_Keys)
+    boost::algorithm::trim(Key);
+}
+
+constexpr KeyHandler<TeamDefinition> TeamKeys[] = {
+    {"keys", setKeys},
+    {"priority",
+     [](TeamDefinition &Target, const IniEntry &Entry,
+        const IniSource &Source) {
+       Target.m_Team.m_Priority = parseNumber<std::uint32_t>(
+           Entry, Source, 0, std::numeric_limits<std::int16_t>::max());
+     }},
+    {"rate_per_s", setQuota<&TeamQuota::m_RatePerSecond>},
+    {"burst", setQuota<&TeamQuota::m_Burst>},
 };
 
 constexpr KeyHandler<Target> TargetKeys[] = {
@@ -222,6 +262,29 @@
   readNamedSections(Source, "profile", ProfileKeys, Config.m_Profiles, Faults);
 }
 
+void readTeams(const Part &Source, Configuration &Config, FaultList &Faults) {
+  const IniSource Context = makeIniSource(Source);
+  std::vector<TeamDefinition> Definitions;
+  std::vector<int> Lines;
+  for (const IniSection &Section : parseSections(Source, Faults)) {
+    if (Section.m_Type != "team") {
+      Faults.push_back(
+          makeUnknownSectionFault(Section, Context, "[team NAME]"));
+      continue;
+    }
+    checkSectionName(Section, Context, Faults);
+    TeamDefinition &Entry = Definitions.emplace_back();
+    Entry.m_Team.m_Name = Section.m_Name;
+    readEntries(Entry, Section, Context, TeamKeys, Faults);
+    Lines.push_back(Section.m_Line);
+  }
+  if (const auto Fault = findTeamFault(Definitions))
+    Faults.push_back(Context.makeFault(Fault->m_Fault, Fault->m_Remedy,
+                                       Lines[Fault->m_Index]));
+  if (!Definitions.empty())
+    Config.m_Teams = std::make_shared<const TeamTable>(Definitions);
+}
+
 std::shared_ptr<const Service> readService(const Part &Source,
                                            FaultList &Faults) {
   const IniSource Context = makeIniSource(Source);
--- a/src/core/configuration_parts.h
+++ b/src/core/configuration_parts.h
@@ -16,6 +16,8 @@
 inline constexpr std::string_view ZonesPart = "zones";
 /// Name of the part that defines the profiles.
 inline constexpr std::string_view ProfilesPart = "profiles";
+/// Name of the part that defines the teams; may be absent.
+inline constexpr std::string_view TeamsPart = "teams";
 /// Prefix of the names of the parts that define a service.
 inline constexpr std::string_view ServicePrefix = "service/";
 
@@ -31,6 +33,12 @@
 /// \param Faults receives the faults.
 void readProfiles(const Part &Source, Configuration &Config, FaultList &Faults);
 
+/// Parses the teams.
+/// \param Source the part.
+/// \param Config receives the teams.
+/// \param Faults receives the faults; none quotes a key.
+void readTeams(const Part &Source, Configuration &Config, FaultList &Faults);
+
 /// Parses a service.
 /// \param Source the part, named `service/NAME`.
 /// \param Faults receives the faults.
--- a/src/core/configuration_reader.cpp
+++ b/src/core/configuration_reader.cpp
@@ -35,11 +35,15 @@
     readProfiles(Source, Config, Faults);
     return;
   }
+  if (Source.m_Name == TeamsPart) {
+    readTeams(Source, Config, Faults);
+    return;
+  }
   const std::string_view Name = Source.m_Name;
   if (!Name.starts_with(ServicePrefix) ||
       !isName(Name.substr(ServicePrefix.size()))) {
     Faults.emplace_back(ErrorKind::BadConfiguration, "unknown part",
-                        "name parts zones, profiles or service/NAME",
+                        "name parts zones, profiles, teams or service/NAME",
                         SourceLocation{Source.m_Name, 0});
     return;
   }
--- a/src/core/distribution.cpp
+++ b/src/core/distribution.cpp
@@ -83,6 +83,7 @@
   void handle(ControlLink & /*Link*/, const RecordsPush & /*Value*/) {}
   void handle(ControlLink & /*Link*/, const FollowRevisions & /*Value*/) {}
   void handle(ControlLink & /*Link*/, const RevisionNotice & /*Value*/) {}
+  void handle(ControlLink & /*Link*/, const FreshnessProbe & /*Value*/) {}
   void handle(ControlLink &Link, const ControlGoAway & /*Value*/) {
     m_Overlay.onGoAway(m_Board, Link);
   }
