Count suspended time on the clock of the decision logic

Deadlines, leases and the age of a proof must pass while the host is suspended; the steady clock stands still then. Timers are set by the time that is left, since theirs does.

--- a/src/app/node/wake_up_timer.h
+++ b/src/app/node/wake_up_timer.h
@@ -13,11 +13,9 @@
 
 namespace dandelionfall::app {
 
-/// \returns the time on the process's monotonic clock.
-inline core::TimePoint monotonicNow() {
-  return std::chrono::time_point_cast<core::Duration>(
-      std::chrono::steady_clock::now());
-}
+/// \returns the time on the process's monotonic clock, which counts the time
+/// for which the host was suspended: deadlines and leases pass meanwhile.
+core::TimePoint monotonicNow();
 
 /// Calls back at the requested time. If the requested time is moved to a later
 /// one, the call at the earlier time still happens. Not thread-safe.
