Compare the last change with the store's when the last feed is lost

Cause: a fed node makes no calls, so it does not notice that the store was away. If the store comes back from a copy and has passed the known revision before the node loses its feed, its first watch starts at a revision that was handed out twice. The store has nothing later, and the last change held was compared with the store's after a failed call only.

Ruled out by reading: a listing without the configuration delays nothing here (the copy has one); no reply is dropped; no call issued before the return waits for its timeout, as the node has none.

Change: the loss of the last reliable feed of a node that is told by others counts like a failed call. With an era nothing changes but the first watch; else one record is compared, or all are listed if the last change was large or a removal. Traffic announcements still change no history by themselves.

--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -129,8 +129,8 @@
 /// the earlier one. This is the case if the store states another era, if a
 /// linearizable listing is below a revision that was known before the call, or
 /// if a record that this node holds is not as the store has it. After a failed
-/// call one record is compared, unless the store states its era. Not
-/// thread-safe.
+/// call, or the loss of the last feed, one record is compared, unless the store
+/// states its era. Not thread-safe.
 class StoreReader {
 public:
   /// \param Seed seed of the random jitter between calls.
@@ -157,14 +157,17 @@
   /// \param Claimed revision that another node claims to hold.
   /// \returns whether it has; the claim is then of an earlier history.
   bool checkClaim(Revision Claimed, TimePoint Now);
-  /// Sets the last change held. After a failed call it is compared with the
+  /// Sets the last change held. While unverified it is compared with the
   /// store's; a removal, or a large record, is compared by a listing.
   /// \param AsOf revision up to which all changes are held.
   void setEvidence(StoreRecord Newest, Revision AsOf);
   /// Sets the key that no complete listing lacks; empty for none.
   void setRequiredKey(const std::string &Key) { m_RequiredKey = Key; }
-  /// \returns whether a call has failed since the store was last known to
-  /// continue the history.
+  /// Handles the loss of the last feed. Calls tell when the store was away; a
+  /// node that relied on feeds and made none can't know.
+  void onFeedsLost() { m_IsUnverified = true; }
+  /// \returns whether a call has failed, or the last feed was lost, since the
+  /// store was last known to continue the history.
   bool isUnverified() const { return m_IsUnverified; }
   /// Handles the observation that the store has reached a revision. If the own
   /// watch does not bring it within `CatchUpDelay`, a new linearizable call
@@ -270,8 +273,8 @@
   Revision m_ComparedAsOf = 0;
   /// Key that no complete listing lacks; empty for none.
   std::string m_RequiredKey;
-  /// Whether a call has failed since the store was last known to continue the
-  /// history.
+  /// Whether a call has failed, or the last feed was lost, since the store was
+  /// last known to continue the history.
   bool m_IsUnverified = false;
   /// Disproved revision that another node holds: a listing that is below it,
   /// too, is of another history.
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -341,9 +341,22 @@
       std::visit([&](const auto &Any) { perform(Any, Now); }, Command);
   }
 
+  // The store may have come back from an older copy since the last notice, and
+  // have passed the known revision before this node's first own call.
+  void noteFeeds(std::size_t Feeds) {
+    const bool HadFeeds = std::exchange(m_HasFeeds, Feeds > 0);
+    const WatchMode Mode = m_Reader.mode();
+    const bool IsTold = Mode == WatchMode::Following || Mode == WatchMode::Fed;
+    if (!HadFeeds || m_HasFeeds || !IsTold)
+      return;
+    m_Reader.onFeedsLost();
+    updateEvidence();
+  }
+
   void updateMode(TimePoint Now) {
     const WatchMode Previous = m_Reader.mode();
     const std::size_t Feeds = m_Follower.reliableFeeds(Now);
+    noteFeeds(Feeds);
     const std::size_t Followers = m_Publisher.followers();
     // Of the nodes with followers the first of each availability zone reads
     // for all; the others forward the notices that they receive.
@@ -407,6 +420,8 @@
   std::optional<TimePoint> m_StartEnds;
   /// Whether the store answers neither this node nor one that it follows.
   bool m_StoreIsAway = false;
+  /// Whether a feed was reliable when the mode was last set.
+  bool m_HasFeeds = false;
   /// Whether the configuration waits for the end of the inquiry.
   bool m_IsHeldBack = false;
   /// Revision of the registry when the reader's evidence was set.
