Let a kind of request that was slow for a moment be served again

A kind whose estimate is high is refused while shorter kinds fit. So it gave few samples, each of which moved the mean by a thirty-second and started the decay anew: it stayed out as long as others kept the target busy. And of two kinds with the same service time the one with the slightly higher estimate got next to nothing.

One request of such a kind is admitted now and then as a probe, with the estimate over all kinds, and its service time replaces the estimate of the kind. A request that must not repeat is a probe only if it would be done by its deadline with the kind's own estimate. Kinds that can't be told apart from all others share their mean. Earlier samples weigh less after a gap. A shorter decay was ruled out: a rare kind that is slow would be forgotten between two of its requests.

--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -34,6 +34,15 @@
   friend bool operator==(const RefusalCause &, const RefusalCause &) = default;
 };
 
+/// How a request is admitted.
+struct Admitted {
+  /// Whether the answer is expected after the soft deadline.
+  bool m_Late = false;
+  /// See `QueuedRequest`.
+  bool m_Probe = false;
+  Duration m_Expected{0};
+};
+
 /// A request whose connection broke while it is unknown whether the target
 /// ended.
 struct HeldFailure {
@@ -95,7 +104,7 @@
   void handleRepeatedDispatch(LinkId Link, const RequestId &Id,
                               RequestState State);
   void enqueue(const Dispatch &Message, const ArrivingRequest &Arriving,
-               bool Late, TimePoint Now);
+               const Admitted &As);
   void answerInquiry(LinkId Link, const RequestId &Id);
   std::optional<RefusalCause> refusalByFence(LinkId Link,
                                              const Dispatch &Message) const;
@@ -105,10 +114,14 @@
   std::optional<RefusalCause> refusalByQuarantine(const HttpRequestPtr &Request,
                                                   bool AsSuspect,
                                                   TimePoint Now);
-  /// \param Late set to whether an admitted request is expected to be late.
-  std::optional<RefusalCause> refusalByLoad(const std::string &Kind,
+  /// \param As set to how the request is admitted, if it is.
+  std::optional<RefusalCause> refusalByLoad(const Dispatch &Message,
                                             const ArrivingRequest &Arriving,
-                                            bool &Late, TimePoint Now) const;
+                                            Admitted &As, TimePoint Now);
+  /// \returns whether a request that doesn't fit is admitted as a probe, see
+  /// `ServiceTimes`.
+  bool admitProbe(const Dispatch &Message, const ArrivingRequest &Arriving,
+                  AdmissionView View, Admitted &As, TimePoint Now);
   /// \returns the time that an arriving request would wait for the rate limits
   /// of the target.
   Duration rateWait(TimePoint Now) const;
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -84,16 +84,16 @@
   if (!Cause && Message.m_StatedRate &&
       m_StatedRate.adopt(*Message.m_StatedRate, Now))
     reportStatedRate("ingress");
-  bool Late = false;
+  Admitted As;
   if (!Cause) {
-    Cause = refusalByLoad(Message.m_Kind, Arriving, Late, Now);
+    Cause = refusalByLoad(Message, Arriving, As, Now);
     // Otherwise the ingress would send it to another target meanwhile.
     if (Cause && Message.m_AsSuspect &&
         hasCopy(fingerprintOf(*Message.m_Request)))
       Cause->m_Reason = RefusalReason::Suspect;
   }
   if (!Cause)
-    return enqueue(Message, Arriving, Late, Now);
+    return enqueue(Message, Arriving, As);
   if (Cause->m_Reason == RefusalReason::Suspect)
     send(Link, evidenceAgainst(fingerprintOf(*Message.m_Request), Now));
   m_Ledger.refuse(Id, Cause->m_Reason);
@@ -175,21 +175,44 @@
 }
 
 std::optional<RefusalCause>
-Engine::refusalByLoad(const std::string &Kind, const ArrivingRequest &Arriving,
-                      bool &Late, TimePoint Now) const {
+Engine::refusalByLoad(const Dispatch &Message, const ArrivingRequest &Arriving,
+                      Admitted &As, TimePoint Now) {
+  const std::string &Kind = Message.m_Kind;
   const Duration Wait = rateWait(Now);
   if (Wait > MaxRateWait ||
       (Wait > Duration{0} &&
        Now + Wait + estimate(Kind, Now).m_Mean > Arriving.m_Deadline))
     return RefusalCause{RefusalReason::Overload, Wait};
-  const AdmissionDecision Decision =
-      m_Admission->decide(admissionView(Kind, Now), Arriving);
-  Late = Decision.m_Late;
-  if (Decision.m_Admitted)
+  const AdmissionView View = admissionView(Kind, Now);
+  const AdmissionDecision Decision = m_Admission->decide(View, Arriving);
+  As = {Decision.m_Late, false, View.m_ServiceTime.m_Mean};
+  if (Decision.m_Admitted || admitProbe(Message, Arriving, View, As, Now))
     return std::nullopt;
   return RefusalCause{Decision.m_Reason, Decision.m_RetryAfter};
 }
 
+bool Engine::admitProbe(const Dispatch &Message,
+                        const ArrivingRequest &Arriving, AdmissionView View,
+                        Admitted &As, TimePoint Now) {
+  const auto Probe =
+      m_ServiceTimes.probeEstimate(Message.m_Kind, Now, m_IdleSince);
+  if (!Probe)
+    return false;
+  // The probe may take as long as expected. It must be done by the deadline
+  // then, unless the ingress can repeat the request.
+  const ArrivingRequest UntilDeadline{Arriving.m_Deadline, Arriving.m_Deadline};
+  if (!Message.m_Idempotent &&
+      !m_Admission->decide(View, UntilDeadline).m_Admitted)
+    return false;
+  View.m_ServiceTime = *Probe;
+  const AdmissionDecision Decision = m_Admission->decide(View, Arriving);
+  if (!Decision.m_Admitted)
+    return false;
+  As = {Decision.m_Late, true, Probe->m_Mean};
+  m_ServiceTimes.recordProbe(Message.m_Kind, Now);
+  return true;
+}
+
 // The queue of a target with a rate limit drains at that rate, regardless of
 // free slots.
 Duration Engine::rateWait(TimePoint Now) const {
@@ -238,7 +261,7 @@
 }
 
 void Engine::enqueue(const Dispatch &Message, const ArrivingRequest &Arriving,
-                     bool Late, TimePoint Now) {
+                     const Admitted &As) {
   const TimePoint Deadline = Arriving.m_Deadline;
   LedgerEntry Entry;
   Entry.m_Deadline = Deadline;
@@ -249,8 +272,8 @@
   Entry.m_Arrival = ++m_Arrivals;
   Entry.m_Request = Message.m_Request;
   m_Queue.push({Message.m_Id, Deadline, Entry.m_Arrival,
-                Arriving.m_SoftDeadline, Late, Message.m_Kind,
-                estimate(Message.m_Kind, Now).m_Mean});
+                Arriving.m_SoftDeadline, As.m_Late, Message.m_Kind,
+                As.m_Expected, As.m_Probe});
   m_Ledger.admit(Message.m_Id, std::move(Entry));
   m_Links.extendActiveUntil(Message.m_Id.m_Ingress, Deadline);
 }
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -253,7 +253,8 @@
       refuse(Next.m_Id, {RefusalReason::DeadlinePassed, Duration{0}});
       continue;
     }
-    if (!m_Admission->canFinishInTime(Remaining, estimate(Next.m_Kind, Now))) {
+    if (!Next.m_Probe &&
+        !m_Admission->canFinishInTime(Remaining, estimate(Next.m_Kind, Now))) {
       refuse(Next.m_Id, {RefusalReason::Overload, Duration{0}});
       continue;
     }
--- a/src/core/gate/request_queue.h
+++ b/src/core/gate/request_queue.h
@@ -38,6 +38,9 @@
   std::string m_Kind;
   /// Expected service time at admission.
   Duration m_Expected{0};
+  /// Whether it was admitted to learn the service time of its kind, which the
+  /// gate expects to be longer.
+  bool m_Probe = false;
   friend bool operator==(const QueuedRequest &,
                          const QueuedRequest &) = default;
 };
--- a/src/core/gate/service_time.h
+++ b/src/core/gate/service_time.h
@@ -21,7 +21,9 @@
 };
 
 /// Smooths service times with the method of RFC 6298 for round-trip times, but
-/// with a lower weight of the newest sample, since service times vary more.
+/// with a lower weight of the newest sample, since service times vary more. The
+/// weight of the earlier samples halves with each `BusyHalfLife` between two
+/// samples.
 class ServiceTimeEstimator {
 public:
   /// Adds the service time of a complete response.
@@ -37,6 +39,14 @@
   ServiceTimeEstimate estimate(TimePoint Now,
                                std::optional<TimePoint> IdleSince) const;
 
+  /// \returns the estimate without its decay.
+  const ServiceTimeEstimate &smoothed() const { return m_Smoothed; }
+  /// \returns the number of samples that the estimate rests on, at most the
+  /// divisor of the mean.
+  int samples() const { return m_Samples; }
+  /// \returns the time of the latest sample.
+  TimePoint lastSample() const { return m_LastSample; }
+
   /// Half-life of the estimate of an idle target without new samples.
   static constexpr Duration HalfLife = std::chrono::seconds(1);
   /// Half-life of the estimate for one kind while the target is busy with other
@@ -44,7 +54,7 @@
   static constexpr Duration BusyHalfLife = std::chrono::seconds(4);
 
 private:
-  /// Number of samples, counted up to the largest divisor.
+  /// Weight of the earlier samples, up to the largest divisor.
   int m_Samples = 0;
   TimePoint m_LastSample;
   ServiceTimeEstimate m_Smoothed;
@@ -52,7 +62,14 @@
 
 /// Service times by kind of request. The kinds of one target may differ by an
 /// order of magnitude, so a common estimate would cause the short ones to be
-/// refused.
+/// refused. But a kind that can't be told apart from all others shares their
+/// mean: of two kinds that compete for too little room, the one with the
+/// slightly higher estimate would get next to nothing.
+///
+/// A kind that is refused because of its estimate gives no samples that could
+/// lower it. So one of its requests is admitted at times with the estimate of
+/// all kinds, as a probe, and its service time replaces the estimate. On a
+/// target that serves the kind slowly, the probes occupy a fifth of a slot.
 class ServiceTimes {
 public:
   /// \param Kind kind of the request that ended.
@@ -60,8 +77,16 @@
   void addLowerBound(const std::string &Kind, Duration Elapsed, TimePoint Now);
   /// Estimates the service time of the next request of a kind; zero if no
   /// request of the kind has ended yet.
+  /// \param IdleSince when the target became idle; nothing while it is busy.
   ServiceTimeEstimate estimate(const std::string &Kind, TimePoint Now,
                                std::optional<TimePoint> IdleSince) const;
+  /// \returns the estimate of a probe, if a probe of the kind is due and the
+  /// estimate of the kind is the higher one.
+  std::optional<ServiceTimeEstimate>
+  probeEstimate(const std::string &Kind, TimePoint Now,
+                std::optional<TimePoint> IdleSince) const;
+  /// Records that a request of the kind was admitted as a probe.
+  void recordProbe(const std::string &Kind, TimePoint Now);
   /// \returns the estimate over all kinds.
   const ServiceTimeEstimator &overall() const { return m_Overall; }
 
@@ -69,11 +94,28 @@
   /// Limit on distinct kinds, which bounds the memory for a target with many
   /// routes.
   static constexpr std::size_t MaxKinds = 512;
+  /// Shortest time without a sample before a probe, as a multiple of the mean
+  /// of the kind.
+  static constexpr int ProbePauseFactor = 4;
+  static constexpr Duration MinProbePause = std::chrono::milliseconds(100);
+  /// Samples of a kind from which on its deviation is its own.
+  static constexpr int OwnDeviationSamples = 16;
+  /// Part of the deviation within which two means are not told apart.
+  static constexpr int NoiseDivisor = 2;
+
+  struct KindTimes {
+    ServiceTimeEstimator m_Estimator;
+    /// When the latest probe was admitted, until its sample.
+    std::optional<TimePoint> m_ProbedAt;
+  };
 
-  ServiceTimeEstimator &estimatorOf(const std::string &Kind);
+  KindTimes &timesOf(const std::string &Kind);
 
   ServiceTimeEstimator m_Overall;
-  std::unordered_map<std::string, ServiceTimeEstimator> m_ByKind;
+  std::unordered_map<std::string, KindTimes> m_ByKind;
+  /// Until when the latest probe is expected to occupy a slot. The next one, of
+  /// any kind, is admitted after it.
+  TimePoint m_ProbesUntil = TimePoint::min();
 };
 
 } // namespace dandelionfall::core::gate
