Serve urgent requests first where a gate has too little room

A gate knew no rank: an urgent route was served like any other, also where the less urgent ones alone exceeded the target's room.

Requests in time start by rank, then by deadline; late ones go behind all that are in time. An arriving request takes the places of less urgent waiting ones that it would make late, or the last such place of a full queue; who loses it is refused at once and never runs. A less urgent request is admitted only if it is in time with the more urgent ones that are expected meanwhile. A rank whose served part falls below a quarter of that of all competes with the most urgent one as an equal. Requests of one rank are treated as before.

The property test now sends three ranks.

--- a/src/core/gate/admission.h
+++ b/src/core/gate/admission.h
@@ -21,6 +21,7 @@
   TimePoint m_SoftDeadline;
   /// Whether the response is expected after the soft deadline.
   bool m_Late = false;
+  Rank m_Rank = 0;
 };
 
 /// A request to decide on.
@@ -29,6 +30,19 @@
   TimePoint m_Deadline;
   /// Time after which the response counts as late; at most the deadline.
   TimePoint m_SoftDeadline;
+  Rank m_Rank = 0;
+  /// Part of the target's room that more urgent requests take, from 0 to below
+  /// 1. As many of them are expected to come while this one waits.
+  double m_MoreUrgentPart = 0;
+};
+
+/// A waiting request that loses its place to a more urgent one.
+struct Displaced {
+  /// Its position in the queue.
+  std::size_t m_Index = 0;
+  /// Time from now after which it could be admitted.
+  Duration m_RetryAfter{0};
+  friend bool operator==(const Displaced &, const Displaced &) = default;
 };
 
 /// State of the gate on which a strategy decides.
@@ -59,6 +73,9 @@
   /// For a refusal: time from now after which the request could be admitted; 0
   /// if unknown.
   Duration m_RetryAfter{0};
+  /// For an admitted request: who loses its place to it, in the order of the
+  /// queue.
+  std::vector<Displaced> m_Displaced{};
   friend bool operator==(const AdmissionDecision &,
                          const AdmissionDecision &) = default;
 };
--- a/src/core/gate/deadline_admission.cpp
+++ b/src/core/gate/deadline_admission.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <span>
+#include <tuple>
 #include <utility>
 
 namespace dandelionfall::core::gate {
@@ -39,17 +40,22 @@
   /// \param Expected its expected service time.
   /// \returns its expected finish time.
   TimePoint finishNext(Duration Expected) {
+    const TimePoint Finish = nextStart() + Expected;
     std::pop_heap(m_FreeTimes.begin(), m_FreeTimes.end(), std::greater<>());
-    TimePoint Start = std::max(m_FreeTimes.back(), m_Now);
-    if (m_Assigned < m_RateStarts.size())
-      Start = std::max(Start, m_RateStarts[m_Assigned]);
     ++m_Assigned;
-    const TimePoint Finish = Start + Expected;
     m_FreeTimes.back() = Finish;
     std::push_heap(m_FreeTimes.begin(), m_FreeTimes.end(), std::greater<>());
     return Finish;
   }
 
+  /// \returns when the next request is expected to start.
+  TimePoint nextStart() const {
+    const TimePoint Start = std::max(m_FreeTimes.front(), m_Now);
+    return m_Assigned < m_RateStarts.size()
+               ? std::max(Start, m_RateStarts[m_Assigned])
+               : Start;
+  }
+
 private:
   TimePoint m_Now;
   std::span<const TimePoint> m_RateStarts;
@@ -116,13 +122,14 @@
 
 /// Position of a request in the order of the queue.
 std::size_t positionOf(const AdmissionView &View, bool Late,
-                       TimePoint SoftDeadline) {
-  const auto Successor = std::upper_bound(
-      View.m_Waiting.begin(), View.m_Waiting.end(),
-      std::pair(Late, SoftDeadline),
-      [](const std::pair<bool, TimePoint> &Key, const WaitingRequest &Other) {
-        return Key < std::pair(Other.m_Late, Other.m_SoftDeadline);
-      });
+                       const ArrivingRequest &Arriving) {
+  const auto Key = std::tuple(Late, Arriving.m_Rank, Arriving.m_SoftDeadline);
+  const auto Successor =
+      std::upper_bound(View.m_Waiting.begin(), View.m_Waiting.end(), Key,
+                       [](const auto &Left, const WaitingRequest &Other) {
+                         return Left < std::tuple(Other.m_Late, Other.m_Rank,
+                                                  Other.m_SoftDeadline);
+                       });
   return static_cast<std::size_t>(Successor - View.m_Waiting.begin());
 }
 
@@ -136,8 +143,91 @@
          Start - View.m_Now <= (Deadline - View.m_Now) / LateWaitDivisor;
 }
 
+/// Finds the less urgent requests that can't keep their places if the arriving
+/// one is inserted. Each that loses its place leaves it to those behind it.
+/// \returns nothing if an equally or more urgent one would become late.
+std::optional<std::vector<Displaced>>
+findDisplaced(const AdmissionView &View, const std::vector<TimePoint> &Finishes,
+              std::size_t Position, Duration Spread,
+              const ArrivingRequest &Arriving) {
+  SlotSchedule Schedule(View);
+  std::vector<Displaced> Found;
+  for (std::size_t Index = 0; Index < View.m_Waiting.size(); ++Index) {
+    if (Index == Position)
+      Schedule.finishNext(View.m_ServiceTime.m_Mean);
+    const WaitingRequest &Request = View.m_Waiting[Index];
+    const TimePoint Limit = requiredFinish(Request);
+    const TimePoint Finish = Schedule.nextStart() + Request.m_Expected;
+    const bool BecomesLate =
+        Finishes[Index] + Spread <= Limit && Finish + Spread > Limit;
+    if (Index < Position || (!BecomesLate && Finish <= Request.m_Deadline)) {
+      Schedule.finishNext(Request.m_Expected);
+      continue;
+    }
+    if (Request.m_Rank > Arriving.m_Rank) {
+      Found.push_back({Index});
+      continue;
+    }
+    if (BecomesLate)
+      return std::nullopt;
+    Schedule.finishNext(Request.m_Expected);
+  }
+  for (Displaced &Each : Found) {
+    const WaitingRequest &Request = View.m_Waiting[Each.m_Index];
+    Each.m_RetryAfter = std::max(Schedule.nextStart() + Request.m_Expected +
+                                     Spread - requiredFinish(Request),
+                                 MinRetryAfter);
+  }
+  return Found;
+}
+
+/// \returns the last waiting request that is less urgent than a rank.
+std::optional<std::size_t> lastLessUrgent(const AdmissionView &View,
+                                          Rank Than) {
+  for (std::size_t Index = View.m_Waiting.size(); Index > 0; --Index) {
+    if (View.m_Waiting[Index - 1].m_Rank > Than)
+      return Index - 1;
+  }
+  return std::nullopt;
+}
+
+/// Extends a wait by the more urgent requests that are expected meanwhile.
+TimePoint expectedStart(const AdmissionView &View, TimePoint Start,
+                        const ArrivingRequest &Arriving) {
+  if (Arriving.m_MoreUrgentPart <= 0 || Start <= View.m_Now)
+    return Start;
+  const auto Wait = static_cast<double>((Start - View.m_Now).count());
+  return View.m_Now + Duration(static_cast<Duration::rep>(
+                          Wait / (1 - Arriving.m_MoreUrgentPart)));
+}
+
 } // namespace
 
+AdmissionDecision
+DeadlineAdmission::decideWithFullQueue(const AdmissionView &View,
+                                       const ArrivingRequest &Arriving,
+                                       Duration RetryAfter) const {
+  const AdmissionDecision Full{false, false, RefusalReason::QueueFull,
+                               RetryAfter};
+  const auto Last = lastLessUrgent(View, Arriving.m_Rank);
+  if (!Last)
+    return Full;
+  AdmissionView Shorter = View;
+  Shorter.m_Waiting.erase(Shorter.m_Waiting.begin() +
+                          static_cast<std::ptrdiff_t>(*Last));
+  AdmissionDecision Decision = decide(Shorter, Arriving);
+  if (!Decision.m_Admitted)
+    return Full;
+  for (Displaced &Each : Decision.m_Displaced)
+    Each.m_Index += Each.m_Index >= *Last ? 1 : 0;
+  Decision.m_Displaced.push_back({*Last, RetryAfter});
+  std::sort(Decision.m_Displaced.begin(), Decision.m_Displaced.end(),
+            [](const Displaced &Left, const Displaced &Right) {
+              return Left.m_Index < Right.m_Index;
+            });
+  return Decision;
+}
+
 AdmissionDecision
 DeadlineAdmission::decide(const AdmissionView &View,
                           const ArrivingRequest &Arriving) const {
@@ -146,22 +236,26 @@
       *std::min_element(View.m_SlotsFreeAt.begin(), View.m_SlotsFreeAt.end());
   const bool StartsNow = View.m_Waiting.empty() && EarliestFree <= View.m_Now;
   if (!StartsNow && View.m_Waiting.size() >= View.m_QueueLimit)
-    return {false, false, RefusalReason::QueueFull,
-            std::max(EarliestFree - View.m_Now, MinRetryAfter)};
+    return decideWithFullQueue(
+        View, Arriving, std::max(EarliestFree - View.m_Now, MinRetryAfter));
   const Duration Deviation = View.m_ServiceTime.m_Deviation;
   const Duration Spread = SpreadFactor * Deviation;
   const std::vector<TimePoint> Finishes = schedule(View, std::nullopt);
   const bool HasSoftDeadline = Arriving.m_SoftDeadline < Deadline;
-  const std::size_t Position = positionOf(View, false, Arriving.m_SoftDeadline);
+  const std::size_t Position = positionOf(View, false, Arriving);
   const Placement Found = evaluatePlacement(View, Finishes, Position, Spread);
+  const Duration OwnTime = View.m_ServiceTime.m_Mean;
   const TimePoint Finish =
-      Found.m_Finish +
+      expectedStart(View, Found.m_Finish - OwnTime, Arriving) + OwnTime +
       (HasSoftDeadline ? SoftDeadlineSpreadFactor * Deviation : Spread);
-  if (Finish <= Arriving.m_SoftDeadline && Found.m_KeepsOthersInTime)
-    return {};
+  if (Finish <= Arriving.m_SoftDeadline) {
+    const auto Losing =
+        findDisplaced(View, Finishes, Position, Spread, Arriving);
+    if (Losing)
+      return {.m_Displaced = *Losing};
+  }
   if (HasSoftDeadline) {
-    const std::size_t LatePosition =
-        positionOf(View, true, Arriving.m_SoftDeadline);
+    const std::size_t LatePosition = positionOf(View, true, Arriving);
     const Placement Late =
         evaluatePlacement(View, Finishes, LatePosition, Spread);
     if (canAdmitLate(View, Late, Spread, Deadline))
--- a/src/core/gate/deadline_admission.h
+++ b/src/core/gate/deadline_admission.h
@@ -11,7 +11,8 @@
 /// Admission test and feedback of Islam, Balaji, Sadayappan and Panda, "Towards
 /// Provision of Quality of Service Guarantees in Job Scheduling", for requests
 /// of one slot each: the waiting requests are rescheduled together with the
-/// arriving one, and a refusal states the earliest feasible time.
+/// arriving one, and a refusal states the earliest feasible time. A request
+/// that would make less urgent waiting ones late takes their places.
 class DeadlineAdmission final : public AdmissionStrategy {
 public:
   std::string_view name() const override { return "deadline"; }
@@ -20,6 +21,11 @@
                            const ArrivingRequest &Arriving) const override;
   bool canFinishInTime(Duration Remaining,
                        const ServiceTimeEstimate &Expected) const override;
+
+private:
+  AdmissionDecision decideWithFullQueue(const AdmissionView &View,
+                                        const ArrivingRequest &Arriving,
+                                        Duration RetryAfter) const;
 };
 
 } // namespace dandelionfall::core::gate
--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -225,7 +225,9 @@
              " queued=" + std::to_string(m_Queue.size()) +
              " limit=" + std::to_string(capacity().m_Limit) +
              " version=" + formatRevision(version()) +
-             " retry_after_us=" + std::to_string(Cause.m_RetryAfter.count()));
+             " retry_after_us=" + std::to_string(Cause.m_RetryAfter.count()) +
+             (Cause.m_Rank ? " rank=" + std::to_string(*Cause.m_Rank) : "") +
+             (Cause.m_Why.empty() ? "" : " cause=" + std::string(Cause.m_Why)));
 }
 
 void Engine::refuse(const RequestId &Id, const RefusalCause &Cause) {
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -16,6 +16,7 @@
 #include "core/gate/sleep_guard.h"
 #include "core/gate/stated_rate.h"
 #include "core/gate/target_slots.h"
+#include "core/gate/urgency.h"
 #include "dandelionfall/core/gate.h"
 
 #include <optional>
@@ -31,6 +32,10 @@
   Duration m_RetryAfter{0};
   /// Statement of the target, if it refused the request or is leaving.
   std::optional<TargetStatement> m_Statement{};
+  /// What there was too little room for, in event details; may be empty.
+  std::string_view m_Why{};
+  /// Rank with which the request competed for room.
+  std::optional<Rank> m_Rank{};
   friend bool operator==(const RefusalCause &, const RefusalCause &) = default;
 };
 
@@ -41,6 +46,7 @@
   /// See `QueuedRequest`.
   bool m_Probe = false;
   Duration m_Expected{0};
+  std::vector<Displaced> m_Displaced{};
 };
 
 /// A request whose connection broke while it is unknown whether the target
@@ -105,6 +111,10 @@
                               RequestState State);
   void enqueue(const Dispatch &Message, const ArrivingRequest &Arriving,
                const Admitted &As);
+  ArrivingRequest arrivingRequest(const Dispatch &Message, Duration Remaining,
+                                  TimePoint Now) const;
+  /// Refuses waiting requests that lost their places to a more urgent one.
+  void displace(const std::vector<Displaced> &Losing, TimePoint Now);
   void answerInquiry(LinkId Link, const RequestId &Id);
   std::optional<RefusalCause> refusalByFence(LinkId Link,
                                              const Dispatch &Message) const;
@@ -124,7 +134,8 @@
                   AdmissionView View, Admitted &As, TimePoint Now);
   /// \returns the time that an arriving request would wait for the rate limits
   /// of the target.
-  Duration rateWait(TimePoint Now) const;
+  /// \param Of its rank.
+  Duration rateWait(Rank Of, TimePoint Now) const;
   /// \returns when the next requests may start within the rate limits of the
   /// target; empty if it has none.
   std::vector<TimePoint> rateStarts(std::size_t Count, TimePoint Now) const;
@@ -155,6 +166,9 @@
   void restartRamp(std::string_view Cause, TimePoint Now);
   void restartRampIfRaised(std::string_view Cause, TimePoint Now);
   void refuseQueued(const RefusalCause &Cause);
+  /// Refuses a request that waited, because of the load.
+  void refuseWaiting(const QueuedRequest &Request, std::string_view Why,
+                     Duration RetryAfter, TimePoint Now);
   void expire(TimePoint Now);
   void advance(TimePoint Now);
   void updateSleepGuard(TimePoint Now);
@@ -225,6 +239,7 @@
   RequestQueue m_Queue;
   TargetSlots m_Slots;
   ServiceTimes m_ServiceTimes;
+  ServedShares m_Shares;
   Ramp m_Ramp;
   ColdRate m_ColdRate;
   StatedRate m_StatedRate;
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr double MicrosecondsPerSecond = 1'000'000;
+/// Limit on the room that is assumed to be taken by more urgent requests.
+constexpr double MaxMoreUrgentPart = 0.95;
 
 } // namespace
 
@@ -79,8 +81,9 @@
     Cause = refusalByState(Message, Remaining, Now);
   if (!Cause)
     Cause = refusalByQuarantine(Message.m_Request, Message.m_AsSuspect, Now);
-  const ArrivingRequest Arriving{
-      Now + Remaining, Now + std::min(Message.m_SoftDeadlineIn, Remaining)};
+  if (!Cause)
+    m_Shares.recordAsked(Message.m_Priority, Now);
+  const ArrivingRequest Arriving = arrivingRequest(Message, Remaining, Now);
   if (!Cause && Message.m_StatedRate &&
       m_StatedRate.adopt(*Message.m_StatedRate, Now))
     reportStatedRate("ingress");
@@ -92,8 +95,11 @@
         hasCopy(fingerprintOf(*Message.m_Request)))
       Cause->m_Reason = RefusalReason::Suspect;
   }
-  if (!Cause)
+  if (!Cause) {
+    displace(As.m_Displaced, Now);
+    m_Shares.recordServed(Message.m_Priority, Now);
     return enqueue(Message, Arriving, As);
+  }
   if (Cause->m_Reason == RefusalReason::Suspect)
     send(Link, evidenceAgainst(fingerprintOf(*Message.m_Request), Now));
   m_Ledger.refuse(Id, Cause->m_Reason);
@@ -178,17 +184,20 @@
 Engine::refusalByLoad(const Dispatch &Message, const ArrivingRequest &Arriving,
                       Admitted &As, TimePoint Now) {
   const std::string &Kind = Message.m_Kind;
-  const Duration Wait = rateWait(Now);
+  const Duration Wait = rateWait(Arriving.m_Rank, Now);
   if (Wait > MaxRateWait ||
       (Wait > Duration{0} &&
        Now + Wait + estimate(Kind, Now).m_Mean > Arriving.m_Deadline))
-    return RefusalCause{RefusalReason::Overload, Wait};
+    return RefusalCause{RefusalReason::Overload, Wait, std::nullopt,
+                        "target-rate", Arriving.m_Rank};
   const AdmissionView View = admissionView(Kind, Now);
   const AdmissionDecision Decision = m_Admission->decide(View, Arriving);
-  As = {Decision.m_Late, false, View.m_ServiceTime.m_Mean};
+  As = {Decision.m_Late, false, View.m_ServiceTime.m_Mean,
+        Decision.m_Displaced};
   if (Decision.m_Admitted || admitProbe(Message, Arriving, View, As, Now))
     return std::nullopt;
-  return RefusalCause{Decision.m_Reason, Decision.m_RetryAfter};
+  return RefusalCause{Decision.m_Reason, Decision.m_RetryAfter, std::nullopt,
+                      "no-place", Arriving.m_Rank};
 }
 
 bool Engine::admitProbe(const Dispatch &Message,
@@ -200,7 +209,8 @@
     return false;
   // The probe may take as long as expected. It must be done by the deadline
   // then, unless the ingress can repeat the request.
-  const ArrivingRequest UntilDeadline{Arriving.m_Deadline, Arriving.m_Deadline};
+  ArrivingRequest UntilDeadline = Arriving;
+  UntilDeadline.m_SoftDeadline = Arriving.m_Deadline;
   if (!Message.m_Idempotent &&
       !m_Admission->decide(View, UntilDeadline).m_Admitted)
     return false;
@@ -208,20 +218,19 @@
   const AdmissionDecision Decision = m_Admission->decide(View, Arriving);
   if (!Decision.m_Admitted)
     return false;
-  As = {Decision.m_Late, true, Probe->m_Mean};
+  As = {Decision.m_Late, true, Probe->m_Mean, Decision.m_Displaced};
   m_ServiceTimes.recordProbe(Message.m_Kind, Now);
   return true;
 }
 
 // The queue of a target with a rate limit drains at that rate, regardless of
 // free slots.
-Duration Engine::rateWait(TimePoint Now) const {
-  Duration Wait = m_StatedRate.wait(m_Queue.size(), Now);
-  if (const auto PerSecond = m_ColdRate.limit(Now)) {
-    const auto Ahead = static_cast<double>(m_Queue.size());
+Duration Engine::rateWait(Rank Of, TimePoint Now) const {
+  const std::uint32_t Ahead = m_Queue.countUpTo(Of);
+  Duration Wait = m_StatedRate.wait(Ahead, Now);
+  if (const auto PerSecond = m_ColdRate.limit(Now))
     Wait = std::max(Wait, Duration(static_cast<Duration::rep>(
                               Ahead / *PerSecond * MicrosecondsPerSecond)));
-  }
   return Wait;
 }
 
@@ -244,7 +253,8 @@
   View.m_QueueLimit = m_Profile->m_QueueLimit;
   for (const QueuedRequest &Request : m_Queue.requests())
     View.m_Waiting.push_back({Request.m_Deadline, Request.m_Expected,
-                              Request.m_SoftDeadline, Request.m_Late});
+                              Request.m_SoftDeadline, Request.m_Late,
+                              Request.m_Rank});
   View.m_RateStarts = rateStarts(View.m_Waiting.size() + 1, Now);
   const Duration Overdue =
       std::max(View.m_ServiceTime.m_Deviation, Duration{1});
@@ -273,11 +283,45 @@
   Entry.m_Request = Message.m_Request;
   m_Queue.push({Message.m_Id, Deadline, Entry.m_Arrival,
                 Arriving.m_SoftDeadline, As.m_Late, Message.m_Kind,
-                As.m_Expected, As.m_Probe});
+                As.m_Expected, As.m_Probe, Arriving.m_Rank,
+                Message.m_Priority});
   m_Ledger.admit(Message.m_Id, std::move(Entry));
   m_Links.extendActiveUntil(Message.m_Id.m_Ingress, Deadline);
 }
 
+ArrivingRequest Engine::arrivingRequest(const Dispatch &Message,
+                                        Duration Remaining,
+                                        TimePoint Now) const {
+  ArrivingRequest Arriving;
+  Arriving.m_Deadline = Now + Remaining;
+  Arriving.m_SoftDeadline = Now + std::min(Message.m_SoftDeadlineIn, Remaining);
+  Arriving.m_Rank = m_Shares.competingRank(Message.m_Priority);
+  const std::chrono::duration<double> Mean =
+      m_ServiceTimes.overall().estimate(Now, m_IdleSince).m_Mean;
+  Arriving.m_MoreUrgentPart = std::min(
+      m_Shares.moreUrgentRate(Arriving.m_Rank) * Mean.count() / m_Ramp.limit(),
+      MaxMoreUrgentPart);
+  return Arriving;
+}
+
+void Engine::displace(const std::vector<Displaced> &Losing, TimePoint Now) {
+  if (Losing.empty())
+    return;
+  const std::vector<QueuedRequest> Waiting = m_Queue.requests();
+  for (const Displaced &Each : Losing) {
+    const QueuedRequest &Request = Waiting[Each.m_Index];
+    m_Queue.remove(Request.m_Id);
+    refuseWaiting(Request, "displaced", Each.m_RetryAfter, Now);
+  }
+}
+
+void Engine::refuseWaiting(const QueuedRequest &Request, std::string_view Why,
+                           Duration RetryAfter, TimePoint Now) {
+  m_Shares.recordLost(Request.m_OwnRank, Now);
+  refuse(Request.m_Id, {RefusalReason::Overload, RetryAfter, std::nullopt, Why,
+                        Request.m_Rank});
+}
+
 void Engine::handle(LinkId Link, const Inquiry &Message, TimePoint /*Now*/) {
   // An inquiry that arrives late on an older link must not fence off any
   // request.
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -255,7 +255,7 @@
     }
     if (!Next.m_Probe &&
         !m_Admission->canFinishInTime(Remaining, estimate(Next.m_Kind, Now))) {
-      refuse(Next.m_Id, {RefusalReason::Overload, Duration{0}});
+      refuseWaiting(Next, "no-time-left", Duration{0}, Now);
       continue;
     }
     if (refuseByEvidence(Next.m_Id, Now))
@@ -288,7 +288,7 @@
       continue;
     }
     m_Queue.remove(Request.m_Id);
-    refuse(Request.m_Id, {RefusalReason::Overload, Start - Now});
+    refuseWaiting(Request, "target-rate", Start - Now, Now);
   }
 }
 
@@ -358,7 +358,7 @@
   for (const QueuedRequest &Request : m_Queue.takeExpired(Now))
     refuse(Request.m_Id, {RefusalReason::DeadlinePassed, Duration{0}});
   for (const QueuedRequest &Request : m_Queue.takeInfeasible(Now))
-    refuse(Request.m_Id, {RefusalReason::Overload, Duration{0}});
+    refuseWaiting(Request, "no-time-left", Duration{0}, Now);
   if (m_ZoneOutSince && Now >= *m_ZoneOutSince + ZoneOutGrace)
     refuseQueued({RefusalReason::ZoneOut, Duration{0}});
 }
--- a/src/core/gate/request_queue.cpp
+++ b/src/core/gate/request_queue.cpp
@@ -55,6 +55,12 @@
   return Earliest;
 }
 
+std::uint32_t RequestQueue::countUpTo(Rank Least) const {
+  return static_cast<std::uint32_t>(std::count_if(
+      m_Requests.begin(), m_Requests.end(),
+      [&](const QueuedRequest &Each) { return Each.m_Rank <= Least; }));
+}
+
 TimePoint RequestQueue::latestStart(const QueuedRequest &Request) {
   return Request.m_Deadline - Request.m_Expected;
 }
--- a/src/core/gate/request_queue.h
+++ b/src/core/gate/request_queue.h
@@ -3,6 +3,7 @@
 #ifndef DANDELIONFALL_CORE_GATE_REQUEST_QUEUE_H
 #define DANDELIONFALL_CORE_GATE_REQUEST_QUEUE_H
 
+#include "core/gate/urgency.h"
 #include "dandelionfall/core/identity.h"
 #include "dandelionfall/core/time.h"
 
@@ -19,7 +20,7 @@
 /// Order in which waiting requests start.
 enum class QueueOrder : std::uint8_t {
   ByDeadline, ///< Requests in time before late ones; within each group by
-              ///< soft deadline, equal ones by arrival.
+              ///< rank, then by soft deadline, equal ones by arrival.
   ByArrival,  ///< First come, first served.
 };
 
@@ -41,6 +42,10 @@
   /// Whether it was admitted to learn the service time of its kind, which the
   /// gate expects to be longer.
   bool m_Probe = false;
+  /// Rank with which it competes, see `ServedShares`.
+  Rank m_Rank = 0;
+  /// Rank that its ingress gave it.
+  Rank m_OwnRank = 0;
   friend bool operator==(const QueuedRequest &,
                          const QueuedRequest &) = default;
 };
@@ -68,6 +73,8 @@
   std::vector<QueuedRequest> takeInfeasible(TimePoint Now);
   /// \returns when the next request expires or can no longer meet its deadline.
   std::optional<TimePoint> nextChange() const;
+  /// \returns the number of requests that are at least as urgent as a rank.
+  std::uint32_t countUpTo(Rank Least) const;
   bool empty() const { return m_Requests.empty(); }
   std::uint32_t size() const {
     return static_cast<std::uint32_t>(m_Requests.size());
@@ -80,8 +87,10 @@
                     const QueuedRequest &Right) const {
       if (m_Order == QueueOrder::ByArrival)
         return Left.m_Arrival < Right.m_Arrival;
-      return std::tuple(Left.m_Late, Left.m_SoftDeadline, Left.m_Arrival) <
-             std::tuple(Right.m_Late, Right.m_SoftDeadline, Right.m_Arrival);
+      return std::tuple(Left.m_Late, Left.m_Rank, Left.m_SoftDeadline,
+                        Left.m_Arrival) < std::tuple(Right.m_Late, Right.m_Rank,
+                                                     Right.m_SoftDeadline,
+                                                     Right.m_Arrival);
     }
   };
 
--- a/tests/unit/gate_load_play.h
+++ b/tests/unit/gate_load_play.h
@@ -31,6 +31,8 @@
   int m_Late = 0;
   int m_Refused = 0;
   int m_Failed = 0;
+  /// Refusals after the arrival.
+  int m_Waited = 0;
   /// Longest time from the arrival to a refusal.
   Duration m_LongestRefusal{0};
   double inTimeShare() const { return share(m_InTime); }
@@ -147,6 +149,7 @@
       const Sent Request = take(Reply->m_Id);
       FlowResult &Result = resultOf(Request);
       ++Result.m_Refused;
+      Result.m_Waited += m_Harness.now() > Request.m_Arrival ? 1 : 0;
       Result.m_LongestRefusal = std::max(Result.m_LongestRefusal,
                                          m_Harness.now() - Request.m_Arrival);
     }
--- a/tests/unit/gate_property_test.cpp
+++ b/tests/unit/gate_property_test.cpp
@@ -18,6 +18,7 @@
 constexpr std::uint64_t Ingresses = 2;
 constexpr std::uint64_t Ids = 12;
 constexpr std::uint32_t SlotCount = 3;
+constexpr std::uint64_t Ranks = 3;
 
 /// A random step: its kind, and the ingress and request concerned.
 struct Step {
@@ -122,8 +123,10 @@
 
   void dispatch(LinkId Link, Epoch Epoch, const Step &Each) {
     ++m_Dispatched[GateHarness::id(Each.m_Sequence, Each.m_Ingress)];
-    m_Harness.dispatch(Link, Each.m_Sequence, Epoch, ms(Each.m_Milliseconds),
-                       Each.m_Ingress);
+    Dispatch Message = GateHarness::makeDispatch(
+        Each.m_Sequence, Epoch, ms(Each.m_Milliseconds), Each.m_Ingress);
+    Message.m_Priority = static_cast<std::uint32_t>(Each.m_Sequence % Ranks);
+    m_Harness.message(Link, Message);
   }
 
   void check() {
