--- a/src/core/gate/deadline_admission.cpp
+++ b/src/core/gate/deadline_admission.cpp
@@ -207,8 +207,7 @@
 DeadlineAdmission::decideWithFullQueue(const AdmissionView &View,
                                        const ArrivingRequest &Arriving,
                                        Duration RetryAfter) const {
-  const AdmissionDecision Full{false, false, RefusalReason::QueueFull,
-                               RetryAfter};
+  AdmissionDecision Full{false, false, RefusalReason::QueueFull, RetryAfter};
   const auto Last = lastLessUrgent(View, Arriving.m_Rank);
   if (!Last)
     return Full;
--- a/tests/unit/gate_load_play.h
+++ b/tests/unit/gate_load_play.h
@@ -57,6 +57,7 @@
     m_Results.assign(Flows.size(), {});
     ++m_Run;
     std::vector<TimePoint> Next;
+    Next.reserve(Flows.size());
     for (const Flow &Each : Flows)
       Next.push_back(m_Harness.now() + gap(Each));
     while (true) {
@@ -166,7 +167,7 @@
   }
 
   Sent take(const RequestId &Id) {
-    const Sent Taken = m_Requests.at(Id.m_Sequence);
+    Sent Taken = m_Requests.at(Id.m_Sequence);
     m_Requests.erase(Id.m_Sequence);
     return Taken;
   }
--- a/tests/unit/gate_urgency_test.cpp
+++ b/tests/unit/gate_urgency_test.cpp
@@ -195,8 +195,9 @@
   View.m_ServiceTime = {ms(10), Duration{0}};
   View.m_QueueLimit = 8;
   // It would wait for 100 ms, or 200 ms and 500 ms with those that pass it.
-  for (const auto &[Part, IsAdmitted] :
+  for (const auto &[Taken, IsAdmitted] :
        {std::pair(0.0, true), std::pair(0.5, true), std::pair(0.8, false)}) {
+    const double Part = Taken;
     CAPTURE(Part);
     const gate::ArrivingRequest Arriving{Now + ms(300), Now + ms(300), 2, Part};
     CHECK(gate::findAdmission("deadline")->decide(View, Arriving).m_Admitted ==
