--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr double MicrosecondsPerSecond = 1'000'000;
+/// Limit on the room that is assumed to be taken by more urgent requests.
+constexpr double MaxMoreUrgentPart = 0.95;
 
 } // namespace
 
@@ -79,21 +81,25 @@
     Cause = refusalByState(Message, Remaining, Now);
   if (!Cause)
     Cause = refusalByQuarantine(Message.m_Request, Message.m_AsSuspect, Now);
-  const ArrivingRequest Arriving{
-      Now + Remaining, Now + std::min(Message.m_SoftDeadlineIn, Remaining)};
+  if (!Cause)
+    m_Shares.recordAsked(Message.m_Priority, Now);
+  const ArrivingRequest Arriving = arrivingRequest(Message, Remaining, Now);
   if (!Cause && Message.m_StatedRate &&
       m_StatedRate.adopt(*Message.m_StatedRate, Now))
     reportStatedRate("ingress");
-  bool Late = false;
+  Admitted As;
   if (!Cause) {
-    Cause = refusalByLoad(Message.m_Kind, Arriving, Late, Now);
+    Cause = refusalByLoad(Message, Arriving, As, Now);
     // Otherwise the ingress would send it to another target meanwhile.
     if (Cause && Message.m_AsSuspect &&
         hasCopy(fingerprintOf(*Message.m_Request)))
       Cause->m_Reason = RefusalReason::Suspect;
   }
-  if (!Cause)
-    return enqueue(Message, Arriving, Late, Now);
+  if (!Cause) {
+    displace(As.m_Displaced, Now);
+    m_Shares.recordServed(Message.m_Priority, Now);
+    return enqueue(Message, Arriving, As);
+  }
   if (Cause->m_Reason == RefusalReason::Suspect)
     send(Link, evidenceAgainst(fingerprintOf(*Message.m_Request), Now));
   m_Ledger.refuse(Id, Cause->m_Reason);
@@ -175,30 +181,56 @@
 }
 
 std::optional<RefusalCause>
-Engine::refusalByLoad(const std::string &Kind, const ArrivingRequest &Arriving,
-                      bool &Late, TimePoint Now) const {
-  const Duration Wait = rateWait(Now);
+Engine::refusalByLoad(const Dispatch &Message, const ArrivingRequest &Arriving,
+                      Admitted &As, TimePoint Now) {
+  const std::string &Kind = Message.m_Kind;
+  const Duration Wait = rateWait(Arriving.m_Rank, Now);
   if (Wait > MaxRateWait ||
       (Wait > Duration{0} &&
        Now + Wait + estimate(Kind, Now).m_Mean > Arriving.m_Deadline))
-    return RefusalCause{RefusalReason::Overload, Wait};
-  const AdmissionDecision Decision =
-      m_Admission->decide(admissionView(Kind, Now), Arriving);
-  Late = Decision.m_Late;
-  if (Decision.m_Admitted)
+    return RefusalCause{RefusalReason::Overload, Wait, std::nullopt,
+                        "target-rate", Arriving.m_Rank};
+  const AdmissionView View = admissionView(Kind, Now);
+  const AdmissionDecision Decision = m_Admission->decide(View, Arriving);
+  As = {Decision.m_Late, false, View.m_ServiceTime.m_Mean,
+        Decision.m_Displaced};
+  if (Decision.m_Admitted || admitProbe(Message, Arriving, View, As, Now))
     return std::nullopt;
-  return RefusalCause{Decision.m_Reason, Decision.m_RetryAfter};
+  return RefusalCause{Decision.m_Reason, Decision.m_RetryAfter, std::nullopt,
+                      "no-place", Arriving.m_Rank};
+}
+
+bool Engine::admitProbe(const Dispatch &Message,
+                        const ArrivingRequest &Arriving, AdmissionView View,
+                        Admitted &As, TimePoint Now) {
+  const auto Probe =
+      m_ServiceTimes.probeEstimate(Message.m_Kind, Now, m_IdleSince);
+  if (!Probe)
+    return false;
+  // The probe may take as long as expected. It must be done by the deadline
+  // then, unless the ingress can repeat the request.
+  ArrivingRequest UntilDeadline = Arriving;
+  UntilDeadline.m_SoftDeadline = Arriving.m_Deadline;
+  if (!Message.m_Idempotent &&
+      !m_Admission->decide(View, UntilDeadline).m_Admitted)
+    return false;
+  View.m_ServiceTime = *Probe;
+  const AdmissionDecision Decision = m_Admission->decide(View, Arriving);
+  if (!Decision.m_Admitted)
+    return false;
+  As = {Decision.m_Late, true, Probe->m_Mean, Decision.m_Displaced};
+  m_ServiceTimes.recordProbe(Message.m_Kind, Now);
+  return true;
 }
 
 // The queue of a target with a rate limit drains at that rate, regardless of
 // free slots.
-Duration Engine::rateWait(TimePoint Now) const {
-  Duration Wait = m_StatedRate.wait(m_Queue.size(), Now);
-  if (const auto PerSecond = m_ColdRate.limit(Now)) {
-    const auto Ahead = static_cast<double>(m_Queue.size());
+Duration Engine::rateWait(Rank Of, TimePoint Now) const {
+  const std::uint32_t Ahead = m_Queue.countUpTo(Of);
+  Duration Wait = m_StatedRate.wait(Ahead, Now);
+  if (const auto PerSecond = m_ColdRate.limit(Now))
     Wait = std::max(Wait, Duration(static_cast<Duration::rep>(
                               Ahead / *PerSecond * MicrosecondsPerSecond)));
-  }
   return Wait;
 }
 
@@ -221,7 +253,8 @@
   View.m_QueueLimit = m_Profile->m_QueueLimit;
   for (const QueuedRequest &Request : m_Queue.requests())
     View.m_Waiting.push_back({Request.m_Deadline, Request.m_Expected,
-                              Request.m_SoftDeadline, Request.m_Late});
+                              Request.m_SoftDeadline, Request.m_Late,
+                              Request.m_Rank});
   View.m_RateStarts = rateStarts(View.m_Waiting.size() + 1, Now);
   const Duration Overdue =
       std::max(View.m_ServiceTime.m_Deviation, Duration{1});
@@ -238,7 +271,7 @@
 }
 
 void Engine::enqueue(const Dispatch &Message, const ArrivingRequest &Arriving,
-                     bool Late, TimePoint Now) {
+                     const Admitted &As) {
   const TimePoint Deadline = Arriving.m_Deadline;
   LedgerEntry Entry;
   Entry.m_Deadline = Deadline;
@@ -250,12 +283,46 @@
   Entry.m_Arrival = ++m_Arrivals;
   Entry.m_Request = Message.m_Request;
   m_Queue.push({Message.m_Id, Deadline, Entry.m_Arrival,
-                Arriving.m_SoftDeadline, Late, Message.m_Kind,
-                estimate(Message.m_Kind, Now).m_Mean});
+                Arriving.m_SoftDeadline, As.m_Late, Message.m_Kind,
+                As.m_Expected, As.m_Probe, Arriving.m_Rank,
+                Message.m_Priority});
   m_Ledger.admit(Message.m_Id, std::move(Entry));
   m_Links.extendActiveUntil(Message.m_Id.m_Ingress, Deadline);
 }
 
+ArrivingRequest Engine::arrivingRequest(const Dispatch &Message,
+                                        Duration Remaining,
+                                        TimePoint Now) const {
+  ArrivingRequest Arriving;
+  Arriving.m_Deadline = Now + Remaining;
+  Arriving.m_SoftDeadline = Now + std::min(Message.m_SoftDeadlineIn, Remaining);
+  Arriving.m_Rank = m_Shares.competingRank(Message.m_Priority);
+  const std::chrono::duration<double> Mean =
+      m_ServiceTimes.overall().estimate(Now, m_IdleSince).m_Mean;
+  Arriving.m_MoreUrgentPart = std::min(
+      m_Shares.moreUrgentRate(Arriving.m_Rank) * Mean.count() / m_Ramp.limit(),
+      MaxMoreUrgentPart);
+  return Arriving;
+}
+
+void Engine::displace(const std::vector<Displaced> &Losing, TimePoint Now) {
+  if (Losing.empty())
+    return;
+  const std::vector<QueuedRequest> Waiting = m_Queue.requests();
+  for (const Displaced &Each : Losing) {
+    const QueuedRequest &Request = Waiting[Each.m_Index];
+    m_Queue.remove(Request.m_Id);
+    refuseWaiting(Request, "displaced", Each.m_RetryAfter, Now);
+  }
+}
+
+void Engine::refuseWaiting(const QueuedRequest &Request, std::string_view Why,
+                           Duration RetryAfter, TimePoint Now) {
+  m_Shares.recordLost(Request.m_OwnRank, Now);
+  refuse(Request.m_Id, {RefusalReason::Overload, RetryAfter, std::nullopt, Why,
+                        Request.m_Rank});
+}
+
 void Engine::handle(LinkId Link, const Inquiry &Message, TimePoint /*Now*/) {
   // An inquiry that arrives late on an older link must not fence off any
   // request.
