--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -37,4 +37,5 @@
 run settings 10000 -dict=fuzz/ini.dict -max_len=2048
 run frame 30000 -max_len=4096
 run http 30000 -dict=fuzz/http.dict -max_len=4096
-echo "targets=6 runs=$total crashes=0 seed=$seed seconds=$(($(date +%s) - began))"
+run pipeline 30000 -dict=fuzz/http.dict -max_len=4096
+echo "targets=7 runs=$total crashes=0 seed=$seed seconds=$(($(date +%s) - began))"
