Serve requests side by side on a connection

A connection read a request, waited for its response, wrote it and began anew, so callers that send ahead waited for the sum of all service times. Now the session reads on while earlier requests run, and begins those that its owner lets run beside others (m_MayRunBeside); without that rule it serves one by one as before. Responses go out in the order of the requests; a rejection is answered in its turn. At a bound the connection isn't read. The session has files of its own: reading, and begin, responses and end.

One wait for input now serves for the next request and for a disconnect, so a connection that doesn't send ahead needs no more waits than before.

Evidence: unit.http_pipeline_test passes. It fails with each of these taken out: look at the socket for callers that left, discard of unread bytes behind the last response, and behind a rejection, turn of 100 Continue, its time standing still, open calls aren't idle, each call reported, time held, read on from the wait, and the queue's rules. Not seen to fail: a read that is pending when the rest is discarded is cancelled first; a response isn't written beside 100 Continue.

--- a/include/dandelionfall/net/http_server.h
+++ b/include/dandelionfall/net/http_server.h
@@ -7,6 +7,8 @@
 #include "dandelionfall/core/byte_budget.h"
 #include "dandelionfall/core/http_message.h"
 #include "dandelionfall/core/identity.h"
+#include "dandelionfall/core/time.h"
+#include "dandelionfall/net/pipeline_limits.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -35,6 +37,8 @@
   /// read until the request objects are destroyed. A connection is not read
   /// while its body waits for room. Null if there is no such bound.
   std::shared_ptr<core::ByteBudget> m_BodyBudget;
+  /// Bounds the requests that run side by side on a connection.
+  PipelineLimits m_Pipeline;
 };
 
 /// Callbacks of a server to its owner.
@@ -42,8 +46,16 @@
   /// A complete, well-formed request; the owner calls respond() once for it.
   std::function<void(core::CallId, std::shared_ptr<core::HttpRequest>)>
       m_Request;
+  /// \returns whether a complete request may run beside others of its
+  /// connection: it is begun before they are answered, and requests behind it
+  /// before it is. If null, no request is begun before all earlier ones of its
+  /// connection are answered.
+  std::function<bool(const core::HttpRequest &)> m_MayRunBeside;
+  /// Called before m_Request for a request that is begun before an earlier one
+  /// of its connection is answered.
+  std::function<void(core::CallId)> m_RunsBeside;
   /// The caller disconnected before the response; a later response is
-  /// discarded.
+  /// discarded. Called once for each open request of the connection.
   std::function<void(core::CallId)> m_CallerDisconnected;
   /// A malformed, oversized or late request was rejected; \p Fault is the text
   /// of the error response.
@@ -71,21 +83,26 @@
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
 
-  /// Sends the response to a request; has no effect if the caller has
-  /// disconnected.
+  /// Sends the response to a request, after those to earlier requests of its
+  /// connection; has no effect if the caller has disconnected.
   void respond(core::CallId Call, core::HttpResponse Response);
 
+  /// \returns the time from a request's last byte until it was begun, for
+  /// which earlier ones of its connection held it up; 0 if it is answered.
+  core::Duration timeHeld(core::CallId Call) const;
+
   /// Replaces the limits for later requests.
   void setLimits(std::uint32_t MaxHeaderBytes, std::uint64_t MaxBodyBytes,
                  std::chrono::milliseconds RequestTimeout,
                  std::chrono::milliseconds IdleTimeout);
 
-  /// Continues to accept connections and requests, but closes each connection
-  /// after its next response.
+  /// Continues to accept connections and requests, but begins no request
+  /// beside others any more, and closes each connection after the last response
+  /// that it owes.
   void disableKeepAlive();
 
   /// Stops accepting connections, closes idle ones at once and the others after
-  /// their response.
+  /// the last response that they owe.
   void startDrain();
 
   /// \returns the address it listens at, with the port that the system chose if
--- a/src/net/http_server_impl.h
+++ b/src/net/http_server_impl.h
@@ -4,6 +4,7 @@
 #define DANDELIONFALL_SRC_NET_HTTP_SERVER_IMPL_H
 
 #include "dandelionfall/net/http_server.h"
+#include "net/answer_queue.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,6 +24,7 @@
   void stop();
   void startDrain();
   void respond(core::CallId Call, core::HttpResponse Response);
+  core::Duration timeHeld(core::CallId Call) const;
 
   class Session;
   using SessionPtr = std::shared_ptr<Session>;
@@ -37,11 +39,10 @@
   boost::asio::steady_timer m_SweepTimer;
   HttpServerOptions m_Options;
   HttpServerHandlers m_Handlers;
+  PipelineTotals m_Totals;
   std::unordered_map<Session *, SessionPtr> m_Sessions;
   std::unordered_map<core::CallId, SessionPtr> m_Unanswered;
   core::CallId m_LastCall = 0;
-  std::size_t m_BusyCount = 0;
-  bool m_KeepAliveDisabled = false;
 };
 
 } // namespace dandelionfall::net
--- a/src/net/http_server_interface.cpp
+++ b/src/net/http_server_interface.cpp
@@ -19,7 +19,13 @@
 
 void HttpServer::startDrain() { m_Impl->startDrain(); }
 
-void HttpServer::disableKeepAlive() { m_Impl->m_KeepAliveDisabled = true; }
+core::Duration HttpServer::timeHeld(core::CallId Call) const {
+  return m_Impl->timeHeld(Call);
+}
+
+void HttpServer::disableKeepAlive() {
+  m_Impl->m_Totals.m_KeepAliveDisabled = true;
+}
 
 void HttpServer::setLimits(std::uint32_t MaxHeaderBytes,
                            std::uint64_t MaxBodyBytes,
@@ -38,6 +44,8 @@
   return Local.address().to_string() + ":" + std::to_string(Local.port());
 }
 
-std::size_t HttpServer::busyConnections() const { return m_Impl->m_BusyCount; }
+std::size_t HttpServer::busyConnections() const {
+  return m_Impl->m_Totals.m_BusyConnections;
+}
 
 } // namespace dandelionfall::net
