Let requests that may be repeated run side by side at the ingress

The traffic driver tells the server that a request may run beside others if its route in force lets it be repeated. The time for which a request was held is taken off the deadline that its caller stated, and counts as time of the call. dandelionfall_calls_pipelined_total counts calls begun so.

--- a/include/dandelionfall/app/metrics.h
+++ b/include/dandelionfall/app/metrics.h
@@ -29,6 +29,7 @@
   TrafficBytesReceived,
   SourceCalls,
   BodiesRefused,
+  CallsPipelined,
 };
 
 /// Values that can rise and fall.
--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -57,6 +57,9 @@
               "Calls to the platform's configuration service."},
     MetricRow{"dandelionfall_body_refused_total",
               "Requests refused because there was no memory for the body."},
+    MetricRow{"dandelionfall_calls_pipelined_total",
+              "Calls begun before an earlier one of their connection was "
+              "answered."},
 };
 
 // In the order of Gauge.
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -2,6 +2,7 @@
 
 #include "app/node/caller_response.h"
 #include "app/node/traffic_driver_impl.h"
+#include "core/ingress/idempotency.h"
 #include "dandelionfall/core/error.h"
 #include "dandelionfall/net/codec.h"
 
@@ -117,6 +118,12 @@
       [this](core::CallId Call, std::shared_ptr<core::HttpRequest> Request) {
         onCall(Call, std::move(Request));
       };
+  ServerHandlers.m_MayRunBeside = [this](const core::HttpRequest &Request) {
+    return mayRepeat(Request);
+  };
+  ServerHandlers.m_RunsBeside = [this](core::CallId) {
+    m_Board.m_Metrics.add(Counter::CallsPipelined);
+  };
   ServerHandlers.m_CallerDisconnected = [this](core::CallId Call) {
     onCallerDisconnected(Call);
   };
@@ -206,7 +213,8 @@
 void TrafficDriver::Impl::onCall(core::CallId Call,
                                  std::shared_ptr<core::HttpRequest> Request) {
   const TimePoint Now = monotonicNow();
-  m_CallStarts.emplace(Call, Now);
+  const core::Duration Held = m_Server->timeHeld(Call);
+  m_CallStarts.emplace(Call, Now - Held);
   if (!m_Board.m_Ready.load() || m_RefusesCalls) {
     const char *Cause =
         m_RefusesCalls ? "the node is stopping" : "the node is not ready";
@@ -220,7 +228,10 @@
   }
   if (refuseIfBodyTooLarge(Call, *Request))
     return;
-  const auto Deadline = parseCallerDeadline(m_Board.m_Dialect, *Request);
+  auto Deadline = parseCallerDeadline(m_Board.m_Dialect, *Request);
+  // The caller counts the time in which earlier requests held this one up.
+  if (Deadline)
+    Deadline = std::max(*Deadline - Held, core::Duration{1});
   const std::string CallerId = callerIdOf(m_Board.m_Dialect, *Request);
   setCallerService(m_Board.m_Dialect, *Request,
                    m_Board.m_Settings.m_TargetService);
@@ -228,6 +239,16 @@
   performCommands();
 }
 
+bool TrafficDriver::Impl::mayRepeat(const core::HttpRequest &Request) const {
+  if (m_Configuration == nullptr)
+    return false;
+  const core::Route *Match =
+      core::findRoute(*m_Configuration, Request.m_HostName, Request.m_Path)
+          .m_Route;
+  return Match != nullptr &&
+         core::ingress::isIdempotent(Match->m_Idempotency, Request.m_Method);
+}
+
 bool TrafficDriver::Impl::refuseIfBodyTooLarge(
     core::CallId Call, const core::HttpRequest &Request) {
   if (m_Configuration == nullptr)
--- a/tests/system/node_edges.py
+++ b/tests/system/node_edges.py
@@ -2,7 +2,9 @@
 """Checks edge cases of a single node on real processes: large bodies, SIGHUP, a second start, a second signal."""
 import http.client
 import pathlib
+import re
 import signal
+import socket
 import sys
 import threading
 import time
@@ -53,6 +55,28 @@
     return passed & check(status == 200, f"after TRACE: status {status}")
 
 
+def check_pipelined(fleet):
+    """Requests that may be repeated run side by side on a connection, others alone; answers keep their order."""
+    node = fleet.nodes[0]
+    metric = "dandelionfall_calls_pipelined_total"
+    before = node.metrics()[metric]
+    methods = ["GET"] * 6 + ["POST", "GET"]
+    text = "".join(f"{method} /slotboard/{index} HTTP/1.1\r\nHost: x\r\nservice-ms: {200 - 20 * index}\r\n"
+                   f"Content-Length: 0\r\n{'Connection: close' + chr(13) + chr(10) if index == 7 else ''}\r\n"
+                   for index, method in enumerate(methods))
+    host, port = node.caller_address.rsplit(":", 1)
+    received = b""
+    with socket.create_connection((host, int(port)), timeout=STEP_TIMEOUT_S) as connection:
+        connection.sendall(text.encode())
+        while part := connection.recv(65536):
+            received += part
+    answered = re.findall(rb"method=(\w+)\npath=/slotboard/(\d)", received)
+    expected = [(method.encode(), str(index).encode()) for index, method in enumerate(methods)]
+    passed = check(answered == expected, f"pipelined: answers in order {answered}")
+    begun = node.metrics()[metric] - before
+    return passed & check(begun == 5, f"pipelined: {begun:.0f} of 8 begun beside others")
+
+
 def call_in_background(node):
     def call():
         try:
@@ -108,6 +132,7 @@
         fleet.wait_ready()
         passed = check_large_body(fleet)
         passed &= check_trace_with_body(fleet)
+        passed &= check_pipelined(fleet)
         passed &= check_reload(fleet)
         passed &= check_second_start(fleet)
         passed &= check_second_signal(fleet)
