--- a/include/dandelionfall/app/metrics.h
+++ b/include/dandelionfall/app/metrics.h
@@ -31,6 +31,7 @@
   BodiesRefused,
   CallsUnknownKey,
   CallsOverQuota,
+  CallsPipelined,
 };
 
 /// Values that can rise and fall.
--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -61,6 +61,9 @@
               "Calls whose key no team holds."},
     MetricRow{"dandelionfall_calls_over_quota_total",
               "Calls beyond the quota of their team."},
+    MetricRow{"dandelionfall_calls_pipelined_total",
+              "Calls begun before an earlier one of their connection was "
+              "answered."},
 };
 
 // In the order of Gauge.
