Decide by price when a request leaves its availability zone

Operators asked for it: traffic between zones is slower and costs money, yet a zone's own targets are sometimes too few. The threshold of 80% knew neither gain nor price, and all ingresses of a zone crossed it with the same report.

The strategy priced-zones compares the expected completion at home and elsewhere, in time that the caller loses, with the price of the bytes. How many leave follows from the load at home and the share that already leaves, by probability, so that the ingresses of a zone together send the excess. What only a target elsewhere answers in time leaves at any price. Ruled out: thresholds, weights from a controller, a central balancer (docs/design/zone-traffic.md).

[zone_traffic] in the settings switches it on; without it the strategy stays least-loaded-of-two. Counters by reason, event 504.

--- a/include/dandelionfall/app/metrics.h
+++ b/include/dandelionfall/app/metrics.h
@@ -29,6 +29,10 @@
   TrafficBytesReceived,
   SourceCalls,
   BodiesRefused,
+  ZoneRequestsKept,
+  ZoneRequestsSentForGain,
+  ZoneRequestsSentForDeadline,
+  ZoneRequestsSentForLackOfTargets,
 };
 
 /// Values that can rise and fall.
--- a/include/dandelionfall/app/settings.h
+++ b/include/dandelionfall/app/settings.h
@@ -7,10 +7,12 @@
 #include "dandelionfall/core/error.h"
 #include "dandelionfall/core/machine_limits.h"
 #include "dandelionfall/core/registry.h"
+#include "dandelionfall/core/zone_traffic.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,6 +66,10 @@
   /// [retries] ratio, slack, window_s: retries that all nodes together may add
   /// to a service's requests, if the source is a store.
   core::RetryAllowance m_Retries{};
+  /// [zone_traffic] price_per_gb, worth_of_second: prices by which the ingress
+  /// decides whether a request leaves the availability zone; unset without the
+  /// section.
+  std::optional<core::ZonePrices> m_ZonePrices{};
   /// [machine] processor_share, cores, memory_mb, descriptors, link_mbps: what
   /// the machine can bear.
   core::MachineLimits m_Machine{};
--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -52,6 +52,7 @@
   RampFinished = 501,
   ZoneOut = 502,
   ZoneIn = 503,
+  ZoneTrafficChanged = 504,
   TargetHeldOff = 520,
   TargetRateStated = 521,
   StatementMalformed = 522,
--- a/include/dandelionfall/core/ingress.h
+++ b/include/dandelionfall/core/ingress.h
@@ -8,6 +8,7 @@
 #include "dandelionfall/core/gate.h"
 #include "dandelionfall/core/host_list.h"
 #include "dandelionfall/core/traffic_message.h"
+#include "dandelionfall/core/zone_traffic.h"
 
 #include <cstdint>
 #include <memory>
@@ -68,7 +69,8 @@
   Incarnation m_Incarnation;
   /// Seed of the random choices.
   std::uint64_t m_Seed = 0;
-  /// Strategy that selects targets: `least-loaded-of-two` or `round-robin`.
+  /// Strategy that selects targets: `least-loaded-of-two`, `round-robin` or
+  /// `priced-zones`.
   std::string m_Strategy = "least-loaded-of-two";
   /// Requests that crash targets, shared with the gate of the node; the ingress
   /// has its own if null.
@@ -76,6 +78,8 @@
   /// Targets that stated that they are leaving, shared with the gate of the
   /// node; the ingress has its own if null.
   std::shared_ptr<LeavingTargets> m_LeavingTargets{};
+  /// Prices for the strategy `priced-zones`.
+  ZonePrices m_ZonePrices{};
 };
 
 /// Decision logic of an ingress. Not thread-safe.
@@ -126,6 +130,9 @@
   std::optional<TimePoint> nextWakeUp() const;
   /// \returns the number of calls without a final response.
   std::size_t openCalls() const;
+  /// \returns the requests so far by availability zone; only the strategy
+  /// `priced-zones` counts them.
+  const ZoneTrafficCounts &zoneTraffic() const;
   /// Returns the commands collected since the last call, and clears them.
   std::vector<IngressCommand> takeCommands();
 
--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -57,6 +57,17 @@
               "Calls to the platform's configuration service."},
     MetricRow{"dandelionfall_body_refused_total",
               "Requests refused because there was no memory for the body."},
+    MetricRow{"dandelionfall_zone_requests_kept_total",
+              "Requests kept in the node's availability zone by price."},
+    MetricRow{"dandelionfall_zone_requests_sent_for_gain_total",
+              "Requests sent to other availability zones because the time "
+              "gained is worth the transfer."},
+    MetricRow{"dandelionfall_zone_requests_sent_for_deadline_total",
+              "Requests sent to other availability zones because only these "
+              "were expected to answer in time."},
+    MetricRow{"dandelionfall_zone_requests_sent_for_lack_of_targets_total",
+              "Requests sent to other availability zones because the node's "
+              "own had no target that takes them."},
 };
 
 // In the order of Gauge.
--- a/src/app/node/traffic_commands.cpp
+++ b/src/app/node/traffic_commands.cpp
@@ -128,6 +128,29 @@
   m_Ingress.onLinkOpened(Link, monotonicNow());
 }
 
+void TrafficDriver::Impl::publishZoneTraffic() {
+  using core::ZoneTrafficCounts;
+  struct Row {
+    Counter m_Counter;
+    std::uint64_t ZoneTrafficCounts::*m_Member;
+  };
+  constexpr Row Rows[] = {
+      {Counter::ZoneRequestsKept, &ZoneTrafficCounts::m_Kept},
+      {Counter::ZoneRequestsSentForGain, &ZoneTrafficCounts::m_SentForGain},
+      {Counter::ZoneRequestsSentForDeadline,
+       &ZoneTrafficCounts::m_SentForDeadline},
+      {Counter::ZoneRequestsSentForLackOfTargets,
+       &ZoneTrafficCounts::m_SentForLackOfTargets}};
+  const ZoneTrafficCounts &Counted = m_Ingress.zoneTraffic();
+  if (Counted == m_PublishedZoneTraffic)
+    return;
+  for (const Row &Each : Rows)
+    m_Board.m_Metrics.add(Each.m_Counter,
+                          Counted.*Each.m_Member -
+                              m_PublishedZoneTraffic.*Each.m_Member);
+  m_PublishedZoneTraffic = Counted;
+}
+
 void TrafficDriver::Impl::sendAsIngress(const core::SendTraffic &Command) {
   if (std::holds_alternative<core::Dispatch>(Command.m_Message))
     m_Board.m_Metrics.add(Counter::DispatchesSent);
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -51,6 +51,10 @@
   Options.m_Seed = Board.m_Incarnation.m_Low;
   Options.m_Quarantine = Evidence;
   Options.m_LeavingTargets = LeavingTargets;
+  if (Board.m_Settings.m_ZonePrices) {
+    Options.m_Strategy = "priced-zones";
+    Options.m_ZonePrices = *Board.m_Settings.m_ZonePrices;
+  }
   return Options;
 }
 
@@ -449,6 +453,7 @@
   Load.m_Queued.store(GateCapacity.m_Queued, std::memory_order_relaxed);
   Load.m_Limit.store(GateCapacity.m_Limit, std::memory_order_relaxed);
   Load.m_OpenCalls.store(m_Ingress.openCalls(), std::memory_order_relaxed);
+  publishZoneTraffic();
 }
 
 TrafficDriver::TrafficDriver(boost::asio::io_context &Context,
--- a/src/app/node/traffic_driver_impl.h
+++ b/src/app/node/traffic_driver_impl.h
@@ -65,6 +65,7 @@
   void spreadEvidence();
   void spreadLeavingTargets();
   void publishLoad();
+  void publishZoneTraffic();
   std::string peerAddressOf(LinkId Inbound) const;
 
   // One overload for each command type. Ingress and gate share some types but
@@ -103,6 +104,7 @@
   std::shared_ptr<core::Quarantine> m_Quarantine;
   std::shared_ptr<core::LeavingTargets> m_LeavingTargets;
   core::Ingress m_Ingress;
+  core::ZoneTrafficCounts m_PublishedZoneTraffic;
   core::Gate m_Gate;
   std::optional<net::HttpServer> m_Server;
   std::optional<net::HttpClient> m_Target;
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -192,6 +192,28 @@
     {"window_s", setRetryWindow},
 };
 
+constexpr double MaxZonePrice = 1'000'000'000;
+
+template <double core::ZonePrices::*Member>
+void setZonePrice(Settings &Result, const IniEntry &Entry,
+                  const IniSource &Source) {
+  // Keeps the ratio of the two prices finite.
+  constexpr double MinWorth = 1e-9;
+  const double Min =
+      Member == &core::ZonePrices::m_WorthOfSecond ? MinWorth : 0;
+  if (!Result.m_ZonePrices)
+    Result.m_ZonePrices.emplace();
+  *Result.m_ZonePrices.*Member =
+      core::parseNumber(Entry, Source, Min, MaxZonePrice);
+}
+
+constexpr KeyHandler<Settings> ZoneTrafficKeys[] = {
+    {"price_per_gb", setZonePrice<&core::ZonePrices::m_PerGigabyte>},
+    {"worth_of_second", setZonePrice<&core::ZonePrices::m_WorthOfSecond>},
+};
+constexpr std::string_view RequiredZoneTrafficKeys[] = {"price_per_gb",
+                                                        "worth_of_second"};
+
 constexpr double MaxLinkMbps = 1'000'000;
 constexpr std::uint32_t MaxCores = 4096;
 constexpr std::uint32_t MaxMemoryMb = 1U << 24U;
@@ -290,6 +312,8 @@
     {"overlay", false, {}, readSection<OverlayKeys>},
     {"zones", false, {}, readZones},
     {"retries", false, {}, readSection<RetryKeys>},
+    {"zone_traffic", false, RequiredZoneTrafficKeys,
+     readSection<ZoneTrafficKeys>},
     {"machine", false, {}, readSection<MachineKeys>},
     {"stop", false, {}, readSection<StopKeys>},
     {"log", false, {}, readSection<LogKeys>},
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -91,6 +91,10 @@
               "An availability zone receives no new requests."},
     EventInfo{EventId::ZoneIn, "zone-in", Severity::Info,
               "An availability zone receives new requests again."},
+    EventInfo{EventId::ZoneTrafficChanged, "zone-traffic-changed",
+              Severity::Info,
+              "An ingress began or ceased to send requests to other "
+              "availability zones because its own lacks room."},
     EventInfo{EventId::TargetHeldOff, "target-held-off", Severity::Warning,
               "The target accepts no connections; it receives no requests for "
               "a while."},
--- a/src/core/ingress.cpp
+++ b/src/core/ingress.cpp
@@ -163,6 +163,10 @@
 
 std::size_t Ingress::openCalls() const { return m_Impl->m_Calls.size(); }
 
+const ZoneTrafficCounts &Ingress::zoneTraffic() const {
+  return m_Impl->m_Calls.zoneTraffic();
+}
+
 std::vector<IngressCommand> Ingress::takeCommands() {
   return m_Impl->m_Out.take();
 }
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -239,8 +239,7 @@
       Entry.m_TriedGates.size() < MaxGatesPerCall &&
       Entry.m_TargetAttempts < Entry.m_MaxTargetAttempts) {
     ServiceView &View = m_Services.findOrAdd(Entry.m_Service, Now);
-    const Candidate *Chosen = m_Router.choose(View, Entry, version(),
-                                              suspectOf(*Entry.m_Request), Now);
+    const Candidate *Chosen = chooseTarget(View, Entry, Now);
     // Once a target has received the request, the next attempt is a retry.
     if (Chosen != nullptr && (Entry.m_TargetAttempts == 0 ||
                               View.m_Budget.tryConsume(View.m_Profile, Now)))
@@ -265,8 +264,7 @@
     return false;
   }
   ServiceView &View = m_Services.findOrAdd(Entry.m_Service, Now);
-  const Candidate *Chosen =
-      m_Router.choose(View, Entry, version(), suspectOf(*Entry.m_Request), Now);
+  const Candidate *Chosen = chooseTarget(View, Entry, Now);
   const double Reserve =
       Failed ? 0 : FailureReserve * View.m_Profile.m_RetryFloor;
   if (Chosen == nullptr ||
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -68,6 +68,10 @@
   std::optional<TimePoint> nextWakeUp() const;
   /// \returns the number of calls without a final response.
   std::size_t size() const { return m_Calls.size(); }
+  /// \returns the requests so far by availability zone.
+  const ZoneTrafficCounts &zoneTraffic() const {
+    return m_Router.zoneTraffic();
+  }
 
   void onGateRestarted(GatePeer &Peer, TimePoint Now) override;
   void onGateReady(GatePeer &Peer, TimePoint Now) override;
@@ -114,6 +118,8 @@
   void recordGateReply(const Attempt &Ended, LinkId Link, const Capacity &Load,
                        TimePoint Now);
   void recordStatement(const Attempt &Ended, const TargetStatement &Statement);
+  const Candidate *chooseTarget(ServiceView &View, const Call &Entry,
+                                TimePoint Now);
   void endAttempt(AttemptNumber Number);
   void endOrphans(GatePeer &Peer);
   void detach(Attempt &Current, TimePoint Deadline, TimePoint Now);
--- a/src/core/ingress/call_table_attempts.cpp
+++ b/src/core/ingress/call_table_attempts.cpp
@@ -7,6 +7,17 @@
 
 namespace dandelionfall::core::ingress {
 
+const Candidate *CallTable::chooseTarget(ServiceView &View, const Call &Entry,
+                                         TimePoint Now) {
+  const Candidate *Chosen =
+      m_Router.choose(View, Entry, version(), suspectOf(*Entry.m_Request), Now);
+  if (const auto Change = View.m_Spill.takeChange(Now))
+    m_Out.report(EventId::ZoneTrafficChanged, "service=" + Entry.m_Service +
+                                                  " zone=" + m_Options.m_Zone +
+                                                  " " + *Change);
+  return Chosen;
+}
+
 void CallTable::endNotRun(AttemptNumber Number, const std::string &Fault,
                           TimePoint Now, bool RefusedByTarget) {
   const CallId Id = m_Attempts.at(Number).m_Call;
--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -39,6 +39,7 @@
   Call *Entry = findCall(Id);
   if (Entry == nullptr)
     return;
+  m_Router.recordAnswer(*Entry, *Message.m_Response);
   if (Failed && retryServerError(*Entry, Message.m_Response, Now))
     return;
   ServiceView &View = m_Services.findOrAdd(Entry->m_Service, Now);
@@ -146,7 +147,8 @@
 void CallTable::recordGateReply(const Attempt &Ended, LinkId Link,
                                 const Capacity &Load, TimePoint Now) {
   GatePeer &Peer = *Ended.m_Peer;
-  Peer.m_Load.recordReport(Load, Now);
+  // The gate no longer counts the request, whose end is recorded below.
+  Peer.m_Load.recordReport(Load, Now, /*Ending=*/1);
   if (Ended.m_Link == Link)
     m_Links.confirmLink(Peer, Link, Ended.m_SentAt);
   m_Links.settle(Peer, Ended.m_Id, Now);
--- a/src/core/ingress/load_view.cpp
+++ b/src/core/ingress/load_view.cpp
@@ -11,6 +11,10 @@
 
 // Keeps targets without a measured latency comparable to fast ones.
 constexpr Duration MinLatency = std::chrono::milliseconds(1);
+// Weight of a report in the mean shares of this ingress and of the others.
+constexpr double CrowdWeight = 0.05;
+// Most requests that others are taken to send for each own one.
+constexpr double MaxCrowd = 8;
 
 } // namespace
 
@@ -26,11 +30,19 @@
 
 void LoadView::recordRestart() { *this = LoadView(); }
 
-void LoadView::recordReport(const Capacity &Report, TimePoint Now) {
+void LoadView::recordReport(const Capacity &Report, TimePoint Now,
+                            std::uint32_t Ending) {
   m_Report = Report;
   m_Reported = true;
   m_ReportedAt = Now;
   m_SentSinceReport = 0;
+  m_OutstandingAtReport = m_Outstanding - std::min(m_Outstanding, Ending);
+  const std::uint32_t Total = Report.m_InFlight + Report.m_Queued;
+  const auto Smooth = [](double &Mean, std::uint32_t Sample) {
+    Mean += CrowdWeight * (Sample - Mean);
+  };
+  Smooth(m_MeanOwn, m_OutstandingAtReport);
+  Smooth(m_MeanOthers, Total - std::min(Total, m_OutstandingAtReport));
 }
 
 void LoadView::recordRoundTrip(Duration Sample) {
@@ -68,6 +80,26 @@
                   m_Report.m_InFlight + m_Report.m_Queued + m_SentSinceReport);
 }
 
+double LoadView::expectedLoad(TimePoint Now) const {
+  // The ingress knows its own share exactly; that of the others is taken to
+  // last.
+  const std::uint32_t Total = m_Report.m_InFlight + m_Report.m_Queued;
+  const double OfOthers = Total - std::min(Total, m_OutstandingAtReport);
+  const std::chrono::duration<double> Overdue =
+      std::max(Duration{0}, Now - m_ReportedAt - ReportLifetime);
+  const std::chrono::duration<double> HalfLife = ReportLifetime;
+  return m_Outstanding + OfOthers * std::exp2(-Overdue / HalfLife);
+}
+
+double LoadView::crowdedLoad(TimePoint Now) const {
+  const double Sent =
+      static_cast<double>(m_Outstanding) - m_OutstandingAtReport;
+  if (Sent <= 0 || m_MeanOwn <= 0)
+    return expectedLoad(Now);
+  return expectedLoad(Now) +
+         Sent * std::min(MaxCrowd, m_MeanOthers / m_MeanOwn);
+}
+
 std::uint32_t LoadView::limit(std::uint32_t Assumed) const {
   return std::max(1U, m_Reported ? m_Report.m_Limit : Assumed);
 }
--- a/src/core/ingress/load_view.h
+++ b/src/core/ingress/load_view.h
@@ -19,7 +19,10 @@
   /// Resets the state after a restart of the gate, which has no request left.
   void recordRestart();
   /// Records a load report of the gate.
-  void recordReport(const Capacity &Report, TimePoint Now);
+  /// \param Ending requests of this ingress that the report no longer contains
+  /// and whose end is not recorded yet.
+  void recordReport(const Capacity &Report, TimePoint Now,
+                    std::uint32_t Ending = 0);
   /// Records the round-trip time of a ping.
   void recordRoundTrip(Duration Sample);
   /// Records whether a request succeeded, that is, got a complete response
@@ -28,6 +31,17 @@
 
   /// \returns the estimated number of requests that run or wait at the target.
   std::uint32_t load(TimePoint Now) const;
+  /// \returns the expected number of requests that run or wait at the target. A
+  /// report past its lifetime loses weight with its age.
+  double expectedLoad(TimePoint Now) const;
+  /// \returns the expected load if the other ingresses, which see the same
+  /// report, have sent as many more requests since as this one has, in
+  /// proportion to their usual share of the load.
+  double crowdedLoad(TimePoint Now) const;
+  /// \returns whether the gate has reported.
+  bool isReported() const { return m_Reported; }
+  /// \returns the service time as of the latest report, or 0.
+  Duration serviceTime() const { return m_Report.m_ServiceTime; }
   /// \param Assumed the limit of a target that has not reported one.
   /// \returns the number of requests that the target can run concurrently.
   std::uint32_t limit(std::uint32_t Assumed) const;
@@ -50,6 +64,9 @@
   TimePoint m_ReportedAt;
   std::uint32_t m_Outstanding = 0;
   std::uint32_t m_SentSinceReport = 0;
+  std::uint32_t m_OutstandingAtReport = 0;
+  double m_MeanOwn = 0;
+  double m_MeanOthers = 0;
   Duration m_RoundTrip{0};
   double m_FailureShare = 0;
   TimePoint m_LastResult;
--- a/src/core/ingress/router.cpp
+++ b/src/core/ingress/router.cpp
@@ -39,23 +39,37 @@
                    Peer.m_Address) != Entry.m_TriedGates.end();
 }
 
-bool anyHasCapacity(const Candidates &Group, const ChoiceContext &Context) {
+bool anyHasCapacity(const Candidates &Group, Distance MaxDistance,
+                    const ChoiceContext &Context) {
   return std::any_of(Group.begin(), Group.end(), [&](const Candidate *Next) {
+    if (Next->m_Distance > MaxDistance)
+      return false;
     const LoadView &View = Next->m_Peer->m_Load;
     return View.load(Context.m_Now) <
            View.limit(assumedLimit(*Next, Context.m_AssumedLimit));
   });
 }
 
+bool anyIsAtHome(const Candidates &Group) {
+  return std::any_of(Group.begin(), Group.end(), [](const Candidate *Next) {
+    return Next->m_Distance == Distance::SameZone;
+  });
+}
+
+// Assumed size of the header of a request and that of its answer together.
+constexpr double HeaderBytes = 1024;
+
 } // namespace
 
 Router::Router(const IngressOptions &Options)
     : m_Random(Options.m_Seed), m_Choice(findTargetChoice(Options.m_Strategy)),
-      m_LeavingTargets(*Options.m_LeavingTargets) {}
+      m_LeavingTargets(*Options.m_LeavingTargets),
+      m_Prices(Options.m_ZonePrices) {}
 
-const Candidate *Router::choose(
-    const ServiceView &View, const Call &Entry, Version AppliedVersion,
-    const std::optional<RequestFingerprint> &Suspect, TimePoint Now) {
+const Candidate *
+Router::choose(ServiceView &View, const Call &Entry, Version AppliedVersion,
+               const std::optional<RequestFingerprint> &Suspect,
+               TimePoint Now) {
   Candidates Usable;
   Usable.reserve(View.m_Candidates.size());
   for (const Candidate &Next : View.m_Candidates) {
@@ -71,11 +85,21 @@
     Groups[readiness(*Next->m_Peer, Now)].push_back(Next);
   if (const Candidate *Unchecked = takeRateCheck(Groups[Linked], Now))
     return Unchecked;
-  const ChoiceContext Context{View.m_Profile.m_ColdStartLimit, Now, m_Random,
-                              m_Turn++};
+  const ChoiceContext Context{View.m_Profile.m_ColdStartLimit,
+                              Now,
+                              m_Random,
+                              m_Turn++,
+                              View.m_Spill,
+                              m_ZoneTraffic,
+                              m_Prices,
+                              outlookOf(Entry, Now)};
+  const bool LinkedCounts =
+      !m_Choice.prefersOwnZone() || !anyIsAtHome(Groups[NotLinked]);
   // Open links are preferred only while a target behind one of them has
   // capacity.
-  if (!anyHasCapacity(Groups[Linked], Context)) {
+  if (!anyHasCapacity(Groups[Linked],
+                      LinkedCounts ? Distance::OtherRegion : Distance::SameZone,
+                      Context)) {
     Groups[NotLinked].insert(Groups[NotLinked].end(), Groups[Linked].begin(),
                              Groups[Linked].end());
     Groups[Linked].clear();
@@ -87,6 +111,23 @@
   return nullptr;
 }
 
+RequestOutlook Router::outlookOf(const Call &Entry, TimePoint Now) const {
+  RequestOutlook Result;
+  Result.m_DeadlineLeft = Entry.m_Deadline - Now;
+  Result.m_TimeLeft =
+      (Now < Entry.m_SoftDeadline ? Entry.m_SoftDeadline : Entry.m_Deadline) -
+      Now;
+  Result.m_Bytes = HeaderBytes + m_AnswerSizes.expected(Entry.m_Kind);
+  if (Entry.m_Request != nullptr)
+    Result.m_Bytes += static_cast<double>(Entry.m_Request->m_Body.size());
+  Result.m_TriedBefore = !Entry.m_TriedGates.empty();
+  return Result;
+}
+
+void Router::recordAnswer(const Call &Entry, const HttpResponse &Response) {
+  m_AnswerSizes.record(Entry.m_Kind, Response.m_Body.size());
+}
+
 // Targets that were down are not left out: each ingress remembers others, and
 // the gate of one that is still down refuses the request.
 const Candidate *Router::chooseForSuspect(const Candidates &Usable,
--- a/src/core/ingress/router.h
+++ b/src/core/ingress/router.h
@@ -3,6 +3,7 @@
 #ifndef DANDELIONFALL_CORE_INGRESS_ROUTER_H
 #define DANDELIONFALL_CORE_INGRESS_ROUTER_H
 
+#include "core/ingress/answer_sizes.h"
 #include "core/ingress/call_records.h"
 #include "core/ingress/service_table.h"
 #include "dandelionfall/core/request_fingerprint.h"
@@ -29,11 +30,18 @@
   /// it at the same time.
   /// \param Now the current time.
   /// \returns the target, or null if none accepts requests now.
-  const Candidate *choose(const ServiceView &View, const Call &Entry,
+  const Candidate *choose(ServiceView &View, const Call &Entry,
                           Version AppliedVersion,
                           const std::optional<RequestFingerprint> &Suspect,
                           TimePoint Now);
 
+  /// Records the answer to a call, from whose size that of later ones is
+  /// expected.
+  void recordAnswer(const Call &Entry, const HttpResponse &Response);
+  /// \returns the requests so far by availability zone, if the strategy counts
+  /// them.
+  const ZoneTrafficCounts &zoneTraffic() const { return m_ZoneTraffic; }
+
   /// Checks whether a target has free capacity with a margin.
   static bool hasSpareCapacity(const ServiceView &View, const Candidate &Chosen,
                                TimePoint Now);
@@ -44,6 +52,7 @@
 
 private:
   bool isLeaving(const Target &Entry) const;
+  RequestOutlook outlookOf(const Call &Entry, TimePoint Now) const;
   /// \returns the target with the highest hash for the request among those
   /// whose gate responds, else among the others, or null.
   static const Candidate *chooseForSuspect(const Candidates &Usable,
@@ -56,6 +65,9 @@
   std::mt19937_64 m_Random;
   const TargetChoice &m_Choice;
   const LeavingTargets &m_LeavingTargets;
+  const ZonePrices m_Prices;
+  AnswerSizes m_AnswerSizes;
+  ZoneTrafficCounts m_ZoneTraffic;
   std::uint64_t m_Turn = 0;
 };
 
--- a/src/core/ingress/service_table.h
+++ b/src/core/ingress/service_table.h
@@ -7,6 +7,7 @@
 #include "core/ingress/gate_links.h"
 #include "core/ingress/retry_budget.h"
 #include "core/ingress/target_choice.h"
+#include "core/ingress/zone_spill.h"
 #include "dandelionfall/core/configuration.h"
 
 #include <map>
@@ -22,6 +23,7 @@
   Profile m_Profile;
   std::vector<Candidate> m_Candidates;
   RetryBudget m_Budget;
+  ZoneSpill m_Spill;
   TimePoint m_LastUsed;
 };
 
--- a/src/core/ingress/target_choice.cpp
+++ b/src/core/ingress/target_choice.cpp
@@ -1,6 +1,7 @@
 #include "core/ingress/target_choice.h"
 
 #include "core/ingress/limits.h"
+#include "core/ingress/zone_spill.h"
 #include "dandelionfall/core/error.h"
 
 #include <algorithm>
@@ -107,8 +108,8 @@
 std::span<const TargetChoice *const> targetChoices() {
   static const LeastLoadedOfTwo LeastLoaded;
   static const RoundRobin Rotating;
-  static const std::array<const TargetChoice *, 2> All = {&LeastLoaded,
-                                                          &Rotating};
+  static const std::array<const TargetChoice *, 3> All = {
+      &LeastLoaded, &Rotating, &pricedZones()};
   return All;
 }
 
--- a/src/core/ingress/target_choice.h
+++ b/src/core/ingress/target_choice.h
@@ -4,7 +4,9 @@
 #define DANDELIONFALL_CORE_INGRESS_TARGET_CHOICE_H
 
 #include "core/ingress/gate_peer.h"
+#include "core/ingress/limits.h"
 #include "dandelionfall/core/configuration.h"
+#include "dandelionfall/core/zone_traffic.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -33,6 +35,21 @@
 
 using Candidates = std::vector<const Candidate *>;
 
+class ZoneSpill;
+
+/// What is known of a request when its target is selected.
+struct RequestOutlook {
+  /// Time left until the soft deadline, or until the deadline once the soft one
+  /// has passed.
+  Duration m_TimeLeft = MaxDeadline;
+  /// Time left until the deadline.
+  Duration m_DeadlineLeft = MaxDeadline;
+  /// Expected size of the request and its answer.
+  double m_Bytes = 0;
+  /// Whether a target was selected for the request before.
+  bool m_TriedBefore = false;
+};
+
 /// Inputs of a strategy other than the candidates.
 struct ChoiceContext {
   /// Limit of a target that has not reported one.
@@ -41,6 +58,11 @@
   std::mt19937_64 &m_Random;
   /// Number of choices made so far.
   std::uint64_t m_Turn = 0;
+  /// Share of the service's requests that leave the availability zone.
+  ZoneSpill &m_Spill;
+  ZoneTrafficCounts &m_Counts;
+  ZonePrices m_Prices{};
+  RequestOutlook m_Request{};
 };
 
 /// Selects one of several targets.
@@ -54,6 +76,9 @@
   /// \returns the selected element of `Eligible`.
   virtual const Candidate *choose(const Candidates &Eligible,
                                   const ChoiceContext &Context) const = 0;
+  /// \returns whether targets elsewhere must not keep those in the own
+  /// availability zone from being offered.
+  virtual bool prefersOwnZone() const { return false; }
 };
 
 /// Lists all strategies.
--- a/tests/unit/configuration_page_test.cpp
+++ b/tests/unit/configuration_page_test.cpp
@@ -33,8 +33,9 @@
     {"service/slotboard", "target spare"},
 };
 
-const char *SettingsSections[] = {"node",    "target",  "source", "overlay",
-                                  "machine", "retries", "stop",   "log"};
+const char *SettingsSections[] = {"node",    "target",  "source",
+                                  "overlay", "machine", "retries",
+                                  "stop",    "log",     "zone_traffic"};
 
 std::string readPage() {
   std::ifstream Stream(DANDELIONFALL_SOURCE_DIRECTORY "/docs/CONFIGURATION.md");
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -43,9 +43,11 @@
     {"unknown key", "holders = 2", "holder = 2", 16, "unknown key 'holder'",
      "seeds, assumed_hosts, holders"},
     {"unknown section", "[overlay]", "[mesh]", 13, "unknown section [mesh]",
-     "node, target, source, overlay, zones, retries, machine, stop, log"},
+     "node, target, source, overlay, zones, retries, zone_traffic, machine, "
+     "stop, log"},
     {"named section", "[log]", "[log file]", 17, "unknown section [log file]",
-     "node, target, source, overlay, zones, retries, machine, stop, log"},
+     "node, target, source, overlay, zones, retries, zone_traffic, machine, "
+     "stop, log"},
     {"missing host", "host = host-1\n", "", 1, "[node] lacks the key host",
      "add host = VALUE"},
     {"missing availability zone", "zone = kalamaria\n", "", 1,
@@ -110,6 +112,12 @@
      "with unique names"},
     {"duplicate section", "[log]", "[node]", 17, "duplicate section",
      "merge the sections"},
+    {"half a pair of zone prices", "[log]",
+     "[zone_traffic]\nprice_per_gb = 1\n[log]", 17,
+     "[zone_traffic] lacks the key worth_of_second",
+     "add worth_of_second = VALUE"},
+    {"worthless second", "[log]", "[zone_traffic]\nworth_of_second = 0\n[log]",
+     18, "'0' is not a valid value for worth_of_second", "from 1e-09"},
     {"key before all sections", "[node]", "level = info\n[node]", 1,
      "key outside a section", "[section]"},
 };
@@ -179,6 +187,8 @@
                            "address = 10.200.1.7:8309\n"
                            "[zones]\nkalamaria = gr-north\n"
                            "[retries]\nratio = 0.2\nslack = 60\nwindow_s = 10\n"
+                           "[zone_traffic]\nprice_per_gb = 0.02\n"
+                           "worth_of_second = 0.001\n"
                            "[stop]\nlinger_ms = 4000\ngrace_s = 6.5\n",
                            "node.ini", Result)
             .empty());
@@ -190,6 +200,7 @@
   CHECK(Result.m_Grace == std::chrono::milliseconds(6500));
   CHECK(Result.m_Retries ==
         core::RetryAllowance{0.2, 60, std::chrono::seconds(10)});
+  CHECK(Result.m_ZonePrices == core::ZonePrices{0.02, 0.001});
 }
 
 TEST_CASE("a grace time that the platform does not state is not known") {
