Send a request that home refused where there is room, even if it gains nothing

A refusal shows that home takes less of the kind than its reports let expect; weighing by the same reports again could offer the request to all gates at home and end it refused while others had room. The test fails with the rule taken out.

--- a/src/core/ingress/zone_spill.cpp
+++ b/src/core/ingress/zone_spill.cpp
@@ -225,7 +225,11 @@
     // A cold target is worth it only for what home can't answer in time.
     if (Warm.empty() && Verdict == ZoneVerdict::Pays)
       Verdict = ZoneVerdict::Stay;
-    // A request that has been refused before doesn't risk another refusal.
+    // A refusal shows that home takes less of this kind of request than it
+    // seems: the request then goes where there is room.
+    if (TriedBefore && Verdict == ZoneVerdict::Stay && !Warm.empty() &&
+        hasRoom(*Other, Context) && thatMeet(Home, hasRoom, Context).empty())
+      Verdict = ZoneVerdict::Pays;
     const bool Leaves =
         TriedBefore
             ? Verdict != ZoneVerdict::Stay
--- a/tests/unit/zone_spill_test.cpp
+++ b/tests/unit/zone_spill_test.cpp
@@ -272,6 +272,21 @@
   }
 }
 
+TEST_CASE("a request refused at home goes where there is room") {
+  IngressFixture Test(pricedOptions(1e6));
+  for (const char *Gate : {"gate1", "gate2"})
+    Test.m_Load[Gate] = {4, 0, 4, 50ms};
+  Test.m_Load["gate3"] = {0, 0, 4, 200ms};
+  ConfigurationBuilder Builder;
+  Builder.m_TargetZones = {"a", "a", "b"};
+  Test.configure(Builder);
+  Test.call(1, "POST");
+  REQUIRE(Test.m_Dispatches.back().m_Gate != "gate3");
+  Test.refuse(ReceivedDispatch(Test.m_Dispatches.back()));
+  REQUIRE(Test.m_Dispatches.size() == 2);
+  CHECK(Test.m_Dispatches.back().m_Gate == "gate3");
+}
+
 TEST_CASE("small requests leave first") {
   IngressFixture Test(pricedOptions(1));
   Test.m_Load["gate1"] = {4, 2, 4, 50ms};
