--- a/include/dandelionfall/app/settings.h
+++ b/include/dandelionfall/app/settings.h
@@ -66,7 +66,7 @@
   /// [retries] ratio, slack, window_s: retries that all nodes together may add
   /// to a service's requests, if the source is a store.
   core::RetryAllowance m_Retries{};
-  /// [zone_traffic] price_per_gb, worth_of_second: prices by which the ingress
+  /// [zone_traffic] price_per_gb, worth_of_hour: prices by which the ingress
   /// decides whether a request leaves the availability zone; unset without the
   /// section.
   std::optional<core::ZonePrices> m_ZonePrices{};
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -192,27 +192,34 @@
     {"window_s", setRetryWindow},
 };
 
-constexpr double MaxZonePrice = 1'000'000'000;
+constexpr double MaxZonePrice = 1'000'000;
 
-template <double core::ZonePrices::*Member>
-void setZonePrice(Settings &Result, const IniEntry &Entry,
-                  const IniSource &Source) {
+core::ZonePrices &zonePrices(Settings &Result) {
+  return Result.m_ZonePrices ? *Result.m_ZonePrices
+                             : Result.m_ZonePrices.emplace();
+}
+
+void setPricePerGb(Settings &Result, const IniEntry &Entry,
+                   const IniSource &Source) {
+  zonePrices(Result).m_PerGigabyte =
+      core::parseNumber(Entry, Source, 0.0, MaxZonePrice);
+}
+
+void setWorthOfHour(Settings &Result, const IniEntry &Entry,
+                    const IniSource &Source) {
   // Keeps the ratio of the two prices finite.
-  constexpr double MinWorth = 1e-9;
-  const double Min =
-      Member == &core::ZonePrices::m_WorthOfSecond ? MinWorth : 0;
-  if (!Result.m_ZonePrices)
-    Result.m_ZonePrices.emplace();
-  *Result.m_ZonePrices.*Member =
-      core::parseNumber(Entry, Source, Min, MaxZonePrice);
+  constexpr double MinWorth = 0.001;
+  constexpr double SecondsPerHour = 3600;
+  zonePrices(Result).m_WorthOfSecond =
+      core::parseNumber(Entry, Source, MinWorth, MaxZonePrice) / SecondsPerHour;
 }
 
 constexpr KeyHandler<Settings> ZoneTrafficKeys[] = {
-    {"price_per_gb", setZonePrice<&core::ZonePrices::m_PerGigabyte>},
-    {"worth_of_second", setZonePrice<&core::ZonePrices::m_WorthOfSecond>},
+    {"price_per_gb", setPricePerGb},
+    {"worth_of_hour", setWorthOfHour},
 };
 constexpr std::string_view RequiredZoneTrafficKeys[] = {"price_per_gb",
-                                                        "worth_of_second"};
+                                                        "worth_of_hour"};
 
 constexpr double MaxLinkMbps = 1'000'000;
 constexpr std::uint32_t MaxCores = 4096;
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -114,10 +114,10 @@
      "merge the sections"},
     {"half a pair of zone prices", "[log]",
      "[zone_traffic]\nprice_per_gb = 1\n[log]", 17,
-     "[zone_traffic] lacks the key worth_of_second",
-     "add worth_of_second = VALUE"},
-    {"worthless second", "[log]", "[zone_traffic]\nworth_of_second = 0\n[log]",
-     18, "'0' is not a valid value for worth_of_second", "from 1e-09"},
+     "[zone_traffic] lacks the key worth_of_hour", "add worth_of_hour = VALUE"},
+    {"worthless hour", "[log]",
+     "[zone_traffic]\nprice_per_gb = 1\nworth_of_hour = 0\n[log]", 19,
+     "'0' is not a valid value for worth_of_hour", "from 0.001"},
     {"key before all sections", "[node]", "level = info\n[node]", 1,
      "key outside a section", "[section]"},
 };
@@ -188,7 +188,7 @@
                            "[zones]\nkalamaria = gr-north\n"
                            "[retries]\nratio = 0.2\nslack = 60\nwindow_s = 10\n"
                            "[zone_traffic]\nprice_per_gb = 0.02\n"
-                           "worth_of_second = 0.001\n"
+                           "worth_of_hour = 3600\n"
                            "[stop]\nlinger_ms = 4000\ngrace_s = 6.5\n",
                            "node.ini", Result)
             .empty());
@@ -200,7 +200,7 @@
   CHECK(Result.m_Grace == std::chrono::milliseconds(6500));
   CHECK(Result.m_Retries ==
         core::RetryAllowance{0.2, 60, std::chrono::seconds(10)});
-  CHECK(Result.m_ZonePrices == core::ZonePrices{0.02, 0.001});
+  CHECK(Result.m_ZonePrices == core::ZonePrices{0.02, 1});
 }
 
 TEST_CASE("a grace time that the platform does not state is not known") {
