--- a/include/dandelionfall/app/metrics.h
+++ b/include/dandelionfall/app/metrics.h
@@ -32,6 +32,10 @@
   CallsUnknownKey,
   CallsOverQuota,
   CallsPipelined,
+  ZoneRequestsKept,
+  ZoneRequestsSentForGain,
+  ZoneRequestsSentForDeadline,
+  ZoneRequestsSentForLackOfTargets,
 };
 
 /// Values that can rise and fall.
--- a/include/dandelionfall/app/settings.h
+++ b/include/dandelionfall/app/settings.h
@@ -7,6 +7,7 @@
 #include "dandelionfall/core/error.h"
 #include "dandelionfall/core/machine_limits.h"
 #include "dandelionfall/core/registry.h"
+#include "dandelionfall/core/zone_traffic.h"
 
 #include <cstdint>
 #include <functional>
@@ -71,6 +72,10 @@
   /// [quota] window_s, overage, slack: by how much all nodes together may
   /// exceed the quota of a team.
   core::QuotaTolerance m_Quota{};
+  /// [zone_traffic] price_per_gb, worth_of_hour: prices by which the ingress
+  /// decides whether a request leaves the availability zone; unset without the
+  /// section.
+  std::optional<core::ZonePrices> m_ZonePrices{};
   /// [machine] processor_share, cores, memory_mb, descriptors, link_mbps: what
   /// the machine can bear.
   core::MachineLimits m_Machine{};
--- a/src/app/node/traffic_driver_impl.h
+++ b/src/app/node/traffic_driver_impl.h
@@ -70,6 +70,7 @@
   void publishLoad();
   /// Passes the latest proof of the control thread to the ingress.
   void refreshProof();
+  void publishZoneTraffic();
   std::string peerAddressOf(LinkId Inbound) const;
 
   // One overload for each command type. Ingress and gate share some types but
@@ -109,6 +110,7 @@
   std::shared_ptr<core::Quarantine> m_Quarantine;
   std::shared_ptr<core::LeavingTargets> m_LeavingTargets;
   core::Ingress m_Ingress;
+  core::ZoneTrafficCounts m_PublishedZoneTraffic;
   core::Gate m_Gate;
   std::optional<net::HttpServer> m_Server;
   std::optional<net::HttpClient> m_Target;
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -230,6 +230,34 @@
     {"overage", setQuotaOverage},
     {"slack", setQuotaSlack},
 };
+constexpr double MaxZonePrice = 1'000'000;
+
+core::ZonePrices &zonePrices(Settings &Result) {
+  return Result.m_ZonePrices ? *Result.m_ZonePrices
+                             : Result.m_ZonePrices.emplace();
+}
+
+void setPricePerGb(Settings &Result, const IniEntry &Entry,
+                   const IniSource &Source) {
+  zonePrices(Result).m_PerGigabyte =
+      core::parseNumber(Entry, Source, 0.0, MaxZonePrice);
+}
+
+void setWorthOfHour(Settings &Result, const IniEntry &Entry,
+                    const IniSource &Source) {
+  // Keeps the ratio of the two prices finite.
+  constexpr double MinWorth = 0.001;
+  constexpr double SecondsPerHour = 3600;
+  zonePrices(Result).m_WorthOfSecond =
+      core::parseNumber(Entry, Source, MinWorth, MaxZonePrice) / SecondsPerHour;
+}
+
+constexpr KeyHandler<Settings> ZoneTrafficKeys[] = {
+    {"price_per_gb", setPricePerGb},
+    {"worth_of_hour", setWorthOfHour},
+};
+constexpr std::string_view RequiredZoneTrafficKeys[] = {"price_per_gb",
+                                                        "worth_of_hour"};
 
 constexpr double MaxLinkMbps = 1'000'000;
 constexpr std::uint32_t MaxCores = 4096;
@@ -331,6 +359,8 @@
     {"retries", false, {}, readSection<RetryKeys>},
     {"revocation", false, RequiredRevocationKeys, readSection<RevocationKeys>},
     {"quota", false, {}, readSection<QuotaKeys>},
+    {"zone_traffic", false, RequiredZoneTrafficKeys,
+     readSection<ZoneTrafficKeys>},
     {"machine", false, {}, readSection<MachineKeys>},
     {"stop", false, {}, readSection<StopKeys>},
     {"log", false, {}, readSection<LogKeys>},
