--- a/include/dandelionfall/app/metrics.h
+++ b/include/dandelionfall/app/metrics.h
@@ -50,6 +50,7 @@
   BodyHeldBytes,
   BodyLimitBytes,
   BodiesWaiting,
+  ProofAge,
 };
 
 /// Durations whose distribution is recorded.
--- a/include/dandelionfall/app/status_report.h
+++ b/include/dandelionfall/app/status_report.h
@@ -46,6 +46,9 @@
   /// Seconds since a shared store confirmed the state in force, to this node or
   /// one that it follows; -1 if it did not.
   double m_ConfirmedAgoS = -1;
+  /// Seconds since the moment as of which the configuration in force is proved
+  /// to be the newest one; -1 if it is not.
+  double m_ProofAgeS = -1;
   /// Limits of the machine from the settings; 0 where none is stated.
   double m_ProcessorShare = 0;
   std::uint32_t m_Cores = 0;
--- a/include/dandelionfall/core/distribution.h
+++ b/include/dandelionfall/core/distribution.h
@@ -108,6 +108,9 @@
   /// Time since a shared store confirmed the state in force, to this node or
   /// one that it follows.
   std::optional<Duration> m_ConfirmedAgo;
+  /// Age of the last proof that the configuration was the newest one, if there
+  /// was any.
+  std::optional<Duration> m_ProofAge;
 };
 
 /// Decision logic of configuration distribution. It does no I/O: inputs arrive
--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -60,6 +60,8 @@
   TargetEnded = 524,
   RequestQuarantined = 525,
   RequestCleared = 526,
+  KeysUnproved = 527,
+  KeysProved = 528,
   CallerRejected = 600,
   TargetListed = 700,
   TargetDraining = 701,
--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -95,6 +95,9 @@
               "Memory that may be reserved for the bodies of requests."},
     MetricRow{"dandelionfall_body_waiting",
               "Callers' requests that wait for memory for the body."},
+    MetricRow{"dandelionfall_proof_age_seconds",
+              "Age of the proof that the configuration is the newest; 0 "
+              "without one."},
 };
 
 // In the order of Timing.
--- a/src/app/node/operator_pages.cpp
+++ b/src/app/node/operator_pages.cpp
@@ -60,6 +60,9 @@
   if (Distribution.m_ConfirmedAgo)
     Report.m_ConfirmedAgoS =
         std::chrono::duration<double>(*Distribution.m_ConfirmedAgo).count();
+  if (Distribution.m_ProofAge)
+    Report.m_ProofAgeS =
+        std::chrono::duration<double>(*Distribution.m_ProofAge).count();
   const core::MachineLimits &Machine = Board.m_Settings.m_Machine;
   Report.m_ProcessorShare = Machine.m_ProcessorShare;
   Report.m_Cores = Machine.m_Cores;
@@ -94,6 +97,9 @@
              static_cast<double>(Distribution.m_Held.m_Version));
   Values.set(Gauge::Ready, Distribution.m_Ready ? 1 : 0);
   Values.set(Gauge::ControlLinks, Distribution.m_Links);
+  if (Distribution.m_ProofAge)
+    Values.set(Gauge::ProofAge,
+               std::chrono::duration<double>(*Distribution.m_ProofAge).count());
   Values.set(Gauge::TargetInFlight, Board.m_Load.m_InFlight.load());
   Values.set(Gauge::TargetLimit, Board.m_Load.m_Limit.load());
   Values.set(Gauge::TargetQueued, Board.m_Load.m_Queued.load());
--- a/src/app/status_report.cpp
+++ b/src/app/status_report.cpp
@@ -101,6 +101,7 @@
     makeField<&StatusReport::m_StoreHistory>("store_history", "store history"),
     makeField<&StatusReport::m_ConfirmedAgoS>("confirmed_ago_s",
                                               "confirmed s ago"),
+    makeField<&StatusReport::m_ProofAgeS>("proof_age_s", "proof age s"),
     makeField<&StatusReport::m_ProcessorShare>("processor_share",
                                                "processor share"),
     makeField<&StatusReport::m_Cores>("cores", "cores"),
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -118,6 +118,11 @@
     EventInfo{EventId::RequestCleared, "request-cleared", Severity::Info,
               "A target answered a quarantined request; it is sent to targets "
               "again."},
+    EventInfo{EventId::KeysUnproved, "keys-unproved", Severity::Warning,
+              "Requests with keys are rejected: the node can't prove that its "
+              "configuration is the newest one."},
+    EventInfo{EventId::KeysProved, "keys-proved", Severity::Info,
+              "The node accepts requests with keys again."},
     EventInfo{EventId::CallerRejected, "caller-rejected", Severity::Warning,
               "A caller's request broke a limit or the protocol."},
     EventInfo{EventId::TargetListed, "target-listed", Severity::Info,
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -36,6 +36,11 @@
 
 // Lifecycle of a call.
 
+void CallTable::noteProof(bool IsRejected, TimePoint Now) {
+  if (auto Report = m_ProofWatch.note(IsRejected, m_Freshness.age(Now), Now))
+    m_Out.report(Report->m_Id, std::move(Report->m_Detail));
+}
+
 void CallTable::open(CallId Id, HttpRequestPtr Request,
                      std::optional<Duration> CallerDeadline,
                      const CallerIdentity &Caller, TimePoint Now) {
@@ -52,6 +57,9 @@
   const TeamDecision Owner =
       identifyTeam(*Config, *Match.m_Route, Caller.m_Key, m_Freshness.age(Now),
                    m_Options.m_MaxProofAge);
+  if (m_Options.m_MaxProofAge && Config->m_Teams != nullptr &&
+      !Match.m_Route->m_Public)
+    noteProof(Owner.m_Rejection == CallOutcome::NotRun, Now);
   if (Owner.m_Rejection)
     return reject(Id, CallerId, *Owner.m_Rejection, Owner.m_Cause,
                   Owner.m_RetryAfter);
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -8,6 +8,7 @@
 #include "core/ingress/limits.h"
 #include "core/ingress/outbox.h"
 #include "core/ingress/planned_end.h"
+#include "core/ingress/proof_watch.h"
 #include "core/ingress/return_spread.h"
 #include "core/ingress/router.h"
 #include "core/ingress/service_table.h"
@@ -81,6 +82,8 @@
   void onGateDead(GatePeer &Peer, TimePoint Now) override;
 
 private:
+  /// Reports when requests with keys begin and cease to be rejected.
+  void noteProof(bool IsRejected, TimePoint Now);
   void reject(CallId Id, const std::string &CallerId, CallOutcome Outcome,
               const std::string &Detail,
               Duration RetryAfter = DefaultRetryAfter);
@@ -141,6 +144,7 @@
   bool m_StepEvents = true;
   PlannedEnd m_PlannedEnd;
   Freshness m_Freshness;
+  ProofWatch m_ProofWatch;
   AttemptNumber m_LastAttempt = 0;
   std::map<CallId, Call> m_Calls;
   std::unordered_map<AttemptNumber, Attempt> m_Attempts;
--- a/tests/unit/status_report_test.cpp
+++ b/tests/unit/status_report_test.cpp
@@ -35,6 +35,7 @@
           .m_ConfigurationVersion = 17,
           .m_StoreHistory = 2,
           .m_ConfirmedAgoS = 0.25,
+          .m_ProofAgeS = 1.5,
           .m_ProcessorShare = 0.1,
           .m_Cores = 1,
           .m_MemoryMb = 160,
