Prove that the configuration in force is the newest one, by calls and notices

A node that is out of touch can't know that a key was taken away, and the ingress accepts keys only with a proof. Nothing made proofs so far.

A linearizable reply proves as of the moment at which its call was issued, a notice as of the moment at which the probe that it repeats was sent, less the age that its sender states. A proof counts once its revision is held, decoded and published, only in its history of the store, and after a restored store, or a failed call of one that states no era, only from 2 s on. Ruled out: the time at which a reply or notice is read, which a process that stood still moves to the future. The traffic thread uses a proof only with the configuration that it is of: two of them can have the same stamp.

--- a/include/dandelionfall/core/registry.h
+++ b/include/dandelionfall/core/registry.h
@@ -151,6 +151,8 @@
 
   /// \returns the revision of the records.
   Revision revision() const { return m_Revision; }
+  /// \returns whether a large record waits for the next `onTick`.
+  bool hasUndecoded() const { return !m_Deferred.empty(); }
   /// \returns the version of the operators' configuration; 0 before the first.
   Version version() const;
   /// \returns all records, by key.
--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -8,6 +8,7 @@
 #include "dandelionfall/core/missing_revisions.h"
 #include "dandelionfall/core/published.h"
 #include "dandelionfall/core/repetitions.h"
+#include "dandelionfall/core/revision_proof.h"
 #include "dandelionfall/core/store_history.h"
 
 #include <cstdint>
@@ -184,6 +185,10 @@
   WatchMode mode() const { return m_Mode; }
   /// \returns when the store last answered a linearizable call, if ever.
   std::optional<TimePoint> confirmedAt() const { return m_ConfirmedAt; }
+  /// \returns which revision the store last proved to be the newest, if ever.
+  /// It was so when the call was issued, or later: when its reply is read says
+  /// nothing, since it may have waited while this process stood still.
+  const std::optional<RevisionProof> &proof() const { return m_Proof; }
   /// \returns whether the last completed call was answered.
   bool isAnswered() const { return m_Failures == 0; }
   /// \returns whether the store counts as reachable.
@@ -210,6 +215,9 @@
   bool continuesHistory(const StoreReply &Reply, TimePoint Now);
   void onAnswer(TimePoint ConfirmedAt);
   void onCompared(const StoreReply &Reply, TimePoint Now);
+  /// Handles the proof that the store continues the history that is known.
+  void onVerified(TimePoint Now);
+  void prove(Revision Newest, TimePoint CalledAt);
   void finishListing(const StoreReply &Last, TimePoint Now);
   bool provesNextHistory() const;
   void listSuspected(const StoreReply &Reply, TimePoint Now);
@@ -244,6 +252,9 @@
   ReadConsistency m_LastConsistency = ReadConsistency::Linearizable;
   TimePoint m_CalledAt;
   std::optional<TimePoint> m_ConfirmedAt;
+  std::optional<RevisionProof> m_Proof;
+  /// Calls before that prove nothing.
+  std::optional<TimePoint> m_ProvesFrom;
   MissingRevisions m_Missing;
   /// Announced revision that a later linearizable call disproved. Lower ones
   /// can still be true: the announcement may come from a faulty node.
@@ -286,7 +297,8 @@
   /// Counter of the first page. Pages are no consistent snapshot, so the watch
   /// starts from there.
   StoreCounter m_FirstPageAsOf = 0;
-  /// When the first page arrived.
+  /// When the first page was requested, and when it arrived.
+  TimePoint m_FirstPageCalledAt;
   TimePoint m_FirstPageAt;
   /// Whether the next page is read again, because it was older than the first.
   bool m_PageWasStale = false;
--- a/include/dandelionfall/core/store_replica.h
+++ b/include/dandelionfall/core/store_replica.h
@@ -5,6 +5,7 @@
 #define DANDELIONFALL_CORE_STORE_REPLICA_H
 
 #include "dandelionfall/core/control_link.h"
+#include "dandelionfall/core/freshness.h"
 #include "dandelionfall/core/registry.h"
 #include "dandelionfall/core/store_reader.h"
 
@@ -33,6 +34,9 @@
   std::uint64_t m_RandomSeed = 0;
   /// Number of nodes that may follow this one.
   std::size_t m_MaxFollowers = 0;
+  /// Whether proofs are made that the configuration is the newest one; nodes
+  /// that are followed are then asked for theirs.
+  bool m_ProvesFreshness = false;
 };
 
 /// Applies a newer configuration; versions ascend.
@@ -40,10 +44,12 @@
   ConfigurationPtr m_Configuration;
 };
 
-/// Command to the driver, which executes commands in the order given.
+/// Command to the driver, which executes commands in the order given. A proof
+/// is for the configuration of the last `ApplyRecords` before it.
 using StoreReplicaCommand =
     std::variant<ListRecords, WatchRecords, AbandonCall, OpenControlLink,
-                 CloseControlLink, SendControl, ApplyRecords, Event>;
+                 CloseControlLink, SendControl, ApplyRecords, FreshnessProof,
+                 Event>;
 
 /// State machine that decides how a node reads the store. One node of each
 /// availability zone watches it linearizably and announces the revision that it
@@ -95,6 +101,9 @@
   /// \returns when the store last confirmed the state that is held, to this
   /// node or one that it follows, if ever.
   std::optional<TimePoint> confirmedAt(TimePoint Now) const;
+  /// \returns the last proof that the configuration was the newest one, if
+  /// there was any.
+  const std::optional<FreshnessProof> &proof() const;
   /// \returns the number of nodes that follow this one.
   std::size_t followers() const;
   /// Removes and returns the commands collected since the last call.
--- a/src/app/node/registry_driver.cpp
+++ b/src/app/node/registry_driver.cpp
@@ -66,6 +66,7 @@
   Options.m_UrgentPrefixes = platform::urgentPrefixes();
   Options.m_RandomSeed = Board.m_Incarnation.m_High;
   Options.m_MaxFollowers = core::maxFollowers(Config.m_Machine);
+  Options.m_ProvesFreshness = Config.m_MaxProofAge.has_value();
   return Options;
 }
 
@@ -103,6 +104,8 @@
     const TimePoint Now = monotonicNow();
     if (const auto ConfirmedAt = m_Replica.confirmedAt(Now))
       Result.m_ConfirmedAgo = Now - *ConfirmedAt;
+    if (const auto &Proof = m_Replica.proof())
+      Result.m_ProofAge = Now - Proof->m_AsOf;
     return Result;
   }
 
@@ -275,6 +278,11 @@
     m_OnApplied();
   }
 
+  void perform(const core::FreshnessProof &Command) {
+    m_Board.m_Proof.store(
+        std::make_shared<const core::FreshnessProof>(Command));
+  }
+
   void perform(const core::Event &Command) { m_Board.m_Events.record(Command); }
 
   Blackboard &m_Board;
--- a/src/app/node/traffic_callers.cpp
+++ b/src/app/node/traffic_callers.cpp
@@ -72,6 +72,9 @@
   const auto Latest = m_Board.m_Proof.load();
   if (Latest == nullptr || Latest == m_Proof)
     return;
+  // It is of the latest configuration, whose stamp can be the applied one's.
+  if (m_Board.m_Configuration.load() != m_Configuration)
+    return;
   m_Proof = Latest;
   m_Ingress.onFreshness(*Latest);
 }
--- a/src/core/registry/feed_follower.cpp
+++ b/src/core/registry/feed_follower.cpp
@@ -15,10 +15,12 @@
 
 } // namespace
 
-FeedFollower::FeedFollower(const std::string &OwnAddress, std::string OwnZone)
+FeedFollower::FeedFollower(const std::string &OwnAddress, std::string OwnZone,
+                           bool SendsProbes)
     : m_Candidates(OwnAddress, std::move(OwnZone)),
       m_PatchFeed(XXH3_64bits(OwnAddress.data(), OwnAddress.size()) %
-                  FollowedFeeds) {}
+                  FollowedFeeds),
+      m_SendsProbes(SendsProbes) {}
 
 FeedFollower::Slot *FeedFollower::findSlot(LinkId Link) {
   auto *Found =
@@ -132,6 +134,9 @@
   Opened.m_NextFollowAt = Now + FollowInterval;
   const auto Index = static_cast<std::size_t>(Found - m_Slots.data());
   sendFollow(Opened, wantsPatches(Index, Now));
+  if (m_SendsProbes)
+    Opened.m_Probes.start(Now);
+  sendDueProbe(Opened, Now);
   return true;
 }
 
@@ -160,6 +165,8 @@
   Sender.m_GraceUntil.reset();
   Sender.m_Revision = Notice.m_Revision;
   Sender.m_IsComplete = Notice.m_Changes.m_IsComplete;
+  if (const auto ProvedAt = Sender.m_Probes.provedAt(Notice))
+    Sender.m_Proof = RevisionProof{Notice.m_Revision, *ProvedAt};
   m_Losses = 0;
   if (!std::exchange(Sender.m_ConfirmedAt, Now - Notice.m_ConfirmedAgo))
     report(EventId::FeedFollowed, Sender,
@@ -180,6 +187,20 @@
   (*Found)->m_ReceivedPatches += Notice.m_Changes.m_Patches.empty() ? 0 : 1;
 }
 
+const std::optional<RevisionProof> &FeedFollower::proofOf(LinkId Link) const {
+  static const std::optional<RevisionProof> None;
+  const auto Found =
+      std::find_if(m_Slots.begin(), m_Slots.end(), [Link](const Slot &Each) {
+        return Each && Each->m_Link == Link;
+      });
+  return Found == m_Slots.end() ? None : (*Found)->m_Proof;
+}
+
+void FeedFollower::sendDueProbe(Feed &Followed, TimePoint Now) {
+  if (const auto Probe = Followed.m_Probes.takeDue(Now))
+    m_Commands.emplace_back(SendControl{Followed.m_Link, *Probe});
+}
+
 void FeedFollower::setHeld(Revision Held, Version Retained) {
   const bool IsOther = historyOf(Held) != historyOf(m_Held);
   m_Held = Held;
@@ -300,6 +321,8 @@
       Each->m_NextFollowAt = Now + FollowInterval;
       sendFollow(*Each, Each->m_WantsPatches);
     }
+    if (Each)
+      sendDueProbe(*Each, Now);
   }
   askForPatches(Now);
   review(Now);
@@ -334,6 +357,8 @@
       Include(reliableUntil(*Each));
       if (Each->m_Opened)
         Include(Each->m_NextFollowAt);
+      if (const auto ProbeAt = Each->m_Probes.nextAt())
+        Include(*ProbeAt);
       continue;
     }
     if (choose(Index) != nullptr)
--- a/src/core/registry/feed_follower.h
+++ b/src/core/registry/feed_follower.h
@@ -4,8 +4,10 @@
 #define DANDELIONFALL_SRC_CORE_REGISTRY_FEED_FOLLOWER_H
 
 #include "core/registry/feed_candidates.h"
+#include "core/registry/freshness_probes.h"
 #include "core/registry/limits.h"
 #include "core/registry/revision_feed.h"
+#include "dandelionfall/core/revision_proof.h"
 
 #include <array>
 #include <functional>
@@ -22,7 +24,10 @@
 public:
   /// \param OwnAddress link address of this node.
   /// \param OwnZone availability zone of this node.
-  FeedFollower(const std::string &OwnAddress, std::string OwnZone);
+  /// \param SendsProbes whether followed nodes are asked to prove how current
+  /// their revision is.
+  FeedFollower(const std::string &OwnAddress, std::string OwnZone,
+               bool SendsProbes = false);
 
   /// Replaces the nodes that can be followed.
   void onNodes(std::vector<NodeAddress> Nodes, TimePoint Now);
@@ -36,6 +41,8 @@
   /// to no feed.
   std::string onNotice(LinkId Link, const RevisionNotice &Notice,
                        TimePoint Now);
+  /// \returns what the last notice on a link proves, if anything.
+  const std::optional<RevisionProof> &proofOf(LinkId Link) const;
   /// Handles a notice of a history of the store that this node no longer
   /// follows: its sender is there, and confirms nothing.
   void onOutdatedNotice(LinkId Link, const RevisionNotice &Notice,
@@ -102,6 +109,9 @@
     /// When the node may be asked again before its next regular turn.
     TimePoint m_NextAskAt;
     TimePoint m_NextFollowAt;
+    FreshnessProbes m_Probes;
+    /// What its last notice proved.
+    std::optional<RevisionProof> m_Proof;
   };
   using Slot = std::optional<Feed>;
 
@@ -112,6 +122,7 @@
   void askForPatches(TimePoint Now);
   void sendFollow(Feed &Followed, bool WantsPatches,
                   const LargeRevisions &Bases = {});
+  void sendDueProbe(Feed &Followed, TimePoint Now);
   const NodeAddress *choose(std::size_t Index) const;
   void open(Slot &Free, const NodeAddress &Node, TimePoint Now);
   void close(Slot &Open);
@@ -136,6 +147,7 @@
   Revision m_Held = 0;
   Version m_Retained = 0;
   bool m_Stopped = false;
+  bool m_SendsProbes = false;
   std::vector<FeedCommand> m_Commands;
 };
 
--- a/src/core/registry/feed_publisher.cpp
+++ b/src/core/registry/feed_publisher.cpp
@@ -57,9 +57,13 @@
   if (!Receiver.m_WantsPatches || IsPending)
     Changes.m_Patches.clear();
   Receiver.m_SentPatches += Changes.m_Patches.empty() ? 0 : 1;
-  m_Commands.emplace_back(SendControl{
-      Link, RevisionNotice{Own.m_Revision, Own.m_Held, Now - *Own.m_ConfirmedAt,
-                           false, std::move(Changes), Own.m_Retained}});
+  RevisionNotice Notice{Own.m_Revision,           Own.m_Held,
+                        Now - *Own.m_ConfirmedAt, false,
+                        std::move(Changes),       Own.m_Retained};
+  Notice.m_Probe = Receiver.m_Probe;
+  if (Receiver.m_Probe && Own.m_ProvedAt)
+    Notice.m_ProvedAgo = Now - *Own.m_ProvedAt;
+  m_Commands.emplace_back(SendControl{Link, std::move(Notice)});
 }
 
 void FeedPublisher::refuse(LinkId Link) {
@@ -76,6 +80,12 @@
     Each.m_IsComplete = false;
 }
 
+void FeedPublisher::onProbe(LinkId Link, const FreshnessProbe &Probe) {
+  const auto Found = m_Followers.find(Link);
+  if (Found != m_Followers.end())
+    Found->second.m_Probe = Probe.m_Number;
+}
+
 void FeedPublisher::onLinkClosed(LinkId Link) { m_Followers.erase(Link); }
 
 void FeedPublisher::onRevision(const ConfirmedRevision &Own,
--- a/src/core/registry/feed_publisher.h
+++ b/src/core/registry/feed_publisher.h
@@ -30,6 +30,8 @@
   void onFollow(LinkId Link, const FollowRevisions &Request,
                 const ConfirmedRevision &Own, const RecordChanges &Lacking,
                 TimePoint Now);
+  /// Handles a probe; the next notices repeat it and tell the age of the proof.
+  void onProbe(LinkId Link, const FreshnessProbe &Probe);
   /// Removes the follower on a closed link, if there is one.
   void onLinkClosed(LinkId Link);
   /// Sends the revision to all followers if it is newer than the last one sent,
@@ -59,6 +61,8 @@
     /// Notices with patches that it was sent, and that it has received.
     std::uint64_t m_SentPatches = 0;
     std::uint64_t m_ReceivedPatches = 0;
+    /// Number of its latest probe.
+    std::optional<std::int64_t> m_Probe;
   };
 
   void send(LinkId Link, const ConfirmedRevision &Own, RecordChanges Changes,
--- a/src/core/registry/limits.h
+++ b/src/core/registry/limits.h
@@ -63,6 +63,9 @@
 /// Time after the recovery of the store within which running targets write
 /// their lapsed entries again.
 constexpr Duration LapseGrace = std::chrono::seconds(2);
+/// Time within which a store that began another history has again what it lost:
+/// until then its newest configuration can be older than the one in force.
+constexpr Duration RewriteTime = LapseGrace;
 /// Time for which a target that has left is remembered. A copy from which a
 /// store is restored is seconds old.
 constexpr Duration DepartureMemory = std::chrono::minutes(1);
@@ -112,6 +115,8 @@
 constexpr Duration NoticeInterval = std::chrono::milliseconds(250);
 /// Time without a notice after which a feed counts as lost.
 constexpr Duration FeedSilenceLimit = std::chrono::milliseconds(700);
+/// Interval between the probes that bound the age of a feed's notices.
+constexpr Duration ProbeInterval = std::chrono::milliseconds(500);
 /// Delay of a timer from which a node was occupied or stood still.
 constexpr Duration MaxTimerDelay = std::chrono::milliseconds(50);
 /// Maximum silence of a feed that a node attributes to its own pauses.
--- a/src/core/registry/revision_feed.h
+++ b/src/core/registry/revision_feed.h
@@ -23,6 +23,8 @@
   /// Version of the configuration that the node has in force and the store has
   /// lost; 0 if there is none.
   Version m_Retained = 0;
+  /// When the newest revision was proved to be that, or earlier.
+  std::optional<TimePoint> m_ProvedAt = std::nullopt;
   friend bool operator==(const ConfirmedRevision &,
                          const ConfirmedRevision &) = default;
 };
--- a/src/core/registry/store_reader.cpp
+++ b/src/core/registry/store_reader.cpp
@@ -274,6 +274,7 @@
 void StoreReader::onPage(StoreReply Reply, TimePoint Now) {
   if (m_NextPageAfter.empty()) {
     m_FirstPageAsOf = Reply.m_AsOf;
+    m_FirstPageCalledAt = m_CalledAt;
     m_FirstPageAt = Now;
     dropDisproved(Reply.m_AsOf);
   }
@@ -315,7 +316,7 @@
   }
   onAnswer(m_FirstPageAt);
   m_Watching = true;
-  m_IsUnverified = false;
+  onVerified(Now);
   if (provesNextHistory()) {
     m_History.startNext();
     reportHistory("counter", m_FirstPageAsOf);
@@ -328,6 +329,7 @@
                    hasLargeAfter(m_ListedRecords, m_KnownRevision);
   if (AsOf >= m_KnownRevision) {
     setKnownRevision(AsOf);
+    prove(AsOf, m_FirstPageCalledAt);
     m_Commands.emplace_back(
         RecordsRead{std::exchange(m_ListedRecords, {}), AsOf, m_KnownAtCall});
   }
@@ -350,6 +352,8 @@
   m_PartialSince.reset();
   onAnswer(Now);
   const Revision AsOf = m_History.revisionOf(Reply.m_AsOf);
+  if (m_LastConsistency == ReadConsistency::Linearizable)
+    prove(AsOf, m_CalledAt);
   for (StoreRecord &Each : Reply.m_Records)
     Each.m_Revision = m_History.revisionOf(Each.m_Revision);
   if (AsOf > m_KnownRevision) {
--- a/src/core/registry/store_reader_history.cpp
+++ b/src/core/registry/store_reader_history.cpp
@@ -53,10 +53,23 @@
   if (!IsHeld)
     return relist(m_Dropped.add(Now), Now);
   m_Dropped.reset();
-  m_IsUnverified = m_ComparedAsOf < m_KnownRevision;
+  if (m_ComparedAsOf >= m_KnownRevision)
+    onVerified(Now);
   issueCall(Now);
 }
 
+// The store can have been restored from a copy that lacks only what this node
+// has not read.
+void StoreReader::onVerified(TimePoint Now) {
+  if (std::exchange(m_IsUnverified, false) && !m_History.hasEra())
+    m_ProvesFrom = Now + RewriteTime;
+}
+
+void StoreReader::prove(Revision Newest, TimePoint CalledAt) {
+  if (!m_IsUnverified && (!m_ProvesFrom || CalledAt >= *m_ProvesFrom))
+    m_Proof = RevisionProof{Newest, CalledAt};
+}
+
 void StoreReader::listSuspected(const StoreReply &Reply, TimePoint Now) {
   relist(reportDropped(Reply, Now), Now);
 }
@@ -77,13 +90,17 @@
 }
 
 RecordsRead StoreReader::restart(RecordsRead Contradicting, TimePoint Now) {
-  const StoreCounter AsOf = counterOf(Contradicting.m_AsOf);
+  const Revision Contradicted = Contradicting.m_AsOf;
+  const StoreCounter AsOf = counterOf(Contradicted);
   m_History.startNext();
   reportHistory("record", AsOf);
   for (StoreRecord &Each : Contradicting.m_Records)
     Each.m_Revision = m_History.revisionOf(counterOf(Each.m_Revision));
   Contradicting.m_AsOf = m_History.revisionOf(AsOf);
   setKnownRevision(Contradicting.m_AsOf);
+  // The proof is that of the listing, or of an earlier history.
+  if (m_Proof && m_Proof->m_Revision == Contradicted)
+    m_Proof->m_Revision = Contradicting.m_AsOf;
   if (m_CallPending && m_LastWatch &&
       m_LastWatch->m_Consistency == ReadConsistency::Serializable)
     replaceCall(Now);
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -2,6 +2,7 @@
 
 #include "core/registry/feed_follower.h"
 #include "core/registry/feed_publisher.h"
+#include "core/registry/freshness_prover.h"
 #include "core/registry/patch_requests.h"
 #include "core/registry/record_requests.h"
 #include "core/registry/start_inquiry.h"
@@ -34,11 +35,13 @@
   Impl(const RecordDecoder &Decoder, const StoreReplicaOptions &Options)
       : m_Registry(Decoder, Options.m_Registry), m_Reader(Options.m_RandomSeed),
         m_Pull(otherSeeds(Options)),
-        m_Follower(Options.m_LinkAddress, Options.m_Zone),
+        m_Follower(Options.m_LinkAddress, Options.m_Zone,
+                   Options.m_ProvesFreshness),
         m_Publisher(Options.m_MaxFollowers),
         m_UrgentWatches(Options.m_UrgentPrefixes, Options.m_RandomSeed),
         m_Inquiry(Options.m_LinkAddress, Options.m_RandomSeed),
-        m_PatchRequests(m_Registry, m_Follower) {}
+        m_PatchRequests(m_Registry, m_Follower),
+        m_Prover(m_Registry, Options.m_ProvesFreshness) {}
 
   void start(TimePoint Now) {
     m_StartEnds = Now + StartTime;
@@ -138,16 +141,18 @@
   StartInquiry m_Inquiry;
   PatchRequests m_PatchRequests;
   RecordRequests m_RecordRequests;
+  FreshnessProver m_Prover;
 
   // A node that follows others passes on what they announce. With the latest
   // confirmation goes the highest revision, which is at least the confirmed
   // one.
   ConfirmedRevision ownRevision(TimePoint Now) const {
     const ConfirmedRevision Announced = m_Follower.newest(Now);
-    return {std::max(m_Registry.revision(), Announced.m_Revision),
-            m_Registry.revision(),
+    const Revision Newest =
+        std::max(m_Registry.revision(), Announced.m_Revision);
+    return {Newest, m_Registry.revision(),
             std::max(m_Reader.confirmedAt(), Announced.m_ConfirmedAt),
-            m_Registry.retainedVersion()};
+            m_Registry.retainedVersion(), m_Prover.provedAt(Newest)};
   }
 
 private:
@@ -261,6 +266,9 @@
     m_Reader.onLaterHistory(historyOf(Notice.m_Revision), Now);
     m_RecordRequests.onClaim(Link, {Notice.m_Retained, 0});
     updateOutage(Now);
+    // A node that has more in force than the store contradicts the proof.
+    if (Notice.m_Retained <= m_Registry.version())
+      m_Prover.add(m_Follower.proofOf(Link));
     const bool WasMissing = !m_Registry.holdsAll(Notice.m_Changes.m_Large);
     if (m_Registry.applyFeed(Notice.m_Changes, Notice.m_Held, Now))
       onRecords(Now);
@@ -270,6 +278,10 @@
     m_Reader.onNewerRevision(Notice.m_Revision, Now);
   }
 
+  void handle(LinkId Link, const FreshnessProbe &Probe, TimePoint /*Now*/) {
+    m_Publisher.onProbe(Link, Probe);
+  }
+
   // A store that confirms revisions to other nodes is not away. Must run before
   // records are applied: whether a removal is a lapse depends on it.
   void updateOutage(TimePoint Now) {
@@ -289,8 +301,10 @@
     if (Config != nullptr) {
       m_Inquiry.start(m_Registry.nodes(), Now);
       m_IsHeldBack = !m_Inquiry.isOver();
-      if (!m_IsHeldBack)
+      if (!m_IsHeldBack) {
+        m_Prover.onPublished(Config->m_Stamp.m_Version);
         m_Commands.emplace_back(ApplyRecords{std::move(Config)});
+      }
     }
     m_Follower.onNodes(m_Registry.nodes(), Now);
   }
@@ -312,6 +326,9 @@
     if (m_IsHeldBack && m_Inquiry.isOver())
       onRecords(Now);
     m_Pull.setStoreAnswers(m_Reader.isAnswered());
+    m_Prover.add(m_Reader.proof());
+    if (const auto Proof = m_Prover.takeProof(Now))
+      m_Commands.emplace_back(*Proof);
     updateHeld();
     if (m_Publisher.followers() == 0)
       m_Registry.dropChanges();
@@ -479,6 +496,10 @@
   return m_Impl->ownRevision(Now).m_ConfirmedAt;
 }
 
+const std::optional<FreshnessProof> &StoreReplica::proof() const {
+  return m_Impl->m_Prover.last();
+}
+
 std::size_t StoreReplica::followers() const {
   return m_Impl->m_Publisher.followers();
 }
--- a/tests/contract/store_fleet.cpp
+++ b/tests/contract/store_fleet.cpp
@@ -187,6 +187,7 @@
   Options.m_RandomSeed = m_Random();
   Options.m_MaxFollowers = maxFollowers(m_Options.m_Machine);
   Options.m_UrgentPrefixes = {"target/"};
+  Options.m_ProvesFreshness = m_Options.m_ProvesFreshness;
   Started.m_Replica = std::make_unique<StoreReplica>(m_Decoder, Options);
   ++Started.m_Start;
   Started.m_Busy = false;
@@ -195,6 +196,8 @@
   Started.m_DepartureAt.clear();
   Started.m_Version = Started.m_FirstVersion = 0;
   Started.m_AppliedRevision = 0;
+  Started.m_InForce = 0;
+  Started.m_Proof.reset();
   Started.m_StartedAt = m_Now;
   Started.m_Used.clear();
   Started.m_Left.clear();
@@ -447,7 +450,7 @@
   const LinkEnd Other = Found->second;
   if (m_Nodes[Number].m_CutFromNodes || m_Nodes[Other.m_Node].m_CutFromNodes)
     return;
-  Duration Delay = LinkDelay;
+  Duration Delay = LinkDelay + m_Nodes[Other.m_Node].m_SlowMessages;
   std::size_t Bytes = 0;
   if (const auto *Push = std::get_if<RecordsPush>(&Command.m_Message))
     Bytes = bytesOf(Push->m_Records);
@@ -472,6 +475,7 @@
     m_Violations.push_back("node " + std::to_string(Number) +
                            " applies an earlier revision");
   Applying.m_AppliedRevision = Applied;
+  Applying.m_InForce = Applying.m_Replica->registry().version();
   noteZones(Number, *Command.m_Configuration);
   if (Applying.m_FirstVersion == 0)
     Applying.m_FirstVersion = Applying.m_Replica->registry().version();
--- a/tests/contract/store_fleet.h
+++ b/tests/contract/store_fleet.h
@@ -50,6 +50,8 @@
   bool m_StatesEra = false;
   /// Records of one page of a listing; 0 for one page.
   std::size_t m_PageRecords = 0;
+  /// Whether the nodes prove that their configuration is the newest one.
+  bool m_ProvesFreshness = false;
 };
 
 /// A fleet; node `I` is next to target `I`, in availability zone `I modulo
@@ -79,6 +81,10 @@
   void slowReplies(std::size_t Node, Duration Longer);
   /// Nothing passes between the node and any other node.
   void cutFromNodes(std::size_t Node);
+  /// Messages pass again; those sent meanwhile are lost.
+  void reconnectToNodes(std::size_t Node);
+  /// Sets the time that messages to the node take besides.
+  void slowMessages(std::size_t Node, Duration Longer);
   /// Asks the node to hand over to others before a planned stop.
   void drain(std::size_t Node);
   /// Writes a new configuration version. \returns its revision.
@@ -127,6 +133,14 @@
   /// target used again after it left, a live target dropped, a zone that is
   /// out used again.
   const std::vector<std::string> &violations() const { return m_Violations; }
+  /// \returns the proofs of nodes that a version was the newest at a time when
+  /// the store had acknowledged a newer one.
+  const std::vector<std::string> &falseProofs() const { return m_FalseProofs; }
+  /// \returns the age of a node's latest proof, if it has one.
+  std::optional<Duration> proofAge(std::size_t Node) const;
+  /// \returns the highest age of the latest proofs of all nodes that run and
+  /// are not frozen; nothing if one of them has none.
+  std::optional<Duration> worstProofAge() const;
   /// \returns which nodes use a target again that had left before they
   /// started.
   const std::vector<std::string> &usedAfterStart() const {
@@ -186,6 +200,8 @@
     bool m_Busy = false;
     bool m_CutFromStore = false;
     bool m_CutFromNodes = false;
+    /// Time that messages to the node take besides.
+    Duration m_SlowMessages{0};
     /// Events that wait for the end of a freeze or of an earlier event.
     std::deque<Input> m_Inputs;
     /// Calls without a reply.
@@ -208,6 +224,9 @@
     core::Version m_FirstVersion = 0;
     TimePoint m_StartedAt;
     Revision m_AppliedRevision = 0;
+    /// Version of the configuration that was last published to its traffic.
+    core::Version m_InForce = 0;
+    std::optional<core::FreshnessProof> m_Proof;
     /// Live targets that are used, and targets not used after they left.
     std::set<std::size_t> m_Used;
     std::set<std::size_t> m_Left;
@@ -291,6 +310,7 @@
   void perform(std::size_t Node, const core::CloseControlLink &Command);
   void perform(std::size_t Node, const core::SendControl &Command);
   void perform(std::size_t Node, const core::ApplyRecords &Command);
+  void perform(std::size_t Node, const core::FreshnessProof &Command);
   void perform(std::size_t Node, const core::Event &Command);
 
   StoreFleetOptions m_Options;
@@ -322,6 +342,7 @@
   /// Whether the store has been restored; invariants are checked from then.
   bool m_WasRestored = false;
   std::vector<std::string> m_Violations;
+  std::vector<std::string> m_FalseProofs;
   std::vector<std::string> m_UsedAfterStart;
   /// Routes added to the configuration.
   std::string m_Routes;
