--- a/src/core/registry/revision_feed.h
+++ b/src/core/registry/revision_feed.h
@@ -13,6 +13,9 @@
 
 namespace dandelionfall::core::registry {
 
+/// Links of pulls are numbered from here; those of feeds from 1.
+constexpr LinkId FirstPullLink = LinkId{1} << 62U;
+
 /// Newest revision of a store that a node has read or was notified of, and when
 /// the store last confirmed it.
 struct ConfirmedRevision {
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -7,6 +7,7 @@
 #include "core/registry/record_requests.h"
 #include "core/registry/start_inquiry.h"
 #include "core/registry/urgent_watches.h"
+#include "core/registry/watch_choice.h"
 #include "dandelionfall/core/peer_pull.h"
 
 #include <algorithm>
@@ -25,9 +26,6 @@
   return Others;
 }
 
-/// Links of pulls are numbered from here; those of feeds from 1.
-constexpr LinkId FirstPullLink = LinkId{1} << 62U;
-
 } // namespace
 
 class StoreReplica::Impl {
@@ -372,27 +370,16 @@
 
   void updateMode(TimePoint Now) {
     const WatchMode Previous = m_Reader.mode();
-    const std::size_t Feeds = m_Follower.reliableFeeds(Now);
-    noteFeeds(Feeds);
-    const std::size_t Followers = m_Publisher.followers();
-    // Of the nodes with followers the first of each availability zone reads
-    // for all; the others forward the notices that they receive.
-    const bool Publishes =
-        Followers > 0 && (Feeds == 0 || !m_Follower.hasBetterNode());
-    const bool Follows = Feeds > 0 || m_StartEnds;
-    const bool IsFed = m_Follower.hasCompleteFeed(Now);
-    const WatchMode Mode = Publishes ? WatchMode::Publishing
-                           : IsFed   ? WatchMode::Fed
-                           : Follows ? WatchMode::Following
-                                     : WatchMode::Alone;
+    const WatchSituation Current = {
+        m_Follower.reliableFeeds(Now), m_Publisher.followers(),
+        m_Follower.hasBetterNode(), m_Follower.hasCompleteFeed(Now),
+        m_StartEnds.has_value()};
+    noteFeeds(Current.m_Feeds);
+    const WatchMode Mode = chooseWatchMode(Current);
     if (Mode == Previous)
       return;
-    m_Commands.emplace_back(Event{
-        EventId::WatchModeChanged,
-        std::string("mode=") + nameOf(Mode) + " previous=" + nameOf(Previous) +
-            " feeds=" + std::to_string(Feeds) +
-            " followers=" + std::to_string(Followers) +
-            " revision=" + formatRevision(m_Registry.revision())});
+    m_Commands.emplace_back(
+        makeModeEvent(Mode, Previous, Current, m_Registry.revision()));
     m_Reader.setMode(Mode, Now);
   }
 
