Keep to the quotas of teams over all nodes

Cause: a team's rate and burst were read but nothing held the requests of all nodes together to them.

Each team with a rate has up to three accountants, the gates with the highest rendezvous rank for its name, each with an equal share. An ingress takes one credit for each request, from what it has on hand or from an accountant; a call waits for it at most 150 ms, gets 429 once all accountants deny and 503, not run, if none replies. Lent credit and the level of a bucket are together at most its burst, so the bound holds for the use of credit, not only for its grant. A node grants only with a proof that its version is the newest one, and takes a share over only once the former accountant's proof has ended and its credit has lapsed; so does a process that starts, since it can't tell whether it displaced another node. Off without a team with a rate.

--- a/include/dandelionfall/app/metrics.h
+++ b/include/dandelionfall/app/metrics.h
@@ -36,6 +36,9 @@
   ZoneRequestsSentForGain,
   ZoneRequestsSentForDeadline,
   ZoneRequestsSentForLackOfTargets,
+  CreditRequestsSent,
+  CreditsGranted,
+  CreditRequestsDenied,
 };
 
 /// Values that can rise and fall.
--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -82,6 +82,7 @@
   StoreReplyDropped = 716,
   StoreHistoryReplaced = 717,
   RecordRetained = 718,
+  AccountantChanged = 800,
 };
 
 /// Description of an event number.
--- a/include/dandelionfall/core/gate.h
+++ b/include/dandelionfall/core/gate.h
@@ -5,6 +5,7 @@
 #define DANDELIONFALL_CORE_GATE_H
 
 #include "dandelionfall/core/event.h"
+#include "dandelionfall/core/freshness.h"
 #include "dandelionfall/core/leaving_targets.h"
 #include "dandelionfall/core/traffic_message.h"
 
@@ -103,6 +104,15 @@
   /// Targets that stated that they are leaving, shared with the ingress of the
   /// node; the gate has its own if null.
   std::shared_ptr<LeavingTargets> m_LeavingTargets{};
+  /// Address of the gate, by which accountants of quotas are chosen; empty if
+  /// the node accounts for none.
+  std::string m_GateAddress{};
+  /// By how much all nodes together may exceed the quota of a team; equal on
+  /// all nodes.
+  QuotaTolerance m_QuotaTolerance{};
+  /// Age of the proof that the configuration is the newest one up to which the
+  /// node grants credit of quotas; unset if the source gives no proofs.
+  std::optional<Duration> m_MaxAccountProofAge{};
 };
 
 /// Decision logic of a gate. Does no I/O: the driver passes in messages,
@@ -118,6 +128,8 @@
 
   /// Applies a new version of the configuration.
   void onConfiguration(ConfigurationPtr Config, TimePoint Now);
+  /// Adds a proof that a configuration was the newest one.
+  void onFreshness(const FreshnessProof &Proof);
   /// Sets whether the platform is about to remove the gate's host. New work is
   /// refused while it is.
   void setHostLeaving(bool Leaving, TimePoint Now);
--- a/include/dandelionfall/core/ingress.h
+++ b/include/dandelionfall/core/ingress.h
@@ -88,6 +88,9 @@
   std::optional<Duration> m_MaxProofAge{};
   /// Prices for the strategy `priced-zones`.
   ZonePrices m_ZonePrices{};
+  /// By how much all nodes together may exceed the quota of a team; equal on
+  /// all nodes.
+  QuotaTolerance m_QuotaTolerance{};
 };
 
 /// Decision logic of an ingress. Not thread-safe.
--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -75,6 +75,12 @@
     MetricRow{"dandelionfall_zone_requests_sent_for_lack_of_targets_total",
               "Requests sent to other availability zones because the node's "
               "own had no target that takes them."},
+    MetricRow{"dandelionfall_credit_requests_sent_total",
+              "Requests for credit of quotas sent to accountants."},
+    MetricRow{"dandelionfall_credit_granted_total",
+              "Credits of quotas granted as an accountant."},
+    MetricRow{"dandelionfall_credit_requests_denied_total",
+              "Requests for credit to which this accountant granted none."},
 };
 
 // In the order of Gauge.
--- a/src/app/node/traffic_callers.cpp
+++ b/src/app/node/traffic_callers.cpp
@@ -77,6 +77,7 @@
     return;
   m_Proof = Latest;
   m_Ingress.onFreshness(*Latest);
+  m_Gate.onFreshness(*Latest);
 }
 
 bool TrafficDriver::Impl::mayRepeat(const core::HttpRequest &Request) const {
--- a/src/app/node/traffic_commands.cpp
+++ b/src/app/node/traffic_commands.cpp
@@ -158,6 +158,8 @@
 void TrafficDriver::Impl::sendAsIngress(const core::SendTraffic &Command) {
   if (std::holds_alternative<core::Dispatch>(Command.m_Message))
     m_Board.m_Metrics.add(Counter::DispatchesSent);
+  else if (std::holds_alternative<core::CreditRequest>(Command.m_Message))
+    m_Board.m_Metrics.add(Counter::CreditRequestsSent);
   const auto Local = m_LocalToGate.find(Command.m_Link);
   if (Local != m_LocalToGate.end())
     return m_Gate.onMessage(Local->second, Command.m_Message, monotonicNow());
@@ -169,6 +171,11 @@
 void TrafficDriver::Impl::sendAsGate(const core::SendTraffic &Command) {
   if (std::holds_alternative<core::Refusal>(Command.m_Message))
     m_Board.m_Metrics.add(Counter::Refusals);
+  else if (const auto *Grant =
+               std::get_if<core::CreditGrant>(&Command.m_Message))
+    Grant->m_Granted > 0
+        ? m_Board.m_Metrics.add(Counter::CreditsGranted, Grant->m_Granted)
+        : m_Board.m_Metrics.add(Counter::CreditRequestsDenied);
   const auto Local = m_LocalToIngress.find(Command.m_Link);
   if (Local != m_LocalToIngress.end())
     return m_Ingress.onMessage(Local->second, Command.m_Message,
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -35,6 +35,10 @@
 // that a caller that uses it within the timeout never finds it closed.
 constexpr std::chrono::milliseconds IdleMargin{5000};
 
+// Age of the proof that the configuration is the newest one up to which a node
+// grants credit of quotas.
+constexpr core::Duration MaxAccountProofAge = std::chrono::seconds(5);
+
 core::IngressOptions
 ingressOptions(const Blackboard &Board,
                const std::shared_ptr<core::Quarantine> &Evidence,
@@ -51,6 +55,7 @@
     Options.m_Strategy = "priced-zones";
     Options.m_ZonePrices = *Board.m_Settings.m_ZonePrices;
   }
+  Options.m_QuotaTolerance = Board.m_Settings.m_Quota;
   return Options;
 }
 
@@ -65,6 +70,12 @@
   Options.m_Incarnation = Board.m_Incarnation;
   Options.m_Quarantine = Evidence;
   Options.m_LeavingTargets = LeavingTargets;
+  Options.m_GateAddress = Config.m_LinkAddress;
+  Options.m_QuotaTolerance = Config.m_Quota;
+  // Only a store gives proofs.
+  if (Config.m_SourceProtocol == SourceProtocol::Store)
+    Options.m_MaxAccountProofAge = std::min(
+        MaxAccountProofAge, Config.m_MaxProofAge.value_or(MaxAccountProofAge));
   if (Config.m_SourceProtocol == SourceProtocol::Store)
     Options.m_TargetAddress = Config.m_TargetAddress;
   else
@@ -233,6 +244,8 @@
       m_InboundHosts[Link] = Hello->m_Host;
     if (auto *Dispatch = std::get_if<core::Dispatch>(Message))
       reserveBody(*Dispatch);
+    if (std::holds_alternative<core::CreditRequest>(*Message))
+      refreshProof();
     m_LinkWatch.onFrame(Link, Now);
     m_Gate.onMessage(Link, *Message, Now);
   } else {
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -176,6 +176,9 @@
     EventInfo{EventId::RecordRetained, "record-retained", Severity::Warning,
               "The store has lost a record that is in force; it stays in force "
               "until it is written again or a grace period ends."},
+    EventInfo{
+        EventId::AccountantChanged, "accountant-changed", Severity::Debug,
+        "The node became an accountant of a team's quota, or is no more."},
 };
 
 static_assert(std::is_sorted(Catalogue.begin(), Catalogue.end(),
--- a/src/core/gate.cpp
+++ b/src/core/gate.cpp
@@ -20,6 +20,10 @@
   m_Impl->onConfiguration(std::move(Config), Now);
 }
 
+void Gate::onFreshness(const FreshnessProof &Proof) {
+  m_Impl->onFreshness(Proof);
+}
+
 void Gate::setHostLeaving(bool Leaving, TimePoint /*Now*/) {
   m_Impl->setHostLeaving(Leaving);
 }
--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -31,7 +31,9 @@
     : m_Options(std::move(Options)),
       m_Admission(requireAdmission(m_Options.m_Admission)),
       m_Queue(m_Admission->order()), m_Quarantine(m_Options.m_Quarantine),
-      m_LeavingTargets(m_Options.m_LeavingTargets) {
+      m_LeavingTargets(m_Options.m_LeavingTargets),
+      m_Accounts({m_Options.m_GateAddress, m_Options.m_QuotaTolerance,
+                  m_Options.m_MaxAccountProofAge}) {
   if (m_Quarantine == nullptr)
     m_Quarantine = std::make_shared<Quarantine>(m_Options.m_Incarnation);
   if (m_LeavingTargets == nullptr)
@@ -42,6 +44,10 @@
   const bool WasIn = m_Config == nullptr || !isZoneOut();
   const bool HadTarget = m_Target != nullptr;
   m_Config = std::move(Config);
+  for (const quota::RoleChange &Each :
+       m_Accounts.onConfiguration(m_Config, Now))
+    report(EventId::AccountantChanged,
+           "team=" + Each.m_Team + (Each.m_Gained ? " gained" : " lost"));
   findLocalTarget();
   applyNewInstance(HadTarget, Now);
   if (m_Target != nullptr)
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -17,6 +17,7 @@
 #include "core/gate/stated_rate.h"
 #include "core/gate/target_slots.h"
 #include "core/gate/urgency.h"
+#include "core/quota/team_accounts.h"
 #include "dandelionfall/core/gate.h"
 
 #include <optional>
@@ -72,6 +73,7 @@
   explicit Engine(GateOptions Options);
 
   void onConfiguration(ConfigurationPtr Config, TimePoint Now);
+  void onFreshness(const FreshnessProof &Proof) { m_Accounts.addProof(Proof); }
   void setHostLeaving(bool Leaving) { m_HostLeaving = Leaving; }
   void setStepEvents(bool Enabled) { m_StepEvents = Enabled; }
   void onMessage(LinkId Link, const TrafficMessage &Message, TimePoint Now);
@@ -105,6 +107,7 @@
   void handle(LinkId Link, const TrafficPing &Message, TimePoint Now);
   void handle(LinkId Link, const CrashNotice &Message, TimePoint Now);
   void handle(LinkId Link, const LeavingNotice &Message, TimePoint Now);
+  void handle(LinkId Link, const CreditRequest &Message, TimePoint Now);
   template <typename Unexpected>
   void handle(LinkId Link, const Unexpected &Message, TimePoint Now);
   void handleRepeatedDispatch(LinkId Link, const RequestId &Id,
@@ -260,6 +263,7 @@
   std::shared_ptr<Quarantine> m_Quarantine;
   std::shared_ptr<LeavingTargets> m_LeavingTargets;
   SleepGuard m_SleepGuard;
+  quota::TeamAccounts m_Accounts;
   std::uint64_t m_Arrivals = 0;
   std::optional<TimePoint> m_IdleSince;
   std::optional<TimePoint> m_ZoneOutSince;
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -409,6 +409,10 @@
   }
 }
 
+void Engine::handle(LinkId Link, const CreditRequest &Message, TimePoint Now) {
+  send(Link, m_Accounts.grant(Message, Now));
+}
+
 void Engine::reportNewerVersion(LinkId Link, Version Seen) {
   if (Seen <= std::max(version(), m_NewestSeenVersion))
     return;
--- a/src/core/ingress.cpp
+++ b/src/core/ingress.cpp
@@ -76,6 +76,8 @@
     m_Options.m_Quarantine->merge(Notice->m_Evidence, Now);
   } else if (const auto *Leaving = std::get_if<LeavingNotice>(&Message)) {
     m_Calls.onLeavingNotice(*Leaving);
+  } else if (const auto *Granted = std::get_if<CreditGrant>(&Message)) {
+    m_Calls.onCreditGrant(*Peer, *Granted, Now);
   }
 }
 
--- a/src/core/ingress/call_records.h
+++ b/src/core/ingress/call_records.h
@@ -70,6 +70,10 @@
   TimePoint m_SoftDeadline;
   /// Team of the caller; empty if the route needs none.
   std::string m_Team;
+  /// Whether the call waits for a credit of its team's quota.
+  bool m_AwaitsCredit = false;
+  /// End of the lease of its credit, if it took one.
+  std::optional<TimePoint> m_CreditUntil;
   /// Time after which another attempt is made for a repeatable request.
   Duration m_AttemptTimeout{0};
   /// Complete response with a server error; returned if no other attempt
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -111,7 +111,7 @@
   Entry.m_Request = std::move(Request);
   m_Deadlines.set(Id, Entry.m_Deadline);
   Call &Added = m_Calls.emplace(Id, std::move(Entry)).first->second;
-  dispatchOrConclude(Added, Now);
+  dispatchWithCredit(Added, Owner.m_Team, Now);
 }
 
 void CallTable::reject(CallId Id, const std::string &CallerId,
@@ -152,6 +152,7 @@
   const Call Closed = std::move(Found->second);
   m_Calls.erase(Found);
   m_Deadlines.erase(Id);
+  releaseCredit(Closed, !mayHaveRun(Closed), Now);
   m_PlannedEnd.recordUnanswered(Closed.m_Kind, Now - Closed.m_OpenedAt);
   for (const AttemptNumber Number : Closed.m_OpenAttempts)
     detach(m_Attempts.at(Number), Closed.m_Deadline, Now);
@@ -317,10 +318,10 @@
   const Call Ended = std::move(Found->second);
   m_Calls.erase(Found);
   m_Deadlines.erase(Id);
-  Duration RetryAfter{0};
+  releaseCredit(Ended, Outcome == CallOutcome::NotRun, Now);
+  Duration RetryAfter = Ended.m_RetryAfter;
   recordElapsed(Ended, Outcome, Response.get(), Now);
   if (Outcome == CallOutcome::NotRun) {
-    RetryAfter = Ended.m_RetryAfter;
     if (RetryAfter == Duration{0})
       RetryAfter = Router::remainingBackoff(
           m_Services.findOrAdd(Ended.m_Service, Now), Now);
@@ -328,6 +329,8 @@
       RetryAfter = DefaultRetryAfter;
     if (!Ended.m_IsConfined)
       RetryAfter = m_ReturnSpread.spread(RetryAfter);
+  } else if (Outcome != CallOutcome::OverQuota) {
+    RetryAfter = Duration{0};
   }
   m_Out.answer({Id, Outcome, std::move(Response), RetryAfter, Detail});
   const AttemptNumber Last = Ended.m_OpenAttempts.empty()
@@ -379,6 +382,8 @@
     m_Links.rescheduleTimer(*Expired.m_Peer, Now);
     endAttempt(*Number);
   }
+  m_Credits.onTick(Now);
+  settleCredits(Now);
 }
 
 void CallTable::onAttemptTimeout(AttemptNumber Number, TimePoint Now) {
@@ -391,8 +396,8 @@
 std::optional<TimePoint> CallTable::nextWakeUp() const {
   std::optional<TimePoint> Next;
   for (const std::optional<TimePoint> &Each :
-       {m_Deadlines.next(), m_AttemptTimeouts.next(),
-        m_OrphanTimeouts.next()}) {
+       {m_Deadlines.next(), m_AttemptTimeouts.next(), m_OrphanTimeouts.next(),
+        m_Credits.nextWakeUp()}) {
     if (Each && (!Next || *Each < *Next))
       Next = Each;
   }
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -13,6 +13,7 @@
 #include "core/ingress/router.h"
 #include "core/ingress/service_table.h"
 #include "core/ingress/split_choice.h"
+#include "core/ingress/team_credit.h"
 #include "core/ingress/timer_queue.h"
 #include "dandelionfall/core/freshness.h"
 
@@ -26,14 +27,14 @@
 /// Open calls and their attempts. A request that may have run and is not
 /// idempotent is never sent again. `NotRun` is reported only if it is certain
 /// that no attempt will ever run.
-class CallTable : public GateLinksListener {
+class CallTable : public GateLinksListener, private CreditSender {
 public:
   /// All arguments must outlive this object.
   CallTable(const IngressOptions &Options, GateLinks &Links,
             ServiceTable &Services, Outbox &Out)
       : m_Options(Options), m_Links(Links), m_Services(Services), m_Out(Out),
         m_Router(Options), m_Splits(Options.m_Seed),
-        m_ReturnSpread(Options.m_Seed) {}
+        m_ReturnSpread(Options.m_Seed), m_Credits(Options, *this) {}
 
   void setStepEvents(bool Enabled) { m_StepEvents = Enabled; }
   /// Announces the end of the process. Later calls whose requests might be cut
@@ -62,6 +63,9 @@
   void onInquiryReply(GatePeer &Peer, LinkId Link, const InquiryReply &Message,
                       TimePoint Now);
   void onLeavingNotice(const LeavingNotice &Message);
+  /// Handles the reply of an accountant; in call_table_credit.cpp.
+  void onCreditGrant(const GatePeer &Peer, const CreditGrant &Message,
+                     TimePoint Now);
 
   /// Ends the calls whose deadline has passed. Must run first after a wait,
   /// because the process may have been suspended for long.
@@ -94,7 +98,15 @@
   void appendHistory(const Attempt &Ended, const std::string &End);
   Version version() const;
 
+  // Credit of quotas, in call_table_credit.cpp.
+  bool sendCreditRequest(const std::string &Gate, const CreditRequest &Request,
+                         TimePoint Now) override;
+  void sendWaitingCreditRequests(const GatePeer &Peer);
+  void settleCredits(TimePoint Now);
+  void releaseCredit(const Call &Ended, bool NeverRuns, TimePoint Now);
+
   // Each of these functions may finish the call and erase its record.
+  void dispatchWithCredit(Call &Entry, const Team *Owner, TimePoint Now);
   void startAttempt(Call &Entry, const Candidate &Chosen, TimePoint Now);
   void send(Attempt &Current, TimePoint Now);
   void sendEvidence(const HttpRequest &Request, const GatePeer &Peer,
@@ -145,6 +157,9 @@
   PlannedEnd m_PlannedEnd;
   Freshness m_Freshness;
   ProofWatch m_ProofWatch;
+  TeamCredits m_Credits;
+  /// Requests for credit that wait for the link to a gate.
+  std::map<std::string, std::vector<CreditRequest>> m_WaitingCreditRequests;
   AttemptNumber m_LastAttempt = 0;
   std::map<CallId, Call> m_Calls;
   std::unordered_map<AttemptNumber, Attempt> m_Attempts;
--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -205,11 +205,13 @@
   }
   if (!NextInquiry.m_Ids.empty())
     m_Out.send(Peer.m_Link, std::move(NextInquiry));
+  sendWaitingCreditRequests(Peer);
   for (const AttemptNumber Number : copyOf(Peer.m_Waiting))
     send(m_Attempts.at(Number), Now);
 }
 
 void CallTable::onGateUnreachable(GatePeer &Peer, TimePoint Now) {
+  m_WaitingCreditRequests.erase(Peer.m_Address);
   for (const AttemptNumber Number : copyOf(Peer.m_Waiting))
     endNotRun(Number, "no link to a gate can be opened", Now);
   for (const AttemptNumber Number : copyOf(Peer.m_Sent)) {
@@ -231,6 +233,7 @@
 
 void CallTable::onConfiguration(TimePoint Now) {
   m_Freshness.setApplied(version());
+  m_Credits.onConfiguration(*m_Services.configuration(), Now);
   std::vector<AttemptNumber> Affected;
   for (const auto &[Id, Entry] : m_Calls) {
     for (const AttemptNumber Number : Entry.m_OpenAttempts) {
