Prove freshness where keys or quotas need it, and nowhere else

The accounts of quotas wait for a proof whenever the source is a store, but nodes proved nothing without [revocation], so teams with a quota would have got nothing. Both now follow the settings. Found by reading when the two parts were joined.

--- a/include/dandelionfall/app/settings.h
+++ b/include/dandelionfall/app/settings.h
@@ -71,7 +71,7 @@
   std::optional<core::Duration> m_MaxProofAge{};
   /// [quota] window_s, overage, slack: by how much all nodes together may
   /// exceed the quota of a team.
-  core::QuotaTolerance m_Quota{};
+  std::optional<core::QuotaTolerance> m_Quota{};
   /// [zone_traffic] price_per_gb, worth_of_hour: prices by which the ingress
   /// decides whether a request leaves the availability zone; unset without the
   /// section.
@@ -93,6 +93,14 @@
   friend bool operator==(const Settings &, const Settings &) = default;
 };
 
+/// \returns whether the node must be able to prove that its configuration is
+/// the newest one, for keys or for the accounts of quotas. Only a store allows
+/// such proofs.
+inline bool needsProofs(const Settings &Config) {
+  return Config.m_SourceProtocol == SourceProtocol::Store &&
+         (Config.m_MaxProofAge || Config.m_Quota);
+}
+
 /// Checks a settings text and collects every fault.
 /// \param Text the settings in INI format.
 /// \param File the file name for fault reports.
--- a/src/app/node/registry_driver.cpp
+++ b/src/app/node/registry_driver.cpp
@@ -66,7 +66,7 @@
   Options.m_UrgentPrefixes = platform::urgentPrefixes();
   Options.m_RandomSeed = Board.m_Incarnation.m_High;
   Options.m_MaxFollowers = core::maxFollowers(Config.m_Machine);
-  Options.m_ProvesFreshness = Config.m_MaxProofAge.has_value();
+  Options.m_ProvesFreshness = needsProofs(Config);
   return Options;
 }
 
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -55,7 +55,8 @@
     Options.m_Strategy = "priced-zones";
     Options.m_ZonePrices = *Board.m_Settings.m_ZonePrices;
   }
-  Options.m_QuotaTolerance = Board.m_Settings.m_Quota;
+  Options.m_QuotaTolerance =
+      Board.m_Settings.m_Quota.value_or(core::QuotaTolerance{});
   return Options;
 }
 
@@ -71,9 +72,8 @@
   Options.m_Quarantine = Evidence;
   Options.m_LeavingTargets = LeavingTargets;
   Options.m_GateAddress = Config.m_LinkAddress;
-  Options.m_QuotaTolerance = Config.m_Quota;
-  // Only a store gives proofs.
-  if (Config.m_SourceProtocol == SourceProtocol::Store)
+  Options.m_QuotaTolerance = Config.m_Quota.value_or(core::QuotaTolerance{});
+  if (needsProofs(Config))
     Options.m_MaxAccountProofAge = std::min(
         MaxAccountProofAge, Config.m_MaxProofAge.value_or(MaxAccountProofAge));
   if (Config.m_SourceProtocol == SourceProtocol::Store)
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -202,22 +202,28 @@
       core::parseNumber<std::uint32_t>(Entry, Source, 1, MaxProofAgeMs));
 }
 
+core::QuotaTolerance &quotaTolerance(Settings &Result) {
+  return Result.m_Quota ? *Result.m_Quota : Result.m_Quota.emplace();
+}
+
 void setQuotaWindow(Settings &Result, const IniEntry &Entry,
                     const IniSource &Source) {
   constexpr double MinQuotaWindowS = 0.1;
   const std::chrono::duration<double> Seconds(
       core::parseNumber(Entry, Source, MinQuotaWindowS, MaxQuotaWindowS));
-  Result.m_Quota.m_Window = std::chrono::duration_cast<core::Duration>(Seconds);
+  quotaTolerance(Result).m_Window =
+      std::chrono::duration_cast<core::Duration>(Seconds);
 }
 
 void setQuotaOverage(Settings &Result, const IniEntry &Entry,
                      const IniSource &Source) {
-  Result.m_Quota.m_Overage = core::parseNumber(Entry, Source, 0.0, 1.0);
+  quotaTolerance(Result).m_Overage = core::parseNumber(Entry, Source, 0.0, 1.0);
 }
 
 void setQuotaSlack(Settings &Result, const IniEntry &Entry,
                    const IniSource &Source) {
-  Result.m_Quota.m_Slack = core::parseNumber(Entry, Source, 0.0, MaxQuotaSlack);
+  quotaTolerance(Result).m_Slack =
+      core::parseNumber(Entry, Source, 0.0, MaxQuotaSlack);
 }
 
 constexpr KeyHandler<Settings> RevocationKeys[] = {
