Let no queue form at a target at home that is cold or states a rate

A trial of the ingress's own tests with priced-zones in place of the default strategy showed that a cold target at home, and one that states a rate, were given requests beyond their limit while others had room: their queue was weighed like any other. Such a target now counts as usable only while it has room. The test fails without the rule, as that trial did.

--- a/src/core/ingress/zone_spill.cpp
+++ b/src/core/ingress/zone_spill.cpp
@@ -60,6 +60,14 @@
   return View.isReported() && View.limit(1) >= WarmShare * Of.m_Target->m_Slots;
 }
 
+// No queue forms at a target that is cold or states a rate.
+bool isUsable(const Candidate &Of, const ChoiceContext &Context) {
+  const LoadView &View = Of.m_Peer->m_Load;
+  const bool IsRestrained =
+      View.isRateLimited() || (View.isReported() && !isWarm(Of, Context));
+  return isHealthy(Of, Context) && (!IsRestrained || hasRoom(Of, Context));
+}
+
 using Condition = bool (*)(const Candidate &, const ChoiceContext &);
 
 Candidates thatMeet(const Candidates &Group, Condition Wanted,
@@ -88,19 +96,19 @@
       (Next->m_Distance == Distance::SameZone ? Home : Away).push_back(Next);
     if (!Context.m_Request.m_TriedBefore)
       recordPressure(Home, Context);
-    // If all targets at home fail, it is as good as empty.
-    const Candidates HealthyHome = thatMeet(Home, isHealthy, Context);
-    const Candidates HealthyAway = thatMeet(Away, isHealthy, Context);
-    if (Home.empty() || (HealthyHome.empty() && !HealthyAway.empty())) {
+    // If no target at home is usable, it is as good as empty.
+    const Candidates UsableHome = thatMeet(Home, isUsable, Context);
+    const Candidates UsableAway = thatMeet(Away, isUsable, Context);
+    if (Home.empty() || (UsableHome.empty() && !UsableAway.empty())) {
       ++Context.m_Counts.m_SentForLackOfTargets;
-      return By.betterOfTwo(nearestWithRoom(Away, HealthyAway, Context));
+      return By.betterOfTwo(nearestWithRoom(Away, UsableAway, Context));
     }
     const Candidate *Elsewhere = findBetterElsewhere(
-        HealthyHome.empty() ? Home : HealthyHome, HealthyAway, By, Context);
+        UsableHome.empty() ? Home : UsableHome, UsableAway, By, Context);
     if (Elsewhere != nullptr)
       return Elsewhere;
     ++Context.m_Counts.m_Kept;
-    const Candidates WithRoom = thatMeet(HealthyHome, hasRoom, Context);
+    const Candidates WithRoom = thatMeet(UsableHome, hasRoom, Context);
     return By.betterOfTwo(WithRoom.empty() ? Home : WithRoom);
   }
 
--- a/tests/unit/zone_spill_test.cpp
+++ b/tests/unit/zone_spill_test.cpp
@@ -272,6 +272,21 @@
   }
 }
 
+TEST_CASE("a target at home that is cold or states a rate gets no queue while "
+          "others have room") {
+  for (const auto &Rate : {std::optional<double>(), std::optional(5.0)}) {
+    IngressFixture Test(pricedOptions());
+    Test.m_Load["gate1"] = {0, 0, Rate ? 2U : 1U, 1ms, Rate};
+    Test.configure({});
+    for (CallId Id = 1; Id <= 7; ++Id)
+      Test.call(Id, "POST");
+    const auto AtHome = std::count_if(
+        Test.m_Dispatches.begin(), Test.m_Dispatches.end(),
+        [](const ReceivedDispatch &Each) { return Each.m_Gate == "gate1"; });
+    CHECK(AtHome == Test.m_Load["gate1"].m_Limit);
+  }
+}
+
 TEST_CASE("a request refused at home goes where there is room") {
   IngressFixture Test(pricedOptions(1e6));
   for (const char *Gate : {"gate1", "gate2"})
