Mend what the review of pipelining, ranks and zone prices found

- A request that would be late, or one that comes to a queue above a lowered limit, displaces none in a full queue.
- The retry time of an urgent request no longer counts the less urgent ones that it would displace.
- The time in which a request with Expect: 100-continue waits for its turn is not taken off its deadline a second time.
- With the zone's own targets full, none is queued at a cold or failing one while a healthy one is there.
- Requests run side by side by method only if it is safe (RFC 9112, 9.3.2); a PUT behind another one no longer changes places with it.

Found by reading.

--- a/src/app/node/traffic_callers.cpp
+++ b/src/app/node/traffic_callers.cpp
@@ -80,14 +80,14 @@
   m_Gate.onFreshness(*Latest);
 }
 
-bool TrafficDriver::Impl::mayRepeat(const core::HttpRequest &Request) const {
+bool TrafficDriver::Impl::mayRunBeside(const core::HttpRequest &Request) const {
   if (m_Configuration == nullptr)
     return false;
   const core::Route *Match =
       core::findRoute(*m_Configuration, Request.m_HostName, Request.m_Path)
           .m_Route;
   return Match != nullptr &&
-         core::ingress::isIdempotent(Match->m_Idempotency, Request.m_Method);
+         core::ingress::mayRunBeside(Match->m_Idempotency, Request.m_Method);
 }
 
 bool TrafficDriver::Impl::refuseIfBodyTooLarge(
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -129,7 +129,7 @@
         onCall(Call, std::move(Request));
       };
   ServerHandlers.m_MayRunBeside = [this](const core::HttpRequest &Request) {
-    return mayRepeat(Request);
+    return mayRunBeside(Request);
   };
   ServerHandlers.m_RunsBeside = [this](core::CallId) {
     m_Board.m_Metrics.add(Counter::CallsPipelined);
--- a/src/app/node/traffic_driver_impl.h
+++ b/src/app/node/traffic_driver_impl.h
@@ -40,9 +40,9 @@
 
   void startServer();
   void onCall(core::CallId Call, std::shared_ptr<core::HttpRequest> Request);
-  /// \returns whether the route in force lets the request be repeated, so that
-  /// it may be begun before earlier ones of its connection are answered.
-  bool mayRepeat(const core::HttpRequest &Request) const;
+  /// \returns whether the route in force lets the request be begun before
+  /// earlier ones of its connection are answered.
+  bool mayRunBeside(const core::HttpRequest &Request) const;
   /// \returns the response to a request whose body is not read for want of
   /// memory.
   core::HttpResponse refuseForRoom(const core::HttpRequest &Header);
--- a/src/core/gate/deadline_admission.cpp
+++ b/src/core/gate/deadline_admission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <span>
 #include <tuple>
@@ -92,12 +93,16 @@
   return Request.m_Late ? Request.m_Deadline : Request.m_SoftDeadline;
 }
 
+/// \param Least rank of the least urgent requests that count.
 Placement evaluatePlacement(const AdmissionView &View,
                             const std::vector<TimePoint> &Finishes,
-                            std::size_t Position, Duration Spread) {
+                            std::size_t Position, Duration Spread,
+                            Rank Least = std::numeric_limits<Rank>::max()) {
   const std::vector<TimePoint> NewFinishes = schedule(View, Position);
   Placement Result{NewFinishes[Position], true};
   for (std::size_t Index = Position; Index < View.m_Waiting.size(); ++Index) {
+    if (View.m_Waiting[Index].m_Rank > Least)
+      continue;
     const TimePoint Limit = requiredFinish(View.m_Waiting[Index]);
     const bool WasInTime = Finishes[Index] + Spread <= Limit;
     const bool IsInTime = NewFinishes[Index + 1] + Spread <= Limit;
@@ -107,16 +112,20 @@
   return Result;
 }
 
+/// The request would displace less urgent ones, so these don't count.
 Duration earliestFeasibleDelay(const AdmissionView &View,
                                const std::vector<TimePoint> &Finishes,
                                std::size_t Position, Duration Spread,
-                               TimePoint Deadline) {
+                               const ArrivingRequest &Arriving) {
+  const TimePoint Deadline = Arriving.m_SoftDeadline;
   const Duration OwnTime = View.m_ServiceTime.m_Mean + Spread;
   if (Deadline - View.m_Now < OwnTime)
     return Duration{0};
-  Placement Found = evaluatePlacement(View, Finishes, Position, Spread);
+  Placement Found =
+      evaluatePlacement(View, Finishes, Position, Spread, Arriving.m_Rank);
   while (!Found.m_KeepsOthersInTime)
-    Found = evaluatePlacement(View, Finishes, ++Position, Spread);
+    Found =
+        evaluatePlacement(View, Finishes, ++Position, Spread, Arriving.m_Rank);
   return std::max(Found.m_Finish + Spread - Deadline, MinRetryAfter);
 }
 
@@ -209,13 +218,15 @@
                                        Duration RetryAfter) const {
   AdmissionDecision Full{false, false, RefusalReason::QueueFull, RetryAfter};
   const auto Last = lastLessUrgent(View, Arriving.m_Rank);
-  if (!Last)
+  // One place is not enough in a queue above a limit that was lowered.
+  if (!Last || View.m_Waiting.size() > View.m_QueueLimit)
     return Full;
   AdmissionView Shorter = View;
   Shorter.m_Waiting.erase(Shorter.m_Waiting.begin() +
                           static_cast<std::ptrdiff_t>(*Last));
   AdmissionDecision Decision = decide(Shorter, Arriving);
-  if (!Decision.m_Admitted)
+  // A request that is late already displaces none.
+  if (!Decision.m_Admitted || Decision.m_Late)
     return Full;
   for (Displaced &Each : Decision.m_Displaced)
     Each.m_Index += Each.m_Index >= *Last ? 1 : 0;
@@ -261,8 +272,7 @@
       return {true, true};
   }
   return {false, false, RefusalReason::Overload,
-          earliestFeasibleDelay(View, Finishes, Position, Spread,
-                                Arriving.m_SoftDeadline)};
+          earliestFeasibleDelay(View, Finishes, Position, Spread, Arriving)};
 }
 
 bool DeadlineAdmission::canFinishInTime(
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -134,7 +134,7 @@
   /// \returns whether a request that doesn't fit is admitted as a probe, see
   /// `ServiceTimes`.
   bool admitProbe(const Dispatch &Message, const ArrivingRequest &Arriving,
-                  AdmissionView View, Admitted &As, TimePoint Now);
+                  const AdmissionView &View, Admitted &As, TimePoint Now);
   /// \returns the time that an arriving request would wait for the rate limits
   /// of the target.
   /// \param Of its rank.
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -201,8 +201,9 @@
 }
 
 bool Engine::admitProbe(const Dispatch &Message,
-                        const ArrivingRequest &Arriving, AdmissionView View,
-                        Admitted &As, TimePoint Now) {
+                        const ArrivingRequest &Arriving,
+                        const AdmissionView &View, Admitted &As,
+                        TimePoint Now) {
   const auto Probe =
       m_ServiceTimes.probeEstimate(Message.m_Kind, Now, m_IdleSince);
   if (!Probe)
@@ -214,8 +215,9 @@
   if (!Message.m_Idempotent &&
       !m_Admission->decide(View, UntilDeadline).m_Admitted)
     return false;
-  View.m_ServiceTime = *Probe;
-  const AdmissionDecision Decision = m_Admission->decide(View, Arriving);
+  AdmissionView AsProbe = View;
+  AsProbe.m_ServiceTime = *Probe;
+  const AdmissionDecision Decision = m_Admission->decide(AsProbe, Arriving);
   if (!Decision.m_Admitted)
     return false;
   As = {Decision.m_Late, true, Probe->m_Mean, Decision.m_Displaced};
--- a/src/core/ingress/idempotency.h
+++ b/src/core/ingress/idempotency.h
@@ -14,6 +14,13 @@
 /// \returns false also for methods that the RFC does not define.
 bool isIdempotentMethod(std::string_view Method);
 
+/// Checks whether a request may run beside others of its connection, so that
+/// they may change places.
+/// \param Rule rule of the route. Unless it declares all requests repeatable,
+/// only safe methods may (RFC 9112, section 9.3.2).
+/// \param Method method of the request.
+bool mayRunBeside(Idempotency Rule, std::string_view Method);
+
 /// Checks whether a request may be repeated.
 /// \param Rule rule of the route; takes precedence over the method.
 /// \param Method method of the request.
--- a/src/core/ingress/zone_spill.cpp
+++ b/src/core/ingress/zone_spill.cpp
@@ -117,7 +117,8 @@
     const Candidates Preferred = thatMeet(WithRoom, statesNoRate, Context);
     if (!Preferred.empty())
       return By.betterOfTwo(Preferred);
-    return By.betterOfTwo(WithRoom.empty() ? Home : WithRoom);
+    const Candidates &Queued = UsableHome.empty() ? Home : UsableHome;
+    return By.betterOfTwo(WithRoom.empty() ? Queued : WithRoom);
   }
 
 private:
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -126,7 +126,7 @@
 
 void HttpServer::Impl::Session::onTurn() {
   m_State = State::Reading;
-  m_Deadline += Clock::now() - m_WaitsSince;
+  m_Deadline += Clock::now() - std::exchange(m_WaitsSince, {});
   reserveForStart();
 }
 
--- a/tests/unit/gate_urgency_test.cpp
+++ b/tests/unit/gate_urgency_test.cpp
@@ -101,6 +101,7 @@
       {"none of a more urgent rank", {{0, 25}}, 24, false, {}},
       {"only if it makes room", {{1, 20}, {2, 90}}, 15, false, {}},
       {"a full queue", {{1, 800}, {2, 900}}, 950, true, {1}, 2},
+      {"a queue above its limit", {{1, 800}, {2, 900}}, 950, false, {}, 1},
       {"a full queue of its rank", {{0, 800}, {1, 900}}, 950, false, {}, 2},
   };
   const TimePoint Now(ms(1000));
@@ -204,3 +205,43 @@
           IsAdmitted);
   }
 }
+
+TEST_CASE("a request that would be late displaces none in a full queue") {
+  const TimePoint Now(ms(1000));
+  gate::AdmissionView View;
+  View.m_Now = Now;
+  View.m_SlotsFreeAt = {Now + ms(10)};
+  View.m_ServiceTime = {ms(10), Duration{0}};
+  View.m_QueueLimit = 2;
+  View.m_Waiting = {{Now + ms(2000), ms(10), Now + ms(800), false, 1},
+                    {Now + ms(2000), ms(10), Now + ms(900), false, 2}};
+  const auto Decide = [&View, Now] {
+    return gate::findAdmission("deadline")
+        ->decide(View, {Now + ms(2000), Now + ms(5), 1});
+  };
+  const gate::AdmissionDecision Full = Decide();
+  CHECK(!Full.m_Admitted);
+  CHECK(Full.m_Reason == RefusalReason::QueueFull);
+  CHECK(Full.m_Displaced.empty());
+  View.m_QueueLimit = 3;
+  CHECK(Decide().m_Late);
+}
+
+TEST_CASE("the retry time of an urgent request ignores the less urgent ones") {
+  const TimePoint Now(ms(1000));
+  gate::AdmissionView View;
+  View.m_Now = Now;
+  View.m_SlotsFreeAt = {Now + ms(10)};
+  View.m_ServiceTime = {ms(10), Duration{0}};
+  View.m_QueueLimit = 100;
+  View.m_Waiting.push_back({Now + ms(20), ms(10), Now + ms(20), false, 0});
+  for (int Number = 1; Number <= 50; ++Number)
+    View.m_Waiting.push_back({Now + ms(20 + 10 * Number), ms(10),
+                              Now + ms(20 + 10 * Number), false, 5});
+  const gate::AdmissionDecision Decision =
+      gate::findAdmission("deadline")
+          ->decide(View, {Now + ms(15), Now + ms(15), 0});
+  CHECK(!Decision.m_Admitted);
+  CHECK(Decision.m_RetryAfter > Duration{0});
+  CHECK(Decision.m_RetryAfter <= ms(20));
+}
--- a/tests/unit/ingress_retries_test.cpp
+++ b/tests/unit/ingress_retries_test.cpp
@@ -28,6 +28,18 @@
   }
 }
 
+TEST_CASE("requests that change something don't change places by method") {
+  for (const char *Method :
+       {"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE", "POST"}) {
+    CAPTURE(Method);
+    const std::string Name = Method;
+    const bool IsSafe = Name != "PUT" && Name != "DELETE" && Name != "POST";
+    CHECK(ingress::mayRunBeside(Idempotency::ByMethod, Method) == IsSafe);
+    CHECK(ingress::mayRunBeside(Idempotency::Always, Method));
+    CHECK_FALSE(ingress::mayRunBeside(Idempotency::Never, Method));
+  }
+}
+
 TEST_CASE("the idempotency rule of the route reaches the dispatch") {
   for (const Idempotency Rule : {Idempotency::Always, Idempotency::Never}) {
     IngressFixture Test;
