Mend what the review of teams, quotas and proofs found

- [source] keeps_writes: where the store never loses what it has acknowledged, proofs need not wait 2 s after a failed call.
After a comparison the next watch is answered at once, so that there is a proof soon.
- Links to accountants leave half of all links to requests.
- Requests for credit that waited for a link longer than their lease are not sent: what they were granted was lost.
- Answers to callers no longer name accountants; the event does.
- Faults of the teams part quote no name of an entry, which may be a piece of a key; names of teams must fit a header field.
- [revocation] without a store is refused: every key would be rejected.
- The number of a team's accountants no longer depends on how a processor rounds.

--- a/include/dandelionfall/app/settings.h
+++ b/include/dandelionfall/app/settings.h
@@ -52,6 +52,9 @@
   /// [source] budget_calls_per_s: limit on calls to the source per second, over
   /// all nodes together.
   double m_SourceBudget = 2000;
+  /// [source] keeps_writes: whether the store never loses what it has
+  /// acknowledged, unless it raises its era.
+  bool m_SourceKeepsWrites = false;
   /// [overlay] seeds: comma-separated link addresses of some other nodes.
   std::vector<std::string> m_Seeds;
   /// [overlay] assumed_hosts: number of hosts assumed until a host list is
--- a/include/dandelionfall/core/store_reader.h
+++ b/include/dandelionfall/core/store_reader.h
@@ -135,7 +135,10 @@
 class StoreReader {
 public:
   /// \param Seed seed of the random jitter between calls.
-  explicit StoreReader(std::uint64_t Seed) : m_Random(Seed) {}
+  /// \param KeepsWrites whether the store never loses what it has acknowledged,
+  /// unless it raises its era.
+  explicit StoreReader(std::uint64_t Seed, bool KeepsWrites = false)
+      : m_Random(Seed), m_KeepsWrites(KeepsWrites) {}
 
   /// Issues the first call.
   void start(TimePoint Now);
@@ -238,6 +241,7 @@
   void setReachable(bool Reachable, const std::string &Cause);
 
   std::mt19937_64 m_Random;
+  bool m_KeepsWrites;
   std::vector<StoreReaderCommand> m_Commands;
   /// Id of the last call; replies to earlier calls are ignored.
   std::uint64_t m_LastCall = 0;
--- a/include/dandelionfall/core/store_replica.h
+++ b/include/dandelionfall/core/store_replica.h
@@ -37,6 +37,10 @@
   /// Whether proofs are made that the configuration is the newest one; nodes
   /// that are followed are then asked for theirs.
   bool m_ProvesFreshness = false;
+  /// Whether the store never loses what it has acknowledged, unless it raises
+  /// its era. Otherwise proofs wait, after a failed call, until what a restored
+  /// store lost has been written again.
+  bool m_StoreKeepsWrites = false;
 };
 
 /// Applies a newer configuration; versions ascend.
--- a/src/app/node/registry_driver.cpp
+++ b/src/app/node/registry_driver.cpp
@@ -67,6 +67,7 @@
   Options.m_RandomSeed = Board.m_Incarnation.m_High;
   Options.m_MaxFollowers = core::maxFollowers(Config.m_Machine);
   Options.m_ProvesFreshness = needsProofs(Config);
+  Options.m_StoreKeepsWrites = Config.m_SourceKeepsWrites;
   return Options;
 }
 
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -1,6 +1,7 @@
 #include "dandelionfall/app/settings.h"
 
 #include "app/file_reader.h"
+#include "app/settings_teams.h"
 #include "dandelionfall/core/ini_document.h"
 #include "dandelionfall/core/ini_fields.h"
 #include "dandelionfall/net/address.h"
@@ -32,6 +33,8 @@
 constexpr double MaxSourceBudget = 1'000'000;
 constexpr std::size_t MaxSeeds = 64;
 
+constexpr NamedValue<bool> Booleans[] = {{"true", true}, {"false", false}};
+
 bool isNameCharacter(char Character) {
   const bool Letter = (Character >= 'a' && Character <= 'z') ||
                       (Character >= 'A' && Character <= 'Z');
@@ -129,8 +132,7 @@
 
 void setTraceRequests(Settings &Result, const IniEntry &Entry,
                       const IniSource &Source) {
-  constexpr NamedValue<bool> Names[] = {{"true", true}, {"false", false}};
-  Result.m_TraceRequests = core::parseNamedValue(Entry, Source, Names);
+  Result.m_TraceRequests = core::parseNamedValue(Entry, Source, Booleans);
 }
 
 constexpr KeyHandler<Settings> NodeKeys[] = {
@@ -150,10 +152,16 @@
 };
 constexpr std::string_view RequiredTargetKeys[] = {"name", "address"};
 
+void setKeepsWrites(Settings &Result, const IniEntry &Entry,
+                    const IniSource &Source) {
+  Result.m_SourceKeepsWrites = core::parseNamedValue(Entry, Source, Booleans);
+}
+
 constexpr KeyHandler<Settings> SourceKeys[] = {
     {"address", setAddress<&Settings::m_SourceAddress>},
     {"protocol", setSourceProtocol},
     {"budget_calls_per_s", setBudget},
+    {"keeps_writes", setKeepsWrites},
 };
 constexpr std::string_view RequiredSourceKeys[] = {"address"};
 
@@ -192,79 +200,6 @@
     {"window_s", setRetryWindow},
 };
 
-constexpr std::uint32_t MaxProofAgeMs = 3'600'000;
-constexpr double MaxQuotaWindowS = 3600;
-constexpr double MaxQuotaSlack = 1'000'000;
-
-void setProofAge(Settings &Result, const IniEntry &Entry,
-                 const IniSource &Source) {
-  Result.m_MaxProofAge = std::chrono::milliseconds(
-      core::parseNumber<std::uint32_t>(Entry, Source, 1, MaxProofAgeMs));
-}
-
-core::QuotaTolerance &quotaTolerance(Settings &Result) {
-  return Result.m_Quota ? *Result.m_Quota : Result.m_Quota.emplace();
-}
-
-void setQuotaWindow(Settings &Result, const IniEntry &Entry,
-                    const IniSource &Source) {
-  constexpr double MinQuotaWindowS = 0.1;
-  const std::chrono::duration<double> Seconds(
-      core::parseNumber(Entry, Source, MinQuotaWindowS, MaxQuotaWindowS));
-  quotaTolerance(Result).m_Window =
-      std::chrono::duration_cast<core::Duration>(Seconds);
-}
-
-void setQuotaOverage(Settings &Result, const IniEntry &Entry,
-                     const IniSource &Source) {
-  quotaTolerance(Result).m_Overage = core::parseNumber(Entry, Source, 0.0, 1.0);
-}
-
-void setQuotaSlack(Settings &Result, const IniEntry &Entry,
-                   const IniSource &Source) {
-  quotaTolerance(Result).m_Slack =
-      core::parseNumber(Entry, Source, 0.0, MaxQuotaSlack);
-}
-
-constexpr KeyHandler<Settings> RevocationKeys[] = {
-    {"max_age_ms", setProofAge},
-};
-constexpr std::string_view RequiredRevocationKeys[] = {"max_age_ms"};
-
-constexpr KeyHandler<Settings> QuotaKeys[] = {
-    {"window_s", setQuotaWindow},
-    {"overage", setQuotaOverage},
-    {"slack", setQuotaSlack},
-};
-constexpr double MaxZonePrice = 1'000'000;
-
-core::ZonePrices &zonePrices(Settings &Result) {
-  return Result.m_ZonePrices ? *Result.m_ZonePrices
-                             : Result.m_ZonePrices.emplace();
-}
-
-void setPricePerGb(Settings &Result, const IniEntry &Entry,
-                   const IniSource &Source) {
-  zonePrices(Result).m_PerGigabyte =
-      core::parseNumber(Entry, Source, 0.0, MaxZonePrice);
-}
-
-void setWorthOfHour(Settings &Result, const IniEntry &Entry,
-                    const IniSource &Source) {
-  // Keeps the ratio of the two prices finite.
-  constexpr double MinWorth = 0.001;
-  constexpr double SecondsPerHour = 3600;
-  zonePrices(Result).m_WorthOfSecond =
-      core::parseNumber(Entry, Source, MinWorth, MaxZonePrice) / SecondsPerHour;
-}
-
-constexpr KeyHandler<Settings> ZoneTrafficKeys[] = {
-    {"price_per_gb", setPricePerGb},
-    {"worth_of_hour", setWorthOfHour},
-};
-constexpr std::string_view RequiredZoneTrafficKeys[] = {"price_per_gb",
-                                                        "worth_of_hour"};
-
 constexpr double MaxLinkMbps = 1'000'000;
 constexpr std::uint32_t MaxCores = 4096;
 constexpr std::uint32_t MaxMemoryMb = 1U << 24U;
@@ -363,10 +298,9 @@
     {"overlay", false, {}, readSection<OverlayKeys>},
     {"zones", false, {}, readZones},
     {"retries", false, {}, readSection<RetryKeys>},
-    {"revocation", false, RequiredRevocationKeys, readSection<RevocationKeys>},
-    {"quota", false, {}, readSection<QuotaKeys>},
-    {"zone_traffic", false, RequiredZoneTrafficKeys,
-     readSection<ZoneTrafficKeys>},
+    {"revocation", false, RequiredRevocationKeys, readRevocation},
+    {"quota", false, {}, readQuota},
+    {"zone_traffic", false, RequiredZoneTrafficKeys, readZoneTraffic},
     {"machine", false, {}, readSection<MachineKeys>},
     {"stop", false, {}, readSection<StopKeys>},
     {"log", false, {}, readSection<LogKeys>},
@@ -451,6 +385,16 @@
   }
 }
 
+// Without proofs every request with a key would be rejected.
+void checkProofs(const core::IniDocument &Document, const Settings &Result,
+                 const IniSource &Source, FaultList &Faults) {
+  if (Result.m_MaxProofAge && !needsProofs(Result))
+    Faults.push_back(Source.makeFault(
+        "[revocation] needs proofs, which only a store gives",
+        "set protocol = store in [source], or remove [revocation]",
+        findSection(Document, "revocation")->m_Line));
+}
+
 } // namespace
 
 std::vector<Error> checkSettings(std::string_view Text, const std::string &File,
@@ -474,6 +418,7 @@
   }
   checkRequiredKeys(Document, Source, Faults);
   checkSharedAddresses(Document, Parsed, Source, Faults);
+  checkProofs(Document, Parsed, Source, Faults);
   std::stable_sort(Faults.begin(), Faults.end(),
                    [](const Error &Left, const Error &Right) {
                      return Left.location().m_Line < Right.location().m_Line;
--- a/src/core/configuration_parts.cpp
+++ b/src/core/configuration_parts.cpp
@@ -153,6 +153,23 @@
 constexpr std::string_view RequiredServiceKeys[] = {"profile"};
 constexpr std::string_view RequiredTargetKeys[] = {"host", "zone", "gate"};
 
+// What stands before a '=' in a list of keys that was broken into lines looks
+// like the name of an entry, so such names are not quoted.
+void readTeamEntries(TeamDefinition &Entry, IniSection Section,
+                     const IniSource &Context, FaultList &Faults) {
+  std::erase_if(Section.m_Entries, [&](const IniEntry &Each) {
+    const bool IsKnown =
+        std::any_of(std::begin(TeamKeys), std::end(TeamKeys),
+                    [&](const auto &Row) { return Row.m_Key == Each.m_Key; });
+    if (!IsKnown)
+      Faults.push_back(Context.makeFault(
+          "unknown key in a team",
+          "use one of: keys, priority, rate_per_s, burst", Each.m_Line));
+    return !IsKnown;
+  });
+  readEntries(Entry, Section, Context, TeamKeys, Faults);
+}
+
 IniSource makeIniSource(const Part &Source) {
   return {ErrorKind::BadConfiguration, Source.m_Name};
 }
@@ -275,7 +292,7 @@
     checkSectionName(Section, Context, Faults);
     TeamDefinition &Entry = Definitions.emplace_back();
     Entry.m_Team.m_Name = Section.m_Name;
-    readEntries(Entry, Section, Context, TeamKeys, Faults);
+    readTeamEntries(Entry, Section, Context, Faults);
     Lines.push_back(Section.m_Line);
   }
   if (const auto Fault = findTeamFault(Definitions))
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -101,7 +101,7 @@
   // Credit of quotas, in call_table_credit.cpp.
   bool sendCreditRequest(const std::string &Gate, const CreditRequest &Request,
                          TimePoint Now) override;
-  void sendWaitingCreditRequests(const GatePeer &Peer);
+  void sendWaitingCreditRequests(const GatePeer &Peer, TimePoint Now);
   void settleCredits(TimePoint Now);
   void releaseCredit(const Call &Ended, bool NeverRuns, TimePoint Now);
 
@@ -159,7 +159,8 @@
   ProofWatch m_ProofWatch;
   TeamCredits m_Credits;
   /// Requests for credit that wait for the link to a gate.
-  std::map<std::string, std::vector<CreditRequest>> m_WaitingCreditRequests;
+  std::map<std::string, std::vector<std::pair<CreditRequest, TimePoint>>>
+      m_WaitingCreditRequests;
   AttemptNumber m_LastAttempt = 0;
   std::map<CallId, Call> m_Calls;
   std::unordered_map<AttemptNumber, Attempt> m_Attempts;
--- a/src/core/ingress/call_table_credit.cpp
+++ b/src/core/ingress/call_table_credit.cpp
@@ -1,5 +1,6 @@
 // Calls and the credit of their teams' quotas.
 #include "core/ingress/call_table.h"
+#include "core/quota/limits.h"
 
 #include <utility>
 
@@ -35,14 +36,14 @@
       continue;
     }
     Entry->m_RetryAfter = Each.m_RetryAfter;
+    // Logged with the attempts; a caller has no use for addresses of nodes.
+    Entry->m_History += "accountants:" + Each.m_Detail;
     if (Each.m_Denied)
       finish(Each.m_Call, CallOutcome::OverQuota, nullptr,
-             "the quota of the team is used up; accountants: " + Each.m_Detail,
-             Now);
+             "the quota of the team is used up", Now);
     else
       finish(Each.m_Call, CallOutcome::NotRun, nullptr,
-             "no accountant of the team's quota responds: " + Each.m_Detail,
-             Now);
+             "no accountant of the team's quota responds", Now);
   }
 }
 
@@ -64,18 +65,23 @@
     m_Links.rescheduleTimer(Peer, Now);
     return true;
   }
+  if (Peer.m_State == LinkState::Idle && !m_Links.hasSpareLinks())
+    return false;
   if (!m_Links.ensureOpen(Peer, Now))
     return false;
-  m_WaitingCreditRequests[Gate].push_back(Request);
+  m_WaitingCreditRequests[Gate].push_back({Request, Now});
   return true;
 }
 
-void CallTable::sendWaitingCreditRequests(const GatePeer &Peer) {
+void CallTable::sendWaitingCreditRequests(const GatePeer &Peer, TimePoint Now) {
   const auto Found = m_WaitingCreditRequests.find(Peer.m_Address);
   if (Found == m_WaitingCreditRequests.end())
     return;
-  for (const CreditRequest &Each : Found->second)
-    m_Out.send(Peer.m_Link, Each);
+  // What an older request was granted could not be used any more.
+  for (const auto &[Request, AskedAt] : Found->second) {
+    if (Now < AskedAt + quota::LeaseTime)
+      m_Out.send(Peer.m_Link, Request);
+  }
   m_WaitingCreditRequests.erase(Found);
 }
 
--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -205,7 +205,7 @@
   }
   if (!NextInquiry.m_Ids.empty())
     m_Out.send(Peer.m_Link, std::move(NextInquiry));
-  sendWaitingCreditRequests(Peer);
+  sendWaitingCreditRequests(Peer, Now);
   for (const AttemptNumber Number : copyOf(Peer.m_Waiting))
     send(m_Attempts.at(Number), Now);
 }
--- a/src/core/ingress/gate_links.h
+++ b/src/core/ingress/gate_links.h
@@ -50,6 +50,10 @@
   GatePeer *findByLink(LinkId Link);
   /// \returns the links that can carry messages.
   std::vector<LinkId> readyLinks() const;
+  /// \returns whether links are left for other uses than requests.
+  bool hasSpareLinks() const {
+    return m_Links.size() < MaxLinks - ReservedLinks;
+  }
   /// Opens a link unless there is one, the gate is backed off, or the maximum
   /// number of links is reached.
   /// \returns whether a link is open or being opened.
--- a/src/core/ingress/limits.h
+++ b/src/core/ingress/limits.h
@@ -17,6 +17,9 @@
 constexpr std::size_t MaxWaitingPerGate = 256;
 /// Maximum number of open links.
 constexpr std::size_t MaxLinks = 1024;
+/// Links that only requests may open; the others may also lead to accountants
+/// of quotas.
+constexpr std::size_t ReservedLinks = 512;
 /// Targets of one service to which links are opened before a request needs
 /// them.
 constexpr std::size_t PreopenedLinksPerService = 8;
--- a/src/core/quota/accountants.cpp
+++ b/src/core/quota/accountants.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Nodes on different processors must agree on the number of accountants.
+constexpr double Rounding = 1e-9;
+
 double secondsOf(Duration Time) {
   return std::chrono::duration<double>(Time).count();
 }
@@ -33,7 +36,7 @@
   }
   const auto Count = std::clamp<std::size_t>(
       static_cast<std::size_t>(
-          std::min(Burst / MinShareBurst, double{MaxAccountants})),
+          std::min(Burst / MinShareBurst + Rounding, double{MaxAccountants})),
       1, std::min(MaxAccountants, GateCount));
   const auto Parts = static_cast<double>(Count);
   return {Count, Rate / Parts, Burst / Parts};
--- a/src/core/registry/store_reader_history.cpp
+++ b/src/core/registry/store_reader_history.cpp
@@ -55,13 +55,17 @@
   m_Dropped.reset();
   if (m_ComparedAsOf >= m_KnownRevision)
     onVerified(Now);
+  // The next proof, which keys may depend on, should not wait for a change.
+  m_AnswerAtOnce = true;
   issueCall(Now);
+  m_AnswerAtOnce = false;
 }
 
 // The store can have been restored from a copy that lacks only what this node
 // has not read.
 void StoreReader::onVerified(TimePoint Now) {
-  if (std::exchange(m_IsUnverified, false) && !m_History.hasEra())
+  if (std::exchange(m_IsUnverified, false) && !m_History.hasEra() &&
+      !m_KeepsWrites)
     m_ProvesFrom = Now + RewriteTime;
 }
 
--- a/src/core/registry/store_replica.cpp
+++ b/src/core/registry/store_replica.cpp
@@ -31,7 +31,8 @@
 class StoreReplica::Impl {
 public:
   Impl(const RecordDecoder &Decoder, const StoreReplicaOptions &Options)
-      : m_Registry(Decoder, Options.m_Registry), m_Reader(Options.m_RandomSeed),
+      : m_Registry(Decoder, Options.m_Registry),
+        m_Reader(Options.m_RandomSeed, Options.m_StoreKeepsWrites),
         m_Pull(otherSeeds(Options)),
         m_Follower(Options.m_LinkAddress, Options.m_Zone,
                    Options.m_ProvesFreshness),
--- a/src/core/team.cpp
+++ b/src/core/team.cpp
@@ -17,6 +17,9 @@
     std::numeric_limits<std::int16_t>::max();
 constexpr double MaxQuota = 1e9;
 
+// Names travel in header fields, keys are compared with those in requests.
+bool isVisible(char Character) { return Character > ' ' && Character < '\x7f'; }
+
 bool isQuotaValue(double Value) {
   return std::isfinite(Value) && Value >= 0 && Value <= MaxQuota;
 }
@@ -57,6 +60,9 @@
     const std::string What = "team " + Each.m_Name;
     if (Each.m_Name.empty())
       return TeamFault{Index, "a team has no name", "name each team"};
+    if (!std::all_of(Each.m_Name.begin(), Each.m_Name.end(), isVisible))
+      return TeamFault{Index, "the name of a team can't be sent to targets",
+                       "write it without blanks and control characters"};
     if (!Names.insert(Each.m_Name).second)
       return TeamFault{Index, What + " is defined twice",
                        "define each name once"};
--- a/tests/unit/team_test.cpp
+++ b/tests/unit/team_test.cpp
@@ -130,6 +130,7 @@
   constexpr double Nan = std::numeric_limits<double>::quiet_NaN();
   const std::vector<std::vector<TeamDefinition>> Faulty = {
       {define("", {"a"})},
+      {define("x\r\ny", {"a"})},
       {define("x", {"a"}), define("x", {"b"})},
       {define("x", {Secret}), define("y", {Secret})},
       {define("x", {Secret, Secret})},
@@ -209,6 +210,8 @@
   CHECK(Faults("[team x]\nkeys = a,,b\n") == std::vector<int>{1});
   CHECK(Faults("[team x]\nrate_per_s = -1\n") == std::vector<int>{2});
   CHECK(Faults("[group x]\n") == std::vector<int>{1});
+  CHECK(Faults(std::string("[team x]\nkeys = a,\n") + Secret + "==\n") ==
+        std::vector<int>{1, 3});
 }
 
 TEST_CASE("a node takes the key out of a request, and any name of a team") {
