--- a/fuzz/frame_seeds.cpp
+++ b/fuzz/frame_seeds.cpp
@@ -71,7 +71,9 @@
   }
   SeedWriter Seeds(Arguments[1]);
   const TrafficMessage Traffic[] = {
-      TrafficHello{"host-1", {}, 1, 2},
+      TrafficHello{"host-1", {}, 1, 2, true},
+      AnswerOffer{{}, 100'000, {}},
+      AnswerPull{},
       TrafficWelcome{"host-2", {}, 1, 2, {}},
       makeDispatch(),
       makeAnswer(),
--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -1215,6 +1215,11 @@
 void TrafficHello::__set_version(const int64_t val) {
   this->version = val;
 }
+
+void TrafficHello::__set_pulls_answers(const bool val) {
+  this->pulls_answers = val;
+__isset.pulls_answers = true;
+}
 std::ostream& operator<<(std::ostream& out, const TrafficHello& obj)
 {
   obj.printTo(out);
@@ -1275,6 +1280,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pulls_answers);
+          this->__isset.pulls_answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1308,6 +1321,11 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.pulls_answers) {
+    xfer += oprot->writeFieldBegin("pulls_answers", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->pulls_answers);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1319,6 +1337,7 @@
   swap(a.ingress, b.ingress);
   swap(a.epoch, b.epoch);
   swap(a.version, b.version);
+  swap(a.pulls_answers, b.pulls_answers);
   swap(a.__isset, b.__isset);
 }
 
@@ -1327,6 +1346,7 @@
   ingress = other44.ingress;
   epoch = other44.epoch;
   version = other44.version;
+  pulls_answers = other44.pulls_answers;
   __isset = other44.__isset;
 }
 TrafficHello::TrafficHello(TrafficHello&& other45) noexcept {
@@ -1334,6 +1354,7 @@
   ingress = std::move(other45.ingress);
   epoch = other45.epoch;
   version = other45.version;
+  pulls_answers = other45.pulls_answers;
   __isset = other45.__isset;
 }
 TrafficHello& TrafficHello::operator=(const TrafficHello& other46) {
@@ -1341,6 +1362,7 @@
   ingress = other46.ingress;
   epoch = other46.epoch;
   version = other46.version;
+  pulls_answers = other46.pulls_answers;
   __isset = other46.__isset;
   return *this;
 }
@@ -1349,6 +1371,7 @@
   ingress = std::move(other47.ingress);
   epoch = other47.epoch;
   version = other47.version;
+  pulls_answers = other47.pulls_answers;
   __isset = other47.__isset;
   return *this;
 }
@@ -1359,6 +1382,7 @@
   out << ", " << "ingress=" << to_string(ingress);
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "version=" << to_string(version);
+  out << ", " << "pulls_answers="; (__isset.pulls_answers ? (out << to_string(pulls_answers)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2158,6 +2182,252 @@
 }
 
 
+AnswerOffer::~AnswerOffer() noexcept {
+}
+
+
+void AnswerOffer::__set_id(const RequestId& val) {
+  this->id = val;
+}
+
+void AnswerOffer::__set_body_bytes(const int64_t val) {
+  this->body_bytes = val;
+}
+
+void AnswerOffer::__set_capacity(const Capacity& val) {
+  this->capacity = val;
+}
+std::ostream& operator<<(std::ostream& out, const AnswerOffer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AnswerOffer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->id.read(iprot);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->body_bytes);
+          this->__isset.body_bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->capacity.read(iprot);
+          this->__isset.capacity = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AnswerOffer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AnswerOffer");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->id.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body_bytes", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->body_bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("capacity", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->capacity.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AnswerOffer &a, AnswerOffer &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.body_bytes, b.body_bytes);
+  swap(a.capacity, b.capacity);
+  swap(a.__isset, b.__isset);
+}
+
+AnswerOffer::AnswerOffer(const AnswerOffer& other60) noexcept {
+  id = other60.id;
+  body_bytes = other60.body_bytes;
+  capacity = other60.capacity;
+  __isset = other60.__isset;
+}
+AnswerOffer::AnswerOffer(AnswerOffer&& other61) noexcept {
+  id = std::move(other61.id);
+  body_bytes = other61.body_bytes;
+  capacity = std::move(other61.capacity);
+  __isset = other61.__isset;
+}
+AnswerOffer& AnswerOffer::operator=(const AnswerOffer& other62) noexcept {
+  id = other62.id;
+  body_bytes = other62.body_bytes;
+  capacity = other62.capacity;
+  __isset = other62.__isset;
+  return *this;
+}
+AnswerOffer& AnswerOffer::operator=(AnswerOffer&& other63) noexcept {
+  id = std::move(other63.id);
+  body_bytes = other63.body_bytes;
+  capacity = std::move(other63.capacity);
+  __isset = other63.__isset;
+  return *this;
+}
+void AnswerOffer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AnswerOffer(";
+  out << "id=" << to_string(id);
+  out << ", " << "body_bytes=" << to_string(body_bytes);
+  out << ", " << "capacity=" << to_string(capacity);
+  out << ")";
+}
+
+
+AnswerPull::~AnswerPull() noexcept {
+}
+
+
+void AnswerPull::__set_id(const RequestId& val) {
+  this->id = val;
+}
+std::ostream& operator<<(std::ostream& out, const AnswerPull& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AnswerPull::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->id.read(iprot);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AnswerPull::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AnswerPull");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->id.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AnswerPull &a, AnswerPull &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.__isset, b.__isset);
+}
+
+AnswerPull::AnswerPull(const AnswerPull& other64) noexcept {
+  id = other64.id;
+  __isset = other64.__isset;
+}
+AnswerPull::AnswerPull(AnswerPull&& other65) noexcept {
+  id = std::move(other65.id);
+  __isset = other65.__isset;
+}
+AnswerPull& AnswerPull::operator=(const AnswerPull& other66) noexcept {
+  id = other66.id;
+  __isset = other66.__isset;
+  return *this;
+}
+AnswerPull& AnswerPull::operator=(AnswerPull&& other67) noexcept {
+  id = std::move(other67.id);
+  __isset = other67.__isset;
+  return *this;
+}
+void AnswerPull::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AnswerPull(";
+  out << "id=" << to_string(id);
+  out << ")";
+}
+
+
 Refusal::~Refusal() noexcept {
 }
 
@@ -2320,42 +2590,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Refusal::Refusal(const Refusal& other60) noexcept {
-  id = other60.id;
-  reason = other60.reason;
-  retry_after_us = other60.retry_after_us;
-  version = other60.version;
-  capacity = other60.capacity;
-  statement = other60.statement;
-  __isset = other60.__isset;
-}
-Refusal::Refusal(Refusal&& other61) noexcept {
-  id = std::move(other61.id);
-  reason = other61.reason;
-  retry_after_us = other61.retry_after_us;
-  version = other61.version;
-  capacity = std::move(other61.capacity);
-  statement = std::move(other61.statement);
-  __isset = other61.__isset;
-}
-Refusal& Refusal::operator=(const Refusal& other62) noexcept {
-  id = other62.id;
-  reason = other62.reason;
-  retry_after_us = other62.retry_after_us;
-  version = other62.version;
-  capacity = other62.capacity;
-  statement = other62.statement;
-  __isset = other62.__isset;
+Refusal::Refusal(const Refusal& other68) noexcept {
+  id = other68.id;
+  reason = other68.reason;
+  retry_after_us = other68.retry_after_us;
+  version = other68.version;
+  capacity = other68.capacity;
+  statement = other68.statement;
+  __isset = other68.__isset;
+}
+Refusal::Refusal(Refusal&& other69) noexcept {
+  id = std::move(other69.id);
+  reason = other69.reason;
+  retry_after_us = other69.retry_after_us;
+  version = other69.version;
+  capacity = std::move(other69.capacity);
+  statement = std::move(other69.statement);
+  __isset = other69.__isset;
+}
+Refusal& Refusal::operator=(const Refusal& other70) noexcept {
+  id = other70.id;
+  reason = other70.reason;
+  retry_after_us = other70.retry_after_us;
+  version = other70.version;
+  capacity = other70.capacity;
+  statement = other70.statement;
+  __isset = other70.__isset;
   return *this;
 }
-Refusal& Refusal::operator=(Refusal&& other63) noexcept {
-  id = std::move(other63.id);
-  reason = other63.reason;
-  retry_after_us = other63.retry_after_us;
-  version = other63.version;
-  capacity = std::move(other63.capacity);
-  statement = std::move(other63.statement);
-  __isset = other63.__isset;
+Refusal& Refusal::operator=(Refusal&& other71) noexcept {
+  id = std::move(other71.id);
+  reason = other71.reason;
+  retry_after_us = other71.retry_after_us;
+  version = other71.version;
+  capacity = std::move(other71.capacity);
+  statement = std::move(other71.statement);
+  __isset = other71.__isset;
   return *this;
 }
 void Refusal::printTo(std::ostream& out) const {
@@ -2499,34 +2769,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Failure::Failure(const Failure& other64) {
-  id = other64.id;
-  detail = other64.detail;
-  capacity = other64.capacity;
-  target_end = other64.target_end;
-  __isset = other64.__isset;
-}
-Failure::Failure(Failure&& other65) noexcept {
-  id = std::move(other65.id);
-  detail = std::move(other65.detail);
-  capacity = std::move(other65.capacity);
-  target_end = std::move(other65.target_end);
-  __isset = other65.__isset;
-}
-Failure& Failure::operator=(const Failure& other66) {
-  id = other66.id;
-  detail = other66.detail;
-  capacity = other66.capacity;
-  target_end = other66.target_end;
-  __isset = other66.__isset;
+Failure::Failure(const Failure& other72) {
+  id = other72.id;
+  detail = other72.detail;
+  capacity = other72.capacity;
+  target_end = other72.target_end;
+  __isset = other72.__isset;
+}
+Failure::Failure(Failure&& other73) noexcept {
+  id = std::move(other73.id);
+  detail = std::move(other73.detail);
+  capacity = std::move(other73.capacity);
+  target_end = std::move(other73.target_end);
+  __isset = other73.__isset;
+}
+Failure& Failure::operator=(const Failure& other74) {
+  id = other74.id;
+  detail = other74.detail;
+  capacity = other74.capacity;
+  target_end = other74.target_end;
+  __isset = other74.__isset;
   return *this;
 }
-Failure& Failure::operator=(Failure&& other67) noexcept {
-  id = std::move(other67.id);
-  detail = std::move(other67.detail);
-  capacity = std::move(other67.capacity);
-  target_end = std::move(other67.target_end);
-  __isset = other67.__isset;
+Failure& Failure::operator=(Failure&& other75) noexcept {
+  id = std::move(other75.id);
+  detail = std::move(other75.detail);
+  capacity = std::move(other75.capacity);
+  target_end = std::move(other75.target_end);
+  __isset = other75.__isset;
   return *this;
 }
 void Failure::printTo(std::ostream& out) const {
@@ -2579,14 +2849,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ids.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->ids.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->ids.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->ids[_i72].read(iprot);
+              xfer += this->ids[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2615,10 +2885,10 @@
   xfer += oprot->writeFieldBegin("ids", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ids.size()));
-    std::vector<RequestId> ::const_iterator _iter73;
-    for (_iter73 = this->ids.begin(); _iter73 != this->ids.end(); ++_iter73)
+    std::vector<RequestId> ::const_iterator _iter81;
+    for (_iter81 = this->ids.begin(); _iter81 != this->ids.end(); ++_iter81)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2635,22 +2905,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Inquiry::Inquiry(const Inquiry& other74) {
-  ids = other74.ids;
-  __isset = other74.__isset;
+Inquiry::Inquiry(const Inquiry& other82) {
+  ids = other82.ids;
+  __isset = other82.__isset;
 }
-Inquiry::Inquiry(Inquiry&& other75) noexcept {
-  ids = std::move(other75.ids);
-  __isset = other75.__isset;
+Inquiry::Inquiry(Inquiry&& other83) noexcept {
+  ids = std::move(other83.ids);
+  __isset = other83.__isset;
 }
-Inquiry& Inquiry::operator=(const Inquiry& other76) {
-  ids = other76.ids;
-  __isset = other76.__isset;
+Inquiry& Inquiry::operator=(const Inquiry& other84) {
+  ids = other84.ids;
+  __isset = other84.__isset;
   return *this;
 }
-Inquiry& Inquiry::operator=(Inquiry&& other77) noexcept {
-  ids = std::move(other77.ids);
-  __isset = other77.__isset;
+Inquiry& Inquiry::operator=(Inquiry&& other85) noexcept {
+  ids = std::move(other85.ids);
+  __isset = other85.__isset;
   return *this;
 }
 void Inquiry::printTo(std::ostream& out) const {
@@ -2753,26 +3023,26 @@
   swap(a.__isset, b.__isset);
 }
 
-InquiryReply::InquiryReply(const InquiryReply& other78) noexcept {
-  id = other78.id;
-  state = other78.state;
-  __isset = other78.__isset;
+InquiryReply::InquiryReply(const InquiryReply& other86) noexcept {
+  id = other86.id;
+  state = other86.state;
+  __isset = other86.__isset;
 }
-InquiryReply::InquiryReply(InquiryReply&& other79) noexcept {
-  id = std::move(other79.id);
-  state = other79.state;
-  __isset = other79.__isset;
+InquiryReply::InquiryReply(InquiryReply&& other87) noexcept {
+  id = std::move(other87.id);
+  state = other87.state;
+  __isset = other87.__isset;
 }
-InquiryReply& InquiryReply::operator=(const InquiryReply& other80) noexcept {
-  id = other80.id;
-  state = other80.state;
-  __isset = other80.__isset;
+InquiryReply& InquiryReply::operator=(const InquiryReply& other88) noexcept {
+  id = other88.id;
+  state = other88.state;
+  __isset = other88.__isset;
   return *this;
 }
-InquiryReply& InquiryReply::operator=(InquiryReply&& other81) noexcept {
-  id = std::move(other81.id);
-  state = other81.state;
-  __isset = other81.__isset;
+InquiryReply& InquiryReply::operator=(InquiryReply&& other89) noexcept {
+  id = std::move(other89.id);
+  state = other89.state;
+  __isset = other89.__isset;
   return *this;
 }
 void InquiryReply::printTo(std::ostream& out) const {
@@ -2823,14 +3093,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ids.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->ids.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->ids.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->ids[_i86].read(iprot);
+              xfer += this->ids[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2859,10 +3129,10 @@
   xfer += oprot->writeFieldBegin("ids", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ids.size()));
-    std::vector<RequestId> ::const_iterator _iter87;
-    for (_iter87 = this->ids.begin(); _iter87 != this->ids.end(); ++_iter87)
+    std::vector<RequestId> ::const_iterator _iter95;
+    for (_iter95 = this->ids.begin(); _iter95 != this->ids.end(); ++_iter95)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2879,22 +3149,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Settled::Settled(const Settled& other88) {
-  ids = other88.ids;
-  __isset = other88.__isset;
+Settled::Settled(const Settled& other96) {
+  ids = other96.ids;
+  __isset = other96.__isset;
 }
-Settled::Settled(Settled&& other89) noexcept {
-  ids = std::move(other89.ids);
-  __isset = other89.__isset;
+Settled::Settled(Settled&& other97) noexcept {
+  ids = std::move(other97.ids);
+  __isset = other97.__isset;
 }
-Settled& Settled::operator=(const Settled& other90) {
-  ids = other90.ids;
-  __isset = other90.__isset;
+Settled& Settled::operator=(const Settled& other98) {
+  ids = other98.ids;
+  __isset = other98.__isset;
   return *this;
 }
-Settled& Settled::operator=(Settled&& other91) noexcept {
-  ids = std::move(other91.ids);
-  __isset = other91.__isset;
+Settled& Settled::operator=(Settled&& other99) noexcept {
+  ids = std::move(other99.ids);
+  __isset = other99.__isset;
   return *this;
 }
 void Settled::printTo(std::ostream& out) const {
@@ -2980,22 +3250,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Cancel::Cancel(const Cancel& other92) noexcept {
-  id = other92.id;
-  __isset = other92.__isset;
+Cancel::Cancel(const Cancel& other100) noexcept {
+  id = other100.id;
+  __isset = other100.__isset;
 }
-Cancel::Cancel(Cancel&& other93) noexcept {
-  id = std::move(other93.id);
-  __isset = other93.__isset;
+Cancel::Cancel(Cancel&& other101) noexcept {
+  id = std::move(other101.id);
+  __isset = other101.__isset;
 }
-Cancel& Cancel::operator=(const Cancel& other94) noexcept {
-  id = other94.id;
-  __isset = other94.__isset;
+Cancel& Cancel::operator=(const Cancel& other102) noexcept {
+  id = other102.id;
+  __isset = other102.__isset;
   return *this;
 }
-Cancel& Cancel::operator=(Cancel&& other95) noexcept {
-  id = std::move(other95.id);
-  __isset = other95.__isset;
+Cancel& Cancel::operator=(Cancel&& other103) noexcept {
+  id = std::move(other103.id);
+  __isset = other103.__isset;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -3098,26 +3368,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TrafficPing::TrafficPing(const TrafficPing& other96) noexcept {
-  sequence = other96.sequence;
-  version = other96.version;
-  __isset = other96.__isset;
+TrafficPing::TrafficPing(const TrafficPing& other104) noexcept {
+  sequence = other104.sequence;
+  version = other104.version;
+  __isset = other104.__isset;
 }
-TrafficPing::TrafficPing(TrafficPing&& other97) noexcept {
-  sequence = other97.sequence;
-  version = other97.version;
-  __isset = other97.__isset;
+TrafficPing::TrafficPing(TrafficPing&& other105) noexcept {
+  sequence = other105.sequence;
+  version = other105.version;
+  __isset = other105.__isset;
 }
-TrafficPing& TrafficPing::operator=(const TrafficPing& other98) noexcept {
-  sequence = other98.sequence;
-  version = other98.version;
-  __isset = other98.__isset;
+TrafficPing& TrafficPing::operator=(const TrafficPing& other106) noexcept {
+  sequence = other106.sequence;
+  version = other106.version;
+  __isset = other106.__isset;
   return *this;
 }
-TrafficPing& TrafficPing::operator=(TrafficPing&& other99) noexcept {
-  sequence = other99.sequence;
-  version = other99.version;
-  __isset = other99.__isset;
+TrafficPing& TrafficPing::operator=(TrafficPing&& other107) noexcept {
+  sequence = other107.sequence;
+  version = other107.version;
+  __isset = other107.__isset;
   return *this;
 }
 void TrafficPing::printTo(std::ostream& out) const {
@@ -3238,30 +3508,30 @@
   swap(a.__isset, b.__isset);
 }
 
-TrafficPong::TrafficPong(const TrafficPong& other100) noexcept {
-  sequence = other100.sequence;
-  version = other100.version;
-  capacity = other100.capacity;
-  __isset = other100.__isset;
+TrafficPong::TrafficPong(const TrafficPong& other108) noexcept {
+  sequence = other108.sequence;
+  version = other108.version;
+  capacity = other108.capacity;
+  __isset = other108.__isset;
 }
-TrafficPong::TrafficPong(TrafficPong&& other101) noexcept {
-  sequence = other101.sequence;
-  version = other101.version;
-  capacity = std::move(other101.capacity);
-  __isset = other101.__isset;
+TrafficPong::TrafficPong(TrafficPong&& other109) noexcept {
+  sequence = other109.sequence;
+  version = other109.version;
+  capacity = std::move(other109.capacity);
+  __isset = other109.__isset;
 }
-TrafficPong& TrafficPong::operator=(const TrafficPong& other102) noexcept {
-  sequence = other102.sequence;
-  version = other102.version;
-  capacity = other102.capacity;
-  __isset = other102.__isset;
+TrafficPong& TrafficPong::operator=(const TrafficPong& other110) noexcept {
+  sequence = other110.sequence;
+  version = other110.version;
+  capacity = other110.capacity;
+  __isset = other110.__isset;
   return *this;
 }
-TrafficPong& TrafficPong::operator=(TrafficPong&& other103) noexcept {
-  sequence = other103.sequence;
-  version = other103.version;
-  capacity = std::move(other103.capacity);
-  __isset = other103.__isset;
+TrafficPong& TrafficPong::operator=(TrafficPong&& other111) noexcept {
+  sequence = other111.sequence;
+  version = other111.version;
+  capacity = std::move(other111.capacity);
+  __isset = other111.__isset;
   return *this;
 }
 void TrafficPong::printTo(std::ostream& out) const {
@@ -3328,18 +3598,18 @@
   (void) b;
 }
 
-TrafficGoAway::TrafficGoAway(const TrafficGoAway& other104) noexcept {
-  (void) other104;
+TrafficGoAway::TrafficGoAway(const TrafficGoAway& other112) noexcept {
+  (void) other112;
 }
-TrafficGoAway::TrafficGoAway(TrafficGoAway&& other105) noexcept {
-  (void) other105;
+TrafficGoAway::TrafficGoAway(TrafficGoAway&& other113) noexcept {
+  (void) other113;
 }
-TrafficGoAway& TrafficGoAway::operator=(const TrafficGoAway& other106) noexcept {
-  (void) other106;
+TrafficGoAway& TrafficGoAway::operator=(const TrafficGoAway& other114) noexcept {
+  (void) other114;
   return *this;
 }
-TrafficGoAway& TrafficGoAway::operator=(TrafficGoAway&& other107) noexcept {
-  (void) other107;
+TrafficGoAway& TrafficGoAway::operator=(TrafficGoAway&& other115) noexcept {
+  (void) other115;
   return *this;
 }
 void TrafficGoAway::printTo(std::ostream& out) const {
@@ -3492,38 +3762,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashEvidence::CrashEvidence(const CrashEvidence& other108) noexcept {
-  fingerprint_high = other108.fingerprint_high;
-  fingerprint_low = other108.fingerprint_low;
-  cleared = other108.cleared;
-  target_end = other108.target_end;
-  seen_ago_us = other108.seen_ago_us;
-  __isset = other108.__isset;
-}
-CrashEvidence::CrashEvidence(CrashEvidence&& other109) noexcept {
-  fingerprint_high = other109.fingerprint_high;
-  fingerprint_low = other109.fingerprint_low;
-  cleared = other109.cleared;
-  target_end = std::move(other109.target_end);
-  seen_ago_us = other109.seen_ago_us;
-  __isset = other109.__isset;
-}
-CrashEvidence& CrashEvidence::operator=(const CrashEvidence& other110) noexcept {
-  fingerprint_high = other110.fingerprint_high;
-  fingerprint_low = other110.fingerprint_low;
-  cleared = other110.cleared;
-  target_end = other110.target_end;
-  seen_ago_us = other110.seen_ago_us;
-  __isset = other110.__isset;
+CrashEvidence::CrashEvidence(const CrashEvidence& other116) noexcept {
+  fingerprint_high = other116.fingerprint_high;
+  fingerprint_low = other116.fingerprint_low;
+  cleared = other116.cleared;
+  target_end = other116.target_end;
+  seen_ago_us = other116.seen_ago_us;
+  __isset = other116.__isset;
+}
+CrashEvidence::CrashEvidence(CrashEvidence&& other117) noexcept {
+  fingerprint_high = other117.fingerprint_high;
+  fingerprint_low = other117.fingerprint_low;
+  cleared = other117.cleared;
+  target_end = std::move(other117.target_end);
+  seen_ago_us = other117.seen_ago_us;
+  __isset = other117.__isset;
+}
+CrashEvidence& CrashEvidence::operator=(const CrashEvidence& other118) noexcept {
+  fingerprint_high = other118.fingerprint_high;
+  fingerprint_low = other118.fingerprint_low;
+  cleared = other118.cleared;
+  target_end = other118.target_end;
+  seen_ago_us = other118.seen_ago_us;
+  __isset = other118.__isset;
   return *this;
 }
-CrashEvidence& CrashEvidence::operator=(CrashEvidence&& other111) noexcept {
-  fingerprint_high = other111.fingerprint_high;
-  fingerprint_low = other111.fingerprint_low;
-  cleared = other111.cleared;
-  target_end = std::move(other111.target_end);
-  seen_ago_us = other111.seen_ago_us;
-  __isset = other111.__isset;
+CrashEvidence& CrashEvidence::operator=(CrashEvidence&& other119) noexcept {
+  fingerprint_high = other119.fingerprint_high;
+  fingerprint_low = other119.fingerprint_low;
+  cleared = other119.cleared;
+  target_end = std::move(other119.target_end);
+  seen_ago_us = other119.seen_ago_us;
+  __isset = other119.__isset;
   return *this;
 }
 void CrashEvidence::printTo(std::ostream& out) const {
@@ -3577,14 +3847,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _etype115;
-            xfer += iprot->readListBegin(_etype115, _size112);
-            this->evidence.resize(_size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->evidence.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->evidence[_i116].read(iprot);
+              xfer += this->evidence[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3613,10 +3883,10 @@
   xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-    std::vector<CrashEvidence> ::const_iterator _iter117;
-    for (_iter117 = this->evidence.begin(); _iter117 != this->evidence.end(); ++_iter117)
+    std::vector<CrashEvidence> ::const_iterator _iter125;
+    for (_iter125 = this->evidence.begin(); _iter125 != this->evidence.end(); ++_iter125)
     {
-      xfer += (*_iter117).write(oprot);
+      xfer += (*_iter125).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3633,22 +3903,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNotice::CrashNotice(const CrashNotice& other118) {
-  evidence = other118.evidence;
-  __isset = other118.__isset;
+CrashNotice::CrashNotice(const CrashNotice& other126) {
+  evidence = other126.evidence;
+  __isset = other126.__isset;
 }
-CrashNotice::CrashNotice(CrashNotice&& other119) noexcept {
-  evidence = std::move(other119.evidence);
-  __isset = other119.__isset;
+CrashNotice::CrashNotice(CrashNotice&& other127) noexcept {
+  evidence = std::move(other127.evidence);
+  __isset = other127.__isset;
 }
-CrashNotice& CrashNotice::operator=(const CrashNotice& other120) {
-  evidence = other120.evidence;
-  __isset = other120.__isset;
+CrashNotice& CrashNotice::operator=(const CrashNotice& other128) {
+  evidence = other128.evidence;
+  __isset = other128.__isset;
   return *this;
 }
-CrashNotice& CrashNotice::operator=(CrashNotice&& other121) noexcept {
-  evidence = std::move(other121.evidence);
-  __isset = other121.__isset;
+CrashNotice& CrashNotice::operator=(CrashNotice&& other129) noexcept {
+  evidence = std::move(other129.evidence);
+  __isset = other129.__isset;
   return *this;
 }
 void CrashNotice::printTo(std::ostream& out) const {
@@ -3751,26 +4021,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetInstance::TargetInstance(const TargetInstance& other122) {
-  name = other122.name;
-  started_at_ms = other122.started_at_ms;
-  __isset = other122.__isset;
+TargetInstance::TargetInstance(const TargetInstance& other130) {
+  name = other130.name;
+  started_at_ms = other130.started_at_ms;
+  __isset = other130.__isset;
 }
-TargetInstance::TargetInstance(TargetInstance&& other123) noexcept {
-  name = std::move(other123.name);
-  started_at_ms = other123.started_at_ms;
-  __isset = other123.__isset;
+TargetInstance::TargetInstance(TargetInstance&& other131) noexcept {
+  name = std::move(other131.name);
+  started_at_ms = other131.started_at_ms;
+  __isset = other131.__isset;
 }
-TargetInstance& TargetInstance::operator=(const TargetInstance& other124) {
-  name = other124.name;
-  started_at_ms = other124.started_at_ms;
-  __isset = other124.__isset;
+TargetInstance& TargetInstance::operator=(const TargetInstance& other132) {
+  name = other132.name;
+  started_at_ms = other132.started_at_ms;
+  __isset = other132.__isset;
   return *this;
 }
-TargetInstance& TargetInstance::operator=(TargetInstance&& other125) noexcept {
-  name = std::move(other125.name);
-  started_at_ms = other125.started_at_ms;
-  __isset = other125.__isset;
+TargetInstance& TargetInstance::operator=(TargetInstance&& other133) noexcept {
+  name = std::move(other133.name);
+  started_at_ms = other133.started_at_ms;
+  __isset = other133.__isset;
   return *this;
 }
 void TargetInstance::printTo(std::ostream& out) const {
@@ -3821,14 +4091,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->targets.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->targets.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->targets[_i130].read(iprot);
+              xfer += this->targets[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3857,10 +4127,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<TargetInstance> ::const_iterator _iter131;
-    for (_iter131 = this->targets.begin(); _iter131 != this->targets.end(); ++_iter131)
+    std::vector<TargetInstance> ::const_iterator _iter139;
+    for (_iter139 = this->targets.begin(); _iter139 != this->targets.end(); ++_iter139)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter139).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3877,22 +4147,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LeavingNotice::LeavingNotice(const LeavingNotice& other132) {
-  targets = other132.targets;
-  __isset = other132.__isset;
+LeavingNotice::LeavingNotice(const LeavingNotice& other140) {
+  targets = other140.targets;
+  __isset = other140.__isset;
 }
-LeavingNotice::LeavingNotice(LeavingNotice&& other133) noexcept {
-  targets = std::move(other133.targets);
-  __isset = other133.__isset;
+LeavingNotice::LeavingNotice(LeavingNotice&& other141) noexcept {
+  targets = std::move(other141.targets);
+  __isset = other141.__isset;
 }
-LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other134) {
-  targets = other134.targets;
-  __isset = other134.__isset;
+LeavingNotice& LeavingNotice::operator=(const LeavingNotice& other142) {
+  targets = other142.targets;
+  __isset = other142.__isset;
   return *this;
 }
-LeavingNotice& LeavingNotice::operator=(LeavingNotice&& other135) noexcept {
-  targets = std::move(other135.targets);
-  __isset = other135.__isset;
+LeavingNotice& LeavingNotice::operator=(LeavingNotice&& other143) noexcept {
+  targets = std::move(other143.targets);
+  __isset = other143.__isset;
   return *this;
 }
 void LeavingNotice::printTo(std::ostream& out) const {
@@ -4029,34 +4299,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CreditRequest::CreditRequest(const CreditRequest& other136) {
-  sequence = other136.sequence;
-  team = other136.team;
-  wanted = other136.wanted;
-  returned = other136.returned;
-  __isset = other136.__isset;
-}
-CreditRequest::CreditRequest(CreditRequest&& other137) noexcept {
-  sequence = other137.sequence;
-  team = std::move(other137.team);
-  wanted = other137.wanted;
-  returned = other137.returned;
-  __isset = other137.__isset;
-}
-CreditRequest& CreditRequest::operator=(const CreditRequest& other138) {
-  sequence = other138.sequence;
-  team = other138.team;
-  wanted = other138.wanted;
-  returned = other138.returned;
-  __isset = other138.__isset;
+CreditRequest::CreditRequest(const CreditRequest& other144) {
+  sequence = other144.sequence;
+  team = other144.team;
+  wanted = other144.wanted;
+  returned = other144.returned;
+  __isset = other144.__isset;
+}
+CreditRequest::CreditRequest(CreditRequest&& other145) noexcept {
+  sequence = other145.sequence;
+  team = std::move(other145.team);
+  wanted = other145.wanted;
+  returned = other145.returned;
+  __isset = other145.__isset;
+}
+CreditRequest& CreditRequest::operator=(const CreditRequest& other146) {
+  sequence = other146.sequence;
+  team = other146.team;
+  wanted = other146.wanted;
+  returned = other146.returned;
+  __isset = other146.__isset;
   return *this;
 }
-CreditRequest& CreditRequest::operator=(CreditRequest&& other139) noexcept {
-  sequence = other139.sequence;
-  team = std::move(other139.team);
-  wanted = other139.wanted;
-  returned = other139.returned;
-  __isset = other139.__isset;
+CreditRequest& CreditRequest::operator=(CreditRequest&& other147) noexcept {
+  sequence = other147.sequence;
+  team = std::move(other147.team);
+  wanted = other147.wanted;
+  returned = other147.returned;
+  __isset = other147.__isset;
   return *this;
 }
 void CreditRequest::printTo(std::ostream& out) const {
@@ -4213,38 +4483,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CreditGrant::CreditGrant(const CreditGrant& other140) {
-  sequence = other140.sequence;
-  team = other140.team;
-  granted = other140.granted;
-  lease_us = other140.lease_us;
-  retry_after_us = other140.retry_after_us;
-  __isset = other140.__isset;
+CreditGrant::CreditGrant(const CreditGrant& other148) {
+  sequence = other148.sequence;
+  team = other148.team;
+  granted = other148.granted;
+  lease_us = other148.lease_us;
+  retry_after_us = other148.retry_after_us;
+  __isset = other148.__isset;
 }
-CreditGrant::CreditGrant(CreditGrant&& other141) noexcept {
-  sequence = other141.sequence;
-  team = std::move(other141.team);
-  granted = other141.granted;
-  lease_us = other141.lease_us;
-  retry_after_us = other141.retry_after_us;
-  __isset = other141.__isset;
+CreditGrant::CreditGrant(CreditGrant&& other149) noexcept {
+  sequence = other149.sequence;
+  team = std::move(other149.team);
+  granted = other149.granted;
+  lease_us = other149.lease_us;
+  retry_after_us = other149.retry_after_us;
+  __isset = other149.__isset;
 }
-CreditGrant& CreditGrant::operator=(const CreditGrant& other142) {
-  sequence = other142.sequence;
-  team = other142.team;
-  granted = other142.granted;
-  lease_us = other142.lease_us;
-  retry_after_us = other142.retry_after_us;
-  __isset = other142.__isset;
+CreditGrant& CreditGrant::operator=(const CreditGrant& other150) {
+  sequence = other150.sequence;
+  team = other150.team;
+  granted = other150.granted;
+  lease_us = other150.lease_us;
+  retry_after_us = other150.retry_after_us;
+  __isset = other150.__isset;
   return *this;
 }
-CreditGrant& CreditGrant::operator=(CreditGrant&& other143) noexcept {
-  sequence = other143.sequence;
-  team = std::move(other143.team);
-  granted = other143.granted;
-  lease_us = other143.lease_us;
-  retry_after_us = other143.retry_after_us;
-  __isset = other143.__isset;
+CreditGrant& CreditGrant::operator=(CreditGrant&& other151) noexcept {
+  sequence = other151.sequence;
+  team = std::move(other151.team);
+  granted = other151.granted;
+  lease_us = other151.lease_us;
+  retry_after_us = other151.retry_after_us;
+  __isset = other151.__isset;
   return *this;
 }
 void CreditGrant::printTo(std::ostream& out) const {
@@ -4436,46 +4706,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlHello::ControlHello(const ControlHello& other144) {
-  host = other144.host;
-  zone = other144.zone;
-  incarnation = other144.incarnation;
-  address = other144.address;
-  held = other144.held;
-  applied = other144.applied;
-  host_list = other144.host_list;
-  __isset = other144.__isset;
+ControlHello::ControlHello(const ControlHello& other152) {
+  host = other152.host;
+  zone = other152.zone;
+  incarnation = other152.incarnation;
+  address = other152.address;
+  held = other152.held;
+  applied = other152.applied;
+  host_list = other152.host_list;
+  __isset = other152.__isset;
 }
-ControlHello::ControlHello(ControlHello&& other145) noexcept {
-  host = std::move(other145.host);
-  zone = std::move(other145.zone);
-  incarnation = std::move(other145.incarnation);
-  address = std::move(other145.address);
-  held = std::move(other145.held);
-  applied = std::move(other145.applied);
-  host_list = std::move(other145.host_list);
-  __isset = other145.__isset;
+ControlHello::ControlHello(ControlHello&& other153) noexcept {
+  host = std::move(other153.host);
+  zone = std::move(other153.zone);
+  incarnation = std::move(other153.incarnation);
+  address = std::move(other153.address);
+  held = std::move(other153.held);
+  applied = std::move(other153.applied);
+  host_list = std::move(other153.host_list);
+  __isset = other153.__isset;
 }
-ControlHello& ControlHello::operator=(const ControlHello& other146) {
-  host = other146.host;
-  zone = other146.zone;
-  incarnation = other146.incarnation;
-  address = other146.address;
-  held = other146.held;
-  applied = other146.applied;
-  host_list = other146.host_list;
-  __isset = other146.__isset;
+ControlHello& ControlHello::operator=(const ControlHello& other154) {
+  host = other154.host;
+  zone = other154.zone;
+  incarnation = other154.incarnation;
+  address = other154.address;
+  held = other154.held;
+  applied = other154.applied;
+  host_list = other154.host_list;
+  __isset = other154.__isset;
   return *this;
 }
-ControlHello& ControlHello::operator=(ControlHello&& other147) noexcept {
-  host = std::move(other147.host);
-  zone = std::move(other147.zone);
-  incarnation = std::move(other147.incarnation);
-  address = std::move(other147.address);
-  held = std::move(other147.held);
-  applied = std::move(other147.applied);
-  host_list = std::move(other147.host_list);
-  __isset = other147.__isset;
+ControlHello& ControlHello::operator=(ControlHello&& other155) noexcept {
+  host = std::move(other155.host);
+  zone = std::move(other155.zone);
+  incarnation = std::move(other155.incarnation);
+  address = std::move(other155.address);
+  held = std::move(other155.held);
+  applied = std::move(other155.applied);
+  host_list = std::move(other155.host_list);
+  __isset = other155.__isset;
   return *this;
 }
 void ControlHello::printTo(std::ostream& out) const {
@@ -4584,26 +4854,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Announce::Announce(const Announce& other148) noexcept {
-  stream = other148.stream;
-  held = other148.held;
-  __isset = other148.__isset;
+Announce::Announce(const Announce& other156) noexcept {
+  stream = other156.stream;
+  held = other156.held;
+  __isset = other156.__isset;
 }
-Announce::Announce(Announce&& other149) noexcept {
-  stream = other149.stream;
-  held = std::move(other149.held);
-  __isset = other149.__isset;
+Announce::Announce(Announce&& other157) noexcept {
+  stream = other157.stream;
+  held = std::move(other157.held);
+  __isset = other157.__isset;
 }
-Announce& Announce::operator=(const Announce& other150) noexcept {
-  stream = other150.stream;
-  held = other150.held;
-  __isset = other150.__isset;
+Announce& Announce::operator=(const Announce& other158) noexcept {
+  stream = other158.stream;
+  held = other158.held;
+  __isset = other158.__isset;
   return *this;
 }
-Announce& Announce::operator=(Announce&& other151) noexcept {
-  stream = other151.stream;
-  held = std::move(other151.held);
-  __isset = other151.__isset;
+Announce& Announce::operator=(Announce&& other159) noexcept {
+  stream = other159.stream;
+  held = std::move(other159.held);
+  __isset = other159.__isset;
   return *this;
 }
 void Announce::printTo(std::ostream& out) const {
@@ -4707,26 +4977,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Pull::Pull(const Pull& other152) noexcept {
-  stream = other152.stream;
-  have = other152.have;
-  __isset = other152.__isset;
+Pull::Pull(const Pull& other160) noexcept {
+  stream = other160.stream;
+  have = other160.have;
+  __isset = other160.__isset;
 }
-Pull::Pull(Pull&& other153) noexcept {
-  stream = other153.stream;
-  have = std::move(other153.have);
-  __isset = other153.__isset;
+Pull::Pull(Pull&& other161) noexcept {
+  stream = other161.stream;
+  have = std::move(other161.have);
+  __isset = other161.__isset;
 }
-Pull& Pull::operator=(const Pull& other154) noexcept {
-  stream = other154.stream;
-  have = other154.have;
-  __isset = other154.__isset;
+Pull& Pull::operator=(const Pull& other162) noexcept {
+  stream = other162.stream;
+  have = other162.have;
+  __isset = other162.__isset;
   return *this;
 }
-Pull& Pull::operator=(Pull&& other155) noexcept {
-  stream = other155.stream;
-  have = std::move(other155.have);
-  __isset = other155.__isset;
+Pull& Pull::operator=(Pull&& other163) noexcept {
+  stream = other163.stream;
+  have = std::move(other163.have);
+  __isset = other163.__isset;
   return *this;
 }
 void Pull::printTo(std::ostream& out) const {
@@ -4830,26 +5100,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Part::Part(const Part& other156) {
-  name = other156.name;
-  text = other156.text;
-  __isset = other156.__isset;
+Part::Part(const Part& other164) {
+  name = other164.name;
+  text = other164.text;
+  __isset = other164.__isset;
 }
-Part::Part(Part&& other157) noexcept {
-  name = std::move(other157.name);
-  text = std::move(other157.text);
-  __isset = other157.__isset;
+Part::Part(Part&& other165) noexcept {
+  name = std::move(other165.name);
+  text = std::move(other165.text);
+  __isset = other165.__isset;
 }
-Part& Part::operator=(const Part& other158) {
-  name = other158.name;
-  text = other158.text;
-  __isset = other158.__isset;
+Part& Part::operator=(const Part& other166) {
+  name = other166.name;
+  text = other166.text;
+  __isset = other166.__isset;
   return *this;
 }
-Part& Part::operator=(Part&& other159) noexcept {
-  name = std::move(other159.name);
-  text = std::move(other159.text);
-  __isset = other159.__isset;
+Part& Part::operator=(Part&& other167) noexcept {
+  name = std::move(other167.name);
+  text = std::move(other167.text);
+  __isset = other167.__isset;
   return *this;
 }
 void Part::printTo(std::ostream& out) const {
@@ -4928,14 +5198,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size160;
-            ::apache::thrift::protocol::TType _etype163;
-            xfer += iprot->readListBegin(_etype163, _size160);
-            this->changed.resize(_size160);
-            uint32_t _i164;
-            for (_i164 = 0; _i164 < _size160; ++_i164)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->changed.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->changed[_i164].read(iprot);
+              xfer += this->changed[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4948,14 +5218,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size165;
-            ::apache::thrift::protocol::TType _etype168;
-            xfer += iprot->readListBegin(_etype168, _size165);
-            this->removed.resize(_size165);
-            uint32_t _i169;
-            for (_i169 = 0; _i169 < _size165; ++_i169)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->removed.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += iprot->readString(this->removed[_i169]);
+              xfer += iprot->readString(this->removed[_i177]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4992,10 +5262,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<Part> ::const_iterator _iter170;
-    for (_iter170 = this->changed.begin(); _iter170 != this->changed.end(); ++_iter170)
+    std::vector<Part> ::const_iterator _iter178;
+    for (_iter178 = this->changed.begin(); _iter178 != this->changed.end(); ++_iter178)
     {
-      xfer += (*_iter170).write(oprot);
+      xfer += (*_iter178).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5004,10 +5274,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter171;
-    for (_iter171 = this->removed.begin(); _iter171 != this->removed.end(); ++_iter171)
+    std::vector<std::string> ::const_iterator _iter179;
+    for (_iter179 = this->removed.begin(); _iter179 != this->removed.end(); ++_iter179)
     {
-      xfer += oprot->writeString((*_iter171));
+      xfer += oprot->writeString((*_iter179));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5027,34 +5297,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeRecord::ChangeRecord(const ChangeRecord& other172) {
-  base = other172.base;
-  stamp = other172.stamp;
-  changed = other172.changed;
-  removed = other172.removed;
-  __isset = other172.__isset;
-}
-ChangeRecord::ChangeRecord(ChangeRecord&& other173) noexcept {
-  base = std::move(other173.base);
-  stamp = std::move(other173.stamp);
-  changed = std::move(other173.changed);
-  removed = std::move(other173.removed);
-  __isset = other173.__isset;
-}
-ChangeRecord& ChangeRecord::operator=(const ChangeRecord& other174) {
-  base = other174.base;
-  stamp = other174.stamp;
-  changed = other174.changed;
-  removed = other174.removed;
-  __isset = other174.__isset;
+ChangeRecord::ChangeRecord(const ChangeRecord& other180) {
+  base = other180.base;
+  stamp = other180.stamp;
+  changed = other180.changed;
+  removed = other180.removed;
+  __isset = other180.__isset;
+}
+ChangeRecord::ChangeRecord(ChangeRecord&& other181) noexcept {
+  base = std::move(other181.base);
+  stamp = std::move(other181.stamp);
+  changed = std::move(other181.changed);
+  removed = std::move(other181.removed);
+  __isset = other181.__isset;
+}
+ChangeRecord& ChangeRecord::operator=(const ChangeRecord& other182) {
+  base = other182.base;
+  stamp = other182.stamp;
+  changed = other182.changed;
+  removed = other182.removed;
+  __isset = other182.__isset;
   return *this;
 }
-ChangeRecord& ChangeRecord::operator=(ChangeRecord&& other175) noexcept {
-  base = std::move(other175.base);
-  stamp = std::move(other175.stamp);
-  changed = std::move(other175.changed);
-  removed = std::move(other175.removed);
-  __isset = other175.__isset;
+ChangeRecord& ChangeRecord::operator=(ChangeRecord&& other183) noexcept {
+  base = std::move(other183.base);
+  stamp = std::move(other183.stamp);
+  changed = std::move(other183.changed);
+  removed = std::move(other183.removed);
+  __isset = other183.__isset;
   return *this;
 }
 void ChangeRecord::printTo(std::ostream& out) const {
@@ -5119,14 +5389,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->records.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->records.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += this->records[_i180].read(iprot);
+              xfer += this->records[_i188].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5159,10 +5429,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<ChangeRecord> ::const_iterator _iter181;
-    for (_iter181 = this->records.begin(); _iter181 != this->records.end(); ++_iter181)
+    std::vector<ChangeRecord> ::const_iterator _iter189;
+    for (_iter189 = this->records.begin(); _iter189 != this->records.end(); ++_iter189)
     {
-      xfer += (*_iter181).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5180,26 +5450,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeRecords::ChangeRecords(const ChangeRecords& other182) {
-  stream = other182.stream;
-  records = other182.records;
-  __isset = other182.__isset;
+ChangeRecords::ChangeRecords(const ChangeRecords& other190) {
+  stream = other190.stream;
+  records = other190.records;
+  __isset = other190.__isset;
 }
-ChangeRecords::ChangeRecords(ChangeRecords&& other183) noexcept {
-  stream = other183.stream;
-  records = std::move(other183.records);
-  __isset = other183.__isset;
+ChangeRecords::ChangeRecords(ChangeRecords&& other191) noexcept {
+  stream = other191.stream;
+  records = std::move(other191.records);
+  __isset = other191.__isset;
 }
-ChangeRecords& ChangeRecords::operator=(const ChangeRecords& other184) {
-  stream = other184.stream;
-  records = other184.records;
-  __isset = other184.__isset;
+ChangeRecords& ChangeRecords::operator=(const ChangeRecords& other192) {
+  stream = other192.stream;
+  records = other192.records;
+  __isset = other192.__isset;
   return *this;
 }
-ChangeRecords& ChangeRecords::operator=(ChangeRecords&& other185) noexcept {
-  stream = other185.stream;
-  records = std::move(other185.records);
-  __isset = other185.__isset;
+ChangeRecords& ChangeRecords::operator=(ChangeRecords&& other193) noexcept {
+  stream = other193.stream;
+  records = std::move(other193.records);
+  __isset = other193.__isset;
   return *this;
 }
 void ChangeRecords::printTo(std::ostream& out) const {
@@ -5298,14 +5568,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _etype189;
-            xfer += iprot->readListBegin(_etype189, _size186);
-            this->parts.resize(_size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->parts.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += this->parts[_i190].read(iprot);
+              xfer += this->parts[_i198].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5350,10 +5620,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<Part> ::const_iterator _iter191;
-    for (_iter191 = this->parts.begin(); _iter191 != this->parts.end(); ++_iter191)
+    std::vector<Part> ::const_iterator _iter199;
+    for (_iter199 = this->parts.begin(); _iter199 != this->parts.end(); ++_iter199)
     {
-      xfer += (*_iter191).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5374,38 +5644,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other192) {
-  stream = other192.stream;
-  stamp = other192.stamp;
-  index = other192.index;
-  count = other192.count;
-  parts = other192.parts;
-  __isset = other192.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other200) {
+  stream = other200.stream;
+  stamp = other200.stamp;
+  index = other200.index;
+  count = other200.count;
+  parts = other200.parts;
+  __isset = other200.__isset;
 }
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other193) noexcept {
-  stream = other193.stream;
-  stamp = std::move(other193.stamp);
-  index = other193.index;
-  count = other193.count;
-  parts = std::move(other193.parts);
-  __isset = other193.__isset;
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other201) noexcept {
+  stream = other201.stream;
+  stamp = std::move(other201.stamp);
+  index = other201.index;
+  count = other201.count;
+  parts = std::move(other201.parts);
+  __isset = other201.__isset;
 }
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other194) {
-  stream = other194.stream;
-  stamp = other194.stamp;
-  index = other194.index;
-  count = other194.count;
-  parts = other194.parts;
-  __isset = other194.__isset;
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other202) {
+  stream = other202.stream;
+  stamp = other202.stamp;
+  index = other202.index;
+  count = other202.count;
+  parts = other202.parts;
+  __isset = other202.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other195) noexcept {
-  stream = other195.stream;
-  stamp = std::move(other195.stamp);
-  index = other195.index;
-  count = other195.count;
-  parts = std::move(other195.parts);
-  __isset = other195.__isset;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other203) noexcept {
+  stream = other203.stream;
+  stamp = std::move(other203.stamp);
+  index = other203.index;
+  count = other203.count;
+  parts = std::move(other203.parts);
+  __isset = other203.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -5512,26 +5782,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HeldAck::HeldAck(const HeldAck& other196) noexcept {
-  stream = other196.stream;
-  held = other196.held;
-  __isset = other196.__isset;
+HeldAck::HeldAck(const HeldAck& other204) noexcept {
+  stream = other204.stream;
+  held = other204.held;
+  __isset = other204.__isset;
 }
-HeldAck::HeldAck(HeldAck&& other197) noexcept {
-  stream = other197.stream;
-  held = std::move(other197.held);
-  __isset = other197.__isset;
+HeldAck::HeldAck(HeldAck&& other205) noexcept {
+  stream = other205.stream;
+  held = std::move(other205.held);
+  __isset = other205.__isset;
 }
-HeldAck& HeldAck::operator=(const HeldAck& other198) noexcept {
-  stream = other198.stream;
-  held = other198.held;
-  __isset = other198.__isset;
+HeldAck& HeldAck::operator=(const HeldAck& other206) noexcept {
+  stream = other206.stream;
+  held = other206.held;
+  __isset = other206.__isset;
   return *this;
 }
-HeldAck& HeldAck::operator=(HeldAck&& other199) noexcept {
-  stream = other199.stream;
-  held = std::move(other199.held);
-  __isset = other199.__isset;
+HeldAck& HeldAck::operator=(HeldAck&& other207) noexcept {
+  stream = other207.stream;
+  held = std::move(other207.held);
+  __isset = other207.__isset;
   return *this;
 }
 void HeldAck::printTo(std::ostream& out) const {
@@ -5703,42 +5973,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other200) noexcept {
-  sequence = other200.sequence;
-  held = other200.held;
-  applied = other200.applied;
-  host_list = other200.host_list;
-  source_tried_ago_us = other200.source_tried_ago_us;
-  source_reached_ago_us = other200.source_reached_ago_us;
-  __isset = other200.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other208) noexcept {
+  sequence = other208.sequence;
+  held = other208.held;
+  applied = other208.applied;
+  host_list = other208.host_list;
+  source_tried_ago_us = other208.source_tried_ago_us;
+  source_reached_ago_us = other208.source_reached_ago_us;
+  __isset = other208.__isset;
 }
-Heartbeat::Heartbeat(Heartbeat&& other201) noexcept {
-  sequence = other201.sequence;
-  held = std::move(other201.held);
-  applied = std::move(other201.applied);
-  host_list = std::move(other201.host_list);
-  source_tried_ago_us = other201.source_tried_ago_us;
-  source_reached_ago_us = other201.source_reached_ago_us;
-  __isset = other201.__isset;
+Heartbeat::Heartbeat(Heartbeat&& other209) noexcept {
+  sequence = other209.sequence;
+  held = std::move(other209.held);
+  applied = std::move(other209.applied);
+  host_list = std::move(other209.host_list);
+  source_tried_ago_us = other209.source_tried_ago_us;
+  source_reached_ago_us = other209.source_reached_ago_us;
+  __isset = other209.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other202) noexcept {
-  sequence = other202.sequence;
-  held = other202.held;
-  applied = other202.applied;
-  host_list = other202.host_list;
-  source_tried_ago_us = other202.source_tried_ago_us;
-  source_reached_ago_us = other202.source_reached_ago_us;
-  __isset = other202.__isset;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other210) noexcept {
+  sequence = other210.sequence;
+  held = other210.held;
+  applied = other210.applied;
+  host_list = other210.host_list;
+  source_tried_ago_us = other210.source_tried_ago_us;
+  source_reached_ago_us = other210.source_reached_ago_us;
+  __isset = other210.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other203) noexcept {
-  sequence = other203.sequence;
-  held = std::move(other203.held);
-  applied = std::move(other203.applied);
-  host_list = std::move(other203.host_list);
-  source_tried_ago_us = other203.source_tried_ago_us;
-  source_reached_ago_us = other203.source_reached_ago_us;
-  __isset = other203.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other211) noexcept {
+  sequence = other211.sequence;
+  held = std::move(other211.held);
+  applied = std::move(other211.applied);
+  host_list = std::move(other211.host_list);
+  source_tried_ago_us = other211.source_tried_ago_us;
+  source_reached_ago_us = other211.source_reached_ago_us;
+  __isset = other211.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -5808,18 +6078,18 @@
   (void) b;
 }
 
-ControlGoAway::ControlGoAway(const ControlGoAway& other204) noexcept {
-  (void) other204;
+ControlGoAway::ControlGoAway(const ControlGoAway& other212) noexcept {
+  (void) other212;
 }
-ControlGoAway::ControlGoAway(ControlGoAway&& other205) noexcept {
-  (void) other205;
+ControlGoAway::ControlGoAway(ControlGoAway&& other213) noexcept {
+  (void) other213;
 }
-ControlGoAway& ControlGoAway::operator=(const ControlGoAway& other206) noexcept {
-  (void) other206;
+ControlGoAway& ControlGoAway::operator=(const ControlGoAway& other214) noexcept {
+  (void) other214;
   return *this;
 }
-ControlGoAway& ControlGoAway::operator=(ControlGoAway&& other207) noexcept {
-  (void) other207;
+ControlGoAway& ControlGoAway::operator=(ControlGoAway&& other215) noexcept {
+  (void) other215;
   return *this;
 }
 void ControlGoAway::printTo(std::ostream& out) const {
@@ -5940,30 +6210,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreRecord::StoreRecord(const StoreRecord& other208) {
-  key = other208.key;
-  revision = other208.revision;
-  value = other208.value;
-  __isset = other208.__isset;
+StoreRecord::StoreRecord(const StoreRecord& other216) {
+  key = other216.key;
+  revision = other216.revision;
+  value = other216.value;
+  __isset = other216.__isset;
 }
-StoreRecord::StoreRecord(StoreRecord&& other209) noexcept {
-  key = std::move(other209.key);
-  revision = other209.revision;
-  value = std::move(other209.value);
-  __isset = other209.__isset;
+StoreRecord::StoreRecord(StoreRecord&& other217) noexcept {
+  key = std::move(other217.key);
+  revision = other217.revision;
+  value = std::move(other217.value);
+  __isset = other217.__isset;
 }
-StoreRecord& StoreRecord::operator=(const StoreRecord& other210) {
-  key = other210.key;
-  revision = other210.revision;
-  value = other210.value;
-  __isset = other210.__isset;
+StoreRecord& StoreRecord::operator=(const StoreRecord& other218) {
+  key = other218.key;
+  revision = other218.revision;
+  value = other218.value;
+  __isset = other218.__isset;
   return *this;
 }
-StoreRecord& StoreRecord::operator=(StoreRecord&& other211) noexcept {
-  key = std::move(other211.key);
-  revision = other211.revision;
-  value = std::move(other211.value);
-  __isset = other211.__isset;
+StoreRecord& StoreRecord::operator=(StoreRecord&& other219) noexcept {
+  key = std::move(other219.key);
+  revision = other219.revision;
+  value = std::move(other219.value);
+  __isset = other219.__isset;
   return *this;
 }
 void StoreRecord::printTo(std::ostream& out) const {
@@ -6068,26 +6338,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordsPull::RecordsPull(const RecordsPull& other212) noexcept {
-  have = other212.have;
-  in_force = other212.in_force;
-  __isset = other212.__isset;
+RecordsPull::RecordsPull(const RecordsPull& other220) noexcept {
+  have = other220.have;
+  in_force = other220.in_force;
+  __isset = other220.__isset;
 }
-RecordsPull::RecordsPull(RecordsPull&& other213) noexcept {
-  have = other213.have;
-  in_force = other213.in_force;
-  __isset = other213.__isset;
+RecordsPull::RecordsPull(RecordsPull&& other221) noexcept {
+  have = other221.have;
+  in_force = other221.in_force;
+  __isset = other221.__isset;
 }
-RecordsPull& RecordsPull::operator=(const RecordsPull& other214) noexcept {
-  have = other214.have;
-  in_force = other214.in_force;
-  __isset = other214.__isset;
+RecordsPull& RecordsPull::operator=(const RecordsPull& other222) noexcept {
+  have = other222.have;
+  in_force = other222.in_force;
+  __isset = other222.__isset;
   return *this;
 }
-RecordsPull& RecordsPull::operator=(RecordsPull&& other215) noexcept {
-  have = other215.have;
-  in_force = other215.in_force;
-  __isset = other215.__isset;
+RecordsPull& RecordsPull::operator=(RecordsPull&& other223) noexcept {
+  have = other223.have;
+  in_force = other223.in_force;
+  __isset = other223.__isset;
   return *this;
 }
 void RecordsPull::printTo(std::ostream& out) const {
@@ -6225,34 +6495,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetDeparture::TargetDeparture(const TargetDeparture& other216) {
-  key = other216.key;
-  started_at_ms = other216.started_at_ms;
-  sequence = other216.sequence;
-  left_as_of = other216.left_as_of;
-  __isset = other216.__isset;
-}
-TargetDeparture::TargetDeparture(TargetDeparture&& other217) noexcept {
-  key = std::move(other217.key);
-  started_at_ms = other217.started_at_ms;
-  sequence = other217.sequence;
-  left_as_of = other217.left_as_of;
-  __isset = other217.__isset;
-}
-TargetDeparture& TargetDeparture::operator=(const TargetDeparture& other218) {
-  key = other218.key;
-  started_at_ms = other218.started_at_ms;
-  sequence = other218.sequence;
-  left_as_of = other218.left_as_of;
-  __isset = other218.__isset;
+TargetDeparture::TargetDeparture(const TargetDeparture& other224) {
+  key = other224.key;
+  started_at_ms = other224.started_at_ms;
+  sequence = other224.sequence;
+  left_as_of = other224.left_as_of;
+  __isset = other224.__isset;
+}
+TargetDeparture::TargetDeparture(TargetDeparture&& other225) noexcept {
+  key = std::move(other225.key);
+  started_at_ms = other225.started_at_ms;
+  sequence = other225.sequence;
+  left_as_of = other225.left_as_of;
+  __isset = other225.__isset;
+}
+TargetDeparture& TargetDeparture::operator=(const TargetDeparture& other226) {
+  key = other226.key;
+  started_at_ms = other226.started_at_ms;
+  sequence = other226.sequence;
+  left_as_of = other226.left_as_of;
+  __isset = other226.__isset;
   return *this;
 }
-TargetDeparture& TargetDeparture::operator=(TargetDeparture&& other219) noexcept {
-  key = std::move(other219.key);
-  started_at_ms = other219.started_at_ms;
-  sequence = other219.sequence;
-  left_as_of = other219.left_as_of;
-  __isset = other219.__isset;
+TargetDeparture& TargetDeparture::operator=(TargetDeparture&& other227) noexcept {
+  key = std::move(other227.key);
+  started_at_ms = other227.started_at_ms;
+  sequence = other227.sequence;
+  left_as_of = other227.left_as_of;
+  __isset = other227.__isset;
   return *this;
 }
 void TargetDeparture::printTo(std::ostream& out) const {
@@ -6338,14 +6608,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size220;
-            ::apache::thrift::protocol::TType _etype223;
-            xfer += iprot->readListBegin(_etype223, _size220);
-            this->records.resize(_size220);
-            uint32_t _i224;
-            for (_i224 = 0; _i224 < _size220; ++_i224)
+            uint32_t _size228;
+            ::apache::thrift::protocol::TType _etype231;
+            xfer += iprot->readListBegin(_etype231, _size228);
+            this->records.resize(_size228);
+            uint32_t _i232;
+            for (_i232 = 0; _i232 < _size228; ++_i232)
             {
-              xfer += this->records[_i224].read(iprot);
+              xfer += this->records[_i232].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6366,14 +6636,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departures.clear();
-            uint32_t _size225;
-            ::apache::thrift::protocol::TType _etype228;
-            xfer += iprot->readListBegin(_etype228, _size225);
-            this->departures.resize(_size225);
-            uint32_t _i229;
-            for (_i229 = 0; _i229 < _size225; ++_i229)
+            uint32_t _size233;
+            ::apache::thrift::protocol::TType _etype236;
+            xfer += iprot->readListBegin(_etype236, _size233);
+            this->departures.resize(_size233);
+            uint32_t _i237;
+            for (_i237 = 0; _i237 < _size233; ++_i237)
             {
-              xfer += this->departures[_i229].read(iprot);
+              xfer += this->departures[_i237].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6410,10 +6680,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoreRecord> ::const_iterator _iter230;
-    for (_iter230 = this->records.begin(); _iter230 != this->records.end(); ++_iter230)
+    std::vector<StoreRecord> ::const_iterator _iter238;
+    for (_iter238 = this->records.begin(); _iter238 != this->records.end(); ++_iter238)
     {
-      xfer += (*_iter230).write(oprot);
+      xfer += (*_iter238).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6427,10 +6697,10 @@
   xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
-    std::vector<TargetDeparture> ::const_iterator _iter231;
-    for (_iter231 = this->departures.begin(); _iter231 != this->departures.end(); ++_iter231)
+    std::vector<TargetDeparture> ::const_iterator _iter239;
+    for (_iter239 = this->departures.begin(); _iter239 != this->departures.end(); ++_iter239)
     {
-      xfer += (*_iter231).write(oprot);
+      xfer += (*_iter239).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6451,38 +6721,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordsPush::RecordsPush(const RecordsPush& other232) {
-  as_of = other232.as_of;
-  whole = other232.whole;
-  records = other232.records;
-  retained = other232.retained;
-  departures = other232.departures;
-  __isset = other232.__isset;
-}
-RecordsPush::RecordsPush(RecordsPush&& other233) noexcept {
-  as_of = other233.as_of;
-  whole = other233.whole;
-  records = std::move(other233.records);
-  retained = std::move(other233.retained);
-  departures = std::move(other233.departures);
-  __isset = other233.__isset;
-}
-RecordsPush& RecordsPush::operator=(const RecordsPush& other234) {
-  as_of = other234.as_of;
-  whole = other234.whole;
-  records = other234.records;
-  retained = other234.retained;
-  departures = other234.departures;
-  __isset = other234.__isset;
+RecordsPush::RecordsPush(const RecordsPush& other240) {
+  as_of = other240.as_of;
+  whole = other240.whole;
+  records = other240.records;
+  retained = other240.retained;
+  departures = other240.departures;
+  __isset = other240.__isset;
+}
+RecordsPush::RecordsPush(RecordsPush&& other241) noexcept {
+  as_of = other241.as_of;
+  whole = other241.whole;
+  records = std::move(other241.records);
+  retained = std::move(other241.retained);
+  departures = std::move(other241.departures);
+  __isset = other241.__isset;
+}
+RecordsPush& RecordsPush::operator=(const RecordsPush& other242) {
+  as_of = other242.as_of;
+  whole = other242.whole;
+  records = other242.records;
+  retained = other242.retained;
+  departures = other242.departures;
+  __isset = other242.__isset;
   return *this;
 }
-RecordsPush& RecordsPush::operator=(RecordsPush&& other235) noexcept {
-  as_of = other235.as_of;
-  whole = other235.whole;
-  records = std::move(other235.records);
-  retained = std::move(other235.retained);
-  departures = std::move(other235.departures);
-  __isset = other235.__isset;
+RecordsPush& RecordsPush::operator=(RecordsPush&& other243) noexcept {
+  as_of = other243.as_of;
+  whole = other243.whole;
+  records = std::move(other243.records);
+  retained = std::move(other243.retained);
+  departures = std::move(other243.departures);
+  __isset = other243.__isset;
   return *this;
 }
 void RecordsPush::printTo(std::ostream& out) const {
@@ -6576,26 +6846,26 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->bases.clear();
-            uint32_t _size236;
-            ::apache::thrift::protocol::TType _ktype237;
-            ::apache::thrift::protocol::TType _vtype238;
-            xfer += iprot->readMapBegin(_ktype237, _vtype238, _size236);
-            uint32_t _i240;
-            for (_i240 = 0; _i240 < _size236; ++_i240)
+            uint32_t _size244;
+            ::apache::thrift::protocol::TType _ktype245;
+            ::apache::thrift::protocol::TType _vtype246;
+            xfer += iprot->readMapBegin(_ktype245, _vtype246, _size244);
+            uint32_t _i248;
+            for (_i248 = 0; _i248 < _size244; ++_i248)
             {
-              std::string _key241;
-              xfer += iprot->readString(_key241);
-              std::vector<int64_t> & _val242 = this->bases[_key241];
+              std::string _key249;
+              xfer += iprot->readString(_key249);
+              std::vector<int64_t> & _val250 = this->bases[_key249];
               {
-                _val242.clear();
-                uint32_t _size243;
-                ::apache::thrift::protocol::TType _etype246;
-                xfer += iprot->readListBegin(_etype246, _size243);
-                _val242.resize(_size243);
-                uint32_t _i247;
-                for (_i247 = 0; _i247 < _size243; ++_i247)
+                _val250.clear();
+                uint32_t _size251;
+                ::apache::thrift::protocol::TType _etype254;
+                xfer += iprot->readListBegin(_etype254, _size251);
+                _val250.resize(_size251);
+                uint32_t _i255;
+                for (_i255 = 0; _i255 < _size251; ++_i255)
                 {
-                  xfer += iprot->readI64(_val242[_i247]);
+                  xfer += iprot->readI64(_val250[_i255]);
                 }
                 xfer += iprot->readListEnd();
               }
@@ -6647,16 +6917,16 @@
   xfer += oprot->writeFieldBegin("bases", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->bases.size()));
-    std::map<std::string, std::vector<int64_t> > ::const_iterator _iter248;
-    for (_iter248 = this->bases.begin(); _iter248 != this->bases.end(); ++_iter248)
+    std::map<std::string, std::vector<int64_t> > ::const_iterator _iter256;
+    for (_iter256 = this->bases.begin(); _iter256 != this->bases.end(); ++_iter256)
     {
-      xfer += oprot->writeString(_iter248->first);
+      xfer += oprot->writeString(_iter256->first);
       {
-        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter248->second.size()));
-        std::vector<int64_t> ::const_iterator _iter249;
-        for (_iter249 = _iter248->second.begin(); _iter249 != _iter248->second.end(); ++_iter249)
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(_iter256->second.size()));
+        std::vector<int64_t> ::const_iterator _iter257;
+        for (_iter257 = _iter256->second.begin(); _iter257 != _iter256->second.end(); ++_iter257)
         {
-          xfer += oprot->writeI64((*_iter249));
+          xfer += oprot->writeI64((*_iter257));
         }
         xfer += oprot->writeListEnd();
       }
@@ -6684,38 +6954,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FollowRevisions::FollowRevisions(const FollowRevisions& other250) {
-  held = other250.held;
-  wants_patches = other250.wants_patches;
-  retained = other250.retained;
-  bases = other250.bases;
-  received_patches = other250.received_patches;
-  __isset = other250.__isset;
-}
-FollowRevisions::FollowRevisions(FollowRevisions&& other251) noexcept {
-  held = other251.held;
-  wants_patches = other251.wants_patches;
-  retained = other251.retained;
-  bases = std::move(other251.bases);
-  received_patches = other251.received_patches;
-  __isset = other251.__isset;
-}
-FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other252) {
-  held = other252.held;
-  wants_patches = other252.wants_patches;
-  retained = other252.retained;
-  bases = other252.bases;
-  received_patches = other252.received_patches;
-  __isset = other252.__isset;
+FollowRevisions::FollowRevisions(const FollowRevisions& other258) {
+  held = other258.held;
+  wants_patches = other258.wants_patches;
+  retained = other258.retained;
+  bases = other258.bases;
+  received_patches = other258.received_patches;
+  __isset = other258.__isset;
+}
+FollowRevisions::FollowRevisions(FollowRevisions&& other259) noexcept {
+  held = other259.held;
+  wants_patches = other259.wants_patches;
+  retained = other259.retained;
+  bases = std::move(other259.bases);
+  received_patches = other259.received_patches;
+  __isset = other259.__isset;
+}
+FollowRevisions& FollowRevisions::operator=(const FollowRevisions& other260) {
+  held = other260.held;
+  wants_patches = other260.wants_patches;
+  retained = other260.retained;
+  bases = other260.bases;
+  received_patches = other260.received_patches;
+  __isset = other260.__isset;
   return *this;
 }
-FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other253) noexcept {
-  held = other253.held;
-  wants_patches = other253.wants_patches;
-  retained = other253.retained;
-  bases = std::move(other253.bases);
-  received_patches = other253.received_patches;
-  __isset = other253.__isset;
+FollowRevisions& FollowRevisions::operator=(FollowRevisions&& other261) noexcept {
+  held = other261.held;
+  wants_patches = other261.wants_patches;
+  retained = other261.retained;
+  bases = std::move(other261.bases);
+  received_patches = other261.received_patches;
+  __isset = other261.__isset;
   return *this;
 }
 void FollowRevisions::printTo(std::ostream& out) const {
@@ -6873,38 +7143,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordPatch::RecordPatch(const RecordPatch& other254) {
-  key = other254.key;
-  revision = other254.revision;
-  base = other254.base;
-  digest = other254.digest;
-  compressed = other254.compressed;
-  __isset = other254.__isset;
-}
-RecordPatch::RecordPatch(RecordPatch&& other255) noexcept {
-  key = std::move(other255.key);
-  revision = other255.revision;
-  base = other255.base;
-  digest = other255.digest;
-  compressed = std::move(other255.compressed);
-  __isset = other255.__isset;
-}
-RecordPatch& RecordPatch::operator=(const RecordPatch& other256) {
-  key = other256.key;
-  revision = other256.revision;
-  base = other256.base;
-  digest = other256.digest;
-  compressed = other256.compressed;
-  __isset = other256.__isset;
+RecordPatch::RecordPatch(const RecordPatch& other262) {
+  key = other262.key;
+  revision = other262.revision;
+  base = other262.base;
+  digest = other262.digest;
+  compressed = other262.compressed;
+  __isset = other262.__isset;
+}
+RecordPatch::RecordPatch(RecordPatch&& other263) noexcept {
+  key = std::move(other263.key);
+  revision = other263.revision;
+  base = other263.base;
+  digest = other263.digest;
+  compressed = std::move(other263.compressed);
+  __isset = other263.__isset;
+}
+RecordPatch& RecordPatch::operator=(const RecordPatch& other264) {
+  key = other264.key;
+  revision = other264.revision;
+  base = other264.base;
+  digest = other264.digest;
+  compressed = other264.compressed;
+  __isset = other264.__isset;
   return *this;
 }
-RecordPatch& RecordPatch::operator=(RecordPatch&& other257) noexcept {
-  key = std::move(other257.key);
-  revision = other257.revision;
-  base = other257.base;
-  digest = other257.digest;
-  compressed = std::move(other257.compressed);
-  __isset = other257.__isset;
+RecordPatch& RecordPatch::operator=(RecordPatch&& other265) noexcept {
+  key = std::move(other265.key);
+  revision = other265.revision;
+  base = other265.base;
+  digest = other265.digest;
+  compressed = std::move(other265.compressed);
+  __isset = other265.__isset;
   return *this;
 }
 void RecordPatch::printTo(std::ostream& out) const {
@@ -7031,14 +7301,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size258;
-            ::apache::thrift::protocol::TType _etype261;
-            xfer += iprot->readListBegin(_etype261, _size258);
-            this->records.resize(_size258);
-            uint32_t _i262;
-            for (_i262 = 0; _i262 < _size258; ++_i262)
+            uint32_t _size266;
+            ::apache::thrift::protocol::TType _etype269;
+            xfer += iprot->readListBegin(_etype269, _size266);
+            this->records.resize(_size266);
+            uint32_t _i270;
+            for (_i270 = 0; _i270 < _size266; ++_i270)
             {
-              xfer += this->records[_i262].read(iprot);
+              xfer += this->records[_i270].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7051,14 +7321,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->patches.clear();
-            uint32_t _size263;
-            ::apache::thrift::protocol::TType _etype266;
-            xfer += iprot->readListBegin(_etype266, _size263);
-            this->patches.resize(_size263);
-            uint32_t _i267;
-            for (_i267 = 0; _i267 < _size263; ++_i267)
+            uint32_t _size271;
+            ::apache::thrift::protocol::TType _etype274;
+            xfer += iprot->readListBegin(_etype274, _size271);
+            this->patches.resize(_size271);
+            uint32_t _i275;
+            for (_i275 = 0; _i275 < _size271; ++_i275)
             {
-              xfer += this->patches[_i267].read(iprot);
+              xfer += this->patches[_i275].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7071,17 +7341,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->large.clear();
-            uint32_t _size268;
-            ::apache::thrift::protocol::TType _ktype269;
-            ::apache::thrift::protocol::TType _vtype270;
-            xfer += iprot->readMapBegin(_ktype269, _vtype270, _size268);
-            uint32_t _i272;
-            for (_i272 = 0; _i272 < _size268; ++_i272)
+            uint32_t _size276;
+            ::apache::thrift::protocol::TType _ktype277;
+            ::apache::thrift::protocol::TType _vtype278;
+            xfer += iprot->readMapBegin(_ktype277, _vtype278, _size276);
+            uint32_t _i280;
+            for (_i280 = 0; _i280 < _size276; ++_i280)
             {
-              std::string _key273;
-              xfer += iprot->readString(_key273);
-              int64_t& _val274 = this->large[_key273];
-              xfer += iprot->readI64(_val274);
+              std::string _key281;
+              xfer += iprot->readString(_key281);
+              int64_t& _val282 = this->large[_key281];
+              xfer += iprot->readI64(_val282);
             }
             xfer += iprot->readMapEnd();
           }
@@ -7158,10 +7428,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<StoreRecord> ::const_iterator _iter275;
-    for (_iter275 = this->records.begin(); _iter275 != this->records.end(); ++_iter275)
+    std::vector<StoreRecord> ::const_iterator _iter283;
+    for (_iter283 = this->records.begin(); _iter283 != this->records.end(); ++_iter283)
     {
-      xfer += (*_iter275).write(oprot);
+      xfer += (*_iter283).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7170,10 +7440,10 @@
   xfer += oprot->writeFieldBegin("patches", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->patches.size()));
-    std::vector<RecordPatch> ::const_iterator _iter276;
-    for (_iter276 = this->patches.begin(); _iter276 != this->patches.end(); ++_iter276)
+    std::vector<RecordPatch> ::const_iterator _iter284;
+    for (_iter284 = this->patches.begin(); _iter284 != this->patches.end(); ++_iter284)
     {
-      xfer += (*_iter276).write(oprot);
+      xfer += (*_iter284).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7182,11 +7452,11 @@
   xfer += oprot->writeFieldBegin("large", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->large.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter277;
-    for (_iter277 = this->large.begin(); _iter277 != this->large.end(); ++_iter277)
+    std::map<std::string, int64_t> ::const_iterator _iter285;
+    for (_iter285 = this->large.begin(); _iter285 != this->large.end(); ++_iter285)
     {
-      xfer += oprot->writeString(_iter277->first);
-      xfer += oprot->writeI64(_iter277->second);
+      xfer += oprot->writeString(_iter285->first);
+      xfer += oprot->writeI64(_iter285->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -7230,62 +7500,62 @@
   swap(a.__isset, b.__isset);
 }
 
-RevisionNotice::RevisionNotice(const RevisionNotice& other278) {
-  revision = other278.revision;
-  held = other278.held;
-  confirmed_ago_us = other278.confirmed_ago_us;
-  refused = other278.refused;
-  records = other278.records;
-  patches = other278.patches;
-  large = other278.large;
-  complete = other278.complete;
-  retained = other278.retained;
-  proved_ago_us = other278.proved_ago_us;
-  probe = other278.probe;
-  __isset = other278.__isset;
-}
-RevisionNotice::RevisionNotice(RevisionNotice&& other279) noexcept {
-  revision = other279.revision;
-  held = other279.held;
-  confirmed_ago_us = other279.confirmed_ago_us;
-  refused = other279.refused;
-  records = std::move(other279.records);
-  patches = std::move(other279.patches);
-  large = std::move(other279.large);
-  complete = other279.complete;
-  retained = other279.retained;
-  proved_ago_us = other279.proved_ago_us;
-  probe = other279.probe;
-  __isset = other279.__isset;
-}
-RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other280) {
-  revision = other280.revision;
-  held = other280.held;
-  confirmed_ago_us = other280.confirmed_ago_us;
-  refused = other280.refused;
-  records = other280.records;
-  patches = other280.patches;
-  large = other280.large;
-  complete = other280.complete;
-  retained = other280.retained;
-  proved_ago_us = other280.proved_ago_us;
-  probe = other280.probe;
-  __isset = other280.__isset;
+RevisionNotice::RevisionNotice(const RevisionNotice& other286) {
+  revision = other286.revision;
+  held = other286.held;
+  confirmed_ago_us = other286.confirmed_ago_us;
+  refused = other286.refused;
+  records = other286.records;
+  patches = other286.patches;
+  large = other286.large;
+  complete = other286.complete;
+  retained = other286.retained;
+  proved_ago_us = other286.proved_ago_us;
+  probe = other286.probe;
+  __isset = other286.__isset;
+}
+RevisionNotice::RevisionNotice(RevisionNotice&& other287) noexcept {
+  revision = other287.revision;
+  held = other287.held;
+  confirmed_ago_us = other287.confirmed_ago_us;
+  refused = other287.refused;
+  records = std::move(other287.records);
+  patches = std::move(other287.patches);
+  large = std::move(other287.large);
+  complete = other287.complete;
+  retained = other287.retained;
+  proved_ago_us = other287.proved_ago_us;
+  probe = other287.probe;
+  __isset = other287.__isset;
+}
+RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other288) {
+  revision = other288.revision;
+  held = other288.held;
+  confirmed_ago_us = other288.confirmed_ago_us;
+  refused = other288.refused;
+  records = other288.records;
+  patches = other288.patches;
+  large = other288.large;
+  complete = other288.complete;
+  retained = other288.retained;
+  proved_ago_us = other288.proved_ago_us;
+  probe = other288.probe;
+  __isset = other288.__isset;
   return *this;
 }
-RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other281) noexcept {
-  revision = other281.revision;
-  held = other281.held;
-  confirmed_ago_us = other281.confirmed_ago_us;
-  refused = other281.refused;
-  records = std::move(other281.records);
-  patches = std::move(other281.patches);
-  large = std::move(other281.large);
-  complete = other281.complete;
-  retained = other281.retained;
-  proved_ago_us = other281.proved_ago_us;
-  probe = other281.probe;
-  __isset = other281.__isset;
+RevisionNotice& RevisionNotice::operator=(RevisionNotice&& other289) noexcept {
+  revision = other289.revision;
+  held = other289.held;
+  confirmed_ago_us = other289.confirmed_ago_us;
+  refused = other289.refused;
+  records = std::move(other289.records);
+  patches = std::move(other289.patches);
+  large = std::move(other289.large);
+  complete = other289.complete;
+  retained = other289.retained;
+  proved_ago_us = other289.proved_ago_us;
+  probe = other289.probe;
+  __isset = other289.__isset;
   return *this;
 }
 void RevisionNotice::printTo(std::ostream& out) const {
@@ -7381,22 +7651,22 @@
   swap(a.__isset, b.__isset);
 }
 
-FreshnessProbe::FreshnessProbe(const FreshnessProbe& other282) noexcept {
-  number = other282.number;
-  __isset = other282.__isset;
+FreshnessProbe::FreshnessProbe(const FreshnessProbe& other290) noexcept {
+  number = other290.number;
+  __isset = other290.__isset;
 }
-FreshnessProbe::FreshnessProbe(FreshnessProbe&& other283) noexcept {
-  number = other283.number;
-  __isset = other283.__isset;
+FreshnessProbe::FreshnessProbe(FreshnessProbe&& other291) noexcept {
+  number = other291.number;
+  __isset = other291.__isset;
 }
-FreshnessProbe& FreshnessProbe::operator=(const FreshnessProbe& other284) noexcept {
-  number = other284.number;
-  __isset = other284.__isset;
+FreshnessProbe& FreshnessProbe::operator=(const FreshnessProbe& other292) noexcept {
+  number = other292.number;
+  __isset = other292.__isset;
   return *this;
 }
-FreshnessProbe& FreshnessProbe::operator=(FreshnessProbe&& other285) noexcept {
-  number = other285.number;
-  __isset = other285.__isset;
+FreshnessProbe& FreshnessProbe::operator=(FreshnessProbe&& other293) noexcept {
+  number = other293.number;
+  __isset = other293.__isset;
   return *this;
 }
 void FreshnessProbe::printTo(std::ostream& out) const {
@@ -7496,6 +7766,16 @@
 __isset.credit_grant = true;
 }
 
+void Body::__set_answer_offer(const AnswerOffer& val) {
+  this->answer_offer = val;
+__isset.answer_offer = true;
+}
+
+void Body::__set_answer_pull(const AnswerPull& val) {
+  this->answer_pull = val;
+__isset.answer_pull = true;
+}
+
 void Body::__set_control_hello(const ControlHello& val) {
   this->control_hello = val;
 __isset.control_hello = true;
@@ -7724,6 +8004,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer_offer.read(iprot);
+          this->__isset.answer_offer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer_pull.read(iprot);
+          this->__isset.answer_pull = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 20:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->control_hello.read(iprot);
@@ -7930,6 +8226,16 @@
     xfer += this->credit_grant.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.answer_offer) {
+    xfer += oprot->writeFieldBegin("answer_offer", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->answer_offer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.answer_pull) {
+    xfer += oprot->writeFieldBegin("answer_pull", ::apache::thrift::protocol::T_STRUCT, 19);
+    xfer += this->answer_pull.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.control_hello) {
     xfer += oprot->writeFieldBegin("control_hello", ::apache::thrift::protocol::T_STRUCT, 20);
     xfer += this->control_hello.write(oprot);
@@ -8019,6 +8325,8 @@
   swap(a.leaving_notice, b.leaving_notice);
   swap(a.credit_request, b.credit_request);
   swap(a.credit_grant, b.credit_grant);
+  swap(a.answer_offer, b.answer_offer);
+  swap(a.answer_pull, b.answer_pull);
   swap(a.control_hello, b.control_hello);
   swap(a.announce, b.announce);
   swap(a.pull, b.pull);
@@ -8035,138 +8343,146 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other286) {
-  traffic_hello = other286.traffic_hello;
-  traffic_welcome = other286.traffic_welcome;
-  dispatch = other286.dispatch;
-  answer = other286.answer;
-  refusal = other286.refusal;
-  failure = other286.failure;
-  inquiry = other286.inquiry;
-  inquiry_reply = other286.inquiry_reply;
-  settled = other286.settled;
-  cancel = other286.cancel;
-  traffic_ping = other286.traffic_ping;
-  traffic_pong = other286.traffic_pong;
-  traffic_go_away = other286.traffic_go_away;
-  crash_notice = other286.crash_notice;
-  leaving_notice = other286.leaving_notice;
-  credit_request = other286.credit_request;
-  credit_grant = other286.credit_grant;
-  control_hello = other286.control_hello;
-  announce = other286.announce;
-  pull = other286.pull;
-  change_records = other286.change_records;
-  snapshot_chunk = other286.snapshot_chunk;
-  held_ack = other286.held_ack;
-  heartbeat = other286.heartbeat;
-  control_go_away = other286.control_go_away;
-  records_pull = other286.records_pull;
-  records_push = other286.records_push;
-  follow_revisions = other286.follow_revisions;
-  revision_notice = other286.revision_notice;
-  freshness_probe = other286.freshness_probe;
-  __isset = other286.__isset;
-}
-Body::Body(Body&& other287) noexcept {
-  traffic_hello = std::move(other287.traffic_hello);
-  traffic_welcome = std::move(other287.traffic_welcome);
-  dispatch = std::move(other287.dispatch);
-  answer = std::move(other287.answer);
-  refusal = std::move(other287.refusal);
-  failure = std::move(other287.failure);
-  inquiry = std::move(other287.inquiry);
-  inquiry_reply = std::move(other287.inquiry_reply);
-  settled = std::move(other287.settled);
-  cancel = std::move(other287.cancel);
-  traffic_ping = std::move(other287.traffic_ping);
-  traffic_pong = std::move(other287.traffic_pong);
-  traffic_go_away = std::move(other287.traffic_go_away);
-  crash_notice = std::move(other287.crash_notice);
-  leaving_notice = std::move(other287.leaving_notice);
-  credit_request = std::move(other287.credit_request);
-  credit_grant = std::move(other287.credit_grant);
-  control_hello = std::move(other287.control_hello);
-  announce = std::move(other287.announce);
-  pull = std::move(other287.pull);
-  change_records = std::move(other287.change_records);
-  snapshot_chunk = std::move(other287.snapshot_chunk);
-  held_ack = std::move(other287.held_ack);
-  heartbeat = std::move(other287.heartbeat);
-  control_go_away = std::move(other287.control_go_away);
-  records_pull = std::move(other287.records_pull);
-  records_push = std::move(other287.records_push);
-  follow_revisions = std::move(other287.follow_revisions);
-  revision_notice = std::move(other287.revision_notice);
-  freshness_probe = std::move(other287.freshness_probe);
-  __isset = other287.__isset;
-}
-Body& Body::operator=(const Body& other288) {
-  traffic_hello = other288.traffic_hello;
-  traffic_welcome = other288.traffic_welcome;
-  dispatch = other288.dispatch;
-  answer = other288.answer;
-  refusal = other288.refusal;
-  failure = other288.failure;
-  inquiry = other288.inquiry;
-  inquiry_reply = other288.inquiry_reply;
-  settled = other288.settled;
-  cancel = other288.cancel;
-  traffic_ping = other288.traffic_ping;
-  traffic_pong = other288.traffic_pong;
-  traffic_go_away = other288.traffic_go_away;
-  crash_notice = other288.crash_notice;
-  leaving_notice = other288.leaving_notice;
-  credit_request = other288.credit_request;
-  credit_grant = other288.credit_grant;
-  control_hello = other288.control_hello;
-  announce = other288.announce;
-  pull = other288.pull;
-  change_records = other288.change_records;
-  snapshot_chunk = other288.snapshot_chunk;
-  held_ack = other288.held_ack;
-  heartbeat = other288.heartbeat;
-  control_go_away = other288.control_go_away;
-  records_pull = other288.records_pull;
-  records_push = other288.records_push;
-  follow_revisions = other288.follow_revisions;
-  revision_notice = other288.revision_notice;
-  freshness_probe = other288.freshness_probe;
-  __isset = other288.__isset;
+Body::Body(const Body& other294) {
+  traffic_hello = other294.traffic_hello;
+  traffic_welcome = other294.traffic_welcome;
+  dispatch = other294.dispatch;
+  answer = other294.answer;
+  refusal = other294.refusal;
+  failure = other294.failure;
+  inquiry = other294.inquiry;
+  inquiry_reply = other294.inquiry_reply;
+  settled = other294.settled;
+  cancel = other294.cancel;
+  traffic_ping = other294.traffic_ping;
+  traffic_pong = other294.traffic_pong;
+  traffic_go_away = other294.traffic_go_away;
+  crash_notice = other294.crash_notice;
+  leaving_notice = other294.leaving_notice;
+  credit_request = other294.credit_request;
+  credit_grant = other294.credit_grant;
+  answer_offer = other294.answer_offer;
+  answer_pull = other294.answer_pull;
+  control_hello = other294.control_hello;
+  announce = other294.announce;
+  pull = other294.pull;
+  change_records = other294.change_records;
+  snapshot_chunk = other294.snapshot_chunk;
+  held_ack = other294.held_ack;
+  heartbeat = other294.heartbeat;
+  control_go_away = other294.control_go_away;
+  records_pull = other294.records_pull;
+  records_push = other294.records_push;
+  follow_revisions = other294.follow_revisions;
+  revision_notice = other294.revision_notice;
+  freshness_probe = other294.freshness_probe;
+  __isset = other294.__isset;
+}
+Body::Body(Body&& other295) noexcept {
+  traffic_hello = std::move(other295.traffic_hello);
+  traffic_welcome = std::move(other295.traffic_welcome);
+  dispatch = std::move(other295.dispatch);
+  answer = std::move(other295.answer);
+  refusal = std::move(other295.refusal);
+  failure = std::move(other295.failure);
+  inquiry = std::move(other295.inquiry);
+  inquiry_reply = std::move(other295.inquiry_reply);
+  settled = std::move(other295.settled);
+  cancel = std::move(other295.cancel);
+  traffic_ping = std::move(other295.traffic_ping);
+  traffic_pong = std::move(other295.traffic_pong);
+  traffic_go_away = std::move(other295.traffic_go_away);
+  crash_notice = std::move(other295.crash_notice);
+  leaving_notice = std::move(other295.leaving_notice);
+  credit_request = std::move(other295.credit_request);
+  credit_grant = std::move(other295.credit_grant);
+  answer_offer = std::move(other295.answer_offer);
+  answer_pull = std::move(other295.answer_pull);
+  control_hello = std::move(other295.control_hello);
+  announce = std::move(other295.announce);
+  pull = std::move(other295.pull);
+  change_records = std::move(other295.change_records);
+  snapshot_chunk = std::move(other295.snapshot_chunk);
+  held_ack = std::move(other295.held_ack);
+  heartbeat = std::move(other295.heartbeat);
+  control_go_away = std::move(other295.control_go_away);
+  records_pull = std::move(other295.records_pull);
+  records_push = std::move(other295.records_push);
+  follow_revisions = std::move(other295.follow_revisions);
+  revision_notice = std::move(other295.revision_notice);
+  freshness_probe = std::move(other295.freshness_probe);
+  __isset = other295.__isset;
+}
+Body& Body::operator=(const Body& other296) {
+  traffic_hello = other296.traffic_hello;
+  traffic_welcome = other296.traffic_welcome;
+  dispatch = other296.dispatch;
+  answer = other296.answer;
+  refusal = other296.refusal;
+  failure = other296.failure;
+  inquiry = other296.inquiry;
+  inquiry_reply = other296.inquiry_reply;
+  settled = other296.settled;
+  cancel = other296.cancel;
+  traffic_ping = other296.traffic_ping;
+  traffic_pong = other296.traffic_pong;
+  traffic_go_away = other296.traffic_go_away;
+  crash_notice = other296.crash_notice;
+  leaving_notice = other296.leaving_notice;
+  credit_request = other296.credit_request;
+  credit_grant = other296.credit_grant;
+  answer_offer = other296.answer_offer;
+  answer_pull = other296.answer_pull;
+  control_hello = other296.control_hello;
+  announce = other296.announce;
+  pull = other296.pull;
+  change_records = other296.change_records;
+  snapshot_chunk = other296.snapshot_chunk;
+  held_ack = other296.held_ack;
+  heartbeat = other296.heartbeat;
+  control_go_away = other296.control_go_away;
+  records_pull = other296.records_pull;
+  records_push = other296.records_push;
+  follow_revisions = other296.follow_revisions;
+  revision_notice = other296.revision_notice;
+  freshness_probe = other296.freshness_probe;
+  __isset = other296.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other289) noexcept {
-  traffic_hello = std::move(other289.traffic_hello);
-  traffic_welcome = std::move(other289.traffic_welcome);
-  dispatch = std::move(other289.dispatch);
-  answer = std::move(other289.answer);
-  refusal = std::move(other289.refusal);
-  failure = std::move(other289.failure);
-  inquiry = std::move(other289.inquiry);
-  inquiry_reply = std::move(other289.inquiry_reply);
-  settled = std::move(other289.settled);
-  cancel = std::move(other289.cancel);
-  traffic_ping = std::move(other289.traffic_ping);
-  traffic_pong = std::move(other289.traffic_pong);
-  traffic_go_away = std::move(other289.traffic_go_away);
-  crash_notice = std::move(other289.crash_notice);
-  leaving_notice = std::move(other289.leaving_notice);
-  credit_request = std::move(other289.credit_request);
-  credit_grant = std::move(other289.credit_grant);
-  control_hello = std::move(other289.control_hello);
-  announce = std::move(other289.announce);
-  pull = std::move(other289.pull);
-  change_records = std::move(other289.change_records);
-  snapshot_chunk = std::move(other289.snapshot_chunk);
-  held_ack = std::move(other289.held_ack);
-  heartbeat = std::move(other289.heartbeat);
-  control_go_away = std::move(other289.control_go_away);
-  records_pull = std::move(other289.records_pull);
-  records_push = std::move(other289.records_push);
-  follow_revisions = std::move(other289.follow_revisions);
-  revision_notice = std::move(other289.revision_notice);
-  freshness_probe = std::move(other289.freshness_probe);
-  __isset = other289.__isset;
+Body& Body::operator=(Body&& other297) noexcept {
+  traffic_hello = std::move(other297.traffic_hello);
+  traffic_welcome = std::move(other297.traffic_welcome);
+  dispatch = std::move(other297.dispatch);
+  answer = std::move(other297.answer);
+  refusal = std::move(other297.refusal);
+  failure = std::move(other297.failure);
+  inquiry = std::move(other297.inquiry);
+  inquiry_reply = std::move(other297.inquiry_reply);
+  settled = std::move(other297.settled);
+  cancel = std::move(other297.cancel);
+  traffic_ping = std::move(other297.traffic_ping);
+  traffic_pong = std::move(other297.traffic_pong);
+  traffic_go_away = std::move(other297.traffic_go_away);
+  crash_notice = std::move(other297.crash_notice);
+  leaving_notice = std::move(other297.leaving_notice);
+  credit_request = std::move(other297.credit_request);
+  credit_grant = std::move(other297.credit_grant);
+  answer_offer = std::move(other297.answer_offer);
+  answer_pull = std::move(other297.answer_pull);
+  control_hello = std::move(other297.control_hello);
+  announce = std::move(other297.announce);
+  pull = std::move(other297.pull);
+  change_records = std::move(other297.change_records);
+  snapshot_chunk = std::move(other297.snapshot_chunk);
+  held_ack = std::move(other297.held_ack);
+  heartbeat = std::move(other297.heartbeat);
+  control_go_away = std::move(other297.control_go_away);
+  records_pull = std::move(other297.records_pull);
+  records_push = std::move(other297.records_push);
+  follow_revisions = std::move(other297.follow_revisions);
+  revision_notice = std::move(other297.revision_notice);
+  freshness_probe = std::move(other297.freshness_probe);
+  __isset = other297.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -8189,6 +8505,8 @@
   out << ", " << "leaving_notice="; (__isset.leaving_notice ? (out << to_string(leaving_notice)) : (out << "<null>"));
   out << ", " << "credit_request="; (__isset.credit_request ? (out << to_string(credit_request)) : (out << "<null>"));
   out << ", " << "credit_grant="; (__isset.credit_grant ? (out << to_string(credit_grant)) : (out << "<null>"));
+  out << ", " << "answer_offer="; (__isset.answer_offer ? (out << to_string(answer_offer)) : (out << "<null>"));
+  out << ", " << "answer_pull="; (__isset.answer_pull ? (out << to_string(answer_pull)) : (out << "<null>"));
   out << ", " << "control_hello="; (__isset.control_hello ? (out << to_string(control_hello)) : (out << "<null>"));
   out << ", " << "announce="; (__isset.announce ? (out << to_string(announce)) : (out << "<null>"));
   out << ", " << "pull="; (__isset.pull ? (out << to_string(pull)) : (out << "<null>"));
@@ -8298,26 +8616,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other290) {
-  logical_time = other290.logical_time;
-  body = other290.body;
-  __isset = other290.__isset;
+Frame::Frame(const Frame& other298) {
+  logical_time = other298.logical_time;
+  body = other298.body;
+  __isset = other298.__isset;
 }
-Frame::Frame(Frame&& other291) noexcept {
-  logical_time = other291.logical_time;
-  body = std::move(other291.body);
-  __isset = other291.__isset;
+Frame::Frame(Frame&& other299) noexcept {
+  logical_time = other299.logical_time;
+  body = std::move(other299.body);
+  __isset = other299.__isset;
 }
-Frame& Frame::operator=(const Frame& other292) {
-  logical_time = other292.logical_time;
-  body = other292.body;
-  __isset = other292.__isset;
+Frame& Frame::operator=(const Frame& other300) {
+  logical_time = other300.logical_time;
+  body = other300.body;
+  __isset = other300.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other293) noexcept {
-  logical_time = other293.logical_time;
-  body = std::move(other293.body);
-  __isset = other293.__isset;
+Frame& Frame::operator=(Frame&& other301) noexcept {
+  logical_time = other301.logical_time;
+  body = std::move(other301.body);
+  __isset = other301.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -45,6 +45,10 @@
 
 class Answer;
 
+class AnswerOffer;
+
+class AnswerPull;
+
 class Refusal;
 
 class Failure;
@@ -582,11 +586,12 @@
 std::ostream& operator<<(std::ostream& out, const TargetStatement& obj);
 
 typedef struct _TrafficHello__isset {
-  _TrafficHello__isset() : host(false), ingress(false), epoch(false), version(false) {}
+  _TrafficHello__isset() : host(false), ingress(false), epoch(false), version(false), pulls_answers(false) {}
   bool host :1;
   bool ingress :1;
   bool epoch :1;
   bool version :1;
+  bool pulls_answers :1;
 } _TrafficHello__isset;
 
 class TrafficHello : public virtual ::apache::thrift::TBase {
@@ -599,7 +604,8 @@
   TrafficHello() noexcept
                : host(),
                  epoch(0),
-                 version(0) {
+                 version(0),
+                 pulls_answers(0) {
   }
 
   virtual ~TrafficHello() noexcept;
@@ -607,6 +613,7 @@
   Incarnation ingress;
   int64_t epoch;
   int64_t version;
+  bool pulls_answers;
 
   _TrafficHello__isset __isset;
 
@@ -618,6 +625,8 @@
 
   void __set_version(const int64_t val);
 
+  void __set_pulls_answers(const bool val);
+
   bool operator == (const TrafficHello & rhs) const
   {
     if (!(host == rhs.host))
@@ -628,6 +637,10 @@
       return false;
     if (!(version == rhs.version))
       return false;
+    if (__isset.pulls_answers != rhs.__isset.pulls_answers)
+      return false;
+    else if (__isset.pulls_answers && !(pulls_answers == rhs.pulls_answers))
+      return false;
     return true;
   }
   bool operator != (const TrafficHello &rhs) const {
@@ -934,6 +947,107 @@
 
 std::ostream& operator<<(std::ostream& out, const Answer& obj);
 
+typedef struct _AnswerOffer__isset {
+  _AnswerOffer__isset() : id(false), body_bytes(false), capacity(false) {}
+  bool id :1;
+  bool body_bytes :1;
+  bool capacity :1;
+} _AnswerOffer__isset;
+
+class AnswerOffer : public virtual ::apache::thrift::TBase {
+ public:
+
+  AnswerOffer(const AnswerOffer&) noexcept;
+  AnswerOffer(AnswerOffer&&) noexcept;
+  AnswerOffer& operator=(const AnswerOffer&) noexcept;
+  AnswerOffer& operator=(AnswerOffer&&) noexcept;
+  AnswerOffer() noexcept
+              : body_bytes(0) {
+  }
+
+  virtual ~AnswerOffer() noexcept;
+  RequestId id;
+  int64_t body_bytes;
+  Capacity capacity;
+
+  _AnswerOffer__isset __isset;
+
+  void __set_id(const RequestId& val);
+
+  void __set_body_bytes(const int64_t val);
+
+  void __set_capacity(const Capacity& val);
+
+  bool operator == (const AnswerOffer & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(body_bytes == rhs.body_bytes))
+      return false;
+    if (!(capacity == rhs.capacity))
+      return false;
+    return true;
+  }
+  bool operator != (const AnswerOffer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AnswerOffer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AnswerOffer &a, AnswerOffer &b);
+
+std::ostream& operator<<(std::ostream& out, const AnswerOffer& obj);
+
+typedef struct _AnswerPull__isset {
+  _AnswerPull__isset() : id(false) {}
+  bool id :1;
+} _AnswerPull__isset;
+
+class AnswerPull : public virtual ::apache::thrift::TBase {
+ public:
+
+  AnswerPull(const AnswerPull&) noexcept;
+  AnswerPull(AnswerPull&&) noexcept;
+  AnswerPull& operator=(const AnswerPull&) noexcept;
+  AnswerPull& operator=(AnswerPull&&) noexcept;
+  AnswerPull() noexcept {
+  }
+
+  virtual ~AnswerPull() noexcept;
+  RequestId id;
+
+  _AnswerPull__isset __isset;
+
+  void __set_id(const RequestId& val);
+
+  bool operator == (const AnswerPull & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    return true;
+  }
+  bool operator != (const AnswerPull &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AnswerPull & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AnswerPull &a, AnswerPull &b);
+
+std::ostream& operator<<(std::ostream& out, const AnswerPull& obj);
+
 typedef struct _Refusal__isset {
   _Refusal__isset() : id(false), reason(false), retry_after_us(false), version(false), capacity(false), statement(false) {}
   bool id :1;
@@ -2893,7 +3007,7 @@
 std::ostream& operator<<(std::ostream& out, const FreshnessProbe& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : traffic_hello(false), traffic_welcome(false), dispatch(false), answer(false), refusal(false), failure(false), inquiry(false), inquiry_reply(false), settled(false), cancel(false), traffic_ping(false), traffic_pong(false), traffic_go_away(false), crash_notice(false), leaving_notice(false), credit_request(false), credit_grant(false), control_hello(false), announce(false), pull(false), change_records(false), snapshot_chunk(false), held_ack(false), heartbeat(false), control_go_away(false), records_pull(false), records_push(false), follow_revisions(false), revision_notice(false), freshness_probe(false) {}
+  _Body__isset() : traffic_hello(false), traffic_welcome(false), dispatch(false), answer(false), refusal(false), failure(false), inquiry(false), inquiry_reply(false), settled(false), cancel(false), traffic_ping(false), traffic_pong(false), traffic_go_away(false), crash_notice(false), leaving_notice(false), credit_request(false), credit_grant(false), answer_offer(false), answer_pull(false), control_hello(false), announce(false), pull(false), change_records(false), snapshot_chunk(false), held_ack(false), heartbeat(false), control_go_away(false), records_pull(false), records_push(false), follow_revisions(false), revision_notice(false), freshness_probe(false) {}
   bool traffic_hello :1;
   bool traffic_welcome :1;
   bool dispatch :1;
@@ -2911,6 +3025,8 @@
   bool leaving_notice :1;
   bool credit_request :1;
   bool credit_grant :1;
+  bool answer_offer :1;
+  bool answer_pull :1;
   bool control_hello :1;
   bool announce :1;
   bool pull :1;
@@ -2954,6 +3070,8 @@
   LeavingNotice leaving_notice;
   CreditRequest credit_request;
   CreditGrant credit_grant;
+  AnswerOffer answer_offer;
+  AnswerPull answer_pull;
   ControlHello control_hello;
   Announce announce;
   Pull pull;
@@ -3004,6 +3122,10 @@
 
   void __set_credit_grant(const CreditGrant& val);
 
+  void __set_answer_offer(const AnswerOffer& val);
+
+  void __set_answer_pull(const AnswerPull& val);
+
   void __set_control_hello(const ControlHello& val);
 
   void __set_announce(const Announce& val);
@@ -3100,6 +3222,14 @@
       return false;
     else if (__isset.credit_grant && !(credit_grant == rhs.credit_grant))
       return false;
+    if (__isset.answer_offer != rhs.__isset.answer_offer)
+      return false;
+    else if (__isset.answer_offer && !(answer_offer == rhs.answer_offer))
+      return false;
+    if (__isset.answer_pull != rhs.__isset.answer_pull)
+      return false;
+    else if (__isset.answer_pull && !(answer_pull == rhs.answer_pull))
+      return false;
     if (__isset.control_hello != rhs.__isset.control_hello)
       return false;
     else if (__isset.control_hello && !(control_hello == rhs.control_hello))
--- a/include/dandelionfall/core/http_message.h
+++ b/include/dandelionfall/core/http_message.h
@@ -4,6 +4,7 @@
 #ifndef DANDELIONFALL_CORE_HTTP_MESSAGE_H
 #define DANDELIONFALL_CORE_HTTP_MESSAGE_H
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -36,6 +37,14 @@
   friend bool operator==(const HttpResponse &, const HttpResponse &) = default;
 };
 
+/// \returns the bytes of the body and of all names and values of fields.
+template <typename Message> std::size_t sizeOf(const Message &Sized) {
+  std::size_t Bytes = Sized.m_Body.size();
+  for (const HttpField &Field : Sized.m_Fields)
+    Bytes += Field.m_Name.size() + Field.m_Value.size();
+  return Bytes;
+}
+
 /// Lowest HTTP status of a server error.
 inline constexpr std::uint32_t FirstServerError = 500;
 
--- a/include/dandelionfall/core/ingress.h
+++ b/include/dandelionfall/core/ingress.h
@@ -91,6 +91,9 @@
   /// By how much all nodes together may exceed the quota of a team; equal on
   /// all nodes.
   QuotaTolerance m_QuotaTolerance{};
+  /// Whether gates should offer large answers instead of sending them at once;
+  /// the driver then asks for them.
+  bool m_PullsAnswers = false;
 };
 
 /// Decision logic of an ingress. Not thread-safe.
--- a/include/dandelionfall/core/traffic_message.h
+++ b/include/dandelionfall/core/traffic_message.h
@@ -42,6 +42,8 @@
   Incarnation m_Ingress;
   Epoch m_Epoch = 0;
   Version m_Version = 0;
+  /// Whether the gate should offer large answers, see `AnswerOffer`.
+  bool m_PullsAnswers = false;
   friend bool operator==(const TrafficHello &, const TrafficHello &) = default;
 };
 
@@ -105,6 +107,22 @@
   friend bool operator==(const Answer &, const Answer &) = default;
 };
 
+/// Announces an answer with a large body, which the gate sends when the ingress
+/// asks for it.
+struct AnswerOffer {
+  RequestId m_Id;
+  std::uint64_t m_BodyBytes = 0;
+  Capacity m_Capacity;
+  friend bool operator==(const AnswerOffer &, const AnswerOffer &) = default;
+};
+
+/// Asks for an offered answer, for which the ingress has memory now. The gate
+/// replies with a `Failure` if it no longer has it.
+struct AnswerPull {
+  RequestId m_Id;
+  friend bool operator==(const AnswerPull &, const AnswerPull &) = default;
+};
+
 /// Reason why a gate did not run a request.
 enum class RefusalReason : std::uint8_t {
   Overload,  ///< It would miss its deadline, or cause an admitted request to
@@ -262,7 +280,7 @@
     std::variant<TrafficHello, TrafficWelcome, Dispatch, Answer, Refusal,
                  Failure, Inquiry, InquiryReply, Settled, Cancel, TrafficPing,
                  TrafficPong, TrafficGoAway, CrashNotice, LeavingNotice,
-                 CreditRequest, CreditGrant>;
+                 CreditRequest, CreditGrant, AnswerOffer, AnswerPull>;
 
 } // namespace dandelionfall::core
 
--- a/include/dandelionfall/net/http_server.h
+++ b/include/dandelionfall/net/http_server.h
@@ -85,7 +85,10 @@
 
   /// Sends the response to a request, after those to earlier requests of its
   /// connection; has no effect if the caller has disconnected.
-  void respond(core::CallId Call, core::HttpResponse Response);
+  /// \param Content kept until the response is written or discarded: an object
+  /// whose lifetime stands for the memory of the response.
+  void respond(core::CallId Call, core::HttpResponse Response,
+               std::shared_ptr<const void> Content = nullptr);
 
   /// \returns the time from a request's last byte until it was begun, for
   /// which earlier ones of its connection held it up; 0 if it is answered.
--- a/include/dandelionfall/net/link.h
+++ b/include/dandelionfall/net/link.h
@@ -63,7 +63,9 @@
 
   /// Queues a frame; a closed link discards it.
   /// \param Frame the frame with its length prefix.
-  void send(std::string Frame);
+  /// \param Content kept until the frame is written or discarded: an object
+  /// whose lifetime stands for the memory of the frame.
+  void send(std::string Frame, std::shared_ptr<const void> Content = nullptr);
 
   /// Sends the queued frames, for at most 2 s, then closes the connection; one
   /// that is not yet established is closed at once. No handler is called
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -14,7 +14,9 @@
 // A missing rate means that the target states none.
 struct TargetStatement { 1: optional double requests_per_second, 2: bool leaving }
 
-struct TrafficHello { 1: string host, 2: Incarnation ingress, 3: i64 epoch, 4: i64 version }
+struct TrafficHello {
+  1: string host, 2: Incarnation ingress, 3: i64 epoch, 4: i64 version, 5: optional bool pulls_answers
+}
 struct TrafficWelcome { 1: string host, 2: Incarnation gate, 3: i64 epoch, 4: i64 version, 5: Capacity capacity }
 struct Dispatch {
   1: RequestId id, 2: i64 epoch, 3: Incarnation gate, 4: i64 remaining_us, 5: i64 version,
@@ -23,6 +25,8 @@
   14: optional bool as_suspect, 15: optional bool repeatable, 16: optional string team
 }
 struct Answer { 1: RequestId id, 2: HttpResponse response, 3: Capacity capacity, 4: TargetStatement statement }
+struct AnswerOffer { 1: RequestId id, 2: i64 body_bytes, 3: Capacity capacity }
+struct AnswerPull { 1: RequestId id }
 struct Refusal {
   1: RequestId id, 2: i32 reason, 3: i64 retry_after_us, 4: i64 version, 5: Capacity capacity,
   6: optional TargetStatement statement
@@ -102,6 +106,8 @@
   15: LeavingNotice leaving_notice
   16: CreditRequest credit_request
   17: CreditGrant credit_grant
+  18: AnswerOffer answer_offer
+  19: AnswerPull answer_pull
   20: ControlHello control_hello
   21: Announce announce
   22: Pull pull
--- a/src/app/node/traffic_commands.cpp
+++ b/src/app/node/traffic_commands.cpp
@@ -180,9 +180,38 @@
   if (Local != m_LocalToIngress.end())
     return m_Ingress.onMessage(Local->second, Command.m_Message,
                                monotonicNow());
-  const auto Found = m_InboundLinks.find(Command.m_Link);
+  const auto *Reply = std::get_if<core::Answer>(&Command.m_Message);
+  if (Reply == nullptr)
+    return sendToIngress(Command.m_Link, Command.m_Message);
+  if (const auto Offer = m_Offers.add(Command.m_Link, *Reply, monotonicNow()))
+    return sendToIngress(Command.m_Link, *Offer);
+  sendToIngress(Command.m_Link, *Reply, Reply->m_Response);
+}
+
+void TrafficDriver::Impl::sendToIngress(LinkId Link,
+                                        const core::TrafficMessage &Message,
+                                        std::shared_ptr<const void> Content) {
+  const auto Found = m_InboundLinks.find(Link);
   if (Found != m_InboundLinks.end())
-    Found->second->send(encode(Command.m_Message));
+    Found->second->send(encode(Message), std::move(Content));
+}
+
+void TrafficDriver::Impl::sendOffered(LinkId Link, const core::RequestId &Id) {
+  if (const auto Offered = m_Offers.take(Link, Id))
+    return sendToIngress(Link, *Offered, Offered->m_Response);
+  sendToIngress(Link, core::Failure{Id, "the answer is no longer kept",
+                                    m_Gate.capacity()});
+}
+
+void TrafficDriver::Impl::pullAnswer(LinkId Link, const core::RequestId &Id) {
+  const auto Found = m_OutboundLinks.find(Link);
+  if (Found != m_OutboundLinks.end())
+    Found->second->send(encode(core::AnswerPull{Id}));
+}
+
+void TrafficDriver::Impl::removeOldOffers() {
+  if (m_Board.m_TargetResponses->waiting() > 0)
+    m_Offers.removeOld(monotonicNow());
 }
 
 std::string TrafficDriver::Impl::encode(const core::TrafficMessage &Message) {
@@ -204,6 +233,7 @@
     return;
   Found->second->close();
   m_OutboundLinks.erase(Found);
+  m_Pulls.onLinkClosed(Link);
 }
 
 void TrafficDriver::Impl::closeAsGate(LinkId Link) {
@@ -222,6 +252,7 @@
   m_InboundLinks.erase(Found);
   m_InboundHosts.erase(Link);
   m_InboundIps.erase(Link);
+  m_Offers.onLinkClosed(Link);
 }
 
 void TrafficDriver::Impl::perform(const core::AnswerCaller &Command) {
@@ -233,7 +264,8 @@
   }
   m_Board.m_Metrics.add(counterOf(Command.m_Outcome));
   m_Server->respond(Command.m_Call,
-                    makeCallerResponse(m_Board.m_Dialect, Command));
+                    makeCallerResponse(m_Board.m_Dialect, Command),
+                    Command.m_Response);
 }
 
 void TrafficDriver::Impl::perform(const core::NewerVersionSeen &Command) {
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -57,6 +57,7 @@
   }
   Options.m_QuotaTolerance =
       Board.m_Settings.m_Quota.value_or(core::QuotaTolerance{});
+  Options.m_PullsAnswers = true;
   return Options;
 }
 
@@ -105,6 +106,10 @@
       m_LeavingTargets(std::make_shared<core::LeavingTargets>()),
       m_Ingress(ingressOptions(Board, m_Quarantine, m_LeavingTargets)),
       m_Gate(gateOptions(Board, m_Quarantine, m_LeavingTargets)),
+      m_Pulls(Board.m_CallerResponses, MaxResponseBytes, Context.get_executor(),
+              [this](LinkId Link, const core::RequestId &Id) {
+                pullAnswer(Link, Id);
+              }),
       m_Timer(Context, [this] { onTimer(); }), m_DrainTimer(Context),
       m_SilentLinkTimer(Context) {
   startServer();
@@ -242,20 +247,51 @@
                       "check that both nodes run compatible versions");
   const TimePoint Now = monotonicNow();
   if (Inbound) {
-    if (const auto *Hello = std::get_if<core::TrafficHello>(Message))
-      m_InboundHosts[Link] = Hello->m_Host;
-    if (auto *Dispatch = std::get_if<core::Dispatch>(Message))
-      reserveBody(*Dispatch);
-    if (std::holds_alternative<core::CreditRequest>(*Message))
-      refreshProof();
     m_LinkWatch.onFrame(Link, Now);
-    m_Gate.onMessage(Link, *Message, Now);
-  } else {
+    if (!handleAsGate(Link, *Message))
+      m_Gate.onMessage(Link, *Message, Now);
+  } else if (!handleAsIngress(Link, *Message)) {
     m_Ingress.onMessage(Link, *Message, Now);
   }
   performCommands();
 }
 
+bool TrafficDriver::Impl::handleAsGate(LinkId Link,
+                                       core::TrafficMessage &Message) {
+  if (const auto *Hello = std::get_if<core::TrafficHello>(&Message)) {
+    m_InboundHosts[Link] = Hello->m_Host;
+    if (Hello->m_PullsAnswers)
+      m_Offers.onHello(Link);
+  } else if (auto *Dispatch = std::get_if<core::Dispatch>(&Message)) {
+    reserveBody(*Dispatch);
+  } else if (std::holds_alternative<core::CreditRequest>(Message)) {
+    refreshProof();
+  } else if (const auto *Settled = std::get_if<core::Settled>(&Message)) {
+    for (const core::RequestId &Id : Settled->m_Ids)
+      m_Offers.remove(Link, Id);
+  } else if (const auto *Pull = std::get_if<core::AnswerPull>(&Message)) {
+    sendOffered(Link, Pull->m_Id);
+    return true;
+  }
+  return false;
+}
+
+bool TrafficDriver::Impl::handleAsIngress(LinkId Link,
+                                          core::TrafficMessage &Message) {
+  if (auto *Received = std::get_if<core::Answer>(&Message)) {
+    m_Pulls.onAnswer(Link, *Received);
+  } else if (const auto *Failed = std::get_if<core::Failure>(&Message)) {
+    m_Pulls.remove(Link, Failed->m_Id);
+  } else if (const auto *Offer = std::get_if<core::AnswerOffer>(&Message)) {
+    if (m_Pulls.onOffer(Link, *Offer))
+      return true;
+    Message =
+        core::Failure{Offer->m_Id, "the ingress has no memory for the answer",
+                      Offer->m_Capacity};
+  }
+  return false;
+}
+
 void TrafficDriver::Impl::onLinkClosed(LinkId Link, bool Inbound,
                                        const std::string & /*Reason*/) {
   const TimePoint Now = monotonicNow();
@@ -264,9 +300,11 @@
     m_InboundLinks.erase(Link);
     m_InboundHosts.erase(Link);
     m_InboundIps.erase(Link);
+    m_Offers.onLinkClosed(Link);
     m_Gate.onLinkClosed(Link, Now);
   } else {
     m_OutboundLinks.erase(Link);
+    m_Pulls.onLinkClosed(Link);
     m_Ingress.onLinkClosed(Link, Now);
   }
   performCommands();
@@ -332,6 +370,7 @@
 void TrafficDriver::Impl::closeSilentLinks() {
   for (const LinkId Link : m_LinkWatch.findSilent(monotonicNow()))
     onLinkClosed(Link, true, "silent");
+  removeOldOffers();
   m_SilentLinkTimer.expires_after(SilentLinkInterval);
   m_SilentLinkTimer.async_wait([this](boost::system::error_code Code) {
     if (!Code)
--- a/src/app/node/traffic_driver_impl.h
+++ b/src/app/node/traffic_driver_impl.h
@@ -4,6 +4,8 @@
 #ifndef DANDELIONFALL_SRC_APP_NODE_TRAFFIC_DRIVER_IMPL_H
 #define DANDELIONFALL_SRC_APP_NODE_TRAFFIC_DRIVER_IMPL_H
 
+#include "app/node/answer_offers.h"
+#include "app/node/answer_pulls.h"
 #include "app/node/link_watch.h"
 #include "app/node/traffic_driver.h"
 #include "app/node/wake_up_timer.h"
@@ -55,6 +57,12 @@
                          const std::string &CallerId = "");
   void onCallerDisconnected(core::CallId Call);
   void onFrame(LinkId Link, bool Inbound, std::string_view Bytes);
+  /// \returns whether the message was for the driver itself.
+  bool handleAsGate(LinkId Link, core::TrafficMessage &Message);
+  bool handleAsIngress(LinkId Link, core::TrafficMessage &Message);
+  void sendOffered(LinkId Link, const core::RequestId &Id);
+  void pullAnswer(LinkId Link, const core::RequestId &Id);
+  void removeOldOffers();
   void onLinkClosed(LinkId Link, bool Inbound, const std::string &Reason);
   void onTimer();
   void applyCallerLimits();
@@ -90,6 +98,8 @@
   void sendAsIngress(const core::SendTraffic &Command);
   void sendAsGate(const core::SendTraffic &Command);
   void closeAsIngress(LinkId Link);
+  void sendToIngress(LinkId Link, const core::TrafficMessage &Message,
+                     std::shared_ptr<const void> Content = nullptr);
   void closeAsGate(LinkId Link);
   void openLocalLink(LinkId Link);
   void onTargetResult(const core::StartTarget &Started, TimePoint StartedAt,
@@ -112,6 +122,8 @@
   core::Ingress m_Ingress;
   core::ZoneTrafficCounts m_PublishedZoneTraffic;
   core::Gate m_Gate;
+  AnswerOffers m_Offers;
+  AnswerPulls m_Pulls;
   std::optional<net::HttpServer> m_Server;
   std::optional<net::HttpClient> m_Target;
   WakeUpTimer m_Timer;
--- a/src/core/ingress/gate_links.cpp
+++ b/src/core/ingress/gate_links.cpp
@@ -56,7 +56,7 @@
   Peer->m_State = LinkState::AwaitingWelcome;
   Peer->m_OpenDeadline = Now + OpenTimeout;
   m_Out.send(Link, TrafficHello{m_Options.m_Host, m_Options.m_Incarnation, Link,
-                                m_Version});
+                                m_Version, m_Options.m_PullsAnswers});
   rescheduleTimer(*Peer, Now);
 }
 
--- a/src/net/answer_queue.cpp
+++ b/src/net/answer_queue.cpp
@@ -5,17 +5,6 @@
 
 namespace dandelionfall::net {
 
-namespace {
-
-std::size_t sizeOf(const core::HttpResponse &Response) {
-  std::size_t Bytes = Response.m_Body.size();
-  for (const core::HttpField &Field : Response.m_Fields)
-    Bytes += Field.m_Name.size() + Field.m_Value.size();
-  return Bytes;
-}
-
-} // namespace
-
 bool AnswerQueue::takesMore() const {
   if (m_Ended)
     return false;
@@ -46,7 +35,8 @@
   m_Ended = true;
 }
 
-bool AnswerQueue::answer(core::CallId Call, core::HttpResponse Response) {
+bool AnswerQueue::answer(core::CallId Call, core::HttpResponse Response,
+                         std::shared_ptr<const void> Content) {
   const auto Found =
       std::find_if(m_Entries.begin(), m_Entries.end(), [&](const Entry &Each) {
         return !Each.m_Answered && Each.m_Request.m_Call == Call;
@@ -55,6 +45,7 @@
     return false;
   --m_Open;
   setResponse(*Found, std::move(Response));
+  Found->m_Content = std::move(Content);
   return true;
 }
 
@@ -109,7 +100,7 @@
 
 void AnswerQueue::setResponse(Entry &Answered, core::HttpResponse Response) {
   Answered.m_Answered = true;
-  Answered.m_Bytes = sizeOf(Response);
+  Answered.m_Bytes = core::sizeOf(Response);
   m_Bytes += Answered.m_Bytes;
   m_Totals.m_Bytes += Answered.m_Bytes;
   Answered.m_Response = std::move(Response);
--- a/src/net/answer_queue.h
+++ b/src/net/answer_queue.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -78,8 +79,11 @@
   void end(core::HttpResponse Last);
 
   /// Sets the response to a request.
+  /// \param Content kept until the response is written or removed: an object
+  /// whose lifetime stands for the memory of the response.
   /// \returns false if no request waits for it.
-  bool answer(core::CallId Call, core::HttpResponse Response);
+  bool answer(core::CallId Call, core::HttpResponse Response,
+              std::shared_ptr<const void> Content = nullptr);
   /// \returns whether the first response is there and not yet taken.
   bool hasNext() const;
   /// Takes the first response; hasNext() must hold.
@@ -99,6 +103,7 @@
   struct Entry {
     Request m_Request;
     std::optional<core::HttpResponse> m_Response = std::nullopt;
+    std::shared_ptr<const void> m_Content = nullptr;
     std::size_t m_Bytes = 0;
     bool m_Answered = false;
   };
--- a/src/net/codec.cpp
+++ b/src/net/codec.cpp
@@ -5,6 +5,7 @@
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TVirtualTransport.h>
 
 #include <boost/endian/conversion.hpp>
 
@@ -23,26 +24,56 @@
 constexpr int MaxRecursion = 8;
 constexpr std::int32_t MaxContainerItems = 100'000;
 
+/// Appends what is written to a string.
+class StringSink
+    : public apache::thrift::transport::TVirtualTransport<
+          StringSink, apache::thrift::transport::TTransportDefaults> {
+public:
+  explicit StringSink(std::string &Out) : m_Out(Out) {}
+  void write(const std::uint8_t *Bytes, std::uint32_t Count) {
+    m_Out.append(reinterpret_cast<const char *>(Bytes), Count);
+  }
+
+private:
+  std::string &m_Out;
+};
+
 [[noreturn]] void throwMalformed(const std::string &Fault) {
   throw core::Error(core::ErrorKind::MalformedMessage, Fault,
                     "check that both nodes run compatible versions");
 }
 
+/// Bytes of a frame besides its large parts; more are allowed.
+constexpr std::size_t UsualFrameBytes = 256;
+
+// Large messages should be written without copies of the frame so far.
+std::size_t expectedSize(const core::TrafficMessage &Message) {
+  const auto *Reply = std::get_if<core::Answer>(&Message);
+  if (Reply != nullptr && Reply->m_Response != nullptr)
+    return UsualFrameBytes + core::sizeOf(*Reply->m_Response);
+  const auto *Request = std::get_if<core::Dispatch>(&Message);
+  if (Request != nullptr && Request->m_Request != nullptr)
+    return UsualFrameBytes + core::sizeOf(*Request->m_Request);
+  return UsualFrameBytes;
+}
+
+std::size_t expectedSize(const core::ControlMessage & /*Message*/) {
+  return UsualFrameBytes;
+}
+
 template <typename Message>
 std::string encode(const Message &Value, std::uint64_t LogicalTime) {
   wire::Frame Frame;
   Frame.logical_time = static_cast<std::int64_t>(LogicalTime);
   toWire(Value, Frame.body);
-  auto Buffer = std::make_shared<TMemoryBuffer>();
-  Protocol Writer(Buffer);
+  std::string Result;
+  Result.reserve(expectedSize(Value));
+  Result.resize(FrameHeaderBytes);
+  TCompactProtocolT<StringSink> Writer(std::make_shared<StringSink>(Result));
   Frame.write(&Writer);
-  std::uint8_t *Bytes = nullptr;
-  std::uint32_t Length = 0;
-  Buffer->getBuffer(&Bytes, &Length);
-  std::string Result(FrameHeaderBytes + Length, '\0');
-  boost::endian::store_big_u32(reinterpret_cast<unsigned char *>(Result.data()),
-                               Length);
-  std::copy_n(Bytes, Length, Result.begin() + FrameHeaderBytes);
+  boost::endian::store_big_u32(
+      reinterpret_cast<unsigned char *>(Result.data()),
+      static_cast<std::uint32_t>(Result.size() - FrameHeaderBytes));
   return Result;
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -49,13 +49,14 @@
     Each->closeIfIdle();
 }
 
-void HttpServer::Impl::respond(core::CallId Call, core::HttpResponse Response) {
+void HttpServer::Impl::respond(core::CallId Call, core::HttpResponse Response,
+                               std::shared_ptr<const void> Content) {
   const auto Found = m_Unanswered.find(Call);
   if (Found == m_Unanswered.end())
     return;
   const SessionPtr Waiting = Found->second;
   m_Unanswered.erase(Found);
-  Waiting->answer(Call, std::move(Response));
+  Waiting->answer(Call, std::move(Response), std::move(Content));
 }
 
 core::Duration HttpServer::Impl::timeHeld(core::CallId Call) const {
--- a/src/net/http_server_impl.h
+++ b/src/net/http_server_impl.h
@@ -23,7 +23,8 @@
   void start();
   void stop();
   void startDrain();
-  void respond(core::CallId Call, core::HttpResponse Response);
+  void respond(core::CallId Call, core::HttpResponse Response,
+               std::shared_ptr<const void> Content);
   core::Duration timeHeld(core::CallId Call) const;
 
   class Session;
--- a/src/net/http_server_interface.cpp
+++ b/src/net/http_server_interface.cpp
@@ -13,8 +13,9 @@
 
 HttpServer::~HttpServer() { m_Impl->stop(); }
 
-void HttpServer::respond(core::CallId Call, core::HttpResponse Response) {
-  m_Impl->respond(Call, std::move(Response));
+void HttpServer::respond(core::CallId Call, core::HttpResponse Response,
+                         std::shared_ptr<const void> Content) {
+  m_Impl->respond(Call, std::move(Response), std::move(Content));
 }
 
 void HttpServer::startDrain() { m_Impl->startDrain(); }
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -31,7 +31,8 @@
   /// Continues to read if the state and the queue of answers allow it.
   void readOn();
   /// The owner's response to a request of this connection.
-  void answer(core::CallId Call, core::HttpResponse Response);
+  void answer(core::CallId Call, core::HttpResponse Response,
+              std::shared_ptr<const void> Content);
   void close();
   /// Ends what has taken too long, and notices callers that have left.
   void checkTime(Clock::time_point Now);
--- a/src/net/http_session_answers.cpp
+++ b/src/net/http_session_answers.cpp
@@ -55,8 +55,9 @@
 }
 
 void HttpServer::Impl::Session::answer(core::CallId Call,
-                                       core::HttpResponse Response) {
-  if (m_Answers.answer(Call, std::move(Response)))
+                                       core::HttpResponse Response,
+                                       std::shared_ptr<const void> Content) {
+  if (m_Answers.answer(Call, std::move(Response), std::move(Content)))
     writeNext();
 }
 
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -26,6 +26,11 @@
 
 } // namespace
 
+struct QueuedFrame {
+  std::string m_Bytes;
+  std::shared_ptr<const void> m_Content;
+};
+
 class Link::Impl : public std::enable_shared_from_this<Link::Impl> {
 public:
   Impl(tcp::socket Socket, LinkHandlers Handlers)
@@ -33,8 +38,8 @@
         m_Handlers(std::move(Handlers)), m_Input(ReadBufferBytes) {}
 
   void connect(const std::string &Address, LinkKind Kind) {
-    m_Queued.emplace_back(preambleFor(Kind));
-    m_Pending = m_Queued.back().size();
+    m_Queued.push_back({std::string(preambleFor(Kind)), nullptr});
+    m_Pending = m_Queued.back().m_Bytes.size();
     startTimer(ConnectTimeout, "connection attempt timed out");
     try {
       m_Socket.async_connect(parseEndpoint(Address),
@@ -57,11 +62,11 @@
     write();
   }
 
-  void send(std::string Frame) {
+  void send(std::string Frame, std::shared_ptr<const void> Content) {
     if (m_Closed)
       return;
     m_Pending += Frame.size();
-    m_Queued.push_back(std::move(Frame));
+    m_Queued.push_back({std::move(Frame), std::move(Content)});
     if (m_Pending > MaxPendingBytes) {
       boost::asio::post(m_Socket.get_executor(), [Self = shared_from_this()] {
         Self->fail("peer reads too slowly");
@@ -103,7 +108,7 @@
 
   void read() {
     if (m_Input.size() == m_InputSize)
-      m_Input.resize(m_Input.size() * 2);
+      growInput();
     m_Socket.async_read_some(
         boost::asio::buffer(m_Input.data() + m_InputSize,
                             m_Input.size() - m_InputSize),
@@ -112,6 +117,16 @@
         });
   }
 
+  // Grows only as bytes arrive, so that a length prefix alone allocates no
+  // memory, and not beyond the first frame.
+  void growInput() {
+    const std::size_t FirstFrame =
+        FrameHeaderBytes +
+        decodeFrameLength({m_Input.data(), FrameHeaderBytes});
+    m_Input.reserve(std::min(2 * m_Input.size(), FirstFrame));
+    m_Input.resize(m_Input.capacity());
+  }
+
   void onRead(error_code Code, std::size_t Count) {
     if (m_Closed)
       return;
@@ -148,8 +163,6 @@
               m_Input.begin() + static_cast<std::ptrdiff_t>(m_InputSize),
               m_Input.begin());
     m_InputSize -= Begin;
-    // The buffer grows only as bytes arrive, so that a length prefix alone
-    // allocates no memory; it shrinks again when empty.
     if (m_InputSize == 0 && m_Input.size() > ReadBufferBytes) {
       m_Input.resize(ReadBufferBytes);
       m_Input.shrink_to_fit();
@@ -162,8 +175,8 @@
     m_Writing.swap(m_Queued);
     std::vector<boost::asio::const_buffer> Buffers;
     Buffers.reserve(m_Writing.size());
-    for (const std::string &Frame : m_Writing)
-      Buffers.emplace_back(Frame.data(), Frame.size());
+    for (const QueuedFrame &Frame : m_Writing)
+      Buffers.emplace_back(Frame.m_Bytes.data(), Frame.m_Bytes.size());
     boost::asio::async_write(
         m_Socket, Buffers,
         [Self = shared_from_this()](error_code Code, std::size_t Count) {
@@ -203,8 +216,8 @@
   LinkHandlers m_Handlers;
   std::vector<char> m_Input;
   std::size_t m_InputSize = 0;
-  std::vector<std::string> m_Queued;
-  std::vector<std::string> m_Writing;
+  std::vector<QueuedFrame> m_Queued;
+  std::vector<QueuedFrame> m_Writing;
   std::size_t m_Pending = 0;
   bool m_Connected = false;
   bool m_Closed = false;
@@ -242,7 +255,9 @@
   return std::shared_ptr<Link>(new Link(std::move(Implementation)));
 }
 
-void Link::send(std::string Frame) { m_Impl->send(std::move(Frame)); }
+void Link::send(std::string Frame, std::shared_ptr<const void> Content) {
+  m_Impl->send(std::move(Frame), std::move(Content));
+}
 
 void Link::close() { m_Impl->close(); }
 
--- a/src/net/wire_traffic.cpp
+++ b/src/net/wire_traffic.cpp
@@ -132,6 +132,8 @@
     Value.ingress = net::toWire(Message.m_Ingress);
     Value.epoch = toSigned(Message.m_Epoch);
     Value.version = toSigned(Message.m_Version);
+    if (Message.m_PullsAnswers)
+      Value.__set_pulls_answers(true);
     m_Body.__set_traffic_hello(Value);
   }
 
@@ -283,6 +285,20 @@
     m_Body.__set_credit_grant(Value);
   }
 
+  void operator()(const core::AnswerOffer &Message) {
+    wire::AnswerOffer Value;
+    Value.id = net::toWire(Message.m_Id);
+    Value.body_bytes = toSigned(Message.m_BodyBytes);
+    Value.capacity = toWire(Message.m_Capacity);
+    m_Body.__set_answer_offer(Value);
+  }
+
+  void operator()(const core::AnswerPull &Message) {
+    wire::AnswerPull Value;
+    Value.id = net::toWire(Message.m_Id);
+    m_Body.__set_answer_pull(Value);
+  }
+
 private:
   wire::Body &m_Body;
 };
@@ -290,7 +306,8 @@
 core::TrafficMessage readHello(wire::Body &Body) {
   wire::TrafficHello &Value = Body.traffic_hello;
   return core::TrafficHello{std::move(Value.host), net::fromWire(Value.ingress),
-                            toUnsigned(Value.epoch), toUnsigned(Value.version)};
+                            toUnsigned(Value.epoch), toUnsigned(Value.version),
+                            Value.__isset.pulls_answers && Value.pulls_answers};
 }
 
 core::TrafficMessage readWelcome(wire::Body &Body) {
@@ -410,6 +427,17 @@
                            Duration(Value.retry_after_us)};
 }
 
+core::TrafficMessage readAnswerOffer(wire::Body &Body) {
+  const wire::AnswerOffer &Value = Body.answer_offer;
+  return core::AnswerOffer{net::fromWire(Value.id),
+                           toUnsigned(Value.body_bytes),
+                           fromWire(Value.capacity)};
+}
+
+core::TrafficMessage readAnswerPull(wire::Body &Body) {
+  return core::AnswerPull{net::fromWire(Body.answer_pull.id)};
+}
+
 constexpr MessageReader<core::TrafficMessage> Readers[] = {
     {[](const wire::Body &Body) { return Body.__isset.dispatch; },
      readDispatch},
@@ -439,6 +467,10 @@
      readCreditRequest},
     {[](const wire::Body &Body) { return Body.__isset.credit_grant; },
      readCreditGrant},
+    {[](const wire::Body &Body) { return Body.__isset.answer_offer; },
+     readAnswerOffer},
+    {[](const wire::Body &Body) { return Body.__isset.answer_pull; },
+     readAnswerPull},
 };
 
 } // namespace
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -31,6 +31,9 @@
 std::vector<TrafficMessage> trafficMessages() {
   return {
       TrafficHello{"h", {1, 2}, 3, 4},
+      TrafficHello{"h", {1, 2}, 3, 4, true},
+      AnswerOffer{Id, 7'000'000, Load},
+      AnswerPull{Id},
       TrafficWelcome{"g", {5, 6}, 3, 4, Load},
       Dispatch{Id,
                3,
