--- a/src/app/node/answer_offers.h
+++ b/src/app/node/answer_offers.h
@@ -6,10 +6,8 @@
 #include "dandelionfall/core/traffic_message.h"
 
 #include <cstddef>
-#include <map>
 #include <optional>
-#include <set>
-#include <utility>
+#include <unordered_map>
 
 namespace dandelionfall::app {
 
@@ -25,7 +23,7 @@
   static constexpr core::Duration MaxAge = std::chrono::seconds(1);
 
   /// Records that the ingress of a link pulls large answers.
-  void onHello(core::LinkId Link) { m_PullingLinks.insert(Link); }
+  void onHello(core::LinkId Link) { m_Links[Link]; }
 
   /// \returns the offer to send in place of an answer, which is kept; nothing
   /// if the answer should be sent at once.
@@ -47,14 +45,14 @@
   void removeOld(core::TimePoint Now);
 
 private:
-  using Key = std::pair<core::LinkId, core::RequestId>;
   struct Entry {
     core::Answer m_Answer;
     core::TimePoint m_OfferedAt;
   };
 
-  std::set<core::LinkId> m_PullingLinks;
-  std::map<Key, Entry> m_Entries;
+  /// The offers of each link whose ingress pulls large answers.
+  std::unordered_map<core::LinkId, std::unordered_map<core::RequestId, Entry>>
+      m_Links;
 };
 
 } // namespace dandelionfall::app
--- a/src/app/node/answer_pulls.h
+++ b/src/app/node/answer_pulls.h
@@ -12,9 +12,8 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
-#include <utility>
+#include <unordered_map>
 
 namespace dandelionfall::app {
 
@@ -51,28 +50,28 @@
   void onLinkClosed(core::LinkId Link);
 
 private:
-  using Key = std::pair<core::LinkId, core::RequestId>;
   struct Entry {
     std::unique_ptr<net::ResponseRoom> m_Room;
     std::uint64_t m_BodyBytes = 0;
     bool m_Asked = false;
   };
   struct LinkState {
+    std::unordered_map<core::RequestId, Entry> m_Entries;
     std::uint64_t m_BytesAsked = 0;
     /// Answers that there is memory for, in the order to ask for them.
     std::deque<core::RequestId> m_Next;
   };
 
-  void onRoom(const Key &Offered);
-  void askNext(core::LinkId Link);
-  std::unique_ptr<net::ResponseRoom> take(const Key &Ended);
+  void onRoom(core::LinkId Link, const core::RequestId &Id);
+  void askNext(core::LinkId Link, LinkState &State);
+  std::unique_ptr<net::ResponseRoom> take(core::LinkId Link,
+                                          const core::RequestId &Id);
 
   std::shared_ptr<const core::ResponseMemory> m_Memory;
   std::uint64_t m_MaxBodyBytes;
   boost::asio::any_io_executor m_Executor;
   Pull m_Ask;
-  std::map<Key, Entry> m_Entries;
-  std::map<core::LinkId, LinkState> m_Links;
+  std::unordered_map<core::LinkId, LinkState> m_Links;
 };
 
 } // namespace dandelionfall::app
--- a/tests/unit/byte_budget_test.cpp
+++ b/tests/unit/byte_budget_test.cpp
@@ -50,6 +50,7 @@
   const auto Budget = ByteBudget::create(Limits);
   const auto Large = Budget->tryReserve(98);
   std::vector<ByteBudget::Reservation> Small;
+  Small.reserve(4);
   for (int Count = 0; Count < 4; ++Count)
     Small.push_back(Budget->tryReserve(5));
   GrantList Grants;
--- a/tests/unit/large_answers_test.cpp
+++ b/tests/unit/large_answers_test.cpp
@@ -92,19 +92,19 @@
   AnswerOffers Offers;
   Offers.onHello(Link);
   Offers.onHello(OtherLink);
-  const auto add = [&](LinkId To, std::uint64_t Sequence, int Ms) {
+  const auto Add = [&](LinkId To, std::uint64_t Sequence, int Ms) {
     REQUIRE(Offers.add(To, makeAnswer(Sequence, 100'000), at(Ms)));
   };
-  add(Link, 1, 0);
+  Add(Link, 1, 0);
   Offers.remove(Link, idOf(1));
   CHECK_FALSE(Offers.take(Link, idOf(1)));
-  add(Link, 2, 0);
-  add(OtherLink, 2, 0);
+  Add(Link, 2, 0);
+  Add(OtherLink, 2, 0);
   Offers.onLinkClosed(Link);
   CHECK_FALSE(Offers.take(Link, idOf(2)));
   CHECK(Offers.take(OtherLink, idOf(2)));
-  add(OtherLink, 3, 0);
-  add(OtherLink, 4, 500);
+  Add(OtherLink, 3, 0);
+  Add(OtherLink, 4, 500);
   Offers.removeOld(at(1200));
   CHECK_FALSE(Offers.take(OtherLink, idOf(3)));
   CHECK(Offers.take(OtherLink, idOf(4)));
--- a/tests/unit/response_room_test.cpp
+++ b/tests/unit/response_room_test.cpp
@@ -168,12 +168,12 @@
         core::targetResponseMemory(Machine, LargestBody);
     const core::ResponseMemory Callers =
         core::callerResponseMemory(Machine, LargestBody);
-    const auto sumOf = [](const core::ByteBudgetLimits &Limits) {
+    const auto SumOf = [](const core::ByteBudgetLimits &Limits) {
       return Limits.m_LargeTotal + Limits.m_SmallTotal;
     };
     const std::uint64_t Sum = Target.limit() + Callers.limit() +
-                              sumOf(core::callerBodyLimits(Machine)) +
-                              sumOf(core::gateBodyLimits(Machine));
+                              SumOf(core::callerBodyLimits(Machine)) +
+                              SumOf(core::gateBodyLimits(Machine));
     CHECK(static_cast<double>(Sum) <= 0.8 * 1e6 * MemoryMb);
     CHECK(Target.m_Whole->fits(core::bodyCost(LargestBody)));
     CHECK(Callers.m_Whole->fits(core::bodyCost(LargestBody)));
