--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -200,6 +200,7 @@
         self.bounds = {"retry-budget-ratio": 0.2, "budget-slack": 60, "budget-window-s": 10, "grace-s": 6,
                        **(bounds or {})}
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
+        self.limits = {}
         self.children, self.current = [], {}
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["node"]
         self.command, self.template = deploy["run"].split(), (ROOT / deploy["template"]).read_text()
@@ -212,7 +213,8 @@
                   "seeds": [f"{each}:{self.control}" for each in self.hosts[:3]],
                   "listen": {"outbound": f"{host}:{self.outbound}", "readiness": f"{host}:{self.readiness}",
                              "control": f"{host}:{self.control}"},
-                  "limits": {"cpu-share": 0.2, "cores": 1, "memory-mb": 260, "max-fds": 4100, "link-mbps": 1000.0},
+                  "limits": {"cpu-share": 0.2, "cores": 1, "memory-mb": 260, "max-fds": 4100, "link-mbps": 1000.0,
+                             **self.limits},
                   "bounds": self.bounds,
                   "platform": {"address": f"{self.store_host}:{self.store_port}", "reads-per-s": 2000}}
         return render(self.template, [fields])
