--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,7 +13,7 @@
 SERVICE, OTHER = "wuno96b", "huvo11a"
 # Two slots, so that of six requests two run, two more begin after WORK_S, and two have not begun when grace-s is over.
 SLOTS, REQUESTS, WORK_S, GRACE_S, BEFORE_S = 2, 6, 3.5, 6, 0.3
-DEADLINE_MS = TIMEOUT_MS = LATENCY_MS = 8000
+DEADLINE_MS, TIMEOUT_MS, LATENCY_MS = 8000, 8000, 1200
 
 
 class Server:
