Bound the requests that are open when a planned stop begins by its end

Cause: the end of the process bounded only the calls that are opened after SIGTERM (PlannedEnd::limitDeadline in CallTable::open). Open calls kept their deadlines, at the ingress and at the gates where they wait. The gate of a stopping node held and started requests of its peers in the same way; these got "may have run" for requests that had not begun.

Ruled out: that the answers were ready and not written (the requests never reached the target), and that the gate can't know (with TROUBLE=0 it rejects them in time).

Change: Ingress::startDrain makes the end a deadline of all open calls, and tells it to the gates of open calls in pings (an optional field, which earlier versions skip). Gate::startDrain takes the end as well. A gate shortens the deadlines of the waiting requests and refuses, with the present service times, those that the schedule of its slots can't finish by then; each leaves its place to those behind it. SlotSchedule moves to a file of its own, unchanged.

The calls of startDrain in unit.ingress_calls_test got the new parameter, nothing else.

--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -3287,6 +3287,11 @@
 void TrafficPing::__set_version(const int64_t val) {
   this->version = val;
 }
+
+void TrafficPing::__set_ends_in_us(const int64_t val) {
+  this->ends_in_us = val;
+__isset.ends_in_us = true;
+}
 std::ostream& operator<<(std::ostream& out, const TrafficPing& obj)
 {
   obj.printTo(out);
@@ -3331,6 +3336,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ends_in_us);
+          this->__isset.ends_in_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3356,6 +3369,11 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.ends_in_us) {
+    xfer += oprot->writeFieldBegin("ends_in_us", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->ends_in_us);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3365,28 +3383,33 @@
   using ::std::swap;
   swap(a.sequence, b.sequence);
   swap(a.version, b.version);
+  swap(a.ends_in_us, b.ends_in_us);
   swap(a.__isset, b.__isset);
 }
 
 TrafficPing::TrafficPing(const TrafficPing& other104) noexcept {
   sequence = other104.sequence;
   version = other104.version;
+  ends_in_us = other104.ends_in_us;
   __isset = other104.__isset;
 }
 TrafficPing::TrafficPing(TrafficPing&& other105) noexcept {
   sequence = other105.sequence;
   version = other105.version;
+  ends_in_us = other105.ends_in_us;
   __isset = other105.__isset;
 }
 TrafficPing& TrafficPing::operator=(const TrafficPing& other106) noexcept {
   sequence = other106.sequence;
   version = other106.version;
+  ends_in_us = other106.ends_in_us;
   __isset = other106.__isset;
   return *this;
 }
 TrafficPing& TrafficPing::operator=(TrafficPing&& other107) noexcept {
   sequence = other107.sequence;
   version = other107.version;
+  ends_in_us = other107.ends_in_us;
   __isset = other107.__isset;
   return *this;
 }
@@ -3395,6 +3418,7 @@
   out << "TrafficPing(";
   out << "sequence=" << to_string(sequence);
   out << ", " << "version=" << to_string(version);
+  out << ", " << "ends_in_us="; (__isset.ends_in_us ? (out << to_string(ends_in_us)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -1376,9 +1376,10 @@
 std::ostream& operator<<(std::ostream& out, const Cancel& obj);
 
 typedef struct _TrafficPing__isset {
-  _TrafficPing__isset() : sequence(false), version(false) {}
+  _TrafficPing__isset() : sequence(false), version(false), ends_in_us(false) {}
   bool sequence :1;
   bool version :1;
+  bool ends_in_us :1;
 } _TrafficPing__isset;
 
 class TrafficPing : public virtual ::apache::thrift::TBase {
@@ -1390,12 +1391,14 @@
   TrafficPing& operator=(TrafficPing&&) noexcept;
   TrafficPing() noexcept
               : sequence(0),
-                version(0) {
+                version(0),
+                ends_in_us(0) {
   }
 
   virtual ~TrafficPing() noexcept;
   int64_t sequence;
   int64_t version;
+  int64_t ends_in_us;
 
   _TrafficPing__isset __isset;
 
@@ -1403,12 +1406,18 @@
 
   void __set_version(const int64_t val);
 
+  void __set_ends_in_us(const int64_t val);
+
   bool operator == (const TrafficPing & rhs) const
   {
     if (!(sequence == rhs.sequence))
       return false;
     if (!(version == rhs.version))
       return false;
+    if (__isset.ends_in_us != rhs.__isset.ends_in_us)
+      return false;
+    else if (__isset.ends_in_us && !(ends_in_us == rhs.ends_in_us))
+      return false;
     return true;
   }
   bool operator != (const TrafficPing &rhs) const {
--- a/include/dandelionfall/core/gate.h
+++ b/include/dandelionfall/core/gate.h
@@ -176,7 +176,9 @@
   void spread(const TrafficMessage &Notice, TimePoint Now);
   /// Stops admitting requests; `GateDrained` follows once no admitted request
   /// is left.
-  void startDrain(TimePoint Now);
+  /// \param End when the process ends, if that is known. Waiting requests that
+  /// can't be done by then are refused.
+  void startDrain(TimePoint Now, std::optional<TimePoint> End = std::nullopt);
   /// Runs timers that have expired.
   void onTick(TimePoint Now);
   /// \returns when `onTick` must be called next, if at all.
--- a/include/dandelionfall/core/ingress.h
+++ b/include/dandelionfall/core/ingress.h
@@ -128,8 +128,9 @@
   void onFreshness(const FreshnessProof &Proof);
   /// Announces the end of the process. From now on, calls whose deadline is
   /// later are rejected unless the latest calls of their kind were answered in
-  /// less than the time left; the others are finished by then.
-  void startDrain(TimePoint End);
+  /// less than the time left; the others, and those that are open, are finished
+  /// by then.
+  void startDrain(TimePoint End, TimePoint Now);
   /// Handles the disconnection of a caller.
   void onCallerDisconnected(CallId Call, TimePoint Now);
   /// Handles the opening of a requested link, which can now carry messages.
--- a/include/dandelionfall/core/traffic_message.h
+++ b/include/dandelionfall/core/traffic_message.h
@@ -217,6 +217,9 @@
 struct TrafficPing {
   std::uint64_t m_Sequence = 0;
   Version m_Version = 0;
+  /// Time from sending until the process of the ingress ends, if it is
+  /// stopping. It can't pass on later answers.
+  std::optional<Duration> m_EndsIn{};
   friend bool operator==(const TrafficPing &, const TrafficPing &) = default;
 };
 
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -36,7 +36,7 @@
 struct InquiryReply { 1: RequestId id, 2: i32 state }
 struct Settled { 1: list<RequestId> ids }
 struct Cancel { 1: RequestId id }
-struct TrafficPing { 1: i64 sequence, 2: i64 version }
+struct TrafficPing { 1: i64 sequence, 2: i64 version, 3: optional i64 ends_in_us }
 struct TrafficPong { 1: i64 sequence, 2: i64 version, 3: Capacity capacity }
 struct TrafficGoAway {}
 struct CrashEvidence {
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -322,15 +322,17 @@
     return;
   m_Draining = true;
   const TimePoint Now = monotonicNow();
-  m_Gate.startDrain(Now);
   m_Server->disableKeepAlive();
   const core::Duration Grace = m_Board.m_Settings.m_Grace;
   core::Duration Linger =
       std::chrono::milliseconds(m_Board.m_Settings.m_LingerMs);
+  std::optional<TimePoint> End;
   if (Grace > core::Duration{0}) {
-    m_Ingress.startDrain(Now + Grace - EndMargin);
+    End = Now + Grace - EndMargin;
+    m_Ingress.startDrain(*End, Now);
     Linger = std::min(Linger, Grace / 2);
   }
+  m_Gate.startDrain(Now, End);
   m_DrainTimer.expires_after(Linger);
   m_DrainTimer.async_wait([this](boost::system::error_code Code) {
     if (!Code)
--- a/src/core/gate.cpp
+++ b/src/core/gate.cpp
@@ -76,7 +76,9 @@
   m_Impl->spread(Notice, Now);
 }
 
-void Gate::startDrain(TimePoint Now) { m_Impl->startDrain(Now); }
+void Gate::startDrain(TimePoint Now, std::optional<TimePoint> End) {
+  m_Impl->startDrain(Now, End);
+}
 
 void Gate::onTick(TimePoint Now) { m_Impl->onTick(Now); }
 
--- a/src/core/gate/admission.h
+++ b/src/core/gate/admission.h
@@ -22,6 +22,8 @@
   /// Whether the response is expected after the soft deadline.
   bool m_Late = false;
   Rank m_Rank = 0;
+  /// See `QueuedRequest`.
+  bool m_EndsEarly = false;
 };
 
 /// A request to decide on.
--- a/src/core/gate/deadline_admission.cpp
+++ b/src/core/gate/deadline_admission.cpp
@@ -1,10 +1,10 @@
 #include "core/gate/deadline_admission.h"
 
+#include "core/gate/slot_schedule.h"
+
 #include <algorithm>
-#include <functional>
 #include <limits>
 #include <optional>
-#include <span>
 #include <tuple>
 #include <utility>
 
@@ -28,42 +28,6 @@
 /// fills, because a late request blocks those while it runs.
 constexpr int LateWaitDivisor = 16;
 
-/// Assigns slots in the order in which they become free.
-class SlotSchedule {
-public:
-  explicit SlotSchedule(const AdmissionView &View)
-      : m_Now(View.m_Now), m_RateStarts(View.m_RateStarts),
-        m_FreeTimes(View.m_SlotsFreeAt) {
-    std::make_heap(m_FreeTimes.begin(), m_FreeTimes.end(), std::greater<>());
-  }
-
-  /// Assigns the next request to the slot that becomes free first.
-  /// \param Expected its expected service time.
-  /// \returns its expected finish time.
-  TimePoint finishNext(Duration Expected) {
-    const TimePoint Finish = nextStart() + Expected;
-    std::pop_heap(m_FreeTimes.begin(), m_FreeTimes.end(), std::greater<>());
-    ++m_Assigned;
-    m_FreeTimes.back() = Finish;
-    std::push_heap(m_FreeTimes.begin(), m_FreeTimes.end(), std::greater<>());
-    return Finish;
-  }
-
-  /// \returns when the next request is expected to start.
-  TimePoint nextStart() const {
-    const TimePoint Start = std::max(m_FreeTimes.front(), m_Now);
-    return m_Assigned < m_RateStarts.size()
-               ? std::max(Start, m_RateStarts[m_Assigned])
-               : Start;
-  }
-
-private:
-  TimePoint m_Now;
-  std::span<const TimePoint> m_RateStarts;
-  std::size_t m_Assigned = 0;
-  std::vector<TimePoint> m_FreeTimes;
-};
-
 /// Expected finish times of the waiting requests and, if \p Position is set, of
 /// the arriving request inserted there.
 std::vector<TimePoint> schedule(const AdmissionView &View,
--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -125,10 +125,12 @@
 
 void Engine::onLinkClosed(LinkId Link) { m_Links.close(Link); }
 
-void Engine::startDrain(TimePoint Now) {
+void Engine::startDrain(TimePoint Now, std::optional<TimePoint> End) {
   if (m_DrainUntil)
     return;
   m_DrainUntil = Now + DrainLinger;
+  if (End)
+    m_Queue.limitDeadlines(*End);
   for (const LinkId Link : m_Links.currentLinks())
     send(Link, TrafficGoAway{});
   expire(Now);
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -91,7 +91,7 @@
   void onTargetCheck(bool Refused, TimePoint Now);
   void spread(const TrafficMessage &Notice, TimePoint Now);
   void onTargetConnectionClosed(TimePoint Now);
-  void startDrain(TimePoint Now);
+  void startDrain(TimePoint Now, std::optional<TimePoint> End);
   void onTick(TimePoint Now);
   std::optional<TimePoint> nextWakeUp() const;
   Capacity capacity() const;
@@ -156,6 +156,9 @@
   /// Refuses the waiting requests that can't start in time within the rate
   /// limits of the target.
   void rejectWithoutStart(TimePoint Now);
+  /// Refuses the waiting requests that can't be done before a node on their way
+  /// ends.
+  void rejectBeforeEnd(TimePoint Now);
   void failRunning(const RequestId &Id, const std::string &Detail,
                    const std::optional<RequestId> &TargetEnd = std::nullopt);
   bool isBesideSuspect(const RequestFingerprint &Request) const;
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -256,7 +256,7 @@
   for (const QueuedRequest &Request : m_Queue.requests())
     View.m_Waiting.push_back({Request.m_Deadline, Request.m_Expected,
                               Request.m_SoftDeadline, Request.m_Late,
-                              Request.m_Rank});
+                              Request.m_Rank, Request.m_EndsEarly});
   View.m_RateStarts = rateStarts(View.m_Waiting.size() + 1, Now);
   const Duration Overdue =
       std::max(View.m_ServiceTime.m_Deviation, Duration{1});
@@ -388,9 +388,15 @@
   }
 }
 
-void Engine::handle(LinkId Link, const TrafficPing &Message,
-                    TimePoint /*Now*/) {
+void Engine::handle(LinkId Link, const TrafficPing &Message, TimePoint Now) {
   reportNewerVersion(Link, Message.m_Version);
+  if (Message.m_EndsIn) {
+    const Duration Left = std::clamp(
+        *Message.m_EndsIn - m_SleepGuard.maxUnreadTime(Now) - answerGrace(),
+        Duration{0}, MaxRemaining);
+    m_Queue.limitDeadlines(Now + Left, m_Links.find(Link)->m_Ingress);
+    expire(Now);
+  }
   send(Link, TrafficPong{Message.m_Sequence, version(), capacity()});
 }
 
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -1,3 +1,4 @@
+#include "core/gate/early_end.h"
 #include "core/gate/engine.h"
 
 #include <algorithm>
@@ -271,6 +272,22 @@
   for (const QueuedRequest &Each : Postponed)
     m_Queue.push(Each);
   rejectWithoutStart(Now);
+  rejectBeforeEnd(Now);
+}
+
+void Engine::rejectBeforeEnd(TimePoint Now) {
+  if (m_Profile == nullptr || !m_Queue.hasEarlyEnds())
+    return;
+  const std::vector<QueuedRequest> Waiting = m_Queue.requests();
+  AdmissionView View = admissionView(Waiting.front().m_Kind, Now);
+  // More may be known of the service times than when they were admitted.
+  for (std::size_t Index = 0; Index < Waiting.size(); ++Index)
+    View.m_Waiting[Index].m_Expected =
+        estimate(Waiting[Index].m_Kind, Now).m_Mean;
+  for (const std::size_t Index : findUnservable(View)) {
+    m_Queue.remove(Waiting[Index].m_Id);
+    refuseWaiting(Waiting[Index], "node-ends", Duration{0}, Now);
+  }
 }
 
 // The rate may have fallen since the requests were admitted.
--- a/src/core/gate/request_queue.cpp
+++ b/src/core/gate/request_queue.cpp
@@ -38,6 +38,25 @@
   return Infeasible;
 }
 
+void RequestQueue::limitDeadlines(TimePoint Latest,
+                                  const std::optional<Incarnation> &Of) {
+  for (QueuedRequest Request : requests()) {
+    if (Request.m_Deadline <= Latest || (Of && Request.m_Id.m_Ingress != *Of))
+      continue;
+    m_Requests.erase(Request);
+    Request.m_Deadline = Latest;
+    Request.m_SoftDeadline = std::min(Request.m_SoftDeadline, Latest);
+    Request.m_EndsEarly = true;
+    m_Requests.insert(std::move(Request));
+  }
+}
+
+bool RequestQueue::hasEarlyEnds() const {
+  return std::any_of(
+      m_Requests.begin(), m_Requests.end(),
+      [](const QueuedRequest &Each) { return Each.m_EndsEarly; });
+}
+
 void RequestQueue::remove(const RequestId &Id) {
   std::erase_if(m_Requests, [&Id](const QueuedRequest &Request) {
     return Request.m_Id == Id;
--- a/src/core/gate/request_queue.h
+++ b/src/core/gate/request_queue.h
@@ -46,6 +46,9 @@
   Rank m_Rank = 0;
   /// Rank that its ingress gave it.
   Rank m_OwnRank = 0;
+  /// Whether its deadline is the end of its ingress or of this gate, which the
+  /// decision to admit it did not know.
+  bool m_EndsEarly = false;
   friend bool operator==(const QueuedRequest &,
                          const QueuedRequest &) = default;
 };
@@ -56,6 +59,12 @@
   explicit RequestQueue(QueueOrder Order) : m_Requests(StartOrder{Order}) {}
 
   void push(const QueuedRequest &Request) { m_Requests.insert(Request); }
+  /// Shortens the deadlines that are later.
+  /// \param Of the ingress whose requests are meant; all if unset.
+  void limitDeadlines(TimePoint Latest,
+                      const std::optional<Incarnation> &Of = std::nullopt);
+  /// \returns whether deadlines of waiting requests were shortened.
+  bool hasEarlyEnds() const;
   /// Removes a request if it is in the queue.
   void remove(const RequestId &Id);
   /// Removes and returns the next request; the queue must not be empty.
--- a/src/core/ingress.cpp
+++ b/src/core/ingress.cpp
@@ -128,7 +128,10 @@
   m_Impl->m_Calls.addProof(Proof);
 }
 
-void Ingress::startDrain(TimePoint End) { m_Impl->m_Calls.setEnd(End); }
+void Ingress::startDrain(TimePoint End, TimePoint Now) {
+  m_Impl->m_Calls.expire(Now);
+  m_Impl->m_Calls.setEnd(End, Now);
+}
 
 void Ingress::onCallerDisconnected(CallId Call, TimePoint Now) {
   m_Impl->m_Calls.abandon(Call, Now);
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -114,6 +114,20 @@
   dispatchWithCredit(Added, Owner.m_Team, Now);
 }
 
+void CallTable::setEnd(TimePoint End, TimePoint Now) {
+  m_PlannedEnd.set(End);
+  for (auto &[Id, Entry] : m_Calls) {
+    const TimePoint Latest = std::max(End - Entry.m_AnswerGrace, Now);
+    if (Entry.m_Deadline <= Latest)
+      continue;
+    Entry.m_Deadline = Latest;
+    Entry.m_SoftDeadline = std::min(Entry.m_SoftDeadline, Latest);
+    m_Deadlines.set(Id, Latest);
+  }
+  // The gates know best which waiting requests can't be answered by then.
+  m_Links.announceEnd(End, Now);
+}
+
 void CallTable::reject(CallId Id, const std::string &CallerId,
                        CallOutcome Outcome, const std::string &Detail,
                        Duration RetryAfter) {
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -38,8 +38,9 @@
 
   void setStepEvents(bool Enabled) { m_StepEvents = Enabled; }
   /// Announces the end of the process. Later calls whose requests might be cut
-  /// off while they run are rejected, the others are ended before.
-  void setEnd(TimePoint End) { m_PlannedEnd.set(End); }
+  /// off while they run are rejected; the others, and those that are open, are
+  /// finished by then.
+  void setEnd(TimePoint End, TimePoint Now);
   /// Opens a call for a caller's request.
   void open(CallId Id, HttpRequestPtr Request,
             std::optional<Duration> CallerDeadline,
--- a/src/core/ingress/call_table_attempts.cpp
+++ b/src/core/ingress/call_table_attempts.cpp
@@ -77,7 +77,9 @@
   Current.m_Call = 0;
   if (!Current.m_Sent)
     return endAttempt(Number);
-  cancel(Current);
+  // The target finishes what it has begun, although nobody gets the answer.
+  if (!m_PlannedEnd.hasCome(Now))
+    cancel(Current);
   if (m_OrphanCount >= MaxOrphans) {
     m_Links.settle(Peer, Current.m_Id, Now);
     m_Links.rescheduleTimer(Peer, Now);
--- a/src/core/ingress/gate_links.cpp
+++ b/src/core/ingress/gate_links.cpp
@@ -98,9 +98,21 @@
   }
   Peer->m_Load.recordReport(Message.m_Capacity, Now);
   m_Listener->onGateReady(*Peer, Now);
+  if (m_End && !Peer->m_Sent.empty())
+    sendPing(*Peer, Now);
   rescheduleTimer(*Peer, Now);
 }
 
+void GateLinks::announceEnd(TimePoint End, TimePoint Now) {
+  m_End = End;
+  for (const auto &[Address, Peer] : m_Peers) {
+    if (Peer->m_State != LinkState::Ready || Peer->m_Sent.empty())
+      continue;
+    sendPing(*Peer, Now);
+    rescheduleTimer(*Peer, Now);
+  }
+}
+
 void GateLinks::onLinkClosed(LinkId Link, TimePoint Now) {
   GatePeer *Peer = findByLink(Link);
   if (Peer == nullptr)
@@ -174,7 +186,10 @@
 void GateLinks::sendPing(GatePeer &Peer, TimePoint Now) {
   Peer.m_PingSentAt = Now;
   Peer.m_PongDeadline = Now + PongTimeout;
-  m_Out.send(Peer.m_Link, TrafficPing{++Peer.m_PingSequence, m_Version});
+  TrafficPing Message{++Peer.m_PingSequence, m_Version};
+  if (m_End)
+    Message.m_EndsIn = *m_End - Now - Peer.m_Load.roundTrip();
+  m_Out.send(Peer.m_Link, Message);
 }
 
 void GateLinks::checkBeforeUse(GatePeer &Peer, TimePoint Now) {
--- a/src/core/ingress/gate_links.h
+++ b/src/core/ingress/gate_links.h
@@ -40,6 +40,9 @@
 
   /// Sets the receiver of notifications. Required before any other call.
   void setListener(GateLinksListener &Listener) { m_Listener = &Listener; }
+  /// Tells the gates with open requests when the process of this node ends.
+  /// Gates that are linked later learn it from their pings.
+  void announceEnd(TimePoint End, TimePoint Now);
   /// Sets the version that is reported to gates.
   void setVersion(Version Applied) { m_Version = Applied; }
 
@@ -109,6 +112,7 @@
   Outbox &m_Out;
   GateLinksListener *m_Listener = nullptr;
   Version m_Version = 0;
+  std::optional<TimePoint> m_End;
   LinkId m_LastLink = 0;
   std::map<std::string, std::unique_ptr<GatePeer>> m_Peers;
   std::map<LinkId, GatePeer *> m_Links;
--- a/src/core/ingress/planned_end.h
+++ b/src/core/ingress/planned_end.h
@@ -19,6 +19,8 @@
 public:
   /// Sets when the process ends.
   void set(TimePoint End) { m_End = End; }
+  /// \returns whether the end has come.
+  bool hasCome(TimePoint Now) const { return m_End && *m_End <= Now; }
   /// \returns whether the process ends before a time.
   bool isBefore(TimePoint Time) const { return m_End && *m_End < Time; }
   /// Records a call that was answered without a server error.
--- a/src/net/wire_traffic.cpp
+++ b/src/net/wire_traffic.cpp
@@ -234,6 +234,8 @@
     wire::TrafficPing Value;
     Value.sequence = toSigned(Message.m_Sequence);
     Value.version = toSigned(Message.m_Version);
+    if (Message.m_EndsIn)
+      Value.__set_ends_in_us(Message.m_EndsIn->count());
     m_Body.__set_traffic_ping(Value);
   }
 
@@ -380,8 +382,12 @@
 }
 
 core::TrafficMessage readPing(wire::Body &Body) {
-  return core::TrafficPing{toUnsigned(Body.traffic_ping.sequence),
-                           toUnsigned(Body.traffic_ping.version)};
+  const wire::TrafficPing &Value = Body.traffic_ping;
+  core::TrafficPing Result{toUnsigned(Value.sequence),
+                           toUnsigned(Value.version)};
+  if (Value.__isset.ends_in_us)
+    Result.m_EndsIn = Duration(Value.ends_in_us);
+  return Result;
 }
 
 core::TrafficMessage readPong(wire::Body &Body) {
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -80,6 +80,7 @@
       Settled{{Id}},
       Cancel{Id},
       TrafficPing{1, 2},
+      TrafficPing{1, 2, std::chrono::milliseconds(5750)},
       TrafficPong{1, 2, Load},
       TrafficGoAway{},
   };
--- a/tests/unit/gate_harness.h
+++ b/tests/unit/gate_harness.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -140,8 +141,10 @@
     collect();
   }
 
-  void drain() {
-    m_Gate.startDrain(m_Now);
+  /// \param EndsIn time until the end of the process, if it is known.
+  void drain(std::optional<Duration> EndsIn = std::nullopt) {
+    m_Gate.startDrain(m_Now,
+                      EndsIn ? std::optional(m_Now + *EndsIn) : std::nullopt);
     collect();
   }
 
--- a/tests/unit/ingress_calls_test.cpp
+++ b/tests/unit/ingress_calls_test.cpp
@@ -369,7 +369,7 @@
 TEST_CASE("a planned stop rejects a call that might outlast the process") {
   IngressFixture Test;
   Test.configure({});
-  Test.m_Ingress.startDrain(Test.m_Now + 3s);
+  Test.m_Ingress.startDrain(Test.m_Now + 3s, Test.m_Now);
   const Duration Grace = Profile{}.m_AnswerGrace;
   Test.call(1, "POST", 3s - Grace);
   CHECK(Test.m_Dispatches.size() == 1);
@@ -404,7 +404,7 @@
   IngressFixture Test;
   Test.configure({});
   playCalls(Test, 64, 200ms);
-  Test.m_Ingress.startDrain(Test.m_Now + 3s);
+  Test.m_Ingress.startDrain(Test.m_Now + 3s, Test.m_Now);
   const std::size_t Before = Test.m_Dispatches.size();
   SUBCASE("although its deadline is later") {
     Test.call(1, "POST", 9s);
@@ -462,7 +462,7 @@
     playCalls(Test, 1, 3s);
     playCalls(Test, 60, 1ms);
   }
-  Test.m_Ingress.startDrain(Test.m_Now + 2900ms);
+  Test.m_Ingress.startDrain(Test.m_Now + 2900ms, Test.m_Now);
   Test.call(1, "POST", 9s);
   CHECK(Test.outcome(1) == CallOutcome::NotRun);
 }
