Check the state of the target again when a waiting request begins

Cause: Engine::refusalByState looked at the target only when a request arrived. Nothing looked again when a waiting request began, nor when the target left.

Ruled out: that the gate did not know; it refused all new requests as target-leaving meanwhile.

Change: one rule where a request begins (refusalToBegin): target draining, leaving by its own statement or by a notice, removed, another one at its address, of another service, host about to be removed, availability zone out for a second. A change that bars waiting requests refuses them at once, as not run, and the ingress gives them to another target. That target may become known to the ingress some milliseconds later than the departure to the gate: a call that is refused because its target left, and has no other, now waits up to 0.2 s for one (awaitTargets).

--- a/src/core/gate.cpp
+++ b/src/core/gate.cpp
@@ -24,8 +24,8 @@
   m_Impl->onFreshness(Proof);
 }
 
-void Gate::setHostLeaving(bool Leaving, TimePoint /*Now*/) {
-  m_Impl->setHostLeaving(Leaving);
+void Gate::setHostLeaving(bool Leaving, TimePoint Now) {
+  m_Impl->setHostLeaving(Leaving, Now);
 }
 
 void Gate::setStepEvents(bool Enabled) { m_Impl->setStepEvents(Enabled); }
--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -58,9 +58,15 @@
     restartRamp("target-listed", Now);
   applyZoneState(WasIn, Now);
   expire(Now);
+  refuseBarred(Now);
   advance(Now);
 }
 
+void Engine::setHostLeaving(bool Leaving, TimePoint Now) {
+  m_HostLeaving = Leaving;
+  refuseBarred(Now);
+}
+
 void Engine::findLocalTarget() {
   m_Service = nullptr;
   m_Target = nullptr;
@@ -141,6 +147,7 @@
   for (const LinkId Link : m_Links.currentLinks())
     send(Link, Notice);
   applyEvidence(Now);
+  refuseBarred(Now);
 }
 
 void Engine::onTick(TimePoint Now) {
@@ -197,6 +204,10 @@
   return m_Config != nullptr && !isZoneIn(*m_Config, m_Options.m_Zone);
 }
 
+bool Engine::isZoneClosed(TimePoint Now) const {
+  return m_ZoneOutSince && Now >= *m_ZoneOutSince + ZoneOutGrace;
+}
+
 Version Engine::version() const {
   return m_Config == nullptr ? 0 : m_Config->m_Stamp.m_Version;
 }
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -74,7 +74,7 @@
 
   void onConfiguration(ConfigurationPtr Config, TimePoint Now);
   void onFreshness(const FreshnessProof &Proof) { m_Accounts.addProof(Proof); }
-  void setHostLeaving(bool Leaving) { m_HostLeaving = Leaving; }
+  void setHostLeaving(bool Leaving, TimePoint Now);
   void setStepEvents(bool Enabled) { m_StepEvents = Enabled; }
   void onMessage(LinkId Link, const TrafficMessage &Message, TimePoint Now);
   void onLinkClosed(LinkId Link);
@@ -124,6 +124,11 @@
   std::optional<RefusalCause> refusalByState(const Dispatch &Message,
                                              Duration Remaining,
                                              TimePoint Now) const;
+  /// \returns why the target takes no request at present.
+  /// \param TargetName the target that the request is addressed to.
+  std::optional<RefusalCause>
+  refusalByTarget(const std::string &Service,
+                  const std::string &TargetName) const;
   std::optional<RefusalCause> refusalByQuarantine(const HttpRequestPtr &Request,
                                                   bool AsSuspect,
                                                   TimePoint Now);
@@ -151,6 +156,12 @@
   void startQueued(TimePoint Now);
   Duration answerGrace() const;
   bool requeueIfLate(QueuedRequest &Next, TimePoint Now);
+  /// \returns why a waiting request may not begin, although it was admitted.
+  std::optional<RefusalCause> refusalToBegin(const RequestId &Id,
+                                             TimePoint Now) const;
+  /// Refuses the waiting requests that may not begin, so that their callers can
+  /// go elsewhere.
+  void refuseBarred(TimePoint Now);
   bool canStartNow(TimePoint Now);
   void updateRateSlots(TimePoint Now);
   /// Refuses the waiting requests that can't start in time within the rate
@@ -223,6 +234,8 @@
   void reportStatedRate(std::string_view Origin);
   void applyZoneState(bool WasIn, TimePoint Now);
   bool isZoneOut() const;
+  /// \returns whether the zone went out so long ago that nothing may begin.
+  bool isZoneClosed(TimePoint Now) const;
   Version version() const;
   void send(LinkId Link, TrafficMessage Message);
   void sendToIngress(const RequestId &Id, TrafficMessage Message);
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -132,15 +132,10 @@
 std::optional<RefusalCause> Engine::refusalByState(const Dispatch &Message,
                                                    Duration Remaining,
                                                    TimePoint Now) const {
-  if (m_Target == nullptr || Message.m_Target != m_Target->m_Name ||
-      Message.m_Service != m_Service->m_Name ||
-      m_Target->m_Name == m_DepartedTarget)
-    return RefusalCause{RefusalReason::UnknownTarget, Duration{0}};
-  if (m_DrainUntil || m_HostLeaving)
+  if (auto Cause = refusalByTarget(Message.m_Service, Message.m_Target))
+    return Cause;
+  if (m_DrainUntil)
     return RefusalCause{RefusalReason::Draining, Duration{0}};
-  if (m_Target->m_Draining || m_LeavingTargets->contains(m_Instance))
-    return RefusalCause{RefusalReason::TargetLeaving, Duration{0},
-                        statementOf(m_Instance)};
   if (isZoneOut())
     return RefusalCause{RefusalReason::ZoneOut, Duration{0}};
   if (Remaining <= Duration{0})
@@ -156,6 +151,20 @@
   return std::nullopt;
 }
 
+std::optional<RefusalCause>
+Engine::refusalByTarget(const std::string &Service,
+                        const std::string &TargetName) const {
+  if (m_Target == nullptr || TargetName != m_Target->m_Name ||
+      Service != m_Service->m_Name || TargetName == m_DepartedTarget)
+    return RefusalCause{RefusalReason::UnknownTarget, Duration{0}};
+  if (m_HostLeaving)
+    return RefusalCause{RefusalReason::Draining, Duration{0}};
+  if (m_Target->m_Draining || m_LeavingTargets->contains(m_Instance))
+    return RefusalCause{RefusalReason::TargetLeaving, Duration{0},
+                        statementOf(m_Instance)};
+  return std::nullopt;
+}
+
 std::optional<RefusalCause>
 Engine::refusalByQuarantine(const HttpRequestPtr &Request, bool AsSuspect,
                             TimePoint Now) {
@@ -281,6 +290,7 @@
   Entry.m_AsSuspect = Message.m_AsSuspect;
   Entry.m_Repeatable = Message.m_Repeatable;
   Entry.m_Target = m_Instance;
+  Entry.m_Service = Message.m_Service;
   Entry.m_Team = Message.m_Team;
   Entry.m_Arrival = ++m_Arrivals;
   Entry.m_Request = Message.m_Request;
@@ -406,8 +416,7 @@
   m_Quarantine->merge(Message.m_Evidence, Now);
 }
 
-void Engine::handle(LinkId Link, const LeavingNotice &Message,
-                    TimePoint /*Now*/) {
+void Engine::handle(LinkId Link, const LeavingNotice &Message, TimePoint Now) {
   if (Message.m_Targets.size() > LeavingTargets::MaxExchanged)
     return closeLink(Link);
   for (const TargetInstance &Each : Message.m_Targets) {
@@ -415,6 +424,7 @@
       report(EventId::TargetLeaving,
              "target=" + Each.m_Name + " origin=notice");
   }
+  refuseBarred(Now);
 }
 
 void Engine::handle(LinkId Link, const CreditRequest &Message, TimePoint Now) {
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -214,10 +214,12 @@
   const LedgerEntry *Entry = m_Ledger.find(Id);
   if (Entry == nullptr)
     return;
-  if (Statement.m_Leaving && m_LeavingTargets->add(Entry->m_Target))
+  if (Statement.m_Leaving && m_LeavingTargets->add(Entry->m_Target)) {
     report(EventId::TargetLeaving,
            "target=" + Entry->m_Target.m_Name +
                " origin=response request=" + toString(Id));
+    refuseBarred(Now);
+  }
   // The rate of a target that has been replaced since says nothing about the
   // present one.
   const OccupiedSlot *Slot = m_Slots.find(Id);
@@ -247,6 +249,10 @@
   std::vector<QueuedRequest> Postponed;
   while (!m_Queue.empty() && m_Slots.size() < Allowed && canStartNow(Now)) {
     QueuedRequest Next = m_Queue.pop();
+    if (const auto Cause = refusalToBegin(Next.m_Id, Now)) {
+      refuse(Next.m_Id, *Cause);
+      continue;
+    }
     if (requeueIfLate(Next, Now))
       continue;
     const Duration Remaining = Next.m_Deadline - Now;
@@ -290,6 +296,26 @@
   }
 }
 
+std::optional<RefusalCause> Engine::refusalToBegin(const RequestId &Id,
+                                                   TimePoint Now) const {
+  const LedgerEntry &Entry = *m_Ledger.find(Id);
+  if (auto Cause = refusalByTarget(Entry.m_Service, Entry.m_Target.m_Name))
+    return Cause;
+  if (isZoneClosed(Now))
+    return RefusalCause{RefusalReason::ZoneOut, Duration{0}};
+  return std::nullopt;
+}
+
+void Engine::refuseBarred(TimePoint Now) {
+  for (const QueuedRequest &Request : m_Queue.requests()) {
+    const auto Cause = refusalToBegin(Request.m_Id, Now);
+    if (!Cause)
+      continue;
+    m_Queue.remove(Request.m_Id);
+    refuse(Request.m_Id, *Cause);
+  }
+}
+
 // The rate may have fallen since the requests were admitted.
 void Engine::rejectWithoutStart(TimePoint Now) {
   if (m_Queue.empty())
@@ -377,7 +403,7 @@
     refuse(Request.m_Id, {RefusalReason::DeadlinePassed, Duration{0}});
   for (const QueuedRequest &Request : m_Queue.takeInfeasible(Now))
     refuseWaiting(Request, "no-time-left", Duration{0}, Now);
-  if (m_ZoneOutSince && Now >= *m_ZoneOutSince + ZoneOutGrace)
+  if (isZoneClosed(Now))
     refuseQueued({RefusalReason::ZoneOut, Duration{0}});
 }
 
--- a/src/core/gate/ledger.h
+++ b/src/core/gate/ledger.h
@@ -41,8 +41,9 @@
   /// See `Dispatch`.
   bool m_AsSuspect = false;
   bool m_Repeatable = false;
-  /// The target that the request is addressed to.
+  /// The target that the request is addressed to, and its service.
   TargetInstance m_Target;
+  std::string m_Service{};
   /// Team whose key the caller sent; empty if there is none.
   std::string m_Team{};
   /// Ascending number of the admission; part of the queue's order.
--- a/src/core/ingress/call_records.h
+++ b/src/core/ingress/call_records.h
@@ -6,6 +6,7 @@
 #include "core/ingress/gate_peer.h"
 #include "dandelionfall/core/http_message.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -92,6 +93,11 @@
   /// Shortest delay given by a refusing gate; 0 if none gave one.
   Duration m_RetryAfter{0};
   std::string m_LastFault;
+  /// Set once a gate refused the request because its target has left: until
+  /// then, another target may become known.
+  std::optional<TimePoint> m_TargetsAwaitedUntil;
+  /// Whether the call waits for that now.
+  bool m_AwaitsTargets = false;
   /// The attempt that ended last; 0 if none has ended.
   AttemptNumber m_LastAttempt = 0;
 };
--- a/src/core/ingress/call_table.cpp
+++ b/src/core/ingress/call_table.cpp
@@ -122,7 +122,7 @@
       continue;
     Entry.m_Deadline = Latest;
     Entry.m_SoftDeadline = std::min(Entry.m_SoftDeadline, Latest);
-    m_Deadlines.set(Id, Latest);
+    m_Deadlines.setNoLater(Id, Latest);
   }
   // The gates know best which waiting requests can't be answered by then.
   m_Links.announceEnd(End, Now);
@@ -280,6 +280,8 @@
     if (Chosen != nullptr && (Entry.m_TargetAttempts == 0 ||
                               View.m_Budget.tryConsume(View.m_Profile, Now)))
       return startAttempt(Entry, *Chosen, Now);
+    if (Chosen == nullptr && awaitTargets(Entry, Now))
+      return;
   }
   conclude(Entry, Now);
 }
@@ -369,7 +371,12 @@
 
 void CallTable::expire(TimePoint Now) {
   while (const std::optional<CallId> Id = m_Deadlines.takeDue(Now)) {
-    const Call &Late = m_Calls.at(*Id);
+    Call &Late = m_Calls.at(*Id);
+    if (Late.m_AwaitsTargets && Now < Late.m_Deadline) {
+      endTargetsWait(Late);
+      conclude(Late, Now);
+      continue;
+    }
     const TimePoint GraceEnd = Late.m_Deadline + Late.m_AnswerGrace;
     if (Now < GraceEnd && mayHaveRun(Late) && !Late.m_OpenAttempts.empty()) {
       m_Deadlines.set(*Id, GraceEnd);
--- a/src/core/ingress/call_table.h
+++ b/src/core/ingress/call_table.h
@@ -119,6 +119,11 @@
   bool retryServerError(Call &Entry, const HttpResponsePtr &Response,
                         TimePoint Now);
   void conclude(Call &Entry, TimePoint Now);
+  /// Lets a call without a target wait for the replacement of one that left.
+  /// \returns false if no target left, or the wait has ended.
+  bool awaitTargets(Call &Entry, TimePoint Now);
+  void endTargetsWait(Call &Entry);
+  void dispatchAwaiting(TimePoint Now);
   /// \param RefusedByTarget whether the target itself refused the attempt.
   void endNotRun(AttemptNumber Number, const std::string &Fault, TimePoint Now,
                  bool RefusedByTarget = false);
--- a/src/core/ingress/call_table_attempts.cpp
+++ b/src/core/ingress/call_table_attempts.cpp
@@ -32,6 +32,20 @@
   dispatchOrConclude(*Entry, Now);
 }
 
+bool CallTable::awaitTargets(Call &Entry, TimePoint Now) {
+  if (!Entry.m_OpenAttempts.empty() || !Entry.m_TargetsAwaitedUntil ||
+      Now >= *Entry.m_TargetsAwaitedUntil)
+    return false;
+  Entry.m_AwaitsTargets = true;
+  m_Deadlines.setNoLater(Entry.m_Id, *Entry.m_TargetsAwaitedUntil);
+  return true;
+}
+
+void CallTable::endTargetsWait(Call &Entry) {
+  Entry.m_AwaitsTargets = false;
+  m_Deadlines.set(Entry.m_Id, Entry.m_Deadline);
+}
+
 void CallTable::endOutcomeUnknown(AttemptNumber Number,
                                   const std::string &Fault, TimePoint Now) {
   const CallId Id = m_Attempts.at(Number).m_Call;
--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -9,6 +9,12 @@
 
 namespace {
 
+bool isDeparture(RefusalReason Reason) {
+  return Reason == RefusalReason::TargetLeaving ||
+         Reason == RefusalReason::UnknownTarget ||
+         Reason == RefusalReason::OtherTarget;
+}
+
 // Copies the numbers, because ending an attempt changes the set.
 std::vector<AttemptNumber> copyOf(const std::set<AttemptNumber> &Numbers) {
   return {Numbers.begin(), Numbers.end()};
@@ -75,6 +81,9 @@
   if (Entry != nullptr && (Message.m_Reason == RefusalReason::Quarantined ||
                            (IsSuspect && Ended->m_AsSuspect)))
     Entry->m_IsConfined = true;
+  if (Entry != nullptr && isDeparture(Message.m_Reason) &&
+      !Entry->m_TargetsAwaitedUntil)
+    Entry->m_TargetsAwaitedUntil = Now + MaxTargetsWait;
   // The gate may be that of the target which runs all copies.
   if (Entry != nullptr && IsSuspect && suspectOf(*Entry->m_Request))
     std::erase(Entry->m_TriedGates, Peer.m_Address);
@@ -245,6 +254,20 @@
   }
   for (const AttemptNumber Number : Affected)
     endNotRun(Number, "the gate was taken out", Now);
+  dispatchAwaiting(Now);
+}
+
+void CallTable::dispatchAwaiting(TimePoint Now) {
+  std::vector<CallId> Awaiting;
+  for (const auto &[Id, Entry] : m_Calls) {
+    if (Entry.m_AwaitsTargets)
+      Awaiting.push_back(Id);
+  }
+  for (const CallId Id : Awaiting) {
+    Call &Entry = m_Calls.at(Id);
+    endTargetsWait(Entry);
+    dispatchOrConclude(Entry, Now);
+  }
 }
 
 } // namespace dandelionfall::core::ingress
--- a/src/core/ingress/limits.h
+++ b/src/core/ingress/limits.h
@@ -28,6 +28,9 @@
 constexpr std::size_t MaxOrphans = 16384;
 /// Maximum number of gates selected for one call.
 constexpr unsigned MaxGatesPerCall = 4;
+/// Longest wait for a target that replaces one whose gate knew before this node
+/// that it has left.
+constexpr Duration MaxTargetsWait = std::chrono::milliseconds(200);
 /// Maximum number of times that a call is repeated after it may have run,
 /// unless its route sets a maximum number of attempts.
 constexpr unsigned MaxRetries = 2;
--- a/tests/system/waiting_requests.py
+++ b/tests/system/waiting_requests.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Checks what becomes of requests that wait for a slot when what they wait for, or their node, goes away.
 
-Usage: waiting_requests.py ingress-stops|gate-stops|silent-target
+Usage: waiting_requests.py ingress-stops|gate-stops|silent-target|target-drains|target-removed|target-leaving
 """
 import contextlib
 import http.client
@@ -25,6 +25,8 @@
 BEFORE_S = 0.3
 # Time beyond that of the first requests within which the others are rejected: nothing is known before.
 REJECTION_S = 1.0
+# Time after which all nodes know that a target is leaving.
+DEPARTURE_S = 1.0
 
 
 class Caller(threading.Thread):
@@ -136,8 +138,41 @@
     return passed & check(set(play.target.paths) <= set(unknown), f"{len(unknown)} requests may have run")
 
 
+def check_departure(deployment, leave):
+    """The target leaves, and another one has room: the waiting requests run there, none at the old one."""
+    play = Play(deployment)
+    other = deployment.targets[1]
+    other.work_s = WORK_S
+    deployment.store.put(f"servers/{other.instance}", other.record())
+    leave(play)
+    left_at = time.monotonic()
+    play.join()
+    late = [at for at in play.target.arrivals if at > left_at + DEPARTURE_S]
+    passed = check(not late, f"{len(late)} requests began at a target that had left")
+    return passed & check(len(play.having(200)) == REQUESTS, f"{len(play.having(200))} of {REQUESTS} were served")
+
+
+def check_target_drains(deployment):
+    return check_departure(deployment, lambda play: play.list_target("draining"))
+
+
+def check_target_removed(deployment):
+    return check_departure(deployment, lambda play: deployment.store.remove(f"servers/{play.target.instance}"))
+
+
+def check_target_leaving(deployment):
+    """The target states in its responses that it is leaving: after the first of them nothing begins there."""
+    def leave(play):
+        play.target.extra_headers = {"Server-Leaving": "1"}
+
+    passed = check_departure(deployment, leave)
+    begun = len(deployment.targets[0].paths)
+    return passed & check(begun == SLOTS, f"{begun} requests began at the target, {SLOTS} before its statement")
+
+
 SCENARIOS = {"ingress-stops": check_ingress_stops, "gate-stops": check_gate_stops,
-             "silent-target": check_silent_target}
+             "silent-target": check_silent_target, "target-drains": check_target_drains,
+             "target-removed": check_target_removed, "target-leaving": check_target_leaving}
 
 
 def main():
--- a/tests/unit/gate_harness.h
+++ b/tests/unit/gate_harness.h
@@ -30,6 +30,10 @@
   bool m_Listed = true;
   bool m_Draining = false;
   std::int64_t m_StartedAtMs = 0;
+  std::string m_Service = "escortdesk";
+  std::string m_Target = "escortdesk-1";
+  /// If set, the gate finds its target by the address.
+  std::string m_Address{};
 };
 
 inline ConfigurationPtr makeGateConfiguration(const GateSettings &Settings) {
@@ -43,23 +47,27 @@
   Policy.m_ColdStartRequests = Settings.m_ColdRequests;
   Config->m_Profiles["booking"] = Policy;
   auto Desk = std::make_shared<Service>();
-  Desk->m_Name = "escortdesk";
+  Desk->m_Name = Settings.m_Service;
   Desk->m_Profile = "booking";
   if (Settings.m_Listed)
-    Desk->m_Targets.push_back(
-        {"escortdesk-1", "host-1", "sindos", "127.0.0.1:9001", Settings.m_Slots,
-         120, "", std::nullopt, Settings.m_Draining, Settings.m_StartedAtMs});
-  Config->m_Services["escortdesk"] = Desk;
+    Desk->m_Targets.push_back({Settings.m_Target, "host-1", "sindos",
+                               "127.0.0.1:9001", Settings.m_Slots, 120,
+                               Settings.m_Address, std::nullopt,
+                               Settings.m_Draining, Settings.m_StartedAtMs});
+  Config->m_Services[Settings.m_Service] = Desk;
   return Config;
 }
 
 /// A gate with a virtual clock; ingress N has the incarnation {N, N}.
 class GateHarness {
 public:
+  /// \param Leaving targets that the node knows to be leaving; the gate has
+  /// its own if null.
   explicit GateHarness(const GateSettings &Settings = {},
-                       const std::string &Admission = "deadline")
-      : m_Gate(
-            {"host-1", "sindos", "escortdesk-1", GateIncarnation, Admission}) {
+                       const std::string &Admission = "deadline",
+                       std::shared_ptr<LeavingTargets> Leaving = nullptr)
+      : m_Gate({"host-1", "sindos", "escortdesk-1", GateIncarnation, Admission,
+                Settings.m_Address, nullptr, std::move(Leaving)}) {
     configure(Settings);
   }
 
