Take a response with an invalid status for none

What callers saw: a target in trouble answered with status 000, and the caller got what stood in its content as the answer, a 200 with a signature (MIXED); with other content the caller got 504 only at its deadline.

Cause: the client of targets took every status below 200 for an interim response and went on reading. The HTTP library expects no content after 1xx only, so the content after 000 to 099 was read as the next response. Nothing checked statuses above 599.

Change: interim are 100 to 199, final 200 to 599 (RFC 9110, section 15); all else ends the exchange as malformed: the request may have run. Not-Executed of such an answer is not relied on. An interim response with content is malformed too. The ingress takes an answer with an invalid status, which a gate of an earlier version may pass on, for a failure; a response whose status is not final is not written to a caller. The store's replies are read by the same client.

--- a/include/dandelionfall/core/http_message.h
+++ b/include/dandelionfall/core/http_message.h
@@ -48,6 +48,18 @@
 /// Lowest HTTP status of a server error.
 inline constexpr std::uint32_t FirstServerError = 500;
 
+/// \returns whether a response with this status precedes the one that ends the
+/// exchange (RFC 9110, section 15.2). It has no content.
+constexpr bool isInterimStatus(std::uint32_t Status) {
+  return Status >= 100 && Status <= 199;
+}
+
+/// \returns whether a response with this status ends the exchange. Statuses
+/// that are neither interim nor final are invalid (RFC 9110, section 15).
+constexpr bool isFinalStatus(std::uint32_t Status) {
+  return Status >= 200 && Status <= 599;
+}
+
 using HttpRequestPtr = std::shared_ptr<const HttpRequest>;
 using HttpResponsePtr = std::shared_ptr<const HttpResponse>;
 
--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -29,10 +29,12 @@
   Attempt *Ended = findSent(Message.m_Id, Peer);
   if (Ended == nullptr)
     return;
-  if (Message.m_Response == nullptr)
+  if (Message.m_Response == nullptr ||
+      !isFinalStatus(Message.m_Response->m_Status))
     return onFailure(
         Peer, Link,
-        {Message.m_Id, "the gate sent no response", Message.m_Capacity}, Now);
+        {Message.m_Id, "the gate sent no valid response", Message.m_Capacity},
+        Now);
   recordGateReply(*Ended, Link, Message.m_Capacity, Now);
   recordStatement(*Ended, Message.m_Statement);
   GateLinks::resetBackOff(Peer);
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -33,11 +33,6 @@
 /// Bytes read at a time of a body that is larger than this.
 constexpr std::size_t LargeReadBytes = 16U << 10U;
 
-bool isInformational(unsigned Status) {
-  constexpr unsigned FirstFinal = 200;
-  return Status < FirstFinal;
-}
-
 bool exceedsLimit(const ResponseParser &Response,
                   const HttpClientOptions &Options) {
   const auto Length = Response.content_length();
@@ -48,9 +43,18 @@
 std::optional<std::string> findFault(const ResponseParser &Response,
                                      bool IsHead,
                                      const HttpClientOptions &Options) {
+  const unsigned Status = Response.get().result_int();
   if (Response.get().result() == http::status::switching_protocols)
     return "the response switches protocols";
-  if (isInformational(Response.get().result_int()) || IsHead)
+  if (core::isInterimStatus(Status)) {
+    // The content would be read as the next response.
+    if (Response.chunked() || Response.content_length().value_or(0) > 0)
+      return "an interim response has content";
+    return std::nullopt;
+  }
+  if (!core::isFinalStatus(Status))
+    return "the status " + std::to_string(Status) + " is invalid";
+  if (IsHead)
     return std::nullopt;
   // Without a length, a truncated response looks the same as a complete one.
   if (Response.need_eof() && !Options.m_AllowCloseDelimited)
@@ -197,7 +201,7 @@
     return finish({ExchangeOutcome::Malformed, nullptr, std::move(*Fault),
                    exceedsLimit(*m_Parser, m_Owner->m_Options)},
                   false);
-  if (isInformational(m_Parser->get().result_int()))
+  if (core::isInterimStatus(m_Parser->get().result_int()))
     return readNextResponse();
   readBody();
 }
--- a/src/net/http_conversion.cpp
+++ b/src/net/http_conversion.cpp
@@ -16,7 +16,6 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned HttpVersion = 11;
-constexpr std::uint32_t FirstFinalStatus = 200;
 
 // Hop-by-hop fields, and fields that are not copied because toBeast sets them
 // (Host, Content-Length) or the server has handled them (Expect).
@@ -117,8 +116,7 @@
 
 BeastResponse toBeast(core::HttpResponse Response, bool IsHead,
                       bool KeepAlive) {
-  // An informational status would not end the exchange.
-  if (Response.m_Status < FirstFinalStatus)
+  if (!core::isFinalStatus(Response.m_Status))
     throwUnsendable("status " + std::to_string(Response.m_Status));
   return convert([&] {
     BeastResponse Message;
--- a/tests/unit/ingress_calls_test.cpp
+++ b/tests/unit/ingress_calls_test.cpp
@@ -466,3 +466,19 @@
   Test.call(1, "POST", 9s);
   CHECK(Test.outcome(1) == CallOutcome::NotRun);
 }
+
+// Guards against gates of earlier versions, which pass on such responses.
+TEST_CASE("an answer with an invalid status is no answer") {
+  for (const std::uint32_t Status : {0U, 99U, 100U, 199U, 600U, 65736U}) {
+    CAPTURE(Status);
+    IngressFixture Test;
+    Test.configure({});
+    Test.call(1, "POST");
+    const ReceivedDispatch Sent = Test.m_Dispatches.front();
+    const auto Response =
+        std::make_shared<HttpResponse>(HttpResponse{Status, {}, "odd"});
+    Test.reply(Sent, Answer{Sent.m_Message.m_Id, Response, {}});
+    CHECK(Test.m_Dispatches.size() == 1);
+    CHECK(Test.outcome(1) == CallOutcome::Unknown);
+  }
+}
