--- a/src/core/ingress/call_table_attempts.cpp
+++ b/src/core/ingress/call_table_attempts.cpp
@@ -91,7 +91,7 @@
   Current.m_Call = 0;
   if (!Current.m_Sent)
     return endAttempt(Number);
-  // The target finishes what it has begun, although nobody gets the answer.
+  // Breaking off what the target has begun could leave it half done.
   if (!m_PlannedEnd.hasCome(Now))
     cancel(Current);
   if (m_OrphanCount >= MaxOrphans) {
