Require in the HTTP fuzzer that invalid statuses are refused, and repeat its runs

Cause: the target wrote every drawn response whose status is above 199 to a caller. Since a response with a status above 599 is not written, and toBeast throws. A node does not get there: its client rejects such a response while reading, and the session answers 502 if one is offered all the same (http_session_answers.cpp), so the product is not changed.

Why it passed before: the seed was fixed, but libFuzzer's tables depend on addresses, and corpus reloads on time.

Change: every response that can be read is either final and arrives unchanged, or is refused with MalformedMessage; those below 200 were skipped before.

--- a/fuzz/fuzz_http.cpp
+++ b/fuzz/fuzz_http.cpp
@@ -1,6 +1,7 @@
 // The way of a request from a caller's bytes to a target's bytes, and of a
 // response back. A message is rejected while it is read, or it can be written
 // and arrives unchanged.
+#include "dandelionfall/core/error.h"
 #include "dandelionfall/net/codec.h"
 #include "net/guarded_parser.h"
 #include "net/request_check.h"
@@ -108,6 +109,18 @@
           "the status arrives unchanged");
 }
 
+/// A response whose status is not final is never written to a caller.
+void refuseResponse(const HttpResponse &Response, bool IsHead) {
+  try {
+    toBeast(Response, IsHead, true);
+  } catch (const Error &Fault) {
+    require(Fault.kind() == ErrorKind::MalformedMessage,
+            "the error names the malformed message");
+    return;
+  }
+  require(false, "a response with an invalid status is not written");
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
@@ -124,9 +137,13 @@
   for (const bool IsHead : {false, true}) {
     ResponseParser Reader;
     Reader.skip(IsHead);
-    constexpr unsigned FirstFinalStatus = 200;
-    if (read(Reader, Bytes) && Reader.get().result_int() >= FirstFinalStatus)
-      passResponse(*fromBeast(Reader.release()), IsHead);
+    if (!read(Reader, Bytes))
+      continue;
+    const auto Response = fromBeast(Reader.release());
+    if (isFinalStatus(Response->m_Status))
+      passResponse(*Response, IsHead);
+    else
+      refuseResponse(*Response, IsHead);
   }
   return 0;
 }
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -1,11 +1,15 @@
 #!/usr/bin/env bash
 # Builds the fuzz targets with clang into build-fuzz and executes each a fixed number of runs
-# with a fixed seed. FUZZ_RUNS multiplies the number of runs (default 1). A crash ends the
-# script; its input stays in build-fuzz/crashes and should be added to the unit tests.
+# with a fixed seed. FUZZ_RUNS multiplies the number of runs (default 1), FUZZ_SEED sets another
+# seed (default 1). A crash ends the script; its input stays in build-fuzz/crashes and should be
+# added to fuzz/corpus.
 # Arguments are passed to `cmake --build`.
+#
+# A seed gives the same inputs in every run of a build: libFuzzer's tables depend on addresses, so
+# their randomization is off, as are its actions at intervals of time.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-seed=1
+seed=${FUZZ_SEED:-1}
 factor=${FUZZ_RUNS:-1}
 export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
 cmake -S . -B build-fuzz -G Ninja -DDANDELIONFALL_FUZZ=ON -DCMAKE_CXX_COMPILER=clang++ \
@@ -22,14 +26,15 @@
 run() {
   local name=$1 runs=$(($2 * factor))
   shift 2
-  if ! "build-fuzz/fuzz/fuzz_$name" -runs="$runs" -seed="$seed" -timeout=5 -rss_limit_mb=1024 \
+  if ! setarch -R "build-fuzz/fuzz/fuzz_$name" -runs="$runs" -seed="$seed" -timeout=5 \
+    -rss_limit_mb=1024 -reload=0 -purge_allocator_interval=-1 \
     -artifact_prefix="build-fuzz/crashes/$name-" "$@" "build-fuzz/corpus/$name" >fuzz.log 2>&1; then
     tail -n 40 fuzz.log
     echo "fuzz_$name failed; its input is in build-fuzz/crashes"
     exit 1
   fi
   total=$((total + runs))
-  echo "fuzz_$name: $runs runs"
+  echo "fuzz_$name: $runs runs,$(sed -n 's/.*DONE *\(.*\) lim:.*/ \1/p' fuzz.log)"
 }
 run configuration 10000 -dict=fuzz/ini.dict -max_len=2048
 run manifest 15000 -dict=fuzz/ini.dict -max_len=2048
