--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -6,7 +6,8 @@
 # Arguments are passed to `cmake --build`.
 #
 # A seed gives the same inputs in every run of a build: libFuzzer's tables depend on addresses, so
-# their randomization is off, as are its actions at intervals of time.
+# their randomization is off and the environment, which shifts the stack, is fixed; its actions at
+# intervals of time are off.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed=${FUZZ_SEED:-1}
@@ -26,8 +27,8 @@
 run() {
   local name=$1 runs=$(($2 * factor))
   shift 2
-  if ! setarch -R "build-fuzz/fuzz/fuzz_$name" -runs="$runs" -seed="$seed" -timeout=5 \
-    -rss_limit_mb=1024 -reload=0 -purge_allocator_interval=-1 \
+  if ! env -i PATH=/usr/bin:/bin setarch -R "build-fuzz/fuzz/fuzz_$name" \
+    -runs="$runs" -seed="$seed" -timeout=5 -rss_limit_mb=1024 -reload=0 -purge_allocator_interval=-1 \
     -artifact_prefix="build-fuzz/crashes/$name-" "$@" "build-fuzz/corpus/$name" >fuzz.log 2>&1; then
     tail -n 40 fuzz.log
     echo "fuzz_$name failed; its input is in build-fuzz/crashes"
