--- a/review/11/case.py
+++ b/review/11/case.py
@@ -159,14 +159,17 @@
         clients = [Client(n, link, start + RUN_S) for n in range(CONNECTIONS)]
         time.sleep(RUN_S / 2)
         stopped = time.monotonic()
+        ends = []
         if TROUBLE:
             fleet.machines[0].signal(signal.SIGTERM)
             note(f"{stopped - start:.3f} SIGTERM to the node of the clients' machine")
+            node = fleet.machines[0].node
+            threading.Thread(target=lambda: (node.wait(), ends.append(time.monotonic())), daemon=True).start()
         for client in clients:
             client.thread.join(RUN_S + 8)
-        ended = fleet.machines[0].node.poll() if TROUBLE else None
+        end = ends[0] if ends else float("inf")
         runs = {run[1]: run[0] for backend in fleet.backends for run in backend.runs}
-        broken, sent = 0, 0
+        broken, sent, before_end = 0, 0, 0
         for client in clients:
             sent += len(client.sent)
             for attempt, at in client.sent.items():
@@ -176,12 +179,14 @@
                 counted = (attempt in runs and attempt in Downloads.answered and when - at < DEADLINE_MS / 1000 and
                            (not TROUBLE or at <= stopped + 3) and when <= stopped + GRACE_S + 1)
                 broken += counted
+                before_end += counted and when < end
                 note(f"{at - start:.3f} {attempt} sent; run {'yes' if attempt in runs else 'no'}; "
                      f"answered by its backend {'yes' if attempt in Downloads.answered else 'no'}; {when - start:.3f} "
                      f"connection ended ({how}) after {part} bytes of its answer: {'LOST' if counted else 'not counted'}")
-        note(f"sent {sent}, complete answers {sum(len(c.complete) for c in clients)}, runs {len(runs)}, "
-             f"node's exit code {ended}, lost {broken}")
-        print(f"sent {sent}, lost {broken}")
+        note(f"the node's process ended at {end - start:.3f}" if ends else "the node's process did not end")
+        note(f"sent {sent}, complete answers {sum(len(c.complete) for c in clients)}, runs {len(runs)}, lost {broken}, "
+             f"of these {before_end} while the node's process still ran")
+        print(f"sent {sent}, lost {broken}, of these {before_end} while the node's process still ran")
         if sent < 50 or not runs:
             return 2
         return 1 if broken else 0
