--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""Pipelining clients behind a link of 10 Mbit/s and 8 ms, while their machine's node gets SIGTERM."""
+"""Pipelining clients behind a link of 10 Mbit/s and 1 ms, while their machine's node gets SIGTERM."""
 import contextlib
 import pathlib
 import random
@@ -8,11 +8,12 @@
 import sys
 import threading
 import time
+import traceback
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 from standins_3 import TROUBLE, Backend, CannotRun, Fleet, route  # noqa: E402  pylint: disable=wrong-import-position
 
-ONE_WAY_S, BYTES_PER_S, CHUNK, BODY_BYTES = 0.008, 10e6 / 8, 1460, 30000
+ONE_WAY_S, BYTES_PER_S, CHUNK, BODY_BYTES = 0.001, 10e6 / 8, 1460, 30000
 CONNECTIONS, GRACE_S, DEADLINE_MS, RUN_S = 12, 6, 4000, 4.0
 
 
@@ -76,11 +77,11 @@
 
 
 class Client:
-    """Sends two idempotent requests on a kept connection, the second one before the first one's answer is there."""
+    """Sends a request on a kept connection, half of them bookings, and an idempotent one before its answer is there."""
 
     def __init__(self, number, link, stop_at):
         self.random, self.number, self.link, self.stop_at = random.Random(number), number, link, stop_at
-        self.sent, self.complete, self.cut, self.count = {}, {}, {}, 0
+        self.sent, self.complete, self.cut, self.count, self.bookings = {}, {}, {}, 0, set()
         self.thread = threading.Thread(target=self.run, daemon=True)
         self.thread.start()
 
@@ -90,12 +91,17 @@
                 self.use(connection)
             time.sleep(0.1)
 
-    def send(self, connection):
+    def send(self, connection, is_first):
         self.count += 1
-        attempt = f"{self.number:x}a{self.count:x}"
+        is_booking = is_first and self.random.random() < 0.5
+        attempt = f"{self.number:x}{'b' if is_booking else 'a'}{self.count:x}"
         self.sent[attempt] = time.monotonic()
-        connection.sendall(f"GET /dl/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {attempt}\r\n"
-                           f"Deadline-Ms: {DEADLINE_MS}\r\n\r\n".encode())
+        connection.sendall(f"{'POST /book/x' if is_booking else 'GET /dl/x'} HTTP/1.1\r\nHost: h.example\r\n"
+                           f"Attempt-Id: {attempt}\r\nDeadline-Ms: {DEADLINE_MS}\r\n"
+                           f"{'Content-Length: 2' if is_booking else 'Accept: */*'}\r\n\r\n"
+                           f"{'ok' if is_booking else ''}".encode())
+        if is_booking:
+            self.bookings.add(attempt)
         return attempt
 
     def use(self, connection):
@@ -103,7 +109,7 @@
         waiting, buffer, closing, second_at = [], b"", False, None
         while True:
             if not closing and time.monotonic() < self.stop_at and not waiting:
-                waiting.append(self.send(connection))
+                waiting.append(self.send(connection, True))
                 second_at = time.monotonic() + self.random.uniform(0, 0.08)
             if not waiting:
                 return
@@ -113,7 +119,7 @@
             if not readable:
                 if not can_send:
                     return self.end(waiting, buffer, "silent for 5 s")
-                waiting.append(self.send(connection))
+                waiting.append(self.send(connection, False))
                 second_at = None
                 continue
             try:
@@ -152,7 +158,7 @@
     try:
         for index, machine in enumerate(fleet.machines):
             fleet.backend(Downloads, machine, f"i-{index}", work_s=0.03).beat()
-        fleet.configure(4, [route("/dl/", "downloads")])
+        fleet.configure(4, [route("/dl/", "downloads"), route("/book/", "downloads", kind="non_idempotent")])
         fleet.start()
         start = time.monotonic()
         link = Link((fleet.machines[0].ip, fleet.caller_port))
@@ -169,7 +175,7 @@
             client.thread.join(RUN_S + 8)
         end = ends[0] if ends else float("inf")
         runs = {run[1]: run[0] for backend in fleet.backends for run in backend.runs}
-        broken, sent, before_end = 0, 0, 0
+        broken, sent, before_end, bookings = 0, 0, 0, 0
         for client in clients:
             sent += len(client.sent)
             for attempt, at in client.sent.items():
@@ -180,13 +186,17 @@
                            (not TROUBLE or at <= stopped + 3) and when <= stopped + GRACE_S + 1)
                 broken += counted
                 before_end += counted and when < end
-                note(f"{at - start:.3f} {attempt} sent; run {'yes' if attempt in runs else 'no'}; "
-                     f"answered by its backend {'yes' if attempt in Downloads.answered else 'no'}; {when - start:.3f} "
-                     f"connection ended ({how}) after {part} bytes of its answer: {'LOST' if counted else 'not counted'}")
+                bookings += counted and attempt in client.bookings
+                kind = "booking" if attempt in client.bookings else "idempotent"
+                run, answered = ("yes" if attempt in known else "no" for known in (runs, Downloads.answered))
+                note(f"{at - start:.3f} {attempt} sent ({kind}); run {run}; answered by its backend {answered}; "
+                     f"{when - start:.3f} connection ended ({how}) after {part} bytes of its answer: "
+                     f"{'LOST' if counted else 'not counted'}")
         note(f"the node's process ended at {end - start:.3f}" if ends else "the node's process did not end")
         note(f"sent {sent}, complete answers {sum(len(c.complete) for c in clients)}, runs {len(runs)}, lost {broken}, "
-             f"of these {before_end} while the node's process still ran")
-        print(f"sent {sent}, lost {broken}, of these {before_end} while the node's process still ran")
+             f"of these {before_end} while the node's process still ran, and {bookings} non_idempotent ones")
+        print(f"sent {sent}, lost {broken}, of these {before_end} while the node's process still ran, and {bookings} "
+              f"non_idempotent ones")
         if sent < 50 or not runs:
             return 2
         return 1 if broken else 0
@@ -200,3 +210,6 @@
     except CannotRun as fault:
         print(f"can't run: {fault}")
         sys.exit(2)
+    except Exception:  # pylint: disable=broad-exception-caught
+        traceback.print_exc()
+        sys.exit(2)
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -3,12 +3,21 @@
 import sys
 import threading
 import time
+import traceback
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 from standins_3 import TROUBLE, Backend, CannotRun, Fleet, call, route  # noqa: E402  pylint: disable=wrong-import-position
 
 SERVICE, WORK_S, DOWN_S, HEARTBEAT_S, STABLE_WINDOW_S, JUDGED_S = "tracks", 0.1, 4.5, 1.5, 3, 20
-CLIENTS, PAUSE_S = 48, 0.05
+CLIENTS, PAUSE_S, COLD_S = 72, 0.05, 3.0
+
+
+class ColdBackend(Backend):
+    """A backend that has come back: it says for how long it is still cold."""
+
+    def record(self, **changes):
+        left_ms = max(0.0, COLD_S * 1000 - (time.time() * 1000 - self.born))
+        return super().record(**{"cold-remaining-ms": round(left_ms), **changes})
 
 
 def main():
@@ -61,7 +70,7 @@
             note("the three backends of zone a end")
             time.sleep(DOWN_S)
             for backend in ended:
-                back = fleet.backend(Backend, backend.machine, f"{backend.instance}-again", work_s=WORK_S)
+                back = fleet.backend(ColdBackend, backend.machine, f"{backend.instance}-again", work_s=WORK_S)
                 back.beat()
                 alive.append(back)
                 fleet.store.remove(f"servers/{backend.instance}")
@@ -105,3 +114,6 @@
     except CannotRun as fault:
         print(f"can't run: {fault}")
         sys.exit(2)
+    except Exception:  # pylint: disable=broad-exception-caught
+        traceback.print_exc()
+        sys.exit(2)
