Keep a finished connection open until its caller closes, so that the last response is not cut off

Cause: the server closed a connection once the system had taken the last response, unless input had been seen behind an unanswered request. A socket that is closed with unread input, or gets some afterwards, resets the connection, and what the caller has not received is lost.

Ruled out: an early end of the process (it still ran at each cut), and failed or late writes (no write error; the cut comes within 0.1 s).

Change: all connections that the server ends, idle ones at a drain or after the idle timeout included, are half-closed, and what comes is dropped until the caller closes its side: 5 s without an acknowledged byte, 30 s in all. Event 410 reports a caller that has not received everything by then.

All other unit tests of files named http pass.

--- a/include/dandelionfall/core/event.h
+++ b/include/dandelionfall/core/event.h
@@ -47,6 +47,7 @@
   RequestRefused = 407,
   RequestNotServed = 408,
   MessageUnsendable = 409,
+  ResponseUndelivered = 410,
   RequestFinished = 420,
   RampRestarted = 500,
   RampFinished = 501,
--- a/include/dandelionfall/net/http_server.h
+++ b/include/dandelionfall/net/http_server.h
@@ -33,6 +33,9 @@
   std::chrono::milliseconds m_RequestTimeout{10'000};
   /// Time after which a connection without a request is closed.
   std::chrono::milliseconds m_IdleTimeout{60'000};
+  /// Time for which a connection that the server has finished waits for its
+  /// caller to receive more, or to close.
+  std::chrono::milliseconds m_LingerTimeout{5'000};
   /// Bounds what the bodies of all requests hold together, from before they are
   /// read until the request objects are destroyed. A connection is not read
   /// while its body waits for room. Null if there is no such bound.
@@ -60,6 +63,9 @@
   /// A malformed, oversized or late request was rejected; \p Fault is the text
   /// of the error response.
   std::function<void(const std::string &Fault)> m_Rejected;
+  /// A finished connection is closed although its caller has not received all
+  /// that was written to it.
+  std::function<void(std::size_t Bytes)> m_Undelivered;
   /// HTTP can't carry the owner's response, so the caller gets status 502.
   std::function<void(core::CallId, const std::string &Fault)> m_Unsendable;
   /// \returns the time for which the body of a request, of which only the
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -164,6 +164,10 @@
         {core::EventId::MessageUnsendable,
          "call=" + std::to_string(Call) + " fault=\"" + Fault + "\""});
   };
+  ServerHandlers.m_Undelivered = [this](std::size_t Bytes) {
+    m_Board.m_Events.record({core::EventId::ResponseUndelivered,
+                             "bytes=" + std::to_string(Bytes)});
+  };
   m_Server.emplace(m_Context, Options, std::move(ServerHandlers));
 }
 
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -80,6 +80,11 @@
               "HTTP can't carry a request or response; its caller got an error "
               "response.",
               /*m_IsPerRequest=*/true},
+    EventInfo{EventId::ResponseUndelivered, "response-undelivered",
+              Severity::Warning,
+              "A connection was closed although its caller had not received "
+              "all that was written to it.",
+              /*m_IsPerRequest=*/true},
     EventInfo{
         EventId::RequestFinished, "request-finished", Severity::Debug,
         "A gate received the target's complete response, or none will arrive."},
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -46,7 +46,7 @@
   m_Acceptor.close(Ignored);
   const auto Sessions = m_Sessions;
   for (const auto &[Key, Each] : Sessions)
-    Each->closeIfIdle();
+    Each->finishIfIdle();
 }
 
 void HttpServer::Impl::respond(core::CallId Call, core::HttpResponse Response,
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -95,7 +95,6 @@
     return watch();
   if (Code)
     return close();
-  m_HasPipelined = true;
   if (m_State == State::Waiting && m_Answers.takesMore())
     readHeader();
 }
@@ -243,7 +242,6 @@
   const auto &MayRunBeside = m_Owner->m_Handlers.m_MayRunBeside;
   Traits.m_MayRunBeside = MayRunBeside && MayRunBeside(*Request);
   m_Held.emplace(Complete{Traits, m_Room.handOver(std::move(Request))});
-  m_HasPipelined = m_HasPipelined || m_Buffer.size() > 0;
   m_State = State::Holding;
   if (!m_Answers.empty())
     m_WaitsSince = Clock::now();
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -33,10 +33,11 @@
   /// The owner's response to a request of this connection.
   void answer(core::CallId Call, core::HttpResponse Response,
               std::shared_ptr<const void> Content);
+  /// Closes at once; what the caller has not received may be lost.
   void close();
   /// Ends what has taken too long, and notices callers that have left.
   void checkTime(Clock::time_point Now);
-  void closeIfIdle();
+  void finishIfIdle();
   core::Duration timeHeld(core::CallId Call) const {
     return m_Answers.timeHeld(Call);
   }
@@ -50,7 +51,7 @@
     AwaitingRoom, ///< For the body.
     Holding,      ///< A complete request that may not yet be begun.
     Ended,        ///< No further request is read.
-    Discarding,   ///< The last response is written.
+    Discarding,   ///< Half-closed, until the caller closes its side.
     Closed
   };
 
@@ -104,7 +105,8 @@
   void startWrite();
   BeastResponse convert(AnswerQueue::Outgoing Next);
   void onWritten(boost::system::error_code Code);
-  void startDiscard();
+  void finish();
+  void endLinger(Clock::time_point Now);
   void discardRest();
   void cancelCalls();
   bool hasCallerLeft();
@@ -124,14 +126,16 @@
   Clock::time_point m_WriteDeadline;
   /// Since when a request waits for its turn or is held.
   Clock::time_point m_WaitsSince;
+  /// Latest end of the state `Discarding`.
+  Clock::time_point m_LingerEnd;
+  /// Bytes that the caller had yet to receive at the last look.
+  int m_Unacknowledged = 0;
   std::uint64_t m_BytesToDiscard = 0;
   State m_State = State::Waiting;
   bool m_Writing = false;
   bool m_CloseAfterWrite = false;
   bool m_ReadInFlight = false;
   bool m_Watching = false;
-  /// The caller has sent bytes behind a request that wasn't answered.
-  bool m_HasPipelined = false;
 };
 
 /// \returns a response that the server itself makes.
--- a/src/net/http_session_answers.cpp
+++ b/src/net/http_session_answers.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/beast/http/write.hpp>
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <utility>
@@ -18,10 +20,17 @@
 using boost::system::error_code;
 
 constexpr std::chrono::seconds WriteTimeout{30};
-/// Time in which what stands behind the last request is discarded, so that its
-/// caller can read the response.
-constexpr std::chrono::seconds DiscardTimeout{5};
+/// Maximum time for which a finished connection stays open while its caller
+/// receives.
+constexpr std::chrono::seconds MaxLinger{30};
 constexpr std::size_t DiscardBytes = 1U << 16U;
+constexpr std::uint64_t MinBytesToDiscard = 1U << 20U;
+
+/// \returns the bytes that the other side has not acknowledged.
+int unacknowledgedBytes(tcp::socket &Socket) {
+  int Bytes = 0;
+  return ::ioctl(Socket.native_handle(), SIOCOUTQ, &Bytes) == 0 ? Bytes : 0;
+}
 
 } // namespace
 
@@ -63,7 +72,6 @@
 
 void HttpServer::Impl::Session::endWith(core::HttpResponse Last) {
   m_State = State::Ended;
-  m_BytesToDiscard = m_Owner->m_Options.m_MaxBodyBytes;
   m_Answers.end(std::move(Last));
   writeNext();
 }
@@ -102,38 +110,51 @@
   if (m_State == State::Closed)
     return;
   m_Writing = false;
-  if (Code || m_CloseAfterWrite) {
-    error_code Ignored;
-    m_Socket.shutdown(tcp::socket::shutdown_send, Ignored);
-    if (Code || (m_BytesToDiscard == 0 && !m_HasPipelined))
-      return close();
-    return startDiscard();
-  }
+  if (Code)
+    return close();
   m_Response.reset();
   m_Answers.onWritten();
-  if (m_Answers.empty() && m_State == State::Ended)
-    return close();
+  if (m_CloseAfterWrite || (m_Answers.empty() && m_State == State::Ended))
+    return finish();
   writeNext();
   readOn();
 }
 
-// The connection would be reset if it were closed with unread bytes, and the
-// caller would lose the response.
-void HttpServer::Impl::Session::startDiscard() {
+// A socket that is closed with unread bytes, or gets some afterwards, resets
+// the connection, and the caller loses what it has not received yet. So the
+// connection stays open until the caller closes its side.
+void HttpServer::Impl::Session::finish() {
   m_State = State::Discarding;
-  m_Answers.onWritten();
+  error_code Ignored;
+  m_Socket.shutdown(tcp::socket::shutdown_send, Ignored);
   cancelCalls();
   m_Held.reset();
   m_Room.cancel();
-  m_BytesToDiscard =
-      std::max(m_BytesToDiscard, m_Owner->m_Options.m_MaxBodyBytes);
-  m_Deadline = Clock::now() + DiscardTimeout;
+  const HttpServerOptions &Options = m_Owner->m_Options;
+  m_BytesToDiscard = std::max(Options.m_MaxBodyBytes, MinBytesToDiscard);
+  const auto Now = Clock::now();
+  m_Deadline = Now + Options.m_LingerTimeout;
+  m_LingerEnd = Now + MaxLinger;
+  m_Unacknowledged = unacknowledgedBytes(m_Socket);
   if (!m_ReadInFlight)
     return discardRest();
-  error_code Ignored;
   m_Socket.cancel(Ignored);
 }
 
+// A slow caller may take the whole time for what it has yet to receive.
+void HttpServer::Impl::Session::endLinger(Clock::time_point Now) {
+  const int Remaining = unacknowledgedBytes(m_Socket);
+  if (Remaining < m_Unacknowledged && Now < m_LingerEnd) {
+    m_Unacknowledged = Remaining;
+    m_Deadline =
+        std::min(Now + m_Owner->m_Options.m_LingerTimeout, m_LingerEnd);
+    return;
+  }
+  if (Remaining > 0 && m_Owner->m_Handlers.m_Undelivered)
+    m_Owner->m_Handlers.m_Undelivered(static_cast<std::size_t>(Remaining));
+  close();
+}
+
 void HttpServer::Impl::Session::discardRest() {
   m_Buffer.clear();
   m_Socket.async_read_some(
@@ -181,9 +202,10 @@
   if (IsLate && m_State == State::Reading)
     return reject(http::status::request_timeout,
                   "the request did not come in time");
-  if (IsLate && (m_State == State::Discarding ||
-                 (m_State == State::Waiting && m_Answers.empty())))
-    return close();
+  if (IsLate && m_State == State::Discarding)
+    return endLinger(Now);
+  if (IsLate)
+    finishIfIdle();
   if (hasCallerLeft())
     close();
 }
@@ -197,9 +219,9 @@
   return ::poll(&Query, 1, 0) > 0;
 }
 
-void HttpServer::Impl::Session::closeIfIdle() {
+void HttpServer::Impl::Session::finishIfIdle() {
   if (m_State == State::Waiting && m_Answers.empty())
-    close();
+    finish();
 }
 
 } // namespace dandelionfall::net
