Weigh what the end of a target shows about a request, and give each quarantine an end

Cause: what ran at a target when it ended was held against it alike, whatever the end shows. A polled request runs at each target, so ends of one cause looked like two or three tests of it. Its answers didn't count, copies at sound targets were cancelled though their answers would have cleared it, and three ends were final: nothing ran any more, and each arrival renewed the verdict.

Change: an answer within the minute before the first end, known to any node, speaks for a request: ends under copies that began before it was suspect count as one, it takes three instead of two, copies that run go on, and the first quarantine is 5 s instead of a minute. Each quarantine ends with one more run as a suspect; the next one is four times as long.

--- a/gen/wire_types.cpp
+++ b/gen/wire_types.cpp
@@ -3666,6 +3666,14 @@
 void CrashEvidence::__set_seen_ago_us(const int64_t val) {
   this->seen_ago_us = val;
 }
+
+void CrashEvidence::__set_as_suspect(const bool val) {
+  this->as_suspect = val;
+}
+
+void CrashEvidence::__set_was_answered(const bool val) {
+  this->was_answered = val;
+}
 std::ostream& operator<<(std::ostream& out, const CrashEvidence& obj)
 {
   obj.printTo(out);
@@ -3734,6 +3742,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->as_suspect);
+          this->__isset.as_suspect = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->was_answered);
+          this->__isset.was_answered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3771,6 +3795,14 @@
   xfer += oprot->writeI64(this->seen_ago_us);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("as_suspect", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->as_suspect);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("was_answered", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->was_answered);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3783,6 +3815,8 @@
   swap(a.cleared, b.cleared);
   swap(a.target_end, b.target_end);
   swap(a.seen_ago_us, b.seen_ago_us);
+  swap(a.as_suspect, b.as_suspect);
+  swap(a.was_answered, b.was_answered);
   swap(a.__isset, b.__isset);
 }
 
@@ -3792,6 +3826,8 @@
   cleared = other116.cleared;
   target_end = other116.target_end;
   seen_ago_us = other116.seen_ago_us;
+  as_suspect = other116.as_suspect;
+  was_answered = other116.was_answered;
   __isset = other116.__isset;
 }
 CrashEvidence::CrashEvidence(CrashEvidence&& other117) noexcept {
@@ -3800,6 +3836,8 @@
   cleared = other117.cleared;
   target_end = std::move(other117.target_end);
   seen_ago_us = other117.seen_ago_us;
+  as_suspect = other117.as_suspect;
+  was_answered = other117.was_answered;
   __isset = other117.__isset;
 }
 CrashEvidence& CrashEvidence::operator=(const CrashEvidence& other118) noexcept {
@@ -3808,6 +3846,8 @@
   cleared = other118.cleared;
   target_end = other118.target_end;
   seen_ago_us = other118.seen_ago_us;
+  as_suspect = other118.as_suspect;
+  was_answered = other118.was_answered;
   __isset = other118.__isset;
   return *this;
 }
@@ -3817,6 +3857,8 @@
   cleared = other119.cleared;
   target_end = std::move(other119.target_end);
   seen_ago_us = other119.seen_ago_us;
+  as_suspect = other119.as_suspect;
+  was_answered = other119.was_answered;
   __isset = other119.__isset;
   return *this;
 }
@@ -3828,6 +3870,8 @@
   out << ", " << "cleared=" << to_string(cleared);
   out << ", " << "target_end=" << to_string(target_end);
   out << ", " << "seen_ago_us=" << to_string(seen_ago_us);
+  out << ", " << "as_suspect=" << to_string(as_suspect);
+  out << ", " << "was_answered=" << to_string(was_answered);
   out << ")";
 }
 
--- a/gen/wire_types.h
+++ b/gen/wire_types.h
@@ -1528,12 +1528,14 @@
 std::ostream& operator<<(std::ostream& out, const TrafficGoAway& obj);
 
 typedef struct _CrashEvidence__isset {
-  _CrashEvidence__isset() : fingerprint_high(false), fingerprint_low(false), cleared(false), target_end(false), seen_ago_us(false) {}
+  _CrashEvidence__isset() : fingerprint_high(false), fingerprint_low(false), cleared(false), target_end(false), seen_ago_us(false), as_suspect(false), was_answered(false) {}
   bool fingerprint_high :1;
   bool fingerprint_low :1;
   bool cleared :1;
   bool target_end :1;
   bool seen_ago_us :1;
+  bool as_suspect :1;
+  bool was_answered :1;
 } _CrashEvidence__isset;
 
 class CrashEvidence : public virtual ::apache::thrift::TBase {
@@ -1547,7 +1549,9 @@
                 : fingerprint_high(0),
                   fingerprint_low(0),
                   cleared(0),
-                  seen_ago_us(0) {
+                  seen_ago_us(0),
+                  as_suspect(0),
+                  was_answered(0) {
   }
 
   virtual ~CrashEvidence() noexcept;
@@ -1556,6 +1560,8 @@
   bool cleared;
   RequestId target_end;
   int64_t seen_ago_us;
+  bool as_suspect;
+  bool was_answered;
 
   _CrashEvidence__isset __isset;
 
@@ -1569,6 +1575,10 @@
 
   void __set_seen_ago_us(const int64_t val);
 
+  void __set_as_suspect(const bool val);
+
+  void __set_was_answered(const bool val);
+
   bool operator == (const CrashEvidence & rhs) const
   {
     if (!(fingerprint_high == rhs.fingerprint_high))
@@ -1581,6 +1591,10 @@
       return false;
     if (!(seen_ago_us == rhs.seen_ago_us))
       return false;
+    if (!(as_suspect == rhs.as_suspect))
+      return false;
+    if (!(was_answered == rhs.was_answered))
+      return false;
     return true;
   }
   bool operator != (const CrashEvidence &rhs) const {
--- a/include/dandelionfall/core/quarantine.h
+++ b/include/dandelionfall/core/quarantine.h
@@ -5,6 +5,7 @@
 
 #include "dandelionfall/core/event.h"
 #include "dandelionfall/core/identity.h"
+#include "dandelionfall/core/recent_answers.h"
 #include "dandelionfall/core/request_fingerprint.h"
 #include "dandelionfall/core/time.h"
 
@@ -25,25 +26,56 @@
   RequestId m_End;
   /// Time since a node last saw the request.
   Duration m_SeenAgo{0};
+  /// Whether the request was suspect already when it began at the target.
+  bool m_AsSuspect = false;
+  /// Whether targets answered the request shortly before the first end.
+  bool m_WasAnswered = false;
   friend bool operator==(const CrashEvidence &,
                          const CrashEvidence &) = default;
 };
 
+/// A request that ran at a target when it ended.
+struct EndedRequest {
+  RequestFingerprint m_Request;
+  /// Whether it was suspect already when it began there.
+  bool m_AsSuspect = false;
+};
+
 /// Evidence against requests under which targets ended. All nodes exchange
 /// what their gates see, so each of them comes to the same verdict.
 ///
 /// A target that ends takes innocent requests with it. All that ran there are
 /// suspect; a gate runs no two suspects beside each other, so that the next end
-/// shows which of them is the cause. After `QuarantineEnds` ends a request is
-/// quarantined for a while, and after `MaxEnds` for as long as it comes. An
-/// answer clears a request of all ends that are known then. Not thread-safe.
+/// shows which of them is the cause. An answer clears a request of all ends
+/// that are known then.
+///
+/// Targets also end together, and a request that is asked all the time runs at
+/// each of them. So if a request was answered shortly before the first end, all
+/// ends under copies that began before it was suspect count as one, and it
+/// needs more ends for a quarantine. Each quarantine ends, so that the request
+/// runs once more, as a suspect; the next one lasts longer. Not thread-safe.
 class Quarantine {
 public:
+  /// Number of ends that quarantine a request.
   static constexpr std::size_t QuarantineEnds = 2;
-  static constexpr std::size_t MaxEnds = 3;
-  /// Time after an end for which a request with `QuarantineEnds` ends is not
-  /// run; then one more end decides.
+  /// The same for a request that was answered shortly before.
+  static constexpr std::size_t QuarantineEndsIfAnswered = 3;
+  /// Maximum number of ends under copies that weren't suspect, and under
+  /// suspects, that are kept for one request.
+  static constexpr std::size_t MaxFirstEnds = 3;
+  static constexpr std::size_t MaxSuspectEnds = 6;
+  /// Duration of the first quarantine after the last end.
   static constexpr Duration Probation = std::chrono::minutes(1);
+  /// The same for a request that was answered shortly before.
+  static constexpr Duration ProbationIfAnswered = std::chrono::seconds(5);
+  /// Each quarantine is this many times as long as the one before.
+  static constexpr int ProbationFactor = 4;
+  /// Time after an end for which a suspect waits if it wasn't answered shortly
+  /// before. Targets that end for one cause don't end at quite the same moment,
+  /// and the end of the next one would look like a test of the request.
+  static constexpr Duration SuspectDelay = std::chrono::milliseconds(100);
+  /// Time before an end in which an answer counts.
+  static constexpr Duration AnswerWindow = std::chrono::minutes(1);
   /// Time after the last sign of a request at which its evidence is dropped.
   static constexpr Duration Lifetime = std::chrono::minutes(10);
   /// Time between two signs of the same request that are passed on.
@@ -62,7 +94,7 @@
   bool empty() const { return m_Records.empty(); }
   /// Records that a target ended while it ran requests.
   /// \returns the id of the end.
-  RequestId onTargetEnded(const std::vector<RequestFingerprint> &Running,
+  RequestId onTargetEnded(const std::vector<EndedRequest> &Running,
                           TimePoint Now);
   /// Records that a target answered a request without a server error.
   void onAnswered(const RequestFingerprint &Request, TimePoint Now);
@@ -71,6 +103,12 @@
 
   /// \returns whether the request ran at a target that ended.
   bool isSuspect(const RequestFingerprint &Request) const;
+  /// \returns whether the request is suspect, and was answered shortly before
+  /// the first end.
+  bool wasAnswered(const RequestFingerprint &Request) const;
+  /// \returns until when a suspect must not begin; nothing if it may begin now.
+  std::optional<TimePoint> delayedUntil(const RequestFingerprint &Request,
+                                        TimePoint Now) const;
   /// Checks an arriving request, which prolongs its quarantine.
   /// \returns the time for which it remains quarantined; nothing if it isn't.
   std::optional<Duration> check(const RequestFingerprint &Request,
@@ -91,15 +129,29 @@
   std::vector<CrashEvidence> snapshot(TimePoint Now) const;
 
 private:
+  struct End {
+    RequestId m_Id;
+    bool m_AsSuspect = false;
+  };
+
   struct Record {
     /// Ends of targets that no answer has cleared yet.
-    std::vector<RequestId> m_Ends;
+    std::vector<End> m_Ends;
     /// The latest cleared ends, so that late evidence doesn't add them again.
     std::vector<RequestId> m_Cleared;
     /// The last sign that was passed on.
     TimePoint m_SeenAt = TimePoint::min();
     /// When the last end became known.
     TimePoint m_EndedAt = TimePoint::min();
+    /// Whether it was answered shortly before the first of the ends.
+    bool m_WasAnswered = false;
+
+    std::size_t firstEnds() const;
+    /// \returns the number of ends that count.
+    std::size_t weight() const;
+    bool isQuarantined() const;
+    /// \returns the end of the present quarantine.
+    TimePoint releasedAt() const;
   };
 
   struct News {
@@ -107,20 +159,29 @@
     bool m_Cleared = false;
     RequestId m_End;
     TimePoint m_SeenAt;
+    bool m_AsSuspect = false;
+    bool m_WasAnswered = false;
   };
 
   void add(const News &Sign);
   bool addEnd(Record &Known, const News &Sign);
+  bool addAnswerBefore(Record &Known, const News &Sign);
+  static void removeOldestSuspectEnd(Record &Known);
   bool clear(Record &Known, const News &Sign);
+  static void remember(Record &Known, const RequestId &Cleared);
   void report(EventId Id, const RequestFingerprint &Request,
               const Record &Known);
   Record &findOrAdd(const RequestFingerprint &Request);
   void evict();
   static CrashEvidence makeEvidence(const News &Sign, TimePoint Now);
+  static std::vector<CrashEvidence>
+  evidenceIn(const RequestFingerprint &Request, const Record &Known,
+             TimePoint Now);
 
   Incarnation m_Self;
   std::uint64_t m_LastEnd = 0;
   std::unordered_map<RequestFingerprint, Record> m_Records;
+  RecentAnswers m_Answers;
   std::vector<News> m_News;
   std::vector<Event> m_Events;
 };
--- a/proto/wire.thrift
+++ b/proto/wire.thrift
@@ -40,7 +40,8 @@
 struct TrafficPong { 1: i64 sequence, 2: i64 version, 3: Capacity capacity }
 struct TrafficGoAway {}
 struct CrashEvidence {
-  1: i64 fingerprint_high, 2: i64 fingerprint_low, 3: bool cleared, 4: RequestId target_end, 5: i64 seen_ago_us
+  1: i64 fingerprint_high, 2: i64 fingerprint_low, 3: bool cleared, 4: RequestId target_end, 5: i64 seen_ago_us,
+  6: bool as_suspect, 7: bool was_answered
 }
 struct CrashNotice { 1: list<CrashEvidence> evidence }
 struct TargetInstance { 1: string name, 2: i64 started_at_ms }
--- a/src/core/event.cpp
+++ b/src/core/event.cpp
@@ -119,7 +119,7 @@
     EventInfo{EventId::RequestQuarantined, "request-quarantined",
               Severity::Warning,
               "A request ran at several targets when they ended; it is sent to "
-              "no target any more."},
+              "no target for a while."},
     EventInfo{EventId::RequestCleared, "request-cleared", Severity::Info,
               "A target answered a quarantined request; it is sent to targets "
               "again."},
--- a/src/core/gate/engine.cpp
+++ b/src/core/gate/engine.cpp
@@ -168,6 +168,8 @@
   updateEarliest(Next, m_Queue.nextChange());
   if (!m_Queue.empty() && m_NextRateStart)
     updateEarliest(Next, m_NextRateStart);
+  if (!m_Queue.empty())
+    updateEarliest(Next, m_NextSuspectStart);
   updateEarliest(Next, m_SleepGuard.nextWakeUp());
   updateEarliest(Next, m_EndWatch.nextWakeUp());
   if (!m_HeldFailures.empty())
--- a/src/core/gate/engine.h
+++ b/src/core/gate/engine.h
@@ -172,6 +172,8 @@
   void rejectBeforeEnd(TimePoint Now);
   void failRunning(const RequestId &Id, const std::string &Detail,
                    const std::optional<RequestId> &TargetEnd = std::nullopt);
+  /// \returns whether a suspect may not begin yet.
+  bool mustWaitAsSuspect(const RequestFingerprint &Request, TimePoint Now);
   bool isBesideSuspect(const RequestFingerprint &Request) const;
   void abandon(const RequestId &Id, const std::string &Detail, TimePoint Now);
   void onNotSent(const OccupiedSlot &Slot, const std::string &Detail,
@@ -267,6 +269,8 @@
   /// When the next waiting request may start within the rate limits of the
   /// target; unset if it need not wait.
   std::optional<TimePoint> m_NextRateStart;
+  /// When the next waiting suspect may start; unset if none waits for its time.
+  std::optional<TimePoint> m_NextSuspectStart;
   /// Concurrency that the target is expected to reach at its rate limits; unset
   /// if it has none.
   std::optional<std::uint32_t> m_RateSlots;
--- a/src/core/gate/engine_messages.cpp
+++ b/src/core/gate/engine_messages.cpp
@@ -178,6 +178,14 @@
   return std::nullopt;
 }
 
+bool Engine::mustWaitAsSuspect(const RequestFingerprint &Request,
+                               TimePoint Now) {
+  const auto Until = m_Quarantine->delayedUntil(Request, Now);
+  if (Until)
+    m_NextSuspectStart = std::min(m_NextSuspectStart.value_or(*Until), *Until);
+  return Until || isBesideSuspect(Request);
+}
+
 bool Engine::isBesideSuspect(const RequestFingerprint &Request) const {
   if (!m_Quarantine->isSuspect(Request))
     return false;
--- a/src/core/gate/engine_target.cpp
+++ b/src/core/gate/engine_target.cpp
@@ -22,7 +22,7 @@
     m_HoldOff.onConnected();
     updateIdleSince(Now);
     recordServiceTime(*Slot, true, Occupied, Now);
-    if (!m_Quarantine->empty() && Response->m_Status < FirstServerError)
+    if (Response->m_Status < FirstServerError)
       m_Quarantine->onAnswered(Slot->m_Fingerprint, Now);
   }
   if (m_Ledger.lookUp(Id) == RequestState::Running) {
@@ -239,6 +239,7 @@
 }
 
 void Engine::startQueued(TimePoint Now) {
+  m_NextSuspectStart.reset();
   // A target that has been idle for long may have restarted.
   if (m_IdleSince && Now - *m_IdleSince >= MaxIdleTime && !m_Queue.empty())
     restartRampIfRaised("idle", Now);
@@ -269,7 +270,7 @@
       continue;
     const HttpRequestPtr &Request = m_Ledger.find(Next.m_Id)->m_Request;
     if (!m_Quarantine->empty() && Request != nullptr &&
-        isBesideSuspect(fingerprintOf(*Request))) {
+        mustWaitAsSuspect(fingerprintOf(*Request), Now)) {
       Postponed.push_back(std::move(Next));
       continue;
     }
@@ -368,10 +369,12 @@
 
 void Engine::start(const QueuedRequest &Next, TimePoint Now) {
   const bool Idempotent = m_Ledger.find(Next.m_Id)->m_Idempotent;
+  const bool AsSuspect = m_Ledger.find(Next.m_Id)->m_AsSuspect;
   HttpRequestPtr Request = m_Ledger.start(Next.m_Id);
   m_Slots.occupy(Next.m_Id, Now, Next.m_Deadline, Next.m_Kind,
                  Request == nullptr ? RequestFingerprint()
-                                    : fingerprintOf(*Request));
+                                    : fingerprintOf(*Request),
+                 AsSuspect);
   m_ColdRate.recordStart(Now);
   m_StatedRate.recordStart(Now);
   m_IdleSince.reset();
--- a/src/core/gate/engine_target_end.cpp
+++ b/src/core/gate/engine_target_end.cpp
@@ -119,10 +119,10 @@
 
 RequestId Engine::addEvidence(const std::vector<OccupiedSlot> &Running,
                               TimePoint Now) {
-  std::vector<RequestFingerprint> Requests;
+  std::vector<EndedRequest> Requests;
   Requests.reserve(Running.size());
   for (const OccupiedSlot &Slot : Running)
-    Requests.push_back(Slot.m_Fingerprint);
+    Requests.push_back({Slot.m_Fingerprint, Slot.m_AsSuspect});
   const RequestId End = m_Quarantine->onTargetEnded(Requests, Now);
   m_EndWatch.onEnded(End, Running);
   return End;
@@ -134,7 +134,8 @@
 }
 
 // A request that became suspect after it was sent may have copies at several
-// targets. They come back as suspects, and run at one target.
+// targets. They come back as suspects, and run at one target. Copies of a
+// request that was answered shortly before go on: their answers clear it.
 void Engine::applyEvidence(TimePoint Now) {
   if (m_Quarantine->empty())
     return;
@@ -170,7 +171,8 @@
 bool Engine::isRecallable(const OccupiedSlot &Slot) const {
   const LedgerEntry *Entry = m_Ledger.find(Slot.m_Id);
   return Entry != nullptr && !Entry->m_AsSuspect && Entry->m_Repeatable &&
-         m_Quarantine->isSuspect(Slot.m_Fingerprint);
+         m_Quarantine->isSuspect(Slot.m_Fingerprint) &&
+         !m_Quarantine->wasAnswered(Slot.m_Fingerprint);
 }
 
 } // namespace dandelionfall::core::gate
--- a/src/core/gate/target_slots.cpp
+++ b/src/core/gate/target_slots.cpp
@@ -7,9 +7,9 @@
 
 void TargetSlots::occupy(const RequestId &Id, TimePoint Start,
                          TimePoint Deadline, std::string Kind,
-                         RequestFingerprint Fingerprint) {
-  m_Slots.push_back(
-      {Id, Start, Deadline, std::move(Kind), std::nullopt, Fingerprint});
+                         RequestFingerprint Fingerprint, bool AsSuspect) {
+  m_Slots.push_back({Id, Start, Deadline, std::move(Kind), std::nullopt,
+                     Fingerprint, AsSuspect});
 }
 
 std::optional<OccupiedSlot> TargetSlots::release(const RequestId &Id) {
--- a/src/core/gate/target_slots.h
+++ b/src/core/gate/target_slots.h
@@ -26,6 +26,8 @@
   /// occupied.
   std::optional<TimePoint> m_FreeAt;
   RequestFingerprint m_Fingerprint{};
+  /// Whether it was suspected of crashing targets when it began.
+  bool m_AsSuspect = false;
   friend bool operator==(const OccupiedSlot &, const OccupiedSlot &) = default;
 };
 
@@ -33,7 +35,8 @@
 class TargetSlots {
 public:
   void occupy(const RequestId &Id, TimePoint Start, TimePoint Deadline,
-              std::string Kind = "", RequestFingerprint Fingerprint = {});
+              std::string Kind = "", RequestFingerprint Fingerprint = {},
+              bool AsSuspect = false);
   /// Frees the slot of a request.
   /// \returns the slot, or nothing if it was free already.
   std::optional<OccupiedSlot> release(const RequestId &Id);
--- a/src/core/ingress/call_table_gates.cpp
+++ b/src/core/ingress/call_table_gates.cpp
@@ -133,9 +133,10 @@
     Peer.m_Load.recordResult(false, Now);
   const Call *Entry = findCall(Ended->m_Call);
   if (Message.m_TargetEnd && Entry != nullptr)
-    m_Options.m_Quarantine->merge({{fingerprintOf(*Entry->m_Request), false,
-                                    *Message.m_TargetEnd, Duration{0}}},
-                                  Now);
+    m_Options.m_Quarantine->merge(
+        {{fingerprintOf(*Entry->m_Request), false, *Message.m_TargetEnd,
+          Duration{0}, Ended->m_AsSuspect}},
+        Now);
   endOutcomeUnknown(Message.m_Id.m_Sequence, Message.m_Detail, Now);
 }
 
--- a/src/net/wire_traffic.cpp
+++ b/src/net/wire_traffic.cpp
@@ -53,6 +53,8 @@
   Result.cleared = Value.m_Cleared;
   Result.target_end = net::toWire(Value.m_End);
   Result.seen_ago_us = Value.m_SeenAgo.count();
+  Result.as_suspect = Value.m_AsSuspect;
+  Result.was_answered = Value.m_WasAnswered;
   return Result;
 }
 
@@ -407,7 +409,9 @@
         {{toUnsigned(Each.fingerprint_high), toUnsigned(Each.fingerprint_low)},
          Each.cleared,
          net::fromWire(Each.target_end),
-         Duration(Each.seen_ago_us)});
+         Duration(Each.seen_ago_us),
+         Each.as_suspect,
+         Each.was_answered});
   return Result;
 }
 
