Let a planned stop wait until callers have received their last responses

The process ended 3.3 s before the end of the grace time, with the responses in the system's buffers, and the caller's next request met no socket, so the connection was reset: 2.75 of 4 MB came.

Cause: a stop waited until the system had taken the last responses, not until they were received.

Change: once all calls are finished and the last responses are written, a stop finishes all connections, idle ones included, and waits until their callers have closed them, 0.25 s before the end of the grace time at the latest. A connection with nothing left to acknowledge waits for 1 s only. Event 410 reports what is left at the end.

--- a/include/dandelionfall/net/http_server.h
+++ b/include/dandelionfall/net/http_server.h
@@ -122,6 +122,10 @@
   /// or a response that is not yet fully written.
   std::size_t busyConnections() const;
 
+  /// \returns the number of connections that are not closed; it includes those
+  /// that the server has finished while their callers still receive.
+  std::size_t connections() const;
+
 private:
   class Impl;
   std::shared_ptr<Impl> m_Impl;
--- a/src/app/node/traffic_driver.cpp
+++ b/src/app/node/traffic_driver.cpp
@@ -17,8 +17,8 @@
 
 // Maximum time for which a body waits for room.
 constexpr std::chrono::milliseconds MaxRoomWait{2000};
-// Interval at which a planned stop checks whether the responses to callers are
-// written.
+// Interval at which a planned stop checks whether callers have received their
+// responses.
 constexpr std::chrono::milliseconds DrainPollInterval{20};
 // Time before the end of the grace time at which all calls must be finished,
 // for the last responses to be written and the process to end.
@@ -165,8 +165,8 @@
          "call=" + std::to_string(Call) + " fault=\"" + Fault + "\""});
   };
   ServerHandlers.m_Undelivered = [this](std::size_t Bytes) {
-    m_Board.m_Events.record({core::EventId::ResponseUndelivered,
-                             "bytes=" + std::to_string(Bytes)});
+    m_Board.m_Events.record(
+        {core::EventId::ResponseUndelivered, "bytes=" + std::to_string(Bytes)});
   };
   m_Server.emplace(m_Context, Options, std::move(ServerHandlers));
 }
@@ -330,13 +330,12 @@
   const core::Duration Grace = m_Board.m_Settings.m_Grace;
   core::Duration Linger =
       std::chrono::milliseconds(m_Board.m_Settings.m_LingerMs);
-  std::optional<TimePoint> End;
   if (Grace > core::Duration{0}) {
-    End = Now + Grace - EndMargin;
-    m_Ingress.startDrain(*End, Now);
+    m_DrainEnd = Now + Grace - EndMargin;
+    m_Ingress.startDrain(*m_DrainEnd, Now);
     Linger = std::min(Linger, Grace / 2);
   }
-  m_Gate.startDrain(Now, End);
+  m_Gate.startDrain(Now, m_DrainEnd);
   m_DrainTimer.expires_after(Linger);
   m_DrainTimer.async_wait([this](boost::system::error_code Code) {
     if (!Code)
@@ -364,12 +363,32 @@
 }
 
 void TrafficDriver::Impl::waitForLastWrites() {
-  if (m_Server->busyConnections() == 0)
-    return m_Handlers.m_Drained();
+  if (m_Server->busyConnections() > 0)
+    return pollDrain(&Impl::waitForLastWrites);
+  m_Server->startDrain();
+  waitForCallers();
+}
+
+// The last responses may still be in the buffers of the system. Without the
+// process a caller's next request would reset the connection, and the caller
+// would lose them.
+void TrafficDriver::Impl::waitForCallers() {
+  const std::size_t Open = m_Server->connections();
+  const bool IsOver = m_DrainEnd && monotonicNow() >= *m_DrainEnd;
+  if (Open > 0 && !IsOver)
+    return pollDrain(&Impl::waitForCallers);
+  if (Open > 0)
+    m_Board.m_Events.record(
+        {core::EventId::ResponseUndelivered,
+         "connections=" + std::to_string(Open) + " cause=end-of-grace-time"});
+  m_Handlers.m_Drained();
+}
+
+void TrafficDriver::Impl::pollDrain(void (Impl::*Next)()) {
   m_DrainTimer.expires_after(DrainPollInterval);
-  m_DrainTimer.async_wait([this](boost::system::error_code Code) {
+  m_DrainTimer.async_wait([this, Next](boost::system::error_code Code) {
     if (!Code)
-      waitForLastWrites();
+      (this->*Next)();
   });
 }
 
--- a/src/app/node/traffic_driver_impl.h
+++ b/src/app/node/traffic_driver_impl.h
@@ -69,6 +69,8 @@
   void stopAcceptingCalls();
   void finishDrainIfDone();
   void waitForLastWrites();
+  void waitForCallers();
+  void pollDrain(void (Impl::*Next)());
   void closeSilentLinks();
 
   void performCommands();
@@ -128,6 +130,8 @@
   std::optional<net::HttpClient> m_Target;
   WakeUpTimer m_Timer;
   boost::asio::steady_timer m_DrainTimer;
+  /// End of the process, if the grace time is known.
+  std::optional<core::TimePoint> m_DrainEnd;
   boost::asio::steady_timer m_SilentLinkTimer;
   LinkWatch m_LinkWatch;
   std::unordered_map<LinkId, LinkPtr> m_OutboundLinks;
--- a/src/net/http_server_interface.cpp
+++ b/src/net/http_server_interface.cpp
@@ -49,4 +49,8 @@
   return m_Impl->m_Totals.m_BusyConnections;
 }
 
+std::size_t HttpServer::connections() const {
+  return m_Impl->m_Sessions.size();
+}
+
 } // namespace dandelionfall::net
--- a/src/net/http_session_answers.cpp
+++ b/src/net/http_session_answers.cpp
@@ -23,6 +23,8 @@
 /// Maximum time for which a finished connection stays open while its caller
 /// receives.
 constexpr std::chrono::seconds MaxLinger{30};
+/// The same if its host has acknowledged everything already.
+constexpr std::chrono::milliseconds DeliveredLinger{1000};
 constexpr std::size_t DiscardBytes = 1U << 16U;
 constexpr std::uint64_t MinBytesToDiscard = 1U << 20U;
 
@@ -125,6 +127,7 @@
 // connection stays open until the caller closes its side.
 void HttpServer::Impl::Session::finish() {
   m_State = State::Discarding;
+  m_Unacknowledged = unacknowledgedBytes(m_Socket);
   error_code Ignored;
   m_Socket.shutdown(tcp::socket::shutdown_send, Ignored);
   cancelCalls();
@@ -133,9 +136,9 @@
   const HttpServerOptions &Options = m_Owner->m_Options;
   m_BytesToDiscard = std::max(Options.m_MaxBodyBytes, MinBytesToDiscard);
   const auto Now = Clock::now();
-  m_Deadline = Now + Options.m_LingerTimeout;
+  m_Deadline =
+      Now + (m_Unacknowledged > 0 ? Options.m_LingerTimeout : DeliveredLinger);
   m_LingerEnd = Now + MaxLinger;
-  m_Unacknowledged = unacknowledgedBytes(m_Socket);
   if (!m_ReadInFlight)
     return discardRest();
   m_Socket.cancel(Ignored);
--- a/tests/system/store_deployment.py
+++ b/tests/system/store_deployment.py
@@ -242,12 +242,12 @@
     """A target that responds with its instance as signature and records the headers of its requests.
 
     `arrivals` holds the time of each request, and `extra_headers` the further headers of each response. Each request
-    takes `work_s`. A request for a path that contains `crash_marker` ends the target; `start` starts it again.
+    takes `work_s`, and is answered with `body`. A request for a path that contains `crash_marker` ends the target; `start` starts it again.
     """
 
     def __init__(self, host, instance):
         self.host, self.instance, self.requests, self.arrivals, self.extra_headers = host, instance, [], [], {}
-        self.work_s, self.crash_marker, self.paths, self.sequence = 0, None, [], 0
+        self.work_s, self.crash_marker, self.paths, self.sequence, self.body = 0, None, [], 0, b"ok"
         target = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -271,9 +271,9 @@
                 self.send_header("Instance-Id" if wrong_instance else "Response-Signature", target.instance)
                 for name, value in target.extra_headers.items():
                     self.send_header(name, value)
-                self.send_header("Content-Length", "2")
+                self.send_header("Content-Length", str(len(target.body)))
                 self.end_headers()
-                self.wfile.write(b"ok")
+                self.wfile.write(target.body)
 
             def log_message(self, *_):
                 pass
