Lengthen a quarantine only for ends under suspects

By reading: a request without an answer before that ran at three targets when they ended was quarantined for four minutes at once, since each end beyond the second counted as one after a quarantine. Only an end under a suspect does now; unit.quarantine_test plays it.

--- a/src/core/quarantine.cpp
+++ b/src/core/quarantine.cpp
@@ -34,9 +34,10 @@
 
 TimePoint Quarantine::Record::releasedAt() const {
   Duration Pause = m_WasAnswered ? ProbationIfAnswered : Probation;
+  const std::size_t SuspectEnds = m_Ends.size() - firstEnds();
   for (std::size_t Ends = m_WasAnswered ? QuarantineEndsIfAnswered
                                         : QuarantineEnds;
-       Ends < weight(); ++Ends)
+       Ends <= SuspectEnds; ++Ends)
     Pause *= ProbationFactor;
   return m_EndedAt + Pause;
 }
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -280,6 +280,11 @@
   endUnderFirst(Nodes.m_Nodes[1], Guilty, Nodes.m_Now);
   Nodes.settle();
   CHECK(Nodes.quarantinedAt(Guilty) == 3);
+  // Ends at the same time don't make the first quarantine longer.
+  endUnderFirst(Nodes.m_Nodes[2], Guilty, Nodes.m_Now);
+  Nodes.settle();
+  Nodes.m_Now += Quarantine::Probation;
+  CHECK(Nodes.quarantinedAt(Guilty) == 0);
 }
 
 TEST_CASE(
