--- a/src/core/quarantine.cpp
+++ b/src/core/quarantine.cpp
@@ -116,8 +116,7 @@
   return true;
 }
 
-// An answer by the target of another node counts as well, so each node adds
-// what it knows.
+// An answer by any target counts, and each gate remembers those of its own.
 bool Quarantine::addAnswerBefore(Record &Known, const News &Sign) {
   if (Known.m_WasAnswered || Known.m_Ends.empty())
     return false;
